--- /dev/null
+++ b/packages/consensus/src/replicatedLog.ts
@@ -0,0 +1,68 @@
+/** Role of a replica in its term. */
+export type ReplicaRole = 'leader' | 'follower' | 'candidate' | 'learner';
+
+/** A committed command. */
+export interface CommittedEntry {
+  index: number;
+  term: number;
+  command: unknown;
+}
+
+/** Deterministic state that committed commands are applied to. */
+export interface StateMachine {
+  /** Applies a command and returns its result; must depend on nothing but state and entry. */
+  apply(entry: CommittedEntry): unknown;
+  /** Returns the whole state as plain data that msgpack can encode. */
+  snapshot(): unknown;
+  /** Replaces the whole state. */
+  restore(snapshot: unknown): void;
+}
+
+/** What a replica became. */
+export interface RoleChange {
+  role: ReplicaRole;
+  term: number;
+  /** Instance id of the leader, if known. */
+  leaderId?: string;
+}
+
+/** Voting and non-voting members, by instance id. */
+export interface Membership {
+  voters: string[];
+  learners: string[];
+}
+
+/** Result of a committed proposal. */
+export interface ProposeResult {
+  /** Log index, strictly increasing over all commits. */
+  index: number;
+  /** What the state machine returned. */
+  result: unknown;
+}
+
+/** The replicated log as the rest of the system sees it. */
+export interface ReplicatedLog extends AsyncDisposable {
+  readonly role: ReplicaRole;
+  readonly term: number;
+  readonly leaderId: string | undefined;
+  /** Index of the last command applied to the state machine. */
+  readonly appliedIndex: number;
+  /**
+   * Resolves after the command is committed and applied here.
+   * Rejects with NotLeaderError if it was certainly not appended, and with
+   * CommitUnknownError if leadership ended before the commit was seen.
+   */
+  propose(command: unknown): Promise<ProposeResult>;
+  /** Tells whether leader validity holds at this moment. */
+  isLeaderValid(): boolean;
+  /** Resolves once this leader has applied every entry committed before its term. */
+  whenReadyToLead(): Promise<void>;
+  /** Calls `listener` on each change; returns a function that unsubscribes. */
+  onRoleChange(listener: (change: RoleChange) => void): () => void;
+  members(): Membership;
+  addLearner(instanceId: string): Promise<void>;
+  promote(instanceId: string): Promise<void>;
+  removeMember(instanceId: string): Promise<void>;
+  /** Hands leadership to `to`, or to the voter that is most up to date. */
+  transferLeadership(to?: string): Promise<void>;
+}
--- /dev/null
+++ b/packages/model/src/resources.ts
@@ -0,0 +1,77 @@
+/** Amounts of each resource that a task needs or an endpoint has. */
+export interface Resources {
+  /** Processor time in thousandths of a core. */
+  cpuMillis: number;
+  /** Memory in mebibytes. */
+  memoryMib: number;
+  /** Whole accelerators. */
+  accelerators: number;
+  /** Concurrent work units of a runner. */
+  slots: number;
+}
+
+/** Names of the resource dimensions, in a fixed order. */
+export const RESOURCE_NAMES = ['cpuMillis', 'memoryMib', 'accelerators', 'slots'] as const;
+
+/** Name of one resource dimension. */
+export type ResourceName = (typeof RESOURCE_NAMES)[number];
+
+/** Resources with every dimension at zero. */
+export const NO_RESOURCES: Readonly<Resources> = Object.freeze({
+  cpuMillis: 0,
+  memoryMib: 0,
+  accelerators: 0,
+  slots: 0,
+});
+
+/** Returns the sum of two resource vectors. */
+export function addResources(a: Resources, b: Resources): Resources {
+  return {
+    cpuMillis: a.cpuMillis + b.cpuMillis,
+    memoryMib: a.memoryMib + b.memoryMib,
+    accelerators: a.accelerators + b.accelerators,
+    slots: a.slots + b.slots,
+  };
+}
+
+/** Returns `a` minus `b`; dimensions may become negative. */
+export function subtractResources(a: Resources, b: Resources): Resources {
+  return {
+    cpuMillis: a.cpuMillis - b.cpuMillis,
+    memoryMib: a.memoryMib - b.memoryMib,
+    accelerators: a.accelerators - b.accelerators,
+    slots: a.slots - b.slots,
+  };
+}
+
+/** Tells whether `size` fits into `free` in every dimension. */
+export function fitsInto(size: Resources, free: Resources): boolean {
+  return (
+    size.cpuMillis <= free.cpuMillis &&
+    size.memoryMib <= free.memoryMib &&
+    size.accelerators <= free.accelerators &&
+    size.slots <= free.slots
+  );
+}
+
+/** Returns the larger amount of each dimension. */
+export function maxResources(a: Resources, b: Resources): Resources {
+  return {
+    cpuMillis: Math.max(a.cpuMillis, b.cpuMillis),
+    memoryMib: Math.max(a.memoryMib, b.memoryMib),
+    accelerators: Math.max(a.accelerators, b.accelerators),
+    slots: Math.max(a.slots, b.slots),
+  };
+}
+
+/**
+ * Returns the largest share that `size` takes of `total` over all dimensions,
+ * as used by dominant-resource fairness. Dimensions absent from `total` do not count.
+ */
+export function dominantShare(size: Resources, total: Resources): number {
+  let share = 0;
+  for (const name of RESOURCE_NAMES) {
+    if (total[name] > 0) share = Math.max(share, size[name] / total[name]);
+  }
+  return share;
+}
