--- a/packages/consensus/src/replicatedLog.ts
+++ b/packages/consensus/src/replicatedLog.ts
@@ -63,6 +63,8 @@
   addLearner(instanceId: string): Promise<void>;
   promote(instanceId: string): Promise<void>;
   removeMember(instanceId: string): Promise<void>;
+  /** Tells whether a learner has caught up, so that promoting it costs no availability. */
+  isCaughtUp(replicaId: string): boolean;
   /** Hands leadership to `to`, or to the voter that is most up to date. */
   transferLeadership(to?: string): Promise<void>;
 }
--- /dev/null
+++ b/packages/coordinator/src/commitQueue.ts
@@ -0,0 +1,60 @@
+import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
+import { toError } from '@lagoongap/model/toError.js';
+import type { SingleCommand } from '@lagoongap/state/commands.js';
+
+interface PendingCommand {
+  command: SingleCommand;
+  resolve: (result: unknown) => void;
+  reject: (err: Error) => void;
+}
+
+/** Most commands in one entry of the log. */
+const MAX_BATCH_COMMANDS = 2000;
+
+/**
+ * Commits commands in groups: all commands of one event-loop turn become one
+ * entry of the log, which costs one write, one sync and one round trip.
+ */
+export class CommitQueue {
+  private readonly log: ReplicatedLog;
+  private pending: PendingCommand[] = [];
+  private isScheduled = false;
+
+  constructor(log: ReplicatedLog) {
+    this.log = log;
+  }
+
+  /**
+   * Resolves with the result of the command once it is committed and applied.
+   * Rejects with NotLeaderError or CommitUnknownError.
+   */
+  commit<Result>(command: SingleCommand): Promise<Result> {
+    return new Promise<Result>((resolve, reject) => {
+      this.pending.push({ command, resolve: resolve as (result: unknown) => void, reject });
+      this.schedule();
+    });
+  }
+
+  private schedule(): void {
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    setImmediate(() => {
+      this.isScheduled = false;
+      while (this.pending.length > 0) this.flush(this.pending.splice(0, MAX_BATCH_COMMANDS));
+    });
+  }
+
+  private flush(batch: PendingCommand[]): void {
+    const command = { type: 'batch', commands: batch.map((pending) => pending.command) };
+    this.log.propose(command).then(
+      ({ result }) => {
+        const results = result as unknown[];
+        batch.forEach((pending, i) => pending.resolve(results[i]));
+      },
+      (reason: unknown) => {
+        const err = toError(reason);
+        for (const pending of batch) pending.reject(err);
+      },
+    );
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/coordinator.ts
@@ -0,0 +1,137 @@
+import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
+import type {
+  AcquireParams,
+  AnnounceParams,
+  ApplyNoteParams,
+  CancelParams,
+  HeartbeatParams,
+  JoinReplicaParams,
+  LeaveParams,
+  LookupParams,
+  PollParams,
+  ReleaseParams,
+  SubmitJobParams,
+} from '@lagoongap/model/messages.js';
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+import type { PeerNetwork } from '@lagoongap/peering/peerNetwork.js';
+import type { Scheduler } from '@lagoongap/scheduling/scheduler.js';
+
+import { LeaderSession, type LeaderSessionOptions } from './leaderSession.js';
+import { ReplicaManager } from './replicaManager.js';
+
+/** Options of {@link Coordinator}. */
+export interface CoordinatorOptions extends Omit<LeaderSessionOptions, 'scheduler'> {
+  network: PeerNetwork;
+  /** Makes the scheduler of a new term. */
+  createScheduler: (term: number) => Scheduler;
+  /** Ids of the instances that may hold a replica. */
+  replicaInstances: string[];
+}
+
+/** Runs a leader session while this replica leads, and answers the calls of other instances. */
+export class Coordinator implements AsyncDisposable {
+  private readonly opts: CoordinatorOptions;
+  private readonly unsubscribe: () => void;
+  private readonly replicas: ReplicaManager;
+  private session: LeaderSession | undefined;
+  private sessionTerm = 0;
+
+  constructor(opts: CoordinatorOptions) {
+    this.opts = opts;
+    this.replicas = new ReplicaManager({
+      log: opts.log,
+      logger: opts.logger,
+      replicaInstances: opts.replicaInstances,
+    });
+    this.registerMethods();
+    this.unsubscribe = opts.log.onRoleChange(() => this.followRole());
+    this.followRole();
+  }
+
+  /** Returns the session of the present leadership; throws a `no-leader` refusal without one. */
+  requireSession(): LeaderSession {
+    const { session } = this;
+    if (!session) {
+      throw new RefusalError({
+        type: 'no-leader',
+        runState: 'not-run',
+        message: `instance ${this.opts.instanceId} is not the leader`,
+        details: { leaderId: this.opts.log.leaderId },
+      });
+    }
+    session.assertValid();
+    return session;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.unsubscribe();
+    await this.endSession();
+  }
+
+  private followRole(): void {
+    const { log, logger } = this.opts;
+    if (log.role !== 'leader') {
+      this.endSession().catch(() => {});
+      return;
+    }
+    const { term } = log;
+    if (this.session && this.sessionTerm === term) return;
+    this.endSession().catch(() => {});
+    this.startSession(term).catch((err: Error) => {
+      logger.warn('could not take up leadership', { term, err: err.message });
+    });
+  }
+
+  private async startSession(term: number): Promise<void> {
+    const { log, logger, createScheduler } = this.opts;
+    await log.whenReadyToLead();
+    if (log.role !== 'leader' || log.term !== term || this.session) return;
+    this.session = new LeaderSession({ ...this.opts, scheduler: createScheduler(term) });
+    this.sessionTerm = term;
+    logger.info('took up leadership', { term });
+  }
+
+  private async endSession(): Promise<void> {
+    const { session } = this;
+    this.session = undefined;
+    if (!session) return;
+    this.opts.logger.info('leadership ended', { term: this.sessionTerm });
+    await session[Symbol.asyncDispose]();
+  }
+
+  private registerMethods(): void {
+    this.handle<PollParams>('gateway.poll', (s, params) => s.sessions.poll(params));
+    this.handle<AcquireParams>('placements.acquire', (s, params) => s.requests.acquire(params));
+    this.handle<ReleaseParams>('placements.release', (s, params) => s.requests.release(params));
+    this.handle<SubmitJobParams>('jobs.submit', (s, params) => s.jobs.submit(params));
+    this.handle<CancelParams>('jobs.cancel', (s, params) => s.jobs.cancel(params));
+    this.handle<LookupParams>('jobs.lookup', (s, params) => s.jobs.lookup(params));
+    this.handle<LookupParams>(
+      'requests.lookup',
+      (s, params) => s.requests.lookup(params.id) ?? null,
+    );
+    this.handle<AnnounceParams>('endpoints.announce', (s, params) =>
+      s.leases.announce(params.announcement),
+    );
+    this.handle<HeartbeatParams>('endpoints.heartbeat', (s, params) =>
+      s.leases.handleHeartbeat(params),
+    );
+    this.handle<LeaveParams>('endpoints.leave', (s, params) => s.leases.leave(params.id));
+    this.handle<ApplyNoteParams>('notes.apply', (s, params) => s.notes.apply(params));
+    this.handle<{ number: number }>('notes.force', (s, params) => s.notes.readForce(params.number));
+    this.handle('status.read', (s) => s.status.readStatus());
+    this.handle('endpoints.list', (s) => s.status.listEndpoints());
+    this.handle('config.read', () => this.opts.state.config);
+    this.handle<{ after?: number }>('audit.read', (_, params) =>
+      this.opts.state.configTable.auditTrail.filter((entry) => entry.index > (params.after ?? 0)),
+    );
+    this.handle<JoinReplicaParams>('replicas.join', (_, params) => this.replicas.join(params));
+  }
+
+  private handle<Params>(
+    method: string,
+    handler: (session: LeaderSession, params: Params) => unknown,
+  ): void {
+    this.opts.network.handle(method, (params) => handler(this.requireSession(), params as Params));
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/endpointLeases.ts
@@ -0,0 +1,263 @@
+import type {
+  EndpointAnnouncement,
+  EndpointState,
+  HeartbeatAnswer,
+} from '@lagoongap/model/endpoint.js';
+import { createId } from '@lagoongap/model/idGenerator.js';
+import type { Log } from '@lagoongap/model/log.js';
+import type { AnnounceResult, HeartbeatParams } from '@lagoongap/model/messages.js';
+import type { RefusalType } from '@lagoongap/model/refusal.js';
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+import type { Scheduler } from '@lagoongap/scheduling/scheduler.js';
+import type { ClusterState } from '@lagoongap/state/clusterState.js';
+import type { AttemptRecord, EndpointRecord, FinishedAttempt } from '@lagoongap/state/records.js';
+
+import type { AttemptCloser } from './attemptCloser.js';
+import type { CommitQueue } from './commitQueue.js';
+import { EXPIRY_MARGIN, type CoordinatorTiming } from './coordinatorTiming.js';
+import type { ValidityGuard } from './validityGuard.js';
+
+interface Lease {
+  expiresAtMs: number;
+  heardAtMs: number;
+  /** Attempts are being closed; the endpoint has to announce itself anew. */
+  isExpiring: boolean;
+}
+
+/** Missed heartbeats after which an endpoint gets no new work. */
+const SILENT_AFTER_HEARTBEATS = 2.5;
+
+/** Options of {@link EndpointLeases}. */
+export interface EndpointLeasesOptions {
+  state: ClusterState;
+  scheduler: Scheduler;
+  closer: AttemptCloser;
+  commits: CommitQueue;
+  guard: ValidityGuard;
+  timing: CoordinatorTiming;
+  log: Log;
+  isEjected: (endpointId: string) => boolean;
+  /** Tells whether a heartbeat that does not list the attempt proves that it has ended. */
+  canSettle: (attempt: AttemptRecord, nowMs: number) => boolean;
+  /** Tells whether a lost attempt is the last one of its request. */
+  isFinal: (attempt: AttemptRecord) => boolean;
+  onRunning: (attemptId: string) => void;
+  wake: () => void;
+}
+
+function refuse(type: RefusalType, message: string): never {
+  throw new RefusalError({ type, runState: 'not-run', message });
+}
+
+/**
+ * Leases of endpoints. Renewals stay in the memory of the leader; a new leader
+ * grants each known endpoint a whole lease, as the old one may just have renewed it.
+ */
+export class EndpointLeases {
+  private readonly opts: EndpointLeasesOptions;
+  private readonly leases = new Map<string, Lease>();
+
+  constructor(opts: EndpointLeasesOptions) {
+    this.opts = opts;
+    for (const endpoint of opts.state.endpoints.values()) {
+      this.renew(endpoint.announcement.id);
+      this.publish(endpoint);
+    }
+  }
+
+  /** Resolves with a new session once the endpoint is recorded durably. */
+  async announce(announcement: EndpointAnnouncement): Promise<AnnounceResult> {
+    const { guard, commits, state, timing } = this.opts;
+    guard.assertValid();
+    this.assertNotInUse(announcement);
+    const session = createId('session');
+    await commits.commit({ type: 'announce-endpoint', announcement, session });
+    guard.assertValid();
+    this.renew(announcement.id);
+    this.publish(state.endpoints.get(announcement.id)!);
+    this.opts.wake();
+    return {
+      session,
+      leaseMs: timing.endpointLeaseMs,
+      heartbeatMs: timing.endpointHeartbeatMs,
+    };
+  }
+
+  /** Renews the lease and records finished and lost attempts. */
+  async handleHeartbeat(params: HeartbeatParams): Promise<HeartbeatAnswer> {
+    const { guard, state, timing, closer } = this.opts;
+    guard.assertValid();
+    const { id, heartbeat } = params;
+    const endpoint = state.endpoints.get(id);
+    const lease = this.leases.get(id);
+    if (!endpoint || !lease || lease.isExpiring || endpoint.session !== heartbeat.session) {
+      refuse('not-found', `endpoint ${id} has no such session; it has to announce itself`);
+    }
+    const wasSilent = this.resolveState(endpoint) === 'silent';
+    this.renew(id);
+    if (wasSilent) this.publish(endpoint);
+    this.observe(id, heartbeat.running);
+    const finished = this.listFinished(id, heartbeat.finished);
+    const lost = this.listLost(params);
+    await closer.close([...finished, ...lost]);
+    guard.assertValid();
+    return {
+      leaseMs: timing.endpointLeaseMs,
+      acknowledged: heartbeat.finished.map(({ attempt }) => attempt),
+      actions: this.listActions(id, heartbeat.running),
+    };
+  }
+
+  /** Gives the endpoint no new work from now on. */
+  async leave(id: string): Promise<void> {
+    const { guard, commits, state } = this.opts;
+    guard.assertValid();
+    const endpoint = state.endpoints.get(id);
+    if (!endpoint) refuse('not-found', `there is no endpoint ${id}`);
+    // Taken out of scheduling before the commit, so that no later turn places work there.
+    this.opts.scheduler.upsertEndpoint({
+      ...endpoint.announcement,
+      state: 'leaving',
+      ejected: this.opts.isEjected(id),
+    });
+    await commits.commit({ type: 'leave-endpoint', id });
+  }
+
+  /** Closes the attempts of endpoints whose lease has run out. */
+  sweep(nowMs: number): void {
+    for (const [id, lease] of this.leases) {
+      const endpoint = this.opts.state.endpoints.get(id);
+      if (!endpoint || lease.isExpiring) continue;
+      if (nowMs >= lease.expiresAtMs) this.expire(endpoint, lease);
+      else if (this.resolveState(endpoint) === 'silent') this.publish(endpoint);
+    }
+  }
+
+  resolveState(endpoint: EndpointRecord): EndpointState {
+    const lease = this.leases.get(endpoint.announcement.id);
+    const silentAfterMs = this.opts.timing.endpointHeartbeatMs * SILENT_AFTER_HEARTBEATS;
+    if (!lease || performance.now() - lease.heardAtMs > silentAfterMs) return 'silent';
+    return endpoint.leaving ? 'leaving' : 'ready';
+  }
+
+  /** Hands the present view of an endpoint to the scheduler. */
+  publish(endpoint: EndpointRecord): void {
+    const { id } = endpoint.announcement;
+    this.opts.scheduler.upsertEndpoint({
+      ...endpoint.announcement,
+      state: this.resolveState(endpoint),
+      ejected: this.opts.isEjected(id),
+    });
+  }
+
+  private renew(id: string): void {
+    const nowMs = performance.now();
+    const expiresAtMs = nowMs + this.opts.timing.endpointLeaseMs * EXPIRY_MARGIN;
+    this.leases.set(id, { expiresAtMs, heardAtMs: nowMs, isExpiring: false });
+  }
+
+  private assertNotInUse(announcement: EndpointAnnouncement): void {
+    const known = this.opts.state.endpoints.get(announcement.id);
+    const lease = this.leases.get(announcement.id);
+    if (lease?.isExpiring) {
+      refuse('conflict', `the lease of endpoint ${announcement.id} is running out; try again`);
+    }
+    if (!known || known.announcement.url === announcement.url) return;
+    if (this.resolveState(known) === 'silent' || known.leaving) return;
+    refuse('conflict', `endpoint id ${announcement.id} is in use at ${known.announcement.url}`);
+  }
+
+  private observe(id: string, running: HeartbeatParams['heartbeat']['running']): void {
+    const { state, scheduler, onRunning } = this.opts;
+    const nowMs = performance.now();
+    for (const { attempt, usage } of running) {
+      if (state.attempts.get(attempt)?.endpointId !== id) continue;
+      onRunning(attempt);
+      if (usage) scheduler.observe(attempt, usage, nowMs);
+    }
+  }
+
+  private listFinished(
+    id: string,
+    reports: HeartbeatParams['heartbeat']['finished'],
+  ): FinishedAttempt[] {
+    // The gateway that holds the caller's connection reports the end of a request.
+    return reports.filter(({ attempt }) => {
+      const record = this.opts.state.attempts.get(attempt);
+      return record?.endpointId === id && record.kind !== 'request';
+    });
+  }
+
+  private listLost({ id, heartbeat }: HeartbeatParams): FinishedAttempt[] {
+    const { state, canSettle, isFinal } = this.opts;
+    const running = new Set(heartbeat.running.map((report) => report.attempt));
+    const finished = new Set(heartbeat.finished.map((report) => report.attempt));
+    const nowMs = performance.now();
+    const lost: FinishedAttempt[] = [];
+    for (const attemptId of state.attempts.listOn(id)) {
+      if (running.has(attemptId)) continue;
+      const attempt = state.attempts.get(attemptId)!;
+      if (attempt.kind !== 'request' && finished.has(attemptId)) continue;
+      if (!canSettle(attempt, nowMs)) continue;
+      lost.push({
+        attempt: attemptId,
+        outcome: 'lost',
+        message: 'the endpoint no longer runs the attempt',
+        final: isFinal(attempt),
+      });
+    }
+    return lost;
+  }
+
+  private listActions(
+    id: string,
+    running: HeartbeatParams['heartbeat']['running'],
+  ): HeartbeatAnswer['actions'] {
+    const { state } = this.opts;
+    const actions: HeartbeatAnswer['actions'] = [];
+    for (const { attempt: attemptId } of running) {
+      const attempt = state.attempts.get(attemptId);
+      const job =
+        attempt && attempt.kind !== 'request' ? state.jobs.get(attempt.unitId) : undefined;
+      const isUnknown = attempt?.endpointId !== id;
+      if (isUnknown || job?.cancelled || job?.stopping) {
+        actions.push({ attempt: attemptId, action: 'stop' });
+      }
+    }
+    return actions;
+  }
+
+  private expire(endpoint: EndpointRecord, lease: Lease): void {
+    const { state, closer, commits, scheduler, guard, log, isFinal } = this.opts;
+    if (!guard.isValid()) return;
+    lease.isExpiring = true;
+    const { id } = endpoint.announcement;
+    this.publish(endpoint);
+    const lost = [...state.attempts.listOn(id)].map((attempt): FinishedAttempt => ({
+      attempt,
+      outcome: 'lost',
+      message: 'the lease of the endpoint ran out',
+      final: isFinal(state.attempts.get(attempt)!),
+    }));
+    log.warn('endpoint lease ran out', { endpoint: id, attempts: lost.length });
+    closer
+      .close(lost)
+      .then(() => commits.commit<boolean>({ type: 'remove-endpoint', id }))
+      .then((isRemoved) => {
+        if (!isRemoved) {
+          // Work was committed for the endpoint meanwhile; the next sweep closes it.
+          lease.isExpiring = false;
+          return;
+        }
+        this.leases.delete(id);
+        scheduler.removeEndpoint(id);
+      })
+      .catch((err: Error) => {
+        lease.isExpiring = false;
+        log.warn('could not commit an endpoint lease that ran out', {
+          endpoint: id,
+          err: err.message,
+        });
+      });
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/expiringSet.ts
@@ -0,0 +1,29 @@
+/** Set whose members are forgotten after a fixed time. */
+export class ExpiringSet {
+  private readonly expiresAtMs = new Map<string, number>();
+  private readonly lifetimeMs: number;
+
+  constructor(lifetimeMs: number) {
+    this.lifetimeMs = lifetimeMs;
+  }
+
+  add(member: string): void {
+    this.prune();
+    // Deleting first keeps the map in the order of expiry.
+    this.expiresAtMs.delete(member);
+    this.expiresAtMs.set(member, performance.now() + this.lifetimeMs);
+  }
+
+  has(member: string): boolean {
+    const expiresAtMs = this.expiresAtMs.get(member);
+    return expiresAtMs !== undefined && performance.now() < expiresAtMs;
+  }
+
+  private prune(): void {
+    const nowMs = performance.now();
+    for (const [member, expiresAtMs] of this.expiresAtMs) {
+      if (expiresAtMs > nowMs) break;
+      this.expiresAtMs.delete(member);
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/gatewaySessions.ts
@@ -0,0 +1,87 @@
+import type { InstanceForce, PollParams, PollResult } from '@lagoongap/model/messages.js';
+import type { ClusterState } from '@lagoongap/state/clusterState.js';
+
+import { EXPIRY_MARGIN, type CoordinatorTiming } from './coordinatorTiming.js';
+import type { ValidityGuard } from './validityGuard.js';
+
+interface Session {
+  bootId: string;
+  number: number;
+  /** Time after which the gateway has certainly fenced itself. */
+  fencedAtMs: number;
+}
+
+/** Options of {@link GatewaySessions}. */
+export interface GatewaySessionsOptions {
+  instanceId: string;
+  term: () => number;
+  state: ClusterState;
+  guard: ValidityGuard;
+  timing: CoordinatorTiming;
+  /** Ids of all instances of the system. */
+  instances: string[];
+}
+
+/** Grants validity to gateways and tells on which of them a release note is in force. */
+export class GatewaySessions {
+  private readonly opts: GatewaySessionsOptions;
+  private readonly sessions = new Map<string, Session>();
+  private readonly startedAtMs = performance.now();
+
+  constructor(opts: GatewaySessionsOptions) {
+    this.opts = opts;
+  }
+
+  /** Grants validity; the answer carries the configuration that the gateway lacks. */
+  poll(params: PollParams): PollResult {
+    const { guard, state, timing, instanceId, term } = this.opts;
+    guard.assertValid();
+    const { instance, bootId, number } = params;
+    const fencedAtMs = performance.now() + this.graceMs;
+    this.sessions.set(instance, { bootId, number, fencedAtMs });
+    const result: PollResult = {
+      leader: instanceId,
+      term: term(),
+      validityMs: timing.gatewayValidityMs,
+      number: state.config.number,
+    };
+    if (number === state.config.number) return result;
+    const notes = state.configTable.listNotesAfter(number);
+    return notes ? { ...result, notes } : { ...result, config: state.config };
+  }
+
+  /** Tells whether a gateway process may still dispatch work. */
+  isOwnerAlive(owner: string): boolean {
+    const separator = owner.lastIndexOf(':');
+    const session = this.sessions.get(owner.slice(0, separator));
+    // An earlier leader may have granted validity shortly before this one was elected.
+    if (!session) return performance.now() < this.startedAtMs + this.graceMs;
+    return session.bootId === owner.slice(separator + 1) && performance.now() < session.fencedAtMs;
+  }
+
+  /** Tells for each instance whether the release note is in force there. */
+  listForce(number: number): InstanceForce[] {
+    return this.opts.instances.map((instance) => {
+      const session = this.sessions.get(instance);
+      const reported = session?.number ?? 0;
+      return { instance, number: reported, state: this.resolveForce(session, number) };
+    });
+  }
+
+  /** Returns the remaining validity of an instance in milliseconds. */
+  readValidity(instance: string): number {
+    const session = this.sessions.get(instance);
+    return session ? Math.max(0, Math.round(session.fencedAtMs - performance.now())) : 0;
+  }
+
+  private get graceMs(): number {
+    return this.opts.timing.gatewayValidityMs * EXPIRY_MARGIN;
+  }
+
+  private resolveForce(session: Session | undefined, number: number): InstanceForce['state'] {
+    const nowMs = performance.now();
+    const fencedAtMs = session?.fencedAtMs ?? this.startedAtMs + this.graceMs;
+    if (nowMs >= fencedAtMs) return 'fenced';
+    return session && session.number >= number ? 'in-force' : 'pending';
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/jobDesk.ts
@@ -0,0 +1,304 @@
+import type {
+  CancelParams,
+  CancelResult,
+  JobView,
+  LookupParams,
+  SubmitJobParams,
+  SubmitJobResult,
+} from '@lagoongap/model/messages.js';
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+import type { WorkUnit } from '@lagoongap/model/workload.js';
+import type { RejectDecision, Scheduler } from '@lagoongap/scheduling/scheduler.js';
+import type { ClusterState } from '@lagoongap/state/clusterState.js';
+import type { SubmitResult } from '@lagoongap/state/commands.js';
+import type { AttemptRecord, FinishedAttempt, JobRecord } from '@lagoongap/state/records.js';
+import { isFinal } from '@lagoongap/state/taskTransitions.js';
+
+import { admit } from './admission.js';
+import type { CommitQueue } from './commitQueue.js';
+import { MAX_LOOKUP_WAIT_MS } from './coordinatorTiming.js';
+import type { PlacementPipeline } from './placementPipeline.js';
+import type { TaskDispatcher } from './taskDispatcher.js';
+
+/** Delay before a service that ended is started again; doubles with each failure. */
+const SERVICE_RESTART_BASE_MS = 500;
+const SERVICE_RESTART_MAX_MS = 60_000;
+
+/** Endpoints that are remembered as unfit for a unit. */
+const MAX_EXCLUDED = 3;
+
+/** Options of {@link JobDesk}. */
+export interface JobDeskOptions {
+  state: ClusterState;
+  scheduler: Scheduler;
+  pipeline: () => PlacementPipeline;
+  dispatcher: () => TaskDispatcher;
+  commits: CommitQueue;
+}
+
+/** Accepts, cancels and shows jobs, and moves their tasks from attempt to attempt. */
+export class JobDesk {
+  private readonly opts: JobDeskOptions;
+  private readonly waiters = new Map<string, Set<() => void>>();
+  /** Submissions that are being committed, by job id. */
+  private readonly submitting = new Map<string, Promise<SubmitJobResult>>();
+  private readonly restartTimers = new Set<NodeJS.Timeout>();
+  /** Endpoints that did not start a unit, by unit. */
+  private readonly notRunOn = new Map<string, string[]>();
+
+  constructor(opts: JobDeskOptions) {
+    this.opts = opts;
+  }
+
+  /** Resolves when the job is durable; a repeated call with the same id gets the same answer. */
+  submit(params: SubmitJobParams): Promise<SubmitJobResult> {
+    const { id } = params;
+    if (this.opts.state.jobs.get(id)) return Promise.resolve({ id, duplicate: false });
+    const known = this.submitting.get(id);
+    if (known) return known;
+    const submission = this.commitSubmission(params).finally(() => this.submitting.delete(id));
+    this.submitting.set(id, submission);
+    return submission;
+  }
+
+  /** Cancels jobs in one commit; running tasks are told to stop. */
+  async cancel(params: CancelParams): Promise<CancelResult> {
+    const { state, commits } = this.opts;
+    const visible = params.ids.filter((id) => this.isVisible(state.jobs.get(id), params.keyId));
+    if (visible.length > 0) {
+      await commits.commit({ type: 'cancel-jobs', jobs: visible, wallTime: Date.now() });
+    }
+    for (const id of visible) this.handleCancelled(state.jobs.get(id)!);
+    const known = new Set(visible);
+    return {
+      jobs: params.ids.map((id) => ({
+        id,
+        state: known.has(id) ? state.jobs.get(id)!.state : 'not-found',
+      })),
+    };
+  }
+
+  /** Returns a job, after its end or `waitMs`, whichever comes first. */
+  async lookup(params: LookupParams): Promise<JobView> {
+    const job = this.opts.state.jobs.get(params.id);
+    if (!job || !this.isVisible(job, params.keyId)) {
+      throw new RefusalError({
+        type: 'not-found',
+        runState: 'not-run',
+        message: `there is no job ${params.id}`,
+      });
+    }
+    if (params.waitMs && !isFinal(job.state)) await this.waitForEnd(job.id, params.waitMs);
+    return this.createView(this.opts.state.jobs.get(params.id) ?? job);
+  }
+
+  /** Queues the waiting tasks of a job: a gang as one unit, other jobs task by task. */
+  enqueueWaiting(job: JobRecord): void {
+    if (job.cancelled || job.stopping) return;
+    const indexes = job.tasks.flatMap((task, i) => (task.state === 'waiting' ? [i] : []));
+    if (indexes.length === 0) return;
+    if (job.spec.kind === 'gang') this.enqueueUnit(job, job.id, indexes);
+    else indexes.forEach((i) => this.enqueueUnit(job, `${job.id}/${i}`, [i]));
+  }
+
+  /** Remembers that an endpoint did not start an attempt, so that the next one goes elsewhere. */
+  noteNotRun(attempt: AttemptRecord): void {
+    const job = this.opts.state.jobs.get(attempt.unitId);
+    if (!job) return;
+    const unitId = job.spec.kind === 'gang' ? job.id : `${job.id}/${attempt.taskIndex}`;
+    const endpoints = this.notRunOn.get(unitId) ?? [];
+    this.notRunOn.set(unitId, [...endpoints, attempt.endpointId].slice(-MAX_EXCLUDED));
+  }
+
+  /** Called when an attempt of a job has ended durably. */
+  handleClosed(attempt: AttemptRecord, finished: FinishedAttempt): void {
+    const job = this.opts.state.jobs.get(attempt.unitId);
+    if (!job) return;
+    if (isFinal(job.state)) {
+      this.handleFinal(job);
+      return;
+    }
+    if (job.cancelled || job.stopping) {
+      this.stopRunning(job);
+      return;
+    }
+    if (job.spec.kind === 'gang') {
+      if (job.state === 'waiting') this.enqueueWaiting(job);
+      return;
+    }
+    const task = job.tasks[attempt.taskIndex]!;
+    if (task.state !== 'waiting') return;
+    const delayMs = this.computeRestartDelay(job, task.failures, finished);
+    if (delayMs === 0) this.enqueueUnit(job, `${job.id}/${attempt.taskIndex}`, [attempt.taskIndex]);
+    else this.enqueueLater(job, attempt.taskIndex, delayMs);
+  }
+
+  handleRejected(unit: WorkUnit, jobId: string, decision: RejectDecision): void {
+    this.opts.commits
+      .commit({
+        type: 'reject-jobs',
+        jobs: [{ id: jobId, reason: decision.reason, message: decision.message }],
+        wallTime: Date.now(),
+      })
+      .then(
+        () => {
+          const job = this.opts.state.jobs.get(jobId);
+          if (job && isFinal(job.state)) this.handleFinal(job);
+        },
+        // The next leader decides again.
+        () => {},
+      );
+  }
+
+  /** Ends timers and waiting calls when leadership ends. */
+  close(): void {
+    for (const timer of this.restartTimers) clearTimeout(timer);
+    for (const waiters of this.waiters.values()) waiters.forEach((wake) => wake());
+    this.waiters.clear();
+  }
+
+  private async commitSubmission(params: SubmitJobParams): Promise<SubmitJobResult> {
+    const { id, spec, keyId, idempotencyKey } = params;
+    const { state, commits, scheduler } = this.opts;
+    const { team, priority } = admit(state.config, {
+      keyId,
+      queue: spec.queue,
+      work: spec.work,
+      kind: spec.kind,
+      size: spec.size,
+      tasks: spec.tasks,
+      waiting: scheduler.countWaiting(spec.queue),
+    });
+    const [result] = await commits.commit<SubmitResult[]>({
+      type: 'submit-jobs',
+      jobs: [{ id, team, spec, priority, idempotencyKey }],
+      wallTime: Date.now(),
+    });
+    if (result!.status === 'duplicate') return { id: result!.id, duplicate: true };
+    this.enqueueWaiting(state.jobs.get(id)!);
+    return { id, duplicate: false };
+  }
+
+  private enqueueUnit(job: JobRecord, unitId: string, indexes: number[]): void {
+    const nowMs = performance.now();
+    const { spec } = job;
+    this.opts.pipeline().enqueue(
+      {
+        id: unitId,
+        kind: spec.kind,
+        team: job.team,
+        queue: spec.queue,
+        work: spec.work,
+        priority: job.priority,
+        size: spec.size,
+        indexes,
+        enqueuedAtMs: nowMs,
+        deadlineAtMs: spec.deadlineMs === undefined ? undefined : nowMs + spec.deadlineMs,
+        excluded: this.listExcluded(job, unitId, indexes),
+      },
+      { ownerId: job.id, noRepeat: spec.noRepeat },
+    );
+  }
+
+  /** Returns endpoints to avoid, or none if that would leave no endpoint for the work. */
+  private listExcluded(job: JobRecord, unitId: string, indexes: number[]): string[] {
+    const failedOn = indexes.flatMap((i) => job.tasks[i]!.failedOn.slice(-MAX_EXCLUDED));
+    const excluded = new Set([...failedOn, ...(this.notRunOn.get(unitId) ?? [])]);
+    if (excluded.size === 0) return [];
+    for (const { announcement, leaving } of this.opts.state.endpoints.values()) {
+      const isCandidate = !leaving && announcement.works.includes(job.spec.work);
+      if (isCandidate && !excluded.has(announcement.id)) return [...excluded];
+    }
+    return [];
+  }
+
+  private enqueueLater(job: JobRecord, taskIndex: number, delayMs: number): void {
+    const timer = setTimeout(() => {
+      this.restartTimers.delete(timer);
+      const current = this.opts.state.jobs.get(job.id);
+      if (!current || current.cancelled || current.tasks[taskIndex]?.state !== 'waiting') return;
+      this.enqueueUnit(current, `${job.id}/${taskIndex}`, [taskIndex]);
+    }, delayMs);
+    this.restartTimers.add(timer);
+  }
+
+  private computeRestartDelay(job: JobRecord, failures: number, finished: FinishedAttempt): number {
+    if (job.spec.kind !== 'service') return 0;
+    if (!['failed', 'succeeded'].includes(finished.outcome)) return 0;
+    return Math.min(SERVICE_RESTART_MAX_MS, SERVICE_RESTART_BASE_MS * 2 ** Math.min(failures, 10));
+  }
+
+  private handleCancelled(job: JobRecord): void {
+    this.opts.pipeline().cancel(job.id);
+    job.tasks.forEach((_, i) => this.opts.pipeline().cancel(`${job.id}/${i}`));
+    this.stopRunning(job);
+    if (isFinal(job.state)) this.handleFinal(job);
+  }
+
+  private stopRunning(job: JobRecord): void {
+    for (const task of job.tasks) {
+      if (task.state !== 'running' || !task.attempt) continue;
+      this.opts
+        .dispatcher()
+        .act(task.attempt, 'stop')
+        .catch(() => {});
+    }
+  }
+
+  private handleFinal(job: JobRecord): void {
+    this.notRunOn.delete(job.id);
+    job.tasks.forEach((_, i) => this.notRunOn.delete(`${job.id}/${i}`));
+    const waiters = this.waiters.get(job.id);
+    this.waiters.delete(job.id);
+    waiters?.forEach((wake) => wake());
+  }
+
+  private waitForEnd(jobId: string, waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const waiters = this.waiters.get(jobId) ?? new Set();
+      this.waiters.set(jobId, waiters);
+      const timer = setTimeout(
+        () => {
+          waiters.delete(wake);
+          resolve();
+        },
+        Math.min(waitMs, MAX_LOOKUP_WAIT_MS),
+      );
+      const wake = (): void => {
+        clearTimeout(timer);
+        resolve();
+      };
+      waiters.add(wake);
+    });
+  }
+
+  private isVisible(job: JobRecord | undefined, keyId: string | undefined): boolean {
+    if (!job) return false;
+    const { config } = this.opts.state;
+    const key = keyId === undefined ? undefined : config.keys[keyId];
+    // Work on open queues without a key is found by its identifier, which cannot be guessed.
+    if (!key) return keyId === undefined && config.queues[job.spec.queue]?.open === true;
+    return key.role === 'operator' || key.team === job.team;
+  }
+
+  private createView(job: JobRecord): JobView {
+    const { attempts } = this.opts.state;
+    return {
+      id: job.id,
+      team: job.team,
+      kind: job.spec.kind,
+      queue: job.spec.queue,
+      work: job.spec.work,
+      state: job.state,
+      cancelled: job.cancelled,
+      message: job.message,
+      tasks: job.tasks.map(({ state, attempt, failures, message }) => ({
+        state,
+        attempt,
+        endpoint: attempt === undefined ? undefined : attempts.get(attempt)?.endpointId,
+        failures,
+        message,
+      })),
+    };
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/noteDesk.ts
@@ -0,0 +1,119 @@
+import type {
+  ApplyNoteParams,
+  ApplyNoteResult,
+  NoteForceResult,
+} from '@lagoongap/model/messages.js';
+import type { NoteFault, ReleaseNote } from '@lagoongap/model/releaseNote.js';
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+import { checkReleaseNote } from '@lagoongap/release-notes/checkReleaseNote.js';
+import { hashReleaseNote } from '@lagoongap/release-notes/hashReleaseNote.js';
+import { parseReleaseNote } from '@lagoongap/release-notes/parseReleaseNote.js';
+import type { ClusterState } from '@lagoongap/state/clusterState.js';
+import type { NoteResult } from '@lagoongap/state/commands.js';
+
+import type { CommitQueue } from './commitQueue.js';
+import type { GatewaySessions } from './gatewaySessions.js';
+
+/** Options of {@link NoteDesk}. */
+export interface NoteDeskOptions {
+  state: ClusterState;
+  commits: CommitQueue;
+  sessions: GatewaySessions;
+  /** Called after a note was applied. */
+  onApplied: () => void;
+}
+
+function createFaultError(faults: NoteFault[]): RefusalError {
+  const lines = faults.map(({ line, path, message }) => `line ${line}: ${path}: ${message}`);
+  return new RefusalError({
+    type: 'invalid-input',
+    runState: 'not-run',
+    message: `the release note has ${faults.length} fault(s): ${lines.join('; ')}`,
+    details: { faults },
+  });
+}
+
+/** Checks and applies release notes. */
+export class NoteDesk {
+  private readonly opts: NoteDeskOptions;
+
+  constructor(opts: NoteDeskOptions) {
+    this.opts = opts;
+  }
+
+  /** Resolves when the note is durable; a repeated call with the same content gets the same answer. */
+  async apply(params: ApplyNoteParams): Promise<ApplyNoteResult> {
+    const { state } = this.opts;
+    const { note, faults } = parseReleaseNote(params.text);
+    if (!note) {
+      if (!params.checkOnly) await this.recordRefused(params.by, faults);
+      throw createFaultError(faults);
+    }
+    const contentHash = hashReleaseNote(note);
+    if (params.checkOnly) return this.check(note, contentHash);
+    const result = await this.opts.commits.commit<NoteResult>({
+      type: 'apply-note',
+      note,
+      contentHash,
+      by: params.by,
+      wallTime: Date.now(),
+    });
+    if (result.status !== 'accepted') throw this.createRefusal(result, note.number, contentHash);
+    if (state.config.number === note.number) this.opts.onApplied();
+    return { status: 'accepted', number: note.number, contentHash };
+  }
+
+  /** Tells on which instances an accepted note is in force. */
+  readForce(number: number): NoteForceResult {
+    const { state, sessions } = this.opts;
+    const contentHash = state.configTable.findNoteHash(number);
+    if (contentHash === undefined) {
+      throw new RefusalError({
+        type: 'not-found',
+        runState: 'not-run',
+        message: `there is no accepted release note ${number}`,
+      });
+    }
+    const instances = sessions.listForce(number);
+    const inForceEverywhere = instances.every((instance) => instance.state !== 'pending');
+    return { number, contentHash, inForceEverywhere, instances };
+  }
+
+  private check(note: ReleaseNote, contentHash: string): ApplyNoteResult {
+    const { state } = this.opts;
+    const known = state.configTable.findNoteHash(note.number);
+    const { number } = note;
+    if (known === contentHash) return { status: 'valid', number, contentHash };
+    if (known !== undefined) {
+      throw this.createRefusal({ status: 'conflict', number, winner: known }, number, contentHash);
+    }
+    const newest = state.config.number;
+    if (number < newest) {
+      throw this.createRefusal({ status: 'outdated', number, newest }, number, contentHash);
+    }
+    const faults = checkReleaseNote(note, state.config);
+    if (faults.length > 0) throw createFaultError(faults);
+    return { status: 'valid', number, contentHash };
+  }
+
+  private async recordRefused(by: string, faults: NoteFault[]): Promise<void> {
+    await this.opts.commits.commit({
+      type: 'refuse-note',
+      number: 0,
+      contentHash: '',
+      by,
+      summary: `refused: ${faults.length} fault(s), first: ${faults[0]?.message ?? ''}`,
+      wallTime: Date.now(),
+    });
+  }
+
+  private createRefusal(result: NoteResult, number: number, contentHash: string): RefusalError {
+    if (result.status === 'faulty') return createFaultError(result.faults);
+    const details = { ...result, contentHash };
+    const message =
+      result.status === 'conflict'
+        ? `release note ${number} was accepted with other content (hash ${result.winner})`
+        : `release note ${number} is older than the newest accepted one`;
+    return new RefusalError({ type: 'conflict', runState: 'not-run', message, details });
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/placementPipeline.ts
@@ -0,0 +1,143 @@
+import type { Log } from '@lagoongap/model/log.js';
+import type { Attempt, WorkUnit } from '@lagoongap/model/workload.js';
+import type {
+  Decision,
+  PlaceDecision,
+  PreemptDecision,
+  RejectDecision,
+  Scheduler,
+} from '@lagoongap/scheduling/scheduler.js';
+import type { StartAttemptResult, StartedAttempt } from '@lagoongap/state/commands.js';
+import type { AttemptRecord } from '@lagoongap/state/records.js';
+
+import type { CommitQueue } from './commitQueue.js';
+import type { ValidityGuard } from './validityGuard.js';
+
+/** What the pipeline has to know about a unit beyond what the scheduler sees. */
+export interface UnitDetails {
+  /** Job or request that the unit belongs to. */
+  ownerId: string;
+  noRepeat: boolean;
+  /** Gateway process that dispatches the attempt of a request. */
+  owner?: string;
+  idempotencyKey?: string;
+}
+
+/** Receives what was decided and committed. */
+export interface PlacementListener {
+  /** The attempt is committed and may be dispatched. */
+  handleStarted(attempt: AttemptRecord): void;
+  /** The attempt was not committed, and will not be. */
+  handleObsolete(attempt: StartedAttempt, result: StartAttemptResult): void;
+  handleRejected(unit: WorkUnit, details: UnitDetails, decision: RejectDecision): void;
+  handlePreempted(decision: PreemptDecision): void;
+}
+
+/** Options of {@link PlacementPipeline}. */
+export interface PlacementPipelineOptions {
+  scheduler: Scheduler;
+  commits: CommitQueue;
+  guard: ValidityGuard;
+  listener: PlacementListener;
+  /** Most attempts decided in one turn. */
+  maxBatch: number;
+  log: Log;
+  /** Called with the duration of each turn of decisions in milliseconds. */
+  onDecided?: (durationMs: number, attempts: number) => void;
+}
+
+/** Takes waiting units through decision and commit; one turn handles a whole batch. */
+export class PlacementPipeline {
+  private readonly opts: PlacementPipelineOptions;
+  private readonly details = new Map<string, UnitDetails>();
+  private isScheduled = false;
+
+  constructor(opts: PlacementPipelineOptions) {
+    this.opts = opts;
+  }
+
+  /** Adds a unit to its queue and starts a turn. */
+  enqueue(unit: WorkUnit, details: UnitDetails): void {
+    this.details.set(unit.id, details);
+    this.opts.scheduler.enqueue(unit);
+    this.wake();
+  }
+
+  /** Removes a waiting unit; false if it does not wait any more. */
+  cancel(unitId: string): boolean {
+    if (!this.opts.scheduler.cancel(unitId)) return false;
+    this.details.delete(unitId);
+    return true;
+  }
+
+  /** Starts a turn in the next iteration of the event loop. */
+  wake(): void {
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    setImmediate(() => {
+      this.isScheduled = false;
+      this.runTurn();
+    });
+  }
+
+  private runTurn(): void {
+    const { scheduler, guard, maxBatch, onDecided } = this.opts;
+    if (!guard.isValid()) return;
+    const startMs = performance.now();
+    const decisions = scheduler.decide(startMs, maxBatch);
+    const started: StartedAttempt[] = [];
+    for (const decision of decisions) this.handleDecision(decision, started);
+    onDecided?.(performance.now() - startMs, started.length);
+    if (started.length === 0) return;
+    this.commit(started);
+    this.wake();
+  }
+
+  private handleDecision(decision: Decision, started: StartedAttempt[]): void {
+    if (decision.type === 'preempt') {
+      this.opts.listener.handlePreempted(decision);
+      return;
+    }
+    const details = this.details.get(decision.unit.id);
+    if (!details) return;
+    this.details.delete(decision.unit.id);
+    if (decision.type === 'reject') {
+      this.opts.listener.handleRejected(decision.unit, details, decision);
+    } else {
+      started.push(...this.createStarted(decision, details));
+    }
+  }
+
+  private createStarted(decision: PlaceDecision, details: UnitDetails): StartedAttempt[] {
+    const { ownerId, ...rest } = details;
+    return decision.attempts.map((attempt: Attempt) => ({ ...attempt, ...rest, unitId: ownerId }));
+  }
+
+  private commit(started: StartedAttempt[]): void {
+    const { commits, listener, scheduler, log } = this.opts;
+    commits
+      .commit<StartAttemptResult[]>({
+        type: 'start-attempts',
+        attempts: started,
+        wallTime: Date.now(),
+      })
+      .then(
+        (results) => {
+          started.forEach((attempt, i) => {
+            const result = results[i]!;
+            if (result.status === 'started') {
+              const { idempotencyKey, ...fields } = attempt;
+              listener.handleStarted({ ...fields, token: result.token });
+            } else {
+              scheduler.release(attempt.id, 'not-run', performance.now());
+              listener.handleObsolete(attempt, result);
+            }
+          });
+        },
+        (err: Error) => {
+          // Leadership has ended; the next leader starts from the replicated state.
+          log.warn('could not commit placements', { attempts: started.length, err: err.message });
+        },
+      );
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/requestDesk.ts
@@ -0,0 +1,322 @@
+import type {
+  AcquireParams,
+  AcquireResult,
+  Release,
+  ReleaseParams,
+  RequestView,
+} from '@lagoongap/model/messages.js';
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+import type { AttemptOutcome, WorkUnit } from '@lagoongap/model/workload.js';
+import type { RejectDecision, Scheduler } from '@lagoongap/scheduling/scheduler.js';
+import type { ClusterState } from '@lagoongap/state/clusterState.js';
+import type { StartAttemptResult, StartedAttempt } from '@lagoongap/state/commands.js';
+import type { AttemptRecord } from '@lagoongap/state/records.js';
+import { isFinal } from '@lagoongap/state/taskTransitions.js';
+
+import { admit } from './admission.js';
+import type { AttemptCloser } from './attemptCloser.js';
+import type { CommitQueue } from './commitQueue.js';
+import { ATTEMPT_SETTLE_MS } from './coordinatorTiming.js';
+import { ExpiringSet } from './expiringSet.js';
+import type { PlacementPipeline } from './placementPipeline.js';
+
+interface Waiter {
+  resolve: (result: AcquireResult) => void;
+  reject: (err: Error) => void;
+}
+
+/** Time for which a request that was given up refuses late repetitions of `acquire`. */
+const ABANDONED_MEMORY_MS = 120_000;
+
+/** Time after which a request between two attempts is given up because its gateway is gone. */
+const IDLE_REQUEST_MS = 60_000;
+
+/** Options of {@link RequestDesk}. */
+export interface RequestDeskOptions {
+  state: ClusterState;
+  scheduler: Scheduler;
+  pipeline: () => PlacementPipeline;
+  closer: AttemptCloser;
+  commits: CommitQueue;
+  /** Tells whether a gateway process may still dispatch. */
+  isOwnerAlive: (owner: string) => boolean;
+  /** Called with the result of each exchange, for endpoint health and speed. */
+  onReleased: (attempt: AttemptRecord, release: Release) => void;
+}
+
+/** Places the requests that gateways hold, and records how they end. */
+export class RequestDesk {
+  private readonly opts: RequestDeskOptions;
+  private readonly waiters = new Map<string, Waiter[]>();
+  /** Requests that wait until an attempt that may still run has been settled. */
+  private readonly parked = new Map<string, AcquireParams>();
+  /** Time at which a gateway reported that an attempt may still run. */
+  private readonly unconfirmedAtMs = new Map<string, number>();
+  private readonly deadlinesAtMs = new Map<string, number>();
+  /** Requests between two attempts, with the time since when they are. */
+  private readonly idleSinceMs = new Map<string, number>();
+  private readonly abandoned = new ExpiringSet(ABANDONED_MEMORY_MS);
+
+  constructor(opts: RequestDeskOptions) {
+    this.opts = opts;
+    for (const request of opts.state.requests.values()) {
+      if (request.state === 'waiting') this.idleSinceMs.set(request.id, performance.now());
+    }
+  }
+
+  /** Resolves with a committed placement; the same request id never gets two at a time. */
+  acquire(params: AcquireParams): Promise<AcquireResult> {
+    const { requestId } = params;
+    this.idleSinceMs.delete(requestId);
+    this.assertNotAbandoned(requestId);
+    this.assertNotDuplicate(params);
+    const record = this.opts.state.requests.get(requestId);
+    const running = record?.attempt && this.opts.state.attempts.get(record.attempt);
+    if (running && !this.unconfirmedAtMs.has(running.id)) {
+      return Promise.resolve(this.createResult(running));
+    }
+    return new Promise<AcquireResult>((resolve, reject) => {
+      const waiters = this.waiters.get(requestId);
+      if (waiters) {
+        waiters.push({ resolve, reject });
+        return;
+      }
+      this.waiters.set(requestId, [{ resolve, reject }]);
+      if (running) this.parked.set(requestId, params);
+      else this.enqueue(params);
+    });
+  }
+
+  /** Records how attempts ended; resolves when that is committed. */
+  async release(params: ReleaseParams): Promise<void> {
+    await Promise.all(params.releases.map((release) => this.releaseOne(release)));
+  }
+
+  lookup(id: string): RequestView | undefined {
+    const record = this.opts.state.requests.get(id);
+    if (!record) return undefined;
+    const { team, queue, work, state, attempts } = record;
+    return { id, team, queue, work, state, attempts };
+  }
+
+  handleStarted(attempt: AttemptRecord): void {
+    const { requestId, isAbandoned } = this.findRequest(attempt);
+    if (isAbandoned) {
+      this.opts.closer
+        .close([{ attempt: attempt.id, outcome: 'not-run', final: true }])
+        .catch(() => {});
+      return;
+    }
+    this.settleWaiters(requestId, (waiter) => waiter.resolve(this.createResult(attempt)));
+  }
+
+  handleObsolete(attempt: StartedAttempt, result: StartAttemptResult): void {
+    const message =
+      result.status === 'duplicate'
+        ? `the idempotency key was used by request ${result.id}`
+        : 'the request has ended already';
+    this.rejectWaiters(attempt.unitId, 'duplicate', message);
+  }
+
+  handleRejected(unit: WorkUnit, decision: RejectDecision): void {
+    this.rejectWaiters(unit.id, decision.reason, decision.message);
+    this.abandonRecord(unit.id, 'failed');
+  }
+
+  /** Called when an attempt of a request has ended durably. */
+  handleClosed(attempt: AttemptRecord): void {
+    this.unconfirmedAtMs.delete(attempt.id);
+    this.deadlinesAtMs.delete(attempt.unitId);
+    const params = this.parked.get(attempt.unitId);
+    if (!params) {
+      const record = this.opts.state.requests.get(attempt.unitId);
+      if (record?.state === 'waiting') this.idleSinceMs.set(attempt.unitId, performance.now());
+      return;
+    }
+    this.parked.delete(attempt.unitId);
+    const record = this.opts.state.requests.get(attempt.unitId);
+    if (record && isFinal(record.state)) {
+      this.rejectWaiters(
+        attempt.unitId,
+        'answer-lost',
+        'the attempt may have run; it is not repeated',
+      );
+    } else {
+      this.enqueue(params);
+    }
+  }
+
+  /**
+   * Tells whether a heartbeat that does not list the attempt proves that it has
+   * ended: its gateway is gone, has reported it as unconfirmed, or its deadline has passed.
+   */
+  canSettle(attempt: AttemptRecord, nowMs: number): boolean {
+    const unconfirmedAtMs = this.unconfirmedAtMs.get(attempt.id);
+    if (unconfirmedAtMs !== undefined) return nowMs - unconfirmedAtMs > ATTEMPT_SETTLE_MS;
+    if (attempt.owner === undefined || !this.opts.isOwnerAlive(attempt.owner)) return true;
+    const deadlineAtMs = this.deadlinesAtMs.get(attempt.unitId);
+    return deadlineAtMs !== undefined && nowMs > deadlineAtMs + ATTEMPT_SETTLE_MS;
+  }
+
+  /** Tells whether a gateway waits to attempt the request again once it has been settled. */
+  isParked(requestId: string): boolean {
+    return this.parked.has(requestId);
+  }
+
+  /** Gives up requests whose gateway has not asked for another attempt in time. */
+  sweep(nowMs: number): void {
+    for (const [requestId, sinceMs] of this.idleSinceMs) {
+      if (nowMs - sinceMs < IDLE_REQUEST_MS) break;
+      this.idleSinceMs.delete(requestId);
+      this.abandonRecord(requestId, 'failed');
+    }
+  }
+
+  /** Ends all waiting calls when leadership ends; gateways repeat them at the next leader. */
+  close(err: Error): void {
+    for (const waiters of this.waiters.values()) {
+      for (const waiter of waiters) waiter.reject(err);
+    }
+    this.waiters.clear();
+  }
+
+  private enqueue(params: AcquireParams): void {
+    try {
+      const { team, priority } = admit(this.opts.state.config, {
+        ...params,
+        kind: 'request',
+        tasks: 1,
+        waiting: this.opts.scheduler.countWaiting(params.queue),
+      });
+      const nowMs = performance.now();
+      const deadlineAtMs = nowMs + params.deadlineMs;
+      this.deadlinesAtMs.set(params.requestId, deadlineAtMs);
+      const { requestId, queue, work, size, excluded, noRepeat, owner, idempotencyKey } = params;
+      this.opts.pipeline().enqueue(
+        {
+          id: requestId,
+          kind: 'request',
+          team,
+          queue,
+          work,
+          priority,
+          size,
+          indexes: [0],
+          enqueuedAtMs: nowMs,
+          deadlineAtMs,
+          excluded,
+        },
+        { ownerId: requestId, noRepeat, owner, idempotencyKey },
+      );
+    } catch (err) {
+      this.settleWaiters(params.requestId, (waiter) => waiter.reject(err as Error));
+    }
+  }
+
+  private async releaseOne(release: Release): Promise<void> {
+    const { requestId, outcome, final } = release;
+    if (final && outcome === 'not-run') this.forgetWaiting(requestId);
+    const record = this.opts.state.requests.get(requestId);
+    const attemptId = release.attempt ?? record?.attempt;
+    const attempt = attemptId === undefined ? undefined : this.opts.state.attempts.get(attemptId);
+    if (!attempt || attempt.unitId !== requestId) {
+      if (final) this.abandonRecord(requestId, outcome === 'not-run' ? 'cancelled' : 'failed');
+      return;
+    }
+    this.opts.onReleased(attempt, release);
+    if (outcome === 'unconfirmed') {
+      this.unconfirmedAtMs.set(attempt.id, performance.now());
+      return;
+    }
+    await this.opts.closer.close([
+      { attempt: attempt.id, outcome: outcome satisfies AttemptOutcome, final },
+    ]);
+  }
+
+  private forgetWaiting(requestId: string): void {
+    this.abandoned.add(requestId);
+    this.parked.delete(requestId);
+    this.opts.pipeline().cancel(requestId);
+    this.rejectWaiters(requestId, 'cancelled', 'the request was given up');
+  }
+
+  private abandonRecord(requestId: string, state: 'failed' | 'cancelled'): void {
+    this.deadlinesAtMs.delete(requestId);
+    const record = this.opts.state.requests.get(requestId);
+    if (!record || isFinal(record.state)) return;
+    this.opts.commits
+      .commit({ type: 'abandon-requests', requests: [requestId], state, wallTime: Date.now() })
+      .catch(() => {});
+  }
+
+  private assertNotAbandoned(requestId: string): void {
+    if (!this.abandoned.has(requestId)) return;
+    throw new RefusalError({
+      type: 'cancelled',
+      runState: 'not-run',
+      message: 'the request was given up',
+      requestId,
+    });
+  }
+
+  private assertNotDuplicate(params: AcquireParams): void {
+    const { state } = this.opts;
+    const record = state.requests.get(params.requestId);
+    if (record && isFinal(record.state)) {
+      throw this.createDuplicateError(params.requestId);
+    }
+    if (params.idempotencyKey === undefined) return;
+    const team = this.findTeam(params);
+    const known = team && state.findByIdempotencyKey(team, params.idempotencyKey);
+    if (known && known !== params.requestId) throw this.createDuplicateError(known);
+  }
+
+  private findTeam(params: AcquireParams): string | undefined {
+    const { config } = this.opts.state;
+    const key = params.keyId === undefined ? undefined : config.keys[params.keyId];
+    return key?.team ?? config.queues[params.queue]?.chargedTeam;
+  }
+
+  private createDuplicateError(id: string): RefusalError {
+    const view = this.lookup(id);
+    return new RefusalError({
+      type: 'duplicate',
+      runState: 'not-run',
+      message: `the work was submitted before as ${id}; this submission was not run`,
+      requestId: id,
+      details: { id, state: view?.state },
+    });
+  }
+
+  private findRequest(attempt: AttemptRecord): { requestId: string; isAbandoned: boolean } {
+    const requestId = attempt.unitId;
+    return { requestId, isAbandoned: this.abandoned.has(requestId) };
+  }
+
+  private createResult(attempt: AttemptRecord): AcquireResult {
+    const endpoint = this.opts.state.endpoints.get(attempt.endpointId);
+    return {
+      attempt: attempt.id,
+      token: attempt.token,
+      team: attempt.team,
+      endpointId: attempt.endpointId,
+      url: endpoint?.announcement.url ?? '',
+    };
+  }
+
+  private rejectWaiters(
+    requestId: string,
+    type: 'impossible' | 'deadline-exceeded' | 'cancelled' | 'duplicate' | 'answer-lost',
+    message: string,
+  ): void {
+    const runState = type === 'answer-lost' ? 'unknown' : 'not-run';
+    const err = new RefusalError({ type, runState, message, requestId });
+    this.settleWaiters(requestId, (waiter) => waiter.reject(err));
+  }
+
+  private settleWaiters(requestId: string, settle: (waiter: Waiter) => void): void {
+    const waiters = this.waiters.get(requestId) ?? [];
+    this.waiters.delete(requestId);
+    waiters.forEach(settle);
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/statusReader.ts
@@ -0,0 +1,77 @@
+import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
+import type { ClusterStatus, EndpointStatus } from '@lagoongap/model/messages.js';
+import { resolveWorks } from '@lagoongap/model/endpointRules.js';
+import type { Scheduler } from '@lagoongap/scheduling/scheduler.js';
+import type { ClusterState } from '@lagoongap/state/clusterState.js';
+
+import type { EndpointLeases } from './endpointLeases.js';
+import type { GatewaySessions } from './gatewaySessions.js';
+
+/** An instance of the system as known from the settings. */
+export interface InstanceInfo {
+  id: string;
+  dataCentre: string;
+}
+
+/** Options of {@link StatusReader}. */
+export interface StatusReaderOptions {
+  instanceId: string;
+  instances: InstanceInfo[];
+  log: ReplicatedLog;
+  state: ClusterState;
+  scheduler: Scheduler;
+  leases: EndpointLeases;
+  sessions: GatewaySessions;
+  isReachable: (instance: string) => boolean;
+  isEjected: (endpointId: string) => boolean;
+}
+
+/** Collects what operators see. */
+export class StatusReader {
+  private readonly opts: StatusReaderOptions;
+
+  constructor(opts: StatusReaderOptions) {
+    this.opts = opts;
+  }
+
+  readStatus(): ClusterStatus {
+    const { instanceId, instances, log, state, scheduler, sessions, isReachable } = this.opts;
+    const stats = scheduler.readStats();
+    const numbers = new Map(
+      sessions.listForce(state.config.number).map((force) => [force.instance, force.number]),
+    );
+    return {
+      leader: instanceId,
+      term: log.term,
+      number: state.config.number,
+      instances: instances.map(({ id, dataCentre }) => ({
+        id,
+        dataCentre,
+        isReachable: id === instanceId || isReachable(id),
+        validityMs: sessions.readValidity(id),
+        number: numbers.get(id) ?? 0,
+      })),
+      ...log.members(),
+      ...stats,
+      running: state.attempts.size,
+    };
+  }
+
+  listEndpoints(): EndpointStatus[] {
+    const { state, leases, isEjected } = this.opts;
+    return [...state.endpoints.values()].map((endpoint) => {
+      const { id, kind, dataCentre, rack, size } = endpoint.announcement;
+      return {
+        id,
+        kind,
+        dataCentre,
+        rack,
+        size,
+        state: leases.resolveState(endpoint),
+        ejected: isEjected(id),
+        works: [...resolveWorks(state.config, endpoint.announcement)],
+        attempts: state.attempts.listOn(id).size,
+      };
+    });
+  }
+}
--- /dev/null
+++ b/packages/coordinator/src/taskDispatcher.ts
@@ -0,0 +1,145 @@
+import type { AttemptAction, StartOrder } from '@lagoongap/model/endpoint.js';
+import type { Log } from '@lagoongap/model/log.js';
+import type { Exchange } from '@lagoongap/routing/exchange.js';
+import type { ClusterState } from '@lagoongap/state/clusterState.js';
+import type { AttemptRecord } from '@lagoongap/state/records.js';
+
+import type { AttemptCloser } from './attemptCloser.js';
+import { ATTEMPT_SETTLE_MS, ORDER_TIMEOUT_MS } from './coordinatorTiming.js';
+import type { ValidityGuard } from './validityGuard.js';
+
+/** Options of {@link TaskDispatcher}. */
+export interface TaskDispatcherOptions {
+  state: ClusterState;
+  exchange: Exchange;
+  closer: AttemptCloser;
+  guard: ValidityGuard;
+  leaseMs: number;
+  log: Log;
+  /** Called when an endpoint certainly did not start an attempt. */
+  onNotRun: (attempt: AttemptRecord) => void;
+}
+
+interface Order {
+  sentAtMs: number;
+  isConfirmed: boolean;
+}
+
+function readRunState(err: unknown): string | undefined {
+  return (err as { runState?: string }).runState;
+}
+
+/** Sends start orders for committed attempts of jobs, and actions for running ones. */
+export class TaskDispatcher {
+  private readonly opts: TaskDispatcherOptions;
+  private readonly orders = new Map<string, Order>();
+  private readonly electedAtMs = performance.now();
+
+  constructor(opts: TaskDispatcherOptions) {
+    this.opts = opts;
+  }
+
+  /** Starts a committed attempt; failures are settled here or by later heartbeats. */
+  async dispatch(attempt: AttemptRecord): Promise<void> {
+    const { state, exchange, guard } = this.opts;
+    const endpoint = state.endpoints.get(attempt.endpointId);
+    if (!endpoint) {
+      await this.closeNotRun(attempt, 'the endpoint is gone');
+      return;
+    }
+    const order: Order = { sentAtMs: performance.now(), isConfirmed: false };
+    this.orders.set(attempt.id, order);
+    try {
+      const result = await exchange.startTask(
+        endpoint.announcement.url,
+        this.createOrder(attempt),
+        { timeoutMs: ORDER_TIMEOUT_MS, beforeSend: () => guard.assertValid() },
+      );
+      if (result === 'started') order.isConfirmed = true;
+      else await this.closeNotRun(attempt, `the endpoint answered ${result}`);
+    } catch (err) {
+      await this.handleFailure(attempt, err as Error);
+    }
+  }
+
+  /** Orders an endpoint to act on a running attempt; heartbeats repeat lost stop orders. */
+  async act(attemptId: string, action: AttemptAction): Promise<void> {
+    const { state, exchange, guard, log } = this.opts;
+    const attempt = state.attempts.get(attemptId);
+    const endpoint = attempt && state.endpoints.get(attempt.endpointId);
+    if (!endpoint) return;
+    try {
+      await exchange.sendAction(endpoint.announcement.url, attemptId, action, {
+        timeoutMs: ORDER_TIMEOUT_MS,
+        beforeSend: () => guard.assertValid(),
+      });
+    } catch (err) {
+      log.warn('could not send an action to an endpoint', {
+        attempt: attemptId,
+        endpoint: attempt.endpointId,
+        action,
+        err: (err as Error).message,
+      });
+    }
+  }
+
+  /** Records that a heartbeat listed the attempt. */
+  confirm(attemptId: string): void {
+    const order = this.orders.get(attemptId);
+    if (order) order.isConfirmed = true;
+    else this.orders.set(attemptId, { sentAtMs: this.electedAtMs, isConfirmed: true });
+  }
+
+  forget(attemptId: string): void {
+    this.orders.delete(attemptId);
+  }
+
+  /**
+   * Tells whether a heartbeat that does not list the attempt proves that it does not
+   * run. An order may be on its way, also one that an earlier leader has sent.
+   */
+  canSettle(attemptId: string, nowMs: number): boolean {
+    const order = this.orders.get(attemptId);
+    return nowMs - (order?.sentAtMs ?? this.electedAtMs) > ATTEMPT_SETTLE_MS;
+  }
+
+  private createOrder(attempt: AttemptRecord): StartOrder {
+    const job = this.opts.state.jobs.get(attempt.unitId);
+    return {
+      attempt: attempt.id,
+      token: attempt.token,
+      job: attempt.unitId,
+      taskIndex: attempt.taskIndex,
+      team: attempt.team,
+      work: attempt.work,
+      size: attempt.size,
+      leaseMs: this.opts.leaseMs,
+      payload: job?.spec.payload,
+      checkpoint: job?.tasks[attempt.taskIndex]?.checkpoint,
+    };
+  }
+
+  private async handleFailure(attempt: AttemptRecord, err: Error): Promise<void> {
+    const { guard, log } = this.opts;
+    log.warn('could not start a task', {
+      attempt: attempt.id,
+      endpoint: attempt.endpointId,
+      err: err.message,
+    });
+    // Without validity the next leader settles the attempt.
+    if (!guard.isValid() || readRunState(err) !== 'not-run') return;
+    await this.closeNotRun(attempt, err.message);
+  }
+
+  private async closeNotRun(attempt: AttemptRecord, message: string): Promise<void> {
+    this.opts.onNotRun(attempt);
+    try {
+      await this.opts.closer.close([{ attempt: attempt.id, outcome: 'not-run', message }]);
+    } catch (err) {
+      this.opts.log.warn('could not commit that a task did not start', {
+        attempt: attempt.id,
+        err: (err as Error).message,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/bin/lagoongapd.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../lib/main.js';
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,234 @@
+import { randomBytes } from 'node:crypto';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { RaftReplica } from '@lagoongap/consensus/raftReplica.js';
+import { Coordinator } from '@lagoongap/coordinator/coordinator.js';
+import { Authenticator } from '@lagoongap/gateway/authenticator.js';
+import { CallerApi } from '@lagoongap/gateway/callerApi.js';
+import { EndpointApi } from '@lagoongap/gateway/endpointApi.js';
+import { GatewayServer } from '@lagoongap/gateway/gatewayServer.js';
+import { HttpRouter } from '@lagoongap/gateway/httpRouter.js';
+import { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
+import { OperatorApi } from '@lagoongap/gateway/operatorApi.js';
+import { PlatformApi } from '@lagoongap/gateway/platformApi.js';
+import { ReleaseQueue } from '@lagoongap/gateway/releaseQueue.js';
+import { ValidityPoller } from '@lagoongap/gateway/validityPoller.js';
+import type { Log } from '@lagoongap/model/log.js';
+import { TcpPeerNetwork } from '@lagoongap/peering/tcpPeerNetwork.js';
+import { HttpExchange } from '@lagoongap/routing/httpExchange.js';
+import type { DaemonSettings } from '@lagoongap/settings/daemonSettings.js';
+import { ClusterState } from '@lagoongap/state/clusterState.js';
+import { FileLogStore } from '@lagoongap/storage/fileLogStore.js';
+
+import { DaemonError } from './daemonError.js';
+import { PeerRaftTransport } from './peerRaftTransport.js';
+import { ReplicaJoiner } from './replicaJoiner.js';
+import { createScheduler } from './schedulerFactory.js';
+
+/** Options of {@link Daemon}. */
+export interface DaemonOptions {
+  settings: DaemonSettings;
+  logger: Log;
+  /** Called when the daemon must stop because its durable state can no longer be trusted. */
+  onFatal: (err: Error) => void;
+  /** Called when an operator drains this instance. */
+  onDrain: () => void;
+}
+
+const BOOT_ID_BYTES = 6;
+const DRAIN_CALL_TIMEOUT_MS = 5000;
+
+/** One instance of the system: a gateway and, where there is a disk, a replica. */
+export class Daemon implements AsyncDisposable {
+  private readonly opts: DaemonOptions;
+  private readonly bootId = randomBytes(BOOT_ID_BYTES).toString('hex');
+  private readonly network: TcpPeerNetwork;
+  private readonly exchange = new HttpExchange();
+  private readonly leader: LeaderClient;
+  private readonly validity: ValidityPoller;
+  private readonly releases: ReleaseQueue;
+  private readonly server: GatewayServer;
+  private readonly resources: AsyncDisposable[] = [];
+  private replica: RaftReplica | undefined;
+  private isDraining = false;
+
+  constructor(opts: DaemonOptions) {
+    this.opts = opts;
+    const { settings, logger } = opts;
+    const { id } = settings.instance;
+    const owner = `${id}:${this.bootId}`;
+    this.network = new TcpPeerNetwork({
+      selfId: id,
+      listen: { host: settings.peering.host, port: settings.peering.port },
+      peers: settings.peering.peers,
+      logger,
+    });
+    this.leader = new LeaderClient({
+      network: this.network,
+      replicaInstances: this.listReplicaInstances(),
+      readLeaderHint: () => this.replica?.leaderId,
+    });
+    this.validity = new ValidityPoller({
+      instanceId: id,
+      bootId: this.bootId,
+      leader: this.leader,
+      pollMs: settings.timing.gatewayPollMs,
+      validityMs: settings.timing.gatewayValidityMs,
+      log: logger,
+    });
+    this.releases = new ReleaseQueue({ owner, leader: this.leader, log: logger });
+    this.server = new GatewayServer({
+      host: settings.http.host,
+      port: settings.http.port,
+      router: this.createRouter(owner),
+      log: logger,
+    });
+    this.network.handle('instances.drain', () => opts.onDrain());
+  }
+
+  /** Port of the HTTP listener. */
+  get httpPort(): number {
+    return this.server.port;
+  }
+
+  /** Resolves when the instance listens; it becomes ready with its first poll. */
+  async start(): Promise<void> {
+    const { settings, logger } = this.opts;
+    if (settings.storage) await this.startReplica();
+    await this.network.start();
+    await this.replica?.start();
+    if (this.replica) this.startJoiner(this.replica);
+    this.validity.start();
+    await this.server.listen();
+    logger.info('instance listens', {
+      instance: settings.instance.id,
+      http: `${settings.http.host}:${this.httpPort}`,
+      roles: settings.instance.roles,
+    });
+  }
+
+  /**
+   * Stops without cutting off a request: readiness goes false, new requests are served
+   * while the balancer notices, accepted ones finish, then leadership moves on.
+   */
+  async drain(): Promise<void> {
+    if (this.isDraining) return;
+    this.isDraining = true;
+    const { drainDelayMs, drainTimeoutMs } = this.opts.settings.timing;
+    this.opts.logger.info('draining', { calls: this.server.activeCalls });
+    await delay(drainDelayMs);
+    await this.server.close(drainTimeoutMs);
+    await this.releases[Symbol.asyncDispose]();
+    if (this.replica?.role === 'leader') {
+      await this.replica.transferLeadership().catch((err: Error) => {
+        this.opts.logger.warn('could not transfer leadership', { err: err.message });
+      });
+    }
+    await this[Symbol.asyncDispose]();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.server[Symbol.asyncDispose]();
+    await this.validity[Symbol.asyncDispose]();
+    for (const resource of this.resources.splice(0).reverse()) await resource[Symbol.asyncDispose]();
+    await this.exchange[Symbol.asyncDispose]();
+    await this.network[Symbol.asyncDispose]();
+  }
+
+  private listReplicaInstances(): string[] {
+    const { peers } = this.opts.settings.peering;
+    return peers.filter(({ roles }) => roles.includes('replica')).map(({ id }) => id);
+  }
+
+  private async startReplica(): Promise<void> {
+    const { settings, logger, onFatal } = this.opts;
+    const { storage, timing, instance } = settings;
+    if (!storage) throw new DaemonError('a replica needs a [storage] section');
+    const state = new ClusterState();
+    const store = new FileLogStore({ dataFolder: storage.dataFolder });
+    this.resources.push(store);
+    this.replica = new RaftReplica({
+      instanceId: instance.id,
+      bootstrapVoters: storage.bootstrap ? this.listReplicaInstances() : undefined,
+      store,
+      transport: new PeerRaftTransport(this.network),
+      stateMachine: state,
+      timing,
+      snapshotEntries: storage.snapshotEntries,
+      onFatal,
+    });
+    this.resources.push(this.replica);
+    this.resources.push(
+      new Coordinator({
+        instanceId: instance.id,
+        instances: settings.peering.peers,
+        log: this.replica,
+        state,
+        createScheduler: (term) => createScheduler(settings.scheduling, term),
+        exchange: this.exchange,
+        timing,
+        maxBatch: settings.scheduling.maxBatch,
+        logger,
+        isReachable: (id) => this.network.isAlive(id),
+        network: this.network,
+        replicaInstances: this.listReplicaInstances(),
+      }),
+    );
+  }
+
+  private startJoiner(replica: RaftReplica): void {
+    const joiner = new ReplicaJoiner({
+      instanceId: this.opts.settings.instance.id,
+      replicaId: replica.replicaId,
+      log: replica,
+      leader: this.leader,
+      logger: this.opts.logger,
+    });
+    this.resources.push(joiner);
+    joiner.start();
+  }
+
+  private createRouter(owner: string): HttpRouter {
+    const { settings, logger } = this.opts;
+    const { leader, validity, exchange, releases } = this;
+    const router = new HttpRouter();
+    const authenticator = new Authenticator(settings);
+    validity.onConfiguration((config) => authenticator.update(config));
+    new CallerApi({
+      authenticator,
+      leader,
+      relay: {
+        owner,
+        leader,
+        releases,
+        exchange,
+        validity,
+        maxAttempts: settings.routing.maxAttempts,
+        tryRetry: () => true,
+        log: logger,
+      },
+      maxBodyBytes: settings.http.maxBodyBytes,
+      onFreshRequest: () => {},
+    }).register(router);
+    new EndpointApi({ authenticator, leader, validity }).register(router);
+    new OperatorApi({
+      authenticator,
+      leader,
+      instances: settings.peering.peers.map(({ id }) => id),
+      drain: async (instance) => {
+        await this.network.call(instance, 'instances.drain', {}, { timeoutMs: DRAIN_CALL_TIMEOUT_MS });
+      },
+    }).register(router);
+    new PlatformApi({
+      instanceId: settings.instance.id,
+      readUnreadiness: () => this.readUnreadiness(),
+      readMetrics: async () => ({ contentType: 'text/plain', text: '' }),
+    }).register(router);
+    return router;
+  }
+
+  private readUnreadiness(): string | undefined {
+    if (this.isDraining) return 'the instance is draining';
+    return this.validity.isValid() ? undefined : 'the instance has no contact with a valid leader';
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/replicaJoiner.ts
@@ -0,0 +1,61 @@
+import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
+import type { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
+import type { Log } from '@lagoongap/model/log.js';
+import type { JoinReplicaParams, JoinReplicaResult } from '@lagoongap/model/messages.js';
+
+/** Options of {@link ReplicaJoiner}. */
+export interface ReplicaJoinerOptions {
+  instanceId: string;
+  replicaId: string;
+  log: ReplicatedLog;
+  leader: LeaderClient;
+  logger: Log;
+}
+
+const RETRY_INTERVAL_MS = 500;
+const CALL_DEADLINE_MS = 5000;
+
+/** Asks the leader to take this replica in, until it is a voter. */
+export class ReplicaJoiner implements AsyncDisposable {
+  private readonly opts: ReplicaJoinerOptions;
+  private timer: NodeJS.Timeout | undefined;
+  private isClosed = false;
+
+  constructor(opts: ReplicaJoinerOptions) {
+    this.opts = opts;
+  }
+
+  start(): void {
+    this.schedule();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.isClosed = true;
+    clearTimeout(this.timer);
+  }
+
+  private schedule(): void {
+    if (this.isClosed) return;
+    this.timer = setTimeout(() => {
+      this.step().then(
+        (isDone) => {
+          if (!isDone) this.schedule();
+        },
+        (err: Error) => {
+          this.opts.logger.warn('could not join the replicated log yet', { err: err.message });
+          this.schedule();
+        },
+      );
+    }, RETRY_INTERVAL_MS);
+  }
+
+  private async step(): Promise<boolean> {
+    const { instanceId, replicaId, log, leader } = this.opts;
+    if (log.members().voters.includes(replicaId)) return true;
+    const params: JoinReplicaParams = { instance: instanceId, replicaId };
+    const { state } = await leader.call<JoinReplicaResult>('replicas.join', params, {
+      deadlineMs: CALL_DEADLINE_MS,
+    });
+    return state === 'voter';
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/bodyReader.ts
@@ -0,0 +1,33 @@
+import type { IncomingMessage } from 'node:http';
+
+import { refuse } from './httpReply.js';
+
+/** Largest JSON or TOML body of the management calls. */
+export const MAX_CONTROL_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Reads a whole body of at most `maxBytes`; refuses larger ones. */
+export async function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer> {
+  const declared = Number(req.headers['content-length'] ?? 0);
+  if (declared > maxBytes) {
+    refuse('body-too-large', `the body has ${declared} bytes, at most ${maxBytes} are taken`);
+  }
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req) {
+    size += (chunk as Buffer).length;
+    if (size > maxBytes) refuse('body-too-large', `the body has more than ${maxBytes} bytes`);
+    chunks.push(chunk as Buffer);
+  }
+  if (!req.complete) refuse('invalid-input', 'the body ended early');
+  return Buffer.concat(chunks);
+}
+
+/** Reads a body and parses it as JSON. */
+export async function readJson(req: IncomingMessage): Promise<unknown> {
+  const body = await readBody(req, MAX_CONTROL_BODY_BYTES);
+  try {
+    return JSON.parse(body.toString('utf8'));
+  } catch (err) {
+    return refuse('invalid-input', `the body is not JSON: ${(err as Error).message}`);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/httpRouter.ts
@@ -0,0 +1,73 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+/** A call with the values taken from its URL. */
+export interface RoutedCall {
+  req: IncomingMessage;
+  res: ServerResponse;
+  /** Values of the `{name}` parts of the path. */
+  params: Record<string, string>;
+  query: URLSearchParams;
+}
+
+/** Handles a call; a rejection becomes a refusal. */
+export type CallHandler = (call: RoutedCall) => Promise<void> | void;
+
+interface Route {
+  method: string;
+  pattern: RegExp;
+  handler: CallHandler;
+}
+
+/** Outcome of looking for a handler. */
+export type RouteMatch =
+  | {
+      status: 'found';
+      handler: CallHandler;
+      params: Record<string, string>;
+      query: URLSearchParams;
+    }
+  | { status: 'no-path' }
+  | { status: 'no-method'; allowed: string[] };
+
+/** Finds handlers by method and path. */
+export class HttpRouter {
+  private readonly routes: Route[] = [];
+
+  /** Adds a handler; `{name}` in the path matches one segment. */
+  add(method: string, path: string, handler: CallHandler): void {
+    const source = path.replace(/\{(\w+)\}/g, '(?<$1>[^/]+)');
+    this.routes.push({ method, pattern: new RegExp(`^${source}$`), handler });
+  }
+
+  match(method: string, target: string): RouteMatch {
+    const [path, search] = target.split('?', 2);
+    const allowed: string[] = [];
+    for (const route of this.routes) {
+      const found = route.pattern.exec(path!);
+      if (!found) continue;
+      if (route.method !== method) {
+        allowed.push(route.method);
+        continue;
+      }
+      const params = HttpRouter.decode(found.groups ?? {});
+      return {
+        status: 'found',
+        handler: route.handler,
+        params,
+        query: new URLSearchParams(search),
+      };
+    }
+    return allowed.length > 0 ? { status: 'no-method', allowed } : { status: 'no-path' };
+  }
+
+  private static decode(groups: Record<string, string>): Record<string, string> {
+    const entries = Object.entries(groups).map(([key, value]) => {
+      try {
+        return [key, decodeURIComponent(value)] as const;
+      } catch {
+        return [key, value] as const;
+      }
+    });
+    return Object.fromEntries(entries);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/operatorApi.ts
@@ -0,0 +1,92 @@
+import type {
+  ApplyNoteParams,
+  ApplyNoteResult,
+  ClusterStatus,
+  EndpointStatus,
+  NoteForceResult,
+} from '@lagoongap/model/messages.js';
+import type { ClusterConfig } from '@lagoongap/model/clusterConfig.js';
+
+import type { Authenticator } from './authenticator.js';
+import { MAX_CONTROL_BODY_BYTES, readBody } from './bodyReader.js';
+import { refuse, sendJson } from './httpReply.js';
+import type { HttpRouter, RoutedCall } from './httpRouter.js';
+import type { LeaderClient } from './leaderClient.js';
+
+/** Options of {@link OperatorApi}. */
+export interface OperatorApiOptions {
+  authenticator: Authenticator;
+  leader: LeaderClient;
+  instances: string[];
+  /** Starts a graceful shutdown of an instance. */
+  drain: (instance: string) => Promise<void>;
+}
+
+const CALL_DEADLINE_MS = 15_000;
+
+function readInteger(text: string | null, name: string): number {
+  const value = Number(text);
+  if (!Number.isInteger(value) || value < 0) {
+    refuse('invalid-input', `${name}: expected an integer of at least 0, got "${text}"`);
+  }
+  return value;
+}
+
+/** HTTP calls of operators. */
+export class OperatorApi {
+  private readonly opts: OperatorApiOptions;
+
+  constructor(opts: OperatorApiOptions) {
+    this.opts = opts;
+  }
+
+  register(router: HttpRouter): void {
+    router.add('POST', '/v1/notes', (call) => this.applyNote(call));
+    router.add('GET', '/v1/notes/{number}', (call) => this.showForce(call));
+    router.add('GET', '/v1/config', (call) => this.show<ClusterConfig>(call, 'config.read'));
+    router.add('GET', '/v1/status', (call) => this.show<ClusterStatus>(call, 'status.read'));
+    router.add('GET', '/v1/endpoints', (call) =>
+      this.show<EndpointStatus[]>(call, 'endpoints.list'),
+    );
+    router.add('GET', '/v1/audit', (call) => this.showAudit(call));
+    router.add('POST', '/v1/instances/{id}/drain', (call) => this.drainInstance(call));
+  }
+
+  private async applyNote({ req, res, query }: RoutedCall): Promise<void> {
+    const key = this.opts.authenticator.requireRole(req, ['operator']);
+    const text = (await readBody(req, MAX_CONTROL_BODY_BYTES)).toString('utf8');
+    const params: ApplyNoteParams = { text, by: key.id, checkOnly: query.get('check') === 'true' };
+    sendJson(res, 200, await this.call<ApplyNoteResult>('notes.apply', params));
+  }
+
+  private async showForce({ req, res, params }: RoutedCall): Promise<void> {
+    this.opts.authenticator.requireRole(req, ['operator']);
+    const number = readInteger(params.number!, 'number');
+    sendJson(res, 200, await this.call<NoteForceResult>('notes.force', { number }));
+  }
+
+  private async showAudit({ req, res, query }: RoutedCall): Promise<void> {
+    this.opts.authenticator.requireRole(req, ['operator']);
+    const after = readInteger(query.get('after') ?? '0', 'after');
+    sendJson(res, 200, { entries: await this.call('audit.read', { after }) });
+  }
+
+  private async drainInstance({ req, res, params }: RoutedCall): Promise<void> {
+    this.opts.authenticator.requireRole(req, ['operator']);
+    const instance = params.id!;
+    if (!this.opts.instances.includes(instance)) {
+      refuse('not-found', `there is no instance ${instance}`);
+    }
+    await this.opts.drain(instance);
+    sendJson(res, 202, { instance, state: 'draining' });
+  }
+
+  private async show<Result>({ req, res }: RoutedCall, method: string): Promise<void> {
+    this.opts.authenticator.requireRole(req, ['operator']);
+    sendJson(res, 200, await this.call<Result>(method, {}));
+  }
+
+  private call<Result>(method: string, params: unknown): Promise<Result> {
+    return this.opts.leader.call<Result>(method, params, { deadlineMs: CALL_DEADLINE_MS });
+  }
+}
--- /dev/null
+++ b/packages/state/src/attemptTable.ts
@@ -0,0 +1,52 @@
+import type { AttemptRecord } from './records.js';
+
+/** Attempts that have been committed and have not ended, also by endpoint. */
+export class AttemptTable {
+  private readonly attempts = new Map<string, AttemptRecord>();
+  private readonly byEndpoint = new Map<string, Set<string>>();
+
+  get size(): number {
+    return this.attempts.size;
+  }
+
+  get(id: string): AttemptRecord | undefined {
+    return this.attempts.get(id);
+  }
+
+  values(): IterableIterator<AttemptRecord> {
+    return this.attempts.values();
+  }
+
+  /** Returns the identifiers of the attempts on an endpoint. */
+  listOn(endpointId: string): ReadonlySet<string> {
+    return this.byEndpoint.get(endpointId) ?? new Set();
+  }
+
+  add(attempt: AttemptRecord): void {
+    this.attempts.set(attempt.id, attempt);
+    const ids = this.byEndpoint.get(attempt.endpointId);
+    if (ids) ids.add(attempt.id);
+    else this.byEndpoint.set(attempt.endpointId, new Set([attempt.id]));
+  }
+
+  /** Removes an attempt and returns it, or undefined if it is not known. */
+  remove(id: string): AttemptRecord | undefined {
+    const attempt = this.attempts.get(id);
+    if (!attempt) return undefined;
+    this.attempts.delete(id);
+    const ids = this.byEndpoint.get(attempt.endpointId);
+    ids?.delete(id);
+    if (ids?.size === 0) this.byEndpoint.delete(attempt.endpointId);
+    return attempt;
+  }
+
+  snapshot(): AttemptRecord[] {
+    return [...this.attempts.values()];
+  }
+
+  restore(attempts: AttemptRecord[]): void {
+    this.attempts.clear();
+    this.byEndpoint.clear();
+    for (const attempt of attempts) this.add(attempt);
+  }
+}
--- /dev/null
+++ b/packages/state/src/clusterState.ts
@@ -0,0 +1,183 @@
+import type { ClusterConfig } from '@lagoongap/model/clusterConfig.js';
+
+import { AttemptTable } from './attemptTable.js';
+import type {
+  AbandonRequestsCommand,
+  AnnounceEndpointCommand,
+  Command,
+  FinishAttemptsCommand,
+  SingleCommand,
+  StartAttemptResult,
+  StartAttemptsCommand,
+  StartedAttempt,
+  SubmitJobsCommand,
+} from './commands.js';
+import { ConfigTable } from './configTable.js';
+import { EndpointTable } from './endpointTable.js';
+import { IdempotencyIndex } from './idempotencyIndex.js';
+import { JobTable } from './jobTable.js';
+import { RequestTable } from './requestTable.js';
+import { StateError } from './stateError.js';
+
+/** Version of the snapshot format. */
+const SNAPSHOT_VERSION = 1;
+
+interface ClusterSnapshot {
+  version: number;
+  config: ReturnType<ConfigTable['snapshot']>;
+  endpoints: ReturnType<EndpointTable['snapshot']>;
+  attempts: ReturnType<AttemptTable['snapshot']>;
+  jobs: ReturnType<JobTable['snapshot']>;
+  requests: ReturnType<RequestTable['snapshot']>;
+}
+
+/**
+ * Durable state of the cluster. Each replica applies the same commands in the
+ * same order; nothing here reads a clock or a random number.
+ */
+export class ClusterState {
+  private readonly idempotency = new IdempotencyIndex();
+  readonly configTable = new ConfigTable();
+  readonly endpoints = new EndpointTable();
+  readonly attempts = new AttemptTable();
+  readonly jobs = new JobTable(this.idempotency);
+  readonly requests = new RequestTable(this.idempotency);
+
+  get config(): ClusterConfig {
+    return this.configTable.config;
+  }
+
+  /** Returns the job or request that used an idempotency key of a team first. */
+  findByIdempotencyKey(team: string, key: string): string | undefined {
+    return this.idempotency.find(team, key);
+  }
+
+  apply(entry: { index: number; command: unknown }): unknown {
+    const command = entry.command as Command;
+    if (command.type !== 'batch') return this.applySingle(command, entry.index);
+    return command.commands.map((single) => this.applySingle(single, entry.index));
+  }
+
+  snapshot(): unknown {
+    const snapshot: ClusterSnapshot = {
+      version: SNAPSHOT_VERSION,
+      config: this.configTable.snapshot(),
+      endpoints: this.endpoints.snapshot(),
+      attempts: this.attempts.snapshot(),
+      jobs: this.jobs.snapshot(),
+      requests: this.requests.snapshot(),
+    };
+    // The log writes the snapshot while later commands are applied to the live tables.
+    return structuredClone(snapshot);
+  }
+
+  restore(data: unknown): void {
+    const snapshot = data as ClusterSnapshot;
+    if (snapshot.version !== SNAPSHOT_VERSION) {
+      throw new StateError(
+        `snapshot has format version ${snapshot.version}, expected ${SNAPSHOT_VERSION}`,
+      );
+    }
+    this.idempotency.clear();
+    this.configTable.restore(snapshot.config);
+    this.endpoints.restore(snapshot.endpoints);
+    this.attempts.restore(snapshot.attempts);
+    this.jobs.restore(snapshot.jobs);
+    this.requests.restore(snapshot.requests);
+  }
+
+  private applySingle(command: SingleCommand, index: number): unknown {
+    switch (command.type) {
+      case 'apply-note':
+        return this.configTable.apply(command);
+      case 'refuse-note':
+        return this.configTable.recordRefused(command);
+      case 'submit-jobs':
+        return this.submitJobs(command);
+      case 'cancel-jobs':
+        return this.jobs.cancel(command);
+      case 'reject-jobs':
+        return this.jobs.reject(command);
+      case 'start-attempts':
+        return this.startAttempts(command, index);
+      case 'finish-attempts':
+        return this.finishAttempts(command);
+      case 'abandon-requests':
+        return this.abandonRequests(command);
+      case 'announce-endpoint':
+        return this.announceEndpoint(command);
+      case 'leave-endpoint':
+        return this.endpoints.markLeaving(command.id);
+      case 'remove-endpoint':
+        return this.removeEndpoint(command.id);
+      default:
+        throw new StateError(`unknown command type ${(command as { type: string }).type}`);
+    }
+  }
+
+  private submitJobs(command: SubmitJobsCommand): unknown {
+    return command.jobs.map((job) => this.jobs.submit(job, command.wallTime));
+  }
+
+  private announceEndpoint(command: AnnounceEndpointCommand): void {
+    this.endpoints.announce(command);
+  }
+
+  private removeEndpoint(id: string): boolean {
+    if (this.attempts.listOn(id).size > 0) return false;
+    this.endpoints.remove(id);
+    return true;
+  }
+
+  private startAttempts(command: StartAttemptsCommand, index: number): StartAttemptResult[] {
+    const refusedGangs = this.findRefusedGangs(command.attempts);
+    return command.attempts.map((attempt) =>
+      refusedGangs.has(attempt.unitId) ? { status: 'obsolete' } : this.startAttempt(attempt, index),
+    );
+  }
+
+  /** A gang starts with all its tasks or not at all. */
+  private findRefusedGangs(attempts: StartedAttempt[]): Set<string> {
+    const refused = new Set<string>();
+    for (const attempt of attempts) {
+      const isRefused =
+        attempt.kind === 'gang' && !this.jobs.canStart(attempt.unitId, attempt.taskIndex);
+      if (isRefused) refused.add(attempt.unitId);
+    }
+    return refused;
+  }
+
+  private startAttempt(started: StartedAttempt, token: number): StartAttemptResult {
+    const { idempotencyKey, ...fields } = started;
+    if (this.attempts.get(started.id)) return { status: 'obsolete' };
+    const attempt = { ...fields, token };
+    if (started.kind !== 'request') {
+      if (!this.jobs.canStart(started.unitId, started.taskIndex)) return { status: 'obsolete' };
+      this.jobs.start(attempt);
+    } else {
+      const duplicate = this.requests.findDuplicate(started);
+      if (duplicate !== undefined) return { status: 'duplicate', id: duplicate };
+      if (!this.requests.canStart(started.unitId)) return { status: 'obsolete' };
+      this.requests.start(attempt, idempotencyKey);
+    }
+    this.attempts.add(attempt);
+    return { status: 'started', token };
+  }
+
+  private abandonRequests(command: AbandonRequestsCommand): void {
+    for (const id of command.requests) {
+      this.requests.abandon(id, command.state, command.wallTime);
+    }
+  }
+
+  /** Returns for each attempt whether it was still running. */
+  private finishAttempts(command: FinishAttemptsCommand): boolean[] {
+    return command.finished.map((finished) => {
+      const attempt = this.attempts.remove(finished.attempt);
+      if (!attempt) return false;
+      const table = attempt.kind === 'request' ? this.requests : this.jobs;
+      table.finish(attempt, finished, command.wallTime);
+      return true;
+    });
+  }
+}
--- /dev/null
+++ b/packages/state/src/configTable.ts
@@ -0,0 +1,139 @@
+import { createEmptyConfig, type ClusterConfig } from '@lagoongap/model/clusterConfig.js';
+import type { ReleaseNote } from '@lagoongap/model/releaseNote.js';
+import { applyReleaseNote } from '@lagoongap/release-notes/applyReleaseNote.js';
+import { hashAuditEntry, type AuditEntry } from '@lagoongap/release-notes/auditTrail.js';
+import { checkReleaseNote } from '@lagoongap/release-notes/checkReleaseNote.js';
+import { diffConfigs } from '@lagoongap/release-notes/diffConfigs.js';
+
+import type { ApplyNoteCommand, NoteResult, RefuseNoteCommand } from './commands.js';
+import { MAX_AUDIT_ENTRIES, MAX_RECENT_NOTES } from './retention.js';
+
+interface ConfigTableSnapshot {
+  config: ClusterConfig;
+  noteNumbers: number[];
+  noteHashes: string[];
+  recentNotes: ReleaseNote[];
+  audit: AuditEntry[];
+}
+
+/** Configuration in force, accepted release notes and the audit trail. */
+export class ConfigTable {
+  private current: ClusterConfig = createEmptyConfig();
+  private hashes = new Map<number, string>();
+  private recentNotes: ReleaseNote[] = [];
+  private audit: AuditEntry[] = [];
+
+  get config(): ClusterConfig {
+    return this.current;
+  }
+
+  get auditTrail(): readonly AuditEntry[] {
+    return this.audit;
+  }
+
+  /** Returns the content hash of an accepted note. */
+  findNoteHash(number: number): string | undefined {
+    return this.hashes.get(number);
+  }
+
+  /**
+   * Returns the accepted notes after `number` in order, or undefined if some of
+   * them are no longer kept whole.
+   */
+  listNotesAfter(number: number): ReleaseNote[] | undefined {
+    if (number === this.current.number) return [];
+    const position = this.recentNotes.findIndex((note) => note.number === number);
+    return position < 0 ? undefined : this.recentNotes.slice(position + 1);
+  }
+
+  apply(command: ApplyNoteCommand): NoteResult {
+    const { note, contentHash } = command;
+    const known = this.hashes.get(note.number);
+    if (known === contentHash) return { status: 'accepted', number: note.number, contentHash };
+    const refusal = this.findRefusal(note, known);
+    if (refusal) {
+      this.recordRefusal(command, refusal);
+      return refusal;
+    }
+    const before = this.current;
+    this.current = applyReleaseNote(before, note);
+    this.hashes.set(note.number, contentHash);
+    this.recentNotes.push(note);
+    if (this.recentNotes.length > MAX_RECENT_NOTES) this.recentNotes.shift();
+    const { before: old, after } = diffConfigs(before, this.current);
+    this.appendAudit({
+      number: note.number,
+      by: command.by,
+      wallTime: command.wallTime,
+      accepted: true,
+      contentHash,
+      summary: note.comment ?? '',
+      before: old,
+      after,
+    });
+    return { status: 'accepted', number: note.number, contentHash };
+  }
+
+  recordRefused(command: RefuseNoteCommand): void {
+    this.appendAudit({
+      number: command.number,
+      by: command.by,
+      wallTime: command.wallTime,
+      accepted: false,
+      contentHash: command.contentHash,
+      summary: command.summary,
+      before: null,
+      after: null,
+    });
+  }
+
+  snapshot(): ConfigTableSnapshot {
+    return {
+      config: this.current,
+      noteNumbers: [...this.hashes.keys()],
+      noteHashes: [...this.hashes.values()],
+      recentNotes: this.recentNotes,
+      audit: this.audit,
+    };
+  }
+
+  restore(snapshot: ConfigTableSnapshot): void {
+    this.current = snapshot.config;
+    this.hashes = new Map(
+      snapshot.noteNumbers.map((number, i) => [number, snapshot.noteHashes[i]!]),
+    );
+    this.recentNotes = snapshot.recentNotes;
+    this.audit = snapshot.audit;
+  }
+
+  private findRefusal(note: ReleaseNote, known: string | undefined): NoteResult | undefined {
+    if (known !== undefined) return { status: 'conflict', number: note.number, winner: known };
+    if (note.number < this.current.number) {
+      return { status: 'outdated', number: note.number, newest: this.current.number };
+    }
+    const faults = checkReleaseNote(note, this.current);
+    return faults.length > 0 ? { status: 'faulty', faults } : undefined;
+  }
+
+  private recordRefusal(command: ApplyNoteCommand, result: NoteResult): void {
+    this.recordRefused({
+      type: 'refuse-note',
+      number: command.note.number,
+      contentHash: command.contentHash,
+      by: command.by,
+      summary: `refused: ${result.status}`,
+      wallTime: command.wallTime,
+    });
+  }
+
+  private appendAudit(fields: Omit<AuditEntry, 'index' | 'previousHash' | 'hash'>): void {
+    const last = this.audit.at(-1);
+    const entry = {
+      ...fields,
+      index: (last?.index ?? 0) + 1,
+      previousHash: last?.hash ?? '',
+    };
+    this.audit.push({ ...entry, hash: hashAuditEntry(entry) });
+    if (this.audit.length > MAX_AUDIT_ENTRIES) this.audit.shift();
+  }
+}
--- /dev/null
+++ b/packages/state/src/jobTable.ts
@@ -0,0 +1,179 @@
+import type {
+  CancelJobsCommand,
+  RejectJobsCommand,
+  SubmittedJob,
+  SubmitResult,
+} from './commands.js';
+import type { IdempotencyIndex } from './idempotencyIndex.js';
+import type { AttemptRecord, FinishedAttempt, JobRecord, TaskRecord } from './records.js';
+import { FINISHED_RETENTION_MS, MAX_FINISHED_JOBS } from './retention.js';
+import { RetentionQueue } from './retentionQueue.js';
+import { isFinal, resolveJobState, resolveTaskState } from './taskTransitions.js';
+
+function createTask(): TaskRecord {
+  return { state: 'waiting', failures: 0, failedOn: [] };
+}
+
+/** Jobs and their tasks. */
+export class JobTable {
+  private readonly jobs = new Map<string, JobRecord>();
+  private readonly finished = new RetentionQueue();
+  private readonly idempotency: IdempotencyIndex;
+
+  constructor(idempotency: IdempotencyIndex) {
+    this.idempotency = idempotency;
+  }
+
+  get(id: string): JobRecord | undefined {
+    return this.jobs.get(id);
+  }
+
+  values(): IterableIterator<JobRecord> {
+    return this.jobs.values();
+  }
+
+  /** Adds a job, unless its identifier or idempotency key is known. */
+  submit(submitted: SubmittedJob, wallTime: number): SubmitResult {
+    const { id, team, spec, priority, idempotencyKey } = submitted;
+    if (this.jobs.has(id)) return { status: 'duplicate', id };
+    if (idempotencyKey !== undefined) {
+      const known = this.idempotency.find(team, idempotencyKey);
+      if (known !== undefined) return { status: 'duplicate', id: known };
+      this.idempotency.add(team, idempotencyKey, id);
+    }
+    const tasks = Array.from({ length: spec.tasks }, createTask);
+    this.jobs.set(id, {
+      id,
+      team,
+      spec,
+      priority,
+      state: 'waiting',
+      cancelled: false,
+      stopping: false,
+      tasks,
+      idempotencyKey,
+      submittedAt: wallTime,
+    });
+    return { status: 'accepted', id };
+  }
+
+  /** Marks jobs as cancelled and returns the identifiers of those that this changed. */
+  cancel(command: CancelJobsCommand): string[] {
+    const changed: string[] = [];
+    for (const id of command.jobs) {
+      const job = this.jobs.get(id);
+      if (!job || job.cancelled || isFinal(job.state)) continue;
+      job.cancelled = true;
+      for (const task of job.tasks) {
+        if (task.state === 'waiting') task.state = 'cancelled';
+      }
+      this.settle(job, command.wallTime);
+      changed.push(id);
+    }
+    return changed;
+  }
+
+  /** Ends the waiting tasks of jobs that cannot or may no longer run. */
+  reject(command: RejectJobsCommand): void {
+    for (const { id, reason, message } of command.jobs) {
+      const job = this.jobs.get(id);
+      if (!job || isFinal(job.state)) continue;
+      for (const task of job.tasks) {
+        if (task.state === 'waiting')
+          task.state = reason === 'impossible' ? 'impossible' : 'failed';
+      }
+      job.message = message;
+      this.settle(job, command.wallTime);
+    }
+  }
+
+  /** Tells whether a task may be started now. */
+  canStart(jobId: string, taskIndex: number): boolean {
+    const job = this.jobs.get(jobId);
+    const task = job?.tasks[taskIndex];
+    return job !== undefined && !job.cancelled && !job.stopping && task?.state === 'waiting';
+  }
+
+  start(attempt: AttemptRecord): void {
+    const job = this.jobs.get(attempt.unitId)!;
+    const task = job.tasks[attempt.taskIndex]!;
+    task.state = 'running';
+    task.attempt = attempt.id;
+    job.state = 'running';
+  }
+
+  /** Records the end of an attempt and moves its task on. */
+  finish(attempt: AttemptRecord, finished: FinishedAttempt, wallTime: number): void {
+    const job = this.jobs.get(attempt.unitId);
+    const task = job?.tasks[attempt.taskIndex];
+    if (!job || !task || task.attempt !== attempt.id) return;
+    task.attempt = undefined;
+    task.message = finished.message;
+    if (finished.checkpoint !== undefined) task.checkpoint = finished.checkpoint;
+    if (finished.outcome === 'failed') {
+      task.failures += 1;
+      task.failedOn.push(attempt.endpointId);
+    }
+    task.state = resolveTaskState(job, task, finished);
+    if (job.spec.kind === 'gang') this.updateGang(job);
+    this.settle(job, wallTime);
+  }
+
+  snapshot(): { jobs: JobRecord[]; finished: string[] } {
+    return { jobs: [...this.jobs.values()], finished: this.finished.snapshot() };
+  }
+
+  restore(snapshot: { jobs: JobRecord[]; finished: string[] }): void {
+    this.jobs.clear();
+    for (const job of snapshot.jobs) {
+      this.jobs.set(job.id, job);
+      if (job.idempotencyKey !== undefined) {
+        this.idempotency.add(job.team, job.idempotencyKey, job.id);
+      }
+    }
+    this.finished.restore(snapshot.finished);
+  }
+
+  /** Stops the rest of a gang when one of its tasks ended without success, and lets it wait anew. */
+  private updateGang(job: JobRecord): void {
+    const running = job.tasks.some((task) => task.state === 'running');
+    if (!running) {
+      job.stopping = false;
+      return;
+    }
+    const broken = job.tasks.some((task) => !['running', 'succeeded'].includes(task.state));
+    if (broken) job.stopping = true;
+  }
+
+  private settle(job: JobRecord, wallTime: number): void {
+    job.state = resolveJobState(job);
+    const hasFailed = job.tasks.some((task) => ['failed', 'unknown'].includes(task.state));
+    if (hasFailed && job.state === 'waiting') {
+      // A task that was given up decides the job; its other tasks need not start.
+      for (const task of job.tasks) {
+        if (task.state === 'waiting') task.state = 'cancelled';
+      }
+      job.state = resolveJobState(job);
+    }
+    if (!isFinal(job.state) || job.finishedAt !== undefined) return;
+    job.finishedAt = wallTime;
+    this.finished.push(job.id);
+    this.prune(wallTime);
+  }
+
+  private prune(wallTime: number): void {
+    const oldest = wallTime - FINISHED_RETENTION_MS;
+    this.finished.prune({
+      max: MAX_FINISHED_JOBS,
+      isExpired: (id) => (this.jobs.get(id)?.finishedAt ?? 0) < oldest,
+      drop: (id) => this.drop(id),
+    });
+  }
+
+  private drop(id: string): void {
+    const job = this.jobs.get(id);
+    this.jobs.delete(id);
+    if (job?.idempotencyKey === undefined) return;
+    this.idempotency.remove(job.team, job.idempotencyKey);
+  }
+}
--- /dev/null
+++ b/packages/state/src/requestTable.ts
@@ -0,0 +1,138 @@
+import type { JobState } from '@lagoongap/model/workload.js';
+
+import type { StartedAttempt } from './commands.js';
+import type { IdempotencyIndex } from './idempotencyIndex.js';
+import type { AttemptRecord, FinishedAttempt, RequestRecord } from './records.js';
+import {
+  FINISHED_RETENTION_MS,
+  MAX_FINISHED_KEYED_REQUESTS,
+  MAX_FINISHED_REQUESTS,
+} from './retention.js';
+import { RetentionQueue } from './retentionQueue.js';
+import { isFinal } from './taskTransitions.js';
+
+interface RequestTableSnapshot {
+  requests: RequestRecord[];
+  finishedKeyed: string[];
+  finishedPlain: string[];
+}
+
+function resolveState(request: RequestRecord, finished: FinishedAttempt): JobState {
+  if (finished.outcome === 'succeeded') return 'succeeded';
+  if (finished.outcome === 'lost')
+    return finished.final || request.noRepeat ? 'unknown' : 'waiting';
+  if (finished.outcome === 'not-run') return finished.final ? 'cancelled' : 'waiting';
+  return finished.final || request.noRepeat ? 'failed' : 'waiting';
+}
+
+/** Requests with at least one committed attempt. */
+export class RequestTable {
+  private readonly requests = new Map<string, RequestRecord>();
+  private readonly finishedKeyed = new RetentionQueue();
+  private readonly finishedPlain = new RetentionQueue();
+  private readonly idempotency: IdempotencyIndex;
+
+  constructor(idempotency: IdempotencyIndex) {
+    this.idempotency = idempotency;
+  }
+
+  get(id: string): RequestRecord | undefined {
+    return this.requests.get(id);
+  }
+
+  values(): IterableIterator<RequestRecord> {
+    return this.requests.values();
+  }
+
+  /** Returns the request that used an idempotency key first, if it is not `id` itself. */
+  findDuplicate(attempt: StartedAttempt): string | undefined {
+    if (attempt.idempotencyKey === undefined) return undefined;
+    const known = this.idempotency.find(attempt.team, attempt.idempotencyKey);
+    return known === attempt.unitId ? undefined : known;
+  }
+
+  /** Tells whether another attempt may be started. */
+  canStart(id: string): boolean {
+    const request = this.requests.get(id);
+    return request === undefined || (request.state === 'waiting' && request.attempt === undefined);
+  }
+
+  start(attempt: AttemptRecord, idempotencyKey: string | undefined): void {
+    const known = this.requests.get(attempt.unitId);
+    if (known) {
+      known.state = 'running';
+      known.attempts += 1;
+      known.attempt = attempt.id;
+      return;
+    }
+    const { unitId: id, team, queue, work, noRepeat } = attempt;
+    if (idempotencyKey !== undefined) this.idempotency.add(team, idempotencyKey, id);
+    this.requests.set(id, {
+      id,
+      team,
+      queue,
+      work,
+      noRepeat,
+      state: 'running',
+      attempts: 1,
+      attempt: attempt.id,
+      idempotencyKey,
+    });
+  }
+
+  finish(attempt: AttemptRecord, finished: FinishedAttempt, wallTime: number): void {
+    const request = this.requests.get(attempt.unitId);
+    if (!request || request.attempt !== attempt.id) return;
+    request.attempt = undefined;
+    request.state = resolveState(request, finished);
+    if (isFinal(request.state)) this.retire(request, wallTime);
+  }
+
+  /** Ends a request that waits for another attempt which will not come. */
+  abandon(id: string, state: JobState, wallTime: number): void {
+    const request = this.requests.get(id);
+    if (!request || isFinal(request.state) || request.attempt !== undefined) return;
+    request.state = state;
+    this.retire(request, wallTime);
+  }
+
+  snapshot(): RequestTableSnapshot {
+    return {
+      requests: [...this.requests.values()],
+      finishedKeyed: this.finishedKeyed.snapshot(),
+      finishedPlain: this.finishedPlain.snapshot(),
+    };
+  }
+
+  restore(snapshot: RequestTableSnapshot): void {
+    this.requests.clear();
+    for (const request of snapshot.requests) {
+      this.requests.set(request.id, request);
+      if (request.idempotencyKey !== undefined) {
+        this.idempotency.add(request.team, request.idempotencyKey, request.id);
+      }
+    }
+    this.finishedKeyed.restore(snapshot.finishedKeyed);
+    this.finishedPlain.restore(snapshot.finishedPlain);
+  }
+
+  private retire(request: RequestRecord, wallTime: number): void {
+    request.finishedAt = wallTime;
+    const isKeyed = request.idempotencyKey !== undefined;
+    const queue = isKeyed ? this.finishedKeyed : this.finishedPlain;
+    queue.push(request.id);
+    const oldest = wallTime - FINISHED_RETENTION_MS;
+    queue.prune({
+      max: isKeyed ? MAX_FINISHED_KEYED_REQUESTS : MAX_FINISHED_REQUESTS,
+      isExpired: (id) => (this.requests.get(id)?.finishedAt ?? 0) < oldest,
+      drop: (id) => this.drop(id),
+    });
+  }
+
+  private drop(id: string): void {
+    const request = this.requests.get(id);
+    this.requests.delete(id);
+    if (request?.idempotencyKey === undefined) return;
+    this.idempotency.remove(request.team, request.idempotencyKey);
+  }
+}
