--- /dev/null
+++ b/packages/scheduling/src/attemptFactory.ts
@@ -0,0 +1,34 @@
+import type { Resources } from '@lagoongap/model/resources.js';
+import type { Attempt, WorkUnit } from '@lagoongap/model/workload.js';
+
+/** Source of random numbers from 0 up to, but not including, 1. */
+export type RandomSource = () => number;
+
+const SUFFIX_RANGE = 2 ** 32;
+
+/**
+ * Creates the attempt to run one task of a unit. Its identifier ends in a random
+ * suffix, so that attempts of successive leaders don't collide.
+ */
+export function createAttempt(
+  unit: WorkUnit,
+  taskIndex: number,
+  endpointId: string,
+  size: Resources,
+  random: RandomSource,
+): Attempt {
+  const suffix = Math.floor(random() * SUFFIX_RANGE).toString(36);
+  return {
+    id: `${unit.id}.${taskIndex}.${suffix}`,
+    unitId: unit.id,
+    kind: unit.kind,
+    taskIndex,
+    team: unit.team,
+    queue: unit.queue,
+    work: unit.work,
+    priority: unit.priority,
+    endpointId,
+    size: { ...size },
+    declared: { ...unit.size },
+  };
+}
--- /dev/null
+++ b/packages/scheduling/src/firstFitFifoScheduler.ts
@@ -0,0 +1,17 @@
+import { BaselineScheduler } from './baselineScheduler.js';
+import type { BaselineEndpoint } from './baselineScheduler.js';
+
+/** Baseline that takes work in arrival order and the first endpoint that fits. */
+export class FirstFitFifoScheduler extends BaselineScheduler {
+  constructor(random: () => number = Math.random) {
+    super(random);
+  }
+
+  protected override choose(
+    endpoints: Iterable<BaselineEndpoint>,
+    fits: (endpoint: BaselineEndpoint) => boolean,
+  ): BaselineEndpoint | undefined {
+    for (const endpoint of endpoints) if (fits(endpoint)) return endpoint;
+    return undefined;
+  }
+}
