--- /dev/null
+++ b/packages/storage/src/nodeFileSystem.ts
@@ -0,0 +1,50 @@
+import { mkdir, open, readdir, rename, rm } from 'node:fs/promises';
+import { dirname, resolve } from 'node:path';
+
+import { FolderLock } from './folderLock.js';
+import { NodeStorageFile } from './nodeStorageFile.js';
+import type { StorageFile, StorageFileSystem, StorageOpenMode } from './storageFileSystem.js';
+
+const FLAGS: Record<StorageOpenMode, string> = { create: 'wx+', read: 'r', write: 'r+' };
+
+/** File system of the operating system. */
+export class NodeFileSystem implements StorageFileSystem {
+  async createFolder(folder: string): Promise<void> {
+    const first = await mkdir(folder, { recursive: true });
+    if (first === undefined) return;
+    const top = dirname(resolve(first));
+    for (let parent = dirname(resolve(folder)); ; parent = dirname(parent)) {
+      await this.syncFolder(parent);
+      if (parent === top || parent === dirname(parent)) return;
+    }
+  }
+
+  async list(folder: string): Promise<string[]> {
+    return readdir(folder);
+  }
+
+  async open(file: string, mode: StorageOpenMode): Promise<StorageFile> {
+    return new NodeStorageFile(await open(file, FLAGS[mode]));
+  }
+
+  async rename(from: string, to: string): Promise<void> {
+    await rename(from, to);
+  }
+
+  async remove(file: string): Promise<void> {
+    await rm(file);
+  }
+
+  async syncFolder(folder: string): Promise<void> {
+    const handle = await open(folder, 'r');
+    try {
+      await handle.sync();
+    } finally {
+      await handle.close();
+    }
+  }
+
+  async lock(folder: string): Promise<AsyncDisposable> {
+    return FolderLock.acquire(folder);
+  }
+}
