Add JSON-RPC network between instances

Cause: instances need calls with deadlines, fast detection of silent connections and liveness. Change: TcpPeerNetwork dials every other instance, checks hello frames, pings, resets connections without frames, retries with full jitter and maps failures to typed errors.

--- /dev/null
+++ b/packages/peering/src/peerDialler.ts
@@ -0,0 +1,168 @@
+import { connect as connectTcp, type Socket } from 'node:net';
+import { connect as connectTls, type TLSSocket } from 'node:tls';
+
+import { isControl, PROTOCOL_VERSION } from './controlMessage.js';
+import type { FrameMessage } from './frameCodec.js';
+import { FramedConnection, type SendResult } from './framedConnection.js';
+import { FullJitterBackoff } from './fullJitterBackoff.js';
+import type { PeerCounters } from './peerCounters.js';
+import { PeerError } from './peerError.js';
+import { HELLO_FRAME_BYTES, type ConnectionLimits, type PeerAddress } from './peeringOptions.js';
+import type { PeerLogger } from './peerLogger.js';
+import { PeerUnavailableError } from './peerUnavailableError.js';
+import { RpcClient } from './rpcClient.js';
+import type { TlsCredentials } from './tlsCredentials.js';
+
+/** Options of a {@link PeerDialler}. */
+export interface PeerDiallerOptions {
+  selfId: string;
+  peer: PeerAddress;
+  limits: ConnectionLimits;
+  credentials?: TlsCredentials;
+  counters: PeerCounters;
+  logger: PeerLogger;
+  /** Called for each frame of the peer after it has identified itself. */
+  onFrame: () => void;
+}
+
+/** Keeps one connection to one peer, over which this instance calls it. */
+export class PeerDialler implements AsyncDisposable {
+  private readonly opts: PeerDiallerOptions;
+  private readonly backoff = new FullJitterBackoff();
+  private connection: FramedConnection | undefined;
+  /** Set while the peer has accepted the connection. */
+  private client: RpcClient | undefined;
+  private pingTimer: NodeJS.Timeout | undefined;
+  private dialTimer: NodeJS.Timeout | undefined;
+  private retryTimer: NodeJS.Timeout | undefined;
+  private isDisposed = false;
+
+  constructor(opts: PeerDiallerOptions) {
+    this.opts = opts;
+  }
+
+  start(): void {
+    this.dial();
+  }
+
+  /** Dials now instead of after the backoff, because the peer has shown up. */
+  hurry(): void {
+    if (this.retryTimer) this.dial();
+  }
+
+  async call(method: string, params: unknown, timeoutMs: number): Promise<unknown> {
+    if (!this.client) throw new PeerUnavailableError(this.opts.peer.id, 'there is no connection');
+    return this.client.call(method, params, timeoutMs);
+  }
+
+  notify(method: string, params: unknown): void {
+    if (this.client) this.client.notify(method, params);
+    else this.opts.counters.dropped += 1;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.isDisposed = true;
+    clearTimeout(this.retryTimer);
+    this.retryTimer = undefined;
+    await this.connection?.close();
+  }
+
+  private dial(): void {
+    clearTimeout(this.retryTimer);
+    this.retryTimer = undefined;
+    const { peer, limits, credentials, counters } = this.opts;
+    const transport = connectTcp({ host: peer.host, port: peer.port });
+    const socket: Socket = credentials ? this.wrapInTls(transport, credentials) : transport;
+    const connection = new FramedConnection({
+      socket,
+      transport,
+      maxFrameBytes: HELLO_FRAME_BYTES,
+      maxSendBufferBytes: limits.maxSendBufferBytes,
+      silenceMs: limits.silenceMs,
+      onMessage: (message) => this.receive(connection, message),
+      onClose: (cause) => this.handleClose(connection, cause),
+    });
+    connection.adoptCounters(counters);
+    this.connection = connection;
+    this.dialTimer = setTimeout(
+      () => connection.reset(new PeerError(`no welcome within ${limits.dialTimeoutMs} ms`)),
+      limits.dialTimeoutMs,
+    );
+    socket.once(credentials ? 'secureConnect' : 'connect', () => this.sendHello(connection));
+  }
+
+  private wrapInTls(transport: Socket, credentials: TlsCredentials): TLSSocket {
+    return connectTls({
+      socket: transport,
+      secureContext: credentials.context,
+      // Instances are known by id, not by host name; the name is checked after the handshake.
+      checkServerIdentity: () => undefined,
+    });
+  }
+
+  private sendHello(connection: FramedConnection): void {
+    const { selfId, peer, credentials } = this.opts;
+    const fault = credentials?.checkName(connection.socket as TLSSocket, peer.id);
+    if (fault) {
+      connection.reset(new PeerError(fault));
+      return;
+    }
+    const hello = { control: 'hello', protocol: PROTOCOL_VERSION, from: selfId, to: peer.id };
+    connection.send(hello, HELLO_FRAME_BYTES);
+  }
+
+  private receive(connection: FramedConnection, message: FrameMessage): void {
+    if (!this.client) {
+      this.acceptWelcome(connection, message);
+      return;
+    }
+    this.opts.onFrame();
+    if (!isControl(message, 'pong')) this.client.receive(message);
+  }
+
+  private acceptWelcome(connection: FramedConnection, message: FrameMessage): void {
+    const { selfId, peer, limits, counters, logger } = this.opts;
+    if (!isControl(message, 'welcome') || message.from !== peer.id || message.to !== selfId) {
+      throw new PeerError(`expected a welcome from instance ${peer.id}`);
+    }
+    clearTimeout(this.dialTimer);
+    this.backoff.reset();
+    counters.connects += 1;
+    connection.raiseFrameLimit(limits.maxFrameBytes);
+    this.client = new RpcClient(peer.id, (rpc) => this.send(connection, rpc));
+    this.pingTimer = setInterval(() => this.ping(connection), limits.pingMs);
+    this.opts.onFrame();
+    logger.info('connected to instance', { peer: peer.id });
+  }
+
+  private send(connection: FramedConnection, message: unknown): SendResult {
+    const isNotification = (message as { id?: unknown }).id === undefined;
+    let result: SendResult | undefined;
+    try {
+      result = connection.send(message, this.opts.limits.maxFrameBytes);
+      return result;
+    } finally {
+      if (isNotification && result !== 'queued') this.opts.counters.dropped += 1;
+    }
+  }
+
+  private ping(connection: FramedConnection): void {
+    connection.send({ control: 'ping' }, HELLO_FRAME_BYTES);
+  }
+
+  private handleClose(connection: FramedConnection, cause: Error): void {
+    if (connection !== this.connection) return;
+    clearTimeout(this.dialTimer);
+    clearInterval(this.pingTimer);
+    const { client } = this;
+    this.client = undefined;
+    this.connection = undefined;
+    client?.close(cause);
+    const { peer, logger } = this.opts;
+    const details = { peer: peer.id, reason: cause.message };
+    if (client && !this.isDisposed) logger.warn('connection to instance lost', details);
+    else logger.debug('connection attempt or connection ended', details);
+    if (this.isDisposed) return;
+    this.retryTimer = setTimeout(() => this.dial(), this.backoff.nextDelayMs());
+  }
+}
--- /dev/null
+++ b/packages/peering/src/rpcClient.ts
@@ -0,0 +1,99 @@
+import { toError } from '@lagoongap/model/toError.js';
+import {
+  createJSONRPCErrorResponse,
+  createJSONRPCRequest,
+  JSONRPCClient,
+  type JSONRPCID,
+  type JSONRPCResponse,
+} from 'json-rpc-2.0';
+
+import type { FrameMessage } from './frameCodec.js';
+import type { SendResult } from './framedConnection.js';
+import { PeerConnectionLostError } from './peerConnectionLostError.js';
+import { PeerRemoteError } from './peerRemoteError.js';
+import { PeerTimeoutError } from './peerTimeoutError.js';
+import { PeerUnavailableError } from './peerUnavailableError.js';
+
+/** Code of answers made up by this side; told apart by identity, never by code. */
+const LOCAL_FAILURE_CODE = 0;
+
+/** Calls over one connection. An answer to a call that is no longer pending is ignored. */
+export class RpcClient {
+  private readonly instanceId: string;
+  private readonly client: JSONRPCClient;
+  private readonly pendingMethods = new Map<JSONRPCID, string>();
+  private readonly localFailures = new WeakMap<object, Error>();
+  private readonly sendFailures = new Map<JSONRPCID, Error>();
+  private lastId = 0;
+
+  /** @param send - Hands a message to the connection; may raise FrameError. */
+  constructor(instanceId: string, send: (message: unknown) => SendResult) {
+    this.instanceId = instanceId;
+    this.client = new JSONRPCClient((message) => this.sendMessage(message, send));
+  }
+
+  /** Calls a method; rejects with one of the peer errors. */
+  async call(method: string, params: unknown, timeoutMs: number): Promise<unknown> {
+    this.lastId += 1;
+    const id = this.lastId;
+    this.pendingMethods.set(id, method);
+    const failOnTimeout = () =>
+      this.createFailure(id, new PeerTimeoutError(this.instanceId, method, timeoutMs));
+    try {
+      const request = createJSONRPCRequest(id, method, params);
+      const requester = this.client.timeout(timeoutMs, failOnTimeout);
+      return this.readAnswer(id, method, await requester.requestAdvanced(request));
+    } finally {
+      this.pendingMethods.delete(id);
+      this.sendFailures.delete(id);
+    }
+  }
+
+  /** Sends a notification, unless the connection cannot take it. */
+  notify(method: string, params: unknown): void {
+    this.client.notify(method, params);
+  }
+
+  /** Passes on an answer that has arrived. */
+  receive(message: FrameMessage): void {
+    this.client.receive(message as unknown as JSONRPCResponse);
+  }
+
+  /** Fails all pending calls. */
+  close(cause: Error): void {
+    for (const [id, method] of [...this.pendingMethods]) {
+      const lost = new PeerConnectionLostError(this.instanceId, method, cause);
+      this.client.receive(this.createFailure(id, lost));
+    }
+  }
+
+  private sendMessage(message: { id?: JSONRPCID }, send: (message: unknown) => SendResult): void {
+    try {
+      const result = send(message);
+      if (result === 'queued') return;
+      const reason = result === 'closed' ? 'the connection is closed' : 'the send buffer is full';
+      throw new PeerUnavailableError(this.instanceId, reason);
+    } catch (err) {
+      const error = toError(err);
+      const failure =
+        error instanceof PeerUnavailableError
+          ? error
+          : new PeerUnavailableError(this.instanceId, 'the call cannot be encoded', error);
+      if (message.id !== undefined) this.sendFailures.set(message.id, failure);
+      throw failure;
+    }
+  }
+
+  private createFailure(id: JSONRPCID, error: Error) {
+    const response = createJSONRPCErrorResponse(id, LOCAL_FAILURE_CODE, error.message);
+    this.localFailures.set(response, error);
+    return response;
+  }
+
+  private readAnswer(id: JSONRPCID, method: string, response: JSONRPCResponse): unknown {
+    const failure = this.sendFailures.get(id) ?? this.localFailures.get(response);
+    if (failure) throw failure;
+    if (response.error) throw new PeerRemoteError(this.instanceId, method, response.error);
+    return response.result ?? null;
+  }
+}
--- /dev/null
+++ b/packages/peering/src/rpcServer.ts
@@ -0,0 +1,65 @@
+import { toError } from '@lagoongap/model/toError.js';
+import {
+  createJSONRPCErrorResponse,
+  isJSONRPCRequest,
+  JSONRPCServer,
+  type JSONRPCResponse,
+} from 'json-rpc-2.0';
+
+import type { FrameMessage } from './frameCodec.js';
+import { PeerError } from './peerError.js';
+import type { PeerLogger } from './peerLogger.js';
+import type { PeerMethodHandler } from './peerNetwork.js';
+import { PeerRemoteError } from './peerRemoteError.js';
+import { METHOD_NOT_FOUND_CODE, toRpcError } from './rpcErrors.js';
+
+interface CallerInfo {
+  /** Instance id of the caller. */
+  from: string;
+}
+
+/** Methods that this instance offers to the others. */
+export class RpcServer {
+  private readonly server: JSONRPCServer<CallerInfo>;
+  private readonly handlers = new Map<string, PeerMethodHandler>();
+
+  constructor(logger: PeerLogger) {
+    this.server = new JSONRPCServer<CallerInfo>({
+      errorListener: (message, err) => logger.debug(message, { error: toError(err).message }),
+    });
+    this.server.mapErrorToJSONRPCErrorResponse = (id, err) => {
+      const { code, message, data } = toRpcError(err);
+      return createJSONRPCErrorResponse(id, code, message, data);
+    };
+  }
+
+  handle(method: string, handler: PeerMethodHandler): void {
+    if (this.handlers.has(method)) throw new PeerError(`method ${method} already has a handler`);
+    this.handlers.set(method, handler);
+    // JSON has no undefined; a result of null keeps the answer a valid one.
+    this.server.addMethod(
+      method,
+      async (params: unknown, { from }: CallerInfo) => (await handler(params, from)) ?? null,
+    );
+  }
+
+  /** Runs the method of a message; returns the answer, or null for a notification. */
+  async receive(message: FrameMessage, from: string): Promise<JSONRPCResponse | null> {
+    if (!isJSONRPCRequest(message)) throw new PeerError('message is not a JSON-RPC request');
+    return this.server.receive(message, { from });
+  }
+
+  /** Runs a method for this instance itself, without the network. */
+  async callLocally(method: string, params: unknown, selfId: string): Promise<unknown> {
+    const handler = this.handlers.get(method);
+    if (!handler) {
+      const error = { code: METHOD_NOT_FOUND_CODE, message: 'Method not found' };
+      throw new PeerRemoteError(selfId, method, error);
+    }
+    try {
+      return (await handler(params, selfId)) ?? null;
+    } catch (err) {
+      throw new PeerRemoteError(selfId, method, toRpcError(err), toError(err));
+    }
+  }
+}
