--- a/packages/routing/src/exchange.ts
+++ b/packages/routing/src/exchange.ts
@@ -19,6 +19,8 @@
   signal?: AbortSignal;
   /** Called directly before the first byte is written; throws to prevent the exchange. */
   beforeSend?: () => void;
+  /** Must run at most once; such a request is never sent over a connection used before. */
+  noRepeat?: boolean;
 }
 
 /** Answer of an endpoint; the body ends with an error if it was cut off. */
--- /dev/null
+++ b/packages/routing/src/httpExchange.ts
@@ -0,0 +1,354 @@
+import type { Readable } from 'node:stream';
+
+import type { AttemptAction, StartOrder } from '@lagoongap/model/endpoint.js';
+import { toError } from '@lagoongap/model/toError.js';
+
+import { ConnectionTable } from './connectionTable.js';
+import { Deadline } from './deadline.js';
+import type {
+  AttemptPresence,
+  Exchange,
+  RelayAnswer,
+  RelayRequest,
+  StartResult,
+} from './exchange.js';
+import { ExchangeError } from './exchangeError.js';
+import { ExchangeHandler, type AnswerStart } from './exchangeHandler.js';
+import { filterAnswerHeaders, filterRequestHeaders } from './headerFilter.js';
+import { SilenceWatch } from './silenceWatch.js';
+
+/** Bounds of an {@link HttpExchange}; all times in milliseconds. */
+export interface HttpExchangeOptions {
+  maxConnectionsPerEndpoint: number;
+  maxConnections: number;
+  /** Most time to establish a connection. */
+  dialTimeoutMs: number;
+  /** Idle time after which a connection is closed; less than that of the endpoints' servers. */
+  maxIdleMs: number;
+  /** Silence during an exchange after which the endpoint is asked for the attempt. */
+  maxSilenceMs: number;
+  /** Pause between probes of a doubtful exchange. */
+  recheckMs: number;
+  probeTimeoutMs: number;
+  /** Failed probes in a row after which an exchange is given up. */
+  maxFailedProbes: number;
+}
+
+/** Bounds used where none are given. */
+export const DEFAULT_EXCHANGE_OPTIONS: Readonly<HttpExchangeOptions> = Object.freeze({
+  maxConnectionsPerEndpoint: 32,
+  maxConnections: 512,
+  dialTimeoutMs: 1000,
+  maxIdleMs: 2000,
+  maxSilenceMs: 2000,
+  recheckMs: 500,
+  probeTimeoutMs: 1000,
+  maxFailedProbes: 3,
+});
+
+/** Most bytes of an answer to an order or probe. */
+const MAX_JSON_BYTES = 65_536;
+
+interface CallOptions {
+  timeoutMs: number;
+  beforeSend?: () => void;
+  isFresh?: boolean;
+  isProbe?: boolean;
+}
+
+interface DispatchRequest {
+  method: 'GET' | 'POST';
+  path: string;
+  headers: Record<string, string>;
+  body: Buffer | AsyncIterable<Buffer> | null;
+}
+
+interface DispatchContext {
+  deadline: Deadline;
+  isFresh: boolean;
+  isProbe?: boolean;
+  signal?: AbortSignal;
+  beforeSend?: () => void;
+  checkStart?: (start: Omit<AnswerStart, 'body'>) => void;
+  /** Tells whether the whole request body has been read. */
+  isBodySent: () => boolean;
+  /** Called with the handler before anything happens on it. */
+  watch?: (handler: ExchangeHandler) => SilenceWatch;
+}
+
+/** Settles like `promise`, or fails with `not-run` when the deadline or the signal comes first. */
+async function waitUnsent<T>(promise: Promise<T>, context: DispatchContext): Promise<T> {
+  let cancel = () => {};
+  const interrupted = new Promise<never>((_resolve, reject) => {
+    const onAbort = () =>
+      reject(new ExchangeError('caller-gone', 'not-run', 'the caller has gone'));
+    const offDeadline = context.deadline.onPassed(() => {
+      const message = 'the deadline passed while awaiting the request body';
+      reject(new ExchangeError('deadline-exceeded', 'not-run', message));
+    });
+    context.signal?.addEventListener('abort', onAbort);
+    cancel = () => {
+      offDeadline();
+      context.signal?.removeEventListener('abort', onAbort);
+    };
+  });
+  try {
+    return await Promise.race([promise, interrupted]);
+  } finally {
+    cancel();
+  }
+}
+
+async function readJson(start: AnswerStart): Promise<Record<string, unknown>> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  for await (const chunk of start.body) {
+    length += (chunk as Buffer).length;
+    if (length > MAX_JSON_BYTES) {
+      throw new ExchangeError(
+        'answer-invalid',
+        'unknown',
+        'the answer of the endpoint is too long',
+      );
+    }
+    chunks.push(chunk as Buffer);
+  }
+  try {
+    return JSON.parse(Buffer.concat(chunks).toString()) as Record<string, unknown>;
+  } catch (err) {
+    const message = 'the answer of the endpoint is not JSON';
+    throw new ExchangeError('answer-invalid', 'unknown', message, toError(err));
+  }
+}
+
+/** Exchange with endpoints over HTTP/1.1, one exchange at a time on each connection. */
+export class HttpExchange implements Exchange {
+  private readonly opts: HttpExchangeOptions;
+  private readonly connections: ConnectionTable;
+
+  constructor(opts: Partial<HttpExchangeOptions> = {}) {
+    this.opts = { ...DEFAULT_EXCHANGE_OPTIONS, ...opts };
+    this.connections = new ConnectionTable({
+      maxPerEndpoint: this.opts.maxConnectionsPerEndpoint,
+      maxTotal: this.opts.maxConnections,
+      maxIdleMs: this.opts.maxIdleMs,
+    });
+  }
+
+  /** Number of open connections, idle ones included. */
+  get connectionCount(): number {
+    return this.connections.size;
+  }
+
+  /** Relays a request; the answer's body fails with ExchangeError if it is not complete. */
+  async relay(req: RelayRequest): Promise<RelayAnswer> {
+    const deadline = new Deadline(req.deadlineMs);
+    const progress = { isBodySent: Buffer.isBuffer(req.body), watch: undefined as unknown };
+    const context: DispatchContext = {
+      deadline,
+      // Only a handshake just completed shows that a connection has not gone silent, and a lost
+      // request of this kind cannot be tried again.
+      isFresh: req.noRepeat === true,
+      signal: req.signal,
+      beforeSend: req.beforeSend,
+      checkStart: ({ headers }) => HttpExchange.checkAttempt(req.attempt, headers),
+      isBodySent: () => progress.isBodySent,
+      watch: (handler) => {
+        const watch = this.watchSilence(req, handler);
+        progress.watch = watch;
+        return watch;
+      },
+    };
+    const onRead = (isEnd: boolean) => {
+      (progress.watch as SilenceWatch | undefined)?.touch();
+      if (isEnd) progress.isBodySent = true;
+    };
+    const body = Buffer.isBuffer(req.body)
+      ? req.body
+      : await waitUnsent(HttpExchange.readFirst(req.body, onRead), context);
+    const headers = filterRequestHeaders(req.headers);
+    if (Buffer.isBuffer(body) || body === null) delete headers['content-length'];
+    headers['lagoongap-attempt'] = req.attempt;
+    headers['lagoongap-token'] = String(req.token);
+    headers['lagoongap-team'] = req.team;
+    headers['lagoongap-work'] = req.work;
+    headers['lagoongap-deadline-ms'] = String(Math.floor(deadline.remainingMs()));
+    const start = await this.dispatch(
+      req.url,
+      { method: 'POST', path: '/requests', headers, body },
+      context,
+    );
+    return { status: start.status, headers: filterAnswerHeaders(start.headers), body: start.body };
+  }
+
+  /** Sends a start order. */
+  async startTask(
+    url: string,
+    order: StartOrder,
+    opts: { timeoutMs: number; beforeSend?: () => void },
+  ): Promise<StartResult> {
+    const { status } = await this.call(url, '/tasks', order, { ...opts, isFresh: true });
+    if (status < 300) return 'started';
+    if (status === 409) return 'refused-stale';
+    // Any other failure of the server may have happened after the task had started.
+    if (status < 500 || status === 503) return 'refused';
+    throw new ExchangeError('answer-invalid', 'unknown', `the endpoint answered ${status}`);
+  }
+
+  /** Sends an action for a running attempt; an attempt that runs no more needs none. */
+  async sendAction(
+    url: string,
+    attempt: string,
+    action: AttemptAction,
+    opts: { timeoutMs: number; beforeSend?: () => void },
+  ): Promise<void> {
+    const path = `/tasks/${encodeURIComponent(attempt)}/actions`;
+    const { status } = await this.call(url, path, { action }, opts);
+    if (status >= 300 && status !== 404) {
+      throw new ExchangeError('answer-invalid', 'unknown', `the endpoint answered ${status}`);
+    }
+  }
+
+  /** Asks for an attempt, always on a connection of its own. */
+  async probeAttempt(
+    url: string,
+    attempt: string,
+    { timeoutMs }: { timeoutMs: number },
+  ): Promise<AttemptPresence> {
+    const path = `/attempts/${encodeURIComponent(attempt)}`;
+    const { status, body } = await this.call(url, path, null, {
+      timeoutMs,
+      isFresh: true,
+      isProbe: true,
+    });
+    const { state } = body;
+    if (status === 200 && (state === 'running' || state === 'finished' || state === 'absent')) {
+      return state;
+    }
+    throw new ExchangeError('answer-invalid', 'unknown', `the endpoint answered ${status}`);
+  }
+
+  /** Closes all connections; exchanges in progress fail. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.connections.close();
+  }
+
+  private async call(
+    url: string,
+    path: string,
+    body: unknown,
+    { timeoutMs, beforeSend, isFresh = false, isProbe }: CallOptions,
+  ): Promise<{ status: number; body: Record<string, unknown> }> {
+    const start = await this.dispatch(
+      url,
+      {
+        method: body === null ? 'GET' : 'POST',
+        path,
+        headers: body === null ? {} : { 'content-type': 'application/json' },
+        body: body === null ? null : Buffer.from(JSON.stringify(body)),
+      },
+      {
+        deadline: new Deadline(timeoutMs),
+        isFresh,
+        isProbe,
+        beforeSend,
+        isBodySent: () => true,
+      },
+    );
+    return { status: start.status, body: await readJson(start) };
+  }
+
+  private async dispatch(
+    url: string,
+    req: DispatchRequest,
+    context: DispatchContext,
+  ): Promise<AnswerStart> {
+    const { deadline, signal } = context;
+    if (signal?.aborted) throw new ExchangeError('caller-gone', 'not-run', 'the caller has gone');
+    const { origin, pathname } = new URL(url);
+    const connection = this.connections.acquire(origin, {
+      isFresh: context.isFresh,
+      isProbe: context.isProbe,
+      dialTimeoutMs: Math.max(1, Math.min(this.opts.dialTimeoutMs, deadline.remainingMs())),
+    });
+    const handler = new ExchangeHandler({
+      connection,
+      deadline,
+      beforeSend: context.beforeSend,
+      checkStart: context.checkStart,
+    });
+    const watch = context.watch?.(handler);
+    const onAbort = () => handler.fail('caller-gone', 'the caller has gone');
+    const offDeadline = deadline.onPassed(() =>
+      handler.fail('deadline-exceeded', 'the deadline passed before the answer was complete'),
+    );
+    signal?.addEventListener('abort', onAbort);
+    handler.onActivity = () => watch?.touch();
+    handler.onSettled = (isSound) => {
+      watch?.stop();
+      offDeadline();
+      signal?.removeEventListener('abort', onAbort);
+      this.connections.release(connection, isSound && !context.isProbe && context.isBodySent());
+    };
+    const { method, headers, body } = req;
+    const path = `${pathname.replace(/\/$/, '')}${req.path}`;
+    try {
+      connection.client.dispatch(
+        { method, path, headers, body: body as Readable | Buffer },
+        handler,
+      );
+    } catch (err) {
+      handler.fail('prevented', 'the request cannot be sent', toError(err));
+    }
+    return handler.answer;
+  }
+
+  private watchSilence(req: RelayRequest, handler: ExchangeHandler): SilenceWatch {
+    const { maxSilenceMs, recheckMs, maxFailedProbes, probeTimeoutMs } = this.opts;
+    return new SilenceWatch({
+      maxSilenceMs,
+      recheckMs,
+      maxFailedProbes,
+      probe: () => this.probeAttempt(req.url, req.attempt, { timeoutMs: probeTimeoutMs }),
+      isHeldBack: () => handler.isHeldBack,
+      onGone: (reason) => handler.fail('endpoint-silent', `no answer arrived: ${reason}`),
+    });
+  }
+
+  private static checkAttempt(attempt: string, headers: AnswerStart['headers']): void {
+    const answered = headers['lagoongap-attempt'];
+    if (answered === attempt) return;
+    const message = `the answer is for attempt ${String(answered)}, not ${attempt}`;
+    throw new ExchangeError('answer-mismatch', 'unknown', message);
+  }
+
+  /**
+   * Reads the first piece of a body, so that a connection is taken and the last checks are made
+   * only when there is something to write. The stream itself is left open on failure, because it
+   * may belong to a connection that still needs an answer.
+   *
+   * @returns the whole body, or null if it is empty.
+   */
+  private static async readFirst(
+    body: Readable,
+    onRead: (isEnd: boolean) => void,
+  ): Promise<AsyncIterable<Buffer> | null> {
+    const source = body.iterator({ destroyOnReturn: false });
+    let next: IteratorResult<Buffer>;
+    try {
+      next = await source.next();
+    } catch (err) {
+      const message = 'the request body broke off before anything was sent';
+      throw new ExchangeError('caller-gone', 'not-run', message, toError(err));
+    }
+    onRead(next.done === true);
+    if (next.done) return null;
+    return (async function* readAll() {
+      while (!next.done) {
+        yield next.value;
+        next = await source.next();
+        onRead(next.done === true);
+      }
+    })();
+  }
+}
