--- /dev/null
+++ b/packages/model/src/shapeFaults.ts
@@ -0,0 +1,128 @@
+import { hasOwnKey } from './hasOwnKey.js';
+import { suggestName } from './nearestName.js';
+import { formatTomlPath, type TomlLines } from './tomlLines.js';
+
+/** An issue as reported by the shape checker, reduced to what is needed to explain it. */
+export interface ShapeIssue {
+  code?: string;
+  path: PropertyKey[];
+  message: string;
+  /** Unknown keys, relative to `path`. */
+  keys?: string[];
+  /** Expected type. */
+  expected?: string;
+  /** Permitted values. */
+  values?: unknown[];
+}
+
+/** One difference between a document and its expected shape. */
+export interface ShapeFault {
+  /** Line in the text, counted from 1; 0 if unknown. */
+  line: number;
+  /** Path such as `added.teams[0].share`. */
+  path: string;
+  message: string;
+}
+
+interface ShapeNode {
+  shape?: Record<string, ShapeNode>;
+  element?: ShapeNode;
+  unwrap?: () => ShapeNode;
+}
+
+/** Longest text value that is repeated in a message. */
+const MAX_SHOWN_LENGTH = 40;
+
+/** Removes the wrappers for optional values and defaults. */
+function unwrapNode(node: ShapeNode | undefined): ShapeNode | undefined {
+  let inner = node;
+  while (inner && !inner.shape && !inner.element && inner.unwrap) inner = inner.unwrap();
+  return inner;
+}
+
+/** Returns the keys of the table at `path` that the shape knows. */
+function findKnownKeys(root: ShapeNode, path: PropertyKey[]): string[] {
+  let node = unwrapNode(root);
+  for (const step of path) {
+    node = unwrapNode(typeof step === 'number' ? node?.element : node?.shape?.[String(step)]);
+  }
+  return Object.keys(node?.shape ?? {});
+}
+
+function findValue(document: unknown, path: PropertyKey[]): unknown {
+  let value = document;
+  for (const step of path) {
+    if (typeof value !== 'object' || value === null || !hasOwnKey(value, step)) return undefined;
+    value = (value as Record<PropertyKey, unknown>)[step];
+  }
+  return value;
+}
+
+/** Names a value in a message; secrets and long texts are not repeated. */
+function describeValue(value: unknown): string {
+  if (typeof value === 'string') {
+    const isShown = value.length <= MAX_SHOWN_LENGTH && !value.includes('lgk_');
+    return isShown ? JSON.stringify(value) : 'a text';
+  }
+  if (typeof value === 'number' || typeof value === 'boolean') return String(value);
+  if (Array.isArray(value)) return 'a list';
+  if (value instanceof Date) return 'a date';
+  return 'a table';
+}
+
+const TYPE_NAMES: Record<string, string> = {
+  string: 'a text',
+  number: 'a finite number',
+  int: 'a whole number',
+  boolean: 'true or false',
+  array: 'a list',
+  object: 'a table',
+};
+
+function explainIssue(issue: ShapeIssue, document: unknown): string {
+  const value = findValue(document, issue.path);
+  const found = value === undefined ? 'it is missing' : `found ${describeValue(value)}`;
+  if (issue.code === 'invalid_type' && issue.expected) {
+    return `expected ${TYPE_NAMES[issue.expected] ?? issue.expected}, ${found}`;
+  }
+  if (issue.code === 'invalid_value' && issue.values) {
+    const values = issue.values.map((each) => JSON.stringify(each));
+    const hint = typeof value === 'string' ? suggestName(value, issue.values.map(String)) : '';
+    return `expected ${values.join(' or ')}, ${found}${hint}`;
+  }
+  return value === undefined ? issue.message : `${issue.message}, ${found}`;
+}
+
+/**
+ * Explains issues of a document with their lines, and unknown keys with the nearest known name.
+ *
+ * @param issues - Issues reported by the shape checker.
+ * @param shape - Root of the shape, whose tables and lists are followed to find known keys.
+ * @param document - The parsed document.
+ * @param lines - Lines of the text that the document was parsed from.
+ */
+export function explainShapeIssues(
+  issues: readonly ShapeIssue[],
+  shape: unknown,
+  document: unknown,
+  lines: TomlLines,
+): ShapeFault[] {
+  const faults: ShapeFault[] = [];
+  for (const issue of issues) {
+    if (issue.code === 'unrecognized_keys' && issue.keys) {
+      const known = findKnownKeys(shape as ShapeNode, issue.path);
+      for (const key of issue.keys) {
+        const path = [...issue.path, key];
+        const message = `unknown key${suggestName(key, known)}`;
+        faults.push({ line: lines.locate(path), path: formatTomlPath(path), message });
+      }
+    } else {
+      faults.push({
+        line: lines.locate(issue.path),
+        path: formatTomlPath(issue.path),
+        message: explainIssue(issue, document),
+      });
+    }
+  }
+  return faults;
+}
--- /dev/null
+++ b/packages/release-notes/src/noteSections.ts
@@ -0,0 +1,35 @@
+import type { ReleaseNote } from '@lagoongap/model/releaseNote.js';
+
+/** Kinds of entries that a release note holds, in the order in which they are processed. */
+export const ENTRY_KINDS = ['teams', 'keys', 'queues', 'endpointRules'] as const;
+
+/** Kind of entry of a release note. */
+export type EntryKind = (typeof ENTRY_KINDS)[number];
+
+/** Singular of each kind for messages. */
+export const KIND_LABELS: Readonly<Record<EntryKind, string>> = {
+  teams: 'team',
+  keys: 'key',
+  queues: 'queue',
+  endpointRules: 'endpoint rule',
+};
+
+/** Field that identifies an entry of a kind. */
+export function identifierField(kind: EntryKind): 'id' | 'name' {
+  return kind === 'keys' ? 'id' : 'name';
+}
+
+/** Returns the identifier of an entry. */
+export function identifyEntry(entry: { id: string } | { name: string }): string {
+  return 'id' in entry ? entry.id : entry.name;
+}
+
+/** Returns the identifiers of the entries of one kind in one section. */
+export function listIdentifiers(
+  note: ReleaseNote,
+  section: 'added' | 'changed' | 'withdrawn',
+  kind: EntryKind,
+): string[] {
+  if (section === 'withdrawn') return note.withdrawn[kind];
+  return note[section][kind].map(identifyEntry);
+}
--- /dev/null
+++ b/packages/settings/src/loadSettings.ts
@@ -0,0 +1,96 @@
+import { readFileSync } from 'node:fs';
+import { dirname, resolve } from 'node:path';
+
+import {
+  explainShapeIssues,
+  type ShapeFault,
+  type ShapeIssue,
+} from '@lagoongap/model/shapeFaults.js';
+import { toError } from '@lagoongap/model/toError.js';
+import { TomlLines } from '@lagoongap/model/tomlLines.js';
+import { parse, TomlError } from 'smol-toml';
+
+import { checkSettings } from './checkSettings.js';
+import type { DaemonSettings, TlsSettings } from './daemonSettings.js';
+import { SettingsError } from './settingsError.js';
+import { SettingsFaultList } from './settingsFaultList.js';
+import { settingsShape } from './settingsShape.js';
+
+/** Deepest nesting that is read; settings need four levels. */
+const MAX_DEPTH = 16;
+
+function explainSyntaxError(err: unknown): ShapeFault {
+  if (err instanceof TomlError) {
+    const [reason] = err.message.replace('Invalid TOML document: ', '').split('\n');
+    const message = `not valid TOML: ${reason} (column ${err.column})`;
+    return { line: err.line, path: '', message };
+  }
+  return { line: 0, path: '', message: `not valid TOML: ${toError(err).message}` };
+}
+
+function parseToml(text: string, file: string): unknown {
+  try {
+    return parse(text, { maxDepth: MAX_DEPTH });
+  } catch (err) {
+    throw new SettingsError(file, [explainSyntaxError(err)], { cause: toError(err) });
+  }
+}
+
+function resolveTls(tls: TlsSettings | undefined, folder: string): TlsSettings | undefined {
+  if (!tls) return undefined;
+  const resolved: TlsSettings = {
+    certFile: resolve(folder, tls.certFile),
+    keyFile: resolve(folder, tls.keyFile),
+  };
+  if (tls.caFile !== undefined) resolved.caFile = resolve(folder, tls.caFile);
+  return resolved;
+}
+
+/** Makes relative paths absolute; they start at the folder of the settings file. */
+function resolvePaths(settings: DaemonSettings, file: string): DaemonSettings {
+  const folder = dirname(resolve(file));
+  const { storage, http, peering } = settings;
+  return {
+    ...settings,
+    http: http.tls ? { ...http, tls: resolveTls(http.tls, folder) } : http,
+    peering: peering.tls ? { ...peering, tls: resolveTls(peering.tls, folder) } : peering,
+    ...(storage && { storage: { ...storage, dataFolder: resolve(folder, storage.dataFolder) } }),
+  };
+}
+
+/**
+ * Parses and checks daemon settings.
+ *
+ * @param file - Path for messages; relative paths in the settings start at its folder.
+ * @throws {SettingsError} listing every fault.
+ */
+export function parseSettings(text: string, file: string): DaemonSettings {
+  const document = parseToml(text, file);
+  const lines = new TomlLines(text);
+  const shaped = settingsShape.safeParse(document);
+  if (!shaped.success) {
+    const issues = shaped.error.issues as ShapeIssue[];
+    throw new SettingsError(file, explainShapeIssues(issues, settingsShape, document, lines));
+  }
+  const settings = resolvePaths(shaped.data, file);
+  const list = new SettingsFaultList(lines);
+  checkSettings(list, settings);
+  if (list.faults.length > 0) throw new SettingsError(file, list.faults);
+  return settings;
+}
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @throws {SettingsError} listing every fault, also if the file cannot be read.
+ */
+export function loadSettings(file: string): DaemonSettings {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (err) {
+    const message = `cannot be read: ${toError(err).message}`;
+    throw new SettingsError(file, [{ line: 0, path: '', message }], { cause: toError(err) });
+  }
+  return parseSettings(text, file);
+}
