--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,6 +11,10 @@
   ...configs.node.recommended,
   ...configs.base.typescript,
   prettier,
+  {
+    files: ['**/bin/*.js', '*.js'],
+    rules: { 'import-x/extensions': 'off' },
+  },
   {
     files: ['**/*.ts'],
     languageOptions: {
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -1,4 +1,3 @@
-import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
 import type {
   AcquireParams,
   AnnounceParams,
@@ -22,8 +21,8 @@
 /** Options of {@link Coordinator}. */
 export interface CoordinatorOptions extends Omit<LeaderSessionOptions, 'scheduler'> {
   network: PeerNetwork;
-  /** Makes the scheduler of a new term. */
-  createScheduler: (term: number) => Scheduler;
+  /** Makes the scheduler of a new session. */
+  createScheduler: () => Scheduler;
   /** Ids of the instances that may hold a replica. */
   replicaInstances: string[];
 }
@@ -86,7 +85,7 @@
     const { log, logger, createScheduler } = this.opts;
     await log.whenReadyToLead();
     if (log.role !== 'leader' || log.term !== term || this.session) return;
-    this.session = new LeaderSession({ ...this.opts, scheduler: createScheduler(term) });
+    this.session = new LeaderSession({ ...this.opts, scheduler: createScheduler() });
     this.sessionTerm = term;
     logger.info('took up leadership', { term });
   }
--- a/packages/coordinator/src/jobDesk.ts
+++ b/packages/coordinator/src/jobDesk.ts
@@ -257,17 +257,13 @@
     return new Promise((resolve) => {
       const waiters = this.waiters.get(jobId) ?? new Set();
       this.waiters.set(jobId, waiters);
-      const timer = setTimeout(
-        () => {
-          waiters.delete(wake);
-          resolve();
-        },
-        Math.min(waitMs, MAX_LOOKUP_WAIT_MS),
-      );
+      let timer: NodeJS.Timeout | undefined;
       const wake = (): void => {
         clearTimeout(timer);
+        waiters.delete(wake);
         resolve();
       };
+      timer = setTimeout(wake, Math.min(waitMs, MAX_LOOKUP_WAIT_MS));
       waiters.add(wake);
     });
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -130,7 +130,8 @@
   async [Symbol.asyncDispose](): Promise<void> {
     await this.server[Symbol.asyncDispose]();
     await this.validity[Symbol.asyncDispose]();
-    for (const resource of this.resources.splice(0).reverse()) await resource[Symbol.asyncDispose]();
+    for (const resource of this.resources.splice(0).reverse())
+      await resource[Symbol.asyncDispose]();
     await this.exchange[Symbol.asyncDispose]();
     await this.network[Symbol.asyncDispose]();
   }
@@ -164,7 +165,7 @@
         instances: settings.peering.peers,
         log: this.replica,
         state,
-        createScheduler: (term) => createScheduler(settings.scheduling, term),
+        createScheduler: () => createScheduler(settings.scheduling),
         exchange: this.exchange,
         timing,
         maxBatch: settings.scheduling.maxBatch,
@@ -216,7 +217,12 @@
       leader,
       instances: settings.peering.peers.map(({ id }) => id),
       drain: async (instance) => {
-        await this.network.call(instance, 'instances.drain', {}, { timeoutMs: DRAIN_CALL_TIMEOUT_MS });
+        await this.network.call(
+          instance,
+          'instances.drain',
+          {},
+          { timeoutMs: DRAIN_CALL_TIMEOUT_MS },
+        );
       },
     }).register(router);
     new PlatformApi({
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -19,13 +19,14 @@
     return;
   }
   const logger = createLogger({ ...settings.log, fields: { instance: settings.instance.id } });
+  let daemon: Daemon | undefined;
   const stop = (): void => {
-    daemon.drain().then(
+    daemon?.drain().then(
       () => process.exit(0),
       (err: Error) => fail(err.message, EXIT_FAILURE),
     );
   };
-  const daemon = new Daemon({
+  daemon = new Daemon({
     settings,
     logger,
     onDrain: stop,
--- a/packages/daemon/src/schedulerFactory.ts
+++ b/packages/daemon/src/schedulerFactory.ts
@@ -2,7 +2,7 @@
 import type { Scheduler } from '@lagoongap/scheduling/scheduler.js';
 import type { DaemonSettings } from '@lagoongap/settings/daemonSettings.js';
 
-/** Makes the scheduler of a term; attempt identifiers are unique across terms. */
-export function createScheduler(_cfg: DaemonSettings['scheduling'], term: number): Scheduler {
-  return new FirstFitFifoScheduler({ attemptPrefix: `${term}` });
+/** Makes the scheduler that the settings name. */
+export function createScheduler(_cfg: DaemonSettings['scheduling']): Scheduler {
+  return new FirstFitFifoScheduler();
 }
--- a/packages/state/src/commands.ts
+++ b/packages/state/src/commands.ts
@@ -133,7 +133,10 @@
   | { status: 'faulty'; faults: { line: number; path: string; message: string }[] };
 
 /** Result for each job of `submit-jobs`. */
-export type SubmitResult = { status: 'accepted' | 'duplicate'; id: string };
+export interface SubmitResult {
+  status: 'accepted' | 'duplicate';
+  id: string;
+}
 
 /** Result for each attempt of `start-attempts`. */
 export type StartAttemptResult =
--- a/packages/state/src/configTable.ts
+++ b/packages/state/src/configTable.ts
@@ -1,9 +1,14 @@
 import { createEmptyConfig, type ClusterConfig } from '@lagoongap/model/clusterConfig.js';
 import type { ReleaseNote } from '@lagoongap/model/releaseNote.js';
 import { applyReleaseNote } from '@lagoongap/release-notes/applyReleaseNote.js';
-import { hashAuditEntry, type AuditEntry } from '@lagoongap/release-notes/auditTrail.js';
+import {
+  FIRST_AUDIT_INDEX,
+  FIRST_PREVIOUS_HASH,
+  hashAuditEntry,
+  type AuditEntry,
+} from '@lagoongap/release-notes/auditTrail.js';
 import { checkReleaseNote } from '@lagoongap/release-notes/checkReleaseNote.js';
-import { diffConfigs } from '@lagoongap/release-notes/diffConfigs.js';
+import { diffConfigs, type EntryDiff } from '@lagoongap/release-notes/diffConfigs.js';
 
 import type { ApplyNoteCommand, NoteResult, RefuseNoteCommand } from './commands.js';
 import { MAX_AUDIT_ENTRIES, MAX_RECENT_NOTES } from './retention.js';
@@ -16,6 +21,15 @@
   audit: AuditEntry[];
 }
 
+/** Returns the differing fields of each entry on one side of a difference, as plain JSON data. */
+function summarizeSide(entries: EntryDiff[], side: 'before' | 'after'): unknown {
+  return entries.map(({ kind, name, fields }) => ({
+    kind,
+    name,
+    fields: Object.fromEntries(fields.map((field) => [field.field, field[side] ?? null])),
+  }));
+}
+
 /** Configuration in force, accepted release notes and the audit trail. */
 export class ConfigTable {
   private current: ClusterConfig = createEmptyConfig();
@@ -60,16 +74,16 @@
     this.hashes.set(note.number, contentHash);
     this.recentNotes.push(note);
     if (this.recentNotes.length > MAX_RECENT_NOTES) this.recentNotes.shift();
-    const { before: old, after } = diffConfigs(before, this.current);
+    const { entries } = diffConfigs(before, this.current);
     this.appendAudit({
       number: note.number,
       by: command.by,
-      wallTime: command.wallTime,
+      wallTime: new Date(command.wallTime).toISOString(),
       accepted: true,
       contentHash,
       summary: note.comment ?? '',
-      before: old,
-      after,
+      before: summarizeSide(entries, 'before'),
+      after: summarizeSide(entries, 'after'),
     });
     return { status: 'accepted', number: note.number, contentHash };
   }
@@ -78,7 +92,7 @@
     this.appendAudit({
       number: command.number,
       by: command.by,
-      wallTime: command.wallTime,
+      wallTime: new Date(command.wallTime).toISOString(),
       accepted: false,
       contentHash: command.contentHash,
       summary: command.summary,
@@ -130,8 +144,8 @@
     const last = this.audit.at(-1);
     const entry = {
       ...fields,
-      index: (last?.index ?? 0) + 1,
-      previousHash: last?.hash ?? '',
+      index: last ? last.index + 1 : FIRST_AUDIT_INDEX,
+      previousHash: last?.hash ?? FIRST_PREVIOUS_HASH,
     };
     this.audit.push({ ...entry, hash: hashAuditEntry(entry) });
     if (this.audit.length > MAX_AUDIT_ENTRIES) this.audit.shift();
