Add the replicated log with its own Raft implementation

The system needs an ordered, durable log without an external store. The core is a synchronous state machine; RaftReplica runs it on the runtime's clock, a LogStore and a transport. The import of verror follows its CommonJS form, because its named export does not load in Node.js.

--- /dev/null
+++ b/packages/consensus/src/membershipChangeError.ts
@@ -0,0 +1,8 @@
+import { ConsensusError } from './consensusError.js';
+
+/** A membership change was refused; nothing was appended to the log. */
+export class MembershipChangeError extends ConsensusError {
+  constructor(message: string) {
+    super(message, {}, 'MembershipChangeError');
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/raftState.ts
@@ -0,0 +1,117 @@
+import type { LogEntry, Snapshot } from '@lagoongap/storage/logStore.js';
+
+import { MembershipHistory } from './membershipHistory.js';
+import type { RaftCoreOptions } from './raftCoreOptions.js';
+import type { RaftEffect } from './raftEffect.js';
+import { RaftLog } from './raftLog.js';
+import type { RaftMessage } from './raftMessage.js';
+import { instanceOf } from './replicaId.js';
+import type { ReplicaRole } from './replicatedLog.js';
+import { VoterLease } from './voterLease.js';
+import { WriteQueue } from './writeQueue.js';
+
+/** State of the protocol; a pre-candidate asks for votes without a new term. */
+export type RaftRole = 'follower' | 'pre-candidate' | 'candidate' | 'leader';
+
+/** State that all parts of the core share. */
+export class RaftState {
+  role: RaftRole = 'follower';
+  term: number;
+  votedFor: string | undefined;
+  /** Replica id of the leader of the term. */
+  leader: string | undefined;
+  commitIndex: number;
+  /** Last index handed to the state machine. */
+  appliedIndex: number;
+  /** Latest snapshot that is stored or about to be. */
+  snapshot: Snapshot | undefined;
+  nowMs: number;
+  electionDeadlineMs = 0;
+  readonly log: RaftLog;
+  readonly memberships: MembershipHistory;
+  readonly writes: WriteQueue;
+  readonly voterLease: VoterLease;
+  readonly effects: RaftEffect[] = [];
+
+  constructor(readonly options: RaftCoreOptions) {
+    const { hardState, snapshot, nowMs, timing } = options;
+    const base = { index: snapshot?.index ?? 0, term: snapshot?.term ?? 0 };
+    // Entries of an earlier term than the snapshot's were discarded when it was installed,
+    // but storage keeps them until entries are written in their place.
+    const entries = options.entries.filter((entry) => entry.term >= base.term);
+    this.nowMs = nowMs;
+    this.term = hardState.term;
+    this.votedFor = hardState.votedFor;
+    this.snapshot = snapshot;
+    this.commitIndex = base.index;
+    this.appliedIndex = base.index;
+    this.log = new RaftLog(base, entries);
+    const membership = snapshot?.membership ?? { voters: [], learners: [] };
+    this.memberships = new MembershipHistory({ index: base.index, membership });
+    this.memberships.append(entries);
+    this.writes = new WriteQueue(this.log.lastIndex);
+    this.voterLease = new VoterLease(nowMs, timing.electionMinMs);
+    this.resetElectionTimer();
+  }
+
+  get replicaId(): string {
+    return this.options.replicaId;
+  }
+
+  get voters(): string[] {
+    return this.memberships.current.voters;
+  }
+
+  /** Tells whether this replica is a voter in the membership that it knows. */
+  get isVoter(): boolean {
+    return this.voters.includes(this.replicaId);
+  }
+
+  /** Role as seen from outside. */
+  get publicRole(): ReplicaRole {
+    if (this.role === 'leader') return 'leader';
+    if (this.role !== 'follower') return 'candidate';
+    return this.isVoter ? 'follower' : 'learner';
+  }
+
+  /** Instance id of the leader. */
+  get leaderInstance(): string | undefined {
+    return this.leader === undefined ? undefined : instanceOf(this.leader);
+  }
+
+  /** Chooses the next election timeout. */
+  resetElectionTimer(): void {
+    const { timing, random } = this.options;
+    const spread = timing.electionMaxMs - timing.electionMinMs;
+    this.electionDeadlineMs = this.nowMs + timing.electionMinMs + random() * spread;
+  }
+
+  /** Changes term and vote, and stages them. */
+  setTerm(term: number, votedFor: string | undefined): void {
+    this.term = term;
+    this.votedFor = votedFor;
+    this.writes.stageHardState({ term, votedFor });
+  }
+
+  /** Appends entries to the log and stages them; the first one replaces what follows. */
+  appendEntries(entries: LogEntry[]): void {
+    const first = entries[0];
+    if (first === undefined) return;
+    this.log.truncateFrom(first.index);
+    this.memberships.truncateFrom(first.index);
+    this.log.append(entries);
+    this.memberships.append(entries);
+    this.writes.stageEntries(entries);
+  }
+
+  /** Sends a message at once. */
+  send(message: RaftMessage): void {
+    this.effects.push({ type: 'send', message });
+  }
+
+  /** Sends a message as soon as everything staged so far is durable. */
+  sendWhenDurable(message: RaftMessage): void {
+    if (this.writes.isIdle) this.send(message);
+    else this.writes.holdMessage(message);
+  }
+}
--- a/packages/consensus/src/replicatedLog.ts
+++ b/packages/consensus/src/replicatedLog.ts
@@ -26,7 +26,7 @@
   leaderId?: string;
 }
 
-/** Voting and non-voting members, by instance id. */
+/** Voting and non-voting members, by replica id (`<instance id>/<suffix>`). */
 export interface Membership {
   voters: string[];
   learners: string[];
@@ -60,9 +60,10 @@
   /** Calls `listener` on each change; returns a function that unsubscribes. */
   onRoleChange(listener: (change: RoleChange) => void): () => void;
   members(): Membership;
-  addLearner(instanceId: string): Promise<void>;
-  promote(instanceId: string): Promise<void>;
-  removeMember(instanceId: string): Promise<void>;
-  /** Hands leadership to `to`, or to the voter that is most up to date. */
+  /** Changes the members, by replica id; resolves when the change is committed. */
+  addLearner(replicaId: string): Promise<void>;
+  promote(replicaId: string): Promise<void>;
+  removeMember(replicaId: string): Promise<void>;
+  /** Hands leadership to `to` (instance id or replica id), or to the voter that is most up to date. */
   transferLeadership(to?: string): Promise<void>;
 }
--- /dev/null
+++ b/packages/consensus/src/storeQueue.ts
@@ -0,0 +1,54 @@
+import type { LogStore, Snapshot } from '@lagoongap/storage/logStore.js';
+
+import type { PendingWrite } from './raftEffect.js';
+
+/**
+ * Runs the operations of a store one after the other. After the first error nothing runs any
+ * more, because a store that failed once must not be used again.
+ */
+export class StoreQueue {
+  private tail: Promise<void> = Promise.resolve();
+  private isStopped = false;
+
+  constructor(
+    private readonly store: LogStore,
+    private readonly onError: (error: unknown) => void,
+  ) {}
+
+  /** Writes what a core asked for, then calls `onDone`. */
+  write({ hardState, snapshot, entries }: PendingWrite, onDone: () => void): void {
+    this.enqueue(async () => {
+      if (snapshot === undefined) {
+        await this.store.write({ hardState, entries });
+        return;
+      }
+      if (hardState !== undefined) await this.store.write({ hardState });
+      await this.store.saveSnapshot(snapshot);
+      if (entries !== undefined) await this.store.write({ entries });
+    }, onDone);
+  }
+
+  /** Stores a snapshot, then calls `onDone`. */
+  saveSnapshot(snapshot: Snapshot, onDone: () => void): void {
+    this.enqueue(() => this.store.saveSnapshot(snapshot), onDone);
+  }
+
+  /** Drops what has not started and waits for what has. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    await this.tail;
+  }
+
+  private enqueue(operation: () => Promise<void>, onDone: () => void): void {
+    this.tail = this.tail.then(async () => {
+      if (this.isStopped) return;
+      try {
+        await operation();
+        if (!this.isStopped) onDone();
+      } catch (err) {
+        this.isStopped = true;
+        this.onError(err);
+      }
+    });
+  }
+}
--- a/packages/model/src/lagoongapError.ts
+++ b/packages/model/src/lagoongapError.ts
@@ -1,4 +1,4 @@
-import { VError } from 'verror';
+import VError from 'verror';
 
 /** Options of a {@link LagoongapError}. */
 export interface LagoongapErrorOptions {
