--- a/packages/consensus/src/replicatedLog.ts
+++ b/packages/consensus/src/replicatedLog.ts
@@ -64,6 +64,8 @@
   addLearner(replicaId: string): Promise<void>;
   promote(replicaId: string): Promise<void>;
   removeMember(replicaId: string): Promise<void>;
+  /** Tells whether a learner has caught up, so that promoting it costs no availability. */
+  isCaughtUp(replicaId: string): boolean;
   /** Hands leadership to `to` (instance id or replica id), or to the voter that is most up to date. */
   transferLeadership(to?: string): Promise<void>;
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -180,7 +180,7 @@
   private startJoiner(replica: RaftReplica): void {
     const joiner = new ReplicaJoiner({
       instanceId: this.opts.settings.instance.id,
-      replicaId: replica.replicaId,
+      replicaId: replica.replicaId ?? '',
       log: replica,
       leader: this.leader,
       logger: this.opts.logger,
--- /dev/null
+++ b/packages/stand-in/src/demo/runDemo.ts
@@ -0,0 +1,102 @@
+import { LocalCell, type CallAnswer } from '../localCell.js';
+import { createDemoKeys, createDemoNote } from './demoNote.js';
+
+const INSTANCE = 'instance-1';
+const WAIT_MS = 20_000;
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+function assertStatus(what: string, answer: CallAnswer, expected: number): void {
+  if (answer.status === expected) return;
+  throw new Error(
+    `${what}: expected ${expected}, got ${answer.status} ${JSON.stringify(answer.body)}`,
+  );
+}
+
+await using cell = new LocalCell({ instances: 1, replicas: 1, timing: { drainDelayMs: 0 } });
+await cell.start();
+print('one daemon runs, with its data folder on this machine');
+
+const keys = createDemoKeys(cell.operatorKey);
+const note = await cell.applyNote(INSTANCE, createDemoNote(keys));
+assertStatus('release note', note, 200);
+print(`release note ${note.body.number} is in force (${note.body.contentHash.slice(0, 12)})`);
+
+await cell.startEndpoint({ id: 'runner-1', key: keys.endpoint.secret, works: ['metering'] });
+await cell.startEndpoint({
+  id: 'worker-1',
+  key: keys.endpoint.secret,
+  kind: 'worker',
+  works: ['metering'],
+});
+print('two stand-in endpoints announced themselves: runner-1 and worker-1');
+
+const answer = await cell.call(INSTANCE, '/v1/requests', {
+  method: 'POST',
+  key: keys.laboratories.secret,
+  headers: { 'lagoongap-queue': 'certificates', 'lagoongap-work': 'metering' },
+  body: 'meter 4711',
+});
+assertStatus('request', answer, 200);
+print(`request: ${answer.headers['lagoongap-endpoint']} answered ${JSON.stringify(answer.body)}`);
+
+async function submit(
+  kind: string,
+  queue: string,
+  tasks: number,
+  payload: object,
+): Promise<string> {
+  const submitted = await cell.call(INSTANCE, '/v1/jobs', {
+    method: 'POST',
+    key: keys.utilities.secret,
+    body: {
+      kind,
+      queue,
+      work: 'metering',
+      tasks,
+      size: { cpuMillis: 500, memoryMib: 256 },
+      payload,
+    },
+  });
+  assertStatus(`${kind} job`, submitted, 202);
+  return submitted.body.id;
+}
+
+async function look(id: string, waitMs: number): Promise<any> {
+  const path = `/v1/jobs/${id}?waitMs=${waitMs}`;
+  const view = await cell.call(INSTANCE, path, { key: keys.utilities.secret });
+  assertStatus('look-up', view, 200);
+  return view.body;
+}
+
+for (const [kind, queue, tasks] of [
+  ['batch', 'recomputation', 1],
+  ['gang', 'bench-runs', 3],
+] as const) {
+  const id = await submit(kind, queue, tasks, { runMs: 300 });
+  const view = await look(id, WAIT_MS);
+  if (view.state !== 'succeeded') throw new Error(`${kind} job ended as ${JSON.stringify(view)}`);
+  print(`${kind} job ${id}: ${tasks} task(s), ${view.state}`);
+}
+
+const service = await submit('service', 'indexing', 1, {});
+await cell.waitFor('the service to run', async () => {
+  const view = await look(service, 0);
+  return view.tasks[0].endpoint !== undefined;
+});
+const { tasks } = await look(service, 0);
+print(`service ${service}: running on ${tasks[0].endpoint}`);
+const cancelled = await cell.call(INSTANCE, `/v1/jobs/${service}`, {
+  method: 'DELETE',
+  key: keys.utilities.secret,
+});
+assertStatus('cancellation', cancelled, 200);
+const ended = await look(service, WAIT_MS);
+print(`service ${service}: ${ended.state}`);
+if (ended.state !== 'cancelled') throw new Error('the service was not cancelled');
+
+const places = cell.readHistory().filter(({ type }) => type === 'start');
+for (const { task, endpoint } of places) print(`  ${String(task)} ran on ${String(endpoint)}`);
+print('demo finished');
