--- a/packages/peering/src/framedConnection.ts
+++ b/packages/peering/src/framedConnection.ts
@@ -126,7 +126,8 @@
   private static destroy(socket: Socket, transport: Socket): void {
     // A graceful close would leave the unsent bytes of a silent connection with the kernel. The
     // TCP socket below an accepted TLS socket is out of reach; there it is closed plainly.
-    if (!('encrypted' in transport)) transport.resetAndDestroy();
+    if (transport.connecting) transport.destroy();
+    else if (!('encrypted' in transport)) transport.resetAndDestroy();
     socket.destroy();
   }
 
--- a/packages/storage/src/batchEncoder.ts
+++ b/packages/storage/src/batchEncoder.ts
@@ -2,7 +2,6 @@
 import { toStoredEntry } from './logRecord.js';
 import type { HardState, LogEntry, LogWrite } from './logStore.js';
 import { encodePayload } from './payloadCodec.js';
-import { MAX_RECORD_BYTES } from './recordCodec.js';
 import { RecordTooLargeError } from './recordTooLargeError.js';
 
 /** Record payload and the changes that it holds. */
@@ -11,15 +10,19 @@
   write: LogWrite;
 }
 
-function encode(hardState: HardState | undefined, entries: LogEntry[]): EncodedBatch[] {
+function encode(
+  hardState: HardState | undefined,
+  entries: LogEntry[],
+  maxBytes: number,
+): EncodedBatch[] {
   const batch: BatchRecord = { kind: 'batch', hardState, entries: entries.map(toStoredEntry) };
   const payload = encodePayload(batch);
-  if (payload.length <= MAX_RECORD_BYTES) return [{ payload, write: { hardState, entries } }];
-  if (entries.length < 2) throw new RecordTooLargeError(payload.length, MAX_RECORD_BYTES);
+  if (payload.length <= maxBytes) return [{ payload, write: { hardState, entries } }];
+  if (entries.length < 2) throw new RecordTooLargeError(payload.length, maxBytes);
   const middle = Math.floor(entries.length / 2);
   return [
-    ...encode(hardState, entries.slice(0, middle)),
-    ...encode(undefined, entries.slice(middle)),
+    ...encode(hardState, entries.slice(0, middle), maxBytes),
+    ...encode(undefined, entries.slice(middle), maxBytes),
   ];
 }
 
@@ -27,6 +30,9 @@
  * Encodes a write as one batch, or as several if one would exceed the size of a record.
  * Raises RecordTooLargeError for an entry that does not fit by itself.
  */
-export function encodeBatches({ hardState, entries = [] }: LogWrite): EncodedBatch[] {
-  return encode(hardState, entries);
+export function encodeBatches(
+  { hardState, entries = [] }: LogWrite,
+  maxBytes: number,
+): EncodedBatch[] {
+  return encode(hardState, entries, maxBytes);
 }
--- a/packages/storage/src/fileLogStore.ts
+++ b/packages/storage/src/fileLogStore.ts
@@ -11,6 +11,7 @@
 import { MissingFileError } from './missingFileError.js';
 import { NodeFileSystem } from './nodeFileSystem.js';
 import { encodePayload } from './payloadCodec.js';
+import { MAX_RECORD_BYTES } from './recordCodec.js';
 import { SegmentReader } from './segmentReader.js';
 import { SegmentWriter } from './segmentWriter.js';
 import { SnapshotFile } from './snapshotFile.js';
@@ -29,6 +30,8 @@
   dataFolder: string;
   /** A segment that has reached this size is followed by a new one. */
   segmentBytes?: number;
+  /** Payload size above which a write is split into several records. */
+  maxRecordBytes?: number;
   fileSystem?: StorageFileSystem;
 }
 
@@ -47,6 +50,7 @@
   private readonly fileSystem: StorageFileSystem;
   private readonly layout: FolderLayout;
   private readonly segmentBytes: number;
+  private readonly maxRecordBytes: number;
   private lock: AsyncDisposable | undefined;
   private writer: SegmentWriter | undefined;
   private segments: Segment[] = [];
@@ -62,6 +66,7 @@
     this.fileSystem = opts.fileSystem ?? new NodeFileSystem();
     this.layout = new FolderLayout(opts.dataFolder);
     this.segmentBytes = opts.segmentBytes ?? DEFAULT_SEGMENT_BYTES;
+    this.maxRecordBytes = Math.min(opts.maxRecordBytes ?? MAX_RECORD_BYTES, MAX_RECORD_BYTES);
   }
 
   /**
@@ -84,7 +89,7 @@
   async write(write: LogWrite): Promise<void> {
     this.expectLoaded();
     this.checkEntries(write);
-    const batches = encodeBatches(write);
+    const batches = encodeBatches(write, this.maxRecordBytes);
     await this.run('write of the log', async () => {
       for (const batch of batches) await this.append(batch);
     });
--- /dev/null
+++ b/packages/tests/src/storage/logStoreFixture.ts
@@ -0,0 +1,59 @@
+import { FileLogStore } from '@lagoongap/storage/fileLogStore.js';
+import type { LogEntry, Snapshot, StoredLog } from '@lagoongap/storage/logStore.js';
+
+import { MemoryFileSystem } from './memoryFileSystem.js';
+
+/** Folder of the log store in memory. */
+export const LOG_FOLDER = '/data';
+
+/** Returns an entry with small data. */
+export function createEntry(index: number, term = 1, bytes = 0): LogEntry {
+  return { index, term, type: 'command', data: { at: index, text: 'x'.repeat(bytes) } };
+}
+
+/** Returns a snapshot whose data names its index. */
+export function createSnapshot(index: number, term = 1): Snapshot {
+  return { index, term, membership: { voters: ['a/1'], learners: [] }, data: { upTo: index } };
+}
+
+/** Scenario state that the steps share. */
+export interface LogStoreWorld {
+  logs: LogStoreFixture;
+}
+
+/** Log store of a scenario and the files under it. */
+export class LogStoreFixture {
+  fileSystem = new MemoryFileSystem();
+  segmentBytes = 100_000;
+  maxRecordBytes = 100_000;
+  store!: FileLogStore;
+  loaded!: StoredLog;
+  failure: Error | undefined;
+
+  /** Starts a store on `fileSystem`. */
+  async open(fileSystem = this.fileSystem): Promise<StoredLog> {
+    this.fileSystem = fileSystem;
+    const { segmentBytes, maxRecordBytes } = this;
+    this.store = new FileLogStore({
+      dataFolder: LOG_FOLDER,
+      fileSystem,
+      segmentBytes,
+      maxRecordBytes,
+    });
+    this.loaded = await this.store.load();
+    return this.loaded;
+  }
+
+  /** Opens a copy of the files in which `change` has altered one of them. */
+  async openDamaged(file: string, change: (content: Buffer) => Buffer): Promise<StoredLog> {
+    const copy = this.fileSystem.afterCrash('process killed');
+    copy.replace(file, change(Buffer.from(copy.read(file))));
+    const { segmentBytes } = this;
+    const store = new FileLogStore({ dataFolder: LOG_FOLDER, fileSystem: copy, segmentBytes });
+    const loaded = await store.load();
+    // A store that has cut off a torn record must be able to go on.
+    const next = (loaded.entries[loaded.entries.length - 1]?.index ?? 0) + 1;
+    await store.write({ entries: [createEntry(next)] });
+    return loaded;
+  }
+}
