Report contradictions of settings together with shape faults

A file with one wrong type hid all contradictions until the next run. What is right in a faulty document is read leniently and checked as well.

--- a/packages/model/src/shapeFaults.ts
+++ b/packages/model/src/shapeFaults.ts
@@ -24,7 +24,9 @@
   message: string;
 }
 
+/** Part of a shape; tables have `shape`, lists have `element`, wrappers have `unwrap`. */
 interface ShapeNode {
+  safeParse(value: unknown): { success: boolean; data?: unknown };
   shape?: Record<string, ShapeNode>;
   element?: ShapeNode;
   unwrap?: () => ShapeNode;
@@ -126,3 +128,25 @@
   }
   return faults;
 }
+
+/**
+ * Reads what is right in a faulty document, so that further checks can run on it. Parts that do
+ * not have their shape are `undefined`; defaults are filled in.
+ */
+export function readFaultyDocument(shape: unknown, value: unknown): unknown {
+  const node = shape as ShapeNode;
+  const result = node.safeParse(value);
+  if (result.success) return result.data;
+  const inner = unwrapNode(node);
+  if (inner?.element && Array.isArray(value)) {
+    return value.map((element) => readFaultyDocument(inner.element, element));
+  }
+  if (inner?.shape && typeof value === 'object' && value !== null && !Array.isArray(value)) {
+    const entries = Object.entries(inner.shape).map(([key, child]) => {
+      const member: unknown = hasOwnKey(value, key) ? Reflect.get(value, key) : undefined;
+      return [key, readFaultyDocument(child, member)];
+    });
+    return Object.fromEntries(entries);
+  }
+  return undefined;
+}
--- a/packages/settings/src/checkSettings.ts
+++ b/packages/settings/src/checkSettings.ts
@@ -1,6 +1,7 @@
 import { accessSync, constants, statSync } from 'node:fs';
 import { BlockList, isIPv6 } from 'node:net';
 
+import type { DeepPartial } from '@lagoongap/model/deepPartial.js';
 import type { TomlPath } from '@lagoongap/model/tomlLines.js';
 
 import type { DaemonSettings, PeerSettings, TlsSettings } from './daemonSettings.js';
@@ -33,125 +34,166 @@
   }
 }
 
-function checkTls(list: SettingsFaultList, path: TomlPath, tls: TlsSettings | undefined): void {
-  if (!tls) return;
-  checkFile(list, [...path, 'certFile'], tls.certFile);
-  checkFile(list, [...path, 'keyFile'], tls.keyFile);
-  if (tls.caFile !== undefined) checkFile(list, [...path, 'caFile'], tls.caFile);
+/** Settings of which the parts that have faults already are missing. */
+type FaultySettings = DeepPartial<DaemonSettings>;
+
+type FaultyPeers = (DeepPartial<PeerSettings> | undefined)[];
+
+function checkTls(list: SettingsFaultList, path: TomlPath, tls?: DeepPartial<TlsSettings>): void {
+  for (const key of ['certFile', 'keyFile', 'caFile'] as const) {
+    const file = tls?.[key];
+    if (file !== undefined) checkFile(list, [...path, key], file);
+  }
 }
 
 function checkListener(
   list: SettingsFaultList,
   section: 'http' | 'peering',
-  listener: DaemonSettings['http'] | DaemonSettings['peering'],
+  listener: FaultySettings['http'] | FaultySettings['peering'],
 ): void {
-  checkTls(list, [section, 'tls'], listener.tls);
-  if (listener.tls || listener.allowPlaintext || isListed(loopback, listener.host)) return;
+  checkTls(list, [section, 'tls'], listener?.tls);
+  if (!listener?.host || listener.tls || listener.allowPlaintext) return;
+  if (isListed(loopback, listener.host)) return;
   const message = `${listener.host} is not a loopback address: expected [${section}.tls]`;
   list.add([section, 'host'], `${message}, or allowPlaintext = true on a trusted network`);
 }
 
-function checkUniquePeers(list: SettingsFaultList, peers: PeerSettings[]): void {
+function checkUniquePeers(list: SettingsFaultList, peers: FaultyPeers): void {
   const ids = new Set<string>();
   const addresses = new Set<string>();
   peers.forEach((peer, index) => {
     const path = ['peering', 'peers', index];
-    const address = `${peer.host} port ${peer.port}`;
-    if (ids.has(peer.id)) list.add([...path, 'id'], `expected each id once, found "${peer.id}"`);
-    if (addresses.has(address)) {
-      list.add([...path, 'port'], `expected each address once, found ${address}`);
+    if (peer?.id !== undefined) {
+      if (ids.has(peer.id)) list.add([...path, 'id'], `expected each id once, found "${peer.id}"`);
+      ids.add(peer.id);
+    }
+    if (peer?.host !== undefined && peer.port !== undefined) {
+      const address = `${peer.host} port ${peer.port}`;
+      const message = `expected each address once, found ${address}`;
+      if (addresses.has(address)) list.add([...path, 'port'], message);
+      addresses.add(address);
     }
-    ids.add(peer.id);
-    addresses.add(address);
   });
 }
 
 /** The entry of this instance must agree with its own sections, or peers would not find it. */
-function checkOwnPeer(list: SettingsFaultList, settings: DaemonSettings): void {
-  const { instance, peering } = settings;
-  const index = peering.peers.findIndex((peer) => peer.id === instance.id);
-  const own = peering.peers[index];
+function checkOwnPeer(list: SettingsFaultList, settings: FaultySettings): void {
+  const { instance = {}, peering = {} } = settings;
+  const { peers = [] } = peering;
+  if (instance.id === undefined) return;
+  const index = peers.findIndex((peer) => peer?.id === instance.id);
+  const own = peers[index];
   if (!own) {
-    list.add(['peering', 'peers'], `expected an entry for this instance, "${instance.id}"`);
+    const isComplete = peers.length > 0 && peers.every((peer) => peer?.id !== undefined);
+    const message = `expected an entry for this instance, "${instance.id}"`;
+    if (isComplete) list.add(['peering', 'peers'], message);
     return;
   }
-  const path = ['peering', 'peers', index];
-  if (own.port !== peering.port) {
-    list.add([...path, 'port'], `expected peering.port ${peering.port}, found ${own.port}`);
-  }
-  if (own.host !== peering.host && !isListed(unspecified, peering.host)) {
-    list.add([...path, 'host'], `expected peering.host ${peering.host}, found ${own.host}`);
-  }
-  if (own.dataCentre !== instance.dataCentre) {
-    const message = `expected instance.dataCentre "${instance.dataCentre}"`;
-    list.add([...path, 'dataCentre'], `${message}, found "${own.dataCentre}"`);
-  }
-  if ([...own.roles].sort().join() !== [...instance.roles].sort().join()) {
-    const message = `expected instance.roles ${JSON.stringify(instance.roles)}`;
-    list.add([...path, 'roles'], `${message}, found ${JSON.stringify(own.roles)}`);
+  const compare = (key: string, found: unknown, source: string, wanted: unknown): void => {
+    if (found === undefined || wanted === undefined || found === wanted) return;
+    list.add(['peering', 'peers', index, key], `expected ${source} ${wanted}, found ${found}`);
+  };
+  const sortRoles = (roles?: unknown[]): string | undefined => roles && [...roles].sort().join();
+  compare('port', own.port, 'peering.port', peering.port);
+  if (peering.host !== undefined && !isListed(unspecified, peering.host)) {
+    compare('host', own.host, 'peering.host', peering.host);
   }
+  compare('dataCentre', own.dataCentre, 'instance.dataCentre', instance.dataCentre);
+  compare('roles', sortRoles(own.roles), 'instance.roles', sortRoles(instance.roles));
 }
 
-function checkRoles(list: SettingsFaultList, settings: DaemonSettings): void {
-  const isReplica = settings.instance.roles.includes('replica');
-  if (isReplica && !settings.storage) {
+function checkRoles(list: SettingsFaultList, settings: FaultySettings, hasStorage: boolean): void {
+  const roles = settings.instance?.roles;
+  if (roles && roles.includes('replica') && !hasStorage) {
     list.add(['instance', 'roles'], 'role "replica" needs [storage] with a dataFolder');
   }
-  if (!isReplica && settings.storage) {
+  if (roles && !roles.includes('replica') && hasStorage) {
     list.add(['storage'], 'expected role "replica" in instance.roles where storage is set');
   }
-  if (!settings.peering.peers.some((peer) => peer.roles.includes('replica'))) {
+  const peers = settings.peering?.peers ?? [];
+  const isComplete = peers.length > 0 && peers.every((peer) => peer?.roles !== undefined);
+  if (isComplete && !peers.some((peer) => peer?.roles?.includes('replica'))) {
     list.add(['peering', 'peers'], 'expected at least one peer of role "replica"');
   }
 }
 
-function checkTiming(list: SettingsFaultList, { timing, routing }: DaemonSettings): void {
-  const expect = (holds: boolean, section: string, key: string, message: string): void => {
-    if (!holds) list.add([section, key], message);
-  };
-  const expectThird = (part: keyof typeof timing, whole: keyof typeof timing): void => {
-    const message = `expected at most a third of ${whole} (${timing[whole]}), found ${timing[part]}`;
-    expect(timing[part] * RENEWALS_PER_GRANT <= timing[whole], 'timing', part, message);
-  };
-  expectThird('heartbeatMs', 'electionMinMs');
-  expectThird('gatewayPollMs', 'gatewayValidityMs');
-  expectThird('endpointHeartbeatMs', 'endpointLeaseMs');
-  const { leaderValidityMs, electionMinMs, electionMaxMs } = timing;
-  expect(
-    leaderValidityMs * MAX_CLOCK_RATIO < electionMinMs,
-    'timing',
-    'leaderValidityMs',
-    `expected more than 1% below electionMinMs (${electionMinMs}), found ${leaderValidityMs}`,
-  );
-  expect(
-    timing.heartbeatMs < leaderValidityMs,
-    'timing',
-    'heartbeatMs',
-    `expected below leaderValidityMs (${leaderValidityMs}), found ${timing.heartbeatMs}`,
-  );
-  expect(
-    electionMinMs < electionMaxMs,
-    'timing',
-    'electionMaxMs',
-    `expected above electionMinMs (${electionMinMs}), found ${electionMaxMs}`,
-  );
-  expect(
-    routing.ejectionBaseMs <= routing.ejectionMaxMs,
-    'routing',
-    'ejectionMaxMs',
-    `expected at least ejectionBaseMs (${routing.ejectionBaseMs}), found ${routing.ejectionMaxMs}`,
-  );
+/** Relation that two durations must have. */
+interface DurationRule {
+  section: 'timing' | 'routing';
+  key: string;
+  otherKey: string;
+  expected: string;
+  holds: (value: number, other: number) => boolean;
 }
 
-/** Reports settings of the right shape that contradict each other or name missing files. */
-export function checkSettings(list: SettingsFaultList, settings: DaemonSettings): void {
+function expectThird(key: string, otherKey: string): DurationRule {
+  const holds = (value: number, other: number): boolean => value * RENEWALS_PER_GRANT <= other;
+  return { section: 'timing', key, otherKey, expected: 'at most a third of', holds };
+}
+
+const DURATION_RULES: readonly DurationRule[] = [
+  expectThird('heartbeatMs', 'electionMinMs'),
+  expectThird('gatewayPollMs', 'gatewayValidityMs'),
+  expectThird('endpointHeartbeatMs', 'endpointLeaseMs'),
+  {
+    section: 'timing',
+    key: 'leaderValidityMs',
+    otherKey: 'electionMinMs',
+    expected: 'more than 1% below',
+    holds: (value, other) => value * MAX_CLOCK_RATIO < other,
+  },
+  {
+    section: 'timing',
+    key: 'heartbeatMs',
+    otherKey: 'leaderValidityMs',
+    expected: 'less than',
+    holds: (value, other) => value < other,
+  },
+  {
+    section: 'timing',
+    key: 'electionMaxMs',
+    otherKey: 'electionMinMs',
+    expected: 'more than',
+    holds: (value, other) => value > other,
+  },
+  {
+    section: 'routing',
+    key: 'ejectionMaxMs',
+    otherKey: 'ejectionBaseMs',
+    expected: 'at least',
+    holds: (value, other) => value >= other,
+  },
+];
+
+function checkDurations(list: SettingsFaultList, settings: FaultySettings): void {
+  for (const { section, key, otherKey, expected, holds } of DURATION_RULES) {
+    const values = (settings[section] ?? {}) as Record<string, number | undefined>;
+    const value = values[key];
+    const other = values[otherKey];
+    if (value !== undefined && other !== undefined && !holds(value, other)) {
+      list.add([section, key], `expected ${expected} ${otherKey} (${other}), found ${value}`);
+    }
+  }
+}
+
+/**
+ * Reports settings that contradict each other or name missing files. Parts that are missing
+ * because of other faults are not checked.
+ *
+ * @param hasStorage - Whether the document has a storage section, be it faulty or not.
+ */
+export function checkSettings(
+  list: SettingsFaultList,
+  settings: FaultySettings,
+  hasStorage: boolean,
+): void {
   checkListener(list, 'http', settings.http);
   checkListener(list, 'peering', settings.peering);
-  if (settings.peering.tls && settings.peering.tls.caFile === undefined) {
+  if (settings.peering?.tls && settings.peering.tls.caFile === undefined) {
     list.add(['peering', 'tls'], 'expected caFile, by which instances authenticate each other');
   }
-  checkUniquePeers(list, settings.peering.peers);
+  checkUniquePeers(list, settings.peering?.peers ?? []);
   checkOwnPeer(list, settings);
-  checkRoles(list, settings);
-  checkTiming(list, settings);
+  checkRoles(list, settings, hasStorage);
+  checkDurations(list, settings);
 }
--- a/packages/settings/src/loadSettings.ts
+++ b/packages/settings/src/loadSettings.ts
@@ -1,8 +1,10 @@
 import { readFileSync } from 'node:fs';
 import { dirname, resolve } from 'node:path';
 
+import { hasOwnKey } from '@lagoongap/model/hasOwnKey.js';
 import {
   explainShapeIssues,
+  readFaultyDocument,
   type ShapeFault,
   type ShapeIssue,
 } from '@lagoongap/model/shapeFaults.js';
@@ -28,7 +30,7 @@
   return { line: 0, path: '', message: `not valid TOML: ${toError(err).message}` };
 }
 
-function parseToml(text: string, file: string): unknown {
+function parseToml(text: string, file: string): object {
   try {
     return parse(text, { maxDepth: MAX_DEPTH });
   } catch (err) {
@@ -36,14 +38,9 @@
   }
 }
 
-function resolveTls(tls: TlsSettings | undefined, folder: string): TlsSettings | undefined {
-  if (!tls) return undefined;
-  const resolved: TlsSettings = {
-    certFile: resolve(folder, tls.certFile),
-    keyFile: resolve(folder, tls.keyFile),
-  };
-  if (tls.caFile !== undefined) resolved.caFile = resolve(folder, tls.caFile);
-  return resolved;
+function resolveTls(tls: TlsSettings, folder: string): TlsSettings {
+  const paths = Object.entries(tls).map(([key, path]) => [key, path && resolve(folder, path)]);
+  return Object.fromEntries(paths) as TlsSettings;
 }
 
 /** Makes relative paths absolute; they start at the folder of the settings file. */
@@ -52,9 +49,11 @@
   const { storage, http, peering } = settings;
   return {
     ...settings,
-    http: http.tls ? { ...http, tls: resolveTls(http.tls, folder) } : http,
-    peering: peering.tls ? { ...peering, tls: resolveTls(peering.tls, folder) } : peering,
-    ...(storage && { storage: { ...storage, dataFolder: resolve(folder, storage.dataFolder) } }),
+    http: http?.tls ? { ...http, tls: resolveTls(http.tls, folder) } : http,
+    peering: peering?.tls ? { ...peering, tls: resolveTls(peering.tls, folder) } : peering,
+    ...(storage?.dataFolder && {
+      storage: { ...storage, dataFolder: resolve(folder, storage.dataFolder) },
+    }),
   };
 }
 
@@ -67,15 +66,16 @@
 export function parseSettings(text: string, file: string): DaemonSettings {
   const document = parseToml(text, file);
   const lines = new TomlLines(text);
+  const list = new SettingsFaultList(lines);
   const shaped = settingsShape.safeParse(document);
   if (!shaped.success) {
     const issues = shaped.error.issues as ShapeIssue[];
-    throw new SettingsError(file, explainShapeIssues(issues, settingsShape, document, lines));
+    list.faults.push(...explainShapeIssues(issues, settingsShape, document, lines));
   }
-  const settings = resolvePaths(shaped.data, file);
-  const list = new SettingsFaultList(lines);
-  checkSettings(list, settings);
-  if (list.faults.length > 0) throw new SettingsError(file, list.faults);
+  const read = shaped.success ? shaped.data : readFaultyDocument(settingsShape, document);
+  const settings = resolvePaths(read as DaemonSettings, file);
+  checkSettings(list, settings, hasOwnKey(document, 'storage'));
+  if (list.faults.length > 0) throw new SettingsError(file, list.sorted());
   return settings;
 }
 
--- a/packages/settings/src/settingsFaultList.ts
+++ b/packages/settings/src/settingsFaultList.ts
@@ -5,10 +5,16 @@
 export class SettingsFaultList {
   readonly faults: ShapeFault[] = [];
 
+  /** @param lines - Lines of the settings file. */
   constructor(private readonly lines: TomlLines) {}
 
   add(path: TomlPath, message: string): void {
     const line = this.lines.locate(path);
     this.faults.push({ line, path: formatTomlPath(path), message });
   }
+
+  /** Returns the faults in the order of their lines. */
+  sorted(): ShapeFault[] {
+    return [...this.faults].sort((a, b) => a.line - b.line);
+  }
 }
--- a/packages/settings/src/settingsShape.ts
+++ b/packages/settings/src/settingsShape.ts
@@ -82,13 +82,15 @@
     dataCentre: idShape,
     roles: rolesShape.default(['gateway']),
   }),
-  http: z.strictObject({
-    host: addressShape.default('127.0.0.1'),
-    port: httpPortShape.default(7080),
-    maxBodyBytes: countShape.default(64 * MEBIBYTE),
-    tls: tlsShape.optional(),
-    allowPlaintext: z.boolean().default(false),
-  }),
+  http: z
+    .strictObject({
+      host: addressShape.default('127.0.0.1'),
+      port: httpPortShape.default(7080),
+      maxBodyBytes: countShape.default(64 * MEBIBYTE),
+      tls: tlsShape.optional(),
+      allowPlaintext: z.boolean().default(false),
+    })
+    .prefault({}),
   peering: z.strictObject({
     host: addressShape.default('127.0.0.1'),
     port: portShape.default(7081),
