--- a/packages/model/src/shapeFaults.ts
+++ b/packages/model/src/shapeFaults.ts
@@ -129,6 +129,13 @@
   return faults;
 }
 
+/** Explains an error of the TOML parser, whose message ends with an extract of the text. */
+export function explainSyntaxError(err: Error & { line?: number; column?: number }): ShapeFault {
+  const [reason] = err.message.replace('Invalid TOML document: ', '').split('\n');
+  const place = err.column === undefined ? '' : ` (column ${err.column})`;
+  return { line: err.line ?? 0, path: '', message: `not valid TOML: ${reason}${place}` };
+}
+
 /**
  * Reads what is right in a faulty document, so that further checks can run on it. Parts that do
  * not have their shape are `undefined`; defaults are filled in.
--- a/packages/release-notes/src/checkReleaseNote.ts
+++ b/packages/release-notes/src/checkReleaseNote.ts
@@ -29,6 +29,7 @@
     const existing = before[kind];
     for (const section of ['added', 'changed', 'withdrawn'] as const) {
       listIdentifiers(note, section, kind).forEach((name, index) => {
+        if (name === undefined) return;
         const path = [section, kind, index, identifierField(kind)];
         const exists = hasOwnKey(existing, name);
         if (section === 'added' && exists) {
--- a/packages/release-notes/src/noteSections.ts
+++ b/packages/release-notes/src/noteSections.ts
@@ -1,4 +1,4 @@
-import type { ReleaseNote } from '@lagoongap/model/releaseNote.js';
+import type { FaultyNote } from './faultyNote.js';
 
 /** Kinds of entries that a release note holds, in the order in which they are processed. */
 export const ENTRY_KINDS = ['teams', 'keys', 'queues', 'endpointRules'] as const;
@@ -24,12 +24,13 @@
   return 'id' in entry ? entry.id : entry.name;
 }
 
-/** Returns the identifiers of the entries of one kind in one section. */
+/** Returns the identifiers of the entries of one kind in one section, missing ones included. */
 export function listIdentifiers(
-  note: ReleaseNote,
+  note: FaultyNote,
   section: 'added' | 'changed' | 'withdrawn',
   kind: EntryKind,
-): string[] {
+): (string | undefined)[] {
   if (section === 'withdrawn') return note.withdrawn[kind];
-  return note[section][kind].map(identifyEntry);
+  const entries: ({ id?: string; name?: string } | undefined)[] = note[section][kind];
+  return entries.map((entry) => entry?.[identifierField(kind)]);
 }
--- a/packages/release-notes/src/parseReleaseNote.ts
+++ b/packages/release-notes/src/parseReleaseNote.ts
@@ -1,10 +1,19 @@
+import type { ClusterConfig } from '@lagoongap/model/clusterConfig.js';
+import type { DeepPartial } from '@lagoongap/model/deepPartial.js';
 import type { NoteFault, ReleaseNote } from '@lagoongap/model/releaseNote.js';
-import { explainShapeIssues, type ShapeIssue } from '@lagoongap/model/shapeFaults.js';
+import {
+  explainShapeIssues,
+  explainSyntaxError,
+  readFaultyDocument,
+  type ShapeIssue,
+} from '@lagoongap/model/shapeFaults.js';
 import { toError } from '@lagoongap/model/toError.js';
 import { TomlLines } from '@lagoongap/model/tomlLines.js';
-import { parse, TomlError } from 'smol-toml';
+import { parse } from 'smol-toml';
 import type { z } from 'zod';
 
+import { checkReleaseNote } from './checkReleaseNote.js';
+import type { FaultyEntries, FaultyNote } from './faultyNote.js';
 import { checkNoteEntries } from './checkNoteEntries.js';
 import { noteShape } from './noteShape.js';
 
@@ -12,59 +21,67 @@
 export interface ParsedNote {
   /** The note; present only if there is no fault. */
   note?: ReleaseNote;
-  /** Every fault that can be found without a configuration. */
+  /** Every fault in the order of lines. */
   faults: NoteFault[];
-  /** Lines of the text, for checks against a configuration. */
+  /** Lines of the text, for checks against a configuration later on. */
   lines: TomlLines;
 }
 
 /** Deepest nesting that is read; a note needs five levels. */
 const MAX_DEPTH = 16;
 
-function explainSyntaxError(err: unknown): NoteFault {
-  if (err instanceof TomlError) {
-    const [reason] = err.message.replace('Invalid TOML document: ', '').split('\n');
-    const message = `not valid TOML: ${reason} (column ${err.column})`;
-    return { line: err.line, path: '', message };
-  }
-  return { line: 0, path: '', message: `not valid TOML: ${toError(err).message}` };
+/** Shaped document; parts are missing where it has faults. */
+type FaultyDocument = DeepPartial<z.output<typeof noteShape>>;
+
+function buildEntries(section: FaultyDocument['added']): FaultyEntries {
+  const { teams = [], keys = [], queues = [], endpointRules = [] } = section ?? {};
+  return { teams, keys, queues, endpointRules };
 }
 
-function buildNote(shaped: z.output<typeof noteShape>): ReleaseNote {
-  const { number, comment, added, changed, withdrawn } = shaped;
-  const note: ReleaseNote = {
+function buildNote(shaped: FaultyDocument): FaultyNote {
+  const { number, comment, added, changed, withdrawn = {} } = shaped;
+  const { teams = [], keys = [], queues = [], endpointRules = [] } = withdrawn;
+  return {
     number,
-    added,
-    changed,
+    ...(comment !== undefined && { comment }),
+    added: buildEntries(added),
+    changed: buildEntries(changed),
     withdrawn: {
-      teams: withdrawn.teams.map((entry) => entry.name),
-      keys: withdrawn.keys.map((entry) => entry.id),
-      queues: withdrawn.queues.map((entry) => entry.name),
-      endpointRules: withdrawn.endpointRules.map((entry) => entry.name),
+      teams: teams.map((entry) => entry?.name),
+      keys: keys.map((entry) => entry?.id),
+      queues: queues.map((entry) => entry?.name),
+      endpointRules: endpointRules.map((entry) => entry?.name),
     },
   };
-  if (comment !== undefined) note.comment = comment;
-  return note;
+}
+
+function findFaults(note: ReleaseNote, lines: TomlLines, config?: ClusterConfig): NoteFault[] {
+  return config ? checkReleaseNote(note, config, lines) : checkNoteEntries(note, lines);
 }
 
 /**
- * Parses the TOML text of a release note and checks all that does not depend on the
- * configuration in force. Raises no error; faults are listed in the result.
+ * Parses the TOML text of a release note and checks it. Raises no error; faults are listed in
+ * the result.
+ *
+ * @param config - Configuration in force; without it only checks that need none are made.
  */
-export function parseReleaseNote(toml: string): ParsedNote {
+export function parseReleaseNote(toml: string, config?: ClusterConfig): ParsedNote {
   const lines = new TomlLines(toml);
   let document: unknown;
   try {
     document = parse(toml, { maxDepth: MAX_DEPTH });
   } catch (err) {
-    return { faults: [explainSyntaxError(err)], lines };
+    return { faults: [explainSyntaxError(toError(err))], lines };
   }
   const shaped = noteShape.safeParse(document);
   if (!shaped.success) {
     const issues = shaped.error.issues as ShapeIssue[];
-    return { faults: explainShapeIssues(issues, noteShape, document, lines), lines };
+    const shapeFaults = explainShapeIssues(issues, noteShape, document, lines);
+    const rest = buildNote(readFaultyDocument(noteShape, document) as FaultyDocument);
+    const faults = [...shapeFaults, ...checkNoteEntries(rest, lines)];
+    return { faults: faults.sort((a, b) => a.line - b.line), lines };
   }
-  const note = buildNote(shaped.data);
-  const faults = checkNoteEntries(note, lines);
+  const note = buildNote(shaped.data) as ReleaseNote;
+  const faults = findFaults(note, lines, config);
   return faults.length > 0 ? { faults, lines } : { note, faults, lines };
 }
--- a/packages/settings/src/loadSettings.ts
+++ b/packages/settings/src/loadSettings.ts
@@ -4,13 +4,13 @@
 import { hasOwnKey } from '@lagoongap/model/hasOwnKey.js';
 import {
   explainShapeIssues,
+  explainSyntaxError,
   readFaultyDocument,
-  type ShapeFault,
   type ShapeIssue,
 } from '@lagoongap/model/shapeFaults.js';
 import { toError } from '@lagoongap/model/toError.js';
 import { TomlLines } from '@lagoongap/model/tomlLines.js';
-import { parse, TomlError } from 'smol-toml';
+import { parse } from 'smol-toml';
 
 import { checkSettings } from './checkSettings.js';
 import type { DaemonSettings, TlsSettings } from './daemonSettings.js';
@@ -21,20 +21,12 @@
 /** Deepest nesting that is read; settings need four levels. */
 const MAX_DEPTH = 16;
 
-function explainSyntaxError(err: unknown): ShapeFault {
-  if (err instanceof TomlError) {
-    const [reason] = err.message.replace('Invalid TOML document: ', '').split('\n');
-    const message = `not valid TOML: ${reason} (column ${err.column})`;
-    return { line: err.line, path: '', message };
-  }
-  return { line: 0, path: '', message: `not valid TOML: ${toError(err).message}` };
-}
-
 function parseToml(text: string, file: string): object {
   try {
     return parse(text, { maxDepth: MAX_DEPTH });
   } catch (err) {
-    throw new SettingsError(file, [explainSyntaxError(err)], { cause: toError(err) });
+    const cause = toError(err);
+    throw new SettingsError(file, [explainSyntaxError(cause)], { cause });
   }
 }
 
