--- a/packages/settings/src/loadSettings.ts
+++ b/packages/settings/src/loadSettings.ts
@@ -1,14 +1,16 @@
 import { readFileSync } from 'node:fs';
 import { dirname, resolve } from 'node:path';
 
+import { hasOwnKey } from '@lagoongap/model/hasOwnKey.js';
 import {
   explainShapeIssues,
-  type ShapeFault,
+  explainSyntaxError,
+  readFaultyDocument,
   type ShapeIssue,
 } from '@lagoongap/model/shapeFaults.js';
 import { toError } from '@lagoongap/model/toError.js';
 import { TomlLines } from '@lagoongap/model/tomlLines.js';
-import { parse, TomlError } from 'smol-toml';
+import { parse } from 'smol-toml';
 
 import { checkSettings } from './checkSettings.js';
 import type { DaemonSettings, TlsSettings } from './daemonSettings.js';
@@ -19,31 +21,18 @@
 /** Deepest nesting that is read; settings need four levels. */
 const MAX_DEPTH = 16;
 
-function explainSyntaxError(err: unknown): ShapeFault {
-  if (err instanceof TomlError) {
-    const [reason] = err.message.replace('Invalid TOML document: ', '').split('\n');
-    const message = `not valid TOML: ${reason} (column ${err.column})`;
-    return { line: err.line, path: '', message };
-  }
-  return { line: 0, path: '', message: `not valid TOML: ${toError(err).message}` };
-}
-
-function parseToml(text: string, file: string): unknown {
+function parseToml(text: string, file: string): object {
   try {
     return parse(text, { maxDepth: MAX_DEPTH });
   } catch (err) {
-    throw new SettingsError(file, [explainSyntaxError(err)], { cause: toError(err) });
+    const cause = toError(err);
+    throw new SettingsError(file, [explainSyntaxError(cause)], { cause });
   }
 }
 
-function resolveTls(tls: TlsSettings | undefined, folder: string): TlsSettings | undefined {
-  if (!tls) return undefined;
-  const resolved: TlsSettings = {
-    certFile: resolve(folder, tls.certFile),
-    keyFile: resolve(folder, tls.keyFile),
-  };
-  if (tls.caFile !== undefined) resolved.caFile = resolve(folder, tls.caFile);
-  return resolved;
+function resolveTls(tls: TlsSettings, folder: string): TlsSettings {
+  const paths = Object.entries(tls).map(([key, path]) => [key, path && resolve(folder, path)]);
+  return Object.fromEntries(paths) as TlsSettings;
 }
 
 /** Makes relative paths absolute; they start at the folder of the settings file. */
@@ -52,9 +41,11 @@
   const { storage, http, peering } = settings;
   return {
     ...settings,
-    http: http.tls ? { ...http, tls: resolveTls(http.tls, folder) } : http,
-    peering: peering.tls ? { ...peering, tls: resolveTls(peering.tls, folder) } : peering,
-    ...(storage && { storage: { ...storage, dataFolder: resolve(folder, storage.dataFolder) } }),
+    http: http?.tls ? { ...http, tls: resolveTls(http.tls, folder) } : http,
+    peering: peering?.tls ? { ...peering, tls: resolveTls(peering.tls, folder) } : peering,
+    ...(storage?.dataFolder && {
+      storage: { ...storage, dataFolder: resolve(folder, storage.dataFolder) },
+    }),
   };
 }
 
@@ -67,15 +58,16 @@
 export function parseSettings(text: string, file: string): DaemonSettings {
   const document = parseToml(text, file);
   const lines = new TomlLines(text);
+  const list = new SettingsFaultList(lines);
   const shaped = settingsShape.safeParse(document);
   if (!shaped.success) {
     const issues = shaped.error.issues as ShapeIssue[];
-    throw new SettingsError(file, explainShapeIssues(issues, settingsShape, document, lines));
+    list.faults.push(...explainShapeIssues(issues, settingsShape, document, lines));
   }
-  const settings = resolvePaths(shaped.data, file);
-  const list = new SettingsFaultList(lines);
-  checkSettings(list, settings);
-  if (list.faults.length > 0) throw new SettingsError(file, list.faults);
+  const read = shaped.success ? shaped.data : readFaultyDocument(settingsShape, document);
+  const settings = resolvePaths(read as DaemonSettings, file);
+  checkSettings(list, settings, hasOwnKey(document, 'storage'));
+  if (list.faults.length > 0) throw new SettingsError(file, list.sorted());
   return settings;
 }
 
