--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,5 @@
 import { randomBytes } from 'node:crypto';
-import { setTimeout as delay } from 'node:timers/promises';
+import { delay } from '@lagoongap/model/delay.js';
 
 import { RaftReplica } from '@lagoongap/consensus/raftReplica.js';
 import { Coordinator } from '@lagoongap/coordinator/coordinator.js';
--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -1,4 +1,4 @@
-import { setTimeout as delay } from 'node:timers/promises';
+import { delay } from '@lagoongap/model/delay.js';
 
 import type { Refusal } from '@lagoongap/model/refusal.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
--- a/packages/gateway/src/releaseQueue.ts
+++ b/packages/gateway/src/releaseQueue.ts
@@ -1,4 +1,4 @@
-import { setTimeout as delay } from 'node:timers/promises';
+import { delay } from '@lagoongap/model/delay.js';
 
 import type { Log } from '@lagoongap/model/log.js';
 import type { Release, ReleaseParams } from '@lagoongap/model/messages.js';
--- /dev/null
+++ b/packages/tests/src/history/loadGenerator.ts
@@ -0,0 +1,67 @@
+import type { LocalCell } from '@lagoongap/stand-in/localCell.js';
+
+import type { CallRecord } from './callRecord.js';
+
+/** Options of {@link sendRequests}. */
+export interface LoadOptions {
+  cell: LocalCell;
+  /** Instances to send to, in turn. */
+  instances: string[];
+  /** Secrets of the teams' keys, used in turn. */
+  keys: string[];
+  count: number;
+  /** Requests under way at the same time. */
+  concurrency: number;
+  /** Every n-th request must not be repeated; 0 for none. */
+  noRepeatEvery: number;
+  /** Instructions for the endpoint, besides the marker. */
+  instruction?: object;
+  markerPrefix: string;
+  deadlineMs?: number;
+  /** Called after each answer with the number of calls that have ended. */
+  onEnded?: (ended: number) => void;
+}
+
+async function sendOne(opts: LoadOptions, number: number): Promise<CallRecord> {
+  const instance = opts.instances[number % opts.instances.length]!;
+  const marker = `${opts.markerPrefix}-${number}`;
+  const noRepeat = opts.noRepeatEvery > 0 && number % opts.noRepeatEvery === 0;
+  const sent = JSON.stringify({ marker, ...opts.instruction });
+  const startedAtMs = performance.now();
+  const base = { marker, instance, noRepeat, sent, startedAtMs };
+  try {
+    const { status, body } = await opts.cell.call(instance, '/v1/requests', {
+      method: 'POST',
+      key: opts.keys[number % opts.keys.length],
+      body: sent,
+      headers: {
+        'lagoongap-queue': 'certificates',
+        'lagoongap-work': 'metering',
+        'lagoongap-no-repeat': String(noRepeat),
+        'lagoongap-deadline-ms': String(opts.deadlineMs ?? 30_000),
+      },
+    });
+    const endedAtMs = performance.now();
+    if (status === 200)
+      return { ...base, outcome: 'answered', status, body: String(body), endedAtMs };
+    return { ...base, outcome: 'refused', status, refusal: body.error, endedAtMs };
+  } catch {
+    return { ...base, outcome: 'connection-lost', endedAtMs: performance.now() };
+  }
+}
+
+/** Sends requests with a fixed concurrency and records what their callers saw. */
+export async function sendRequests(opts: LoadOptions): Promise<CallRecord[]> {
+  const records: CallRecord[] = [];
+  let next = 0;
+  const runCaller = async (): Promise<void> => {
+    while (next < opts.count) {
+      const number = next;
+      next += 1;
+      records.push(await sendOne(opts, number));
+      opts.onEnded?.(records.length);
+    }
+  };
+  await Promise.all(Array.from({ length: opts.concurrency }, runCaller));
+  return records;
+}
--- a/packages/tests/src/runTests.ts
+++ b/packages/tests/src/runTests.ts
@@ -37,9 +37,9 @@
 }
 
 const knownRed = new Set(readKnownRed('KNOWN-RED.txt'));
-const { runConfiguration } = await loadConfiguration({
-  provided: process.argv.length > 2 ? { paths: process.argv.slice(2) } : {},
-});
+const { runConfiguration } = await loadConfiguration();
+const paths = process.argv.slice(2);
+if (paths.length > 0) runConfiguration.sources.paths = paths;
 const collector = new ResultCollector();
 const { success } = await runCucumber(runConfiguration, {}, (envelope) =>
   collector.collect(envelope),
