--- a/packages/tests/features/storage/logStore.feature
+++ b/packages/tests/features/storage/logStore.feature
@@ -88,13 +88,19 @@
     Then a crash at any step of a log snapshot at entry <index> of term <term> with <crash> loses nothing
 
     Examples:
-      | index | term | crash          |
-      | 20    | 1    | process killed |
-      | 20    | 1    | power lost     |
-      | 40    | 3    | process killed |
-      | 40    | 3    | power lost     |
-      | 20    | 2    | process killed |
-      | 20    | 2    | power lost     |
+      | index | term | crash |
+      | 20 | 1 | process killed |
+      | 20 | 1 | power lost |
+      | 20 | 1 | names kept |
+      | 20 | 1 | names reordered |
+      | 40 | 3 | process killed |
+      | 40 | 3 | power lost |
+      | 40 | 3 | names kept |
+      | 40 | 3 | names reordered |
+      | 20 | 2 | process killed |
+      | 20 | 2 | power lost |
+      | 20 | 2 | names kept |
+      | 20 | 2 | names reordered |
 
   Scenario: leftover temporary files are removed
     When 5 log entries are written one by one
--- /dev/null
+++ b/packages/tests/src/steps/storage/folderLockSteps.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import { fork, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, readdir, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { FolderLock, LOCK_FILE } from '@lagoongap/storage/folderLock.js';
+
+interface FolderLockWorld {
+  lockFolder?: string;
+  lockHolder?: ChildProcess;
+  lockClaims: PromiseSettledResult<FolderLock>[];
+}
+
+const HOLDER = fileURLToPath(new URL('../../storage/holdFolderLock.js', import.meta.url));
+
+async function createFolder(world: FolderLockWorld): Promise<string> {
+  const folder = await mkdtemp(join(tmpdir(), 'lagoongap-lock-'));
+  Object.assign(world, { lockFolder: folder });
+  return folder;
+}
+
+After(async function removeLockFolder(this: FolderLockWorld) {
+  this.lockHolder?.kill('SIGKILL');
+  if (this.lockFolder) await rm(this.lockFolder, { recursive: true });
+});
+
+Given(
+  'a process that holds the lock of a data folder',
+  { timeout: 20_000 },
+  async function startHolder(this: FolderLockWorld) {
+    this.lockHolder = fork(HOLDER, [await createFolder(this)]);
+    await once(this.lockHolder, 'message');
+  },
+);
+
+Given(
+  'a lock file of this process id with another start time',
+  async function writeStaleLock(this: FolderLockWorld) {
+    const holder = { pid: process.pid, startTime: '1', bootId: 'other', token: 'stale' };
+    await writeFile(join(await createFolder(this), LOCK_FILE), JSON.stringify(holder));
+  },
+);
+
+When('the process that holds the lock is killed', async function kill(this: FolderLockWorld) {
+  const exited = once(this.lockHolder!, 'exit');
+  this.lockHolder!.kill('SIGKILL');
+  await exited;
+});
+
+When('{int} claimants take the lock at once', async function claim(this: FolderLockWorld, count) {
+  const claims = Array.from({ length: count }, () => FolderLock.acquire(this.lockFolder!));
+  this.lockClaims = await Promise.allSettled(claims);
+});
+
+Then(
+  'the lock is refused with FolderLockedError naming that process',
+  async function checkRefused(this: FolderLockWorld) {
+    await assert.rejects(FolderLock.acquire(this.lockFolder!), {
+      name: 'FolderLockedError',
+      message: new RegExp(`process ${this.lockHolder!.pid}`),
+    });
+  },
+);
+
+Then('the lock can be taken and released', async function checkTaken(this: FolderLockWorld) {
+  const lock = await FolderLock.acquire(this.lockFolder!);
+  assert.deepEqual(await readdir(this.lockFolder!), [LOCK_FILE]);
+  await lock[Symbol.asyncDispose]();
+  assert.deepEqual(await readdir(this.lockFolder!), []);
+});
+
+Then('exactly one claimant holds the lock', async function checkOne(this: FolderLockWorld) {
+  const taken = this.lockClaims.filter(({ status }) => status === 'fulfilled');
+  assert.equal(taken.length, 1);
+  for (const claim of this.lockClaims) {
+    if (claim.status === 'rejected') assert.equal(claim.reason.name, 'FolderLockedError');
+  }
+  assert.deepEqual(await readdir(this.lockFolder!), [LOCK_FILE]);
+});
--- a/packages/tests/src/steps/storage/logDamageSteps.ts
+++ b/packages/tests/src/steps/storage/logDamageSteps.ts
@@ -121,7 +121,7 @@
 }
 
 Then(
-  /^a crash at any step of a log snapshot at entry (\d+) of term (\d+) with (process killed|power lost) loses nothing$/,
+  /^a crash at any step of a log snapshot at entry (\d+) of term (\d+) with (process killed|power lost|names kept|names reordered) loses nothing$/,
   async function checkSnapshotCrash(
     this: LogStoreWorld,
     index: string,
--- a/packages/tests/src/storage/logStoreFixture.ts
+++ b/packages/tests/src/storage/logStoreFixture.ts
@@ -1,3 +1,5 @@
+import assert from 'node:assert/strict';
+
 import { FileLogStore } from '@lagoongap/storage/fileLogStore.js';
 import type { LogEntry, Snapshot, StoredLog } from '@lagoongap/storage/logStore.js';
 
@@ -44,16 +46,20 @@
     return this.loaded;
   }
 
-  /** Opens a copy of the files in which `change` has altered one of them. */
+  /**
+   * Opens a copy of the files in which `change` has altered one of them, and checks that a store
+   * that starts on them can go on in a new segment and start once more.
+   */
   async openDamaged(file: string, change: (content: Buffer) => Buffer): Promise<StoredLog> {
     const copy = this.fileSystem.afterCrash('process killed');
     copy.replace(file, change(Buffer.from(copy.read(file))));
-    const { segmentBytes } = this;
-    const store = new FileLogStore({ dataFolder: LOG_FOLDER, fileSystem: copy, segmentBytes });
+    const opts = { dataFolder: LOG_FOLDER, fileSystem: copy, segmentBytes: 1 };
+    const store = new FileLogStore(opts);
     const loaded = await store.load();
-    // A store that has cut off a torn record must be able to go on.
-    const next = (loaded.entries[loaded.entries.length - 1]?.index ?? 0) + 1;
-    await store.write({ entries: [createEntry(next)] });
+    const next = createEntry((loaded.entries[loaded.entries.length - 1]?.index ?? 0) + 1);
+    await store.write({ entries: [next] });
+    const again = await new FileLogStore(opts).load();
+    assert.deepEqual(again, { ...loaded, entries: [...loaded.entries, next] });
     return loaded;
   }
 }
--- a/packages/tests/src/storage/memoryFileSystem.ts
+++ b/packages/tests/src/storage/memoryFileSystem.ts
@@ -6,8 +6,13 @@
 
 import { MemoryFile, type MemoryNode } from './memoryFile.js';
 
-/** What a crash leaves: everything that was written, or only what was synced. */
-export type CrashKind = 'process killed' | 'power lost';
+/**
+ * What a crash leaves: everything that was written, or only synced content with none, all or only
+ * the last of the name changes since the folder was synced.
+ */
+export type CrashKind = 'process killed' | 'power lost' | 'names kept' | 'names reordered';
+
+type NameChange = (names: Map<string, MemoryNode>) => void;
 
 /** Fault of one operation. */
 export interface FileFault {
@@ -25,17 +30,19 @@
 
   private names = new Map<string, MemoryNode>();
   private durableNames = new Map<string, MemoryNode>();
+  private unsyncedChanges: NameChange[] = [];
   private isCrashed = false;
 
   /** Returns the file system as the next process finds it. */
   afterCrash(kind: CrashKind): MemoryFileSystem {
     const next = new MemoryFileSystem();
-    const names = kind === 'power lost' ? this.durableNames : this.names;
+    const names = new Map(this.durableNames);
+    const keptFrom = { 'power lost': Infinity, 'names reordered': -1 }[kind as string] ?? 0;
+    for (const change of this.unsyncedChanges.slice(keptFrom)) change(names);
     for (const [name, node] of names) {
-      const content = Buffer.from(kind === 'power lost' ? node.synced : node.content);
-      next.names.set(name, { content, synced: content });
+      const content = Buffer.from(kind === 'process killed' ? node.content : node.synced);
+      next.replace(name, content);
     }
-    next.durableNames = new Map(next.names);
     return next;
   }
 
@@ -46,7 +53,9 @@
 
   /** Replaces the content of a file. */
   replace(file: string, content: Buffer): void {
-    this.names.set(file, { content, synced: content });
+    const node = { content, synced: content };
+    this.names.set(file, node);
+    this.durableNames.set(file, node);
   }
 
   /** Returns the full names of all files with the given suffix, sorted. */
@@ -68,7 +77,8 @@
     if (mode === 'create') {
       if (this.names.has(file)) throw new Error(`EEXIST: ${file}`);
       this.takeStep('create');
-      this.names.set(file, { content: Buffer.alloc(0), synced: Buffer.alloc(0) });
+      const node = { content: Buffer.alloc(0), synced: Buffer.alloc(0) };
+      this.change((names) => names.set(file, node));
     }
     const node = this.names.get(file);
     if (!node) throw new Error(`ENOENT: ${file}`);
@@ -77,24 +87,33 @@
 
   async rename(from: string, to: string): Promise<void> {
     this.takeStep('rename');
-    this.names.set(to, this.names.get(from)!);
-    this.names.delete(from);
+    const node = this.names.get(from)!;
+    this.change((names) => {
+      names.delete(from);
+      names.set(to, node);
+    });
   }
 
   async remove(file: string): Promise<void> {
     this.takeStep('remove');
-    this.names.delete(file);
+    this.change((names) => names.delete(file));
   }
 
   async syncFolder(): Promise<void> {
     this.takeStep('sync folder');
     this.durableNames = new Map(this.names);
+    this.unsyncedChanges = [];
   }
 
   async lock(): Promise<AsyncDisposable> {
     return { [Symbol.asyncDispose]: async () => undefined };
   }
 
+  private change(change: NameChange): void {
+    change(this.names);
+    this.unsyncedChanges.push(change);
+  }
+
   private takeStep(name: string, onPartial?: () => void): void {
     if (this.isCrashed) throw new Error('the process has crashed');
     this.steps.push(name);
