--- /dev/null
+++ b/packages/tests/src/faults/faultCatalog.ts
@@ -0,0 +1,119 @@
+import type { StepContext } from '../harness/stepHooks.js';
+import type { TestCell } from '../harness/testCell.js';
+import { createSmallNote } from './smallNote.js';
+
+/** Faults that are injected. */
+export const FAULTS = [
+  'process killed',
+  'disk lost',
+  'paused',
+  'cut both ways',
+  'cut one way',
+  'silent connection',
+  'duplicate',
+  'late',
+  'reordered',
+  'operators racing',
+  'second loss after a repair',
+] as const;
+
+/** Name of a fault. */
+export type Fault = (typeof FAULTS)[number];
+
+const REPAIR_MS = 3000;
+const PAUSE_MS = 5000;
+const DISTURBANCE_MS = 8000;
+const SECOND_LOSS_MS = 9000;
+
+function later(ms: number, action: () => void): void {
+  setTimeout(action, ms);
+}
+
+async function crash(cell: TestCell, id: string, losesDisk: boolean): Promise<void> {
+  const instance = cell.instances.get(id)!;
+  if (instance.isDead) return;
+  await instance.kill();
+  if (losesDisk) cell.eraseDisk(id);
+  later(REPAIR_MS, () => {
+    cell.startInstance(id, true).catch(() => {});
+  });
+}
+
+function start(action: Promise<void>): void {
+  action.catch(() => {});
+}
+
+function isolate(cell: TestCell, id: string, direction: 'both' | 'outgoing'): void {
+  cell.isolate(id, direction);
+  later(DISTURBANCE_MS, () => cell.heal());
+}
+
+function silence(cell: TestCell, { instance, peer }: StepContext): void {
+  const other =
+    peer !== undefined && cell.instances.has(peer) && peer !== instance
+      ? peer
+      : cell.instanceIds.find((id) => id !== instance)!;
+  cell.wire.cut(instance, other);
+  cell.wire.cut(other, instance);
+  later(DISTURBANCE_MS, () => cell.heal());
+}
+
+function disturb(cell: TestCell, disturbance: 'duplicate' | 'late' | 'reordered'): void {
+  cell.wire.disturbance = disturbance;
+  later(DISTURBANCE_MS, () => cell.heal());
+}
+
+/** Two operators send different notes under one number, one of them twice. */
+function race(cell: TestCell): void {
+  const [first, second] = cell.living();
+  if (!first || !second) return;
+  const number = 50;
+  for (const [id, name] of [
+    [first.id, 'east'],
+    [second.id, 'west'],
+    [second.id, 'east'],
+  ] as const) {
+    cell.applyNote(id, createSmallNote(number, name)).then(
+      () => cell.acceptedNotes.push({ number, team: name }),
+      () => {},
+    );
+  }
+}
+
+/** Applies a fault to the instance that performs the step. */
+export function injectFault(fault: Fault, cell: TestCell, context: StepContext): void {
+  const { instance } = context;
+  switch (fault) {
+    case 'process killed':
+      start(crash(cell, instance, false));
+      break;
+    case 'disk lost':
+      start(crash(cell, instance, true));
+      break;
+    case 'paused':
+      cell.wire.hold(instance);
+      later(PAUSE_MS, () => cell.wire.resume(instance));
+      break;
+    case 'cut both ways':
+      isolate(cell, instance, 'both');
+      break;
+    case 'cut one way':
+      isolate(cell, instance, 'outgoing');
+      break;
+    case 'silent connection':
+      silence(cell, context);
+      break;
+    case 'operators racing':
+      race(cell);
+      break;
+    case 'second loss after a repair': {
+      const victim = cell.replicaIds.includes(instance) ? instance : cell.replicaIds[0]!;
+      const next = cell.replicaIds.find((id) => id !== victim)!;
+      start(crash(cell, victim, true));
+      later(SECOND_LOSS_MS, () => start(crash(cell, next, false)));
+      break;
+    }
+    default:
+      disturb(cell, fault);
+  }
+}
--- /dev/null
+++ b/packages/tests/src/harness/fakeExchange.ts
@@ -0,0 +1,159 @@
+import { Readable } from 'node:stream';
+
+import type { AttemptAction, StartOrder } from '@lagoongap/model/endpoint.js';
+import { NO_RESOURCES } from '@lagoongap/model/resources.js';
+import type {
+  AttemptPresence,
+  Exchange,
+  RelayAnswer,
+  RelayRequest,
+  StartResult,
+} from '@lagoongap/routing/exchange.js';
+import { ExchangeError } from '@lagoongap/routing/exchangeError.js';
+
+import type { FakeEndpoint } from './fakeEndpoint.js';
+import type { StepHooks } from './stepHooks.js';
+
+/** Options of {@link FakeExchange}. */
+export interface FakeExchangeOptions {
+  instance: string;
+  /** Endpoints by URL. */
+  endpoints: Map<string, FakeEndpoint>;
+  hooks: StepHooks;
+  /** Whether bytes between the instance and endpoints are lost. */
+  isCut: (endpointId: string) => boolean;
+}
+
+const LATENCY_MS = 1;
+const CONNECT_TIMEOUT_MS = 1000;
+const REQUEST_RUN_MS = 30;
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+/** Exchange with endpoints in memory; a process that died neither sends nor receives. */
+export class FakeExchange implements Exchange {
+  private readonly opts: FakeExchangeOptions;
+  private isClosed = false;
+
+  constructor(opts: FakeExchangeOptions) {
+    this.opts = opts;
+  }
+
+  async relay(req: RelayRequest): Promise<RelayAnswer> {
+    const { hooks, instance } = this.opts;
+    const endpoint = await this.connect(req.url);
+    const peer = endpoint.announcement.id;
+    hooks.reach('dispatch', { instance, peer });
+    this.assertOpen();
+    this.prevent(req.beforeSend);
+    await wait(LATENCY_MS);
+    hooks.reach('start', { instance, peer });
+    if (this.opts.isCut(peer)) {
+      await wait(req.deadlineMs);
+      throw new ExchangeError('connection-lost', 'unknown', 'no answer');
+    }
+    const text = String(req.body);
+    const { marker, sleepMs = REQUEST_RUN_MS } = JSON.parse(text);
+    const order = {
+      kind: 'request' as const,
+      attempt: req.attempt,
+      token: req.token,
+      job: req.attempt,
+      taskIndex: 0,
+      team: req.team,
+      work: req.work,
+      size: { ...NO_RESOURCES, slots: 1 },
+      leaseMs: 0,
+    };
+    if (!endpoint.run(order, marker)) {
+      throw new ExchangeError('connection-lost', 'unknown', 'the endpoint closed the connection');
+    }
+    await wait(sleepMs);
+    const isWhole = endpoint.isRunning(req.attempt);
+    endpoint.end(req.attempt, 'succeeded');
+    hooks.reach('answer', { instance, peer });
+    if (this.isClosed || !isWhole || this.opts.isCut(peer)) {
+      throw new ExchangeError('connection-lost', 'unknown', 'the connection was lost');
+    }
+    await wait(LATENCY_MS);
+    return { status: 200, headers: {}, body: Readable.from([Buffer.from(`echo:${text}`)]) };
+  }
+
+  async startTask(
+    url: string,
+    order: StartOrder,
+    opts: { timeoutMs: number; beforeSend?: () => void },
+  ): Promise<StartResult> {
+    const { hooks, instance } = this.opts;
+    const endpoint = await this.connect(url);
+    const peer = endpoint.announcement.id;
+    hooks.reach('dispatch', { instance, peer });
+    this.assertOpen();
+    this.prevent(opts.beforeSend);
+    await wait(LATENCY_MS);
+    hooks.reach('start', { instance, peer });
+    if (this.opts.isCut(peer)) {
+      await wait(opts.timeoutMs);
+      throw new ExchangeError('connection-lost', 'unknown', 'no answer');
+    }
+    const { marker, runMs } = order.payload as { marker: string; runMs?: number };
+    endpoint.run({ ...order, kind: 'task' }, `${marker}/${order.taskIndex}`, runMs);
+    await wait(LATENCY_MS);
+    if (this.isClosed) throw new ExchangeError('connection-lost', 'unknown', 'the process died');
+    return 'started';
+  }
+
+  async sendAction(
+    url: string,
+    attempt: string,
+    action: AttemptAction,
+    opts: { timeoutMs: number; beforeSend?: () => void },
+  ): Promise<void> {
+    const endpoint = await this.connect(url);
+    this.assertOpen();
+    this.prevent(opts.beforeSend);
+    await wait(LATENCY_MS);
+    if (this.opts.isCut(endpoint.announcement.id)) {
+      await wait(opts.timeoutMs);
+      throw new ExchangeError('connection-lost', 'unknown', 'no answer');
+    }
+    if (action !== 'throttle') {
+      endpoint.end(attempt, action === 'checkpoint' ? 'checkpointed' : 'stopped');
+    }
+  }
+
+  async probeAttempt(url: string, attempt: string): Promise<AttemptPresence> {
+    const endpoint = await this.connect(url);
+    await wait(LATENCY_MS);
+    if (endpoint.isRunning(attempt)) return 'running';
+    return endpoint.hasFinished(attempt) ? 'finished' : 'absent';
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.isClosed = true;
+  }
+
+  private async connect(url: string): Promise<FakeEndpoint> {
+    await wait(LATENCY_MS);
+    const endpoint = this.opts.endpoints.get(url);
+    if (endpoint && !this.opts.isCut(endpoint.announcement.id)) return endpoint;
+    if (endpoint) await wait(CONNECT_TIMEOUT_MS);
+    throw new ExchangeError('refused-connection', 'not-run', `could not connect to ${url}`);
+  }
+
+  private assertOpen(): void {
+    if (this.isClosed) throw new ExchangeError('closed', 'not-run', 'the process died');
+  }
+
+  private prevent(beforeSend: (() => void) | undefined): void {
+    try {
+      beforeSend?.();
+    } catch (err) {
+      throw new ExchangeError('prevented', 'not-run', 'sending was prevented', err as Error);
+    }
+  }
+}
--- /dev/null
+++ b/packages/tests/src/harness/fakeNetwork.ts
@@ -0,0 +1,104 @@
+import { PeerConnectionLostError } from '@lagoongap/peering/peerConnectionLostError.js';
+import type {
+  PeerCallOptions,
+  PeerMethodHandler,
+  PeerNetwork,
+} from '@lagoongap/peering/peerNetwork.js';
+import { PeerRemoteError } from '@lagoongap/peering/peerRemoteError.js';
+import { PeerTimeoutError } from '@lagoongap/peering/peerTimeoutError.js';
+import { PeerUnavailableError } from '@lagoongap/peering/peerUnavailableError.js';
+import { toRpcError } from '@lagoongap/peering/rpcErrors.js';
+
+import type { FakeWire } from './fakeWire.js';
+
+/** Network of one instance over a {@link FakeWire}. */
+export class FakeNetwork implements PeerNetwork {
+  readonly selfId: string;
+  private readonly wire: FakeWire;
+  private readonly handlers = new Map<string, PeerMethodHandler>();
+  private readonly pending = new Set<(err: Error) => void>();
+  private isClosed = false;
+
+  constructor(selfId: string, wire: FakeWire) {
+    this.selfId = selfId;
+    this.wire = wire;
+  }
+
+  handle(method: string, handler: PeerMethodHandler): void {
+    this.handlers.set(method, handler);
+  }
+
+  call(to: string, method: string, params: unknown, opts: PeerCallOptions): Promise<unknown> {
+    if (this.isClosed) return Promise.reject(new PeerUnavailableError(to, 'closed'));
+    const body = JSON.stringify(params);
+    return new Promise((resolve, reject) => {
+      let isSettled = false;
+      const settle = (action: () => void): void => {
+        if (isSettled) return;
+        isSettled = true;
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define
+        clearTimeout(timer);
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define
+        this.pending.delete(fail);
+        action();
+      };
+      const fail = (err: Error): void => settle(() => reject(err));
+      const timer = setTimeout(
+        () => fail(new PeerTimeoutError(to, method, opts.timeoutMs)),
+        opts.timeoutMs,
+      );
+      this.pending.add(fail);
+      // A silent connection is found by missing pings, which ends its calls.
+      this.wire.watch(this.selfId, to, () => fail(new PeerConnectionLostError(to, method)));
+      this.wire.send(this.selfId, to, method, () => {
+        this.wire.deliverCall(this.selfId, to, method, body, (answer) => {
+          this.wire.send(to, this.selfId, `${method} answer`, () => {
+            if ('error' in answer) fail(new PeerRemoteError(to, method, answer.error));
+            else settle(() => resolve(answer.result));
+          });
+        });
+      });
+    });
+  }
+
+  notify(to: string, method: string, params: unknown): void {
+    if (this.isClosed) return;
+    const body = JSON.stringify(params);
+    if (method === 'raft.message') this.wire.reportReplication(this.selfId, to, params);
+    this.wire.send(this.selfId, to, method, () => {
+      this.wire.deliverCall(this.selfId, to, method, body, () => {});
+    });
+  }
+
+  isAlive(instanceId: string): boolean {
+    return this.wire.isConnected(this.selfId, instanceId);
+  }
+
+  async start(): Promise<void> {
+    this.wire.attach(this);
+  }
+
+  /** Runs a handler on behalf of another instance. */
+  receive(
+    from: string,
+    method: string,
+    body: string,
+    reply: (answer: { result: unknown } | { error: ReturnType<typeof toRpcError> }) => void,
+  ): void {
+    const handler = this.handlers.get(method);
+    if (this.isClosed || !handler) return;
+    Promise.resolve()
+      .then(() => handler(JSON.parse(body), from))
+      .then(
+        (result) =>
+          reply({ result: result === undefined ? null : JSON.parse(JSON.stringify(result)) }),
+        (err: unknown) => reply({ error: toRpcError(err) }),
+      );
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.isClosed = true;
+    this.wire.detach(this);
+    for (const fail of [...this.pending]) fail(new PeerUnavailableError(this.selfId, 'closed'));
+  }
+}
--- /dev/null
+++ b/packages/tests/src/harness/fakeResponse.ts
@@ -0,0 +1,23 @@
+import { Writable } from 'node:stream';
+
+/** Response that keeps what a caller would receive. */
+export class FakeResponse extends Writable {
+  status = 0;
+  headersSent = false;
+  private readonly chunks: Buffer[] = [];
+
+  get body(): string {
+    return Buffer.concat(this.chunks).toString();
+  }
+
+  writeHead(status: number): this {
+    this.status = status;
+    this.headersSent = true;
+    return this;
+  }
+
+  override _write(chunk: Buffer, _encoding: BufferEncoding, done: () => void): void {
+    this.chunks.push(chunk);
+    done();
+  }
+}
--- /dev/null
+++ b/packages/tests/src/harness/testInstance.ts
@@ -0,0 +1,262 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { MemoryLogStore } from '@lagoongap/consensus/memoryLogStore.js';
+import { RaftReplica } from '@lagoongap/consensus/raftReplica.js';
+import { Coordinator } from '@lagoongap/coordinator/coordinator.js';
+import { ReplicaJoiner } from '@lagoongap/daemon/replicaJoiner.js';
+import { PeerRaftTransport } from '@lagoongap/daemon/peerRaftTransport.js';
+import { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
+import { ReleaseQueue } from '@lagoongap/gateway/releaseQueue.js';
+import { RequestRelay } from '@lagoongap/gateway/requestRelay.js';
+import { ValidityPoller } from '@lagoongap/gateway/validityPoller.js';
+import { SILENT_LOG } from '@lagoongap/model/log.js';
+import { NO_RESOURCES } from '@lagoongap/model/resources.js';
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+import type { Scheduler } from '@lagoongap/scheduling/scheduler.js';
+import { ClusterState } from '@lagoongap/state/clusterState.js';
+import type { LogStore } from '@lagoongap/storage/logStore.js';
+
+import type { CallRecord } from '../history/callRecord.js';
+import type { FakeEndpoint } from './fakeEndpoint.js';
+import { FakeExchange } from './fakeExchange.js';
+import { FakeNetwork } from './fakeNetwork.js';
+import { FakeResponse } from './fakeResponse.js';
+import type { FakeWire } from './fakeWire.js';
+import type { StepHooks } from './stepHooks.js';
+
+/** Settings that all instances of a test cell share. */
+export interface TestInstanceOptions {
+  id: string;
+  bootId: string;
+  instanceIds: string[];
+  replicaIds: string[];
+  wire: FakeWire;
+  hooks: StepHooks;
+  endpoints: Map<string, FakeEndpoint>;
+  isEndpointCut: (endpointId: string) => boolean;
+  /** Disk; undefined on instances without one. */
+  store?: LogStore;
+  isBootstrap: boolean;
+  snapshotEntries: number;
+  createScheduler: () => Scheduler;
+  random: () => number;
+}
+
+/** What a test request asks for. */
+export interface TestRequest {
+  marker: string;
+  keyId: string;
+  noRepeat: boolean;
+  deadlineMs: number;
+  sleepMs?: number;
+}
+
+const TIMING = {
+  heartbeatMs: 100,
+  electionMinMs: 600,
+  electionMaxMs: 1200,
+  leaderValidityMs: 500,
+  gatewayValidityMs: 2000,
+  endpointHeartbeatMs: 1500,
+  endpointLeaseMs: 6000,
+};
+const POLL_MS = 500;
+const MAX_ATTEMPTS = 3;
+
+/** One instance in memory: the classes of a daemon without its sockets and files. */
+export class TestInstance {
+  readonly id: string;
+  readonly validity: ValidityPoller;
+  readonly leader: LeaderClient;
+  readonly state = new ClusterState();
+  replica: RaftReplica | undefined;
+  isDead = false;
+  private readonly opts: TestInstanceOptions;
+  private readonly network: FakeNetwork;
+  private readonly exchange: FakeExchange;
+  private readonly releases: ReleaseQueue;
+  private coordinator: Coordinator | undefined;
+  private joiner: ReplicaJoiner | undefined;
+
+  constructor(opts: TestInstanceOptions) {
+    this.opts = opts;
+    this.id = opts.id;
+    this.network = new FakeNetwork(opts.id, opts.wire);
+    this.exchange = new FakeExchange({
+      instance: opts.id,
+      endpoints: opts.endpoints,
+      hooks: opts.hooks,
+      isCut: opts.isEndpointCut,
+    });
+    this.leader = new LeaderClient({
+      network: this.network,
+      replicaInstances: opts.replicaIds,
+      readLeaderHint: () => this.replica?.leaderId,
+    });
+    this.validity = new ValidityPoller({
+      instanceId: opts.id,
+      bootId: opts.bootId,
+      leader: this.leader,
+      pollMs: POLL_MS,
+      validityMs: TIMING.gatewayValidityMs,
+      log: SILENT_LOG,
+    });
+    this.releases = new ReleaseQueue({
+      owner: `${opts.id}:${opts.bootId}`,
+      leader: this.leader,
+      log: SILENT_LOG,
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.network.start();
+    this.validity.start();
+    if (this.opts.store) this.startReplica(this.opts.store);
+  }
+
+  /** Relays a request as the gateway does, and returns what its caller saw. */
+  async request(test: TestRequest): Promise<CallRecord> {
+    const sent = JSON.stringify({ marker: test.marker, sleepMs: test.sleepMs });
+    const base = {
+      marker: test.marker,
+      instance: this.id,
+      noRepeat: test.noRepeat,
+      sent,
+      startedAtMs: performance.now(),
+    };
+    const res = new FakeResponse();
+    try {
+      this.opts.hooks.reach('accept', { instance: this.id });
+      this.validity.assertValid();
+      this.opts.hooks.reach('authenticate', { instance: this.id });
+      if (!this.validity.config.keys[test.keyId]) {
+        throw new RefusalError({ type: 'unauthenticated', runState: 'not-run', message: 'key' });
+      }
+      await this.relay(test, sent, res);
+    } catch (err) {
+      const endedAtMs = performance.now();
+      if (this.isDead || !(err instanceof RefusalError)) {
+        return { ...base, outcome: 'connection-lost', endedAtMs };
+      }
+      return { ...base, outcome: 'refused', refusal: err.refusal, endedAtMs };
+    }
+    const endedAtMs = performance.now();
+    if (this.isDead || res.destroyed !== res.writableFinished) {
+      return { ...base, outcome: 'connection-lost', endedAtMs };
+    }
+    this.opts.hooks.reach('acknowledge', { instance: this.id });
+    return { ...base, outcome: 'answered', status: res.status, body: res.body, endedAtMs };
+  }
+
+  /** Calls the leader as the gateway of this instance does. */
+  call<Result>(method: string, params: unknown, deadlineMs = 15_000): Promise<Result> {
+    if (this.isDead) return Promise.reject(new Error(`instance ${this.id} is dead`));
+    return this.leader.call<Result>(method, params, { deadlineMs });
+  }
+
+  /** Hands leadership on and stops, as a graceful shutdown does at its end. */
+  async drain(): Promise<void> {
+    this.opts.hooks.reach('drain', { instance: this.id });
+    if (this.replica?.role === 'leader') await this.replica.transferLeadership().catch(() => {});
+    await this.kill();
+  }
+
+  /** Stops at once; nothing that is under way has an effect any more. */
+  async kill(): Promise<void> {
+    this.isDead = true;
+    await this.network[Symbol.asyncDispose]();
+    await this.exchange[Symbol.asyncDispose]();
+    await this.validity[Symbol.asyncDispose]();
+    await this.joiner?.[Symbol.asyncDispose]();
+    await this.coordinator?.[Symbol.asyncDispose]();
+    await this.replica?.[Symbol.asyncDispose]();
+  }
+
+  private async relay(test: TestRequest, sent: string, res: FakeResponse): Promise<void> {
+    const services = {
+      owner: `${this.id}:${this.opts.bootId}`,
+      leader: this.leader,
+      releases: this.releases,
+      exchange: this.exchange,
+      validity: this.validity,
+      maxAttempts: MAX_ATTEMPTS,
+      tryRetry: () => true,
+      log: SILENT_LOG,
+    };
+    const { noRepeat, deadlineMs, keyId } = test;
+    const request = {
+      headers: {
+        queue: 'certificates',
+        work: 'metering',
+        noRepeat,
+        deadlineMs,
+        size: { ...NO_RESOURCES, slots: 1 },
+      },
+      forwarded: {},
+      body: { content: Buffer.from(sent), isReplayable: true },
+      keyId,
+    };
+    const relay = new RequestRelay(
+      services,
+      request,
+      {} as IncomingMessage,
+      res as unknown as ServerResponse,
+    );
+    await relay.run();
+  }
+
+  private startReplica(store: LogStore): void {
+    const { opts } = this;
+    const replica = new RaftReplica({
+      instanceId: opts.id,
+      bootstrapVoters: opts.isBootstrap ? opts.replicaIds : undefined,
+      store,
+      transport: new PeerRaftTransport(this.network),
+      stateMachine: this.state,
+      timing: TIMING,
+      snapshotEntries: opts.snapshotEntries,
+      random: opts.random,
+      onFatal: () => {
+        this.kill().catch(() => {});
+      },
+    });
+    this.replica = replica;
+    this.coordinator = new Coordinator({
+      instanceId: opts.id,
+      instances: opts.instanceIds.map((id) => ({ id, dataCentre: 'dc-1' })),
+      log: replica,
+      state: this.state,
+      createScheduler: opts.createScheduler,
+      exchange: this.exchange,
+      timing: TIMING,
+      maxBatch: 512,
+      logger: SILENT_LOG,
+      isReachable: (id) => this.network.isAlive(id),
+      network: this.network,
+      replicaInstances: opts.replicaIds,
+    });
+    replica.start().then(
+      () => {
+        if (this.isDead) return;
+        this.joiner = new ReplicaJoiner({
+          instanceId: opts.id,
+          replicaId: replica.replicaId!,
+          log: replica,
+          leader: this.leader,
+          logger: SILENT_LOG,
+        });
+        this.joiner.start();
+      },
+      () => {},
+    );
+  }
+}
+
+/** Creates an empty disk that reports commits on it to the hooks. */
+export function createTestStore(id: string, hooks: StepHooks): MemoryLogStore {
+  return new MemoryLogStore({
+    beforeWrite: (operation) => {
+      if (operation === 'write') hooks.reach('commit', { instance: id });
+    },
+  });
+}
