--- a/packages/consensus/src/elections.ts
+++ b/packages/consensus/src/elections.ts
@@ -7,7 +7,14 @@
 } from './raftMessage.js';
 import type { RaftRole, RaftState } from './raftState.js';
 
-/** Pre-votes and votes, from both sides. */
+/**
+ * Pre-votes and votes, from both sides.
+ *
+ * Only voters campaign. A learner grants a vote if it is asked, because candidates ask nobody
+ * but the voters of their own log: the learner was promoted and has not received that entry
+ * yet. Without its vote, a leader that fails right after a promotion could leave the remaining
+ * majority unable to elect another one.
+ */
 export class Elections {
   private readonly votes = new Set<string>();
 
@@ -46,7 +53,6 @@
   receivePreVote(message: PreVoteMessage): void {
     const { state } = this;
     const granted =
-      state.isVoter &&
       message.term > state.term &&
       !this.isLeaderHeard() &&
       state.log.isCoveredBy({ index: message.lastIndex, term: message.lastTerm });
@@ -66,7 +72,6 @@
     const { state } = this;
     const isFree = state.votedFor === undefined && state.leader === undefined;
     const granted =
-      state.isVoter &&
       (isFree || state.votedFor === message.from) &&
       state.log.isCoveredBy({ index: message.lastIndex, term: message.lastTerm });
     if (granted) {
--- a/packages/consensus/src/raftCore.ts
+++ b/packages/consensus/src/raftCore.ts
@@ -28,7 +28,7 @@
   private readonly elections: Elections;
   private readonly follower: Follower;
   private readonly snapshots: SnapshotPolicy;
-  private leader: Leader | undefined;
+  protected leader: Leader | undefined;
   private transfer: LeadershipTransfer | undefined;
   private announced: RoleChange;
 
@@ -197,7 +197,8 @@
     else this.state.resetElectionTimer();
   }
 
-  private isLeaderHeard(): boolean {
+  /** Tells whether a leader may still be valid, so that no vote may be granted. */
+  protected isLeaderHeard(): boolean {
     if (this.leader !== undefined) return this.isLeaderValid(this.state.nowMs);
     return this.state.voterLease.isHeld(this.state.nowMs);
   }
--- /dev/null
+++ b/packages/tests/src/consensus/mutatedCore.ts
@@ -0,0 +1,44 @@
+import { RaftCore } from '@lagoongap/consensus/raftCore.js';
+import type { RaftCoreOptions } from '@lagoongap/consensus/raftCoreOptions.js';
+import type { RaftMessage } from '@lagoongap/consensus/raftMessage.js';
+
+import { MutatedLeader } from './mutatedLeader.js';
+import type { Mutation } from './mutation.js';
+
+/** Term that is larger than any term of a simulation. */
+const LARGE_TERM = 1_000_000;
+
+/** A core without one of its mechanisms. */
+class MutatedCore extends RaftCore {
+  constructor(
+    options: RaftCoreOptions,
+    private readonly mutation: Mutation,
+  ) {
+    super(options);
+  }
+
+  override isLeaderValid(nowMs: number): boolean {
+    const isValid = super.isLeaderValid(nowMs);
+    if (this.mutation !== 'validity survives a transfer') return isValid;
+    return this.leader !== undefined && nowMs < this.leader.validUntilMs;
+  }
+
+  override receive(message: RaftMessage, nowMs: number): void {
+    const isVote = message.type === 'vote' || message.type === 'pre-vote';
+    const isMutated = isVote && this.mutation === 'log position is ignored in votes';
+    super.receive(isMutated ? { ...message, lastTerm: LARGE_TERM } : message, nowMs);
+  }
+
+  protected override createLeader(): MutatedLeader {
+    return new MutatedLeader(this.state, this.mutation);
+  }
+
+  protected override isLeaderHeard(): boolean {
+    return this.mutation !== 'votes while a leader is heard' && super.isLeaderHeard();
+  }
+}
+
+/** Creates a core, without one of its mechanisms if a mutation is given. */
+export function createCore(mutation: Mutation | undefined, options: RaftCoreOptions): RaftCore {
+  return mutation === undefined ? new RaftCore(options) : new MutatedCore(options, mutation);
+}
--- /dev/null
+++ b/packages/tests/src/consensus/mutatedLeader.ts
@@ -0,0 +1,34 @@
+import { Leader } from '@lagoongap/consensus/leader.js';
+import type { AppendReplyMessage } from '@lagoongap/consensus/raftMessage.js';
+import type { RaftState } from '@lagoongap/consensus/raftState.js';
+
+import type { Mutation } from './mutation.js';
+
+/** A leader without one of its mechanisms. */
+export class MutatedLeader extends Leader {
+  constructor(
+    state: RaftState,
+    private readonly mutation: Mutation,
+  ) {
+    super(state);
+  }
+
+  override get hasCommittedInTerm(): boolean {
+    return this.mutation === 'membership changes do not wait' || super.hasCommittedInTerm;
+  }
+
+  override isCaughtUp(replicaId: string): boolean {
+    return this.mutation === 'learners are promoted at once' || super.isCaughtUp(replicaId);
+  }
+
+  override receiveAppendReply(message: AppendReplyMessage): void {
+    const isMutated = this.mutation === 'validity counts from the receipt of acknowledgements';
+    const sentAtMs = isMutated ? this.state.nowMs : message.sentAtMs;
+    super.receiveAppendReply({ ...message, sentAtMs });
+  }
+
+  protected override mayCommit(index: number): boolean {
+    const isMutated = this.mutation === 'entries of earlier terms commit by counting';
+    return isMutated || super.mayCommit(index);
+  }
+}
--- /dev/null
+++ b/packages/tests/src/consensus/runSchedules.ts
@@ -0,0 +1,26 @@
+import { RuleViolation } from './ruleViolation.js';
+import { Simulation } from './simulation.js';
+import type { SimulationOptions } from './simulationOptions.js';
+
+/** A broken rule and the seed that shows it. */
+export interface Finding {
+  seed: number;
+  violation: RuleViolation;
+}
+
+/** Runs schedules with consecutive seeds; returns the first finding. */
+export function runSchedules(
+  options: SimulationOptions,
+  count: number,
+  firstSeed: number,
+): Finding | undefined {
+  for (let seed = firstSeed; seed < firstSeed + count; seed += 1) {
+    try {
+      new Simulation(seed, options).run();
+    } catch (violation) {
+      if (violation instanceof RuleViolation) return { seed, violation };
+      throw violation;
+    }
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/tests/src/consensus/simulation.ts
@@ -0,0 +1,250 @@
+import { bootstrapWrite } from '@lagoongap/consensus/bootstrap.js';
+import { ConsensusError } from '@lagoongap/consensus/consensusError.js';
+import { MembershipChangeError } from '@lagoongap/consensus/membershipChangeError.js';
+import { NotLeaderError } from '@lagoongap/consensus/notLeaderError.js';
+import type { RaftCore } from '@lagoongap/consensus/raftCore.js';
+import { bootstrapReplicaId } from '@lagoongap/consensus/replicaId.js';
+
+import { EventQueue } from './eventQueue.js';
+import { HistoryChecker } from './historyChecker.js';
+import { RuleViolation } from './ruleViolation.js';
+import { SeededRandom } from './seededRandom.js';
+import { SimulatedDisk } from './simulatedDisk.js';
+import { SimulatedNetwork } from './simulatedNetwork.js';
+import { SimulatedReplica } from './simulatedReplica.js';
+import type { FaultRates, SimulationOptions } from './simulationOptions.js';
+
+/** Time between two looks of the operator at the members. */
+const OPERATOR_INTERVAL_MS = 100;
+
+/** Probability that a fault hits the leader rather than any replica. */
+const LEADER_FAULT_CHANCE = 0.4;
+
+/** Simulated time within which a healed cluster must work again. */
+const RECOVERY_BOUND_MS = 20_000;
+
+/** A cluster with its clock, network, faults and operator, determined by a seed. */
+export class Simulation {
+  nowMs = 0;
+  readonly random: SeededRandom;
+  readonly checker = new HistoryChecker();
+  readonly network = new SimulatedNetwork(this);
+  readonly replicas: SimulatedReplica[] = [];
+  private readonly events = new EventQueue();
+  private isHealed = false;
+  private lastCommand = 0;
+
+  constructor(
+    seed: number,
+    readonly options: SimulationOptions,
+  ) {
+    this.random = new SeededRandom(seed);
+    const ids = Array.from({ length: options.replicaCount }, (_, at) => `r${at}`);
+    const first = bootstrapWrite(ids);
+    for (const id of ids) {
+      const disk = new SimulatedDisk(bootstrapReplicaId(id));
+      disk.write(first);
+      this.replicas.push(new SimulatedReplica(this, id, disk));
+    }
+  }
+
+  /** Runs the schedule; throws RuleViolation. */
+  run(): void {
+    try {
+      for (const replica of this.replicas) replica.start();
+      this.repeat(this.options.proposalsPerSecond, () => this.propose());
+      this.after(OPERATOR_INTERVAL_MS, () => this.operate());
+      this.scheduleFaults();
+      this.runUntil(() => this.nowMs >= this.options.durationMs);
+      this.heal();
+      this.checkRecovery();
+    } catch (err) {
+      if (err instanceof ConsensusError) throw new RuleViolation('core error', err.message);
+      throw err;
+    }
+  }
+
+  /** Runs a function after a delay of true time. */
+  after(delayMs: number, run: () => void): void {
+    this.events.add(this.nowMs + delayMs, run);
+  }
+
+  private runUntil(isDone: () => boolean): void {
+    while (!isDone()) {
+      const event = this.events.take();
+      this.nowMs = event.atMs;
+      event.run();
+      this.checkValidLeaders();
+    }
+  }
+
+  private checkValidLeaders(): void {
+    const valid = this.replicas.filter((replica) => replica.isValidLeader);
+    if (valid.length > 1) {
+      const ids = valid.map(({ replicaId }) => replicaId);
+      this.checker.validLeaders(ids, this.nowMs);
+    }
+  }
+
+  /** Calls a function at random moments with a mean rate, until the cluster is healed. */
+  private repeat(ratePerSecond: number, run: () => void): void {
+    if (ratePerSecond === 0) return;
+    const delayMs = (-Math.log(1 - this.random.next()) * 1000) / ratePerSecond;
+    this.after(delayMs, () => {
+      if (this.isHealed) return;
+      run();
+      this.repeat(ratePerSecond, run);
+    });
+  }
+
+  private scheduleFaults(): void {
+    const { faults } = this.options;
+    const actions: [keyof FaultRates, () => void][] = [
+      ['crashes', () => this.crash(this.pickVictim())],
+      ['diskLosses', () => this.loseDisk(this.random.pick(this.replicas))],
+      ['pauses', () => this.pause(this.pickVictim())],
+      ['partitions', () => this.partition()],
+      ['transfers', () => this.lead((core, nowMs) => core.transferLeadership(undefined, nowMs))],
+      ['memberChanges', () => this.removeAnyVoter()],
+    ];
+    for (const [name, action] of actions) this.repeat(faults[name], action);
+  }
+
+  private pickVictim(): SimulatedReplica {
+    const leader = this.replicas.find(({ core }) => core?.role === 'leader');
+    if (leader !== undefined && this.random.chance(LEADER_FAULT_CHANCE)) return leader;
+    return this.random.pick(this.replicas);
+  }
+
+  private crash(replica: SimulatedReplica): void {
+    if (replica.core === undefined) return;
+    replica.crash();
+    this.afterFault(() => replica.start(), this.options.restartMs);
+  }
+
+  /** Loses a disk, unless an earlier loss has not been repaired. */
+  private loseDisk(replica: SimulatedReplica): void {
+    const voters = new Set(this.checker.committedMembership.voters);
+    const leader = this.validLeader();
+    if (leader === undefined || replica.core === undefined) return;
+    if (!this.checker.isCommittedMembership(leader.core!.membership)) return;
+    if (voters.size < 3 || this.replicas.some(({ replicaId }) => !voters.has(replicaId))) return;
+    const oldId = replica.replicaId;
+    this.checker.lostIds.add(oldId);
+    replica.crash();
+    const isReused = this.options.mutation === 'lost replica keeps its id';
+    const newId = `${replica.instanceId}/${this.checker.lostIds.size}`;
+    replica.disk = new SimulatedDisk(isReused ? oldId : newId);
+    this.afterFault(() => replica.start(), this.options.restartMs);
+  }
+
+  private pause(replica: SimulatedReplica): void {
+    if (replica.core === undefined || replica.isPaused) return;
+    replica.isPaused = true;
+    this.afterFault(() => replica.resume());
+  }
+
+  private partition(): void {
+    const victim = this.pickVictim().instanceId;
+    const ids = this.replicas.map(({ instanceId }) => instanceId);
+    const others = ids.filter((id) => id !== victim && this.random.chance(0.7));
+    this.network.isolate(victim, this.random.pick(['in', 'out', 'both'] as const), others);
+    this.afterFault(() => this.network.reconnect());
+  }
+
+  private afterFault(repair: () => void, length = this.options.faultLengthMs): void {
+    const [min, max] = length;
+    this.after(this.random.between(min, max), () => {
+      if (!this.isHealed) repair();
+    });
+  }
+
+  private heal(): void {
+    this.isHealed = true;
+    this.network.heal();
+    for (const replica of this.replicas) {
+      if (replica.core === undefined) replica.start();
+      if (replica.isPaused) replica.resume();
+    }
+  }
+
+  private validLeader(): SimulatedReplica | undefined {
+    return this.replicas.find((replica) => replica.isValidLeader && !replica.isPaused);
+  }
+
+  /** Calls a function with the valid leader; refusals are part of the protocol. */
+  private lead(action: (core: RaftCore, nowMs: number) => void): void {
+    const leader = this.validLeader();
+    leader?.input((core) => {
+      try {
+        action(core, leader.nowMs);
+      } catch (err) {
+        if (!(err instanceof NotLeaderError || err instanceof MembershipChangeError)) throw err;
+      }
+    });
+  }
+
+  private propose(): number {
+    this.lastCommand += 1;
+    const command = this.lastCommand;
+    this.lead((core, nowMs) => core.propose(command, nowMs));
+    return command;
+  }
+
+  private removeAnyVoter(): void {
+    this.lead((core, nowMs) => {
+      const { voters } = core.membership;
+      if (voters.length < 3) return;
+      core.proposeMembership({ type: 'remove', replicaId: this.random.pick(voters) }, nowMs);
+    });
+  }
+
+  /** Removes lost replicas, then adds and promotes the ones that are not voters. */
+  private operate(): void {
+    this.after(OPERATOR_INTERVAL_MS, () => this.operate());
+    this.lead((core, nowMs) => {
+      const { voters, learners } = core.membership;
+      const present = this.replicas.map(({ replicaId }) => replicaId);
+      const gone = [...voters, ...learners].find((id) => !present.includes(id));
+      if (gone !== undefined) {
+        core.proposeMembership({ type: 'remove', replicaId: gone }, nowMs);
+        return;
+      }
+      const missing = present.find((id) => !voters.includes(id) && !learners.includes(id));
+      if (missing !== undefined) {
+        core.proposeMembership({ type: 'add-learner', replicaId: missing }, nowMs);
+        return;
+      }
+      const ready = learners.find((id) => core.isCaughtUp(id));
+      if (ready !== undefined) core.proposeMembership({ type: 'promote', replicaId: ready }, nowMs);
+    });
+  }
+
+  /** Requires that all replicas become voters and apply a new command. */
+  private checkRecovery(): void {
+    const { committed } = this.checker;
+    const startIndex = committed.length;
+    const boundMs = this.nowMs + RECOVERY_BOUND_MS;
+    let nextProposalMs = this.nowMs;
+    this.runUntil(() => {
+      if (this.nowMs >= boundMs) throw new RuleViolation('liveness', this.describe());
+      if (this.nowMs >= nextProposalMs) {
+        nextProposalMs = this.nowMs + OPERATOR_INTERVAL_MS;
+        this.propose();
+      }
+      const { voters } = this.checker.committedMembership;
+      return this.replicas.every(
+        ({ replicaId, core }) =>
+          voters.includes(replicaId) &&
+          core!.commitIndex > startIndex &&
+          core!.commitIndex >= committed.length - 2,
+      );
+    });
+  }
+
+  private describe(): string {
+    return this.replicas
+      .map(({ replicaId, core }) => `${replicaId} ${core?.role} ${core?.term}/${core?.commitIndex}`)
+      .join(', ');
+  }
+}
