--- /dev/null
+++ b/packages/tests/src/consensus/commandList.ts
@@ -0,0 +1,18 @@
+import type { CommittedEntry, StateMachine } from '@lagoongap/consensus/replicatedLog.js';
+
+/** Keeps the applied commands. */
+export class CommandList implements StateMachine {
+  commands: unknown[] = [];
+
+  apply({ command }: CommittedEntry): number {
+    return this.commands.push(command);
+  }
+
+  snapshot(): unknown {
+    return [...this.commands];
+  }
+
+  restore(snapshot: unknown): void {
+    this.commands = [...(snapshot as unknown[])];
+  }
+}
--- /dev/null
+++ b/packages/tests/src/steps/consensus/coreSteps.ts
@@ -0,0 +1,47 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+import { bootstrapWrite } from '@lagoongap/consensus/bootstrap.js';
+import { RaftCore } from '@lagoongap/consensus/raftCore.js';
+import type { RaftEffect } from '@lagoongap/consensus/raftEffect.js';
+import { DEFAULT_TIMING } from '@lagoongap/consensus/raftTiming.js';
+
+interface CoreWorld {
+  core: RaftCore;
+  effects: RaftEffect[];
+}
+
+Given('a Raft core of replica {string} that starts at 0 ms', function create(this: CoreWorld, id) {
+  this.core = new RaftCore({
+    replicaId: id,
+    timing: DEFAULT_TIMING,
+    random: () => 0.5,
+    snapshotEntries: 100,
+    ...bootstrapWrite(['a', 'b', 'c']),
+    nowMs: 0,
+  });
+});
+
+When(
+  'b asks the Raft core for its vote as {string} at {int} ms',
+  function askForVote(this: CoreWorld, to: string, nowMs: number) {
+    const position = { lastIndex: 1, lastTerm: 1, isTransfer: false };
+    this.core.receive({ type: 'vote', from: 'b/bootstrap', to, term: 2, ...position }, nowMs);
+    this.effects = this.core.takeEffects();
+  },
+);
+
+When('the write of the Raft core completes', function completeWrite(this: CoreWorld) {
+  const write = this.effects.find((effect) => effect.type === 'write');
+  assert.equal(write?.type, 'write');
+  this.core.writeCompleted(write.write.id, 0);
+  this.effects = this.core.takeEffects();
+});
+
+Then('the Raft core {string} the vote', function checkVote(this: CoreWorld, answer: string) {
+  const replies = this.effects
+    .filter((effect) => effect.type === 'send')
+    .map(({ message }) => message.type === 'vote-reply' && message.granted);
+  const expected = { grants: [true], refuses: [false], 'does not answer': [] }[answer];
+  assert.deepEqual(replies, expected);
+});
--- /dev/null
+++ b/packages/tests/src/steps/consensus/replicaSteps.ts
@@ -0,0 +1,272 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+
+import { ReplicaCluster } from '../../consensus/replicaCluster.js';
+
+interface ReplicaWorld {
+  cluster: ReplicaCluster;
+  snapshotEntries?: number;
+  /** Instance id of the first leader. */
+  leader: string;
+  firstTerm: number;
+  outcome: string;
+  proposedCount: number;
+  counts: { writes: number; messages: number };
+}
+
+/** Returns the instance id behind a name; names follow the first leader of the scenario. */
+function instance(world: ReplicaWorld, name: string): string {
+  const followers = world.cluster.ids.filter((id) => id !== world.leader);
+  if (name === 'leader') return world.leader;
+  if (name === 'follower') return followers[0]!;
+  return name === 'other' ? followers[1]! : name;
+}
+
+function member(world: ReplicaWorld, name: string) {
+  return world.cluster.get(instance(world, name));
+}
+
+async function elect(world: ReplicaWorld): Promise<void> {
+  await world.cluster.waitUntil('leader', () => world.cluster.leader !== undefined);
+  await world.cluster.advance(200);
+}
+
+/** Follows a promise, whose result the next step checks. */
+function follow(world: ReplicaWorld, promise: Promise<unknown>, success: string): void {
+  world.outcome = 'pending';
+  promise.then(
+    () => {
+      world.outcome = success;
+    },
+    (err: Error) => {
+      world.outcome = err.name;
+    },
+  );
+}
+
+function propose(world: ReplicaWorld, name: string, count: number): void {
+  const { replica } = member(world, name);
+  const first = world.proposedCount;
+  world.proposedCount += count;
+  const proposals = Array.from({ length: count }, (_, at) => replica.propose(first + at));
+  follow(world, Promise.all(proposals), 'committed');
+}
+
+After({ tags: '@raft' }, async function dispose(this: ReplicaWorld) {
+  await this.cluster[Symbol.asyncDispose]();
+});
+
+Given('Raft snapshots every {int} entries', function setSnapshots(this: ReplicaWorld, count) {
+  this.snapshotEntries = count;
+});
+
+Given('empty Raft replicas {string}', function createReplicas(this: ReplicaWorld, ids: string) {
+  this.proposedCount = 0;
+  this.cluster = new ReplicaCluster(ids.split(' '), this.snapshotEntries ?? 1000);
+});
+
+Given('a Raft cluster of {string}', async function createCluster(this: ReplicaWorld, ids: string) {
+  this.proposedCount = 0;
+  this.cluster = new ReplicaCluster(ids.split(' '), this.snapshotEntries ?? 1000);
+  for (const id of this.cluster.ids) this.cluster.start(id);
+  await elect(this);
+  this.leader = this.cluster.leader!;
+  this.firstTerm = member(this, 'leader').replica.term;
+});
+
+When('Raft replica {word} starts', function start(this: ReplicaWorld, name: string) {
+  this.cluster.start(instance(this, name));
+});
+
+When('Raft replica {word} crashes', async function crash(this: ReplicaWorld, name: string) {
+  await this.cluster.crash(instance(this, name));
+});
+
+When('Raft replica {word} loses its disk', async function lose(this: ReplicaWorld, name: string) {
+  await this.cluster.crash(instance(this, name));
+  this.cluster.start(instance(this, name), true);
+});
+
+When('Raft replica {word} is cut off', function cut(this: ReplicaWorld, name: string) {
+  this.cluster.setCutOff(instance(this, name), true);
+});
+
+When('Raft replica {word} is reconnected', function reconnect(this: ReplicaWorld, name: string) {
+  this.cluster.setCutOff(instance(this, name), false);
+});
+
+When('the writes of Raft replica {word} stall', function stall(this: ReplicaWorld, name: string) {
+  this.cluster.stallWrites(instance(this, name));
+});
+
+When('the writes of Raft replica {word} go on', function goOn(this: ReplicaWorld, name: string) {
+  member(this, name).disk.release();
+});
+
+When('the writes of Raft replica {word} fail', function fail(this: ReplicaWorld, name: string) {
+  const { disk } = member(this, name);
+  disk.gate = Promise.reject(new Error('disk full'));
+  disk.gate.catch(() => undefined);
+});
+
+When('{int} ms of Raft time pass', async function pass(this: ReplicaWorld, ms: number) {
+  await this.cluster.advance(ms);
+});
+
+When('Raft has a valid leader', async function waitForLeader(this: ReplicaWorld) {
+  await elect(this);
+});
+
+When(
+  '{int} commands are proposed in one turn on Raft replica {word}',
+  function proposeCommands(this: ReplicaWorld, count: number, name: string) {
+    const { sent } = this.cluster;
+    this.counts = { writes: member(this, name).disk.writes, messages: sent.length };
+    propose(this, name, count);
+  },
+);
+
+When(
+  '{int} commands are committed one by one by the Raft leader',
+  async function commitCommands(this: ReplicaWorld, count: number) {
+    for (let done = 0; done < count; done += 1) {
+      propose(this, this.cluster.leader!, 1);
+      await this.cluster.waitUntil('commit', () => this.outcome !== 'pending');
+      assert.equal(this.outcome, 'committed');
+    }
+  },
+);
+
+When(
+  'the Raft leader replaces replica {word}',
+  async function replace(this: ReplicaWorld, name: string) {
+    const { replica } = this.cluster.get(this.cluster.leader!);
+    const newId = member(this, name).replica.replicaId!;
+    const oldId = replica.members().voters.find((id) => id.startsWith(`${instance(this, name)}/`));
+    const replaceMember = async () => {
+      await replica.removeMember(oldId!);
+      await replica.addLearner(newId);
+    };
+    follow(this, replaceMember(), 'added');
+    await this.cluster.waitUntil('learner', () => this.outcome === 'added');
+    await this.cluster.waitUntil('learner that has caught up', () => replica.isCaughtUp(newId));
+    follow(this, replica.promote(newId), 'promoted');
+    await this.cluster.waitUntil('promotion', () => this.outcome === 'promoted');
+  },
+);
+
+When(
+  'the Raft leader adds learner {string} and promotes it',
+  async function promoteAtOnce(this: ReplicaWorld, replicaId: string) {
+    const { replica } = this.cluster.get(this.cluster.leader!);
+    const addAndPromote = async () => {
+      await replica.addLearner(replicaId);
+      await replica.promote(replicaId);
+    };
+    follow(this, addAndPromote(), 'promoted');
+    await this.cluster.advance(500);
+  },
+);
+
+When(
+  'the Raft leader transfers leadership to {word}',
+  function transfer(this: ReplicaWorld, name: string) {
+    const { replica } = member(this, 'leader');
+    follow(this, replica.transferLeadership(instance(this, name)), 'transferred');
+  },
+);
+
+Then('the Raft outcome is {string}', function checkOutcome(this: ReplicaWorld, outcome: string) {
+  assert.equal(this.outcome, outcome);
+});
+
+Then(
+  'there was one write on Raft replica {word} and one message to each other',
+  function checkGroupCommit(this: ReplicaWorld, name: string) {
+    const id = instance(this, name);
+    assert.equal(this.cluster.get(id).disk.writes - this.counts.writes, 1);
+    const appends = this.cluster.sent
+      .slice(this.counts.messages)
+      .filter(({ from, message }) => from === id && message.type === 'append')
+      .filter(({ message }) => message.type === 'append' && message.entries.length > 0);
+    assert.deepEqual(
+      appends.map(({ to }) => to).sort(),
+      this.cluster.ids.filter((other) => other !== id),
+    );
+  },
+);
+
+Then(
+  'Raft replicas {string} have applied all proposed commands',
+  function checkApplied(this: ReplicaWorld, names: string) {
+    const expected = Array.from({ length: this.proposedCount }, (_, at) => at);
+    for (const name of names.split(' ')) {
+      assert.deepEqual(member(this, name).stateMachine.commands, expected, name);
+    }
+  },
+);
+
+Then(
+  'Raft replicas {string} have applied the same commands',
+  function checkSame(this: ReplicaWorld, names: string) {
+    const [first, ...rest] = names.split(' ').map((name) => member(this, name).stateMachine);
+    for (const { commands } of rest) assert.deepEqual(commands, first!.commands);
+  },
+);
+
+Then(
+  'Raft replica {word} {word} a valid leader',
+  function checkValid(this: ReplicaWorld, name: string, verb: string) {
+    assert.equal(member(this, name).replica.isLeaderValid(), verb === 'is');
+  },
+);
+
+Then('Raft has no valid leader', function checkNoLeader(this: ReplicaWorld) {
+  assert.equal(this.cluster.leader, undefined);
+});
+
+Then(
+  'Raft replica {word} has the role {string}',
+  function checkRole(this: ReplicaWorld, name: string, role: string) {
+    assert.equal(member(this, name).replica.role, role);
+  },
+);
+
+Then('the Raft term has not changed', function checkTerm(this: ReplicaWorld) {
+  assert.equal(member(this, 'leader').replica.term, this.firstTerm);
+});
+
+Then(
+  'Raft replica {word} has the id {string}',
+  function checkId(this: ReplicaWorld, name: string, id: string | undefined) {
+    assert.equal(member(this, name).replica.replicaId ?? '', id);
+  },
+);
+
+Then(
+  'Raft replica {word} has a new random id',
+  function checkNewId(this: ReplicaWorld, name: string) {
+    const { replicaId } = member(this, name).replica;
+    assert.match(replicaId!, new RegExp(`^${instance(this, name)}/[0-9a-z]{10}$`));
+  },
+);
+
+Then(
+  'Raft replica {word} has stored a snapshot',
+  async function checkSnapshot(this: ReplicaWorld, name: string) {
+    const { snapshot } = await member(this, name).store.load();
+    assert.ok(snapshot);
+  },
+);
+
+Then(
+  'Raft replica {word} has reported a fatal error and writes no more',
+  async function checkFatal(this: ReplicaWorld, name: string) {
+    const { fatal, disk } = member(this, name);
+    assert.equal(fatal?.name, 'ConsensusError');
+    const { writes } = disk;
+    await this.cluster.advance(5000);
+    assert.equal(disk.writes, writes);
+  },
+);
