--- /dev/null
+++ b/packages/tests/src/peering/peeringFixture.ts
@@ -0,0 +1,120 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+import type { PeerTlsOptions, TcpPeerNetworkOptions } from '@lagoongap/peering/peeringOptions.js';
+import { TcpPeerNetwork } from '@lagoongap/peering/tcpPeerNetwork.js';
+import { SilentRelay } from '@lagoongap/stand-in/silentRelay.js';
+
+import { waitFor } from './waitFor.js';
+
+/** Options that a scenario may set for all instances. */
+export type PeeringLimits = Omit<TcpPeerNetworkOptions, 'selfId' | 'listen' | 'peers' | 'tls'>;
+
+/** Scenario state that the steps share. */
+export interface PeeringWorld {
+  peering: PeeringFixture;
+}
+
+/** Short durations keep scenarios fast; one scenario uses the defaults. */
+const FAST: PeeringLimits = { pingMs: 40, silenceMs: 200 };
+
+const LOOPBACK = '127.0.0.1';
+
+/** Instances `a` and `b`, connected through one relay for each ordered pair. */
+export class PeeringFixture implements AsyncDisposable {
+  limits: PeeringLimits = FAST;
+  readonly tls = new Map<string, PeerTlsOptions>();
+  readonly networks = new Map<string, TcpPeerNetwork>();
+  readonly relays = new Map<string, SilentRelay>();
+  readonly log: string[] = [];
+
+  /** Results and failures of calls, in the order in which they settled. */
+  readonly settled: { name: string; value?: unknown; error?: Error & { code?: number } }[] = [];
+
+  /** Notifications that instance `b` has received. */
+  readonly notified: unknown[] = [];
+
+  private readonly ids = ['a', 'b'];
+
+  async start(): Promise<void> {
+    for (const from of this.ids) {
+      for (const to of this.ids) {
+        if (from === to) continue;
+        const relay = new SilentRelay();
+        await relay.start();
+        this.relays.set(`${from}-${to}`, relay);
+      }
+    }
+    for (const id of this.ids) await this.startNetwork(id);
+  }
+
+  /** Starts the network of one instance, anew if it has been stopped. */
+  async startNetwork(id: string): Promise<void> {
+    const others = this.ids.filter((other) => other !== id);
+    const keep = (message: string, details?: object) => {
+      this.log.push(`${id}: ${message} ${JSON.stringify(details ?? {})}`);
+    };
+    const network = new TcpPeerNetwork({
+      selfId: id,
+      listen: { host: LOOPBACK, port: 0 },
+      peers: others.map((other) => ({ id: other, ...this.relays.get(`${id}-${other}`)!.address })),
+      tls: this.tls.get(id),
+      logger: { debug: keep, info: keep, warn: keep, error: keep },
+      ...this.limits,
+    });
+    this.addHandlers(network);
+    await network.start();
+    this.networks.set(id, network);
+    for (const other of others) this.relays.get(`${other}-${id}`)!.target = network.address;
+  }
+
+  async connect(): Promise<void> {
+    await waitFor('a and b can call each other', async () => {
+      const calls = [this.call('a', 'b', 'echo', 0), this.call('b', 'a', 'echo', 0)];
+      const results = await Promise.allSettled(calls);
+      return results.every(({ status }) => status === 'fulfilled');
+    });
+  }
+
+  /** Calls a method of an instance. */
+  async call(from: string, to: string, method: string, params: unknown, timeoutMs = 2000) {
+    return this.networks.get(from)!.call(to, method, params, { timeoutMs });
+  }
+
+  /** Calls a method and keeps the outcome in `settled`. */
+  async record(name: string, to: string, method: string, params: unknown, timeoutMs = 2000) {
+    try {
+      this.settled.push({ name, value: await this.call('a', to, method, params, timeoutMs) });
+    } catch (err) {
+      this.settled.push({ name, error: err as Error });
+    }
+  }
+
+  /** Outcome of the last call that settled. */
+  get last() {
+    return this.settled[this.settled.length - 1]!;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const parts = [...this.networks.values(), ...this.relays.values()];
+    await Promise.all(parts.map((part) => part[Symbol.asyncDispose]()));
+  }
+
+  private addHandlers(network: TcpPeerNetwork): void {
+    network.handle('echo', (params) => params);
+    network.handle('delay', async (params) => {
+      await delay(params as number);
+      return params;
+    });
+    network.handle('repeat', (params) => 'x'.repeat(params as number));
+    network.handle('fail', () => {
+      throw Object.assign(new Error('broken'), { code: 17, data: { leader: 'c' } });
+    });
+    network.handle('refuse', () => {
+      throw new RefusalError({ type: 'queue-full', runState: 'not-run', message: 'no room' });
+    });
+    network.handle('note', (params) => {
+      this.notified.push(params);
+    });
+  }
+}
--- /dev/null
+++ b/packages/tests/src/steps/peering/peerNetworkSteps.ts
@@ -0,0 +1,181 @@
+import assert from 'node:assert/strict';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { toRefusalError } from '@lagoongap/peering/rpcErrors.js';
+import type { RelayDirection } from '@lagoongap/stand-in/relayedConnection.js';
+
+import {
+  PeeringFixture,
+  type PeeringLimits,
+  type PeeringWorld,
+} from '../../peering/peeringFixture.js';
+import { waitFor } from '../../peering/waitFor.js';
+
+interface TimedWorld extends PeeringWorld {
+  silentSinceMs: number;
+}
+
+async function startPeering(world: PeeringWorld, limits: PeeringLimits): Promise<void> {
+  const peering = new PeeringFixture();
+  Object.assign(world, { peering });
+  peering.limits = { ...peering.limits, ...limits };
+  await peering.start();
+  await peering.connect();
+}
+
+After(async function closePeering(this: PeeringWorld) {
+  await this.peering?.[Symbol.asyncDispose]();
+});
+
+Given('two connected peers', async function start(this: PeeringWorld) {
+  await startPeering(this, {});
+});
+
+Given('two connected peers with default durations', async function start(this: PeeringWorld) {
+  await startPeering(this, { pingMs: undefined, silenceMs: undefined });
+});
+
+Given(
+  'two connected peers with frames of at most {int} bytes',
+  async function start(this: PeeringWorld, maxFrameBytes: number) {
+    await startPeering(this, { maxFrameBytes });
+  },
+);
+
+Given(
+  'two connected peers with a send buffer of {int} bytes',
+  async function start(this: PeeringWorld, maxSendBufferBytes: number) {
+    await startPeering(this, { maxSendBufferBytes });
+  },
+);
+
+When(
+  '{int} calls are made whose answers come in reverse order',
+  async function callReversed(this: PeeringWorld, count: number) {
+    const calls = Array.from({ length: count }, (_, i) =>
+      this.peering.record(String(i), 'b', 'delay', (count - i) * 4),
+    );
+    await Promise.all(calls);
+  },
+);
+
+Then('each call got its own answer', function checkAnswers(this: PeeringWorld) {
+  const { settled } = this.peering;
+  const count = settled.length;
+  for (const { name, value } of settled) assert.equal(value, (count - Number(name)) * 4);
+  assert.equal(settled[0]!.name, String(count - 1));
+});
+
+When(
+  /^peer (\w+) is called with method (\w+)$/,
+  async function callMethod(this: PeeringWorld, to: string, method: string) {
+    await this.peering.record(method, to, method, {});
+  },
+);
+
+Then('the call failed with {word}', function checkError(this: PeeringWorld, name: string) {
+  assert.equal(this.peering.last.error?.name, name);
+});
+
+Then(
+  'the call failed with {word}, code {int} and data {string}',
+  function checkRemoteError(this: PeeringWorld, name: string, code: number, data: string) {
+    const error = this.peering.last.error as Error & { code: number; data: unknown };
+    assert.equal(error.name, name);
+    assert.equal(error.code, code);
+    assert.equal(String(JSON.stringify(error.data)), data);
+  },
+);
+
+Then('the refusal can be rebuilt from the error', function checkRefusal(this: PeeringWorld) {
+  assert.deepEqual(toRefusalError(this.peering.last.error)?.refusal, {
+    type: 'queue-full',
+    runState: 'not-run',
+    message: 'no room',
+  });
+});
+
+When(
+  'peer b is called with a deadline of {int} ms and answers after {int} ms',
+  async function callSlowly(this: PeeringWorld, deadlineMs: number, delayMs: number) {
+    await this.peering.record('slow', 'b', 'delay', delayMs, deadlineMs);
+  },
+);
+
+Then(
+  'later calls get their own answers while the late one arrives',
+  async function checkLaterCalls(this: PeeringWorld) {
+    const { traffic } = this.peering.networks.get('a')!;
+    const before = traffic.get('b')!.messagesIn;
+    const until = performance.now() + 150;
+    for (let i = 0; performance.now() < until; i += 1) {
+      assert.equal(await this.peering.call('a', 'b', 'echo', i), i);
+    }
+    assert.ok(traffic.get('b')!.messagesIn > before);
+  },
+);
+
+When('peer b has stopped', async function stop(this: PeeringWorld) {
+  await this.peering.networks.get('b')![Symbol.asyncDispose]();
+  await waitFor('a notices that b has closed its connections', () =>
+    this.peering.log.some((line) => line.startsWith('a: connection to instance lost')),
+  );
+});
+
+When('peer b has started again', async function startAgain(this: PeeringWorld) {
+  await this.peering.startNetwork('b');
+});
+
+Then(
+  'peer a can call peer b within {int} ms',
+  async function checkReachable(this: PeeringWorld, boundMs: number) {
+    const call = () => this.peering.call('a', 'b', 'echo', 1, boundMs);
+    const works = () => call().then(Boolean, () => false);
+    await waitFor('a can call b', works, boundMs);
+  },
+);
+
+When(
+  'peer b is called and the connection is dropped before the answer',
+  async function dropDuringCall(this: PeeringWorld) {
+    const call = this.peering.record('dropped', 'b', 'delay', 500);
+    await delay(30);
+    this.peering.relays.get('a-b')!.dropConnections();
+    await call;
+  },
+);
+
+When(
+  /^the open connections between the peers go silent (both|to-target|from-target)$/,
+  function silence(this: TimedWorld, direction: RelayDirection | 'both') {
+    for (const relay of this.peering.relays.values()) relay.pause(direction, 'open');
+    this.silentSinceMs = performance.now();
+  },
+);
+
+Then('it failed within {int} ms', function checkDuration(this: TimedWorld, boundMs: number) {
+  const elapsedMs = performance.now() - this.silentSinceMs;
+  assert.ok(elapsedMs < boundMs, `${elapsedMs} ms`);
+});
+
+When('all traffic between the peers stops', function stopTraffic(this: PeeringWorld) {
+  for (const relay of this.peering.relays.values()) relay.pause();
+});
+
+When('all traffic between the peers flows again', function resume(this: PeeringWorld) {
+  for (const relay of this.peering.relays.values()) relay.resume();
+});
+
+Then(
+  /^peer b becomes (alive|suspect) for peer a$/,
+  async function checkLiveness(this: PeeringWorld, liveness: string) {
+    const network = this.peering.networks.get('a')!;
+    await waitFor(`b is ${liveness}`, () => network.isAlive('b') === (liveness === 'alive'));
+  },
+);
+
+Then('no connection has been replaced', function checkConnects(this: PeeringWorld) {
+  assert.equal(this.peering.networks.get('a')!.traffic.get('b')!.connects, 1);
+  assert.equal(this.peering.networks.get('b')!.traffic.get('a')!.connects, 1);
+});
