--- a/packages/peering/src/framedConnection.ts
+++ b/packages/peering/src/framedConnection.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net';
+import { TLSSocket } from 'node:tls';
 
 import { toError } from '@lagoongap/model/toError.js';
 
@@ -10,8 +11,6 @@
 /** Options of a {@link FramedConnection}. */
 export interface FramedConnectionOptions {
   socket: Socket;
-  /** TCP socket below a TLS socket; `socket` itself without TLS. */
-  transport: Socket;
   /** Largest accepted payload until `maxFrameBytes` is raised. */
   maxFrameBytes: number;
   /** Bytes that may wait to be sent. */
@@ -52,7 +51,6 @@
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => this.receive(chunk));
     socket.on('error', (err) => this.reset(err));
-    if (opts.transport !== socket) opts.transport.on('error', (err) => this.reset(err));
     socket.on('end', () => this.reset(new PeerError('the peer closed the connection')));
     socket.on('close', () => this.reset(new PeerError('the connection was closed')));
     this.scheduleSilenceCheck(opts.silenceMs);
@@ -96,8 +94,8 @@
   reset(cause: Error): void {
     if (this.closed) return;
     this.release();
-    const { socket, transport } = this.opts;
-    FramedConnection.destroy(socket, transport);
+    const { socket } = this.opts;
+    FramedConnection.destroy(socket);
     this.opts.onClose(cause);
   }
 
@@ -107,13 +105,13 @@
     this.flush();
     this.release();
     this.opts.onClose(new PeerError('the connection was closed by this instance'));
-    const { socket, transport } = this.opts;
+    const { socket } = this.opts;
     if (socket.connecting || socket.destroyed) {
-      FramedConnection.destroy(socket, transport);
+      FramedConnection.destroy(socket);
       return;
     }
     await new Promise<void>((resolve) => {
-      const reset = () => FramedConnection.destroy(socket, transport);
+      const reset = () => FramedConnection.destroy(socket);
       const timer = setTimeout(reset, CLOSE_TIMEOUT_MS);
       socket.once('close', () => {
         clearTimeout(timer);
@@ -123,12 +121,14 @@
     });
   }
 
-  private static destroy(socket: Socket, transport: Socket): void {
-    // A graceful close would leave the unsent bytes of a silent connection with the kernel. The
-    // TCP socket below an accepted TLS socket is out of reach; there it is closed plainly.
-    if (transport.connecting) transport.destroy();
-    else if (!('encrypted' in transport)) transport.resetAndDestroy();
-    socket.destroy();
+  /**
+   * Resets the connection: a graceful close would leave the unsent bytes of a silent connection
+   * with the kernel. Node.js 20 cannot reset below TLS (doing so on the TCP socket crashes the
+   * process with a segmentation fault), so TLS sockets are destroyed plainly.
+   */
+  private static destroy(socket: Socket): void {
+    if (socket.connecting || socket instanceof TLSSocket) socket.destroy();
+    else socket.resetAndDestroy();
   }
 
   private release(): void {
--- a/packages/peering/src/peerDialler.ts
+++ b/packages/peering/src/peerDialler.ts
@@ -70,12 +70,10 @@
   private dial(): void {
     clearTimeout(this.retryTimer);
     this.retryTimer = undefined;
-    const { peer, limits, credentials, counters } = this.opts;
-    const transport = connectTcp({ host: peer.host, port: peer.port });
-    const socket: Socket = credentials ? this.wrapInTls(transport, credentials) : transport;
+    const { limits, credentials, counters } = this.opts;
+    const socket = this.openSocket();
     const connection = new FramedConnection({
       socket,
-      transport,
       maxFrameBytes: HELLO_FRAME_BYTES,
       maxSendBufferBytes: limits.maxSendBufferBytes,
       silenceMs: limits.silenceMs,
@@ -91,9 +89,13 @@
     socket.once(credentials ? 'secureConnect' : 'connect', () => this.sendHello(connection));
   }
 
-  private wrapInTls(transport: Socket, credentials: TlsCredentials): TLSSocket {
+  private openSocket(): Socket {
+    const { peer, credentials } = this.opts;
+    const { host, port } = peer;
+    if (!credentials) return connectTcp({ host, port });
     return connectTls({
-      socket: transport,
+      host,
+      port,
       secureContext: credentials.context,
       // Instances are known by id, not by host name; the name is checked after the handshake.
       checkServerIdentity: () => undefined,
--- a/packages/peering/src/peerListener.ts
+++ b/packages/peering/src/peerListener.ts
@@ -113,7 +113,6 @@
     let from: string | undefined;
     const connection = new FramedConnection({
       socket,
-      transport: socket,
       maxFrameBytes: HELLO_FRAME_BYTES,
       maxSendBufferBytes: limits.maxSendBufferBytes,
       silenceMs: limits.silenceMs,
--- a/packages/tests/src/steps/peering/framedConnectionSteps.ts
+++ b/packages/tests/src/steps/peering/framedConnectionSteps.ts
@@ -29,7 +29,6 @@
     this.framedCloseReasons = [];
     const connection = new FramedConnection({
       socket,
-      transport: socket,
       maxFrameBytes: 1000,
       maxSendBufferBytes: 1000,
       silenceMs,
