--- /dev/null
+++ b/packages/scheduling/src/endpointRecord.ts
@@ -0,0 +1,20 @@
+import type { Resources } from '@lagoongap/model/resources.js';
+
+import type { EndpointPool } from './endpointPool.js';
+import type { EndpointView } from './scheduler.js';
+
+/** An endpoint in the catalog. */
+export interface EndpointRecord {
+  view: EndpointView;
+  /** Kinds of work that it offers and is granted. */
+  works: ReadonlySet<string>;
+  /** Capacity that is neither reserved nor held; dimensions may be negative. */
+  available: Resources;
+  /** Sum of the holds for waiting work. */
+  readonly held: Resources;
+  /** Moving average of failed attempts, from 0 to 1. */
+  failureRate: number;
+  /** Pool that it may be chosen from; absent while it gets no new work. */
+  pool: EndpointPool | undefined;
+  position: number;
+}
--- /dev/null
+++ b/packages/scheduling/src/requestPolicy.ts
@@ -0,0 +1,41 @@
+import { dominantShare, subtractResources } from '@lagoongap/model/resources.js';
+
+import type { CandidateSampler } from './candidateSampler.js';
+import type { EndpointCatalog } from './endpointCatalog.js';
+import type { EndpointRecord } from './endpointRecord.js';
+import type { PlacementPolicy, PlacementRequest } from './placementPolicy.js';
+import type { ServiceTimeEstimator } from './serviceTimeEstimator.js';
+
+/** Factor by which an endpoint that fails everything looks slower. */
+const FAILURE_WEIGHT = 8;
+
+/**
+ * Sends each request to the endpoint with the lowest expected delay: the
+ * service time learned for the endpoint, stretched by how busy it is.
+ */
+export class RequestPolicy implements PlacementPolicy {
+  constructor(
+    private readonly catalog: EndpointCatalog,
+    private readonly sampler: CandidateSampler,
+    private readonly serviceTimes: ServiceTimeEstimator,
+  ) {}
+
+  choose({ unit, size }: PlacementRequest): EndpointRecord[] {
+    const pools = this.catalog.listPools(unit.work);
+    let best: EndpointRecord | undefined;
+    let bestDelay = Infinity;
+    for (const candidate of this.sampler.collect(pools, size, unit.excluded)) {
+      const delay = this.estimateDelay(candidate, unit.work);
+      if (delay < bestDelay) {
+        best = candidate;
+        bestDelay = delay;
+      }
+    }
+    return best ? [best] : [];
+  }
+
+  private estimateDelay({ view, available, failureRate }: EndpointRecord, work: string): number {
+    const busy = dominantShare(subtractResources(view.size, available), view.size);
+    return this.serviceTimes.estimate(view, work) * (1 + busy) * (1 + FAILURE_WEIGHT * failureRate);
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/sizeEstimator.ts
@@ -0,0 +1,113 @@
+import { RESOURCE_NAMES } from '@lagoongap/model/resources.js';
+import type { ResourceName, Resources } from '@lagoongap/model/resources.js';
+
+/** Options of the {@link SizeEstimator}. */
+export interface SizeEstimatorOptions {
+  /** Samples that are needed before the declared size is left. */
+  minSamples: number;
+  /** Samples that are kept per team and kind of work. */
+  maxSamples: number;
+  /** Part of the samples that the reservation covers, from 0 to 1. */
+  percentile: number;
+  /** Factor on top of the percentile. */
+  headroom: number;
+  /** Largest reservation, as a multiple of the declared size. */
+  maxFactor: number;
+  /** Smallest reservation, as a multiple of the declared size. */
+  minFactor: number;
+}
+
+/** Defaults of the {@link SizeEstimator}. */
+export const DEFAULT_SIZE_OPTIONS: Readonly<SizeEstimatorOptions> = {
+  minSamples: 8,
+  maxSamples: 64,
+  percentile: 0.95,
+  headroom: 1.15,
+  maxFactor: 2,
+  minFactor: 0.1,
+};
+
+/** Dimensions whose use is shared and can differ from what is declared. */
+const LEARNED_NAMES: readonly ResourceName[] = ['cpuMillis', 'memoryMib'];
+
+interface Profile {
+  peaks: Resources[];
+  runTimesMs: number[];
+  next: number;
+  nextRunTime: number;
+  /** Percentile of the peaks; absent until computed anew. */
+  learned: Resources | undefined;
+}
+
+function readPercentile(values: number[], percentile: number): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * percentile))] ?? 0;
+}
+
+/** Learns sizes and run times per team and kind of work from what attempts report. */
+export class SizeEstimator {
+  private readonly profiles = new Map<string, Profile>();
+  private readonly opts: SizeEstimatorOptions;
+
+  constructor(opts: Partial<SizeEstimatorOptions> = {}) {
+    this.opts = { ...DEFAULT_SIZE_OPTIONS, ...opts };
+  }
+
+  /** Records the peak usage of one attempt. */
+  learnPeak(team: string, work: string, peak: Resources): void {
+    const profile = this.open(team, work);
+    profile.peaks[profile.next] = peak;
+    profile.next = (profile.next + 1) % this.opts.maxSamples;
+    profile.learned = undefined;
+  }
+
+  /** Records the run time of one attempt that succeeded. */
+  learnRunTime(team: string, work: string, durationMs: number): void {
+    const profile = this.open(team, work);
+    profile.runTimesMs[profile.nextRunTime] = durationMs;
+    profile.nextRunTime = (profile.nextRunTime + 1) % this.opts.maxSamples;
+  }
+
+  /** Returns the size to reserve for a task of which `declared` is said. */
+  estimate(team: string, work: string, declared: Resources): Resources {
+    const profile = this.profiles.get(`${team}|${work}`);
+    if (!profile || profile.peaks.length < this.opts.minSamples) return { ...declared };
+    profile.learned ??= this.summarize(profile);
+    const size = { ...declared };
+    for (const name of LEARNED_NAMES) {
+      // A dimension that nobody ever reports is not known to be unused.
+      if (profile.learned[name] === 0) continue;
+      const wanted = Math.ceil(profile.learned[name] * this.opts.headroom);
+      const least = Math.ceil(declared[name] * this.opts.minFactor);
+      const most = Math.floor(declared[name] * this.opts.maxFactor);
+      size[name] = Math.max(least, Math.min(most, wanted));
+    }
+    return size;
+  }
+
+  /** Returns a high percentile of run times; undefined before enough were seen. */
+  estimateRunTime(team: string, work: string): number | undefined {
+    const profile = this.profiles.get(`${team}|${work}`);
+    if (!profile || profile.runTimesMs.length < this.opts.minSamples) return undefined;
+    return readPercentile(profile.runTimesMs, this.opts.percentile);
+  }
+
+  private summarize(profile: Profile): Resources {
+    const learned = { cpuMillis: 0, memoryMib: 0, accelerators: 0, slots: 0 };
+    for (const name of RESOURCE_NAMES) {
+      const values = profile.peaks.map((peak) => peak[name]);
+      learned[name] = readPercentile(values, this.opts.percentile);
+    }
+    return learned;
+  }
+
+  private open(team: string, work: string): Profile {
+    const key = `${team}|${work}`;
+    let profile = this.profiles.get(key);
+    if (!profile) {
+      profile = { peaks: [], runTimesMs: [], next: 0, nextRunTime: 0, learned: undefined };
+      this.profiles.set(key, profile);
+    }
+    return profile;
+  }
+}
