--- a/packages/scheduling/src/baselineScheduler.ts
+++ b/packages/scheduling/src/baselineScheduler.ts
@@ -101,7 +101,7 @@
         continue;
       }
       if (placed >= maxPlacements) continue;
-      const attempts = this.place(unit, maxPlacements - placed, blocked, nowMs);
+      const attempts = this.place(unit, maxPlacements - placed, placed === 0, blocked, nowMs);
       if (attempts.length === 0) continue;
       placed += attempts.length;
       decisions.push({ type: 'place', unit, attempts });
@@ -131,10 +131,18 @@
     return { type: 'reject', unit, reason: 'deadline-exceeded', message };
   }
 
-  private place(unit: WorkUnit, most: number, blocked: Set<string>, nowMs: number): Attempt[] {
+  private place(
+    unit: WorkUnit,
+    most: number,
+    isFirst: boolean,
+    blocked: Set<string>,
+    nowMs: number,
+  ): Attempt[] {
     const key = `${unit.team}|${unit.work}|${sizeKey(unit.size)}`;
     if (blocked.has(key) || !(unit.team in this.config.teams)) return [];
     const isGang = unit.kind === 'gang';
+    // A gang larger than the bound of a turn has a turn to itself.
+    if (isGang && unit.indexes.length > most && !isFirst) return [];
     const attempts: Attempt[] = [];
     for (const index of unit.indexes) {
       if (!isGang && attempts.length >= most) break;
--- a/packages/scheduling/src/candidateSampler.ts
+++ b/packages/scheduling/src/candidateSampler.ts
@@ -20,13 +20,15 @@
 }
 
 /**
- * Draws endpoints that fit. The best of a few dozen is close to the best of
- * all, at a cost that does not grow with the fleet.
+ * Draws endpoints that fit: all of them in a small fleet, a sample in a large
+ * one. The best of a sample is close to the best of all, at a cost that does not
+ * grow with the fleet.
  */
 export class CandidateSampler {
   constructor(
     private readonly random: RandomSource,
     private readonly sampleSize: number,
+    private readonly scanSize: number,
   ) {}
 
   /** Returns endpoints that fit; empty only if none of the pools has any. */
@@ -39,7 +41,7 @@
     const candidates: EndpointRecord[] = [];
     let total = 0;
     for (const pool of open) total += pool.records.length;
-    if (total <= this.sampleSize) {
+    if (total <= this.scanSize) {
       for (const pool of open) {
         for (const record of pool.records) {
           if (accepts(record, size, excluded)) candidates.push(record);
--- a/packages/scheduling/src/fairShareScheduler.ts
+++ b/packages/scheduling/src/fairShareScheduler.ts
@@ -313,7 +313,7 @@
 
   private createPlacer(): TaskPlacer {
     const { catalog, random, opts } = this;
-    const sampler = new CandidateSampler(random, opts.sampleSize);
+    const sampler = new CandidateSampler(random, opts.sampleSize, opts.scanSize);
     const policies: Record<WorkloadKind, PlacementPolicy> = {
       service: new ServicePolicy(catalog, sampler, this.spread),
       batch: new BatchPolicy(catalog, sampler),
--- a/packages/scheduling/src/requestPolicy.ts
+++ b/packages/scheduling/src/requestPolicy.ts
@@ -4,7 +4,7 @@
 import type { EndpointCatalog } from './endpointCatalog.js';
 import type { EndpointRecord } from './endpointRecord.js';
 import type { PlacementPolicy, PlacementRequest } from './placementPolicy.js';
-import type { ServiceTimeEstimator } from './serviceTimeEstimator.js';
+import type { ServiceTimeEstimator, WorkTimes } from './serviceTimeEstimator.js';
 
 /** Factor by which an endpoint that fails everything looks slower. */
 const FAILURE_WEIGHT = 8;
@@ -22,10 +22,11 @@
 
   choose({ unit, size }: PlacementRequest): EndpointRecord[] {
     const pools = this.catalog.listPools(unit.work);
+    const times = this.serviceTimes.read(unit.work);
     let best: EndpointRecord | undefined;
     let bestDelay = Infinity;
     for (const candidate of this.sampler.collect(pools, size, unit.excluded)) {
-      const delay = this.estimateDelay(candidate, unit.work);
+      const delay = this.estimateDelay(candidate, times);
       if (delay < bestDelay) {
         best = candidate;
         bestDelay = delay;
@@ -34,8 +35,13 @@
     return best ? [best] : [];
   }
 
-  private estimateDelay({ view, available, failureRate }: EndpointRecord, work: string): number {
+  private estimateDelay(
+    { view, available, failureRate }: EndpointRecord,
+    times: WorkTimes,
+  ): number {
     const busy = dominantShare(subtractResources(view.size, available), view.size);
-    return this.serviceTimes.estimate(view, work) * (1 + busy) * (1 + FAILURE_WEIGHT * failureRate);
+    return (
+      this.serviceTimes.estimate(view, times) * (1 + busy) * (1 + FAILURE_WEIGHT * failureRate)
+    );
   }
 }
--- a/packages/scheduling/src/resourceMath.ts
+++ b/packages/scheduling/src/resourceMath.ts
@@ -1,3 +1,4 @@
+import { RESOURCE_NAMES } from '@lagoongap/model/resources.js';
 import type { Resources } from '@lagoongap/model/resources.js';
 
 /** Adds `delta` times `factor` to `target` in place; used where allocation would cost too much. */
@@ -23,16 +24,17 @@
   );
 }
 
-/** Returns how many tasks of `size` fit into `free` at once; Infinity for an empty size. */
+/**
+ * Returns how many tasks of `size` fit into `free` at once; Infinity for an empty
+ * size. Nothing fits while any dimension is overdrawn, also one that is not needed.
+ */
 export function countFits(size: Resources, free: Resources): number {
   let count = Infinity;
-  if (size.cpuMillis > 0) count = Math.min(count, Math.floor(free.cpuMillis / size.cpuMillis));
-  if (size.memoryMib > 0) count = Math.min(count, Math.floor(free.memoryMib / size.memoryMib));
-  if (size.accelerators > 0) {
-    count = Math.min(count, Math.floor(free.accelerators / size.accelerators));
+  for (const name of RESOURCE_NAMES) {
+    if (free[name] < 0) return 0;
+    if (size[name] > 0) count = Math.min(count, Math.floor(free[name] / size[name]));
   }
-  if (size.slots > 0) count = Math.min(count, Math.floor(free.slots / size.slots));
-  return Math.max(0, count);
+  return count;
 }
 
 /** Returns a size with every dimension multiplied by `count`. */
--- a/packages/scheduling/src/schedulerOptions.ts
+++ b/packages/scheduling/src/schedulerOptions.ts
@@ -6,8 +6,10 @@
   halfLifeMs: number;
   /** Time from the first decision during which the fleet counts as incomplete. */
   graceMs: number;
-  /** Endpoints that are compared for one task. */
+  /** Endpoints that are drawn and compared for one task in a large fleet. */
   sampleSize: number;
+  /** Fleet size up to which all endpoints are compared. */
+  scanSize: number;
   /** Shapes of one team and class that are looked at in a turn. */
   lookAhead: number;
   /** Time that a unit fits nowhere before capacity is reserved for it. */
@@ -38,7 +40,8 @@
 export const DEFAULT_SCHEDULER_OPTIONS: Readonly<SchedulerOptions> = {
   halfLifeMs: 600_000,
   graceMs: 10_000,
-  sampleSize: 32,
+  sampleSize: 16,
+  scanSize: 32,
   lookAhead: 32,
   reserveAfterMs: 5_000,
   reservationMs: 30_000,
