--- /dev/null
+++ b/packages/bench/src/virtualClock.ts
@@ -0,0 +1,84 @@
+interface VirtualTimer {
+  atMs: number;
+  order: number;
+  run: () => void;
+  isCleared: boolean;
+}
+
+/**
+ * Replaces the runtime's monotonic clock and one-shot timers by virtual time, which advances from
+ * timer to timer without waiting. For measurements in one process without input and output.
+ */
+export class VirtualClock implements Disposable {
+  private nowMs = 0;
+  private order = 0;
+  /** Binary heap, earliest timer first. */
+  private readonly heap: VirtualTimer[] = [];
+  private readonly original = {
+    now: performance.now,
+    setTimeout: globalThis.setTimeout,
+    clearTimeout: globalThis.clearTimeout,
+  };
+
+  constructor() {
+    performance.now = () => this.nowMs;
+    globalThis.setTimeout = ((run: () => void, ms = 0) => this.add(run, ms)) as never;
+    globalThis.clearTimeout = ((timer?: VirtualTimer) => {
+      if (timer !== undefined) timer.isCleared = true;
+    }) as never;
+  }
+
+  /** Runs timers until virtual time has reached `endMs`. */
+  runUntil(endMs: number): void {
+    while (this.heap.length > 0 && this.heap[0]!.atMs <= endMs) {
+      const timer = this.takeFirst();
+      if (timer.isCleared) continue;
+      this.nowMs = timer.atMs;
+      timer.run();
+    }
+    this.nowMs = endMs;
+  }
+
+  /** Restores the runtime's clock. */
+  [Symbol.dispose](): void {
+    performance.now = this.original.now;
+    globalThis.setTimeout = this.original.setTimeout;
+    globalThis.clearTimeout = this.original.clearTimeout;
+  }
+
+  private add(run: () => void, ms: number): VirtualTimer {
+    this.order += 1;
+    const timer = { atMs: this.nowMs + Math.max(0, ms), order: this.order, run, isCleared: false };
+    let index = this.heap.push(timer) - 1;
+    while (index > 0) {
+      const parent = Math.floor((index - 1) / 2);
+      if (VirtualClock.isBefore(this.heap[parent]!, timer)) break;
+      this.heap[index] = this.heap[parent]!;
+      index = parent;
+    }
+    this.heap[index] = timer;
+    return timer;
+  }
+
+  private takeFirst(): VirtualTimer {
+    const first = this.heap[0]!;
+    const moved = this.heap.pop()!;
+    if (this.heap.length === 0) return first;
+    let index = 0;
+    for (;;) {
+      let child = 2 * index + 1;
+      if (child >= this.heap.length) break;
+      const right = this.heap[child + 1];
+      if (right !== undefined && VirtualClock.isBefore(right, this.heap[child]!)) child += 1;
+      if (VirtualClock.isBefore(moved, this.heap[child]!)) break;
+      this.heap[index] = this.heap[child]!;
+      index = child;
+    }
+    this.heap[index] = moved;
+    return first;
+  }
+
+  private static isBefore(a: VirtualTimer, b: VirtualTimer): boolean {
+    return a.atMs < b.atMs || (a.atMs === b.atMs && a.order < b.order);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/ejectingHealthPolicy.ts
@@ -0,0 +1,226 @@
+import { EndpointHealth } from './endpointHealth.js';
+import { FailureAttribution } from './failureAttribution.js';
+import { HealthListeners } from './healthListeners.js';
+import type { AttemptRef, HealthListener, HealthPolicy } from './healthPolicy.js';
+
+/** Settings of an {@link EjectingHealthPolicy}; all times in milliseconds. */
+export interface EjectionOptions {
+  /** Failures of different units in a row that eject an endpoint. */
+  threshold: number;
+  firstProbationMs: number;
+  /** Bound of the doubled probation, without jitter. */
+  maxProbationMs: number;
+  /** Largest share of the endpoints of one kind of work that is ejected at a time. */
+  maxEjectedShare: number;
+  /** Time without an ejection after which the probation starts at its first length again. */
+  forgetMs: number;
+  /** A trial that runs longer than this without failing has passed. */
+  maxTrialMs: number;
+  /** Source of jitter, in [0, 1). */
+  random: () => number;
+}
+
+/** Settings used where none are given. */
+export const DEFAULT_EJECTION_OPTIONS: Readonly<EjectionOptions> = Object.freeze({
+  threshold: 3,
+  firstProbationMs: 5000,
+  maxProbationMs: 300_000,
+  maxEjectedShare: 0.3,
+  forgetMs: 600_000,
+  maxTrialMs: 60_000,
+  random: Math.random,
+});
+
+/**
+ * Ejects endpoints on which different units fail in a row. After the probation one attempt at a
+ * time is tried. Where the share of ejected endpoints has reached its bound, a failing endpoint
+ * is penalized instead.
+ */
+export class EjectingHealthPolicy implements HealthPolicy {
+  private readonly opts: EjectionOptions;
+  private readonly endpoints = new Map<string, EndpointHealth>();
+  private readonly endpointsByWork = new Map<string, Set<EndpointHealth>>();
+  private readonly attribution = new FailureAttribution();
+  private readonly listeners = new HealthListeners();
+
+  constructor(opts: Partial<EjectionOptions> = {}) {
+    this.opts = { ...DEFAULT_EJECTION_OPTIONS, ...opts };
+  }
+
+  setEndpoint(endpointId: string, works: readonly string[]): void {
+    const endpoint = this.endpoints.get(endpointId) ?? new EndpointHealth(endpointId);
+    this.endpoints.set(endpointId, endpoint);
+    const lost = endpoint.works.filter((work) => !works.includes(work));
+    for (const work of lost) this.unlink(work, endpoint);
+    endpoint.works = [...works];
+    for (const work of works) this.link(work, endpoint);
+    for (const work of [...lost, ...works]) this.enforceBound(work);
+  }
+
+  removeEndpoint(endpointId: string): void {
+    const endpoint = this.endpoints.get(endpointId);
+    if (endpoint === undefined) return;
+    endpoint.stopTimer();
+    this.endpoints.delete(endpointId);
+    this.listeners.forget(endpointId);
+    for (const work of endpoint.works) this.unlink(work, endpoint);
+    for (const work of endpoint.works) this.enforceBound(work);
+  }
+
+  recordStart({ endpointId, attemptId }: AttemptRef): void {
+    const endpoint = this.endpoints.get(endpointId);
+    if (endpoint?.state !== 'awaiting-trial') return;
+    endpoint.state = 'on-trial';
+    endpoint.trialAttempt = attemptId;
+    endpoint.timer = setTimeout(() => this.reinstate(endpoint), this.opts.maxTrialMs);
+    this.announce(endpoint);
+  }
+
+  recordSuccess({ endpointId, attemptId, unitId }: AttemptRef): void {
+    this.attribution.recordSuccess(unitId, endpointId);
+    const endpoint = this.endpoints.get(endpointId);
+    if (endpoint === undefined) return;
+    if (endpoint.state === 'good') {
+      endpoint.clearFailures();
+      this.announce(endpoint);
+    } else if (endpoint.trialAttempt === attemptId) this.reinstate(endpoint);
+  }
+
+  recordFailure({ endpointId, attemptId, unitId }: AttemptRef): void {
+    const endpoint = this.endpoints.get(endpointId);
+    if (endpoint === undefined) return;
+    const verdict = this.attribution.recordFailure(unitId, endpointId, (id) =>
+      this.isSuspect(id, unitId),
+    );
+    for (const id of verdict.takenBackFrom) this.takeBack(id, unitId);
+    const isTrial = endpoint.trialAttempt === attemptId;
+    if (!verdict.counts) {
+      if (isTrial) this.offerTrial(endpoint);
+      return;
+    }
+    if (isTrial) {
+      endpoint.addFailure(unitId);
+      this.eject(endpoint);
+    } else if (endpoint.state === 'good') {
+      endpoint.addFailure(unitId);
+      if (endpoint.failureCount >= this.opts.threshold && this.mayEject(endpoint)) {
+        this.eject(endpoint);
+      }
+      this.announce(endpoint);
+    }
+  }
+
+  recordAbandoned({ endpointId, attemptId }: AttemptRef): void {
+    const endpoint = this.endpoints.get(endpointId);
+    if (endpoint?.trialAttempt === attemptId) this.offerTrial(endpoint);
+  }
+
+  isEjected(endpointId: string): boolean {
+    return this.endpoints.get(endpointId)?.isEjected ?? false;
+  }
+
+  isPenalized(endpointId: string): boolean {
+    const endpoint = this.endpoints.get(endpointId);
+    return endpoint?.state === 'good' && endpoint.failureCount >= this.opts.threshold;
+  }
+
+  onChange(listener: HealthListener): () => void {
+    return this.listeners.add(listener);
+  }
+
+  [Symbol.dispose](): void {
+    for (const endpoint of this.endpoints.values()) endpoint.stopTimer();
+    this.endpoints.clear();
+    this.endpointsByWork.clear();
+  }
+
+  private eject(endpoint: EndpointHealth): void {
+    const { firstProbationMs, maxProbationMs, forgetMs, random } = this.opts;
+    const isForgotten = performance.now() - endpoint.goodSinceMs >= forgetMs;
+    if (endpoint.state === 'good' && isForgotten) endpoint.ejections = 0;
+    const probationMs = Math.min(maxProbationMs, firstProbationMs * 2 ** endpoint.ejections);
+    // Jitter on top keeps endpoints that failed together from being tried together.
+    const lengthMs = probationMs * (1 + random());
+    endpoint.ejections += 1;
+    endpoint.state = 'ejected';
+    endpoint.trialAttempt = undefined;
+    endpoint.probationEndsAtMs = performance.now() + lengthMs;
+    endpoint.stopTimer();
+    endpoint.timer = setTimeout(() => this.offerTrial(endpoint), lengthMs);
+    this.announce(endpoint);
+  }
+
+  private offerTrial(endpoint: EndpointHealth): void {
+    endpoint.stopTimer();
+    endpoint.state = 'awaiting-trial';
+    endpoint.trialAttempt = undefined;
+    this.announce(endpoint);
+  }
+
+  private reinstate(endpoint: EndpointHealth): void {
+    endpoint.stopTimer();
+    endpoint.state = 'good';
+    endpoint.trialAttempt = undefined;
+    endpoint.goodSinceMs = performance.now();
+    endpoint.clearFailures();
+    this.announce(endpoint);
+  }
+
+  private takeBack(endpointId: string, unitId: string): void {
+    const endpoint = this.endpoints.get(endpointId);
+    if (endpoint === undefined || !endpoint.takeBackFailure(unitId)) return;
+    if (endpoint.state !== 'good' && endpoint.failureCount < this.opts.threshold) {
+      endpoint.ejections = Math.max(0, endpoint.ejections - 1);
+      this.reinstate(endpoint);
+    } else this.announce(endpoint);
+  }
+
+  private isSuspect(endpointId: string, unitId: string): boolean {
+    const endpoint = this.endpoints.get(endpointId);
+    return endpoint !== undefined && endpoint.countOthers(unitId) >= this.opts.threshold;
+  }
+
+  private mayEject(endpoint: EndpointHealth): boolean {
+    return endpoint.works.every((work) => this.countOutOfUse(work) + 1 <= this.countAllowed(work));
+  }
+
+  private countAllowed(work: string): number {
+    return Math.floor((this.endpointsByWork.get(work)?.size ?? 0) * this.opts.maxEjectedShare);
+  }
+
+  private countOutOfUse(work: string): number {
+    let count = 0;
+    for (const endpoint of this.endpointsByWork.get(work) ?? []) {
+      if (endpoint.state !== 'good') count += 1;
+    }
+    return count;
+  }
+
+  /** Reinstates endpoints when the fleet has become too small for the number of ejected ones. */
+  private enforceBound(work: string): void {
+    const outOfUse = [...(this.endpointsByWork.get(work) ?? [])]
+      .filter(({ state }) => state !== 'good')
+      .sort((a, b) => a.probationEndsAtMs - b.probationEndsAtMs);
+    const excess = outOfUse.length - this.countAllowed(work);
+    for (const endpoint of outOfUse.slice(0, Math.max(0, excess))) this.reinstate(endpoint);
+  }
+
+  private link(work: string, endpoint: EndpointHealth): void {
+    const peers = this.endpointsByWork.get(work) ?? new Set();
+    this.endpointsByWork.set(work, peers.add(endpoint));
+  }
+
+  private unlink(work: string, endpoint: EndpointHealth): void {
+    const peers = this.endpointsByWork.get(work);
+    peers?.delete(endpoint);
+    if (peers?.size === 0) this.endpointsByWork.delete(work);
+  }
+
+  private announce(endpoint: EndpointHealth): void {
+    this.listeners.update({
+      endpointId: endpoint.id,
+      ejected: endpoint.isEjected,
+      penalized: this.isPenalized(endpoint.id),
+    });
+  }
+}
--- /dev/null
+++ b/packages/routing/src/endpointHealth.ts
@@ -0,0 +1,56 @@
+/** Where an endpoint stands between good and ejected. */
+export type EndpointHealthState = 'good' | 'ejected' | 'awaiting-trial' | 'on-trial';
+
+/** Most failures that are remembered for one endpoint. */
+const MAX_FAILURES = 16;
+
+/** Failures and probation of one endpoint. */
+export class EndpointHealth {
+  state: EndpointHealthState = 'good';
+  works: readonly string[] = [];
+  /** Number of ejections in a row, which sets the length of the probation. */
+  ejections = 0;
+  /** Monotonic time of the last return from probation, in milliseconds. */
+  goodSinceMs = -Infinity;
+  /** Monotonic time at which the probation ends, in milliseconds. */
+  probationEndsAtMs = 0;
+  trialAttempt: string | undefined;
+  timer: NodeJS.Timeout | undefined;
+  /** Units that failed since the last success, each once. */
+  private readonly failedUnits = new Set<string>();
+
+  constructor(readonly id: string) {}
+
+  /** Whether the endpoint gets no work. */
+  get isEjected(): boolean {
+    return this.state === 'ejected' || this.state === 'on-trial';
+  }
+
+  /** Number of different units that failed since the last success. */
+  get failureCount(): number {
+    return this.failedUnits.size;
+  }
+
+  /** Number of different units other than `unitId` that failed since the last success. */
+  countOthers(unitId: string): number {
+    return this.failedUnits.size - (this.failedUnits.has(unitId) ? 1 : 0);
+  }
+
+  addFailure(unitId: string): void {
+    if (this.failedUnits.size < MAX_FAILURES) this.failedUnits.add(unitId);
+  }
+
+  takeBackFailure(unitId: string): boolean {
+    return this.failedUnits.delete(unitId);
+  }
+
+  clearFailures(): void {
+    this.failedUnits.clear();
+  }
+
+  /** Stops the probation or trial that is running. */
+  stopTimer(): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+  }
+}
--- a/packages/routing/src/exchangeHandler.ts
+++ b/packages/routing/src/exchangeHandler.ts
@@ -30,7 +30,7 @@
 export class ExchangeHandler implements Dispatcher.DispatchHandler {
   /** Start of the answer; rejects with ExchangeError. */
   readonly answer: Promise<AnswerStart>;
-  /** Called whenever a part of the answer has arrived. */
+  /** Called when the request is sent and whenever a part of the answer has arrived. */
   onActivity: () => void = () => {};
   /** Called once when the exchange is over; `isSound` if the answer is complete. */
   onSettled: (isSound: boolean) => void = () => {};
@@ -51,9 +51,9 @@
     });
   }
 
-  /** Whether the receiver of the body has asked for no more for now. */
+  /** Whether the endpoint owes nothing: nothing is sent yet, or the receiver holds back. */
   get isHeldBack(): boolean {
-    return this.controller?.paused === true;
+    return !this.isSent || this.controller?.paused === true;
   }
 
   /** Ends the exchange with an error and closes its connection. */
@@ -132,6 +132,7 @@
     try {
       this.opts.beforeSend?.();
       this.isSent = true;
+      this.onActivity();
     } catch (err) {
       this.fail('prevented', 'sending was prevented', toError(err));
       controller.abort(toError(err));
--- /dev/null
+++ b/packages/routing/src/noHealthPolicy.ts
@@ -0,0 +1,30 @@
+import type { HealthPolicy } from './healthPolicy.js';
+
+/** Treats all endpoints alike; baseline for measurements. */
+export class NoHealthPolicy implements HealthPolicy {
+  setEndpoint(): void {}
+
+  removeEndpoint(): void {}
+
+  recordStart(): void {}
+
+  recordSuccess(): void {}
+
+  recordFailure(): void {}
+
+  recordAbandoned(): void {}
+
+  isEjected(): boolean {
+    return false;
+  }
+
+  isPenalized(): boolean {
+    return false;
+  }
+
+  onChange(): () => void {
+    return () => {};
+  }
+
+  [Symbol.dispose](): void {}
+}
--- /dev/null
+++ b/packages/routing/src/penalizingHealthPolicy.ts
@@ -0,0 +1,113 @@
+import { FailureAttribution } from './failureAttribution.js';
+import { HealthListeners } from './healthListeners.js';
+import type { AttemptRef, HealthListener, HealthPolicy } from './healthPolicy.js';
+
+/** Length of the first penalty; it doubles with each further failure, in milliseconds. */
+const FIRST_PENALTY_MS = 30_000;
+
+/** Longest penalty, in milliseconds. */
+const MAX_PENALTY_MS = 300_000;
+
+/** Time after the last failure at which failures are forgotten, in milliseconds. */
+const FORGET_MS = 600_000;
+
+/** Failures beyond this number do not lengthen the penalty. */
+const MAX_FAILURES = 8;
+
+/** Failures of different units that make an endpoint suspect. */
+const SUSPECT_FAILURES = 3;
+
+interface PenalizedEndpoint {
+  failures: { unitId: string; atMs: number }[];
+  timer?: NodeJS.Timeout;
+}
+
+/** Puts endpoints that failed recently last; never excludes one. */
+export class PenalizingHealthPolicy implements HealthPolicy {
+  private readonly endpoints = new Map<string, PenalizedEndpoint>();
+  private readonly attribution = new FailureAttribution();
+  private readonly listeners = new HealthListeners();
+
+  setEndpoint(endpointId: string): void {
+    if (!this.endpoints.has(endpointId)) this.endpoints.set(endpointId, { failures: [] });
+  }
+
+  removeEndpoint(endpointId: string): void {
+    clearTimeout(this.endpoints.get(endpointId)?.timer);
+    this.endpoints.delete(endpointId);
+    this.listeners.forget(endpointId);
+  }
+
+  recordStart(): void {}
+
+  recordSuccess({ unitId, endpointId }: AttemptRef): void {
+    this.attribution.recordSuccess(unitId, endpointId);
+  }
+
+  recordFailure({ unitId, endpointId }: AttemptRef): void {
+    const endpoint = this.endpoints.get(endpointId);
+    if (endpoint === undefined) return;
+    const verdict = this.attribution.recordFailure(unitId, endpointId, (id) =>
+      this.isSuspect(id, unitId),
+    );
+    for (const id of verdict.takenBackFrom) this.takeBack(id, unitId);
+    if (!verdict.counts) return;
+    const atMs = performance.now();
+    const lastMs = endpoint.failures[endpoint.failures.length - 1]?.atMs ?? -Infinity;
+    if (atMs - lastMs >= FORGET_MS) endpoint.failures = [];
+    endpoint.failures.push({ unitId, atMs });
+    if (endpoint.failures.length > MAX_FAILURES) endpoint.failures.shift();
+    this.announce(endpointId, endpoint);
+  }
+
+  recordAbandoned(): void {}
+
+  isEjected(): boolean {
+    return false;
+  }
+
+  isPenalized(endpointId: string): boolean {
+    const endpoint = this.endpoints.get(endpointId);
+    return endpoint !== undefined && PenalizingHealthPolicy.leftMs(endpoint) > 0;
+  }
+
+  onChange(listener: HealthListener): () => void {
+    return this.listeners.add(listener);
+  }
+
+  [Symbol.dispose](): void {
+    for (const { timer } of this.endpoints.values()) clearTimeout(timer);
+    this.endpoints.clear();
+  }
+
+  private isSuspect(endpointId: string, unitId: string): boolean {
+    const failures = this.endpoints.get(endpointId)?.failures ?? [];
+    const units = new Set(failures.map((failure) => failure.unitId));
+    units.delete(unitId);
+    return units.size >= SUSPECT_FAILURES;
+  }
+
+  private takeBack(endpointId: string, unitId: string): void {
+    const endpoint = this.endpoints.get(endpointId);
+    if (endpoint === undefined) return;
+    endpoint.failures = endpoint.failures.filter((failure) => failure.unitId !== unitId);
+    this.announce(endpointId, endpoint);
+  }
+
+  private announce(endpointId: string, endpoint: PenalizedEndpoint): void {
+    clearTimeout(endpoint.timer);
+    const leftMs = PenalizingHealthPolicy.leftMs(endpoint);
+    this.listeners.update({ endpointId, ejected: false, penalized: leftMs > 0 });
+    if (leftMs > 0) {
+      endpoint.timer = setTimeout(() => this.announce(endpointId, endpoint), Math.ceil(leftMs));
+    }
+  }
+
+  /** Returns the time until the penalty ends, in milliseconds; zero or less without one. */
+  private static leftMs({ failures }: PenalizedEndpoint): number {
+    const last = failures[failures.length - 1];
+    if (last === undefined) return 0;
+    const penaltyMs = Math.min(MAX_PENALTY_MS, FIRST_PENALTY_MS * 2 ** (failures.length - 1));
+    return last.atMs + penaltyMs - performance.now();
+  }
+}
--- a/packages/routing/src/silenceWatch.ts
+++ b/packages/routing/src/silenceWatch.ts
@@ -10,7 +10,7 @@
   maxFailedProbes: number;
   /** Asks the endpoint for the attempt on a connection of its own. */
   probe: () => Promise<AttemptPresence>;
-  /** Tells whether the receiver itself holds the answer back. */
+  /** Tells whether silence is not the endpoint's doing. */
   isHeldBack: () => boolean;
   /** Called once when the exchange is to be given up. */
   onGone: (reason: string) => void;
--- a/packages/stand-in/src/announcer.ts
+++ b/packages/stand-in/src/announcer.ts
@@ -1,13 +1,9 @@
-import type {
-  AnnounceAnswer,
-  EndpointAnnouncement,
-  EndpointHeartbeat,
-  HeartbeatAnswer,
-} from '@lagoongap/model/endpoint.js';
+import type { EndpointAnnouncement, EndpointHeartbeat } from '@lagoongap/model/endpoint.js';
 import { toError } from '@lagoongap/model/toError.js';
 import { request } from 'undici';
 
 import type { AttemptTable } from './attemptTable.js';
+import { parseAnnounceAnswer, parseHeartbeatAnswer } from './parseAnswer.js';
 import { StandInError } from './standInError.js';
 
 /** Time after which a gateway that does not answer is given up, in milliseconds. */
@@ -41,6 +37,7 @@
   private reportTimer: NodeJS.Timeout | undefined;
   private loop: Promise<void> | undefined;
   private readonly abort = new AbortController();
+  private readonly path: string;
   /** Last failure of a call to a gateway. */
   lastError: Error | undefined;
 
@@ -48,7 +45,9 @@
     private readonly opts: AnnouncerOptions,
     private readonly announcement: EndpointAnnouncement,
     private readonly attempts: AttemptTable,
-  ) {}
+  ) {
+    this.path = `/v1/endpoints/${encodeURIComponent(announcement.id)}`;
+  }
 
   /** Announces the endpoint until a gateway accepts it; then heartbeats go on by themselves. */
   async start(): Promise<void> {
@@ -60,9 +59,8 @@
   /** Tells the system that the endpoint takes no more work; heartbeats go on. */
   async leave(): Promise<void> {
     this.leaving = true;
-    const path = `/v1/endpoints/${encodeURIComponent(this.announcement.id)}/leave`;
     while (!this.stopped) {
-      const result = await this.call(path, { session: this.session });
+      const result = await this.call(`${this.path}/leave`, { session: this.session });
       if (result !== undefined && result.status < 500) return;
       await this.sleep(RETRY_MS);
     }
@@ -87,39 +85,45 @@
   private async announce(): Promise<boolean> {
     const sentAtMs = performance.now();
     const result = await this.call('/v1/endpoints', this.announcement);
-    if (result === undefined || result.status >= 300) return false;
-    const answer = result.body as AnnounceAnswer;
+    if (result === undefined) return false;
+    if (result.status >= 300) return this.reject(result);
+    const answer = parseAnnounceAnswer(result.body);
+    if (answer === undefined) return this.reject(result);
     this.session = answer.session;
     this.heartbeatMs = answer.heartbeatMs;
+    if (this.leaving) await this.call(`${this.path}/leave`, { session: this.session });
     // An announcement does not list running attempts, so that only a heartbeat renews them.
     if (this.attempts.runningCount > 0) return this.beat();
     this.attempts.extendLease(sentAtMs + answer.leaseMs);
-    if (this.leaving) await this.leave();
     return true;
   }
 
   private async beat(): Promise<boolean> {
-    const path = `/v1/endpoints/${encodeURIComponent(this.announcement.id)}/heartbeat`;
     const heartbeat: EndpointHeartbeat = {
       session: this.session!,
       running: this.attempts.listRunning(),
       finished: this.attempts.listFinished(),
     };
     const sentAtMs = performance.now();
-    const result = await this.call(path, heartbeat);
+    const result = await this.call(`${this.path}/heartbeat`, heartbeat);
     if (result === undefined) return false;
     if (result.status === 404 || result.status === 410) {
       this.session = undefined;
       return false;
     }
-    if (result.status >= 300) return false;
-    const answer = result.body as HeartbeatAnswer;
+    const answer = result.status < 300 ? parseHeartbeatAnswer(result.body) : undefined;
+    if (answer === undefined) return this.reject(result);
     this.attempts.extendLease(sentAtMs + answer.leaseMs);
-    this.attempts.acknowledge(answer.acknowledged ?? []);
-    for (const { attempt, action } of answer.actions ?? []) this.attempts.act(attempt, action);
+    this.attempts.acknowledge(answer.acknowledged);
+    for (const { attempt, action } of answer.actions) this.attempts.act(attempt, action);
     return true;
   }
 
+  private reject({ status, body }: CallResult): false {
+    this.lastError = new StandInError(`unusable answer ${status}: ${JSON.stringify(body)}`);
+    return false;
+  }
+
   /** Sends to one gateway; a failure turns to the next one for the following call. */
   private async call(path: string, body: unknown): Promise<CallResult | undefined> {
     for (let i = 0; i < this.opts.gateways.length && !this.stopped; i++) {
--- a/packages/stand-in/src/standInEndpoint.ts
+++ b/packages/stand-in/src/standInEndpoint.ts
@@ -2,18 +2,17 @@
 import type { AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import type { AttemptAction, StartOrder } from '@lagoongap/model/endpoint.js';
+import type { StartOrder } from '@lagoongap/model/endpoint.js';
 
 import { Announcer } from './announcer.js';
 import { answerRequest } from './answerRequest.js';
 import { AttemptTable } from './attemptTable.js';
+import { isAction } from './parseAnswer.js';
 import { SOUND_BEHAVIOUR, type StandInBehaviour, type StandInOptions } from './standInOptions.js';
 
 /** Interval at which {@link StandInEndpoint.leave} looks whether all work is done. */
 const DRAIN_POLL_MS = 50;
 
-const ACTIONS: readonly string[] = ['checkpoint', 'throttle', 'stop'];
-
 async function readBody(req: IncomingMessage): Promise<Buffer> {
   const chunks: Buffer[] = [];
   for await (const chunk of req) chunks.push(chunk as Buffer);
@@ -110,8 +109,8 @@
     if (route === 'POST requests') await this.serveRequest(req, res);
     else if (route === 'POST tasks' && second === undefined) await this.serveStart(req, res);
     else if (route === 'POST tasks' && third === 'actions') {
-      const { action } = JSON.parse((await readBody(req)).toString()) as { action: AttemptAction };
-      if (!ACTIONS.includes(action)) sendJson(res, 400, { error: `unknown action ${action}` });
+      const { action } = JSON.parse((await readBody(req)).toString());
+      if (!isAction(action)) sendJson(res, 400, { error: `unknown action ${action}` });
       else sendJson(res, this.attempts.act(second!, action) ? 202 : 404, { attempt: second });
     } else if (route === 'GET attempts') {
       sendJson(res, 200, { attempt: second, state: this.attempts.find(second!) });
--- /dev/null
+++ b/packages/tests/src/steps/routing/rawEndpoint.ts
@@ -0,0 +1,68 @@
+import { createServer, type Server, type Socket } from 'node:net';
+
+/** Reacts to a request that has arrived on a connection. */
+export type RawReaction = (request: RawRequest) => void;
+
+/** A request as it arrived, with its connection. */
+export interface RawRequest {
+  socket: Socket;
+  head: string;
+  attempt: string;
+  /** Number of requests on this connection, this one included. */
+  countHere: number;
+}
+
+/** Endpoint that speaks to the socket itself, so that it can break the protocol. */
+export class RawEndpoint implements AsyncDisposable {
+  readonly sockets = new Set<Socket>();
+  receivedBytes = 0;
+  connectionCount = 0;
+  /** State that is told to probes; undefined leaves them without an answer. */
+  presence: string | undefined = 'absent';
+  private readonly server: Server;
+
+  constructor(private readonly react: RawReaction) {
+    this.server = createServer((socket) => this.accept(socket));
+  }
+
+  get url(): string {
+    return `http://127.0.0.1:${(this.server.address() as { port: number }).port}`;
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const socket of this.sockets) socket.destroy();
+    await new Promise((resolve) => {
+      this.server.close(resolve);
+    });
+  }
+
+  private accept(socket: Socket): void {
+    this.connectionCount += 1;
+    this.sockets.add(socket);
+    let countHere = 0;
+    // A reset by the other side is part of the scenarios.
+    socket.on('error', () => {});
+    socket.on('close', () => this.sockets.delete(socket));
+    socket.on('data', (data) => {
+      this.receivedBytes += data.length;
+      const head = data.toString('latin1');
+      if (!/^(GET|POST) /.test(head)) return;
+      countHere += 1;
+      const attempt = /lagoongap-attempt: (\S+)/.exec(head)?.[1] ?? '';
+      if (head.startsWith('GET /attempts/')) this.answerProbe(socket);
+      else this.react({ socket, head, attempt, countHere });
+    });
+  }
+
+  private answerProbe(socket: Socket): void {
+    if (this.presence === undefined) return;
+    const body = JSON.stringify({ state: this.presence });
+    socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+  }
+}
