--- a/packages/settings/src/checkSettings.ts
+++ b/packages/settings/src/checkSettings.ts
@@ -37,6 +37,8 @@
 /** Settings of which the parts that have faults already are missing. */
 type FaultySettings = DeepPartial<DaemonSettings>;
 
+type Roles = (string | undefined)[];
+
 type FaultyPeers = (DeepPartial<PeerSettings> | undefined)[];
 
 function checkTls(list: SettingsFaultList, path: TomlPath, tls?: DeepPartial<TlsSettings>): void {
@@ -76,6 +78,12 @@
   });
 }
 
+/** Returns a copy of a list of roles, or `undefined` if a part of it is missing. */
+function readRoles(roles: Roles | undefined): string[] | undefined {
+  const present = roles?.filter((role) => role !== undefined);
+  return present?.length === roles?.length ? present : undefined;
+}
+
 /** The entry of this instance must agree with its own sections, or peers would not find it. */
 function checkOwnPeer(list: SettingsFaultList, settings: FaultySettings): void {
   const { instance = {}, peering = {} } = settings;
@@ -93,7 +101,7 @@
     if (found === undefined || wanted === undefined || found === wanted) return;
     list.add(['peering', 'peers', index, key], `expected ${source} ${wanted}, found ${found}`);
   };
-  const sortRoles = (roles?: unknown[]): string | undefined => roles && [...roles].sort().join();
+  const sortRoles = (roles?: Roles): string | undefined => readRoles(roles)?.sort().join();
   compare('port', own.port, 'peering.port', peering.port);
   if (peering.host !== undefined && !isListed(unspecified, peering.host)) {
     compare('host', own.host, 'peering.host', peering.host);
@@ -103,7 +111,7 @@
 }
 
 function checkRoles(list: SettingsFaultList, settings: FaultySettings, hasStorage: boolean): void {
-  const roles = settings.instance?.roles;
+  const roles = readRoles(settings.instance?.roles);
   if (roles && roles.includes('replica') && !hasStorage) {
     list.add(['instance', 'roles'], 'role "replica" needs [storage] with a dataFolder');
   }
@@ -111,7 +119,7 @@
     list.add(['storage'], 'expected role "replica" in instance.roles where storage is set');
   }
   const peers = settings.peering?.peers ?? [];
-  const isComplete = peers.length > 0 && peers.every((peer) => peer?.roles !== undefined);
+  const isComplete = peers.length > 0 && peers.every((peer) => readRoles(peer?.roles));
   if (isComplete && !peers.some((peer) => peer?.roles?.includes('replica'))) {
     list.add(['peering', 'peers'], 'expected at least one peer of role "replica"');
   }
