Add command-line client

The client tries the next gateway where a call was certainly not acted upon, repeats calls only where that is safe, and ends with exit codes that tell refused, unreachable and unknown outcomes apart.

--- /dev/null
+++ b/packages/client/bin/lagoongap.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '@lagoongap/client/main.js';
--- /dev/null
+++ b/packages/client/src/commandTable.ts
@@ -0,0 +1,114 @@
+import type { CommandContext } from './commandContext.js';
+import { drainInstance, replaceReplica } from './commands/instanceCommands.js';
+import { cancelJobs, showJob, submitJob, waitForJob } from './commands/jobCommands.js';
+import { manageKeys } from './commands/keyCommands.js';
+import { applyNote, checkNote, diffNote } from './commands/noteCommands.js';
+import {
+  listEndpoints,
+  listQueues,
+  listTeams,
+  showAudit,
+  showStatus,
+} from './commands/readCommands.js';
+import { sendRequest } from './commands/requestCommand.js';
+
+/** One command of the client. */
+export interface CommandDefinition {
+  /** Name and arguments in the notation of the argument parser. */
+  usage: string;
+  description: string;
+  options?: readonly OptionDefinition[];
+  /** Receives the arguments in the order of `usage`; a list for a repeated one. */
+  run(context: CommandContext, ...args: string[]): Promise<void>;
+}
+
+/** One option; those with a value name it in angle brackets. */
+export interface OptionDefinition {
+  usage: string;
+  description: string;
+}
+
+const IDEMPOTENCY_OPTION: OptionDefinition = {
+  usage: '--idempotency-key <key>',
+  description: 'Runs the work at most once for this key',
+};
+
+/** Options of every command. */
+export const GLOBAL_OPTIONS: readonly OptionDefinition[] = [
+  {
+    usage: '--gateway <url>',
+    description: 'Gateway, repeatable; tried in order (or LAGOONGAP_GATEWAY, separated by commas)',
+  },
+  {
+    usage: '--key-file <file>',
+    description: 'File with the secret of the key (or LAGOONGAP_KEY with the secret itself)',
+  },
+  { usage: '--ca-file <file>', description: 'Certificates of the authority of the gateways, PEM' },
+  { usage: '--json', description: 'Write results and errors as JSON' },
+  { usage: '--timeout <seconds>', description: 'Time for the whole command (30 by default)' },
+];
+
+/** All commands of the client. */
+export const COMMANDS: readonly CommandDefinition[] = [
+  {
+    usage: 'apply <note>',
+    description: 'Submit a release note (TOML)',
+    options: [{ usage: '--wait', description: 'Wait until it is in force everywhere' }],
+    run: applyNote,
+  },
+  { usage: 'check <note>', description: 'Check a release note', run: checkNote },
+  { usage: 'diff <note>', description: 'Show what a release note would change', run: diffNote },
+  { usage: 'status', description: 'Show instances and leader', run: showStatus },
+  { usage: 'endpoints', description: 'List workers and runners', run: listEndpoints },
+  { usage: 'teams', description: 'List teams with shares, limits and use', run: listTeams },
+  { usage: 'queues', description: 'List queues', run: listQueues },
+  { usage: 'jobs <id>', description: 'Show a job', run: showJob },
+  {
+    usage: 'submit <job>',
+    description: 'Submit a job (JSON or TOML)',
+    options: [IDEMPOTENCY_OPTION, { usage: '--wait', description: 'Wait until the job has ended' }],
+    run: submitJob,
+  },
+  {
+    usage: 'request',
+    description: 'Send a request and write the response to standard output',
+    options: [
+      { usage: '--queue <name>', description: 'Queue (required)' },
+      { usage: '--work <name>', description: 'Kind of work' },
+      { usage: '--body <file>', description: 'Body; standard input by default' },
+      { usage: '--content-type <type>', description: 'Type of the body' },
+      { usage: '--deadline <ms>', description: 'Time after which the request is given up' },
+      { usage: '--no-repeat', description: 'Never run the request twice' },
+      IDEMPOTENCY_OPTION,
+    ],
+    run: sendRequest,
+  },
+  { usage: 'wait <id>', description: 'Wait until a job has ended', run: waitForJob },
+  {
+    usage: 'cancel <...ids>',
+    description: 'Cancel jobs',
+    run: (context, ...ids) => cancelJobs(context, ids),
+  },
+  { usage: 'drain <instance>', description: 'Drain an instance and stop it', run: drainInstance },
+  {
+    usage: 'replace <instance>',
+    description: 'Replace a replica that has lost its disk',
+    run: replaceReplica,
+  },
+  {
+    usage: 'audit',
+    description: 'Show the audit trail',
+    options: [{ usage: '--verify', description: 'Check the hash chain' }],
+    run: showAudit,
+  },
+  {
+    usage: 'key <action>',
+    description: 'Create a key ("key create") or hash a secret ("key hash")',
+    options: [
+      { usage: '--role <role>', description: 'caller (default), endpoint or operator' },
+      { usage: '--team <name>', description: 'Team of a caller key' },
+      { usage: '--id <id>', description: 'Identifier of the key' },
+    ],
+    run: manageKeys,
+  },
+];
--- /dev/null
+++ b/packages/client/src/commands/jobCommands.ts
@@ -0,0 +1,113 @@
+import { randomUUID } from 'node:crypto';
+
+import { toError } from '@lagoongap/model/toError.js';
+import { parseTomlTable } from '@lagoongap/release-notes/parseTomlTable.js';
+
+import { type CancelAnswer, FINAL_JOB_STATES, type JobAnswer } from '../api.js';
+import { ClientError } from '../clientError.js';
+import type { CommandContext } from '../commandContext.js';
+import { formatTable } from '../output.js';
+
+/** Longest time for which a gateway is asked to hold a call. */
+const MAX_HOLD_MS = 10000;
+
+function jobPath(id: string): string {
+  return `/v1/jobs/${encodeURIComponent(id)}`;
+}
+
+function parseJob(file: string, text: string): unknown {
+  try {
+    return file.endsWith('.toml') ? parseTomlTable(text) : (JSON.parse(text) as unknown);
+  } catch (err) {
+    throw new ClientError('usage', `cannot read a job from ${file}`, { cause: toError(err) });
+  }
+}
+
+function formatJob(job: JobAnswer): string {
+  const reason = job.reason === undefined ? '' : ` (${job.reason})`;
+  const head = `job ${job.id} of ${job.team} in ${job.queue}: ${job.state}${reason}`;
+  if (!job.tasks?.length) return head;
+  const rows = job.tasks.map((task) => [task.index, task.state, task.endpointId]);
+  return `${head}\n\n${formatTable(['TASK', 'STATE', 'ENDPOINT'], rows)}`;
+}
+
+async function awaitJob(context: CommandContext, id: string): Promise<void> {
+  let state = 'unknown';
+  while (context.client.remainingMs > 0) {
+    const holdMs = Math.floor(Math.min(MAX_HOLD_MS, context.client.remainingMs));
+    const path = `${jobPath(id)}?waitMs=${holdMs}`;
+    const call = { method: 'GET', path, holdMs, repetition: 'safe' } as const;
+    const startedMs = performance.now();
+    const job = await context.call<JobAnswer>(call);
+    state = job.state;
+    if (FINAL_JOB_STATES.includes(job.state)) {
+      context.output.result(job, formatJob(job));
+      if (job.state === 'succeeded') return;
+      const reason = job.state === 'unknown' ? 'unknown' : 'workFailed';
+      throw new ClientError(reason, `job ${id} ended as ${job.state}`);
+    }
+    // A gateway that does not hold the call must not be asked without pause.
+    const pauseMs = Math.max(0, Math.min(250, holdMs) - (performance.now() - startedMs));
+    await new Promise((resolve) => {
+      setTimeout(resolve, pauseMs);
+    });
+  }
+  throw new ClientError('timeout', `job ${id} is still ${state}`);
+}
+
+/** `jobs <id>`: shows a job. */
+export async function showJob(context: CommandContext, id: string): Promise<void> {
+  const call = { method: 'GET', path: jobPath(id), repetition: 'safe' } as const;
+  const job = await context.call<JobAnswer>(call);
+  context.output.result(job, formatJob(job));
+}
+
+/** `submit <job>`: submits a job under an idempotency key, so that it can be resent. */
+export async function submitJob(context: CommandContext, file: string): Promise<void> {
+  const job = parseJob(file, await context.readText(file));
+  const given = context.options.text('--idempotency-key');
+  const idempotencyKey = given ?? randomUUID();
+  if (given === undefined) {
+    context.output.notice(
+      `idempotency key ${idempotencyKey}; resubmit with --idempotency-key ${idempotencyKey}`,
+    );
+  }
+  const answer = await context.call<JobAnswer>({
+    method: 'POST',
+    path: '/v1/jobs',
+    headers: { 'content-type': 'application/json', 'idempotency-key': idempotencyKey },
+    body: JSON.stringify(job),
+    repetition: 'safe',
+  });
+  if (!context.options.has('--wait')) {
+    context.output.result({ ...answer, idempotencyKey }, `job ${answer.id} is accepted`);
+    return;
+  }
+  context.output.notice(`job ${answer.id} is accepted`);
+  await awaitJob(context, answer.id);
+}
+
+/** `wait <id>`: waits until a job has ended. */
+export async function waitForJob(context: CommandContext, id: string): Promise<void> {
+  await awaitJob(context, id);
+}
+
+/** `cancel <id...>`: cancels jobs. */
+export async function cancelJobs(context: CommandContext, ids: string[]): Promise<void> {
+  const answer = await context.call<CancelAnswer>({
+    method: 'POST',
+    path: '/v1/jobs/cancel',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify({ ids }),
+    repetition: 'safe',
+  });
+  const refused = answer.refused ?? [];
+  const lines = [
+    `${answer.cancelled.length} of ${ids.length} jobs are cancelled`,
+    ...refused.map(({ id, message }) => `${id}: ${message}`),
+  ];
+  context.output.result(answer, lines.join('\n'));
+  if (refused.length > 0) {
+    throw new ClientError('refused', `${refused.length} jobs were not cancelled`);
+  }
+}
--- /dev/null
+++ b/packages/client/src/commands/noteCommands.ts
@@ -0,0 +1,111 @@
+import type { ClusterConfig } from '@lagoongap/model/clusterConfig.js';
+import type { NoteFault, ReleaseNote } from '@lagoongap/model/releaseNote.js';
+import { applyReleaseNote } from '@lagoongap/release-notes/applyReleaseNote.js';
+import { diffConfigs, formatConfigDiff } from '@lagoongap/release-notes/diffConfigs.js';
+import { hashReleaseNote } from '@lagoongap/release-notes/hashReleaseNote.js';
+import { parseReleaseNote } from '@lagoongap/release-notes/parseReleaseNote.js';
+
+import type { ClusterStatus, NoteAnswer } from '../api.js';
+import { ClientError } from '../clientError.js';
+import type { CommandContext } from '../commandContext.js';
+
+/** Pause between two looks at the status. */
+const POLL_MS = 250;
+
+/** Lists faults of a note, one a line with its place. */
+export function formatNoteFaults(file: string, faults: readonly NoteFault[]): string {
+  return faults
+    .map(({ line, path, message }) => {
+      const place = line > 0 ? `${file}:${line}` : file;
+      return `${place}: ${path === '' ? '' : `${path}: `}${message}`;
+    })
+    .join('\n');
+}
+
+function raiseFaults(file: string, faults: NoteFault[]): never {
+  const message = formatNoteFaults(file, faults);
+  const refusal = { type: 'invalid-input', runState: 'not-run', message, details: faults } as const;
+  throw new ClientError('refused', message, { refusal });
+}
+
+async function readNote(
+  context: CommandContext,
+  file: string,
+  config?: ClusterConfig,
+): Promise<{ note: ReleaseNote; text: string }> {
+  const text = await context.readText(file);
+  const { note, faults } = parseReleaseNote(text, config);
+  if (!note) raiseFaults(file, faults);
+  return { note, text };
+}
+
+/** Faults that a gateway finds refer to the file that was sent. */
+async function sendNote(
+  context: CommandContext,
+  file: string,
+  text: string,
+  query: string,
+): Promise<NoteAnswer> {
+  try {
+    return await context.call<NoteAnswer>({
+      method: 'POST',
+      path: `/v1/notes${query}`,
+      headers: { 'content-type': 'application/toml' },
+      body: text,
+      // The same number with the same content has the same answer however often it is sent.
+      repetition: 'safe',
+    });
+  } catch (err) {
+    const faults = err instanceof ClientError ? err.refusal?.details : undefined;
+    const isFaultList = Array.isArray(faults) && err instanceof ClientError;
+    if (isFaultList && err.reason === 'refused') raiseFaults(file, faults as NoteFault[]);
+    throw err;
+  }
+}
+
+async function waitUntilInForce(context: CommandContext, number: number): Promise<void> {
+  let behind: string[] = ['every instance'];
+  while (context.client.remainingMs > POLL_MS) {
+    const call = { method: 'GET', path: '/v1/status', repetition: 'safe' } as const;
+    const status = await context.call<ClusterStatus>(call);
+    const alive = status.instances.filter((instance) => instance.alive);
+    behind = alive
+      .filter((instance) => instance.configNumber < number)
+      .map((instance) => instance.id);
+    if (behind.length === 0 && alive.length > 0) return;
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+  const message = `note ${number} is accepted, but not yet in force on ${behind.join(', ')}`;
+  throw new ClientError('timeout', message);
+}
+
+/** `apply <note.toml>`: submits a release note. */
+export async function applyNote(context: CommandContext, file: string): Promise<void> {
+  const { note, text } = await readNote(context, file);
+  const answer = await sendNote(context, file, text, '');
+  const isInForce = context.options.has('--wait');
+  if (isInForce) await waitUntilInForce(context, note.number);
+  const state = isInForce ? 'in force on every live instance' : 'accepted';
+  context.output.result({ ...answer, inForce: isInForce }, `note ${note.number} is ${state}`);
+}
+
+/** `check <note.toml>`: has a release note checked without applying it. */
+export async function checkNote(context: CommandContext, file: string): Promise<void> {
+  const { note, text } = await readNote(context, file);
+  await sendNote(context, file, text, '?check=true');
+  const data = { number: note.number, contentHash: hashReleaseNote(note), faults: [] };
+  context.output.result(data, `note ${note.number} has no faults`);
+}
+
+/** `diff <note.toml>`: shows what a release note would change. */
+export async function diffNote(context: CommandContext, file: string): Promise<void> {
+  // Faults of the text itself are reported without a gateway.
+  await readNote(context, file);
+  const call = { method: 'GET', path: '/v1/config', repetition: 'safe' } as const;
+  const config = await context.call<ClusterConfig>(call);
+  const { note } = await readNote(context, file, config);
+  const diff = diffConfigs(config, applyReleaseNote(config, note));
+  context.output.result(diff, formatConfigDiff(diff));
+}
--- /dev/null
+++ b/packages/client/src/output.ts
@@ -0,0 +1,44 @@
+/** Receives text. */
+export interface TextStream {
+  write(text: string | Buffer): unknown;
+}
+
+/** Writes results to standard output, as text or as one JSON document, and notices to standard error. */
+export class Output {
+  constructor(
+    private readonly stdout: TextStream,
+    private readonly stderr: TextStream,
+    readonly json: boolean,
+  ) {}
+
+  /** Writes the result of a command: data with `--json`, otherwise text. */
+  result(data: unknown, text: string): void {
+    this.stdout.write(this.json ? `${JSON.stringify(data)}\n` : `${text.trimEnd()}\n`);
+  }
+
+  /** Writes a result as it is. */
+  raw(data: Buffer): void {
+    this.stdout.write(data);
+  }
+
+  /** Writes a remark that is no part of the result. */
+  notice(text: string): void {
+    this.stderr.write(`${text.trimEnd()}\n`);
+  }
+}
+
+/** Writes rows under headings in columns as wide as needed. */
+export function formatTable(headings: string[], rows: unknown[][]): string {
+  const cells = [headings, ...rows.map((row) => row.map((cell) => String(cell ?? '-')))];
+  const widths = headings.map((_, column) =>
+    Math.max(...cells.map((row) => row[column]?.length ?? 0)),
+  );
+  return cells
+    .map((row) =>
+      row
+        .map((cell, column) => cell.padEnd(widths[column]!))
+        .join('  ')
+        .trimEnd(),
+    )
+    .join('\n');
+}
--- a/packages/settings/src/settingsError.ts
+++ b/packages/settings/src/settingsError.ts
@@ -14,7 +14,10 @@
   constructor(file: string, faults: readonly ShapeFault[], opts?: LagoongapErrorOptions) {
     const noun = faults.length === 1 ? '1 fault' : `${faults.length} faults`;
     const lines = faults.map((fault) => formatFault(file, fault));
-    super('SettingsError', [`${file} has ${noun}:`, ...lines].join('\n'), opts);
+    const message = [`${file} has ${noun}:`, ...lines].join('\n');
+    super('SettingsError', message, opts);
+    // The faults explain the cause already, whose message the base class appends.
+    this.message = message;
     this.file = file;
     this.faults = faults;
   }
