--- a/packages/client/src/commands/jobCommands.ts
+++ b/packages/client/src/commands/jobCommands.ts
@@ -7,6 +7,7 @@
 import { ClientError } from '../clientError.js';
 import type { CommandContext } from '../commandContext.js';
 import { formatTable } from '../output.js';
+import { poll } from '../poll.js';
 
 /** Longest time for which a gateway is asked to hold a call. */
 const MAX_HOLD_MS = 10000;
@@ -31,28 +32,20 @@
   return `${head}\n\n${formatTable(['TASK', 'STATE', 'ENDPOINT'], rows)}`;
 }
 
-async function awaitJob(context: CommandContext, id: string): Promise<void> {
-  let state = 'unknown';
-  while (context.client.remainingMs > 0) {
-    const holdMs = Math.floor(Math.min(MAX_HOLD_MS, context.client.remainingMs));
-    const path = `${jobPath(id)}?waitMs=${holdMs}`;
-    const call = { method: 'GET', path, holdMs, repetition: 'safe' } as const;
-    const startedMs = performance.now();
-    const job = await context.call<JobAnswer>(call);
-    state = job.state;
-    if (FINAL_JOB_STATES.includes(job.state)) {
-      context.output.result(job, formatJob(job));
-      if (job.state === 'succeeded') return;
-      const reason = job.state === 'unknown' ? 'unknown' : 'workFailed';
-      throw new ClientError(reason, `job ${id} ended as ${job.state}`);
-    }
-    // A gateway that does not hold the call must not be asked without pause.
-    const pauseMs = Math.max(0, Math.min(250, holdMs) - (performance.now() - startedMs));
-    await new Promise((resolve) => {
-      setTimeout(resolve, pauseMs);
-    });
-  }
-  throw new ClientError('timeout', `job ${id} is still ${state}`);
+async function awaitJob(context: CommandContext, id: string, isAccepted: boolean): Promise<void> {
+  const job = await poll<JobAnswer>(context, {
+    createCall: (remainingMs) => {
+      const holdMs = Math.floor(Math.min(MAX_HOLD_MS, remainingMs));
+      return { method: 'GET', path: `${jobPath(id)}?waitMs=${holdMs}`, holdMs, repetition: 'safe' };
+    },
+    isDone: (answer) => FINAL_JOB_STATES.includes(answer.state),
+    describe: (answer) => `job ${id} is ${answer?.state ?? 'accepted'} at the end of the timeout`,
+    isAccepted,
+  });
+  context.output.result(job, formatJob(job));
+  if (job.state === 'succeeded') return;
+  const reason = job.state === 'unknown' ? 'unknown' : 'workFailed';
+  throw new ClientError(reason, `job ${id} ended as ${job.state}`);
 }
 
 /** `jobs <id>`: shows a job. */
@@ -84,12 +77,12 @@
     return;
   }
   context.output.notice(`job ${answer.id} is accepted`);
-  await awaitJob(context, answer.id);
+  await awaitJob(context, answer.id, true);
 }
 
 /** `wait <id>`: waits until a job has ended. */
 export async function waitForJob(context: CommandContext, id: string): Promise<void> {
-  await awaitJob(context, id);
+  await awaitJob(context, id, false);
 }
 
 /** `cancel <id...>`: cancels jobs. */
--- a/packages/client/src/commands/noteCommands.ts
+++ b/packages/client/src/commands/noteCommands.ts
@@ -8,9 +8,7 @@
 import type { ClusterStatus, NoteAnswer } from '../api.js';
 import { ClientError } from '../clientError.js';
 import type { CommandContext } from '../commandContext.js';
-
-/** Pause between two looks at the status. */
-const POLL_MS = 250;
+import { poll } from '../poll.js';
 
 /** Lists faults of a note, one a line with its place. */
 export function formatNoteFaults(file: string, faults: readonly NoteFault[]): string {
@@ -64,21 +62,19 @@
 }
 
 async function waitUntilInForce(context: CommandContext, number: number): Promise<void> {
-  let behind: string[] = ['every instance'];
-  while (context.client.remainingMs > POLL_MS) {
-    const call = { method: 'GET', path: '/v1/status', repetition: 'safe' } as const;
-    const status = await context.call<ClusterStatus>(call);
-    const alive = status.instances.filter((instance) => instance.alive);
-    behind = alive
-      .filter((instance) => instance.configNumber < number)
+  const findBehind = (status: ClusterStatus): string[] =>
+    status.instances
+      .filter((instance) => instance.alive && instance.configNumber < number)
       .map((instance) => instance.id);
-    if (behind.length === 0 && alive.length > 0) return;
-    await new Promise((resolve) => {
-      setTimeout(resolve, POLL_MS);
-    });
-  }
-  const message = `note ${number} is accepted, but not yet in force on ${behind.join(', ')}`;
-  throw new ClientError('timeout', message);
+  await poll<ClusterStatus>(context, {
+    createCall: () => ({ method: 'GET', path: '/v1/status', repetition: 'safe' }),
+    isDone: (status) => status.configNumber >= number && findBehind(status).length === 0,
+    describe: (status) => {
+      const places = status ? findBehind(status).join(', ') : '';
+      return `note ${number} is accepted, but not yet in force on ${places || 'every instance'}`;
+    },
+    isAccepted: true,
+  });
 }
 
 /** `apply <note.toml>`: submits a release note. */
