--- a/packages/client/src/gatewayClient.ts
+++ b/packages/client/src/gatewayClient.ts
@@ -1,3 +1,5 @@
+import { rootCertificates } from 'node:tls';
+
 import type { Refusal } from '@lagoongap/model/refusal.js';
 import { toError } from '@lagoongap/model/toError.js';
 import { Agent, request } from 'undici';
@@ -50,6 +52,9 @@
 /** Longest wait for one gateway, so that the next one is tried before the command times out. */
 const ATTEMPT_MS = 5000;
 
+/** Longest wait for a connection; shorter, so that a call is known to be unsent. */
+const CONNECT_MS = 3000;
+
 /** Pause between rounds if the gateways ask for none. */
 const DEFAULT_PAUSE_MS = 250;
 
@@ -79,7 +84,8 @@
   private readonly deadlineMs: number;
 
   constructor(private readonly opts: GatewayClientOptions) {
-    this.agent = new Agent({ connect: { timeout: ATTEMPT_MS, ca: opts.ca }, pipelining: 0 });
+    const ca = opts.ca === undefined ? undefined : [...rootCertificates, opts.ca];
+    this.agent = new Agent({ connect: { timeout: CONNECT_MS, ca }, pipelining: 0 });
     this.deadlineMs = performance.now() + opts.timeoutMs;
   }
 
--- a/packages/model/src/nearestName.ts
+++ b/packages/model/src/nearestName.ts
@@ -36,8 +36,9 @@
   let nearestDistance = Infinity;
   for (const name of names) {
     const candidate = normalise(name.slice(0, MAX_COMPARED_LENGTH));
-    const distance = editDistance(wanted, candidate);
     const bound = Math.max(1, Math.floor(Math.max(wanted.length, candidate.length) / 3));
+    if (Math.abs(wanted.length - candidate.length) > bound) continue;
+    const distance = editDistance(wanted, candidate);
     if (distance <= bound && distance < nearestDistance) {
       nearest = name;
       nearestDistance = distance;
--- a/packages/model/src/tomlLines.ts
+++ b/packages/model/src/tomlLines.ts
@@ -4,6 +4,8 @@
 /** Characters that end a number, boolean or date. */
 const BARE_VALUE_END = /[,\]}#\n]/;
 
+const BYTE_ORDER_MARK = '\uFEFF';
+
 const BARE_KEY = /[A-Za-z0-9_-]/;
 
 /** Writes a path for people, such as `added.teams[0].share`. */
@@ -18,7 +20,7 @@
 
 /**
  * Finds the line of each key, table and array element in a TOML text. The text must have been
- * accepted by a TOML parser before; in other texts some lines are not found.
+ * accepted by a TOML parser with bounded nesting before, since the scan is recursive.
  */
 export class TomlLines {
   private readonly lines = new Map<string, number>();
@@ -27,6 +29,7 @@
   private line = 1;
 
   constructor(private readonly text: string) {
+    if (text.startsWith(BYTE_ORDER_MARK)) this.position = 1;
     this.scanDocument();
   }
 
--- a/packages/release-notes/src/checkReleaseNote.ts
+++ b/packages/release-notes/src/checkReleaseNote.ts
@@ -1,6 +1,5 @@
 import type { ClusterConfig } from '@lagoongap/model/clusterConfig.js';
 import { hasOwnKey } from '@lagoongap/model/hasOwnKey.js';
-import { suggestName } from '@lagoongap/model/nearestName.js';
 import type { NoteFault, ReleaseNote } from '@lagoongap/model/releaseNote.js';
 import type { TomlLines, TomlPath } from '@lagoongap/model/tomlLines.js';
 
@@ -35,7 +34,7 @@
         if (section === 'added' && exists) {
           list.add(path, `${label} "${name}" exists already; use [[changed.${kind}]]`);
         } else if (section !== 'added' && !exists) {
-          const hint = suggestName(name, Object.keys(existing));
+          const hint = list.suggest(name, Object.keys(existing));
           list.add(path, `${label} "${name}" does not exist${hint}`);
         }
       });
@@ -66,7 +65,7 @@
   if (hasOwnKey(after.teams, team)) return;
   const entry = findEntry(note, owner.kind, owner.name);
   if (entry) {
-    const hint = suggestName(team, Object.keys(after.teams));
+    const hint = list.suggest(team, Object.keys(after.teams));
     list.add([...entry, ...reference.path], `team "${team}" does not exist${hint}`);
     return;
   }
--- a/packages/release-notes/src/noteFaultList.ts
+++ b/packages/release-notes/src/noteFaultList.ts
@@ -1,6 +1,14 @@
+import { suggestName } from '@lagoongap/model/nearestName.js';
 import type { NoteFault } from '@lagoongap/model/releaseNote.js';
 import { formatTomlPath, type TomlLines, type TomlPath } from '@lagoongap/model/tomlLines.js';
 
+/**
+ * Bounds on suggestions: comparing thousands of unknown names with thousands of known ones would
+ * hold up the leader for seconds.
+ */
+const MAX_SUGGESTIONS = 20;
+const MAX_COMPARED_NAMES = 1000;
+
 /** Collects the faults of a release note with their lines. */
 export class NoteFaultList {
   readonly faults: NoteFault[] = [];
@@ -13,6 +21,12 @@
     this.faults.push({ line, path: formatTomlPath(path), message });
   }
 
+  /** Returns a suggestion for an unknown name, unless there are too many faults or names. */
+  suggest(name: string, names: string[]): string {
+    const isBounded = this.faults.length < MAX_SUGGESTIONS && names.length <= MAX_COMPARED_NAMES;
+    return isBounded ? suggestName(name, names) : '';
+  }
+
   /** Returns the faults in the order of their lines. */
   sorted(): NoteFault[] {
     return [...this.faults].sort((a, b) => a.line - b.line);
--- a/packages/release-notes/src/parseReleaseNote.ts
+++ b/packages/release-notes/src/parseReleaseNote.ts
@@ -66,13 +66,13 @@
  * @param config - Configuration in force; without it only checks that need none are made.
  */
 export function parseReleaseNote(toml: string, config?: ClusterConfig): ParsedNote {
-  const lines = new TomlLines(toml);
   let document: unknown;
   try {
     document = parse(toml, { maxDepth: MAX_DEPTH });
   } catch (err) {
-    return { faults: [explainSyntaxError(toError(err))], lines };
+    return { faults: [explainSyntaxError(toError(err))], lines: new TomlLines('') };
   }
+  const lines = new TomlLines(toml);
   const shaped = noteShape.safeParse(document);
   if (!shaped.success) {
     const issues = shaped.error.issues as ShapeIssue[];
--- a/packages/settings/src/checkSettings.ts
+++ b/packages/settings/src/checkSettings.ts
@@ -184,6 +184,23 @@
   }
 }
 
+function checkPorts(list: SettingsFaultList, { http, peering }: FaultySettings): void {
+  if (http?.port === undefined || http.port !== peering?.port || http.host !== peering.host) return;
+  list.add(['http', 'port'], `expected another port than that of peering, found ${http.port}`);
+}
+
+function checkDataFolder(list: SettingsFaultList, folder: string | undefined): void {
+  if (folder === undefined) return;
+  const path = ['storage', 'dataFolder'];
+  try {
+    // A folder that does not exist yet is created at the start.
+    const found = statSync(folder, { throwIfNoEntry: false });
+    if (found && !found.isDirectory()) list.add(path, `expected a folder, ${folder} is none`);
+  } catch (err) {
+    list.add(path, `expected a folder, ${folder}: ${(err as NodeJS.ErrnoException).code}`);
+  }
+}
+
 /**
  * Reports settings that contradict each other or name missing files. Parts that are missing
  * because of other faults are not checked.
@@ -200,6 +217,8 @@
   if (settings.peering?.tls && settings.peering.tls.caFile === undefined) {
     list.add(['peering', 'tls'], 'expected caFile, by which instances authenticate each other');
   }
+  checkPorts(list, settings);
+  checkDataFolder(list, settings.storage?.dataFolder);
   checkUniquePeers(list, settings.peering?.peers ?? []);
   checkOwnPeer(list, settings);
   checkRoles(list, settings, hasStorage);
--- a/packages/tests/features/release-notes/hashNotes.feature
+++ b/packages/tests/features/release-notes/hashNotes.feature
@@ -50,6 +50,7 @@
 
   Scenario: the note parser survives any text
     Then 500 random texts are parsed to a note or to faults
+    And a text of 100000 nested lists is refused
 
   Scenario: the line finder names the line of every key
     Then 300 random documents have every key at the line where it stands
--- a/packages/tests/features/settings/parseSettings.feature
+++ b/packages/tests/features/settings/parseSettings.feature
@@ -80,6 +80,8 @@
       | 7    | tls = { certFile = "missing.crt", keyFile = "../package.json" } | 7 | http.tls.certFile | readable file               |
       | 7    | tls = { certFile = 1, keyFile = "../package.json" }  | 7  | http.tls.certFile         | expected a text, found 1           |
       | 7    | port = 65536                                   | 7  | http.port                 | from 0 to 65535                    |
+      | 7 | port = 7081 | 7 | http.port | another port than that of peering |
+      | 17 | dataFolder = "../package.json" | 17 | storage.dataFolder | expected a folder |
       | 1    | bootstrapOperatorKeyHashes = ["lgk_secret"]    | 1  | bootstrapOperatorKeyHashes[0] | 64 lower-case hexadecimal      |
       | 1    | bootstrapOperatorKeyHashes = [                 | 2  |                           | not valid TOML                     |
 
--- a/packages/tests/src/steps/release-notes/hashNotesSteps.ts
+++ b/packages/tests/src/steps/release-notes/hashNotesSteps.ts
@@ -93,11 +93,16 @@
   fc.assert(fc.property(anyTomlText, isParsed), { numRuns: runs });
 });
 
+Then('a text of {int} nested lists is refused', (depth: number) => {
+  assert.equal(parseReleaseNote(`number = ${'['.repeat(depth)}`).note, undefined);
+});
+
 Then('{int} random documents have every key at the line where it stands', (runs: number) => {
   const keys = fc.uniqueArray(fc.stringMatching(/^[a-z. "\\#=[\]-]{1,8}$/), { maxLength: 4 });
   const isLocated = (names: string[], arrays: number): void => {
     const { text, places } = writeDocument(names, arrays);
-    const finder = new TomlLines(text);
+    const [finder, marked] = [new TomlLines(text), new TomlLines(`\uFEFF${text}`)];
+    for (const [path, line] of places) assert.equal(marked.locate(path), line, text);
     for (const [path, line] of places) assert.equal(finder.locate(path), line, text);
   };
   fc.assert(fc.property(keys, fc.nat({ max: 3 }), isLocated), { numRuns: runs });
