--- a/packages/telemetry/src/redact.ts
+++ b/packages/telemetry/src/redact.ts
@@ -11,7 +11,9 @@
 const MAX_TEXT_LENGTH = 16384;
 
 const SECRET_PATTERN = /lgk_[\w-]*/g;
-const AUTHORIZATION_PATTERN = /\b(bearer|basic)(\s+|%20)[^\s"',;]+/gi;
+// Shorter words after "basic" are prose; the system itself uses bearer keys only.
+const AUTHORIZATION_PATTERN =
+  /\b(bearer(?=(?:\s+|%20)\S)|basic(?=(?:\s+|%20)[\w+/=-]{16}))(\s+|%20)[^\s"',;]+/gi;
 
 /** Names of fields that hold secrets, in lower case and without separators. */
 const SECRET_FIELDS = new Set([
