--- a/packages/coordinator/src/commitQueue.ts
+++ b/packages/coordinator/src/commitQueue.ts
@@ -1,6 +1,7 @@
 import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
 import { toError } from '@lagoongap/model/toError.js';
 import type { SingleCommand } from '@lagoongap/state/commands.js';
+import type { Metrics } from '@lagoongap/telemetry/metrics.js';
 
 interface PendingCommand {
   command: SingleCommand;
@@ -17,11 +18,13 @@
  */
 export class CommitQueue {
   private readonly log: ReplicatedLog;
+  private readonly metrics: Metrics;
   private pending: PendingCommand[] = [];
   private isScheduled = false;
 
-  constructor(log: ReplicatedLog) {
+  constructor(log: ReplicatedLog, metrics: Metrics) {
     this.log = log;
+    this.metrics = metrics;
   }
 
   /**
@@ -46,8 +49,10 @@
 
   private flush(batch: PendingCommand[]): void {
     const command = { type: 'batch', commands: batch.map((pending) => pending.command) };
+    const startMs = performance.now();
     this.log.propose(command).then(
       ({ result }) => {
+        this.metrics.observeCommit(performance.now() - startMs);
         const results = result as unknown[];
         batch.forEach((pending, i) => pending.resolve(results[i]));
       },
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -13,16 +13,19 @@
 } from '@lagoongap/model/messages.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 import type { PeerNetwork } from '@lagoongap/peering/peerNetwork.js';
+import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 import type { Scheduler } from '@lagoongap/scheduling/scheduler.js';
 
 import { LeaderSession, type LeaderSessionOptions } from './leaderSession.js';
 import { ReplicaManager } from './replicaManager.js';
 
 /** Options of {@link Coordinator}. */
-export interface CoordinatorOptions extends Omit<LeaderSessionOptions, 'scheduler'> {
+export interface CoordinatorOptions extends Omit<LeaderSessionOptions, 'scheduler' | 'health'> {
   network: PeerNetwork;
   /** Makes the scheduler of a new session. */
   createScheduler: () => Scheduler;
+  /** Makes the health policy of a new session. */
+  createHealth: () => HealthPolicy;
   /** Ids of the instances that may hold a replica. */
   replicaInstances: string[];
 }
@@ -82,10 +85,14 @@
   }
 
   private async startSession(term: number): Promise<void> {
-    const { log, logger, createScheduler } = this.opts;
+    const { log, logger, createScheduler, createHealth } = this.opts;
     await log.whenReadyToLead();
     if (log.role !== 'leader' || log.term !== term || this.session) return;
-    this.session = new LeaderSession({ ...this.opts, scheduler: createScheduler() });
+    this.session = new LeaderSession({
+      ...this.opts,
+      scheduler: createScheduler(),
+      health: createHealth(),
+    });
     this.sessionTerm = term;
     logger.info('took up leadership', { term });
   }
--- a/packages/coordinator/src/endpointLeases.ts
+++ b/packages/coordinator/src/endpointLeases.ts
@@ -42,6 +42,9 @@
   /** Tells whether a lost attempt is the last one of its request. */
   isFinal: (attempt: AttemptRecord) => boolean;
   onRunning: (attemptId: string) => void;
+  /** Called with each view that the scheduler gets. */
+  onPublished: (endpoint: EndpointRecord, state: EndpointState) => void;
+  onRemoved: (endpointId: string) => void;
   wake: () => void;
 }
 
@@ -143,9 +146,11 @@
   /** Hands the present view of an endpoint to the scheduler. */
   publish(endpoint: EndpointRecord): void {
     const { id } = endpoint.announcement;
+    const state = this.resolveState(endpoint);
+    this.opts.onPublished(endpoint, state);
     this.opts.scheduler.upsertEndpoint({
       ...endpoint.announcement,
-      state: this.resolveState(endpoint),
+      state,
       ejected: this.opts.isEjected(id),
     });
   }
@@ -251,6 +256,7 @@
         }
         this.leases.delete(id);
         scheduler.removeEndpoint(id);
+        this.opts.onRemoved(id);
       })
       .catch((err: Error) => {
         lease.isExpiring = false;
--- a/packages/coordinator/src/leaderSession.ts
+++ b/packages/coordinator/src/leaderSession.ts
@@ -1,9 +1,12 @@
 import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
+import type { EndpointState } from '@lagoongap/model/endpoint.js';
 import type { Log } from '@lagoongap/model/log.js';
 import type { Release } from '@lagoongap/model/messages.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 import type { WorkUnit } from '@lagoongap/model/workload.js';
+import { resolveWorks } from '@lagoongap/model/endpointRules.js';
 import type { Exchange } from '@lagoongap/routing/exchange.js';
+import type { AttemptRef, HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 import type {
   PreemptDecision,
   RejectDecision,
@@ -11,8 +14,9 @@
 } from '@lagoongap/scheduling/scheduler.js';
 import type { ClusterState } from '@lagoongap/state/clusterState.js';
 import type { StartAttemptResult, StartedAttempt } from '@lagoongap/state/commands.js';
-import type { AttemptRecord, FinishedAttempt } from '@lagoongap/state/records.js';
+import type { AttemptRecord, EndpointRecord, FinishedAttempt } from '@lagoongap/state/records.js';
 import { isFinal } from '@lagoongap/state/taskTransitions.js';
+import type { Metrics } from '@lagoongap/telemetry/metrics.js';
 
 import { AttemptCloser } from './attemptCloser.js';
 import { CommitQueue } from './commitQueue.js';
@@ -20,6 +24,8 @@
 import { EndpointLeases } from './endpointLeases.js';
 import { GatewaySessions } from './gatewaySessions.js';
 import { JobDesk } from './jobDesk.js';
+import { createUnitId } from './unitId.js';
+import { MetricsReporter } from './metricsReporter.js';
 import { NoteDesk } from './noteDesk.js';
 import {
   PlacementPipeline,
@@ -40,6 +46,9 @@
   /** Made anew for each session, without any state. */
   scheduler: Scheduler;
   exchange: Exchange;
+  /** Made anew for each session; disposed with it. */
+  health: HealthPolicy;
+  metrics: Metrics;
   timing: CoordinatorTiming;
   /** Most attempts decided in one turn. */
   maxBatch: number;
@@ -47,6 +56,10 @@
   isReachable: (instance: string) => boolean;
 }
 
+function createRef({ id, unitId, endpointId }: AttemptRecord): AttemptRef {
+  return { attemptId: id, unitId, endpointId };
+}
+
 /** Everything that exists only while this instance is the leader. */
 export class LeaderSession implements PlacementListener, AsyncDisposable {
   readonly requests: RequestDesk;
@@ -59,6 +72,8 @@
   private readonly guard: ValidityGuard;
   private readonly pipeline: PlacementPipeline;
   private readonly dispatcher: TaskDispatcher;
+  private readonly reporter: MetricsReporter;
+  private readonly stopListening: () => void;
   private readonly sweepTimer: NodeJS.Timeout;
 
   constructor(opts: LeaderSessionOptions) {
@@ -66,7 +81,7 @@
     const { log, state, scheduler, exchange, timing, logger } = opts;
     this.guard = new ValidityGuard(log);
     const { guard } = this;
-    const commits = new CommitQueue(log);
+    const commits = new CommitQueue(log, opts.metrics);
     const closer = new AttemptCloser({
       state,
       scheduler,
@@ -88,6 +103,7 @@
       listener: this,
       maxBatch: opts.maxBatch,
       log: logger,
+      metrics: opts.metrics,
     });
     this.dispatcher = new TaskDispatcher({
       state,
@@ -123,10 +139,12 @@
       guard,
       timing,
       log: logger,
-      isEjected: (id) => this.isEjected(id),
+      isEjected: (id) => opts.health.isEjected(id),
+      onPublished: (endpoint, state) => this.followEndpoint(endpoint, state),
+      onRemoved: (id) => opts.health.removeEndpoint(id),
       canSettle: (attempt, nowMs) => this.canSettle(attempt, nowMs),
       isFinal: (attempt) => attempt.kind === 'request' && !this.requests.isParked(attempt.unitId),
-      onRunning: (attempt) => this.dispatcher.confirm(attempt),
+      onRunning: (attempt) => this.confirmRunning(attempt),
       wake: () => this.pipeline.wake(),
     });
     this.notes = new NoteDesk({
@@ -144,7 +162,21 @@
       leases: this.leases,
       sessions: this.sessions,
       isReachable: opts.isReachable,
-      isEjected: (id) => this.isEjected(id),
+      isEjected: (id) => opts.health.isEjected(id),
+    });
+    this.reporter = new MetricsReporter({
+      state,
+      scheduler,
+      health: opts.health,
+      leases: this.leases,
+      metrics: opts.metrics,
+    });
+    this.stopListening = opts.health.onChange(({ endpointId, ejected }) => {
+      const endpoint = state.endpoints.get(endpointId);
+      logger.info('endpoint health changed', { endpoint: endpointId, ejected });
+      if (ejected) opts.metrics.countEjection();
+      if (endpoint) this.leases.publish(endpoint);
+      this.pipeline.wake();
     });
     this.restore();
     this.sweepTimer = setInterval(() => this.sweep(), SWEEP_INTERVAL_MS);
@@ -156,6 +188,7 @@
   }
 
   handleStarted(attempt: AttemptRecord): void {
+    this.opts.health.recordStart(createRef(attempt));
     if (attempt.kind === 'request') {
       this.requests.handleStarted(attempt);
       return;
@@ -189,6 +222,8 @@
   async [Symbol.asyncDispose](): Promise<void> {
     this.guard.close();
     clearInterval(this.sweepTimer);
+    this.stopListening();
+    this.opts.health[Symbol.dispose]();
     this.jobs.close();
     this.requests.close(
       new RefusalError({
@@ -202,7 +237,9 @@
   private restore(): void {
     const { state, scheduler } = this.opts;
     const nowMs = performance.now();
-    for (const attempt of state.attempts.values()) scheduler.restore(attempt, nowMs);
+    for (const attempt of state.attempts.values()) {
+      scheduler.restore({ ...attempt, unitId: createUnitId(attempt) }, nowMs);
+    }
     for (const job of state.jobs.values()) {
       if (!isFinal(job.state)) this.jobs.enqueueWaiting(job);
     }
@@ -211,18 +248,49 @@
 
   private handleClosed(attempt: AttemptRecord, finished: FinishedAttempt): void {
     this.dispatcher.forget(attempt.id);
-    if (attempt.kind === 'request') this.requests.handleClosed(attempt);
-    else this.jobs.handleClosed(attempt, finished);
+    if (attempt.kind === 'request') {
+      this.requests.handleClosed(attempt);
+    } else {
+      this.recordHealth(attempt, finished);
+      this.jobs.handleClosed(attempt, finished);
+    }
     this.pipeline.wake();
   }
 
-  private handleReleased(_attempt: AttemptRecord, _release: Release): void {
-    // Endpoint health is recorded here.
+  private handleReleased(attempt: AttemptRecord, release: Release): void {
+    const { health } = this.opts;
+    const ref = createRef(attempt);
+    if (release.isEndpointFault) health.recordFailure(ref);
+    else if (release.outcome === 'succeeded') health.recordSuccess(ref);
+    else health.recordAbandoned(ref);
+  }
+
+  private recordHealth(attempt: AttemptRecord, { outcome }: FinishedAttempt): void {
+    const { health } = this.opts;
+    const ref = createRef(attempt);
+    if (outcome === 'succeeded') health.recordSuccess(ref);
+    else if (outcome === 'failed' || outcome === 'not-run') health.recordFailure(ref);
+    else health.recordAbandoned(ref);
+  }
+
+  /** A service that runs counts as a success; it may never end. */
+  private confirmRunning(attemptId: string): void {
+    if (!this.dispatcher.confirm(attemptId)) return;
+    const attempt = this.opts.state.attempts.get(attemptId);
+    if (attempt?.kind === 'service') this.opts.health.recordSuccess(createRef(attempt));
+  }
+
+  private followEndpoint(endpoint: EndpointRecord, state: EndpointState): void {
+    const { announcement } = endpoint;
+    // Endpoints that take no work must not count towards the bound of ejected ones.
+    const works = state === 'ready' ? [...resolveWorks(this.opts.state.config, announcement)] : [];
+    this.opts.health.setEndpoint(announcement.id, works);
   }
 
   private handleConfiguration(): void {
     const { scheduler, state } = this.opts;
     scheduler.setConfiguration(state.config);
+    for (const endpoint of state.endpoints.values()) this.leases.publish(endpoint);
     this.pipeline.wake();
   }
 
@@ -232,15 +300,12 @@
       : this.dispatcher.canSettle(attempt.id, nowMs);
   }
 
-  private isEjected(_endpointId: string): boolean {
-    return false;
-  }
-
   private sweep(): void {
     if (!this.guard.isValid()) return;
     const nowMs = performance.now();
     this.leases.sweep(nowMs);
     this.requests.sweep(nowMs);
+    this.reporter.report(nowMs);
     this.pipeline.wake();
   }
 }
--- a/packages/coordinator/src/placementPipeline.ts
+++ b/packages/coordinator/src/placementPipeline.ts
@@ -9,6 +9,7 @@
 } from '@lagoongap/scheduling/scheduler.js';
 import type { StartAttemptResult, StartedAttempt } from '@lagoongap/state/commands.js';
 import type { AttemptRecord } from '@lagoongap/state/records.js';
+import type { Metrics } from '@lagoongap/telemetry/metrics.js';
 
 import type { CommitQueue } from './commitQueue.js';
 import type { ValidityGuard } from './validityGuard.js';
@@ -42,8 +43,7 @@
   /** Most attempts decided in one turn. */
   maxBatch: number;
   log: Log;
-  /** Called with the duration of each turn of decisions in milliseconds. */
-  onDecided?: (durationMs: number, attempts: number) => void;
+  metrics: Metrics;
 }
 
 /** Takes waiting units through decision and commit; one turn handles a whole batch. */
@@ -81,13 +81,13 @@
   }
 
   private runTurn(): void {
-    const { scheduler, guard, maxBatch, onDecided } = this.opts;
+    const { scheduler, guard, maxBatch, metrics } = this.opts;
     if (!guard.isValid()) return;
     const startMs = performance.now();
     const decisions = scheduler.decide(startMs, maxBatch);
     const started: StartedAttempt[] = [];
     for (const decision of decisions) this.handleDecision(decision, started);
-    onDecided?.(performance.now() - startMs, started.length);
+    metrics.observeDecision(performance.now() - startMs);
     if (started.length === 0) return;
     this.commit(started);
     this.wake();
@@ -95,6 +95,7 @@
 
   private handleDecision(decision: Decision, started: StartedAttempt[]): void {
     if (decision.type === 'preempt') {
+      this.opts.metrics.countPreemption(decision.action);
       this.opts.listener.handlePreempted(decision);
       return;
     }
@@ -110,6 +111,9 @@
 
   private createStarted(decision: PlaceDecision, details: UnitDetails): StartedAttempt[] {
     const { ownerId, ...rest } = details;
+    const { kind, enqueuedAtMs } = decision.unit;
+    this.opts.metrics.observeWaiting(kind, performance.now() - enqueuedAtMs);
+    this.opts.metrics.countPlacements(kind, decision.attempts.length);
     return decision.attempts.map((attempt: Attempt) => ({ ...attempt, ...rest, unitId: ownerId }));
   }
 
--- a/packages/coordinator/src/taskDispatcher.ts
+++ b/packages/coordinator/src/taskDispatcher.ts
@@ -55,8 +55,7 @@
         this.createOrder(attempt),
         { timeoutMs: ORDER_TIMEOUT_MS, beforeSend: () => guard.assertValid() },
       );
-      if (result === 'started') order.isConfirmed = true;
-      else await this.closeNotRun(attempt, `the endpoint answered ${result}`);
+      if (result !== 'started') await this.closeNotRun(attempt, `the endpoint answered ${result}`);
     } catch (err) {
       await this.handleFailure(attempt, err as Error);
     }
@@ -83,11 +82,15 @@
     }
   }
 
-  /** Records that a heartbeat listed the attempt. */
-  confirm(attemptId: string): void {
+  /** Records that a heartbeat listed the attempt; returns whether this is the first time. */
+  confirm(attemptId: string): boolean {
     const order = this.orders.get(attemptId);
-    if (order) order.isConfirmed = true;
-    else this.orders.set(attemptId, { sentAtMs: this.electedAtMs, isConfirmed: true });
+    if (order?.isConfirmed) return false;
+    this.orders.set(attemptId, {
+      sentAtMs: order?.sentAtMs ?? this.electedAtMs,
+      isConfirmed: true,
+    });
+    return true;
   }
 
   forget(attemptId: string): void {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -15,10 +15,13 @@
 import { ValidityPoller } from '@lagoongap/gateway/validityPoller.js';
 import type { Log } from '@lagoongap/model/log.js';
 import { TcpPeerNetwork } from '@lagoongap/peering/tcpPeerNetwork.js';
+import { EjectingHealthPolicy } from '@lagoongap/routing/ejectingHealthPolicy.js';
 import { HttpExchange } from '@lagoongap/routing/httpExchange.js';
+import { RetryBudget } from '@lagoongap/routing/retryBudget.js';
 import type { DaemonSettings } from '@lagoongap/settings/daemonSettings.js';
 import { ClusterState } from '@lagoongap/state/clusterState.js';
 import { FileLogStore } from '@lagoongap/storage/fileLogStore.js';
+import { Metrics } from '@lagoongap/telemetry/metrics.js';
 
 import { DaemonError } from './daemonError.js';
 import { PeerRaftTransport } from './peerRaftTransport.js';
@@ -44,6 +47,8 @@
   private readonly bootId = randomBytes(BOOT_ID_BYTES).toString('hex');
   private readonly network: TcpPeerNetwork;
   private readonly exchange = new HttpExchange();
+  private readonly metrics = new Metrics();
+  private readonly retries: RetryBudget;
   private readonly leader: LeaderClient;
   private readonly validity: ValidityPoller;
   private readonly releases: ReleaseQueue;
@@ -57,6 +62,7 @@
     const { settings, logger } = opts;
     const { id } = settings.instance;
     const owner = `${id}:${this.bootId}`;
+    this.retries = new RetryBudget({ share: settings.routing.retryBudget });
     this.network = new TcpPeerNetwork({
       selfId: id,
       listen: { host: settings.peering.host, port: settings.peering.port },
@@ -82,6 +88,7 @@
       port: settings.http.port,
       router: this.createRouter(owner),
       log: logger,
+      onRefused: ({ type }) => this.metrics.countRefusal(type),
     });
     this.network.handle('instances.drain', () => opts.onDrain());
   }
@@ -96,8 +103,6 @@
     const { settings, logger } = this.opts;
     if (settings.storage) await this.startReplica();
     await this.network.start();
-    await this.replica?.start();
-    if (this.replica) this.startJoiner(this.replica);
     this.validity.start();
     await this.server.listen();
     logger.info('instance listens', {
@@ -105,6 +110,9 @@
       http: `${settings.http.host}:${this.httpPort}`,
       roles: settings.instance.roles,
     });
+    // A replica with an empty disk may have to wait for others; the gateway serves meanwhile.
+    await this.replica?.start();
+    if (this.replica) this.startJoiner(this.replica);
   }
 
   /**
@@ -166,6 +174,14 @@
         log: this.replica,
         state,
         createScheduler: () => createScheduler(settings.scheduling),
+        createHealth: () =>
+          new EjectingHealthPolicy({
+            threshold: settings.routing.ejectionFailures,
+            firstProbationMs: settings.routing.ejectionBaseMs,
+            maxProbationMs: settings.routing.ejectionMaxMs,
+            maxEjectedShare: settings.routing.maxEjectedShare,
+          }),
+        metrics: this.metrics,
         exchange: this.exchange,
         timing,
         maxBatch: settings.scheduling.maxBatch,
@@ -205,11 +221,11 @@
         exchange,
         validity,
         maxAttempts: settings.routing.maxAttempts,
-        tryRetry: () => true,
+        tryRetry: () => this.tryRetry(),
         log: logger,
       },
       maxBodyBytes: settings.http.maxBodyBytes,
-      onFreshRequest: () => {},
+      onFreshRequest: () => this.retries.recordFresh(),
     }).register(router);
     new EndpointApi({ authenticator, leader, validity }).register(router);
     new OperatorApi({
@@ -228,11 +244,23 @@
     new PlatformApi({
       instanceId: settings.instance.id,
       readUnreadiness: () => this.readUnreadiness(),
-      readMetrics: async () => ({ contentType: 'text/plain', text: '' }),
+      readMetrics: () => this.readMetrics(),
     }).register(router);
     return router;
   }
 
+  private tryRetry(): boolean {
+    const isTaken = this.retries.tryTake();
+    this.metrics.countRetry(isTaken ? 'attempted' : 'over-budget');
+    return isTaken;
+  }
+
+  private async readMetrics(): Promise<{ contentType: string; text: string }> {
+    this.metrics.setInFlight(this.server.activeCalls);
+    this.metrics.setConfigNumber(this.validity.config.number);
+    return { contentType: this.metrics.contentType, text: await this.metrics.render() };
+  }
+
   private readUnreadiness(): string | undefined {
     if (this.isDraining) return 'the instance is draining';
     return this.validity.isValid() ? undefined : 'the instance has no contact with a valid leader';
--- a/packages/gateway/src/requestRelay.ts
+++ b/packages/gateway/src/requestRelay.ts
@@ -44,9 +44,26 @@
 /** Time for which the end of a failed attempt is looked for before it counts as unconfirmed. */
 const CONFIRM_TIMEOUT_MS = 2000;
 
+/** Failures of an exchange that the endpoint is to blame for. */
+const ENDPOINT_FAILURES: ReadonlySet<string> = new Set([
+  'refused-connection',
+  'deadline-exceeded',
+  'endpoint-silent',
+  'answer-cut',
+  'answer-mismatch',
+  'answer-invalid',
+  'connection-lost',
+]);
+
 type AttemptEnd =
   | { type: 'answered' }
-  | { type: 'failed'; runState: RunState; err: Error; outcome: ReleaseOutcome };
+  | {
+      type: 'failed';
+      runState: RunState;
+      err: Error;
+      outcome: ReleaseOutcome;
+      isEndpointFault: boolean;
+    };
 
 /**
  * Takes one request of a caller through its attempts. It alone decides whether the
@@ -98,6 +115,7 @@
         outcome: end.outcome,
         final: isLast,
         serviceMs,
+        isEndpointFault: end.isEndpointFault,
       });
       if (isLast) throw this.createRefusal(end.err);
       await release;
@@ -162,18 +180,20 @@
       answer.body.destroy();
       const err = new Error(`endpoint ${placement.endpointId} answered ${answer.status}`);
       // A whole answer proves that the attempt has ended, so that a retry cannot overlap.
-      return { type: 'failed', runState: 'unknown', err, outcome: 'failed' };
+      return { type: 'failed', runState: 'unknown', err, outcome: 'failed', isEndpointFault: true };
     }
     return this.pass(placement, answer);
   }
 
   private async handleExchangeError(placement: AcquireResult, err: Error): Promise<AttemptEnd> {
-    const { runState = 'unknown' } = err as { runState?: RunState };
+    const { runState = 'unknown', failure } = err as { runState?: RunState; failure?: string };
+    const isEndpointFault = failure !== undefined && ENDPOINT_FAILURES.has(failure);
     if (runState === 'not-run' || err instanceof RefusalError) {
-      return { type: 'failed', runState: 'not-run', err, outcome: 'not-run' };
+      return { type: 'failed', runState: 'not-run', err, outcome: 'not-run', isEndpointFault };
     }
     const isEnded = this.mayAttemptAgain() && (await this.confirmEnded(placement));
-    return { type: 'failed', runState, err, outcome: isEnded ? 'failed' : 'unconfirmed' };
+    const outcome = isEnded ? 'failed' : 'unconfirmed';
+    return { type: 'failed', runState, err, outcome, isEndpointFault };
   }
 
   /** Asks the endpoint to stop the attempt, and returns whether it certainly has ended. */
@@ -217,6 +237,7 @@
         attempt: placement.attempt,
         outcome,
         final: true,
+        isEndpointFault: outcome !== 'succeeded' && !this.abort.signal.aborted,
         serviceMs: performance.now() - startMs,
       })
       .catch(() => {});
--- a/packages/model/src/messages.ts
+++ b/packages/model/src/messages.ts
@@ -51,6 +51,8 @@
   final: boolean;
   /** Duration of the exchange with the endpoint. */
   serviceMs?: number;
+  /** The endpoint is to blame: it refused, cut off, or answered with a server error. */
+  isEndpointFault?: boolean;
 }
 
 /** Reports the end of attempts. Idempotent. */
--- a/packages/tests/src/harness/testInstance.ts
+++ b/packages/tests/src/harness/testInstance.ts
@@ -12,8 +12,10 @@
 import { SILENT_LOG } from '@lagoongap/model/log.js';
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
+import { EjectingHealthPolicy } from '@lagoongap/routing/ejectingHealthPolicy.js';
 import type { Scheduler } from '@lagoongap/scheduling/scheduler.js';
 import { ClusterState } from '@lagoongap/state/clusterState.js';
+import { Metrics } from '@lagoongap/telemetry/metrics.js';
 import type { LogStore } from '@lagoongap/storage/logStore.js';
 
 import type { CallRecord } from '../history/callRecord.js';
@@ -227,6 +229,8 @@
       log: replica,
       state: this.state,
       createScheduler: opts.createScheduler,
+      createHealth: () => new EjectingHealthPolicy({ random: opts.random }),
+      metrics: new Metrics({ processMetrics: false }),
       exchange: this.exchange,
       timing: TIMING,
       maxBatch: 512,
