Refuse removals that leave no active majority, and tighten caught-up

A new leader counted learners as caught up by the commit index that it knew before its first commit. An interrupted bootstrap goes on after a restart, and a replica can be disposed of while it waits for the other initial voters.

--- a/packages/consensus/src/bootstrapInquiry.ts
+++ b/packages/consensus/src/bootstrapInquiry.ts
@@ -65,9 +65,9 @@
     if (isMajority(this.answers.size, this.others.length)) this.end(false);
   }
 
-  /** Stops asking; the promise stays pending. */
+  /** Stops asking; the answer has no meaning then. */
   [Symbol.dispose](): void {
-    clearInterval(this.timer);
+    this.end(true);
   }
 
   private ask(): void {
--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -1,6 +1,6 @@
 import type { LogEntryType } from '@lagoongap/storage/logStore.js';
 
-import { majorityValue } from './quorum.js';
+import { isMajority, majorityValue } from './quorum.js';
 import { Progress } from './progress.js';
 import type { AppendReplyMessage, SnapshotReplyMessage } from './raftMessage.js';
 import type { RaftState } from './raftState.js';
@@ -19,8 +19,9 @@
   readonly progress = new Map<string, Progress>();
   /** Index of the no-op entry that starts the term. */
   readonly termStartIndex: number;
-  /** Commit index one heartbeat ago; a learner with all of it has caught up. */
+  /** Commit indexes one heartbeat ago and at the last one. */
   private previousCommitIndex: number;
+  private lastCommitIndex: number;
   private readonly electedAtMs: number;
   private nextHeartbeatMs: number;
   /** Cached JSON text of the snapshot that is sent. */
@@ -30,9 +31,11 @@
   constructor(protected readonly state: RaftState) {
     this.electedAtMs = state.nowMs;
     this.nextHeartbeatMs = state.nowMs;
-    this.previousCommitIndex = state.commitIndex;
     this.followMembership();
     this.termStartIndex = this.append('no-op', null);
+    // Any entry before the term may be committed, whatever this replica knows so far.
+    this.previousCommitIndex = this.termStartIndex;
+    this.lastCommitIndex = this.termStartIndex;
   }
 
   /** Tells whether an entry of this term is committed; only then may the membership change. */
@@ -55,13 +58,17 @@
     return nowMs - contactMs >= options.timing.electionMaxMs;
   }
 
+  /** Tells whether a majority of the given voters has answered lately. */
+  hasActiveMajority(voters: readonly string[]): boolean {
+    const active = voters.filter((id) => id === this.state.replicaId || this.isActive(id));
+    return isMajority(active.length, voters.length);
+  }
+
   /** Tells whether a member has everything that was committed one heartbeat ago, durably. */
   isCaughtUp(replicaId: string): boolean {
     const progress = this.progress.get(replicaId);
     if (progress === undefined || progress.mode !== 'replicate') return false;
-    const { nowMs, options } = this.state;
-    const isActive = nowMs - progress.ackedSentAtMs < options.timing.electionMinMs;
-    return isActive && progress.durableIndex >= this.previousCommitIndex;
+    return this.isActive(replicaId) && progress.durableIndex >= this.previousCommitIndex;
   }
 
   /** Returns the voter other than this replica whose log is furthest. */
@@ -91,8 +98,8 @@
     const { nowMs, options, commitIndex } = this.state;
     if (nowMs < this.nextHeartbeatMs) return;
     this.nextHeartbeatMs = nowMs + options.timing.heartbeatMs;
-    this.previousCommitIndex = Math.max(this.previousCommitIndex, this.lastRoundCommitIndex);
-    this.lastRoundCommitIndex = commitIndex;
+    this.previousCommitIndex = this.lastCommitIndex;
+    this.lastCommitIndex = Math.max(this.lastCommitIndex, commitIndex);
     for (const [id, progress] of this.progress) this.sendHeartbeat(id, progress);
   }
 
@@ -151,9 +158,6 @@
     return this.state.log.termAt(index) === this.state.term;
   }
 
-  /** Commit index at the last heartbeat. */
-  private lastRoundCommitIndex = 0;
-
   private get quorumContactMs(): number {
     const { state } = this;
     const contacts = state.voters.map((id) =>
@@ -162,6 +166,12 @@
     return contacts.length === 0 ? -Infinity : majorityValue(contacts);
   }
 
+  private isActive(replicaId: string): boolean {
+    const { nowMs, options } = this.state;
+    const ackedSentAtMs = this.progress.get(replicaId)?.ackedSentAtMs ?? -Infinity;
+    return nowMs - ackedSentAtMs < options.timing.electionMinMs;
+  }
+
   private durableIndexOf(replicaId: string): number {
     if (replicaId === this.state.replicaId) return this.state.writes.durableIndex;
     return this.progress.get(replicaId)?.durableIndex ?? 0;
--- a/packages/consensus/src/membershipChange.ts
+++ b/packages/consensus/src/membershipChange.ts
@@ -48,5 +48,7 @@
   }
   expect(voters.includes(replicaId) || learners.includes(replicaId), `${replicaId} is no member`);
   expect(otherVoters.length > 0, `${replicaId} is the last voter`);
+  const isSafe = !voters.includes(replicaId) || leader.hasActiveMajority(otherVoters);
+  expect(isSafe, `no majority of the voters besides ${replicaId} answers`);
   return { voters: otherVoters, learners: otherLearners };
 }
--- a/packages/consensus/src/raftReplica.ts
+++ b/packages/consensus/src/raftReplica.ts
@@ -44,6 +44,7 @@
   private readonly storeQueue: StoreQueue;
   private readonly unsubscribe: () => void;
   private core: RaftCore | undefined;
+  private starting: Promise<void> | undefined;
   private stored: StoredLog | undefined;
   private inquiry: BootstrapInquiry | undefined;
   private ticker: NodeJS.Timeout | undefined;
@@ -61,28 +62,18 @@
 
   /**
    * Loads the log and takes up the protocol. On an empty folder with `bootstrapVoters` it waits
-   * until enough of the other initial voters have answered. Rejects if the store fails.
+   * until enough of the other initial voters have answered. Rejects with ConsensusError if the
+   * store fails; resolves without effect if the replica is disposed of meanwhile.
    */
   async start(): Promise<void> {
-    this.stored = await this.opts.store.load();
-    const replicaId = await this.establishIdentity(this.stored);
-    if (this.isStopped) return;
-    const { hardState, snapshot, entries } = this.stored;
-    this.core = new RaftCore({
-      replicaId,
-      timing: this.timing,
-      random: this.random,
-      snapshotEntries: this.opts.snapshotEntries ?? DEFAULT_SNAPSHOT_ENTRIES,
-      hardState,
-      snapshot,
-      entries,
-      nowMs: performance.now(),
-    });
-    if (snapshot !== undefined) {
-      this.opts.stateMachine.restore(snapshot.data);
-      this.lastApplied = snapshot.index;
+    this.starting = this.load();
+    try {
+      await this.starting;
+    } catch (err) {
+      const error = new ConsensusError('the replica cannot start', { cause: toError(err) });
+      this.stop(error);
+      throw error;
     }
-    this.ticker = setInterval(() => this.tick(), this.timing.heartbeatMs / TICKS_PER_HEARTBEAT);
   }
 
   /** Id of this replica; undefined before `start` has chosen it. */
@@ -178,27 +169,51 @@
   /** Stops; entries that wait for their commit are rejected with CommitUnknownError. */
   async [Symbol.asyncDispose](): Promise<void> {
     this.stop();
+    await this.starting?.catch(() => undefined);
     await this.storeQueue.stop();
   }
 
-  private async establishIdentity(stored: StoredLog): Promise<string> {
-    const { instanceId, bootstrapVoters, store } = this.opts;
+  private async load(): Promise<void> {
+    const stored = await this.opts.store.load();
+    this.stored = stored;
+    await this.establishIdentity(stored);
+    const { replicaId, hardState, snapshot, entries } = stored;
+    if (this.isStopped || replicaId === undefined) return;
+    this.core = new RaftCore({
+      replicaId,
+      timing: this.timing,
+      random: this.random,
+      snapshotEntries: this.opts.snapshotEntries ?? DEFAULT_SNAPSHOT_ENTRIES,
+      hardState,
+      snapshot,
+      entries,
+      nowMs: performance.now(),
+    });
+    if (snapshot !== undefined) {
+      this.opts.stateMachine.restore(snapshot.data);
+      this.lastApplied = snapshot.index;
+    }
+    this.ticker = setInterval(() => this.tick(), this.timing.heartbeatMs / TICKS_PER_HEARTBEAT);
+  }
+
+  private async establishIdentity(stored: StoredLog): Promise<void> {
+    const { instanceId, bootstrapVoters = [], store } = this.opts;
     const ownBootstrapId = bootstrapReplicaId(instanceId);
-    const isBootstrap = bootstrapVoters?.includes(instanceId) ?? false;
-    // A crash between identity and first entry leaves the bootstrap identity without a log.
-    const isUnfinished = stored.replicaId === ownBootstrapId && isEmpty(stored);
-    if (stored.replicaId !== undefined && !(isUnfinished && isBootstrap)) return stored.replicaId;
-    const mayBootstrap = isBootstrap && !(await this.clusterExists(bootstrapVoters!));
-    if (this.isStopped) return stored.replicaId ?? ownBootstrapId;
-    const replicaId = mayBootstrap ? ownBootstrapId : createReplicaId(instanceId, this.random);
-    await store.writeIdentity(replicaId);
-    if (mayBootstrap) {
-      const write = bootstrapWrite(bootstrapVoters!);
+    const isInitialVoter = bootstrapVoters.includes(instanceId);
+    if (stored.replicaId === undefined) {
+      const mayBootstrap = isInitialVoter && !(await this.clusterExists(bootstrapVoters));
+      if (this.isStopped) return;
+      const replicaId = mayBootstrap ? ownBootstrapId : createReplicaId(instanceId, this.random);
+      await store.writeIdentity(replicaId);
+      stored.replicaId = replicaId;
+    }
+    // Also ends a bootstrap that a crash interrupted; a replica without a term never voted.
+    if (isInitialVoter && stored.replicaId === ownBootstrapId && isEmpty(stored)) {
+      const write = bootstrapWrite(bootstrapVoters);
       await store.write(write);
       stored.hardState = write.hardState;
       stored.entries = write.entries;
     }
-    return replicaId;
   }
 
   private async clusterExists(voters: string[]): Promise<boolean> {
--- a/packages/tests/features/consensus/schedules.feature
+++ b/packages/tests/features/consensus/schedules.feature
@@ -31,6 +31,7 @@
       | acknowledgement before the write completes           | elections        | 1    | 100   | committed entries stay |
       | vote before the write completes                      | elections        | 1    | 300   | one leader a term      |
       | log position is ignored in votes                     | crashes          | 1    | 50    | committed entries stay |
+      | log position is ignored in appends                   | elections        | 5    | 1     | log matching           |
       | entries of earlier terms commit by counting          | elections        | 1    | 400   | committed entries stay |
       | no wait after restart                                | leases           | 400  | 200   | one valid leader       |
       | votes while a leader is heard                        | leases           | 1    | 50    | one valid leader       |
