Bound Raft messages by their text and transfer to a voter that answers

A follower that is far behind could be sent one message beyond the frame limit of the connection, for ever. A message carries about 1 MiB of entries at most, and 32 messages are in flight per member. A transfer without a target no longer picks a voter that is down.

--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -1,5 +1,6 @@
 import type { LogEntryType } from '@lagoongap/storage/logStore.js';
 
+import { limitText } from './entryBatch.js';
 import { isMajority, majorityValue } from './quorum.js';
 import { Progress } from './progress.js';
 import type { AppendReplyMessage, SnapshotReplyMessage } from './raftMessage.js';
@@ -10,6 +11,9 @@
 /** Default of the largest number of entries in one message. */
 const DEFAULT_MAX_MESSAGE_ENTRIES = 4096;
 
+/** Estimated text of the entries of one message, so that other messages need not wait long. */
+const MAX_MESSAGE_TEXT = 1_048_576;
+
 /** Default of the largest part of a snapshot in one message. */
 const DEFAULT_MAX_SNAPSHOT_TEXT = 262_144;
 
@@ -71,11 +75,11 @@
     return this.isActive(replicaId) && progress.durableIndex >= this.previousCommitIndex;
   }
 
-  /** Returns the voter other than this replica whose log is furthest. */
+  /** Returns the voter other than this replica that answers and whose log is furthest. */
   mostUpToDateVoter(): string | undefined {
     const { voters, replicaId } = this.state;
-    const others = voters.filter((id) => id !== replicaId);
-    return others.sort((a, b) => this.durableIndexOf(b) - this.durableIndexOf(a))[0];
+    const others = voters.filter((id) => id !== replicaId && this.isActive(id));
+    return others.sort((x, y) => this.durableIndexOf(y) - this.durableIndexOf(x))[0];
   }
 
   /** Appends an entry of this term and returns its index. */
@@ -207,7 +211,8 @@
       return false;
     }
     const limit = options.maxMessageEntries ?? DEFAULT_MAX_MESSAGE_ENTRIES;
-    const entries = progress.canSend ? log.slice(progress.nextIndex, limit) : [];
+    const unsent = progress.canSend ? log.slice(progress.nextIndex, limit) : [];
+    const entries = limitText(unsent, MAX_MESSAGE_TEXT);
     this.state.send({
       type: 'append',
       from: replicaId,
--- a/packages/consensus/src/progress.ts
+++ b/packages/consensus/src/progress.ts
@@ -1,7 +1,7 @@
 import type { SnapshotTransfer } from './snapshotTransfer.js';
 
-/** Entries that may be sent without an acknowledgement, which bounds memory in transit. */
-const MAX_UNACKNOWLEDGED_ENTRIES = 16_384;
+/** Messages that may be sent without an acknowledgement, which bounds memory in transit. */
+const MAX_MESSAGES_IN_FLIGHT = 32;
 
 /**
  * How entries are sent to a member: `probe` sends one message at a time until the logs agree,
@@ -20,6 +20,8 @@
   ackedSentAtMs = -Infinity;
   /** True while a probe is on its way; the next heartbeat clears it. */
   isProbing = false;
+  /** Last index of each message that has not been acknowledged as durable. */
+  private inFlight: number[] = [];
   /** Snapshot that is being sent. */
   transfer: SnapshotTransfer | undefined;
 
@@ -31,7 +33,7 @@
   get canSend(): boolean {
     if (this.mode === 'snapshot') return false;
     if (this.mode === 'probe') return !this.isProbing;
-    return this.nextIndex - this.durableIndex <= MAX_UNACKNOWLEDGED_ENTRIES;
+    return this.inFlight.length < MAX_MESSAGES_IN_FLIGHT;
   }
 
   /** Notes an acknowledged message. */
@@ -41,13 +43,18 @@
 
   /** Notes that entries up to an index have been sent. */
   sent(lastIndex: number): void {
-    if (this.mode === 'probe') this.isProbing = true;
-    else this.nextIndex = lastIndex + 1;
+    if (this.mode === 'probe') {
+      this.isProbing = true;
+      return;
+    }
+    if (lastIndex >= this.nextIndex) this.inFlight.push(lastIndex);
+    this.nextIndex = lastIndex + 1;
   }
 
   /** Notes that the logs agree up to `verifiedIndex`. */
   accept(verifiedIndex: number, durableIndex: number): void {
     this.durableIndex = Math.max(this.durableIndex, durableIndex);
+    this.inFlight = this.inFlight.filter((index) => index > this.durableIndex);
     if (this.transfer && verifiedIndex < this.transfer.snapshot.index) return;
     this.transfer = undefined;
     this.mode = 'replicate';
@@ -59,12 +66,14 @@
   probeFrom(nextIndex: number): void {
     this.mode = 'probe';
     this.isProbing = false;
+    this.inFlight = [];
     this.nextIndex = Math.max(nextIndex, this.durableIndex + 1);
   }
 
   /** Starts to send a snapshot. */
   startTransfer(transfer: SnapshotTransfer): void {
     this.mode = 'snapshot';
+    this.inFlight = [];
     this.transfer = transfer;
   }
 }
--- a/packages/tests/features/consensus/replica.feature
+++ b/packages/tests/features/consensus/replica.feature
@@ -155,6 +155,15 @@
     And Raft replica other is a valid leader
     And Raft replica leader isn't a valid leader
 
+  Scenario: leadership goes to a voter that answers
+    Given a Raft cluster of "a b c"
+    When Raft replica follower crashes
+    And 600 ms of Raft time pass
+    And the Raft leader transfers leadership to any voter
+    And 20 ms of Raft time pass
+    Then the Raft outcome is "transferred"
+    And Raft replica other is a valid leader
+
   Scenario: a failed write stops the replica for good
     Given a Raft cluster of "a b c"
     When the writes of Raft replica leader fail
--- a/packages/tests/src/steps/consensus/replicaSteps.ts
+++ b/packages/tests/src/steps/consensus/replicaSteps.ts
@@ -177,6 +177,13 @@
   },
 );
 
+When(
+  'the Raft leader transfers leadership to any voter',
+  function transferToAny(this: ReplicaWorld) {
+    follow(this, member(this, 'leader').replica.transferLeadership(), 'transferred');
+  },
+);
+
 Then('the Raft outcome is {string}', function checkOutcome(this: ReplicaWorld, outcome: string) {
   assert.equal(this.outcome, outcome);
 });
