--- a/packages/scheduling/src/evictionTracker.ts
+++ b/packages/scheduling/src/evictionTracker.ts
@@ -47,7 +47,8 @@
 ): AttemptAction[] {
   const steps: AttemptAction[] = [];
   if (capabilities.includes('checkpoint')) steps.push('checkpoint');
-  if (isThrottleUseful && capabilities.includes('throttle')) steps.push('throttle');
+  // A task that was told to checkpoint ends, so that throttling it would gain nothing.
+  else if (isThrottleUseful && capabilities.includes('throttle')) steps.push('throttle');
   if (capabilities.includes('stop')) steps.push('stop');
   return steps.every((step) => step === 'throttle') ? [] : steps;
 }
