--- a/packages/bench/src/runHealthBench.ts
+++ b/packages/bench/src/runHealthBench.ts
@@ -31,7 +31,8 @@
   .option('--seed <number>', 'Seed of arrivals, run times and jitter', { default: 1 })
   .option('--seconds <number>', 'Virtual time of each measurement', { default: 300 })
   .option('--load <share>', 'Arrivals as a share of the capacity of all runners', { default: 0.6 })
-  .action((opts: { json?: string; seed: number; seconds: number; load: number }) => {
+  .option('--bad <share>', 'Share of requests that fail on every runner', { default: 0.01 })
+  .action((opts: { json?: string; seed: number; seconds: number; load: number; bad: number }) => {
     const results = FAILING_COUNTS.flatMap((failing) =>
       HEALTH_POLICY_NAMES.map((policy) =>
         measureHealth({
@@ -39,6 +40,7 @@
           failing,
           seed: opts.seed,
           load: opts.load,
+          badShare: opts.bad,
           durationMs: opts.seconds * 1000,
         }),
       ),
--- a/packages/tests/features/routing/httpExchange.feature
+++ b/packages/tests/features/routing/httpExchange.feature
@@ -82,6 +82,12 @@
     Then the exchange fails with 'deadline-exceeded' and run state 'not-run'
     And the endpoint has received no byte
 
+  Scenario: nothing is sent on an open connection after the deadline
+    Given a sound endpoint for the exchange
+    When the exchange relays 'hello'
+    And the exchange relays 'late' with no time left
+    Then the exchange fails with 'deadline-exceeded' and run state 'not-run'
+
   Scenario: no request waits for a connection
     Given an endpoint that is silent and says the attempt is running
     And the exchange has as many requests under way as it has connections
--- a/packages/tests/src/steps/routing/admissionSteps.ts
+++ b/packages/tests/src/steps/routing/admissionSteps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Before, Given, Then, When } from '@cucumber/cucumber';
 import { Backoff } from '@lagoongap/routing/backoff.js';
 import { computeInstanceLimit, ConcurrencyLimiter } from '@lagoongap/routing/concurrencyLimiter.js';
 import { Deadline } from '@lagoongap/routing/deadline.js';
@@ -30,10 +30,14 @@
 
 const MAX_WAIT_MS = 1000;
 
-After(function uninstallAdmissionClock(this: AdmissionWorld) {
-  this.admissionClock?.uninstall();
+let world: AdmissionWorld;
+
+Before(() => {
+  world = {} as AdmissionWorld;
 });
 
+After(() => world.admissionClock?.uninstall());
+
 function drawDelays(): number[][] {
   return Array.from({ length: 1000 }, (_, seed) => {
     const backoff = new Backoff({ baseMs: 50, maxMs: 2000, random: createSeededRandom(seed) });
@@ -45,42 +49,33 @@
   return callers.flatMap((caller, i) => (test(caller) ? [i + 1] : [])).join(',');
 }
 
-Given('a retry budget', function createBudget(this: AdmissionWorld) {
-  this.admissionClock = FakeTimers.install({ toFake: [...CLOCK_FUNCTIONS] });
-  this.budget = new RetryBudget();
+Given('a retry budget', () => {
+  world.admissionClock = FakeTimers.install({ toFake: [...CLOCK_FUNCTIONS] });
+  world.budget = new RetryBudget();
 });
 
-When(
-  '{int} fresh requests arrive within a second',
-  function arrive(this: AdmissionWorld, requests: number) {
-    for (let i = 0; i < requests; i++) this.budget.recordFresh();
-  },
-);
+When('{int} fresh requests arrive within a second', (requests: number) => {
+  for (let i = 0; i < requests; i++) world.budget.recordFresh();
+});
 
-When(
-  '{int} seconds pass for the retry budget',
-  function passForBudget(this: AdmissionWorld, seconds: number) {
-    this.admissionClock!.tick(seconds * 1000);
-  },
+When('{int} seconds pass for the retry budget', (seconds: number) =>
+  world.admissionClock!.tick(seconds * 1000),
 );
 
-Then('{int} retries are granted', function checkGranted(this: AdmissionWorld, expected: number) {
+Then('{int} retries are granted', (expected: number) => {
   let granted = 0;
-  while (granted <= expected && this.budget.tryTake()) granted += 1;
+  while (granted <= expected && world.budget.tryTake()) granted += 1;
   assert.equal(granted, expected);
 });
 
-Given(
-  '1000 seeded backoffs from 50 to 2000 milliseconds',
-  function createBackoffs(this: AdmissionWorld) {
-    this.delays = drawDelays();
-  },
-);
+Given('1000 seeded backoffs from 50 to 2000 milliseconds', () => {
+  world.delays = drawDelays();
+});
 
 Then(
   'their delays number {int} spread over {int} to {int} milliseconds',
-  function checkDelays(this: AdmissionWorld, number: number, least: number, most: number) {
-    const delays = this.delays.map((list) => list[number - 1]!);
+  (number: number, least: number, most: number) => {
+    const delays = world.delays.map((list) => list[number - 1]!);
     assert.ok(delays.every((delayMs) => delayMs >= least && delayMs <= most));
     for (let tenth = 0; tenth < 10; tenth++) {
       const from = (most * tenth) / 10;
@@ -90,51 +85,43 @@
   },
 );
 
-Then('the same seed gives the same delays', function checkSeed(this: AdmissionWorld) {
-  assert.deepEqual(drawDelays(), this.delays);
-});
+Then('the same seed gives the same delays', () => assert.deepEqual(drawDelays(), world.delays));
 
-Given('a deadline after {int} milliseconds', function createDeadline(this: AdmissionWorld, ms) {
-  this.admissionClock = FakeTimers.install({ toFake: [...CLOCK_FUNCTIONS] });
-  this.deadline = new Deadline(ms);
-  this.passedCount = 0;
-  this.deadline.onPassed(() => {
-    this.passedCount += 1;
+Given('a deadline after {int} milliseconds', (ms) => {
+  world.admissionClock = FakeTimers.install({ toFake: [...CLOCK_FUNCTIONS] });
+  world.deadline = new Deadline(ms);
+  world.passedCount = 0;
+  world.deadline.onPassed(() => {
+    world.passedCount += 1;
   });
 });
 
-When(
-  /^(\d+) milliseconds pass for the (?:deadline|limiter)$/,
-  async function passMs(this: AdmissionWorld, ms: string) {
-    await this.admissionClock!.tickAsync(Number(ms));
-  },
+When(/^(\d+) milliseconds pass for the (?:deadline|limiter)$/, async (ms: string) =>
+  world.admissionClock!.tickAsync(Number(ms)),
 );
 
-Then('the deadline has not passed', function checkNotPassed(this: AdmissionWorld) {
-  assert.deepEqual([this.deadline.hasPassed(), this.passedCount], [false, 0]);
-  assert.equal(this.deadline.remainingMs(), 1);
+Then('the deadline has not passed', () => {
+  assert.deepEqual([world.deadline.hasPassed(), world.passedCount], [false, 0]);
+  assert.equal(world.deadline.remainingMs(), 1);
 });
 
-Then('the deadline has passed', function checkPassed(this: AdmissionWorld) {
-  this.admissionClock!.tick(10_000);
-  assert.deepEqual([this.deadline.hasPassed(), this.passedCount], [true, 1]);
-  assert.equal(this.deadline.remainingMs(), 0);
+Then('the deadline has passed', () => {
+  world.admissionClock!.tick(10_000);
+  assert.deepEqual([world.deadline.hasPassed(), world.passedCount], [true, 1]);
+  assert.equal(world.deadline.remainingMs(), 0);
 });
 
-Given(
-  'a limiter for {int} in flight and {int} waiting',
-  function createLimiter(this: AdmissionWorld, limit: number, maxWaiting: number) {
-    this.admissionClock = FakeTimers.install({ toFake: [...CLOCK_FUNCTIONS] });
-    this.limiter = new ConcurrencyLimiter({ limit, maxWaiting });
-    this.callers = [];
-  },
-);
+Given('a limiter for {int} in flight and {int} waiting', (limit: number, maxWaiting: number) => {
+  world.admissionClock = FakeTimers.install({ toFake: [...CLOCK_FUNCTIONS] });
+  world.limiter = new ConcurrencyLimiter({ limit, maxWaiting });
+  world.callers = [];
+});
 
-When('{int} callers ask for admission', async function ask(this: AdmissionWorld, number: number) {
+When('{int} callers ask for admission', async (number: number) => {
   for (let i = 0; i < number; i++) {
     const caller: Caller = { abort: new AbortController() };
-    this.callers.push(caller);
-    this.limiter.acquire({ maxWaitMs: MAX_WAIT_MS, signal: caller.abort.signal }).then(
+    world.callers.push(caller);
+    world.limiter.acquire({ maxWaitMs: MAX_WAIT_MS, signal: caller.abort.signal }).then(
       (leave) => {
         caller.leave = leave;
       },
@@ -143,57 +130,53 @@
       },
     );
   }
-  await this.admissionClock!.tickAsync(0);
+  await world.admissionClock!.tickAsync(0);
 });
 
-When('caller {int} leaves twice', async function leaveTwice(this: AdmissionWorld, number: number) {
-  this.callers[number - 1]!.leave!();
-  this.callers[number - 1]!.leave!();
-  await this.admissionClock!.tickAsync(0);
+When('caller {int} leaves twice', async (number: number) => {
+  world.callers[number - 1]!.leave!();
+  world.callers[number - 1]!.leave!();
+  await world.admissionClock!.tickAsync(0);
 });
 
-When('caller {int} goes away', async function goAway(this: AdmissionWorld, number: number) {
-  this.callers[number - 1]!.abort.abort();
-  await this.admissionClock!.tickAsync(0);
+When('caller {int} goes away', async (number: number) => {
+  world.callers[number - 1]!.abort.abort();
+  await world.admissionClock!.tickAsync(0);
 });
 
-When('the limiter closes', async function closeLimiter(this: AdmissionWorld) {
-  this.limiter[Symbol.dispose]();
-  await this.admissionClock!.tickAsync(0);
+When('the limiter closes', async () => {
+  world.limiter[Symbol.dispose]();
+  await world.admissionClock!.tickAsync(0);
 });
 
-When('the limit is raised to {int}', async function raise(this: AdmissionWorld, limit: number) {
-  this.limiter.setBounds({ limit, maxWaiting: 5 });
-  await this.admissionClock!.tickAsync(0);
+When('the limit is raised to {int}', async (limit: number) => {
+  world.limiter.setBounds({ limit, maxWaiting: 5 });
+  await world.admissionClock!.tickAsync(0);
 });
 
 Then(
   'callers {string} are admitted and callers {string} are refused as {string}',
-  function checkCallers(this: AdmissionWorld, admitted: string, refused: string, failure: string) {
+  (admitted: string, refused: string, failure: string) => {
     assert.equal(
-      listNumbers(this.callers, (caller) => caller.leave !== undefined),
+      listNumbers(world.callers, (caller) => caller.leave !== undefined),
       admitted,
     );
     assert.equal(
-      listNumbers(this.callers, (caller) => caller.failure === failure),
+      listNumbers(world.callers, (caller) => caller.failure === failure),
       refused,
     );
   },
 );
 
-Then(
-  'callers {string} are refused as {string}',
-  function checkRefused(this: AdmissionWorld, refused: string, failure: string) {
-    assert.equal(
-      listNumbers(this.callers, (caller) => caller.failure === failure),
-      refused,
-    );
-  },
-);
+Then('callers {string} are refused as {string}', (refused: string, failure: string) => {
+  assert.equal(
+    listNumbers(world.callers, (caller) => caller.failure === failure),
+    refused,
+  );
+});
 
 Then(
   'an instance of {int} cores and {int} MiB has a limit of {int}',
-  (cores: number, memoryMib: number, limit: number) => {
-    assert.equal(computeInstanceLimit({ cores, memoryMib }), limit);
-  },
+  (cores: number, memoryMib: number, limit: number) =>
+    assert.equal(computeInstanceLimit({ cores, memoryMib }), limit),
 );
--- a/packages/tests/src/steps/routing/endpointHealthSteps.ts
+++ b/packages/tests/src/steps/routing/endpointHealthSteps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Before, Given, Then, When } from '@cucumber/cucumber';
 import { EjectingHealthPolicy } from '@lagoongap/routing/ejectingHealthPolicy.js';
 import { FailureAttribution } from '@lagoongap/routing/failureAttribution.js';
 import type { AttemptRef, HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
@@ -26,28 +26,32 @@
 
 const ENDPOINT_COUNT = 20;
 
-After(function uninstallHealthClock(this: HealthWorld) {
-  this.healthClock?.uninstall();
+let world: HealthWorld;
+
+Before(() => {
+  world = {} as HealthWorld;
 });
 
+After(() => world.healthClock?.uninstall());
+
 function createPolicy(name: string): HealthPolicy {
   if (name === 'ejecting') return new EjectingHealthPolicy({ random: createSeededRandom(7) });
   return name === 'penalizing' ? new PenalizingHealthPolicy() : new NoHealthPolicy();
 }
 
-function createAttempt(world: HealthWorld, unitId: string, endpoint: number): AttemptRef {
+function createAttempt(unitId: string, endpoint: number): AttemptRef {
   world.attempts += 1;
   return { attemptId: `${world.attempts}`, unitId, endpointId: `endpoint-${endpoint}` };
 }
 
-function fail(world: HealthWorld, unitId: string, endpoint: number): void {
-  const attempt = createAttempt(world, unitId, endpoint);
+function fail(unitId: string, endpoint: number): void {
+  const attempt = createAttempt(unitId, endpoint);
   world.policy.recordStart(attempt);
   world.policy.recordFailure(attempt);
 }
 
-function failDifferent(world: HealthWorld, endpoint: number, jobs: number): void {
-  for (let i = 0; i < jobs; i++) fail(world, `job-${endpoint}-${world.attempts}`, endpoint);
+function failDifferent(endpoint: number, jobs: number): void {
+  for (let i = 0; i < jobs; i++) fail(`job-${endpoint}-${world.attempts}`, endpoint);
 }
 
 function count(test: (endpointId: string) => boolean): number {
@@ -55,7 +59,7 @@
 }
 
 /** Returns the rest of the probation in seconds, to a tenth. */
-function measureProbation(world: HealthWorld, endpointId: string): number {
+function measureProbation(endpointId: string): number {
   const startMs = performance.now();
   while (world.policy.isEjected(endpointId)) {
     world.healthClock!.tick(100);
@@ -64,165 +68,120 @@
   return (performance.now() - startMs) / 1000;
 }
 
-Given(
-  '{int} endpoints under the {string} health policy',
-  function createEndpoints(this: HealthWorld, endpoints: number, name: string) {
-    this.healthClock = FakeTimers.install({ toFake: [...CLOCK_FUNCTIONS] });
-    this.attempts = 0;
-    this.told = [];
-    this.policy = createPolicy(name);
-    for (let i = 1; i <= endpoints; i++) this.policy.setEndpoint(`endpoint-${i}`, ['echo']);
-    this.policy.onChange(({ endpointId, ejected }) => {
-      this.told.push(`${endpointId} ${ejected ? 'ejected' : 'in use'}`);
-    });
-  },
-);
+Given('{int} endpoints under the {string} health policy', (endpoints: number, name: string) => {
+  world.healthClock = FakeTimers.install({ toFake: [...CLOCK_FUNCTIONS] });
+  world.attempts = 0;
+  world.told = [];
+  world.policy = createPolicy(name);
+  for (let i = 1; i <= endpoints; i++) world.policy.setEndpoint(`endpoint-${i}`, ['echo']);
+  world.policy.onChange(({ endpointId, ejected }) =>
+    world.told.push(`${endpointId} ${ejected ? 'ejected' : 'in use'}`),
+  );
+});
 
-When(
-  'jobs {string} fail on endpoint {int}',
-  function failJobs(this: HealthWorld, jobs: string, endpoint: number) {
-    for (const job of jobs.split(',')) fail(this, job, endpoint);
-  },
-);
+When('jobs {string} fail on endpoint {int}', (jobs: string, endpoint: number) => {
+  for (const job of jobs.split(',')) fail(job, endpoint);
+});
 
-When(
-  '{int} different jobs fail on endpoint {int}',
-  function failCount(this: HealthWorld, jobs: number, endpoint: number) {
-    failDifferent(this, endpoint, jobs);
-  },
+When('{int} different jobs fail on endpoint {int}', (jobs: number, endpoint: number) =>
+  failDifferent(endpoint, jobs),
 );
 
-When(
-  'jobs {string} succeed on endpoint {int}',
-  function succeedJobs(this: HealthWorld, jobs: string, endpoint: number) {
-    for (const job of jobs.split(',')) {
-      this.policy.recordSuccess(createAttempt(this, job, endpoint));
-    }
-  },
-);
+When('jobs {string} succeed on endpoint {int}', (jobs: string, endpoint: number) => {
+  for (const job of jobs.split(',')) {
+    world.policy.recordSuccess(createAttempt(job, endpoint));
+  }
+});
 
-When(
-  'different jobs fail on endpoints {int} to {int}',
-  function failAll(this: HealthWorld, first: number, last: number) {
-    for (let i = first; i <= last; i++) failDifferent(this, i, 3);
-  },
-);
+When('different jobs fail on endpoints {int} to {int}', (first: number, last: number) => {
+  for (let i = first; i <= last; i++) failDifferent(i, 3);
+});
 
-When(
-  'endpoints {int} to {int} are ejected at the same time',
-  function ejectAll(this: HealthWorld, first: number, last: number) {
-    for (let i = first; i <= last; i++) failDifferent(this, i, 3);
-    assert.equal(
-      count((id) => this.policy.isEjected(id)),
-      last - first + 1,
-    );
-  },
-);
+When('endpoints {int} to {int} are ejected at the same time', (first: number, last: number) => {
+  for (let i = first; i <= last; i++) failDifferent(i, 3);
+  assert.equal(
+    count((id) => world.policy.isEjected(id)),
+    last - first + 1,
+  );
+});
 
-When(
-  'endpoints {int} to {int} are removed',
-  function removeEndpoints(this: HealthWorld, first: number, last: number) {
-    for (let i = first; i <= last; i++) this.policy.removeEndpoint(`endpoint-${i}`);
-  },
-);
+When('endpoints {int} to {int} are removed', (first: number, last: number) => {
+  for (let i = first; i <= last; i++) world.policy.removeEndpoint(`endpoint-${i}`);
+});
 
-When(
-  'endpoint {int} is ejected {int} times in a row',
-  function ejectRepeatedly(this: HealthWorld, endpoint: number, times: number) {
-    failDifferent(this, endpoint, 3);
-    for (let i = 1; i < times; i++) {
-      measureProbation(this, `endpoint-${endpoint}`);
-      failDifferent(this, endpoint, 1);
-    }
-  },
-);
+When('endpoint {int} is ejected {int} times in a row', (endpoint: number, times: number) => {
+  failDifferent(endpoint, 3);
+  for (let i = 1; i < times; i++) {
+    measureProbation(`endpoint-${endpoint}`);
+    failDifferent(endpoint, 1);
+  }
+});
 
-When(
-  /^(\d+) seconds of (?:probation|penalty) pass$/,
-  function passSeconds(this: HealthWorld, seconds: string) {
-    this.healthClock!.tick(Number(seconds) * 1000);
-  },
+When(/^(\d+) seconds of (?:probation|penalty) pass$/, (seconds: string) =>
+  world.healthClock!.tick(Number(seconds) * 1000),
 );
 
-When('a trial starts on endpoint {int}', function startTrial(this: HealthWorld, endpoint: number) {
-  this.trial = createAttempt(this, 'trial', endpoint);
-  this.policy.recordStart(this.trial);
+When('a trial starts on endpoint {int}', (endpoint: number) => {
+  world.trial = createAttempt('trial', endpoint);
+  world.policy.recordStart(world.trial);
 });
 
-When('the trial succeeds', function succeedTrial(this: HealthWorld) {
-  this.policy.recordSuccess(this.trial);
-});
+When('the trial succeeds', () => world.policy.recordSuccess(world.trial));
 
-When('the trial fails', function failTrial(this: HealthWorld) {
-  this.policy.recordFailure(this.trial);
-});
+When('the trial fails', () => world.policy.recordFailure(world.trial));
 
-When('the trial is abandoned', function abandonTrial(this: HealthWorld) {
-  this.policy.recordAbandoned(this.trial);
-});
+When('the trial is abandoned', () => world.policy.recordAbandoned(world.trial));
 
-When('{int} different jobs fail', function failMany(this: HealthWorld, jobs: number) {
-  this.healthClock = FakeTimers.install({ toFake: [...CLOCK_FUNCTIONS] });
-  this.attribution = new FailureAttribution();
-  for (let i = 0; i < jobs; i++) this.attribution.recordFailure(`job-${i}`, 'e', () => false);
+When('{int} different jobs fail', (jobs: number) => {
+  world.healthClock = FakeTimers.install({ toFake: [...CLOCK_FUNCTIONS] });
+  world.attribution = new FailureAttribution();
+  for (let i = 0; i < jobs; i++) world.attribution.recordFailure(`job-${i}`, 'e', () => false);
 });
 
-When(
-  '{int} seconds pass for the remembered jobs',
-  function passForJobs(this: HealthWorld, seconds: number) {
-    this.healthClock!.tick(seconds * 1000 + 1);
-    this.attribution.recordFailure('last', 'e', () => false);
-  },
-);
+When('{int} seconds pass for the remembered jobs', (seconds: number) => {
+  world.healthClock!.tick(seconds * 1000 + 1);
+  world.attribution.recordFailure('last', 'e', () => false);
+});
 
-Then(
-  /^endpoint (\d+) is (in use|ejected|penalized)$/,
-  function checkState(this: HealthWorld, endpoint: string, expected: string) {
-    const id = `endpoint-${endpoint}`;
-    const penalty = this.policy.isPenalized(id) ? 'penalized' : 'in use';
-    assert.equal(this.policy.isEjected(id) ? 'ejected' : penalty, expected);
-  },
-);
+Then(/^endpoint (\d+) is (in use|ejected|penalized)$/, (endpoint: string, expected: string) => {
+  const id = `endpoint-${endpoint}`;
+  const penalty = world.policy.isPenalized(id) ? 'penalized' : 'in use';
+  assert.equal(world.policy.isEjected(id) ? 'ejected' : penalty, expected);
+});
 
-Then(
-  'the health listener was told {string}',
-  function checkTold(this: HealthWorld, expected: string) {
-    assert.equal(this.told.join(', '), expected);
-  },
+Then('the health listener was told {string}', (expected: string) =>
+  assert.equal(world.told.join(', '), expected),
 );
 
 Then(
   'the probation of endpoint {int} lasts between {int} and {int} seconds',
-  function checkProbation(this: HealthWorld, endpoint: number, least: number, most: number) {
-    const lasted = measureProbation(this, `endpoint-${endpoint}`);
+  (endpoint: number, least: number, most: number) => {
+    const lasted = measureProbation(`endpoint-${endpoint}`);
     assert.ok(lasted >= least && lasted <= most + 0.1, `${lasted} s`);
   },
 );
 
-Then('their probations end at different times', function checkSpread(this: HealthWorld) {
+Then('their probations end at different times', () => {
   const ends: number[] = [];
-  this.policy.onChange(() => ends.push(performance.now()));
-  this.healthClock!.tick(10_000);
+  world.policy.onChange(() => ends.push(performance.now()));
+  world.healthClock!.tick(10_000);
   assert.equal(new Set(ends).size, 6);
 });
 
-Then('{int} endpoints are ejected', function checkEjected(this: HealthWorld, expected: number) {
+Then('{int} endpoints are ejected', (expected: number) => {
   assert.equal(
-    count((id) => this.policy.isEjected(id)),
+    count((id) => world.policy.isEjected(id)),
     expected,
   );
 });
 
-Then('{int} endpoints are penalized', function checkPenalized(this: HealthWorld, expected: number) {
+Then('{int} endpoints are penalized', (expected: number) => {
   assert.equal(
-    count((id) => this.policy.isPenalized(id)),
+    count((id) => world.policy.isPenalized(id)),
     expected,
   );
 });
 
-Then(
-  'no more than {int} of them are remembered',
-  function checkRemembered(this: HealthWorld, most: number) {
-    assert.ok(this.attribution.size <= most && this.attribution.size > 0);
-  },
+Then('no more than {int} of them are remembered', (most: number) =>
+  assert.ok(world.attribution.size <= most && world.attribution.size > 0),
 );
--- a/packages/tests/src/steps/stand-in/standInSteps.ts
+++ b/packages/tests/src/steps/stand-in/standInSteps.ts
@@ -5,7 +5,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Before, Given, Then, When } from '@cucumber/cucumber';
 import type { RunningReport } from '@lagoongap/model/endpoint.js';
 import { parseHeartbeatAnswer } from '@lagoongap/stand-in/parseAnswer.js';
 import { StandInEndpoint } from '@lagoongap/stand-in/standInEndpoint.js';
@@ -35,8 +35,14 @@
 
 const RUN_STAND_IN = fileURLToPath(import.meta.resolve('@lagoongap/stand-in/runStandIn.js'));
 
-After(async function cleanUpStandIn(this: Partial<StandInWorld>) {
-  for (const cleanUp of this.standInCleanUps ?? []) await cleanUp();
+let world: StandInWorld;
+
+Before(() => {
+  world = {} as StandInWorld;
+});
+
+After(async () => {
+  for (const cleanUp of world.standInCleanUps ?? []) await cleanUp();
 });
 
 async function waitUntil(condition: () => boolean, awaited: string): Promise<void> {
@@ -47,7 +53,7 @@
   }
 }
 
-async function startStandIn(world: StandInWorld, behaviour: object): Promise<void> {
+async function startStandIn(behaviour: object): Promise<void> {
   world.endpoint = new StandInEndpoint(
     createStandInOptions({
       gateways: world.gateways,
@@ -59,12 +65,7 @@
   await world.endpoint.start();
 }
 
-async function sendOrder(
-  world: StandInWorld,
-  attempt: string,
-  token: number,
-  payload: object,
-): Promise<number> {
+async function sendOrder(attempt: string, token: number, payload: object): Promise<number> {
   const task = { attempt, token, job: 'job', taskIndex: 0, team: 'team', work: 'echo' };
   const order = { ...task, size: SIZE, leaseMs: world.gateway.leaseMs, payload };
   const res = await request(`${world.endpoint.url}/tasks`, {
@@ -75,14 +76,14 @@
   return res.statusCode;
 }
 
-function findRunning(world: StandInWorld, attempt: string): RunningReport | undefined {
+function findRunning(attempt: string): RunningReport | undefined {
   return world.gateway
     .listHeartbeats()
     .flatMap(({ running }) => running)
     .find((report) => report.attempt === attempt);
 }
 
-function countReports(world: StandInWorld, attempt: string, outcome: string): number {
+function countReports(attempt: string, outcome: string): number {
   return world.gateway
     .listHeartbeats()
     .filter(({ finished }) => finished.some((f) => f.attempt === attempt && f.outcome === outcome))
@@ -111,205 +112,168 @@
 
 Given(
   'a scripted gateway with a lease of {int} ms and heartbeats every {int} ms',
-  async function startGateway(this: StandInWorld, leaseMs: number, heartbeatMs: number) {
-    this.gateway = new ScriptedGateway(leaseMs, heartbeatMs);
-    this.standInCleanUps = [() => this.gateway[Symbol.asyncDispose]()];
-    this.history = [];
-    await this.gateway.start();
-    this.gateways = [this.gateway.url];
+  async (leaseMs: number, heartbeatMs: number) => {
+    world.gateway = new ScriptedGateway(leaseMs, heartbeatMs);
+    world.standInCleanUps = [() => world.gateway[Symbol.asyncDispose]()];
+    world.history = [];
+    await world.gateway.start();
+    world.gateways = [world.gateway.url];
   },
 );
 
-Given(
-  'the first gateway in the list of the stand-in refuses connections',
-  async function addDeadGateway(this: StandInWorld) {
-    const dead = new ScriptedGateway(1, 1);
-    await dead.start();
-    this.gateways.unshift(dead.url);
-    await dead[Symbol.asyncDispose]();
-  },
-);
-
-Given(
-  'the gateway acknowledges only the third report of an attempt',
-  function scriptLateAcknowledgement(this: StandInWorld) {
-    const counts = new Map<string, number>();
-    this.gateway.script = ({ finished }) => {
-      for (const { attempt } of finished) counts.set(attempt, (counts.get(attempt) ?? 0) + 1);
-      const acknowledged = [...counts].filter(([, reports]) => reports >= 3).map(([id]) => id);
-      return { change: { acknowledged } };
-    };
-  },
-);
-
-When('the stand-in is started', async function start(this: StandInWorld) {
-  await startStandIn(this, {});
+Given('the first gateway in the list of the stand-in refuses connections', async () => {
+  const dead = new ScriptedGateway(1, 1);
+  await dead.start();
+  world.gateways.unshift(dead.url);
+  await dead[Symbol.asyncDispose]();
 });
 
-When('the stand-in is started with {string}', async function startWith(this: StandInWorld, json) {
-  await startStandIn(this, JSON.parse(json));
+Given('the gateway acknowledges only the third report of an attempt', () => {
+  const counts = new Map<string, number>();
+  world.gateway.script = ({ finished }) => {
+    for (const { attempt } of finished) counts.set(attempt, (counts.get(attempt) ?? 0) + 1);
+    const acknowledged = [...counts].filter(([, reports]) => reports >= 3).map(([id]) => id);
+    return { change: { acknowledged } };
+  };
 });
 
-When(
-  'the gateway answers one heartbeat with status {int}',
-  function scriptStatus(this: StandInWorld, status: number) {
-    let answered = 0;
-    this.gateway.script = () => {
-      answered += 1;
-      return answered === 1 ? { status } : {};
-    };
-  },
-);
+When('the stand-in is started', async () => startStandIn({}));
+
+When('the stand-in is started with {string}', async (json) => startStandIn(JSON.parse(json)));
+
+When('the gateway answers one heartbeat with status {int}', (status: number) => {
+  let answered = 0;
+  world.gateway.script = () => {
+    answered += 1;
+    return answered === 1 ? { status } : {};
+  };
+});
 
 When(
   'a task that runs {int} ms is started as {string} with token {int}',
-  async function startTask(this: StandInWorld, runMs: number, attempt: string, token: number) {
-    assert.equal(await sendOrder(this, attempt, token, { runMs }), 201);
-  },
+  async (runMs: number, attempt: string, token: number) =>
+    assert.equal(await sendOrder(attempt, token, { runMs }), 201),
 );
 
 When(
   'a service is started as {string} with token {int}',
-  async function startService(this: StandInWorld, attempt: string, token: number) {
-    assert.equal(await sendOrder(this, attempt, token, {}), 201);
-    await waitUntil(() => findRunning(this, attempt) !== undefined, 'service in a heartbeat');
+  async (attempt: string, token: number) => {
+    assert.equal(await sendOrder(attempt, token, {}), 201);
+    await waitUntil(() => findRunning(attempt) !== undefined, 'service in a heartbeat');
   },
 );
 
-When('the gateway stops answering heartbeats', function scriptFailure(this: StandInWorld) {
-  this.gateway.script = () => ({ status: 503 });
+When('the gateway stops answering heartbeats', () => {
+  world.gateway.script = () => ({ status: 503 });
 });
 
-When(
-  'the gateway answers the next heartbeat {int} ms late and no other',
-  function scriptDelay(this: StandInWorld, delayMs: number) {
-    let answered = 0;
-    this.gateway.script = () => {
-      answered += 1;
-      return answered === 1 ? { delayMs } : { status: 503 };
-    };
-  },
-);
-
-When('the gateway answers heartbeats with {string}', function scriptText(this: StandInWorld, text) {
-  this.gateway.script = () => ({ text });
+When('the gateway answers the next heartbeat {int} ms late and no other', (delayMs: number) => {
+  let answered = 0;
+  world.gateway.script = () => {
+    answered += 1;
+    return answered === 1 ? { delayMs } : { status: 503 };
+  };
 });
 
-When(
-  'the gateway orders to {word} {string}',
-  function scriptAction(this: StandInWorld, action: 'stop' | 'checkpoint', attempt: string) {
-    let isSent = false;
-    this.gateway.script = () => {
-      const actions = isSent ? [] : [{ attempt, action }];
-      isSent = true;
-      return { change: { actions } };
-    };
-  },
-);
+When('the gateway answers heartbeats with {string}', (text) => {
+  world.gateway.script = () => ({ text });
+});
 
-When('the stand-in leaves', async function leave(this: StandInWorld) {
-  await this.endpoint.leave(WAIT_MS);
-  assert.equal(this.endpoint.runningCount, 0);
+When('the gateway orders to {word} {string}', (action: 'stop' | 'checkpoint', attempt: string) => {
+  let isSent = false;
+  world.gateway.script = () => {
+    const actions = isSent ? [] : [{ attempt, action }];
+    isSent = true;
+    return { change: { actions } };
+  };
 });
 
-When('the stand-in is started as a process', function startProcess(this: StandInWorld) {
-  const args = [RUN_STAND_IN, '--id', 'own', '--gateway', this.gateway.url, '--work', 'echo'];
-  this.child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'inherit'] });
-  this.standInCleanUps.push(() => this.child.kill('SIGKILL'));
-  this.lines = [];
-  createInterface(this.child.stdout!).on('line', (line) => this.lines.push(JSON.parse(line)));
+When('the stand-in leaves', async () => {
+  await world.endpoint.leave(WAIT_MS);
+  assert.equal(world.endpoint.runningCount, 0);
 });
 
-Then(
-  'the gateway has got its announcement with its key and URL',
-  function checkAnnouncement(this: StandInWorld) {
-    const [call] = this.gateway.calls;
-    assert.equal(call!.path, '/v1/endpoints');
-    assert.equal(call!.authorization, 'Bearer endpoint-key');
-    assert.equal(call!.body.url, this.endpoint.url);
-  },
-);
+When('the stand-in is started as a process', () => {
+  const args = [RUN_STAND_IN, '--id', 'own', '--gateway', world.gateway.url, '--work', 'echo'];
+  world.child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'inherit'] });
+  world.standInCleanUps.push(() => world.child.kill('SIGKILL'));
+  world.lines = [];
+  createInterface(world.child.stdout!).on('line', (line) => world.lines.push(JSON.parse(line)));
+});
 
-Then('the gateway gets another announcement', async function checkAgain(this: StandInWorld) {
-  await waitUntil(() => this.gateway.session === 'session-2', 'second announcement');
+Then('the gateway has got its announcement with its key and URL', () => {
+  const [call] = world.gateway.calls;
+  assert.equal(call!.path, '/v1/endpoints');
+  assert.equal(call!.authorization, 'Bearer endpoint-key');
+  assert.equal(call!.body.url, world.endpoint.url);
 });
 
-Then('later heartbeats carry the new session', async function checkSession(this: StandInWorld) {
-  const isNew = () => this.gateway.listHeartbeats().some(({ session }) => session === 'session-2');
+Then('the gateway gets another announcement', async () =>
+  waitUntil(() => world.gateway.session === 'session-2', 'second announcement'),
+);
+
+Then('later heartbeats carry the new session', async () => {
+  const isNew = () => world.gateway.listHeartbeats().some(({ session }) => session === 'session-2');
   await waitUntil(isNew, 'heartbeat with the new session');
 });
 
 Then(
   /^the gateway has seen '(.*)' running with (?:(\d+) times )?its usage$/,
-  async function checkUsage(this: StandInWorld, attempt: string, factor: string | null) {
-    await waitUntil(() => findRunning(this, attempt) !== undefined, 'running attempt');
-    const { usage } = findRunning(this, attempt)!;
+  async (attempt: string, factor: string | null) => {
+    await waitUntil(() => findRunning(attempt) !== undefined, 'running attempt');
+    const { usage } = findRunning(attempt)!;
     assert.equal(usage!.cpuMillis, SIZE.cpuMillis * Number(factor ?? 1));
   },
 );
 
 Then(
   'the gateway has got {int} reports that {string} has {string}',
-  async function checkReports(this: StandInWorld, least: number, attempt: string, outcome: string) {
-    await waitUntil(() => countReports(this, attempt, outcome) >= least, 'reports');
-  },
+  async (least: number, attempt: string, outcome: string) =>
+    waitUntil(() => countReports(attempt, outcome) >= least, 'reports'),
 );
 
-Then(
-  'there is no further report of {string}',
-  async function checkNoReport(this: StandInWorld, attempt) {
-    await delay(3 * this.gateway.heartbeatMs);
-    assert.equal(countReports(this, attempt, 'succeeded'), 3);
-  },
-);
+Then('there is no further report of {string}', async (attempt) => {
+  await delay(3 * world.gateway.heartbeatMs);
+  assert.equal(countReports(attempt, 'succeeded'), 3);
+});
 
 Then(
   '{string} ends as {string} one lease after the last answered heartbeat was sent',
-  async function checkLeaseEnd(this: StandInWorld, attempt: string, outcome: string) {
-    const find = () => this.history.find((e) => e.type === 'end' && e.attempt === attempt);
+  async (attempt: string, outcome: string) => {
+    const find = () => world.history.find((e) => e.type === 'end' && e.attempt === attempt);
     await waitUntil(() => find() !== undefined, 'end of the attempt');
     const end = find()!;
-    const afterMs = end.atMs - this.gateway.lastGoodMs;
+    const afterMs = end.atMs - world.gateway.lastGoodMs;
     assert.equal(end.outcome, outcome);
-    assert.ok(afterMs > this.gateway.leaseMs - LEASE_SLACK_MS, `only ${afterMs} ms`);
-    assert.ok(afterMs < this.gateway.leaseMs + LEASE_SLACK_MS, `${afterMs} ms`);
+    assert.ok(afterMs > world.gateway.leaseMs - LEASE_SLACK_MS, `only ${afterMs} ms`);
+    assert.ok(afterMs < world.gateway.leaseMs + LEASE_SLACK_MS, `${afterMs} ms`);
   },
 );
 
 Then(
   'a start order as {string} with token {int} is answered with status {int}',
-  async function checkOrder(this: StandInWorld, attempt: string, token: number, status: number) {
-    assert.equal(await sendOrder(this, attempt, token, {}), status);
-  },
+  async (attempt: string, token: number, status: number) =>
+    assert.equal(await sendOrder(attempt, token, {}), status),
 );
 
-Then(
-  /^the history shows (the|no) task running twice at a time$/,
-  function checkDoubled(this: StandInWorld, which: string) {
-    assert.equal(findMostAtATime(this.history), which === 'no' ? 1 : 2);
-  },
+Then(/^the history shows (the|no) task running twice at a time$/, (which: string) =>
+  assert.equal(findMostAtATime(world.history), which === 'no' ? 1 : 2),
 );
 
-Then(
-  'a request to the stand-in is answered with status {int}',
-  async function checkStatus(this: StandInWorld, status: number) {
-    const res = await sendRequest(this.endpoint.url, 'hello');
-    assert.equal(res.statusCode, status);
-    assert.equal(await res.body.text(), 'echo:hello');
-  },
-);
+Then('a request to the stand-in is answered with status {int}', async (status: number) => {
+  const res = await sendRequest(world.endpoint.url, 'hello');
+  assert.equal(res.statusCode, status);
+  assert.equal(await res.body.text(), 'echo:hello');
+});
 
-Then(
-  'a request to the stand-in is answered after {int} ms',
-  async function checkSlow(this: StandInWorld, leastMs: number) {
-    const startMs = performance.now();
-    await (await sendRequest(this.endpoint.url, 'hello')).body.dump();
-    assert.ok(performance.now() - startMs >= leastMs - 1);
-  },
-);
+Then('a request to the stand-in is answered after {int} ms', async (leastMs: number) => {
+  const startMs = performance.now();
+  await (await sendRequest(world.endpoint.url, 'hello')).body.dump();
+  assert.ok(performance.now() - startMs >= leastMs - 1);
+});
 
-Then('a request to the stand-in is cut off', async function checkCut(this: StandInWorld) {
-  const res = await sendRequest(this.endpoint.url, 'hello');
+Then('a request to the stand-in is cut off', async () => {
+  const res = await sendRequest(world.endpoint.url, 'hello');
   let received = 0;
   await assert.rejects(async () => {
     for await (const chunk of res.body) received += chunk.length;
@@ -317,53 +281,41 @@
   assert.equal(received, 1);
 });
 
-Then(
-  'a request to the stand-in is not answered but listed running',
-  async function checkHang(this: StandInWorld) {
-    await assert.rejects(sendRequest(this.endpoint.url, 'hello'));
-    await waitUntil(() => findRunning(this, 'r1') !== undefined, 'running request');
-    await waitUntil(() => this.endpoint.runningCount === 0, 'end with the connection');
-  },
-);
-
-Then('the gateway has got its leave', function checkLeave(this: StandInWorld) {
-  assert.ok(this.gateway.calls.some(({ path }) => path === '/v1/endpoints/endpoint-1/leave'));
+Then('a request to the stand-in is not answered but listed running', async () => {
+  await assert.rejects(sendRequest(world.endpoint.url, 'hello'));
+  await waitUntil(() => findRunning('r1') !== undefined, 'running request');
+  await waitUntil(() => world.endpoint.runningCount === 0, 'end with the connection');
 });
 
-Then(
-  'its first line tells its URL after the gateway has accepted it',
-  async function checkReady(this: StandInWorld) {
-    await waitUntil(() => this.lines.length > 0, 'first line');
-    assert.equal(this.lines[0].type, 'ready');
-    assert.equal(this.lines[0].url, this.gateway.calls[0]!.body.url);
-  },
+Then('the gateway has got its leave', () =>
+  assert.ok(world.gateway.calls.some(({ path }) => path === '/v1/endpoints/endpoint-1/leave')),
 );
 
-Then(
-  'a request to its URL leads to a start and an end in its output',
-  async function checkOutput(this: StandInWorld) {
-    await (await sendRequest(this.lines[0].url, '{"marker":"m1"}')).body.dump();
-    await waitUntil(() => this.lines.length === 3, 'start and end');
-    assert.deepEqual(
-      this.lines.slice(1).map(({ type, marker }) => [type, marker]),
-      [
-        ['start', 'm1'],
-        ['end', 'm1'],
-      ],
-    );
-    assert.ok(this.lines[2].monotonicMs >= this.lines[1].monotonicMs);
-  },
-);
+Then('its first line tells its URL after the gateway has accepted it', async () => {
+  await waitUntil(() => world.lines.length > 0, 'first line');
+  assert.equal(world.lines[0].type, 'ready');
+  assert.equal(world.lines[0].url, world.gateway.calls[0]!.body.url);
+});
 
-Then(
-  'the process leaves and ends by itself on SIGTERM',
-  async function checkTerm(this: StandInWorld) {
-    const exited = once(this.child, 'exit');
-    this.child.kill('SIGTERM');
-    assert.deepEqual(await exited, [0, null]);
-    assert.ok(this.gateway.calls.some(({ path }) => path.endsWith('/leave')));
-  },
-);
+Then('a request to its URL leads to a start and an end in its output', async () => {
+  await (await sendRequest(world.lines[0].url, '{"marker":"m1"}')).body.dump();
+  await waitUntil(() => world.lines.length === 3, 'start and end');
+  assert.deepEqual(
+    world.lines.slice(1).map(({ type, marker }) => [type, marker]),
+    [
+      ['start', 'm1'],
+      ['end', 'm1'],
+    ],
+  );
+  assert.ok(world.lines[2].monotonicMs >= world.lines[1].monotonicMs);
+});
+
+Then('the process leaves and ends by itself on SIGTERM', async () => {
+  const exited = once(world.child, 'exit');
+  world.child.kill('SIGTERM');
+  assert.deepEqual(await exited, [0, null]);
+  assert.ok(world.gateway.calls.some(({ path }) => path.endsWith('/leave')));
+});
 
 Then('parsing accepts exactly the valid heartbeat answers', () => {
   const action = fc.record(
@@ -388,7 +340,7 @@
       (a, v, part) => {
         const broken: Record<string, unknown> = { ...a };
         if (part === 'leaseMs') broken.leaseMs = v;
-        if (part === 'action') broken.actions = [...a.actions, v];
+        if (part === 'action') broken.actions = [...a.actions, { attempt: 'a', action: v }];
         if (part === 'acknowledged') broken.acknowledged = [...a.acknowledged, [v]];
         assert.equal(parseHeartbeatAnswer(broken), undefined);
       },
