--- a/packages/consensus/src/raftLog.ts
+++ b/packages/consensus/src/raftLog.ts
@@ -12,7 +12,7 @@
 /** Entries in memory after a base that has been compacted. */
 export class RaftLog {
   private base: LogPosition;
-  private entries: LogEntry[];
+  private entries: LogEntry[] = [];
 
   /**
    * @param base - Last compacted position; index 0 and term 0 if there is none.
@@ -20,7 +20,7 @@
    */
   constructor(base: LogPosition, entries: LogEntry[]) {
     this.base = base;
-    this.entries = [...entries];
+    this.append(entries);
   }
 
   get baseIndex(): number {
--- a/packages/consensus/src/raftReplica.ts
+++ b/packages/consensus/src/raftReplica.ts
@@ -170,7 +170,7 @@
   async [Symbol.asyncDispose](): Promise<void> {
     this.stop();
     await this.starting?.catch(() => undefined);
-    await this.storeQueue.stop();
+    await this.storeQueue.whenIdle();
   }
 
   private async load(): Promise<void> {
@@ -369,6 +369,7 @@
     if (this.isStopped) return;
     this.isStopped = true;
     clearInterval(this.ticker);
+    this.storeQueue.stop();
     this.inquiry?.[Symbol.dispose]();
     this.unsubscribe();
     this.proposals.rejectExcept(undefined, cause);
--- a/packages/consensus/src/storeQueue.ts
+++ b/packages/consensus/src/storeQueue.ts
@@ -33,9 +33,13 @@
     this.enqueue(() => this.store.saveSnapshot(snapshot), onDone);
   }
 
-  /** Drops what has not started and waits for what has. */
-  async stop(): Promise<void> {
+  /** Drops what has not started. */
+  stop(): void {
     this.isStopped = true;
+  }
+
+  /** Resolves when nothing is running. */
+  async whenIdle(): Promise<void> {
     await this.tail;
   }
 
--- a/packages/tests/features/consensus/replica.feature
+++ b/packages/tests/features/consensus/replica.feature
@@ -116,6 +116,16 @@
     Then Raft replica follower has stored a snapshot
     And Raft replicas "a b c" have applied all proposed commands
 
+  Scenario: messages stay far below the frame limit of connections
+    Given a Raft cluster of "a b c"
+    When Raft replica follower is cut off
+    And 40 commands of 100 KiB are proposed in one turn on Raft replica leader
+    And Raft replica follower is reconnected
+    And 1000 ms of Raft time pass
+    Then the Raft outcome is "committed"
+    And Raft replicas "a b c" have applied the same commands
+    And no Raft message is longer than 1100 KiB
+
   Scenario: a slow snapshot holds up its own replica only
     Given Raft snapshots every 10 entries
     And a Raft cluster of "a b c"
--- a/packages/tests/src/steps/consensus/replicaSteps.ts
+++ b/packages/tests/src/steps/consensus/replicaSteps.ts
@@ -127,6 +127,16 @@
   },
 );
 
+When(
+  '{int} commands of {int} KiB are proposed in one turn on Raft replica {word}',
+  function proposeLarge(this: ReplicaWorld, count: number, kib: number, name: string) {
+    const { replica } = member(this, name);
+    const command = 'x'.repeat(kib * 1024);
+    const proposals = Array.from({ length: count }, () => replica.propose(command));
+    follow(this, Promise.all(proposals), 'committed');
+  },
+);
+
 When(
   '{int} commands are committed one by one by the Raft leader',
   async function commitCommands(this: ReplicaWorld, count: number) {
@@ -204,6 +214,11 @@
   },
 );
 
+Then('no Raft message is longer than {int} KiB', function checkLength(this: ReplicaWorld, kib) {
+  const lengths = this.cluster.sent.map(({ message }) => JSON.stringify(message).length);
+  assert.ok(Math.max(...lengths) <= kib * 1024);
+});
+
 Then(
   'Raft replicas {string} have applied all proposed commands',
   function checkApplied(this: ReplicaWorld, names: string) {
