--- a/packages/consensus/src/raftCore.ts
+++ b/packages/consensus/src/raftCore.ts
@@ -125,13 +125,14 @@
   /**
    * Hands leadership to a voter; proposals are refused meanwhile.
    *
-   * @param target - Replica id; by default the voter whose log is furthest.
+   * @param target - Replica id; by default a voter that answers, with the furthest log.
    */
   transferLeadership(target: string | undefined, nowMs: number): void {
     const leader = this.expectLeader(nowMs);
     const to = target ?? leader.mostUpToDateVoter();
-    if (to === undefined || to === this.state.replicaId || !this.state.voters.includes(to)) {
-      throw new MembershipChangeError(`${to ?? 'no other replica'} can take over leadership`);
+    if (to === undefined) throw new MembershipChangeError('no other voter answers');
+    if (to === this.state.replicaId || !this.state.voters.includes(to)) {
+      throw new MembershipChangeError(`${to} is not another voter`);
     }
     this.transfer = new LeadershipTransfer(this.state, to);
     this.advanceTransfer();
--- a/packages/consensus/src/replicatedLog.ts
+++ b/packages/consensus/src/replicatedLog.ts
@@ -5,6 +5,7 @@
 export interface CommittedEntry {
   index: number;
   term: number;
+  /** Part of the log, which may still be sent to other replicas; must not be changed. */
   command: unknown;
 }
 
--- a/packages/tests/features/consensus/replica.feature
+++ b/packages/tests/features/consensus/replica.feature
@@ -157,6 +157,15 @@
     When the Raft leader adds learner "d/new" and promotes it
     Then the Raft outcome is "MembershipChangeError"
 
+  Scenario: a removal that leaves no answering majority is refused
+    Given a Raft cluster of "a b c"
+    When Raft replica follower crashes
+    And 600 ms of Raft time pass
+    And the Raft leader removes replica other
+    Then the Raft outcome is "MembershipChangeError"
+    When the Raft leader removes replica follower
+    Then the Raft outcome is "removed"
+
   Scenario: leadership is transferred
     Given a Raft cluster of "a b c"
     When the Raft leader transfers leadership to other
--- a/packages/tests/features/consensus/schedules.feature
+++ b/packages/tests/features/consensus/schedules.feature
@@ -32,6 +32,8 @@
       | vote before the write completes                      | elections        | 1    | 300   | one leader a term      |
       | log position is ignored in votes                     | crashes          | 1    | 50    | committed entries stay |
       | log position is ignored in appends                   | elections        | 5    | 1     | log matching           |
+      | snapshots hold another state                         | snapshots        | 1    | 20    | same order everywhere  |
+      | learners refuse every vote                           | membership       | 1    | 50    | liveness               |
       | entries of earlier terms commit by counting          | elections        | 1    | 400   | committed entries stay |
       | no wait after restart                                | leases           | 400  | 200   | one valid leader       |
       | votes while a leader is heard                        | leases           | 1    | 50    | one valid leader       |
--- a/packages/tests/src/consensus/mutatedCore.ts
+++ b/packages/tests/src/consensus/mutatedCore.ts
@@ -24,7 +24,14 @@
   }
 
   override receive(message: RaftMessage, nowMs: number): void {
-    super.receive(this.mutate(message), nowMs);
+    const isVote = message.type === 'vote' || message.type === 'pre-vote';
+    const isRefused = this.mutation === 'learners refuse every vote' && !this.state.isVoter;
+    if (!(isVote && isRefused)) super.receive(this.mutate(message), nowMs);
+  }
+
+  override snapshotSaved(index: number, data: unknown): void {
+    const isMutated = this.mutation === 'snapshots hold another state';
+    super.snapshotSaved(index, isMutated ? { index, value: -1 } : data);
   }
 
   protected override createLeader(): MutatedLeader {
--- a/packages/tests/src/consensus/mutation.ts
+++ b/packages/tests/src/consensus/mutation.ts
@@ -11,4 +11,6 @@
   | 'membership changes do not wait'
   | 'learners are promoted at once'
   | 'log position is ignored in votes'
-  | 'log position is ignored in appends';
+  | 'log position is ignored in appends'
+  | 'learners refuse every vote'
+  | 'snapshots hold another state';
--- a/packages/tests/src/steps/consensus/replicaSteps.ts
+++ b/packages/tests/src/steps/consensus/replicaSteps.ts
@@ -166,6 +166,15 @@
   },
 );
 
+When(
+  'the Raft leader removes replica {word}',
+  async function remove(this: ReplicaWorld, name: string) {
+    const { replicaId } = member(this, name).replica;
+    follow(this, member(this, 'leader').replica.removeMember(replicaId!), 'removed');
+    await this.cluster.advance(20);
+  },
+);
+
 When(
   'the Raft leader adds learner {string} and promotes it',
   async function promoteAtOnce(this: ReplicaWorld, replicaId: string) {
