--- a/packages/tests/src/steps/consensus/replicaSteps.ts
+++ b/packages/tests/src/steps/consensus/replicaSteps.ts
@@ -127,6 +127,16 @@
   },
 );
 
+When(
+  '{int} commands of {int} KiB are proposed in one turn on Raft replica {word}',
+  function proposeLarge(this: ReplicaWorld, count: number, kib: number, name: string) {
+    const { replica } = member(this, name);
+    const command = 'x'.repeat(kib * 1024);
+    const proposals = Array.from({ length: count }, () => replica.propose(command));
+    follow(this, Promise.all(proposals), 'committed');
+  },
+);
+
 When(
   '{int} commands are committed one by one by the Raft leader',
   async function commitCommands(this: ReplicaWorld, count: number) {
@@ -156,6 +166,15 @@
   },
 );
 
+When(
+  'the Raft leader removes replica {word}',
+  async function remove(this: ReplicaWorld, name: string) {
+    const { replicaId } = member(this, name).replica;
+    follow(this, member(this, 'leader').replica.removeMember(replicaId!), 'removed');
+    await this.cluster.advance(20);
+  },
+);
+
 When(
   'the Raft leader adds learner {string} and promotes it',
   async function promoteAtOnce(this: ReplicaWorld, replicaId: string) {
@@ -204,6 +223,11 @@
   },
 );
 
+Then('no Raft message is longer than {int} KiB', function checkLength(this: ReplicaWorld, kib) {
+  const lengths = this.cluster.sent.map(({ message }) => JSON.stringify(message).length);
+  assert.ok(Math.max(...lengths) <= kib * 1024);
+});
+
 Then(
   'Raft replicas {string} have applied all proposed commands',
   function checkApplied(this: ReplicaWorld, names: string) {
