--- a/packages/scheduling/src/contentionPlanner.ts
+++ b/packages/scheduling/src/contentionPlanner.ts
@@ -20,10 +20,13 @@
 const MAX_TASKS = 16;
 
 /** Searches for victims in one turn; bounds the time of the turn. */
-const MAX_SEARCHES = 8;
+const MAX_SEARCHES = 4;
 
 /** Time before a fruitless search for victims is repeated, in milliseconds. */
-const FRUITLESS_PAUSE_MS = 500;
+const FRUITLESS_PAUSE_MS = 2_000;
+
+/** The same for urgent work. */
+const URGENT_PAUSE_MS = 200;
 
 /**
  * Looks after work that fits nowhere: has other work give way for urgent units
@@ -64,7 +67,12 @@
       (a, b) =>
         b.properties.priority - a.properties.priority || a.blockedSinceMs! - b.blockedSinceMs!,
     );
-    for (const shape of starving) this.reserve(shape, nowMs);
+    const tried = new Set<string>();
+    for (const shape of starving) {
+      // One collects at a time, so only the first one of each kind of work has to be tried.
+      const { work } = shape.properties;
+      if (!tried.has(work) && this.reserve(shape, nowMs)) tried.add(work);
+    }
   }
 
   private listBlocked(): WaitingShape[] {
@@ -96,23 +104,23 @@
       this.searches += wanted;
       const planned = this.preemption.plan(unit, size, wanted, isUrgent, entitlements, nowMs);
       if (planned > 0) continue;
-      shape.planAtMs = nowMs + FRUITLESS_PAUSE_MS;
+      shape.planAtMs = nowMs + (isUrgent ? URGENT_PAUSE_MS : FRUITLESS_PAUSE_MS);
       return;
     }
   }
 
-  private reserve(shape: WaitingShape, nowMs: number): void {
+  /** Reserves capacity for the first unit of a shape; true if its kind of work is taken now. */
+  private reserve(shape: WaitingShape, nowMs: number): boolean {
     const entry = shape.peek();
-    if (!entry) return;
+    if (!entry) return false;
     const { unit, pending } = entry;
-    if (this.holds.list(unit.id).length > 0) return;
-    if (!this.reservations.isCollecting(unit.id) && !this.reservations.mayCollect(unit.work)) {
-      return;
-    }
+    if (this.holds.list(unit.id).length > 0) return this.reservations.isCollecting(unit.id);
+    const isCollecting = this.reservations.isCollecting(unit.id);
+    if (!isCollecting && !this.reservations.mayCollect(unit.work)) return true;
     const size = this.placer.readSize(shape);
     const count = unit.kind === 'gang' ? pending.length : 1;
-    if (!this.ledger.fitsTeam(unit.team, size, count)) return;
-    this.reservations.collect(unit, size, count, nowMs);
+    if (!this.ledger.fitsTeam(unit.team, size, count)) return false;
+    return this.reservations.collect(unit, size, count, nowMs);
   }
 
   private createEntitlements(): Entitlements {
--- a/packages/scheduling/src/endpointCatalog.ts
+++ b/packages/scheduling/src/endpointCatalog.ts
@@ -4,6 +4,7 @@
 import { NO_RESOURCES, subtractResources } from '@lagoongap/model/resources.js';
 import type { Resources } from '@lagoongap/model/resources.js';
 
+import { BlockedSizes } from './blockedSizes.js';
 import { EndpointPool } from './endpointPool.js';
 import type { EndpointRecord } from './endpointRecord.js';
 import type { EndpointAccount, PlacementLedger } from './placementLedger.js';
@@ -23,6 +24,8 @@
   private readonly poolsByWork = new Map<string, EndpointPool[]>();
   /** Kinds of work that some endpoint has taken at any time. */
   private readonly seenWorks = new Set<string>();
+  /** Sizes that fit nowhere now. */
+  readonly blockedSizes = new BlockedSizes();
   private config = createEmptyConfig();
   private rulesText = '{}';
   /** Sum of the announced sizes of all known endpoints. */
@@ -133,12 +136,13 @@
       free.memoryMib > before.memoryMib ||
       free.accelerators > before.accelerators ||
       free.slots > before.slots;
-    if (hasGrown) this.markFreed(record.pool);
+    if (hasGrown) this.markFreed(record.pool, free);
   }
 
   /** Has all waiting work looked at again, after limits have changed. */
   markAllFreed(): void {
     for (const pool of this.pools.values()) this.markFreed(pool);
+    this.blockedSizes.clear();
   }
 
   /** Changes what is held on an endpoint for waiting work. */
@@ -148,9 +152,10 @@
     if (account) this.refresh(account);
   }
 
-  private markFreed(pool: EndpointPool): void {
+  private markFreed(pool: EndpointPool, available?: Resources): void {
     this.freedVersion += 1;
     pool.freedVersion = this.freedVersion;
+    if (available) this.blockedSizes.lift(pool.works, available);
   }
 
   private assignPool(record: EndpointRecord): void {
@@ -169,7 +174,7 @@
       this.openPool(pool);
     }
     pool.add(record);
-    this.markFreed(pool);
+    this.markFreed(pool, record.available);
   }
 
   private openPool(pool: EndpointPool): void {
--- a/packages/scheduling/src/entitlements.ts
+++ b/packages/scheduling/src/entitlements.ts
@@ -1,4 +1,4 @@
-import { dominantShare, subtractResources } from '@lagoongap/model/resources.js';
+import { NO_RESOURCES, dominantShare, subtractResources } from '@lagoongap/model/resources.js';
 import type { Resources } from '@lagoongap/model/resources.js';
 
 import type { EndpointCatalog } from './endpointCatalog.js';
@@ -10,6 +10,7 @@
 /** Compares what teams have, less what is giving way already, with what they are entitled to. */
 export class Entitlements {
   private readonly shares = new Map<string, number>();
+  private readonly overShare = new Map<string, boolean>();
 
   /**
    * @param active - Teams that have work, among which the cluster is divided.
@@ -45,6 +46,16 @@
     return this.project(team, size, 1) <= this.readEntitlement(team);
   }
 
+  /** Tells whether a team has more than its share at the start of the turn. */
+  isOverShare(team: string): boolean {
+    let isOver = this.overShare.get(team);
+    if (isOver === undefined) {
+      isOver = this.project(team, NO_RESOURCES, 1) > this.readEntitlement(team);
+      this.overShare.set(team, isOver);
+    }
+    return isOver;
+  }
+
   /** Tells whether a team keeps its share when `size` is taken from it. */
   mayLose(team: string, size: Resources): boolean {
     return this.project(team, size, -1) >= this.readEntitlement(team);
--- a/packages/scheduling/src/fairShareScheduler.ts
+++ b/packages/scheduling/src/fairShareScheduler.ts
@@ -322,6 +322,7 @@
     };
     return new TaskPlacer(
       this.ledger,
+      catalog,
       this.holds,
       policies,
       this.sizes,
--- a/packages/scheduling/src/placementTurn.ts
+++ b/packages/scheduling/src/placementTurn.ts
@@ -125,7 +125,10 @@
   }
 
   private isBlocked(shape: WaitingShape): boolean {
-    return shape.size === 0 || shape.blockedVersion === this.readVersion(shape);
+    if (shape.size === 0) return true;
+    if (shape.blockedVersion < 0) return false;
+    if (!shape.isAtLimit && shape.blockedSize?.isBlocked) return true;
+    return shape.blockedVersion === this.readVersion(shape);
   }
 
   /** A team at its limit has to wait for any of its attempts, on whatever endpoint. */
--- a/packages/scheduling/src/preemptionPlanner.ts
+++ b/packages/scheduling/src/preemptionPlanner.ts
@@ -13,10 +13,10 @@
 import type { VictimChoice, VictimSelector, WantedPlace } from './victimSelector.js';
 
 /** Endpoints that are compared for one task; enough to find cheap victims in a large fleet. */
-const MAX_ENDPOINTS = 64;
+const MAX_ENDPOINTS = 32;
 
 /** Endpoints with sufficient victims after which the search ends. */
-const ENOUGH_CHOICES = 8;
+const ENOUGH_CHOICES = 6;
 
 interface Plan {
   record: EndpointRecord;
@@ -91,13 +91,16 @@
   }
 
   private listRecords(unit: WorkUnit, size: Resources): EndpointRecord[] {
-    const records = this.catalog.listPools(unit.work).flatMap((pool) => pool.records);
-    const start = Math.floor(this.random() * records.length);
     const chosen: EndpointRecord[] = [];
-    for (let i = 0; i < records.length && chosen.length < MAX_ENDPOINTS; i++) {
-      const record = records[(start + i) % records.length]!;
-      if (!fitsInto(size, record.view.size) || unit.excluded.includes(record.view.id)) continue;
-      chosen.push(record);
+    const pools = this.catalog.listPools(unit.work);
+    const perPool = Math.ceil(MAX_ENDPOINTS / Math.max(1, pools.length));
+    for (const { records } of pools) {
+      const start = Math.floor(this.random() * records.length);
+      for (let i = 0; i < Math.min(perPool, records.length); i++) {
+        const record = records[(start + i) % records.length]!;
+        if (!fitsInto(size, record.view.size) || unit.excluded.includes(record.view.id)) continue;
+        chosen.push(record);
+      }
     }
     return chosen;
   }
--- a/packages/scheduling/src/taskPlacer.ts
+++ b/packages/scheduling/src/taskPlacer.ts
@@ -4,6 +4,7 @@
 
 import { createAttempt } from './attemptFactory.js';
 import type { RandomSource } from './attemptFactory.js';
+import type { EndpointCatalog } from './endpointCatalog.js';
 import type { EndpointRecord } from './endpointRecord.js';
 import type { FairShareTracker } from './fairShareTracker.js';
 import type { FeasibilityChecker } from './feasibilityChecker.js';
@@ -31,6 +32,7 @@
 export class TaskPlacer {
   constructor(
     private readonly ledger: PlacementLedger,
+    private readonly catalog: EndpointCatalog,
     private readonly holds: HoldTable,
     private readonly policies: Readonly<Record<WorkloadKind, PlacementPolicy>>,
     private readonly sizes: SizeEstimator,
@@ -62,12 +64,22 @@
       return { attempts: [], obstacle: 'limit' };
     }
     const records = this.choose(entry, size, count);
-    if (records.length < count) return { attempts: [], obstacle: 'capacity' };
+    if (records.length < count) return this.refuse(entry, size);
     const attempts = records.map((record) => this.reserve(entry, record, size, nowMs));
     this.shares.update(entry.unit.team, nowMs);
     return { attempts };
   }
 
+  /** Remembers that the size fits nowhere, unless it is the unit that is particular. */
+  private refuse({ unit, shape }: WaitingEntry, size: Resources): PlaceResult {
+    const isParticular = unit.kind === 'gang' || unit.excluded.length > 0;
+    const { blockedSizes } = this.catalog;
+    shape.blockedSize = isParticular
+      ? undefined
+      : (blockedSizes.find(unit.work, size) ?? blockedSizes.add(unit.work, size));
+    return { attempts: [], obstacle: 'capacity' };
+  }
+
   /** Puts tasks aside of which an earlier attempt still holds a reservation. */
   private deferActive({ unit, pending, deferred }: WaitingEntry): void {
     if (unit.kind === 'gang') {
@@ -93,6 +105,8 @@
         return [hold.record];
       }
     }
+    // What the unit itself holds is not covered by the mark.
+    if (holds.length === 0 && this.catalog.blockedSizes.find(unit.work, size)) return [];
     const records = this.policies[unit.kind].choose({ unit, size, count, holds });
     if (records.length < count || holds.length === 0) return records;
     // The unit found its place, so what was held for it is given back.
--- a/packages/scheduling/src/victimSelector.ts
+++ b/packages/scheduling/src/victimSelector.ts
@@ -52,6 +52,14 @@
   return RESOURCE_NAMES.some((name) => deficit[name] > 0 && size[name] > 0);
 }
 
+function compareVictims(a: LedgerEntry, b: LedgerEntry): number {
+  return (
+    KIND_RANK[a.attempt.kind] - KIND_RANK[b.attempt.kind] ||
+    a.attempt.priority - b.attempt.priority ||
+    b.sequence - a.sequence
+  );
+}
+
 /** Chooses which attempts on an endpoint have to give way, and no more than needed. */
 export class VictimSelector {
   constructor(
@@ -74,12 +82,14 @@
     if (!account) return undefined;
     const entries = [...account.entries.values()];
     const deficit = this.measureDeficit(record, wanted.size, yielded, entries);
+    const candidates = this.listCandidates(record, wanted, entries, entitlements);
+    if (!this.canMeet(deficit, candidates)) return undefined;
     const isThrottleUseful = RESOURCE_NAMES.every(
       (name) => name === 'cpuMillis' || deficit[name] <= 0,
     );
     const chosen: LedgerEntry[] = [];
     const taken = new Map<string, Resources>();
-    for (const entry of this.listCandidates(record, wanted, entries)) {
+    for (const entry of candidates.sort(compareVictims)) {
       if (isMet(deficit)) break;
       if (!helps(entry.reserved, deficit)) continue;
       const { team } = entry.attempt;
@@ -112,20 +122,22 @@
     record: EndpointRecord,
     wanted: WantedPlace,
     entries: readonly LedgerEntry[],
+    entitlements: Entitlements,
   ): LedgerEntry[] {
     if (listEvictionSteps(record.view.capabilities, false).length === 0) return [];
-    return entries
-      .filter(({ attempt }) => {
-        if (attempt.kind === 'request' || attempt.priority >= URGENT_PRIORITY) return false;
-        if (!wanted.isUrgent && attempt.team === wanted.team) return false;
-        return !this.evictions.isEvicting(attempt.id);
-      })
-      .sort(
-        (a, b) =>
-          KIND_RANK[a.attempt.kind] - KIND_RANK[b.attempt.kind] ||
-          a.attempt.priority - b.attempt.priority ||
-          b.sequence - a.sequence,
-      );
+    return entries.filter(({ attempt }) => {
+      if (attempt.kind === 'request' || attempt.priority >= URGENT_PRIORITY) return false;
+      if (!wanted.isUrgent && !entitlements.isOverShare(attempt.team)) return false;
+      if (!wanted.isUrgent && attempt.team === wanted.team) return false;
+      return !this.evictions.isEvicting(attempt.id);
+    });
+  }
+
+  /** Tells whether all candidates together would suffice; saves sorting them if not. */
+  private canMeet(deficit: Resources, candidates: readonly LedgerEntry[]): boolean {
+    const rest = { ...deficit };
+    for (const { reserved } of candidates) accumulate(rest, reserved, -1);
+    return isMet(rest);
   }
 
   /** Leaves out victims that became needless once larger ones were chosen. */
--- a/packages/scheduling/src/waitingShape.ts
+++ b/packages/scheduling/src/waitingShape.ts
@@ -1,6 +1,8 @@
 import type { Resources } from '@lagoongap/model/resources.js';
 import type { WorkloadKind, WorkUnit } from '@lagoongap/model/workload.js';
 
+import type { BlockedSize } from './blockedSizes.js';
+
 /** Least number of dead entries that is worth a compaction. */
 const COMPACTION_THRESHOLD = 64;
 
@@ -52,6 +54,8 @@
   size = 0;
   /** Freed version of the kind of work at which the first unit fitted nowhere; -1 if not known. */
   blockedVersion = -1;
+  /** Mark of the size that fitted nowhere; shared with other shapes. */
+  blockedSize: BlockedSize | undefined;
   /** Since when the first unit fits nowhere; undefined while it fits or is at a limit. */
   blockedSinceMs: number | undefined;
   /** The team's upper limit, not the capacity, is in the way of the first unit. */
