--- a/packages/routing/src/httpExchange.ts
+++ b/packages/routing/src/httpExchange.ts
@@ -265,7 +265,7 @@
   ): Promise<AnswerStart> {
     const { deadline, signal } = context;
     if (signal?.aborted) throw new ExchangeError('caller-gone', 'not-run', 'the caller has gone');
-    const { origin, pathname } = new URL(url);
+    const { origin, pathname } = HttpExchange.parseUrl(url);
     const connection = this.connections.acquire(origin, {
       isFresh: context.isFresh,
       isProbe: context.isProbe,
@@ -315,6 +315,14 @@
     });
   }
 
+  private static parseUrl(url: string): URL {
+    try {
+      return new URL(url);
+    } catch (err) {
+      throw new ExchangeError('prevented', 'not-run', `no endpoint URL: ${url}`, toError(err));
+    }
+  }
+
   private static checkAttempt(attempt: string, headers: AnswerStart['headers']): void {
     const answered = headers['lagoongap-attempt'];
     if (answered === attempt) return;
--- a/packages/tests/features/routing/httpExchange.feature
+++ b/packages/tests/features/routing/httpExchange.feature
@@ -50,6 +50,7 @@
     Examples:
       | behaviour                                      | failure            | state   |
       | refuses connections                            | refused-connection | not-run |
+      | has no valid URL                               | prevented          | not-run |
       | lets no connection be established              | refused-connection | not-run |
       | closes connections after the request           | connection-lost    | unknown |
       | answers for another attempt                    | answer-mismatch    | unknown |
--- a/packages/tests/src/steps/routing/httpExchangeSteps.ts
+++ b/packages/tests/src/steps/routing/httpExchangeSteps.ts
@@ -117,6 +117,10 @@
   },
 );
 
+Given('an endpoint that has no valid URL', () => {
+  world.url = 'endpoint-1';
+});
+
 Given('an endpoint that refuses connections', async () => {
   await useRaw(() => {});
   await world.raw[Symbol.asyncDispose]();
