--- a/packages/consensus/src/memoryLogStore.ts
+++ b/packages/consensus/src/memoryLogStore.ts
@@ -45,7 +45,10 @@
       if (hardState !== undefined) this.hardState = hardState;
       const first = entries[0];
       if (first === undefined) return;
-      this.entries = this.entries.filter((entry) => entry.index < first.index);
+      const lastStored = lastOf(this.entries);
+      if (lastStored !== undefined && lastStored.index >= first.index) {
+        this.entries = this.entries.filter((entry) => entry.index < first.index);
+      }
       const lastIndex = lastOf(this.entries)?.index ?? this.snapshot?.index ?? 0;
       if (first.index !== lastIndex + 1) {
         throw new ConsensusError(`entry ${first.index} does not follow entry ${lastIndex}`);
--- a/packages/consensus/src/writeQueue.ts
+++ b/packages/consensus/src/writeQueue.ts
@@ -107,7 +107,10 @@
   /** Entries from an index on are no longer part of the log, whatever storage holds. */
   private forgetFrom(index: number): void {
     const before = Math.max(0, index - 1);
-    this.staged.entries = this.staged.entries.filter((entry) => entry.index < index);
+    const lastStaged = lastOf(this.staged.entries);
+    if (lastStaged !== undefined && lastStaged.index >= index) {
+      this.staged.entries = this.staged.entries.filter((entry) => entry.index < index);
+    }
     this.durable = Math.min(this.durable, before);
     if (this.inFlight) this.inFlight.lastIndex = Math.min(this.inFlight.lastIndex, before);
   }
