Release placements whose request was given up across a change of leader

A gateway gave a request up while its placement was being committed; the leader acknowledged that and lost leadership before it had closed the attempt. Ruled out: late acquire calls (the relay had stopped asking). Change: giving up is committed behind the placement before it is acknowledged; the deadline of a request is kept with its attempt, so that a later leader can settle it. The matrix gains faults of endpoints and of connections to them. Gateways bound the requests they hold, in all and by team, and pauses in bodies.

--- a/packages/coordinator/src/placementPipeline.ts
+++ b/packages/coordinator/src/placementPipeline.ts
@@ -22,6 +22,8 @@
   /** Gateway process that dispatches the attempt of a request. */
   owner?: string;
   idempotencyKey?: string;
+  /** Time that the caller of a request allowed, in milliseconds. */
+  deadlineMs?: number;
 }
 
 /** Receives what was decided and committed. */
--- a/packages/coordinator/src/requestDesk.ts
+++ b/packages/coordinator/src/requestDesk.ts
@@ -56,6 +56,7 @@
   /** Requests between two attempts, with the time since when they are. */
   private readonly idleSinceMs = new Map<string, number>();
   private readonly abandoned = new ExpiringSet(ABANDONED_MEMORY_MS);
+  private readonly startedAtMs = performance.now();
 
   constructor(opts: RequestDeskOptions) {
     this.opts = opts;
@@ -154,8 +155,10 @@
     const unconfirmedAtMs = this.unconfirmedAtMs.get(attempt.id);
     if (unconfirmedAtMs !== undefined) return nowMs - unconfirmedAtMs > ATTEMPT_SETTLE_MS;
     if (attempt.owner === undefined || !this.opts.isOwnerAlive(attempt.owner)) return true;
-    const deadlineAtMs = this.deadlinesAtMs.get(attempt.unitId);
-    return deadlineAtMs !== undefined && nowMs > deadlineAtMs + ATTEMPT_SETTLE_MS;
+    // An attempt of an earlier leader gets its whole time again from the election on.
+    const deadlineAtMs =
+      this.deadlinesAtMs.get(attempt.unitId) ?? this.startedAtMs + (attempt.deadlineMs ?? 0);
+    return nowMs > deadlineAtMs + ATTEMPT_SETTLE_MS;
   }
 
   /** Tells whether a gateway waits to attempt the request again once it has been settled. */
@@ -206,7 +209,7 @@
           deadlineAtMs,
           excluded,
         },
-        { ownerId: requestId, noRepeat, owner, idempotencyKey },
+        { ownerId: requestId, noRepeat, owner, idempotencyKey, deadlineMs: params.deadlineMs },
       );
     } catch (err) {
       this.settleWaiters(params.requestId, (waiter) => waiter.reject(err as Error));
@@ -216,6 +219,7 @@
   private async releaseOne(release: Release): Promise<void> {
     const { requestId, outcome, final } = release;
     if (final && outcome === 'not-run') this.forgetWaiting(requestId);
+    if (final && release.attempt === undefined) await this.commitAbandoned(requestId);
     const record = this.opts.state.requests.get(requestId);
     const attemptId = release.attempt ?? record?.attempt;
     const attempt = attemptId === undefined ? undefined : this.opts.state.attempts.get(attemptId);
@@ -240,6 +244,19 @@
     this.rejectWaiters(requestId, 'cancelled', 'the request was given up');
   }
 
+  /**
+   * Commits that a request was given up. A placement that was being committed comes
+   * before it in the log, so that it is known and can be closed afterwards.
+   */
+  private async commitAbandoned(requestId: string): Promise<void> {
+    await this.opts.commits.commit({
+      type: 'abandon-requests',
+      requests: [requestId],
+      state: 'cancelled',
+      wallTime: Date.now(),
+    });
+  }
+
   private abandonRecord(requestId: string, state: 'failed' | 'cancelled'): void {
     this.deadlinesAtMs.delete(requestId);
     const record = this.opts.state.requests.get(requestId);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from 'node:crypto';
+import { availableParallelism, totalmem } from 'node:os';
 import { delay } from '@lagoongap/model/delay.js';
 
 import { RaftReplica } from '@lagoongap/consensus/raftReplica.js';
@@ -11,10 +12,12 @@
 import { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
 import { OperatorApi } from '@lagoongap/gateway/operatorApi.js';
 import { PlatformApi } from '@lagoongap/gateway/platformApi.js';
+import { RequestAdmission } from '@lagoongap/gateway/requestAdmission.js';
 import { ReleaseQueue } from '@lagoongap/gateway/releaseQueue.js';
 import { ValidityPoller } from '@lagoongap/gateway/validityPoller.js';
 import type { Log } from '@lagoongap/model/log.js';
 import { TcpPeerNetwork } from '@lagoongap/peering/tcpPeerNetwork.js';
+import { computeInstanceLimit } from '@lagoongap/routing/concurrencyLimiter.js';
 import { EjectingHealthPolicy } from '@lagoongap/routing/ejectingHealthPolicy.js';
 import { HttpExchange } from '@lagoongap/routing/httpExchange.js';
 import { RetryBudget } from '@lagoongap/routing/retryBudget.js';
@@ -40,6 +43,10 @@
 
 const BOOT_ID_BYTES = 6;
 const DRAIN_CALL_TIMEOUT_MS = 5000;
+const BYTES_PER_MIB = 1024 * 1024;
+
+/** Part of the requests that an instance holds that one team may have. */
+const MAX_TEAM_SHARE = 0.5;
 
 /** One instance of the system: a gateway and, where there is a disk, a replica. */
 export class Daemon implements AsyncDisposable {
@@ -225,6 +232,13 @@
         log: logger,
       },
       maxBodyBytes: settings.http.maxBodyBytes,
+      admission: new RequestAdmission({
+        maxHeld: computeInstanceLimit({
+          cores: availableParallelism(),
+          memoryMib: totalmem() / BYTES_PER_MIB,
+        }),
+        maxTeamShare: MAX_TEAM_SHARE,
+      }),
       onFreshRequest: () => this.retries.recordFresh(),
     }).register(router);
     new EndpointApi({ authenticator, leader, validity }).register(router);
--- a/packages/gateway/src/callerApi.ts
+++ b/packages/gateway/src/callerApi.ts
@@ -21,6 +21,7 @@
 import type { LeaderClient } from './leaderClient.js';
 import { readCallerBody } from './replayableBody.js';
 import { readRequestHeaders } from './requestHeaders.js';
+import type { RequestAdmission } from './requestAdmission.js';
 import { RequestRelay, type RelayServices } from './requestRelay.js';
 import { cancelSchema, jobSpecSchema, parseWith } from './schemas.js';
 
@@ -30,6 +31,7 @@
   leader: LeaderClient;
   relay: RelayServices;
   maxBodyBytes: number;
+  admission: RequestAdmission;
   /** Called for each request that is not a retry. */
   onFreshRequest: () => void;
 }
@@ -59,13 +61,14 @@
   }
 
   private async relayRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const { relay, maxBodyBytes, onFreshRequest } = this.opts;
+    const { relay, maxBodyBytes, admission, onFreshRequest } = this.opts;
     relay.validity.assertValid();
     const key = this.authenticateCaller(req);
     const headers = readRequestHeaders(req);
     const queue = relay.validity.config.queues[headers.queue];
     if (!key && queue && !queue.open)
       refuse('unauthenticated', `queue ${queue.name} requires a key`);
+    using _held = admission.admit(key?.team ?? queue?.chargedTeam ?? '');
     const body = await readCallerBody(req, maxBodyBytes);
     onFreshRequest();
     const forwarded = listForwardedHeaders(req);
--- a/packages/gateway/src/replayableBody.ts
+++ b/packages/gateway/src/replayableBody.ts
@@ -1,11 +1,24 @@
 import type { IncomingMessage } from 'node:http';
 import { PassThrough, type Readable } from 'node:stream';
 
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+
 import { refuse } from './httpReply.js';
 
 /** Bodies up to this size are kept, so that another attempt can send them again. */
 const REPLAY_BYTES = 1024 * 1024;
 
+/** Longest pause in a body; a caller that stops sending must not hold its place for ever. */
+const BODY_IDLE_MS = 30_000;
+
+function createIdleError(): RefusalError {
+  return new RefusalError({
+    type: 'deadline-exceeded',
+    runState: 'not-run',
+    message: `no byte of the body arrived for ${BODY_IDLE_MS} ms`,
+  });
+}
+
 /** Body of a caller's request. */
 export interface CallerBody {
   /** The whole body if it can be sent again, otherwise a stream that can be read once. */
@@ -48,12 +61,21 @@
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let size = 0;
+    const onIdle = (): void => {
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define
+      cleanUp();
+      reject(createIdleError());
+    };
+    let idleTimer = setTimeout(onIdle, BODY_IDLE_MS);
     const cleanUp = (): void => {
+      clearTimeout(idleTimer);
       req.removeAllListeners('data');
       req.removeAllListeners('end');
       req.removeAllListeners('close');
     };
     req.on('data', (chunk: Buffer) => {
+      clearTimeout(idleTimer);
+      idleTimer = setTimeout(onIdle, BODY_IDLE_MS);
       chunks.push(chunk);
       size += chunk.length;
       if (size <= REPLAY_BYTES) return;
--- a/packages/state/src/records.ts
+++ b/packages/state/src/records.ts
@@ -57,6 +57,8 @@
   noRepeat: boolean;
   /** Gateway process that dispatches the attempt of a request: `<instance id>:<boot id>`. */
   owner?: string;
+  /** Time that the caller of a request allowed, counted from its admission, in milliseconds. */
+  deadlineMs?: number;
 }
 
 /** An endpoint that has announced itself and has not been removed. */
--- a/packages/tests/src/faults/faultCatalog.ts
+++ b/packages/tests/src/faults/faultCatalog.ts
@@ -15,6 +15,8 @@
   'reordered',
   'operators racing',
   'second loss after a repair',
+  'endpoint killed',
+  'endpoint cut off',
 ] as const;
 
 /** Name of a fault. */
@@ -49,13 +51,17 @@
 }
 
 function silence(cell: TestCell, { instance, peer }: StepContext): void {
+  later(DISTURBANCE_MS, () => cell.heal());
+  if (peer !== undefined && cell.endpoints.has(`http://${peer}`)) {
+    cell.cutEndpoint(instance, peer);
+    return;
+  }
   const other =
     peer !== undefined && cell.instances.has(peer) && peer !== instance
       ? peer
       : cell.instanceIds.find((id) => id !== instance)!;
   cell.wire.cut(instance, other);
   cell.wire.cut(other, instance);
-  later(DISTURBANCE_MS, () => cell.heal());
 }
 
 function disturb(cell: TestCell, disturbance: 'duplicate' | 'late' | 'reordered'): void {
@@ -63,6 +69,11 @@
   later(DISTURBANCE_MS, () => cell.heal());
 }
 
+/** Returns the endpoint that takes part in the step, or one that is likely to run work. */
+function findEndpoint(cell: TestCell, { peer }: StepContext): string {
+  return peer !== undefined && cell.endpoints.has(`http://${peer}`) ? peer : 'runner-1';
+}
+
 /** Erases another disk as soon as the replica that lost the first one votes again. */
 function loseSecondDisk(cell: TestCell, repaired: string): void {
   const { replica, isDead } = cell.instances.get(repaired)!;
@@ -130,6 +141,16 @@
     case 'silent connection':
       silence(cell, context);
       break;
+    case 'endpoint killed': {
+      const id = findEndpoint(cell, context);
+      cell.killEndpoint(id);
+      later(REPAIR_MS, () => cell.startEndpoint(id));
+      break;
+    }
+    case 'endpoint cut off':
+      cell.endpoints.get(`http://${findEndpoint(cell, context)}`)!.isCutOff = true;
+      later(DISTURBANCE_MS, () => cell.heal());
+      break;
     case 'operators racing':
       race(cell);
       break;
--- a/packages/tests/src/faults/faultRun.ts
+++ b/packages/tests/src/faults/faultRun.ts
@@ -33,6 +33,7 @@
 const MAX_VERIFY_MS = 60_000;
 const REQUEST_INTERVAL_MS = 120;
 const JOIN_STEPS: Step[] = ['join', 'catch up', 'promote', 'install a snapshot'];
+const RARE_STEPS: Step[] = ['cancel', 'publish a note', 'drain', ...JOIN_STEPS];
 const SMALL_SNAPSHOT_ENTRIES = 25;
 
 function createSpec(kind: JobSpec['kind'], queue: string, marker: string, runMs?: number): JobSpec {
@@ -82,7 +83,7 @@
     this.isEnded = true;
     cell.heal();
     await clock.tickAsync(SETTLE_MS);
-    const fired = cell.hooks.fired;
+    const { fired } = cell.hooks;
     await this.checkEnd();
     await cell.close();
     const violations = [...cell.violations, ...checkHistory(cell)];
@@ -92,7 +93,7 @@
   private arm(): void {
     const { step, fault } = this.test;
     const skip = Math.floor(this.cell.random() * 3);
-    const isFrequent = !['cancel', 'publish a note', 'drain', 'promote', 'join'].includes(step);
+    const isFrequent = !RARE_STEPS.includes(step);
     this.cell.hooks.arm(step, isFrequent ? skip : 0, (context) =>
       injectFault(fault, this.cell, context),
     );
@@ -124,7 +125,7 @@
         keyId: isUtility ? 'utilities-1' : 'laboratories-1',
         noRepeat: this.requests % 3 === 0,
         deadlineMs: 12_000,
-        sleepMs: this.requests % 10 === 0 ? 900 : 20,
+        sleepMs: this.requests % 4 === 0 ? 900 : 20,
       })
       .catch((err: Error) => cell.violations.push(`caller saw an error: ${err.message}`));
   }
@@ -233,7 +234,9 @@
     const left = [...(leader?.state.attempts.values() ?? [])].filter(
       ({ kind }) => kind !== 'service',
     );
-    if (left.length > 0) cell.violations.push(`${left.length} attempts were never released`);
+    for (const { id, endpointId, owner } of left) {
+      cell.violations.push(`attempt ${id} on ${endpointId} of ${owner} was never released`);
+    }
   }
 
   private async verifyJob(id: string): Promise<void> {
--- a/packages/tests/src/faults/runFaults.ts
+++ b/packages/tests/src/faults/runFaults.ts
@@ -4,7 +4,7 @@
 import { FairShareScheduler } from '@lagoongap/scheduling/fairShareScheduler.js';
 import { install } from '@sinonjs/fake-timers';
 
-import { createSeededRandom } from '../harness/seededRandom.js';
+import { createSeededRandom } from '@lagoongap/routing/seededRandom.js';
 import { STEPS, type Step } from '../harness/stepHooks.js';
 import { readKnownRed } from '../knownRed.js';
 import { explainInapplicable, FAULTS, type Fault } from './faultCatalog.js';
@@ -115,6 +115,10 @@
 if (isMainThread) await main();
 else if (workerData === 'worker') {
   parentPort!.on('message', (test: FaultCase) => {
-    runCase(test).then((result) => parentPort!.postMessage(result));
+    runCase(test)
+      .then((result) => parentPort!.postMessage(result))
+      .catch((err: Error) => {
+        throw err;
+      });
   });
 }
--- a/packages/tests/src/harness/fakeEndpoint.ts
+++ b/packages/tests/src/harness/fakeEndpoint.ts
@@ -38,10 +38,12 @@
 /** Endpoint in memory that runs whatever it is given for as long as it is told. */
 export class FakeEndpoint {
   readonly announcement: EndpointAnnouncement;
-  isLeaving = false;
+  /** Neither heartbeats nor requests pass. */
+  isCutOff = false;
   private readonly opts: FakeEndpointOptions;
   private readonly running = new Map<string, RunningAttempt>();
   private readonly finished = new Map<string, FinishedReport>();
+  private readonly succeeded = new Set<string>();
   private session: AnnounceResult | undefined;
   private leaseEndMs = -Infinity;
   private isClosed = false;
@@ -83,6 +85,10 @@
     return this.running.has(attempt);
   }
 
+  hasSucceeded(attempt: string): boolean {
+    return this.succeeded.has(attempt);
+  }
+
   hasFinished(attempt: string): boolean {
     return this.finished.has(attempt);
   }
@@ -93,6 +99,7 @@
     clearTimeout(running.timer);
     this.running.delete(attempt);
     this.finished.set(attempt, { attempt, outcome });
+    if (outcome === 'succeeded') this.succeeded.add(attempt);
     this.record('end', attempt, running.token, '', 'task', undefined, outcome);
   }
 
@@ -126,6 +133,7 @@
 
   private async beat(): Promise<void> {
     const { id } = this.announcement;
+    if (this.isCutOff) throw new Error(`endpoint ${id} is cut off`);
     if (!this.session) {
       const sentAtMs = performance.now();
       this.session = await this.opts.call<AnnounceResult>('endpoints.announce', {
--- a/packages/tests/src/harness/fakeExchange.ts
+++ b/packages/tests/src/harness/fakeExchange.ts
@@ -26,6 +26,7 @@
 
 const LATENCY_MS = 1;
 const CONNECT_TIMEOUT_MS = 1000;
+const ANSWER_CHECK_MS = 10;
 const REQUEST_RUN_MS = 30;
 
 function wait(ms: number): Promise<void> {
@@ -51,11 +52,11 @@
     this.assertOpen();
     this.prevent(req.beforeSend);
     await wait(LATENCY_MS);
-    hooks.reach('start', { instance, peer });
     if (this.opts.isCut(peer)) {
-      await wait(req.deadlineMs);
+      await wait(CONNECT_TIMEOUT_MS);
       throw new ExchangeError('connection-lost', 'unknown', 'no answer');
     }
+    hooks.reach('start', { instance, peer });
     const text = String(req.body);
     const { marker, sleepMs = REQUEST_RUN_MS } = JSON.parse(text);
     const order = {
@@ -69,20 +70,31 @@
       size: { ...NO_RESOURCES, slots: 1 },
       leaseMs: 0,
     };
-    if (!endpoint.run(order, marker)) {
+    if (!endpoint.run(order, marker, sleepMs)) {
       throw new ExchangeError('connection-lost', 'unknown', 'the endpoint closed the connection');
     }
-    await wait(sleepMs);
-    const isWhole = endpoint.isRunning(req.attempt);
-    endpoint.end(req.attempt, 'succeeded');
+    await this.awaitAnswer(endpoint, req.attempt);
     hooks.reach('answer', { instance, peer });
-    if (this.isClosed || !isWhole || this.opts.isCut(peer)) {
+    if (this.isClosed || this.opts.isCut(peer)) {
       throw new ExchangeError('connection-lost', 'unknown', 'the connection was lost');
     }
     await wait(LATENCY_MS);
     return { status: 200, headers: {}, body: Readable.from([Buffer.from(`echo:${text}`)]) };
   }
 
+  /** The endpoint goes on when the connection is lost. */
+  private async awaitAnswer(endpoint: FakeEndpoint, attempt: string): Promise<void> {
+    while (endpoint.isRunning(attempt)) {
+      await wait(ANSWER_CHECK_MS);
+      if (this.isClosed || this.opts.isCut(endpoint.announcement.id)) {
+        throw new ExchangeError('connection-lost', 'unknown', 'the connection was lost');
+      }
+    }
+    if (!endpoint.hasSucceeded(attempt)) {
+      throw new ExchangeError('connection-lost', 'unknown', 'the endpoint stopped the attempt');
+    }
+  }
+
   async startTask(
     url: string,
     order: StartOrder,
@@ -95,15 +107,17 @@
     this.assertOpen();
     this.prevent(opts.beforeSend);
     await wait(LATENCY_MS);
-    hooks.reach('start', { instance, peer });
     if (this.opts.isCut(peer)) {
       await wait(opts.timeoutMs);
       throw new ExchangeError('connection-lost', 'unknown', 'no answer');
     }
+    hooks.reach('start', { instance, peer });
     const { marker, runMs } = order.payload as { marker: string; runMs?: number };
     endpoint.run({ ...order, kind: 'task' }, `${marker}/${order.taskIndex}`, runMs);
     await wait(LATENCY_MS);
-    if (this.isClosed) throw new ExchangeError('connection-lost', 'unknown', 'the process died');
+    if (this.isClosed || this.opts.isCut(peer)) {
+      throw new ExchangeError('connection-lost', 'unknown', 'the answer was lost');
+    }
     return 'started';
   }
 
--- a/packages/tests/src/harness/testCell.ts
+++ b/packages/tests/src/harness/testCell.ts
@@ -1,14 +1,14 @@
 import type { HistoryEvent } from '@lagoongap/stand-in/standInOptions.js';
-import { createProbedScheduler, type SchedulerFactory } from './schedulerProbe.js';
 import type { MemoryLogStore } from '@lagoongap/consensus/memoryLogStore.js';
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
 import type { ReleaseNote } from '@lagoongap/model/releaseNote.js';
 import { encodeReleaseNote } from '@lagoongap/release-notes/encodeReleaseNote.js';
 
+import { createSeededRandom } from '@lagoongap/routing/seededRandom.js';
 import type { CallRecord } from '../history/callRecord.js';
 import { FakeEndpoint } from './fakeEndpoint.js';
 import { FakeWire } from './fakeWire.js';
-import { createSeededRandom } from './seededRandom.js';
+import { createProbedScheduler, type SchedulerFactory } from './schedulerProbe.js';
 import { StepHooks } from './stepHooks.js';
 import { createTestStore, TestInstance, type TestRequest } from './testInstance.js';
 
@@ -29,6 +29,9 @@
 /** Key that no secret hashes to; calls in memory name keys by their identifier. */
 const UNUSED_HASH = 'a'.repeat(64);
 
+/** Upper limits of the teams in the first release note. */
+export const TEAM_LIMITS: Record<string, number> = { laboratories: 6, utilities: 5 };
+
 /** A cell in memory on the runtime's clock, which must be paused. */
 export class TestCell {
   readonly hooks = new StepHooks();
@@ -74,7 +77,9 @@
       wire: this.wire,
       hooks: this.hooks,
       endpoints: this.endpoints,
-      isEndpointCut: (endpointId) => this.cutEndpoints.has(`${id}>${endpointId}`),
+      isEndpointCut: (endpointId) =>
+        this.cutEndpoints.has(`${id}>${endpointId}`) ||
+        this.endpoints.get(`http://${endpointId}`)!.isCutOff,
       store: this.stores.get(id),
       isBootstrap,
       snapshotEntries: this.opts.snapshotEntries ?? DEFAULT_SNAPSHOT_ENTRIES,
@@ -101,6 +106,7 @@
   heal(): void {
     this.wire.heal();
     this.cutEndpoints.clear();
+    for (const endpoint of this.endpoints.values()) endpoint.isCutOff = false;
   }
 
   /** Returns the instance that leads validly, if there is one. */
@@ -137,7 +143,17 @@
     for (const instance of this.living()) await instance.kill();
   }
 
-  private startEndpoint(id: string): void {
+  /** Loses everything between an instance and an endpoint. */
+  cutEndpoint(instanceId: string, endpointId: string): void {
+    this.cutEndpoints.add(`${instanceId}>${endpointId}`);
+  }
+
+  /** Stops an endpoint and all that it runs. */
+  killEndpoint(id: string): void {
+    this.endpoints.get(`http://${id}`)!.close();
+  }
+
+  startEndpoint(id: string): void {
     const url = `http://${id}`;
     const endpoint = new FakeEndpoint({
       announcement: {
@@ -176,9 +192,6 @@
   }
 }
 
-/** Upper limits of the teams in {@link createTestNote}. */
-export const TEAM_LIMITS: Record<string, number> = { laboratories: 6, utilities: 5 };
-
 /** Returns the first release note of a test cell. */
 export function createTestNote(): ReleaseNote {
   const key = { hash: UNUSED_HASH, role: 'caller' as const };
--- a/packages/tests/src/state/commandArbitrary.ts
+++ b/packages/tests/src/state/commandArbitrary.ts
@@ -1,5 +1,5 @@
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
-import type { AttemptOutcome, JobSpec, WorkloadKind } from '@lagoongap/model/workload.js';
+import type { AttemptOutcome, JobSpec } from '@lagoongap/model/workload.js';
 import type { SingleCommand, StartedAttempt } from '@lagoongap/state/commands.js';
 import fc from 'fast-check';
 
@@ -57,7 +57,7 @@
   })
   .map((fields) => ({
     ...fields,
-    kind: (fields.unitId.startsWith('request') ? 'request' : 'batch') as WorkloadKind,
+    kind: fields.unitId.startsWith('request') ? 'request' : 'batch',
     team: 'team-1',
     queue: 'queue-1',
     work: 'work-1',
