Test a killed log writer on the real file system

Cause: the normal run used the store only on the file system in memory. Change: a scenario kills a writing process four times and reads the folder afterwards.

--- a/packages/tests/features/storage/folderLock.feature
+++ b/packages/tests/features/storage/folderLock.feature
@@ -16,3 +16,7 @@
     Given a lock file of this process id with another start time
     When 20 claimants take the lock at once
     Then exactly one claimant holds the lock
+
+  Scenario: a killed writer loses no acknowledged entry and does not block its restart
+    When a process that appends to a log folder is killed 4 times after 120 acknowledged entries
+    Then the log folder holds every acknowledged entry
--- a/packages/tests/src/steps/storage/folderLockSteps.ts
+++ b/packages/tests/src/steps/storage/folderLockSteps.ts
@@ -7,16 +7,38 @@
 import { fileURLToPath } from 'node:url';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import { FileLogStore } from '@lagoongap/storage/fileLogStore.js';
 import { FolderLock, LOCK_FILE } from '@lagoongap/storage/folderLock.js';
 
+import { createEntry } from '../../storage/logStoreFixture.js';
+
 interface FolderLockWorld {
   lockFolder?: string;
   lockHolder?: ChildProcess;
   lockClaims: PromiseSettledResult<FolderLock>[];
+  lastAcknowledged: number;
 }
 
 const HOLDER = fileURLToPath(new URL('../../storage/holdFolderLock.js', import.meta.url));
 
+const WRITER = fileURLToPath(new URL('../../storage/writeUntilKilled.js', import.meta.url));
+
+/** Runs a writer, kills it after `count` entries and returns the last one it acknowledged. */
+async function runWriter(folder: string, count: number): Promise<number> {
+  const writer = fork(WRITER, [folder]);
+  const exited = once(writer, 'exit');
+  let received = 0;
+  let last = 0;
+  writer.on('message', (index: number) => {
+    last = index;
+    received += 1;
+    if (received === count) writer.kill('SIGKILL');
+  });
+  const [, signal] = await exited;
+  assert.equal(signal, 'SIGKILL');
+  return last;
+}
+
 async function createFolder(world: FolderLockWorld): Promise<string> {
   const folder = await mkdtemp(join(tmpdir(), 'lagoongap-lock-'));
   Object.assign(world, { lockFolder: folder });
@@ -56,6 +78,27 @@
   this.lockClaims = await Promise.allSettled(claims);
 });
 
+When(
+  'a process that appends to a log folder is killed {int} times after {int} acknowledged entries',
+  { timeout: 60_000 },
+  async function killWriters(this: FolderLockWorld, times: number, count: number) {
+    const folder = await createFolder(this);
+    for (let i = 0; i < times; i += 1) this.lastAcknowledged = await runWriter(folder, count);
+  },
+);
+
+Then('the log folder holds every acknowledged entry', async function check(this: FolderLockWorld) {
+  const store = new FileLogStore({ dataFolder: this.lockFolder! });
+  const { snapshot, entries } = await store.load();
+  await store[Symbol.asyncDispose]();
+  const first = (snapshot?.index ?? 0) + 1;
+  assert.deepEqual(
+    entries,
+    entries.map((_, i) => createEntry(first + i)),
+  );
+  assert.ok(first + entries.length - 1 >= this.lastAcknowledged);
+});
+
 Then(
   'the lock is refused with FolderLockedError naming that process',
   async function checkRefused(this: FolderLockWorld) {
