--- /dev/null
+++ b/packages/bench/src/policyFleet.ts
@@ -0,0 +1,47 @@
+import type { EndpointView } from '@lagoongap/scheduling/scheduler.js';
+
+import type { WorkMix } from './policyMixes.js';
+
+const COUNT = 30;
+const DATA_CENTRES = ['a', 'b', 'c'];
+const RACK_SIZE = 8;
+/** Every fifth worker has accelerators. */
+const ACCELERATED_EVERY = 5;
+
+/** Creates 30 workers and 30 runners of different speeds, as each user has today. */
+export function createFleet(mix: WorkMix, random: () => number): EndpointView[] {
+  const fleet: EndpointView[] = [];
+  const works = (isRequest: boolean): string[] =>
+    mix.streams.filter(({ kind }) => (kind === 'request') === isRequest).map(({ work }) => work);
+  for (let i = 0; i < COUNT; i++) {
+    const common = {
+      url: '',
+      rack: `rack${Math.floor(i / RACK_SIZE)}`,
+      dataCentre: DATA_CENTRES[i % DATA_CENTRES.length]!,
+      state: 'ready',
+      ejected: false,
+    } as const;
+    const accelerators = i % ACCELERATED_EVERY === 0 ? 4 : 0;
+    fleet.push(
+      {
+        ...common,
+        id: `worker${i}`,
+        kind: 'worker',
+        size: { cpuMillis: 32_000, memoryMib: 131_072, accelerators, slots: 0 },
+        works: works(false),
+        speed: 0.75 + random() / 2,
+        capabilities: ['checkpoint', 'throttle', 'stop'],
+      },
+      {
+        ...common,
+        id: `runner${i}`,
+        kind: 'runner',
+        size: { cpuMillis: 0, memoryMib: 0, accelerators: 0, slots: 8 },
+        works: works(true),
+        speed: 0.5 + random() * 1.5,
+        capabilities: [],
+      },
+    );
+  }
+  return fleet;
+}
--- a/packages/scheduling/src/baselineScheduler.ts
+++ b/packages/scheduling/src/baselineScheduler.ts
@@ -138,9 +138,10 @@
     blocked: Set<string>,
     nowMs: number,
   ): Attempt[] {
-    const key = `${unit.team}|${unit.work}|${sizeKey(unit.size)}`;
-    if (blocked.has(key) || !(unit.team in this.config.teams)) return [];
     const isGang = unit.kind === 'gang';
+    const count = isGang ? unit.indexes.length : 1;
+    const key = `${unit.team}|${unit.work}|${sizeKey(unit.size)}|${count}`;
+    if (blocked.has(key) || !(unit.team in this.config.teams)) return [];
     // A gang larger than the bound of a turn has a turn to itself.
     if (isGang && unit.indexes.length > most && !isFirst) return [];
     const attempts: Attempt[] = [];
@@ -155,6 +156,8 @@
     }
     if (isGang && attempts.length < unit.indexes.length) {
       for (const attempt of attempts) this.ledger.free(attempt.id);
+      const isActive = unit.indexes.some((index) => this.ledger.isTaskActive(unit.id, index));
+      if (!isActive && unit.excluded.length === 0) blocked.add(key);
       return [];
     }
     this.keepRemaining(unit, attempts);
--- a/packages/scheduling/src/fairShareScheduler.ts
+++ b/packages/scheduling/src/fairShareScheduler.ts
@@ -288,7 +288,7 @@
     }
     const isObserved = RESOURCE_NAMES.some((name) => peak[name] > 0);
     if (isObserved && LEARNED_OUTCOMES.includes(outcome)) {
-      this.sizes.learnPeak(attempt.team, attempt.work, peak);
+      this.sizes.learnPeak(attempt.team, attempt.work, peak, attempt.declared);
     }
     if (outcome !== 'succeeded' || placedAtMs === undefined) return;
     this.sizes.learnRunTime(attempt.team, attempt.work, nowMs - placedAtMs);
@@ -302,7 +302,7 @@
     const hasGrown = RESOURCE_NAMES.some(
       (name) => peak[name] > before[name] && peak[name] > attempt.size[name],
     );
-    if (hasGrown) this.sizes.learnPeak(attempt.team, attempt.work, peak);
+    if (hasGrown) this.sizes.learnPeak(attempt.team, attempt.work, peak, attempt.declared);
   }
 
   private shrinkThrottled({ attempt, reserved, observed }: LedgerEntry): void {
--- a/packages/scheduling/src/sizeEstimator.ts
+++ b/packages/scheduling/src/sizeEstimator.ts
@@ -1,4 +1,4 @@
-import { RESOURCE_NAMES } from '@lagoongap/model/resources.js';
+import { NO_RESOURCES, RESOURCE_NAMES } from '@lagoongap/model/resources.js';
 import type { ResourceName, Resources } from '@lagoongap/model/resources.js';
 
 /** Options of the {@link SizeEstimator}. */
@@ -31,6 +31,7 @@
 const LEARNED_NAMES: readonly ResourceName[] = ['cpuMillis', 'memoryMib'];
 
 interface Profile {
+  /** Peaks over declared sizes, as tasks of one kind of work may differ in size. */
   peaks: Resources[];
   runTimesMs: number[];
   next: number;
@@ -39,6 +40,14 @@
   learned: Resources | undefined;
 }
 
+function divide(peak: Resources, declared: Resources): Resources {
+  const ratio = { ...NO_RESOURCES };
+  for (const name of RESOURCE_NAMES) {
+    if (declared[name] > 0) ratio[name] = peak[name] / declared[name];
+  }
+  return ratio;
+}
+
 function readPercentile(values: number[], percentile: number): number {
   const sorted = [...values].sort((a, b) => a - b);
   return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * percentile))] ?? 0;
@@ -53,10 +62,10 @@
     this.opts = { ...DEFAULT_SIZE_OPTIONS, ...opts };
   }
 
-  /** Records the peak usage of one attempt. */
-  learnPeak(team: string, work: string, peak: Resources): void {
+  /** Records the peak usage of one attempt of which `declared` was said. */
+  learnPeak(team: string, work: string, peak: Resources, declared: Resources): void {
     const profile = this.open(team, work);
-    profile.peaks[profile.next] = peak;
+    profile.peaks[profile.next] = divide(peak, declared);
     profile.next = (profile.next + 1) % this.opts.maxSamples;
     profile.learned = undefined;
   }
@@ -77,7 +86,7 @@
     for (const name of LEARNED_NAMES) {
       // A dimension that nobody ever reports is not known to be unused.
       if (profile.learned[name] === 0) continue;
-      const wanted = Math.ceil(profile.learned[name] * this.opts.headroom);
+      const wanted = this.addHeadroom(declared[name], profile.learned[name]);
       const least = Math.ceil(declared[name] * this.opts.minFactor);
       const most = Math.floor(declared[name] * this.opts.maxFactor);
       size[name] = Math.max(least, Math.min(most, wanted));
@@ -92,6 +101,12 @@
     return readPercentile(profile.runTimesMs, this.opts.percentile);
   }
 
+  /** Headroom covers what was not seen yet, but a declared size that is kept to needs none. */
+  private addHeadroom(declared: number, ratio: number): number {
+    const wanted = declared * ratio * this.opts.headroom;
+    return Math.ceil(ratio <= 1 ? Math.min(declared, wanted) : wanted);
+  }
+
   private summarize(profile: Profile): Resources {
     const learned = { cpuMillis: 0, memoryMib: 0, accelerators: 0, slots: 0 };
     for (const name of RESOURCE_NAMES) {
