--- a/packages/scheduling/src/sizeEstimator.ts
+++ b/packages/scheduling/src/sizeEstimator.ts
@@ -21,8 +21,8 @@
 export const DEFAULT_SIZE_OPTIONS: Readonly<SizeEstimatorOptions> = {
   minSamples: 8,
   maxSamples: 64,
-  percentile: 0.95,
-  headroom: 1.15,
+  percentile: 0.9,
+  headroom: 1.1,
   maxFactor: 2,
   minFactor: 0.1,
 };
