Do not take a slow upload for a silent endpoint

The silence watch probed the endpoint while the next piece of the request body was awaited from the caller. An endpoint that registers an attempt only after the whole body then said absent, and the exchange was given up.

--- a/packages/routing/src/httpExchange.ts
+++ b/packages/routing/src/httpExchange.ts
@@ -15,6 +15,7 @@
 import { ExchangeError } from './exchangeError.js';
 import { ExchangeHandler, type AnswerStart } from './exchangeHandler.js';
 import { filterAnswerHeaders, filterRequestHeaders } from './headerFilter.js';
+import { RequestBody } from './requestBody.js';
 import { SilenceWatch } from './silenceWatch.js';
 
 /** Bounds of an {@link HttpExchange}; all times in milliseconds. */
@@ -143,7 +144,7 @@
   /** Relays a request; the answer's body fails with ExchangeError if it is not complete. */
   async relay(req: RelayRequest): Promise<RelayAnswer> {
     const deadline = new Deadline(req.deadlineMs);
-    const progress = { isBodySent: Buffer.isBuffer(req.body), watch: undefined as unknown };
+    const requestBody = new RequestBody(req.body);
     const context: DispatchContext = {
       deadline,
       // Only a handshake just completed shows that a connection has not gone silent, and a lost
@@ -152,20 +153,18 @@
       signal: req.signal,
       beforeSend: req.beforeSend,
       checkStart: ({ headers }) => HttpExchange.checkAttempt(req.attempt, headers),
-      isBodySent: () => progress.isBodySent,
+      isBodySent: () => requestBody.isRead,
       watch: (handler) => {
-        const watch = this.watchSilence(req, handler);
-        progress.watch = watch;
+        const watch = this.watchSilence(
+          req,
+          handler,
+          () => handler.isHeldBack || requestBody.isAwaitingCaller,
+        );
+        requestBody.onRead = () => watch.touch();
         return watch;
       },
     };
-    const onRead = (isEnd: boolean) => {
-      (progress.watch as SilenceWatch | undefined)?.touch();
-      if (isEnd) progress.isBodySent = true;
-    };
-    const body = Buffer.isBuffer(req.body)
-      ? req.body
-      : await waitUnsent(HttpExchange.readFirst(req.body, onRead), context);
+    const body = await waitUnsent(requestBody.open(), context);
     const headers = filterRequestHeaders(req.headers);
     if (Buffer.isBuffer(body) || body === null) delete headers['content-length'];
     headers['lagoongap-attempt'] = req.attempt;
@@ -303,14 +302,18 @@
     return handler.answer;
   }
 
-  private watchSilence(req: RelayRequest, handler: ExchangeHandler): SilenceWatch {
+  private watchSilence(
+    req: RelayRequest,
+    handler: ExchangeHandler,
+    isHeldBack: () => boolean,
+  ): SilenceWatch {
     const { maxSilenceMs, recheckMs, maxFailedProbes, probeTimeoutMs } = this.opts;
     return new SilenceWatch({
       maxSilenceMs,
       recheckMs,
       maxFailedProbes,
       probe: () => this.probeAttempt(req.url, req.attempt, { timeoutMs: probeTimeoutMs }),
-      isHeldBack: () => handler.isHeldBack,
+      isHeldBack,
       onGone: (reason) => handler.fail('endpoint-silent', `no answer arrived: ${reason}`),
     });
   }
@@ -329,34 +332,4 @@
     const message = `the answer is for attempt ${String(answered)}, not ${attempt}`;
     throw new ExchangeError('answer-mismatch', 'unknown', message);
   }
-
-  /**
-   * Reads the first piece of a body, so that a connection is taken and the last checks are made
-   * only when there is something to write. The stream itself is left open on failure, because it
-   * may belong to a connection that still needs an answer.
-   *
-   * @returns the whole body, or null if it is empty.
-   */
-  private static async readFirst(
-    body: Readable,
-    onRead: (isEnd: boolean) => void,
-  ): Promise<AsyncIterable<Buffer> | null> {
-    const source = body.iterator({ destroyOnReturn: false });
-    let next: IteratorResult<Buffer>;
-    try {
-      next = await source.next();
-    } catch (err) {
-      const message = 'the request body broke off before anything was sent';
-      throw new ExchangeError('caller-gone', 'not-run', message, toError(err));
-    }
-    onRead(next.done === true);
-    if (next.done) return null;
-    return (async function* readAll() {
-      while (!next.done) {
-        yield next.value;
-        next = await source.next();
-        onRead(next.done === true);
-      }
-    })();
-  }
 }
--- a/packages/tests/features/routing/httpExchange.feature
+++ b/packages/tests/features/routing/httpExchange.feature
@@ -66,6 +66,11 @@
     When the exchange relays '{"sleepMs":900}'
     Then the relayed answer is 'echo:{"sleepMs":900}'
 
+  Scenario: a caller that uploads slowly is no silent endpoint
+    Given a sound endpoint for the exchange
+    When the exchange relays a body with a pause of 700 ms in it
+    Then the relayed answer is 'echo:first second'
+
   Scenario: a check that fails directly before the write prevents it
     Given an endpoint that closes connections after the request
     When the exchange relays 'hello' and the last check fails
--- a/packages/tests/src/steps/routing/httpExchangeSteps.ts
+++ b/packages/tests/src/steps/routing/httpExchangeSteps.ts
@@ -272,6 +272,13 @@
   await relaying;
 });
 
+When('the exchange relays a body with a pause of {int} ms in it', async (pauseMs: number) => {
+  const body = new Readable({ read() {} });
+  body.push('first ');
+  setTimeout(() => body.push('second') && body.push(null), pauseMs);
+  await relay({ body });
+});
+
 When('the exchange relays a body that does not end', async () => {
   world.bodyStream = new Readable({ read() {} });
   world.bodyStream.push('first piece');
