--- a/packages/stand-in/src/announcer.ts
+++ b/packages/stand-in/src/announcer.ts
@@ -56,10 +56,11 @@
     this.loop = this.run();
   }
 
-  /** Tells the system that the endpoint takes no more work; heartbeats go on. */
-  async leave(): Promise<void> {
+  /** Tells the system for at most `maxMs` that it takes no more work; heartbeats go on. */
+  async leave(maxMs: number): Promise<void> {
     this.leaving = true;
-    while (!this.stopped) {
+    const endsAtMs = performance.now() + maxMs;
+    while (!this.stopped && performance.now() < endsAtMs) {
       const result = await this.call(`${this.path}/leave`, { session: this.session });
       if (result !== undefined && result.status < 500) return;
       await this.sleep(RETRY_MS);
--- a/packages/stand-in/src/runStandIn.ts
+++ b/packages/stand-in/src/runStandIn.ts
@@ -11,8 +11,8 @@
 /** Returns the key as it was written; the option parser turns digits into numbers. */
 function readKey(parsed: unknown): string {
   if (parsed === undefined) return process.env.LAGOONGAP_ENDPOINT_KEY ?? '';
-  const at = process.argv.indexOf('--key');
-  return at >= 0 ? process.argv[at + 1]! : String(parsed);
+  const at = process.argv.findIndex((arg) => arg === '--key' || arg.startsWith('--key='));
+  return process.argv[at] === '--key' ? process.argv[at + 1]! : process.argv[at]!.slice(6);
 }
 
 function printLine(record: object): void {
--- a/packages/stand-in/src/standInEndpoint.ts
+++ b/packages/stand-in/src/standInEndpoint.ts
@@ -83,7 +83,7 @@
   /** Leaves the system, and resolves when all work is done and acknowledged or after `maxMs`. */
   async leave(maxMs = 30_000): Promise<void> {
     const endsAtMs = performance.now() + maxMs;
-    await this.announcer?.leave();
+    await this.announcer?.leave(maxMs);
     while (
       performance.now() < endsAtMs &&
       (this.attempts.runningCount > 0 || this.attempts.hasUnacknowledged)
