Read the rest of a refused body before the connection closes

Cause: a refusal with unread body bytes closed the connection, which the kernel resets, so that a caller who was still writing saw EPIPE instead of the error. Leaving the read loop early destroyed the connection as well.

--- a/packages/gateway/src/bodyReader.ts
+++ b/packages/gateway/src/bodyReader.ts
@@ -13,7 +13,8 @@
   }
   const chunks: Buffer[] = [];
   let size = 0;
-  for await (const chunk of req) {
+  // Leaving the loop must not destroy the connection, which has to carry the refusal.
+  for await (const chunk of req.iterator({ destroyOnReturn: false })) {
     size += (chunk as Buffer).length;
     if (size > maxBytes) refuse('body-too-large', `the body has more than ${maxBytes} bytes`);
     chunks.push(chunk as Buffer);
--- a/packages/gateway/src/gatewayServer.ts
+++ b/packages/gateway/src/gatewayServer.ts
@@ -7,6 +7,7 @@
 import type { Refusal } from '@lagoongap/model/refusal.js';
 import { toError } from '@lagoongap/model/toError.js';
 
+import { discardBody } from './discardBody.js';
 import { GatewayError } from './gatewayError.js';
 import { sendJson, sendRefusal, toRefusal } from './httpReply.js';
 import type { HttpRouter } from './httpRouter.js';
@@ -103,14 +104,14 @@
     });
     res.on('error', () => {});
     if (this.isClosing) res.setHeader('connection', 'close');
-    this.dispatch(req, res).catch((reason: unknown) => {
+    this.dispatch(req, res).catch(async (reason: unknown) => {
       const err = toError(reason);
       const refusal = toRefusal(err, 'unknown');
       if (refusal.type === 'internal') {
         this.opts.log.error('call failed', { path: req.url, err: err.stack });
       }
       this.opts.onRefused?.(refusal);
-      // The rest of a refused body is not read.
+      await discardBody(req);
       if (!req.complete) res.setHeader('connection', 'close');
       sendRefusal(res, refusal);
     });
