Add process scenarios for bad input, disks, racing operators and cancellations

Cause: no scenario with real processes covered them. Change: four features with their steps; the load generator can pick instances and run until told to stop.

--- a/packages/tests/src/history/loadGenerator.ts
+++ b/packages/tests/src/history/loadGenerator.ts
@@ -18,12 +18,17 @@
   instruction?: object;
   markerPrefix: string;
   deadlineMs?: number;
+  /** Ends the load before `count` is reached. */
+  hasStopped?: () => boolean;
+  /** Chooses the instance for a request, as a balancer does; `instances` in turn without. */
+  pickInstance?: (number: number) => Promise<string>;
   /** Called after each answer with the number of calls that have ended. */
   onEnded?: (ended: number) => void;
 }
 
 async function sendOne(opts: LoadOptions, number: number): Promise<CallRecord> {
-  const instance = opts.instances[number % opts.instances.length]!;
+  const instance =
+    (await opts.pickInstance?.(number)) ?? opts.instances[number % opts.instances.length]!;
   const marker = `${opts.markerPrefix}-${number}`;
   const noRepeat = opts.noRepeatEvery > 0 && number % opts.noRepeatEvery === 0;
   const sent = JSON.stringify({ marker, ...opts.instruction });
@@ -55,7 +60,7 @@
   const records: CallRecord[] = [];
   let next = 0;
   const runCaller = async (): Promise<void> => {
-    while (next < opts.count) {
+    while (next < opts.count && !opts.hasStopped?.()) {
       const number = next;
       next += 1;
       records.push(await sendOne(opts, number));
--- a/packages/tests/src/steps/cell/cellSteps.ts
+++ b/packages/tests/src/steps/cell/cellSteps.ts
@@ -1,20 +1,19 @@
 import assert from 'node:assert/strict';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { createDemoKeys, createDemoNote } from '@lagoongap/stand-in/demo/demoNote.js';
-import { LocalCell } from '@lagoongap/stand-in/localCell.js';
-import type { HistoryEvent } from '@lagoongap/stand-in/standInOptions.js';
 
 import { checkHistory } from '../../history/checkers.js';
 import { sendRequests } from '../../history/loadGenerator.js';
+import { collectHistory, openCell, TIMEOUT } from './cellSupport.js';
 import type { CellWorld } from './cellWorld.js';
 
-const TIMEOUT = { timeout: 90_000 };
 const CONCURRENCY = 40;
 
 After({ ...TIMEOUT, tags: '@processes' }, async function disposeCell(this: CellWorld) {
+  this.stopLoad?.();
   await this.load?.catch(() => []);
   await this.cell?.[Symbol.asyncDispose]();
+  for (const relay of this.relays?.values() ?? []) await relay[Symbol.asyncDispose]();
   this.cell = undefined;
 });
 
@@ -22,15 +21,7 @@
   'a cell of {int} daemons of which {int} have a disk',
   TIMEOUT,
   async function startCell(this: CellWorld, instances: number, replicas: number) {
-    this.cell = new LocalCell({ instances, replicas });
-    this.calls = [];
-    this.killed = [];
-    this.jobs = [];
-    this.ended = 0;
-    await this.cell.start();
-    this.keys = createDemoKeys(this.cell.operatorKey);
-    const answer = await this.cell.applyNote('instance-1', createDemoNote(this.keys));
-    assert.equal(answer.status, 200, JSON.stringify(answer.body));
+    await openCell(this, { instances, replicas });
   },
 );
 
@@ -100,8 +91,7 @@
 );
 
 Then('the history shows no violation', function checkInvariants(this: CellWorld) {
-  const events = this.cell!.readHistory() as unknown as HistoryEvent[];
-  assert.deepEqual(checkHistory({ calls: this.calls, events }).slice(0, 10), []);
+  assert.deepEqual(checkHistory(collectHistory(this)).slice(0, 10), []);
 });
 
 When(
