Expose peer traffic as metrics and measure a cell of nine daemons

The counters lagoongap_peer_messages_total and lagoongap_peer_bytes_total were declared and never filled. The daemon now carries the counters of the peer network over whenever metrics are read. scheduling.maxBatch = 1 commits each command by itself, the baseline for batched commits.

--- /dev/null
+++ b/packages/bench/src/cellBench.ts
@@ -0,0 +1,187 @@
+import { build } from 'hdr-histogram-js';
+
+import {
+  listPureGateways,
+  pause,
+  sendRequest,
+  startBenchCell,
+  startRunners,
+  type BenchCell,
+} from './benchCell.js';
+import type { BenchTable } from './benchReport.js';
+
+interface Variant {
+  name: string;
+  scheduling?: { maxBatch?: number; policy?: 'fair-share' | 'first-fit' };
+}
+
+const VARIANTS: Variant[] = [
+  { name: 'batched commits, fair share' },
+  { name: 'one commit per placement', scheduling: { maxBatch: 1 } },
+  { name: 'first-fit policy', scheduling: { policy: 'first-fit' } },
+];
+const CONCURRENCIES = [1, 8, 32, 128];
+const RUNNERS = 10;
+const SLOTS = 16;
+const WARM_UP_MS = 2000;
+const POINT_MS = 3000;
+const NOTES = 20;
+const NOTE_POLL_MS = 10;
+const FAILOVERS = 5;
+const PROBES = 4;
+const FAILOVER_TIMEOUT_MS = 20_000;
+const US_PER_MS = 1000;
+
+interface LoadPoint {
+  variant: string;
+  concurrency: number;
+  rate: number;
+  p50Ms: number;
+  p99Ms: number;
+  failed: number;
+}
+
+/** Sends requests with a fixed concurrency to all instances for a time. */
+async function measureLoad(
+  bench: BenchCell,
+  concurrency: number,
+  durationMs: number,
+): Promise<Omit<LoadPoint, 'variant'>> {
+  const latencies = build({ numberOfSignificantValueDigits: 3 });
+  const instances = bench.cell.instanceIds;
+  let failed = 0;
+  let next = 0;
+  const startMs = performance.now();
+  const endMs = startMs + durationMs;
+  const runCaller = async (): Promise<void> => {
+    while (performance.now() < endMs) {
+      const sentMs = performance.now();
+      next += 1;
+      const isAnswered = await sendRequest(bench, instances[next % instances.length]!);
+      if (isAnswered) latencies.recordValue((performance.now() - sentMs) * US_PER_MS);
+      else failed += 1;
+    }
+  };
+  await Promise.all(Array.from({ length: concurrency }, runCaller));
+  const seconds = (performance.now() - startMs) / 1000;
+  return {
+    concurrency,
+    rate: latencies.totalCount / seconds,
+    p50Ms: latencies.getValueAtPercentile(50) / US_PER_MS,
+    p99Ms: latencies.getValueAtPercentile(99) / US_PER_MS,
+    failed,
+  };
+}
+
+/** Time from sending a note until every instance has it in force, in milliseconds. */
+async function measureNotes({ cell }: BenchCell): Promise<number[]> {
+  const key = cell.operatorKey.secret;
+  const durations: number[] = [];
+  for (let i = 1; i <= NOTES; i += 1) {
+    const number = i + 1;
+    const body = `number = ${number}\n[[added.teams]]\nname = "team-${i}"\nshare = 1\nlimit = {}\n`;
+    const gateways = listPureGateways(cell);
+    const gateway = gateways[i % gateways.length]!;
+    const startMs = performance.now();
+    const answer = await cell.call(gateway, '/v1/notes', { method: 'POST', body, key });
+    if (answer.status !== 200) throw new Error(`note refused: ${JSON.stringify(answer.body)}`);
+    for (;;) {
+      const force = await cell.call(gateway, `/v1/notes/${number}`, { key });
+      if (force.body.inForceEverywhere === true) break;
+      await pause(NOTE_POLL_MS);
+    }
+    durations.push(performance.now() - startMs);
+  }
+  return durations;
+}
+
+/** Time from killing the leader until a request sent afterwards is answered, in milliseconds. */
+async function measureFailover(bench: BenchCell): Promise<number> {
+  const { cell } = bench;
+  const leader = await cell.findLeader();
+  const gateways = listPureGateways(cell);
+  let answeredMs = Infinity;
+  const handle = cell.daemons.get(leader)!;
+  handle.signal('SIGKILL');
+  const killedMs = performance.now();
+  const probe = async (gateway: string): Promise<void> => {
+    while (answeredMs === Infinity && performance.now() < killedMs + FAILOVER_TIMEOUT_MS) {
+      if (await sendRequest(bench, gateway)) answeredMs = Math.min(answeredMs, performance.now());
+      else await pause(NOTE_POLL_MS);
+    }
+  };
+  await Promise.all(gateways.slice(0, PROBES).map(probe));
+  await handle.waitForExit();
+  cell.startDaemon(leader);
+  await cell.waitUntilReady(leader);
+  // The restarted replica has to be a reachable voter before the next leader is killed.
+  await pause(WARM_UP_MS);
+  return answeredMs - killedMs;
+}
+
+function summarize(name: string, values: number[]): (string | number)[] {
+  const sorted = [...values].sort((a, b) => a - b);
+  const at = (share: number) =>
+    sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))]!;
+  return [name, values.length, at(0).toFixed(0), at(0.5).toFixed(0), at(1).toFixed(0)];
+}
+
+async function measureVariant({ name, scheduling }: Variant): Promise<LoadPoint[]> {
+  const bench = await startBenchCell({ scheduling });
+  await using cell = bench.cell;
+  await startRunners({ ...bench, cell }, RUNNERS, SLOTS);
+  await measureLoad(bench, CONCURRENCIES[2]!, WARM_UP_MS);
+  const points: LoadPoint[] = [];
+  for (const concurrency of CONCURRENCIES) {
+    points.push({ variant: name, ...(await measureLoad(bench, concurrency, POINT_MS)) });
+  }
+  return points;
+}
+
+async function measureChanges(): Promise<{ notesMs: number[]; failoversMs: number[] }> {
+  const bench = await startBenchCell();
+  await using cell = bench.cell;
+  await startRunners({ ...bench, cell }, 2, SLOTS);
+  const notesMs = await measureNotes(bench);
+  const failoversMs: number[] = [];
+  for (let i = 0; i < FAILOVERS; i += 1) failoversMs.push(await measureFailover(bench));
+  return { notesMs, failoversMs };
+}
+
+/** Measures a cell of nine daemons end to end. */
+export async function measureCell(): Promise<{
+  tables: BenchTable[];
+  figures: Record<string, unknown>;
+}> {
+  const points: LoadPoint[] = [];
+  for (const variant of VARIANTS) points.push(...(await measureVariant(variant)));
+  const { notesMs, failoversMs } = await measureChanges();
+  const loadRows = points.map((point) => [
+    point.variant,
+    point.concurrency,
+    point.rate.toFixed(0),
+    point.p50Ms.toFixed(2),
+    point.p99Ms.toFixed(2),
+    point.failed,
+  ]);
+  return {
+    tables: [
+      {
+        title: `Requests end to end, nine daemons, ${RUNNERS} runners of ${SLOTS} slots`,
+        rows: [
+          ['variant', 'concurrency', 'requests/s', 'p50 ms', 'p99 ms', 'not answered'],
+          ...loadRows,
+        ],
+      },
+      {
+        title: 'Changes and failover',
+        rows: [
+          ['measurement', 'runs', 'min ms', 'median ms', 'max ms'],
+          summarize('note in force on all nine instances', notesMs),
+          summarize('leader killed until a request is answered', failoversMs),
+        ],
+      },
+    ],
+    figures: { points, notesMs, failoversMs },
+  };
+}
--- a/packages/coordinator/src/commitQueue.ts
+++ b/packages/coordinator/src/commitQueue.ts
@@ -19,12 +19,18 @@
 export class CommitQueue {
   private readonly log: ReplicatedLog;
   private readonly metrics: Metrics;
+  private readonly maxBatchCommands: number;
   private pending: PendingCommand[] = [];
   private isScheduled = false;
 
-  constructor(log: ReplicatedLog, metrics: Metrics) {
+  /**
+   * With `maxBatchCommands` 1 there is no grouping at all: a command is proposed only after the
+   * one before it is committed. This is the baseline that measurements compare with.
+   */
+  constructor(log: ReplicatedLog, metrics: Metrics, maxBatchCommands = MAX_BATCH_COMMANDS) {
     this.log = log;
     this.metrics = metrics;
+    this.maxBatchCommands = maxBatchCommands;
   }
 
   /**
@@ -42,15 +48,27 @@
     if (this.isScheduled) return;
     this.isScheduled = true;
     setImmediate(() => {
+      if (this.maxBatchCommands === 1) {
+        this.flushOneByOne().catch(() => {});
+        return;
+      }
       this.isScheduled = false;
-      while (this.pending.length > 0) this.flush(this.pending.splice(0, MAX_BATCH_COMMANDS));
+      while (this.pending.length > 0) {
+        this.flush(this.pending.splice(0, this.maxBatchCommands)).catch(() => {});
+      }
     });
   }
 
-  private flush(batch: PendingCommand[]): void {
+  private async flushOneByOne(): Promise<void> {
+    while (this.pending.length > 0) await this.flush(this.pending.splice(0, 1));
+    this.isScheduled = false;
+  }
+
+  /** Resolves when the batch is committed or has failed. */
+  private flush(batch: PendingCommand[]): Promise<void> {
     const command = { type: 'batch', commands: batch.map((pending) => pending.command) };
     const startMs = performance.now();
-    this.log.propose(command).then(
+    return this.log.propose(command).then(
       ({ result }) => {
         this.metrics.observeCommit(performance.now() - startMs);
         const results = result as unknown[];
--- a/packages/coordinator/src/leaderSession.ts
+++ b/packages/coordinator/src/leaderSession.ts
@@ -81,7 +81,7 @@
     const { log, state, scheduler, exchange, timing, logger } = opts;
     this.guard = new ValidityGuard(log);
     const { guard } = this;
-    const commits = new CommitQueue(log, opts.metrics);
+    const commits = new CommitQueue(log, opts.metrics, opts.maxBatch === 1 ? 1 : undefined);
     const closer = new AttemptCloser({
       state,
       scheduler,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -24,6 +24,7 @@
 import { Metrics } from '@lagoongap/telemetry/metrics.js';
 
 import { DaemonError } from './daemonError.js';
+import { PeerTrafficReporter } from './peerTrafficReporter.js';
 import { PeerRaftTransport } from './peerRaftTransport.js';
 import { ReplicaJoiner } from './replicaJoiner.js';
 import { createScheduler } from './schedulerFactory.js';
@@ -48,6 +49,7 @@
   private readonly network: TcpPeerNetwork;
   private readonly exchange = new HttpExchange();
   private readonly metrics = new Metrics();
+  private readonly peerTraffic = new PeerTrafficReporter(this.metrics);
   private readonly retries: RetryBudget;
   private readonly leader: LeaderClient;
   private readonly validity: ValidityPoller;
@@ -258,6 +260,7 @@
   private async readMetrics(): Promise<{ contentType: string; text: string }> {
     this.metrics.setInFlight(this.server.activeCalls);
     this.metrics.setConfigNumber(this.validity.config.number);
+    this.peerTraffic.update(this.network.traffic);
     return { contentType: this.metrics.contentType, text: await this.metrics.render() };
   }
 
--- a/packages/settings/src/daemonSettings.ts
+++ b/packages/settings/src/daemonSettings.ts
@@ -71,7 +71,7 @@
     packingWeight: number;
     /** Lets a team over its share be preempted for one under its share. */
     preemption: boolean;
-    /** Most attempts decided in one turn. */
+    /** Most attempts decided in one turn; 1 also commits every command by itself, for comparison. */
     maxBatch: number;
   };
   routing: {
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -140,6 +140,13 @@
     this.count('peerBytes', { direction: bounded }, bytes);
   }
 
+  /** Adds traffic that is not told apart by method. */
+  addPeerTraffic(direction: 'sent' | 'received', messages: number, bytes: number): void {
+    const bounded = boundLabel('direction', direction);
+    this.count('peerMessages', { direction: bounded, method: OTHER }, messages);
+    this.count('peerBytes', { direction: bounded }, bytes);
+  }
+
   addControlTime(activity: (typeof LABEL_VALUES.activity)[number], durationMs: number): void {
     const labels = { activity: boundLabel('activity', activity) };
     this.count('control', labels, durationMs / MS_PER_SECOND);
