--- /dev/null
+++ b/packages/bench/src/capacityTable.ts
@@ -0,0 +1,129 @@
+import type { BenchRun, BenchTable } from './benchReport.js';
+import type { CostFigures, CostRole, CostSlope } from './costPoint.js';
+import type { RestartFigures } from './restartBench.js';
+
+/** Size that the design must carry; see section 3 of the design page. */
+export const TARGET = Object.freeze({
+  endpoints: 1600,
+  startsPerSecond: 320,
+  running: 42_000,
+  /** Instances that may be set aside for the system. */
+  instances: 7,
+});
+
+/** Gateways without a disk in the measured cell; they share its load evenly. */
+const MEASURED_GATEWAYS = 6;
+
+const GATEWAY_SHARE = MEASURED_GATEWAYS / TARGET.instances;
+
+interface Load {
+  slope: CostSlope;
+  amount: number;
+}
+
+/** Sums the idle cost and what each dimension of load adds, at `share` of the measured slopes. */
+function extrapolate(
+  loads: Load[],
+  idle: number,
+  share: number,
+  read: (slope: CostSlope) => number,
+): { total: number; parts: number[] } {
+  const parts = loads.map(({ slope, amount }) => read(slope) * amount * share);
+  return { total: idle + parts.reduce((sum, part) => sum + part, 0), parts };
+}
+
+/** Works out the cost of each role at the target size from measured slopes. */
+export function tableTarget({ idle, endpoints, requests, tasks }: CostFigures): BenchTable {
+  const loads: Load[] = [
+    { slope: endpoints, amount: TARGET.endpoints },
+    { slope: tasks, amount: TARGET.running },
+    { slope: requests, amount: TARGET.startsPerSecond },
+  ];
+  const roles: CostRole[] = ['leader', 'follower', 'gateway'];
+  const rows = roles.flatMap((role) => {
+    const share = role === 'gateway' ? GATEWAY_SHARE : 1;
+    const cost = idle.roles[role];
+    const kinds = [
+      ['% of a core', cost.cpuPercent, (slope: CostSlope) => slope.fits[role].cpu.slope],
+      ['peer bytes/s', cost.peerBytes, (slope: CostSlope) => slope.fits[role].peerBytes.slope],
+      ['RSS MiB', cost.rssMib, (slope: CostSlope) => slope.fits[role].rss.slope],
+    ] as const;
+    return kinds.map(([name, base, read]) => {
+      const { total, parts } = extrapolate(loads, base, share, read);
+      return [role, name, ...[base, ...parts, total].map((value) => value.toFixed(1))];
+    });
+  });
+  const perEndpoint =
+    endpoints.endpointBytes.slope + (tasks.endpointBytes.slope * TARGET.running) / TARGET.endpoints;
+  rows.push([
+    'endpoint',
+    'HTTP bytes/s of heartbeats',
+    '',
+    endpoints.endpointBytes.slope.toFixed(1),
+    (perEndpoint - endpoints.endpointBytes.slope).toFixed(1),
+    '',
+    perEndpoint.toFixed(1),
+  ]);
+  const head = [
+    'role',
+    'cost',
+    'idle',
+    `${TARGET.endpoints} endpoints add`,
+    `${TARGET.running} running tasks add`,
+    `${TARGET.startsPerSecond} starts/s add`,
+    'at target size',
+  ];
+  return {
+    title: `Extrapolated to the target size, ${TARGET.instances} instances`,
+    rows: [head, ...rows],
+  };
+}
+
+function tableGoal({ idle }: CostFigures): BenchTable {
+  const { cpuPercent, rssMib, peerBytes } = idle.roles.gateway;
+  const row = (name: string, value: number, goal: number): (string | number)[] => [
+    name,
+    value.toFixed(2),
+    goal,
+    value <= goal ? 'yes' : 'no',
+  ];
+  return {
+    title: 'Idle gateway against its goal',
+    rows: [
+      ['cost', 'measured', 'goal', 'within'],
+      row('% of a core', cpuPercent, 2.7),
+      row('RSS MiB', rssMib, 128),
+      row('peer bytes/s', peerBytes, 3000),
+    ],
+  };
+}
+
+/** Snapshot figures per placement record, from the largest measured state. */
+function tableState(sizes: RestartFigures[]): BenchTable {
+  const rows = sizes.map((size) => [
+    size.records,
+    ((size.snapshotMib * 1024 * 1024) / size.records).toFixed(0),
+    ((size.copyMs * 1000) / size.records).toFixed(2),
+    ((size.copyMs * TARGET.running) / size.records).toFixed(0),
+  ]);
+  const head = [
+    'measured with records',
+    'snapshot bytes per record',
+    'copy µs per record',
+    `copy ms at ${TARGET.running} running`,
+  ];
+  return { title: 'Durable state per placement record', rows: [head, ...rows] };
+}
+
+/** Returns the tables that are derived from the figures of a run. */
+export function deriveTables({ reports }: BenchRun): BenchTable[] {
+  const cost = reports.find(({ name }) => name === 'cost');
+  const restart = reports.find(({ name }) => name === 'restart');
+  const tables: BenchTable[] = [];
+  if (cost) {
+    const figures = cost.figures as unknown as CostFigures;
+    tables.push(tableGoal(figures), tableTarget(figures));
+  }
+  if (restart) tables.push(tableState(restart.figures.sizes as RestartFigures[]));
+  return tables;
+}
