Use fresh connections for requests that must not be repeated

Cause: the exchange takes noRepeat, but the relay did not pass it on, so such a request could be sent over a connection that had gone silent. A start order on its way could start an attempt that had just been settled as lost. Change: pass noRepeat; answer a heartbeat with a stop for each lost attempt.

--- a/packages/coordinator/src/endpointLeases.ts
+++ b/packages/coordinator/src/endpointLeases.ts
@@ -107,7 +107,11 @@
     return {
       leaseMs: timing.endpointLeaseMs,
       acknowledged: heartbeat.finished.map(({ attempt }) => attempt),
-      actions: this.listActions(id, heartbeat.running),
+      actions: [
+        ...this.listActions(id, heartbeat.running),
+        // A start order that is still on its way must not start what counts as lost.
+        ...lost.map(({ attempt }) => ({ attempt, action: 'stop' as const })),
+      ],
     };
   }
 
--- a/packages/coordinator/src/leaderSession.ts
+++ b/packages/coordinator/src/leaderSession.ts
@@ -140,7 +140,7 @@
       timing,
       log: logger,
       isEjected: (id) => opts.health.isEjected(id),
-      onPublished: (endpoint, state) => this.followEndpoint(endpoint, state),
+      onPublished: (endpoint, availability) => this.followEndpoint(endpoint, availability),
       onRemoved: (id) => opts.health.removeEndpoint(id),
       canSettle: (attempt, nowMs) => this.canSettle(attempt, nowMs),
       isFinal: (attempt) => attempt.kind === 'request' && !this.requests.isParked(attempt.unitId),
@@ -280,10 +280,11 @@
     if (attempt?.kind === 'service') this.opts.health.recordSuccess(createRef(attempt));
   }
 
-  private followEndpoint(endpoint: EndpointRecord, state: EndpointState): void {
+  private followEndpoint(endpoint: EndpointRecord, availability: EndpointState): void {
     const { announcement } = endpoint;
     // Endpoints that take no work must not count towards the bound of ejected ones.
-    const works = state === 'ready' ? [...resolveWorks(this.opts.state.config, announcement)] : [];
+    const works =
+      availability === 'ready' ? [...resolveWorks(this.opts.state.config, announcement)] : [];
     this.opts.health.setEndpoint(announcement.id, works);
   }
 
--- a/packages/gateway/src/callerApi.ts
+++ b/packages/gateway/src/callerApi.ts
@@ -68,11 +68,15 @@
     const queue = relay.validity.config.queues[headers.queue];
     if (!key && queue && !queue.open)
       refuse('unauthenticated', `queue ${queue.name} requires a key`);
-    using _held = admission.admit(key?.team ?? queue?.chargedTeam ?? '');
-    const body = await readCallerBody(req, maxBodyBytes);
-    onFreshRequest();
-    const forwarded = listForwardedHeaders(req);
-    await new RequestRelay(relay, { headers, forwarded, body, keyId: key?.id }, req, res).run();
+    const held = admission.admit(key?.team ?? queue?.chargedTeam ?? '');
+    try {
+      const body = await readCallerBody(req, maxBodyBytes);
+      onFreshRequest();
+      const forwarded = listForwardedHeaders(req);
+      await new RequestRelay(relay, { headers, forwarded, body, keyId: key?.id }, req, res).run();
+    } finally {
+      held[Symbol.dispose]();
+    }
   }
 
   private async lookupRequest({ req, res, params }: RoutedCall): Promise<void> {
--- a/packages/gateway/src/requestRelay.ts
+++ b/packages/gateway/src/requestRelay.ts
@@ -169,6 +169,7 @@
         work: this.request.headers.work,
         headers: this.request.forwarded,
         body: this.request.body.content,
+        noRepeat: this.request.headers.noRepeat,
         deadlineMs: Math.max(1, this.endMs - performance.now()),
         signal: this.abort.signal,
         beforeSend: () => this.services.validity.assertValid(),
