--- a/packages/client/src/commandTable.ts
+++ b/packages/client/src/commandTable.ts
@@ -92,7 +92,10 @@
   { usage: 'drain <instance>', description: 'Drain an instance and stop it', run: drainInstance },
   {
     usage: 'replace <instance>',
-    description: 'Replace a replica that has lost its disk',
+    description: 'Show the repair of a replica that has lost its disk',
+    options: [
+      { usage: '--remove', description: 'Remove the replica; its instance will not come back' },
+    ],
     run: replaceReplica,
   },
   {
--- a/packages/client/src/commands/noteCommands.ts
+++ b/packages/client/src/commands/noteCommands.ts
@@ -1,11 +1,11 @@
 import type { ClusterConfig } from '@lagoongap/model/clusterConfig.js';
+import type { ApplyNoteResult, ClusterStatus } from '@lagoongap/model/messages.js';
 import type { NoteFault, ReleaseNote } from '@lagoongap/model/releaseNote.js';
 import { applyReleaseNote } from '@lagoongap/release-notes/applyReleaseNote.js';
 import { diffConfigs, formatConfigDiff } from '@lagoongap/release-notes/diffConfigs.js';
 import { hashReleaseNote } from '@lagoongap/release-notes/hashReleaseNote.js';
 import { parseReleaseNote } from '@lagoongap/release-notes/parseReleaseNote.js';
 
-import type { ClusterStatus, NoteAnswer } from '../api.js';
 import { ClientError } from '../clientError.js';
 import type { CommandContext } from '../commandContext.js';
 import { poll } from '../poll.js';
@@ -43,9 +43,9 @@
   file: string,
   text: string,
   query: string,
-): Promise<NoteAnswer> {
+): Promise<ApplyNoteResult> {
   try {
-    return await context.call<NoteAnswer>({
+    return await context.call<ApplyNoteResult>({
       method: 'POST',
       path: `/v1/notes${query}`,
       headers: { 'content-type': 'application/toml' },
@@ -54,9 +54,9 @@
       repetition: 'safe',
     });
   } catch (err) {
-    const faults = err instanceof ClientError ? err.refusal?.details : undefined;
-    const isFaultList = Array.isArray(faults) && err instanceof ClientError;
-    if (isFaultList && err.reason === 'refused') raiseFaults(file, faults as NoteFault[]);
+    if (!(err instanceof ClientError) || err.reason !== 'refused') throw err;
+    const details = err.refusal?.details as { faults?: NoteFault[] } | undefined;
+    if (details?.faults) raiseFaults(file, details.faults);
     throw err;
   }
 }
@@ -64,11 +64,11 @@
 async function waitUntilInForce(context: CommandContext, number: number): Promise<void> {
   const findBehind = (status: ClusterStatus): string[] =>
     status.instances
-      .filter((instance) => instance.alive && instance.configNumber < number)
+      .filter((instance) => instance.alive && instance.number < number)
       .map((instance) => instance.id);
   await poll<ClusterStatus>(context, {
     createCall: () => ({ method: 'GET', path: '/v1/status', repetition: 'safe' }),
-    isDone: (status) => status.configNumber >= number && findBehind(status).length === 0,
+    isDone: (status) => status.number >= number && findBehind(status).length === 0,
     describe: (status) => {
       const places = status ? findBehind(status).join(', ') : '';
       return `note ${number} is accepted, but not yet in force on ${places || 'every instance'}`;
--- a/packages/client/src/commands/readCommands.ts
+++ b/packages/client/src/commands/readCommands.ts
@@ -1,7 +1,8 @@
 import type { ClusterConfig } from '@lagoongap/model/clusterConfig.js';
+import type { ClusterStatus, EndpointStatus } from '@lagoongap/model/messages.js';
 import { type AuditEntry, verifyAuditTrail } from '@lagoongap/release-notes/auditTrail.js';
 
-import type { AuditAnswer, ClusterStatus, EndpointList } from '../api.js';
+import type { AuditAnswer } from '../api.js';
 import { ClientError } from '../clientError.js';
 import type { CommandContext } from '../commandContext.js';
 import { formatTable } from '../output.js';
@@ -15,38 +16,46 @@
   return parts.length === 0 ? '-' : parts.join(' ');
 }
 
+function listNames(names: string[]): string {
+  return names.length === 0 ? 'none' : names.join(' ');
+}
+
 /** `status`: shows the instances and the leader. */
 export async function showStatus(context: CommandContext): Promise<void> {
   const status = await read<ClusterStatus>(context, '/v1/status');
   const rows = status.instances.map((instance) => [
     instance.id,
     instance.dataCentre,
-    instance.roles.join('+'),
+    instance.roles?.join('+'),
     instance.alive ? 'alive' : 'absent',
-    instance.draining ? 'draining' : '',
-    instance.configNumber,
+    instance.isReachable ? 'yes' : 'no',
+    instance.number,
   ]);
-  const leader = status.leaderId ?? 'none';
-  const head = `leader ${leader}, term ${status.term}, note ${status.configNumber} in force`;
-  const headings = ['INSTANCE', 'DATA CENTRE', 'ROLES', 'STATE', 'DRAIN', 'NOTE'];
+  const head = [
+    `leader ${status.leader}, term ${status.term}, note ${status.number} accepted`,
+    `voters ${listNames(status.voters)}, learners ${listNames(status.learners)}`,
+    `${status.running} running, ${status.waiting} waiting`,
+  ].join('\n');
+  const headings = ['INSTANCE', 'DATA CENTRE', 'ROLES', 'STATE', 'REACHABLE', 'NOTE'];
   context.output.result(status, `${head}\n\n${formatTable(headings, rows)}`);
 }
 
 /** `endpoints`: lists workers and runners. */
 export async function listEndpoints(context: CommandContext): Promise<void> {
-  const answer = await read<EndpointList>(context, '/v1/endpoints');
-  const rows = answer.endpoints.map((endpoint) => [
+  const known = await read<EndpointStatus[]>(context, '/v1/endpoints');
+  const endpoints = known.sort((a, b) => a.id.localeCompare(b.id));
+  const rows = endpoints.map((endpoint) => [
     endpoint.id,
     endpoint.kind,
-    endpoint.state,
+    endpoint.ejected ? `${endpoint.state}, ejected` : endpoint.state,
     endpoint.dataCentre,
     endpoint.rack,
-    endpoint.running,
+    endpoint.attempts,
     formatAmounts(endpoint.size),
     endpoint.works.join(','),
   ]);
   const headings = ['ENDPOINT', 'KIND', 'STATE', 'DATA CENTRE', 'RACK', 'RUNNING', 'SIZE', 'WORKS'];
-  context.output.result(answer, formatTable(headings, rows));
+  context.output.result({ endpoints }, formatTable(headings, rows));
 }
 
 /** `teams`: lists teams with shares, limits and use. */
@@ -54,17 +63,17 @@
   const config = await read<ClusterConfig>(context, '/v1/config');
   const status = await read<ClusterStatus>(context, '/v1/status');
   const teams = Object.values(config.teams).map((team) => {
-    const use = status.teams?.find((each) => each.name === team.name);
-    return { ...team, running: use?.running, waiting: use?.waiting };
+    const running = status.runningByTeam?.[team.name];
+    return { ...team, running, usedShare: status.teamShares[team.name] ?? 0 };
   });
   const rows = teams.map((team) => [
     team.name,
     team.share,
     formatAmounts(team.limit),
     formatAmounts(team.running ?? {}),
-    team.waiting,
+    `${(team.usedShare * 100).toFixed(1)}%`,
   ]);
-  const table = formatTable(['TEAM', 'SHARE', 'LIMIT', 'RUNNING', 'WAITING'], rows);
+  const table = formatTable(['TEAM', 'SHARE', 'LIMIT', 'RUNNING', 'USED'], rows);
   context.output.result({ teams }, table);
 }
 
@@ -72,10 +81,10 @@
 export async function listQueues(context: CommandContext): Promise<void> {
   const config = await read<ClusterConfig>(context, '/v1/config');
   const status = await read<ClusterStatus>(context, '/v1/status');
-  const queues = Object.values(config.queues).map((queue) => {
-    const use = status.queues?.find((each) => each.name === queue.name);
-    return { ...queue, waiting: use?.waiting };
-  });
+  const queues = Object.values(config.queues).map((queue) => ({
+    ...queue,
+    waiting: status.waitingByQueue[queue.name] ?? 0,
+  }));
   const rows = queues.map((queue) => [
     queue.name,
     queue.kind,
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -9,6 +9,7 @@
   LookupParams,
   PollParams,
   ReleaseParams,
+  RemoveReplicaParams,
   SubmitJobParams,
 } from '@lagoongap/model/messages.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
@@ -44,6 +45,8 @@
       log: opts.log,
       logger: opts.logger,
       replicaInstances: opts.replicaInstances,
+      instanceId: opts.instanceId,
+      isReachable: opts.isReachable,
     });
     this.registerMethods();
     this.unsubscribe = opts.log.onRoleChange(() => this.followRole());
@@ -132,6 +135,9 @@
       this.opts.state.configTable.auditTrail.filter((entry) => entry.index > (params.after ?? 0)),
     );
     this.handle<JoinReplicaParams>('replicas.join', (_, params) => this.replicas.join(params));
+    this.handle<RemoveReplicaParams>('replicas.remove', (_, params) =>
+      this.replicas.remove(params),
+    );
   }
 
   private handle<Params>(
--- a/packages/coordinator/src/noteDesk.ts
+++ b/packages/coordinator/src/noteDesk.ts
@@ -50,7 +50,7 @@
       throw createFaultError(faults);
     }
     const contentHash = hashReleaseNote(note);
-    if (params.checkOnly) return this.check(note, contentHash);
+    if (params.checkOnly) return this.check(note, contentHash, params.text);
     const result = await this.opts.commits.commit<NoteResult>({
       type: 'apply-note',
       note,
@@ -58,6 +58,8 @@
       by: params.by,
       wallTime: Date.now(),
     });
+    if (result.status === 'faulty')
+      throw createFaultError(this.locateFaults(params.text, result.faults));
     if (result.status !== 'accepted') throw this.createRefusal(result, note.number, contentHash);
     if (state.config.number === note.number) this.opts.onApplied();
     return { status: 'accepted', number: note.number, contentHash };
@@ -79,7 +81,7 @@
     return { number, contentHash, inForceEverywhere, instances };
   }
 
-  private check(note: ReleaseNote, contentHash: string): ApplyNoteResult {
+  private check(note: ReleaseNote, contentHash: string, text: string): ApplyNoteResult {
     const { state } = this.opts;
     const known = state.configTable.findNoteHash(note.number);
     const { number } = note;
@@ -92,10 +94,16 @@
       throw this.createRefusal({ status: 'outdated', number, newest }, number, contentHash);
     }
     const faults = checkReleaseNote(note, state.config);
-    if (faults.length > 0) throw createFaultError(faults);
+    if (faults.length > 0) throw createFaultError(this.locateFaults(text, faults));
     return { status: 'valid', number, contentHash };
   }
 
+  /** Faults that depend on the configuration in force get their lines from the text. */
+  private locateFaults(text: string, faults: NoteFault[]): NoteFault[] {
+    const located = parseReleaseNote(text, this.opts.state.config).faults;
+    return located.length > 0 ? located : faults;
+  }
+
   private async recordRefused(by: string, faults: NoteFault[]): Promise<void> {
     await this.opts.commits.commit({
       type: 'refuse-note',
--- a/packages/coordinator/src/replicaManager.ts
+++ b/packages/coordinator/src/replicaManager.ts
@@ -1,6 +1,11 @@
 import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
 import type { Log } from '@lagoongap/model/log.js';
-import type { JoinReplicaParams, JoinReplicaResult } from '@lagoongap/model/messages.js';
+import type {
+  JoinReplicaParams,
+  JoinReplicaResult,
+  RemoveReplicaParams,
+  RemoveReplicaResult,
+} from '@lagoongap/model/messages.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 
 /** Options of {@link ReplicaManager}. */
@@ -9,6 +14,16 @@
   logger: Log;
   /** Ids of the instances that may hold a replica. */
   replicaInstances: string[];
+  instanceId: string;
+  isReachable: (instance: string) => boolean;
+}
+
+function instanceOf(replicaId: string): string {
+  return replicaId.slice(0, replicaId.indexOf('/'));
+}
+
+function refuseRemoval(type: 'not-found' | 'conflict', message: string): never {
+  throw new RefusalError({ type, runState: 'not-run', message });
 }
 
 /**
@@ -32,6 +47,51 @@
     return step;
   }
 
+  /**
+   * Removes the replica of an instance that will not come back. Refused while the instance
+   * can be reached, or if less than a majority of the remaining voters could be.
+   */
+  remove(params: RemoveReplicaParams): Promise<RemoveReplicaResult> {
+    const removal = this.current.then(() => this.removeReplica(params));
+    this.current = removal.catch(() => {});
+    return removal;
+  }
+
+  private async removeReplica({ instance }: RemoveReplicaParams): Promise<RemoveReplicaResult> {
+    const { log, logger, replicaInstances } = this.opts;
+    const { voters, learners } = log.members();
+    const removed = [...voters, ...learners].filter((id) => instanceOf(id) === instance);
+    if (removed.length === 0) {
+      if (!replicaInstances.includes(instance)) {
+        refuseRemoval('not-found', `instance ${instance} has no replica`);
+      }
+      return { instance, removed, voters, learners };
+    }
+    this.assertRemovable(instance, voters);
+    for (const id of removed) {
+      logger.warn('removing a replica on behalf of an operator', { replica: id });
+      await log.removeMember(id);
+    }
+    return { instance, removed, ...log.members() };
+  }
+
+  private assertRemovable(instance: string, voters: string[]): void {
+    if (this.isAlive(instance)) {
+      refuseRemoval('conflict', `instance ${instance} is alive; stop it before its removal`);
+    }
+    const remaining = voters.filter((id) => instanceOf(id) !== instance);
+    const aliveCount = remaining.filter((id) => this.isAlive(instanceOf(id))).length;
+    if (aliveCount * 2 > remaining.length) return;
+    refuseRemoval(
+      'conflict',
+      `removing ${instance} would leave ${aliveCount} of ${remaining.length} voters alive, which is no majority`,
+    );
+  }
+
+  private isAlive(instance: string): boolean {
+    return instance === this.opts.instanceId || this.opts.isReachable(instance);
+  }
+
   private async takeStep({ instance, replicaId }: JoinReplicaParams): Promise<JoinReplicaResult> {
     const { log, logger, replicaInstances } = this.opts;
     if (!replicaInstances.includes(instance) || !replicaId.startsWith(`${instance}/`)) {
--- a/packages/coordinator/src/statusReader.ts
+++ b/packages/coordinator/src/statusReader.ts
@@ -1,6 +1,7 @@
 import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
 import type { ClusterStatus, EndpointStatus } from '@lagoongap/model/messages.js';
 import { resolveWorks } from '@lagoongap/model/endpointRules.js';
+import { addResources, NO_RESOURCES } from '@lagoongap/model/resources.js';
 import type { Scheduler } from '@lagoongap/scheduling/scheduler.js';
 import type { ClusterState } from '@lagoongap/state/clusterState.js';
 
@@ -11,6 +12,7 @@
 export interface InstanceInfo {
   id: string;
   dataCentre: string;
+  roles?: string[];
 }
 
 /** Options of {@link StatusReader}. */
@@ -44,16 +46,22 @@
       leader: instanceId,
       term: log.term,
       number: state.config.number,
-      instances: instances.map(({ id, dataCentre }) => ({
-        id,
-        dataCentre,
-        isReachable: id === instanceId || isReachable(id),
-        validityMs: sessions.readValidity(id),
-        number: numbers.get(id) ?? 0,
-      })),
+      instances: instances.map(({ id, dataCentre, roles }) => {
+        const validityMs = sessions.readValidity(id);
+        return {
+          id,
+          dataCentre,
+          roles,
+          isReachable: id === instanceId || isReachable(id),
+          alive: validityMs > 0,
+          validityMs,
+          number: numbers.get(id) ?? 0,
+        };
+      }),
       ...log.members(),
       ...stats,
       running: state.attempts.size,
+      runningByTeam: this.sumByTeam(),
     };
   }
 
@@ -74,4 +82,13 @@
       };
     });
   }
+
+  private sumByTeam(): NonNullable<ClusterStatus['runningByTeam']> {
+    const sums: NonNullable<ClusterStatus['runningByTeam']> = {};
+    for (const { team, size } of this.opts.state.attempts.values()) {
+      const sum = sums[team];
+      sums[team] = { ...addResources(sum ?? NO_RESOURCES, size), tasks: (sum?.tasks ?? 0) + 1 };
+    }
+    return sums;
+  }
 }
--- a/packages/gateway/src/operatorApi.ts
+++ b/packages/gateway/src/operatorApi.ts
@@ -4,6 +4,8 @@
   ClusterStatus,
   EndpointStatus,
   NoteForceResult,
+  RemoveReplicaParams,
+  RemoveReplicaResult,
 } from '@lagoongap/model/messages.js';
 import type { ClusterConfig } from '@lagoongap/model/clusterConfig.js';
 
@@ -50,6 +52,7 @@
     );
     router.add('GET', '/v1/audit', (call) => this.showAudit(call));
     router.add('POST', '/v1/instances/{id}/drain', (call) => this.drainInstance(call));
+    router.add('POST', '/v1/replicas/{id}/remove', (call) => this.removeReplica(call));
   }
 
   private async applyNote({ req, res, query }: RoutedCall): Promise<void> {
@@ -81,6 +84,12 @@
     sendJson(res, 202, { instance, state: 'draining' });
   }
 
+  private async removeReplica({ req, res, params }: RoutedCall): Promise<void> {
+    this.opts.authenticator.requireRole(req, ['operator']);
+    const removal: RemoveReplicaParams = { instance: params.id! };
+    sendJson(res, 200, await this.call<RemoveReplicaResult>('replicas.remove', removal));
+  }
+
   private async show<Result>({ req, res }: RoutedCall, method: string): Promise<void> {
     this.opts.authenticator.requireRole(req, ['operator']);
     sendJson(res, 200, await this.call<Result>(method, {}));
--- a/packages/model/src/messages.ts
+++ b/packages/model/src/messages.ts
@@ -226,8 +226,13 @@
   instances: {
     id: string;
     dataCentre: string;
+    roles?: string[];
+    /** The leader has a connection to the instance. */
     isReachable: boolean;
+    /** The instance has polled recently enough to take work. */
+    alive?: boolean;
     validityMs: number;
+    /** Newest release note that the instance reported. */
     number: number;
   }[];
   voters: string[];
@@ -235,6 +240,8 @@
   waiting: number;
   running: number;
   waitingByQueue: Record<string, number>;
+  /** Reserved for running work, by team. */
+  runningByTeam?: Record<string, Resources & { tasks: number }>;
   teamShares: Record<string, number>;
   packing: Resources;
 }
@@ -249,3 +256,17 @@
 export interface JoinReplicaResult {
   state: 'learner' | 'voter';
 }
+
+/** Removes the replica of an instance that will not come back. */
+export interface RemoveReplicaParams {
+  instance: string;
+}
+
+/** Answer to the removal of a replica; repeating it removes nothing more. */
+export interface RemoveReplicaResult {
+  instance: string;
+  /** Replica ids that this call removed. */
+  removed: string[];
+  voters: string[];
+  learners: string[];
+}
