Serve callers and instances over TLS and reload changed certificates

http.tls and peering.tls were read from the settings and ignored. The daemon passes them on and follows changes of the files; unusable files are logged and the old certificates stay. LocalCell can run a cell on TLS.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -14,6 +14,8 @@
 import { ReleaseQueue } from '@lagoongap/gateway/releaseQueue.js';
 import { ValidityPoller } from '@lagoongap/gateway/validityPoller.js';
 import type { Log } from '@lagoongap/model/log.js';
+import { toError } from '@lagoongap/model/toError.js';
+import { TlsCredentials } from '@lagoongap/peering/tlsCredentials.js';
 import { TcpPeerNetwork } from '@lagoongap/peering/tcpPeerNetwork.js';
 import { EjectingHealthPolicy } from '@lagoongap/routing/ejectingHealthPolicy.js';
 import { HttpExchange } from '@lagoongap/routing/httpExchange.js';
@@ -24,6 +26,7 @@
 import { Metrics } from '@lagoongap/telemetry/metrics.js';
 
 import { DaemonError } from './daemonError.js';
+import { createPeerTls, createServerTls, MIN_CALLER_TLS_VERSION } from './listenerTls.js';
 import { PeerRaftTransport } from './peerRaftTransport.js';
 import { ReplicaJoiner } from './replicaJoiner.js';
 import { createScheduler } from './schedulerFactory.js';
@@ -67,6 +70,7 @@
       selfId: id,
       listen: { host: settings.peering.host, port: settings.peering.port },
       peers: settings.peering.peers,
+      tls: createPeerTls(settings.peering.tls),
       logger,
     });
     this.leader = new LeaderClient({
@@ -88,6 +92,7 @@
       port: settings.http.port,
       router: this.createRouter(owner),
       log: logger,
+      tls: createServerTls(settings.http.tls),
       onRefused: ({ type }) => this.metrics.countRefusal(type),
     });
     this.network.handle('instances.drain', () => opts.onDrain());
@@ -104,6 +109,7 @@
     if (settings.storage) await this.startReplica();
     await this.network.start();
     this.validity.start();
+    await this.startTls();
     await this.server.listen();
     logger.info('instance listens', {
       instance: settings.instance.id,
@@ -149,6 +155,26 @@
     return peers.filter(({ roles }) => roles.includes('replica')).map(({ id }) => id);
   }
 
+  /** Loads the certificates of the HTTP listener and follows changes of their files. */
+  private async startTls(): Promise<void> {
+    const { settings, logger } = this.opts;
+    if (!settings.http.tls) return;
+    const credentials = new TlsCredentials(settings.http.tls, logger);
+    const load = (): void => {
+      const { material } = credentials;
+      this.server.replaceCertificates({ ...material, minVersion: MIN_CALLER_TLS_VERSION });
+    };
+    try {
+      await credentials.start(load);
+    } catch (err) {
+      throw new DaemonError('could not load the certificates of [http.tls]', {
+        cause: toError(err),
+      });
+    }
+    load();
+    this.resources.push({ [Symbol.asyncDispose]: async () => credentials[Symbol.dispose]() });
+  }
+
   private async startReplica(): Promise<void> {
     const { settings, logger, onFatal } = this.opts;
     const { storage, timing, instance } = settings;
--- a/packages/gateway/src/gatewayServer.ts
+++ b/packages/gateway/src/gatewayServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { createServer as createTlsServer } from 'node:https';
+import { createServer as createTlsServer, type ServerOptions as TlsOptions } from 'node:https';
 import type { AddressInfo } from 'node:net';
 import type { SecureContextOptions } from 'node:tls';
 
@@ -17,8 +17,8 @@
   port: number;
   router: HttpRouter;
   log: Log;
-  /** Key and certificates; plain HTTP without. */
-  tls?: SecureContextOptions;
+  /** Options of TLS; key and certificates may follow by `replaceCertificates`. Plain HTTP without. */
+  tls?: TlsOptions;
   onRefused?: (refusal: Refusal) => void;
 }
 
@@ -122,7 +122,7 @@
       sendRefusal(res, {
         type: 'not-found',
         runState: 'not-run',
-        message: `no such path ${req.url}`,
+        message: 'there is no such path',
       });
       return;
     }
--- a/packages/peering/src/tlsCredentials.ts
+++ b/packages/peering/src/tlsCredentials.ts
@@ -4,7 +4,6 @@
 import { toError } from '@lagoongap/model/toError.js';
 
 import { PeerError } from './peerError.js';
-import type { PeerTlsOptions } from './peeringOptions.js';
 import type { PeerLogger } from './peerLogger.js';
 
 /** Interval at which the files are looked at. */
@@ -13,23 +12,33 @@
 /** Oldest accepted TLS version. */
 const MIN_TLS_VERSION = 'TLSv1.3';
 
+/** Certificate files in PEM format. */
+export interface TlsFiles {
+  certFile: string;
+  keyFile: string;
+  /** Authorities that the other side must be signed by. */
+  caFile?: string;
+  /** Whether the common name of a certificate must be the instance id; true by default. */
+  checkName?: boolean;
+}
+
 /** PEM texts of one instance. */
 export interface TlsMaterial {
   cert: Buffer;
   key: Buffer;
-  ca: Buffer;
+  ca?: Buffer;
   minVersion: typeof MIN_TLS_VERSION;
 }
 
 /** Certificate files of this instance, read again when they change. */
 export class TlsCredentials implements Disposable {
-  private readonly opts: PeerTlsOptions;
+  private readonly opts: TlsFiles;
   private readonly logger: PeerLogger;
   private timer: NodeJS.Timeout | undefined;
   private fingerprint = '';
   private current: { material: TlsMaterial; context: SecureContext } | undefined;
 
-  constructor(opts: PeerTlsOptions, logger: PeerLogger) {
+  constructor(opts: TlsFiles, logger: PeerLogger) {
     this.opts = opts;
     this.logger = logger;
   }
@@ -97,7 +106,7 @@
 
   private files(): string[] {
     const { certFile, keyFile, caFile } = this.opts;
-    return [certFile, keyFile, caFile];
+    return caFile === undefined ? [certFile, keyFile] : [certFile, keyFile, caFile];
   }
 
   private async readFingerprint(): Promise<string> {
@@ -107,7 +116,7 @@
 
   private async read(): Promise<void> {
     const [cert, key, ca] = await Promise.all(this.files().map((file) => readFile(file)));
-    const material = { cert: cert!, key: key!, ca: ca!, minVersion: MIN_TLS_VERSION } as const;
+    const material = { cert: cert!, key: key!, ca, minVersion: MIN_TLS_VERSION } as const;
     this.current = { material, context: createSecureContext(material) };
   }
 }
--- a/packages/stand-in/src/localCell.ts
+++ b/packages/stand-in/src/localCell.ts
@@ -4,9 +4,13 @@
 import { dirname, join } from 'node:path';
 
 import { createKey, type CreatedKey } from '@lagoongap/release-notes/accessKeys.js';
-import type { DaemonSettings, PeerSettings } from '@lagoongap/settings/daemonSettings.js';
+import type {
+  DaemonSettings,
+  PeerSettings,
+  TlsSettings,
+} from '@lagoongap/settings/daemonSettings.js';
 import { renderSettings, type PartialSettings } from '@lagoongap/settings/exampleSettings.js';
-import { request } from 'undici';
+import { Agent, request } from 'undici';
 
 import { findFreePorts } from './freePorts.js';
 import { ProcessHandle } from './processHandle.js';
@@ -21,6 +25,9 @@
   timing?: Partial<DaemonSettings['timing']>;
   scheduling?: Partial<DaemonSettings['scheduling']>;
   routing?: Partial<DaemonSettings['routing']>;
+  log?: Partial<DaemonSettings['log']>;
+  /** Certificate files of each instance, and the authority that signed them, in PEM format. */
+  tls?: { files: (id: string) => TlsSettings; ca: string };
   /** Peering address that others use for an instance, for instance a relay. */
   mapPeer?: (peer: PeerSettings, viewedFrom: string) => PeerSettings;
 }
@@ -71,11 +78,13 @@
   readonly daemons = new Map<string, ProcessHandle>();
   readonly endpoints = new Map<string, ProcessHandle>();
   private readonly opts: LocalCellOptions;
+  private readonly agent: Agent | undefined;
   private readonly httpPorts = new Map<string, number>();
   private readonly settingsFiles = new Map<string, string>();
 
   constructor(opts: LocalCellOptions) {
     this.opts = opts;
+    if (opts.tls) this.agent = new Agent({ connect: { ca: opts.tls.ca } });
   }
 
   /** Ids of all instances. */
@@ -120,7 +129,8 @@
 
   /** Returns the base URL of an instance. */
   url(id: string): string {
-    return `http://127.0.0.1:${this.httpPorts.get(id)}`;
+    const scheme = this.opts.tls ? 'https' : 'http';
+    return `${scheme}://127.0.0.1:${this.httpPorts.get(id)}`;
   }
 
   /** Starts a stand-in endpoint and waits until it has been accepted. */
@@ -158,6 +168,7 @@
         ...headers,
       },
       body: typeof body === 'object' ? JSON.stringify(body) : body,
+      ...(this.agent && { dispatcher: this.agent }),
     });
     const text = await answer.body.text();
     const isJson = String(answer.headers['content-type']).startsWith('application/json');
@@ -236,18 +247,25 @@
   async [Symbol.asyncDispose](): Promise<void> {
     const handles = [...this.endpoints.values(), ...this.daemons.values()];
     await Promise.all(handles.map((handle) => handle[Symbol.asyncDispose]()));
+    await this.agent?.destroy();
     rmSync(this.folder, { recursive: true, force: true });
   }
 
   private writeSettings(peer: PeerSettings, peers: PeerSettings[], httpPort: number): void {
-    const { mapPeer, timing, scheduling, routing } = this.opts;
+    const { mapPeer, timing, scheduling, routing, log, tls } = this.opts;
+    const files = tls?.files(peer.id);
     const settings: PartialSettings = {
       bootstrapOperatorKeyHashes: [this.operatorKey.hash],
       instance: { id: peer.id, dataCentre: peer.dataCentre, roles: peer.roles },
-      http: { host: peer.host, port: httpPort },
+      http: {
+        host: peer.host,
+        port: httpPort,
+        ...(files && { tls: { certFile: files.certFile, keyFile: files.keyFile } }),
+      },
       peering: {
         host: peer.host,
         port: peer.port,
+        ...(files && { tls: files }),
         peers: peers.map((other) =>
           mapPeer && other.id !== peer.id ? mapPeer(other, peer.id) : other,
         ),
@@ -258,6 +276,7 @@
       timing: { drainDelayMs: 1000, ...timing },
       ...(scheduling && { scheduling }),
       ...(routing && { routing }),
+      ...(log && { log }),
     };
     mkdirSync(this.folder, { recursive: true });
     const file = join(this.folder, `${peer.id}.toml`);
--- a/packages/tests/src/peering/testCertificates.ts
+++ b/packages/tests/src/peering/testCertificates.ts
@@ -36,14 +36,16 @@
     return join(this.folder, name);
   }
 
-  /** Writes `<file>.pem` and `<file>.key` with a common name, signed by an authority. */
+  /** Writes `<file>.pem` and `<file>.key` with a common name and 127.0.0.1, signed by an authority. */
   async issue(file: string, commonName: string, authority = 'ca'): Promise<void> {
     const request = `${file}.csr`;
     const subject = ['-subj', `/CN=${commonName}`];
     const files = ['-keyout', `${file}.key`, '-out', request];
-    await this.openssl(['req', ...NEW_KEY, ...subject, ...files]);
+    const address = ['-addext', 'subjectAltName=IP:127.0.0.1'];
+    await this.openssl(['req', ...NEW_KEY, ...subject, ...address, ...files]);
     const signer = ['-CA', `${authority}.pem`, '-CAkey', `${authority}.key`, '-CAcreateserial'];
-    await this.openssl(['x509', '-req', '-in', request, ...signer, '-out', `${file}.pem`]);
+    const copy = ['-copy_extensions', 'copy'];
+    await this.openssl(['x509', '-req', ...copy, '-in', request, ...signer, '-out', `${file}.pem`]);
   }
 
   /** Replaces a file by other text. */
