--- a/packages/coordinator/src/noteDesk.ts
+++ b/packages/coordinator/src/noteDesk.ts
@@ -5,6 +5,7 @@
 } from '@lagoongap/model/messages.js';
 import type { NoteFault, ReleaseNote } from '@lagoongap/model/releaseNote.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
+import { redactSecrets } from '@lagoongap/release-notes/accessKeys.js';
 import { checkReleaseNote } from '@lagoongap/release-notes/checkReleaseNote.js';
 import { hashReleaseNote } from '@lagoongap/release-notes/hashReleaseNote.js';
 import { parseReleaseNote } from '@lagoongap/release-notes/parseReleaseNote.js';
@@ -110,7 +111,10 @@
       number: 0,
       contentHash: '',
       by,
-      summary: `refused: ${faults.length} fault(s), first: ${faults[0]?.message ?? ''}`,
+      // The trail is durable, and a fault may quote a secret that stands where its hash belongs.
+      summary: redactSecrets(
+        `refused: ${faults.length} fault(s), first: ${faults[0]?.message ?? ''}`,
+      ),
       wallTime: Date.now(),
     });
   }
--- a/packages/gateway/src/httpReply.ts
+++ b/packages/gateway/src/httpReply.ts
@@ -2,6 +2,7 @@
 
 import type { Refusal, RefusalType, RunState } from '@lagoongap/model/refusal.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
+import { redactSecrets } from '@lagoongap/release-notes/accessKeys.js';
 
 const STATUS_BY_TYPE: Record<RefusalType, number> = {
   'invalid-input': 400,
@@ -26,7 +27,10 @@
 
 /** Sends a JSON body. */
 export function sendJson(res: ServerResponse, status: number, body: unknown): void {
-  const text = `${JSON.stringify(body)}\n`;
+  sendText(res, status, `${JSON.stringify(body)}\n`);
+}
+
+function sendText(res: ServerResponse, status: number, text: string): void {
   res.writeHead(status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
@@ -44,7 +48,9 @@
     res.setHeader('retry-after', Math.max(1, Math.ceil(refusal.retryAfterMs / 1000)));
   }
   if (refusal.requestId !== undefined) res.setHeader('lagoongap-request', refusal.requestId);
-  sendJson(res, STATUS_BY_TYPE[refusal.type] ?? 500, { error: refusal });
+  // Refusals quote what was wrong, which may be a secret that was put in the wrong place.
+  const text = redactSecrets(JSON.stringify({ error: refusal }));
+  sendText(res, STATUS_BY_TYPE[refusal.type] ?? 500, `${text}\n`);
 }
 
 /** Returns the refusal that an error carries, or an internal one that reveals nothing. */
--- a/packages/release-notes/src/accessKeys.ts
+++ b/packages/release-notes/src/accessKeys.ts
@@ -5,6 +5,8 @@
 /** Start of every secret, by which logs recognise and redact it. */
 export const SECRET_PREFIX = 'lgk_';
 
+const SECRET_PATTERN = /lgk_[\w-]+/g;
+
 /** Random bytes in a secret. */
 const SECRET_BYTES = 32;
 
@@ -30,6 +32,11 @@
   return { id: `key-${randomBytes(ID_BYTES).toString('hex')}`, secret, hash: hashKey(secret) };
 }
 
+/** Removes secrets of keys from a text, for instance from a fault that quotes its input. */
+export function redactSecrets(text: string): string {
+  return text.replace(SECRET_PATTERN, `${SECRET_PREFIX}[redacted]`);
+}
+
 /** Compares two texts in a time that does not depend on where they differ. */
 export function isEqualConstantTime(a: string, b: string): boolean {
   // Digests have equal lengths, which the comparison requires.
