--- a/packages/tests/src/faults/faultRun.ts
+++ b/packages/tests/src/faults/faultRun.ts
@@ -125,7 +125,7 @@
         keyId: isUtility ? 'utilities-1' : 'laboratories-1',
         noRepeat: this.requests % 3 === 0,
         deadlineMs: 12_000,
-        sleepMs: this.requests % 4 === 0 ? 900 : 20,
+        sleepMs: Math.floor(this.requests / 2) % 2 === 0 ? 900 : 20,
       })
       .catch((err: Error) => cell.violations.push(`caller saw an error: ${err.message}`));
   }
