--- a/packages/state/src/clusterState.ts
+++ b/packages/state/src/clusterState.ts
@@ -59,6 +59,7 @@
   }
 
   snapshot(): unknown {
+    // Records that change are copied, as the log writes the snapshot while later commands apply.
     const snapshot: ClusterSnapshot = {
       version: SNAPSHOT_VERSION,
       config: this.configTable.snapshot(),
@@ -67,12 +68,12 @@
       jobs: this.jobs.snapshot(),
       requests: this.requests.snapshot(),
     };
-    // The log writes the snapshot while later commands are applied to the live tables.
-    return structuredClone(snapshot);
+    return snapshot;
   }
 
   restore(data: unknown): void {
-    const snapshot = data as ClusterSnapshot;
+    // The log keeps the snapshot to send it to other replicas, so its records must not change.
+    const snapshot = structuredClone(data) as ClusterSnapshot;
     if (snapshot.version !== SNAPSHOT_VERSION) {
       throw new StateError(
         `snapshot has format version ${snapshot.version}, expected ${SNAPSHOT_VERSION}`,
--- a/packages/state/src/configTable.ts
+++ b/packages/state/src/configTable.ts
@@ -106,8 +106,8 @@
       config: this.current,
       noteNumbers: [...this.hashes.keys()],
       noteHashes: [...this.hashes.values()],
-      recentNotes: this.recentNotes,
-      audit: this.audit,
+      recentNotes: [...this.recentNotes],
+      audit: [...this.audit],
     };
   }
 
--- a/packages/state/src/endpointTable.ts
+++ b/packages/state/src/endpointTable.ts
@@ -28,7 +28,7 @@
   }
 
   snapshot(): EndpointRecord[] {
-    return [...this.endpoints.values()];
+    return [...this.endpoints.values()].map((endpoint) => ({ ...endpoint }));
   }
 
   restore(endpoints: EndpointRecord[]): void {
--- a/packages/state/src/jobTable.ts
+++ b/packages/state/src/jobTable.ts
@@ -14,6 +14,11 @@
   return { state: 'waiting', failures: 0, failedOn: [] };
 }
 
+function copyJob(job: JobRecord): JobRecord {
+  const tasks = job.tasks.map((task) => ({ ...task, failedOn: [...task.failedOn] }));
+  return { ...job, tasks };
+}
+
 /** Jobs and their tasks. */
 export class JobTable {
   private readonly jobs = new Map<string, JobRecord>();
@@ -120,7 +125,7 @@
   }
 
   snapshot(): { jobs: JobRecord[]; finished: string[] } {
-    return { jobs: [...this.jobs.values()], finished: this.finished.snapshot() };
+    return { jobs: [...this.jobs.values()].map(copyJob), finished: this.finished.snapshot() };
   }
 
   restore(snapshot: { jobs: JobRecord[]; finished: string[] }): void {
--- a/packages/state/src/requestTable.ts
+++ b/packages/state/src/requestTable.ts
@@ -98,7 +98,7 @@
 
   snapshot(): RequestTableSnapshot {
     return {
-      requests: [...this.requests.values()],
+      requests: [...this.requests.values()].map((request) => ({ ...request })),
       finishedKeyed: this.finishedKeyed.snapshot(),
       finishedPlain: this.finishedPlain.snapshot(),
     };
--- a/packages/state/src/retentionQueue.ts
+++ b/packages/state/src/retentionQueue.ts
@@ -29,7 +29,7 @@
 
   snapshot(): string[] {
     this.compact();
-    return this.ids;
+    return [...this.ids];
   }
 
   restore(ids: string[]): void {
--- a/packages/storage/src/snapshotFile.ts
+++ b/packages/storage/src/snapshotFile.ts
@@ -3,6 +3,7 @@
 import { DamagedRecordError } from './damagedRecordError.js';
 import type { Snapshot } from './logStore.js';
 import { decodePayload, encodePayload } from './payloadCodec.js';
+import { encodePiecewise } from './piecewiseEncoder.js';
 import { encodeRecord } from './recordCodec.js';
 import { RecordReader, type ReadRecord } from './recordReader.js';
 import type { StorageFile, StorageFileSystem } from './storageFileSystem.js';
@@ -32,7 +33,7 @@
   /** Writes and syncs a new file. */
   async write(snapshot: Snapshot): Promise<void> {
     const { index, term, membership } = snapshot;
-    const data = encodePayload(snapshot.data);
+    const data = await encodePiecewise(snapshot.data);
     const head: SnapshotHead = { index, term, membership, dataBytes: data.length };
     const file = await this.fileSystem.open(this.path, 'create');
     try {
--- a/packages/tests/src/steps/state/stateSteps.ts
+++ b/packages/tests/src/steps/state/stateSteps.ts
@@ -82,6 +82,24 @@
   },
 );
 
+Then(
+  'a snapshot does not change while later commands are applied',
+  function checkFrozen(this: StateWorld) {
+    const property = fc.property(commands, commands, (before, after) => {
+      const state = createState();
+      applyAll(state, copy(before) as SingleCommand[]);
+      const taken = state.snapshot();
+      const expected = copy(taken);
+      const restored = new ClusterState();
+      restored.restore(taken);
+      applyAll(state, copy(after) as SingleCommand[], 1000);
+      applyAll(restored, copy(after) as SingleCommand[], 1000);
+      assert.deepEqual(copy(taken), expected);
+    });
+    check(this, property);
+  },
+);
+
 Then('no task has two attempts and no ended job runs', function checkTables(this: StateWorld) {
   const property = fc.property(commands, (list) => {
     const state = createState();
