Find the successor of a silent leader before gateway validity ends

Cause: a poll waited for a frozen or cut off leader until its own deadline of one validity, so that every gateway fenced itself although another leader had been elected; the other replicas also went on to name the frozen leader. Change: each try of a poll ends after one poll interval, and a replica that did not answer in time is passed over for 1 s.

--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -18,12 +18,20 @@
 export interface LeaderCallOptions {
   /** Time for all tries together. */
   deadlineMs: number;
+  /** Time for one try, for calls that are always answered at once. */
+  tryTimeoutMs?: number;
   signal?: AbortSignal;
 }
 
 /** Pause between two tries while no leader is known; random up to this bound. */
 const RETRY_PAUSE_MS = 100;
 
+/**
+ * Time for which a replica that has not answered in time is passed over. Other replicas go on
+ * to name a frozen leader until they have elected another one, which takes about this long.
+ */
+const PASS_OVER_MS = 1000;
+
 function readRefusal(err: Error): Refusal | undefined {
   if (err instanceof RefusalError) return err.refusal;
   const { data } = err as { data?: { refusal?: Refusal } };
@@ -38,6 +46,7 @@
   private readonly opts: LeaderClientOptions;
   private leader: string | undefined;
   private next = 0;
+  private passedOver: { id: string; untilMs: number } | undefined;
 
   constructor(opts: LeaderClientOptions) {
     this.opts = opts;
@@ -53,8 +62,9 @@
     let mayHaveRun = false;
     for (;;) {
       const target = this.pickTarget();
-      const timeoutMs = endMs - performance.now();
-      if (timeoutMs <= 0 || opts.signal?.aborted) throw this.createTimeout(method, mayHaveRun);
+      const leftMs = endMs - performance.now();
+      const timeoutMs = Math.min(leftMs, opts.tryTimeoutMs ?? leftMs);
+      if (leftMs <= 0 || opts.signal?.aborted) throw this.createTimeout(method, mayHaveRun);
       try {
         const result = await this.opts.network.call(target, method, params, { timeoutMs });
         this.leader = target;
@@ -64,6 +74,9 @@
         const refusal = readRefusal(err);
         if (refusal && refusal.type !== 'no-leader') throw new RefusalError(refusal);
         if (!refusal && err.name !== 'PeerUnavailableError') mayHaveRun = true;
+        if (err.name === 'PeerTimeoutError') {
+          this.passedOver = { id: target, untilMs: performance.now() + PASS_OVER_MS };
+        }
         this.followHint(target, refusal);
       }
       await delay(Math.random() * RETRY_PAUSE_MS);
@@ -71,22 +84,30 @@
   }
 
   private pickTarget(): string {
-    const { replicaInstances, readLeaderHint } = this.opts;
-    const known = this.leader ?? readLeaderHint();
-    if (known !== undefined) return known;
+    const known = this.leader ?? this.opts.readLeaderHint();
+    return known !== undefined && !this.isPassedOver(known) ? known : this.pickNext();
+  }
+
+  private pickNext(): string {
+    const { replicaInstances } = this.opts;
+    this.next += 1;
+    const id = replicaInstances[this.next % replicaInstances.length]!;
+    if (!this.isPassedOver(id)) return id;
     this.next += 1;
     return replicaInstances[this.next % replicaInstances.length]!;
   }
 
+  private isPassedOver(id: string): boolean {
+    const { passedOver } = this;
+    return passedOver?.id === id && performance.now() < passedOver.untilMs;
+  }
+
   private followHint(failed: string, refusal: Refusal | undefined): void {
     const hint = (refusal?.details as { leaderId?: string } | undefined)?.leaderId;
-    this.leader = hint !== failed ? hint : undefined;
-    if (this.leader === undefined && this.opts.readLeaderHint() === failed) {
-      // The local replica has not noticed yet that its leader is gone.
-      const { replicaInstances } = this.opts;
-      this.next += 1;
-      this.leader = replicaInstances[this.next % replicaInstances.length];
-    }
+    const isUsable = hint !== failed && hint !== undefined && !this.isPassedOver(hint);
+    this.leader = isUsable ? hint : undefined;
+    // The local replica may not have noticed yet that its leader is gone.
+    if (!isUsable && this.opts.readLeaderHint() === failed) this.leader = this.pickNext();
   }
 
   private createTimeout(method: string, mayHaveRun: boolean): RefusalError {
--- a/packages/gateway/src/validityPoller.ts
+++ b/packages/gateway/src/validityPoller.ts
@@ -88,11 +88,13 @@
 
   /** Returns whether the answer changed the configuration, which the next poll reports. */
   private async poll(): Promise<boolean> {
-    const { instanceId, bootId, leader, validityMs } = this.opts;
+    const { instanceId, bootId, leader, pollMs, validityMs } = this.opts;
     const sentAtMs = performance.now();
     const params: PollParams = { instance: instanceId, bootId, number: this.current.number };
     const result = await leader.call<PollResult>('gateway.poll', params, {
       deadlineMs: validityMs,
+      // A silent leader must leave time to find its successor before validity ends.
+      tryTimeoutMs: pollMs,
     });
     // An answer of a deposed leader may arrive late and must not renew anything.
     if (result.term < this.newestTerm || result.number < this.current.number) return false;
