--- a/packages/tests/src/steps/cell/silenceSteps.ts
+++ b/packages/tests/src/steps/cell/silenceSteps.ts
@@ -102,6 +102,16 @@
   },
 );
 
+Then(
+  'every request through an instance that was not frozen was answered whole',
+  function checkOthers(this: SilenceWorld) {
+    const [frozen] = this.killed;
+    const others = this.calls.filter(({ instance }) => instance !== frozen);
+    assert.ok(others.length > 0);
+    assert.deepEqual(others.filter(({ outcome }) => outcome !== 'answered').slice(0, 5), []);
+  },
+);
+
 Then(
   'each accepted job has ended and no task was started twice',
   TIMEOUT,
