--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -29,9 +29,11 @@
 import { Metrics } from '@lagoongap/telemetry/metrics.js';
 
 import { DaemonError } from './daemonError.js';
+import { InstanceDrainer } from './instanceDrainer.js';
 import { PeerTrafficReporter } from './peerTrafficReporter.js';
 import { createPeerTls, createServerTls, MIN_CALLER_TLS_VERSION } from './listenerTls.js';
 import { PeerRaftTransport } from './peerRaftTransport.js';
+import { PeerTrafficReporter } from './peerTrafficReporter.js';
 import { ReplicaJoiner } from './replicaJoiner.js';
 import { createScheduler } from './schedulerFactory.js';
 
@@ -46,10 +48,10 @@
 }
 
 const BOOT_ID_BYTES = 6;
-const DRAIN_CALL_TIMEOUT_MS = 5000;
-const BYTES_PER_MIB = 1024 * 1024;
 
 /** Part of the requests that an instance holds that one team may have. */
+const BYTES_PER_MIB = 1024 * 1024;
+const DRAIN_CALL_TIMEOUT_MS = 5000;
 const MAX_TEAM_SHARE = 0.5;
 
 /** One instance of the system: a gateway and, where there is a disk, a replica. */
@@ -64,6 +66,7 @@
   private readonly leader: LeaderClient;
   private readonly validity: ValidityPoller;
   private readonly releases: ReleaseQueue;
+  private readonly drainer: InstanceDrainer;
   private readonly server: GatewayServer;
   private readonly resources: AsyncDisposable[] = [];
   private replica: RaftReplica | undefined;
@@ -79,9 +82,16 @@
       selfId: id,
       listen: { host: settings.peering.host, port: settings.peering.port },
       peers: settings.peering.peers,
+      peers: settings.peering.peers.map((peer) => ({ ...peer, dial: this.isDialled(peer.id) })),
       tls: createPeerTls(settings.peering.tls),
       logger,
     });
+    this.drainer = new InstanceDrainer({
+      network: this.network,
+      replicaInstances: this.listReplicaInstances(),
+      isDialled: (instance) => this.isDialled(instance),
+      onDrain: opts.onDrain,
+    });
     this.leader = new LeaderClient({
       network: this.network,
       replicaInstances: this.listReplicaInstances(),
@@ -104,7 +114,6 @@
       tls: createServerTls(settings.http.tls),
       onRefused: ({ type }) => this.metrics.countRefusal(type),
     });
-    this.network.handle('instances.drain', () => opts.onDrain());
   }
 
   /** Port of the HTTP listener. */
@@ -159,6 +168,15 @@
     await this.network[Symbol.asyncDispose]();
   }
 
+  /**
+   * Only replicas are called by all, and only replicas call gateways. Connections between gateways
+   * without a disk would carry nothing but pings, which grow with the square of their number.
+   */
+  private isDialled(instance: string): boolean {
+    const replicas = this.listReplicaInstances();
+    return replicas.includes(this.opts.settings.instance.id) || replicas.includes(instance);
+  }
+
   private listReplicaInstances(): string[] {
     const { peers } = this.opts.settings.peering;
     return peers.filter(({ roles }) => roles.includes('replica')).map(({ id }) => id);
@@ -274,14 +292,7 @@
       authenticator,
       leader,
       instances: settings.peering.peers.map(({ id }) => id),
-      drain: async (instance) => {
-        await this.network.call(
-          instance,
-          'instances.drain',
-          {},
-          { timeoutMs: DRAIN_CALL_TIMEOUT_MS },
-        );
-      },
+      drain: (instance) => this.drainer.drain(instance),
     }).register(router);
     new PlatformApi({
       instanceId: settings.instance.id,
--- a/packages/tests/src/faults/faultRun.ts
+++ b/packages/tests/src/faults/faultRun.ts
@@ -29,6 +29,9 @@
 const START_MS = 6000;
 const LOAD_MS = 16_000;
 const SETTLE_MS = 45_000;
+/** Longer than a gateway takes to find out that a connection is lost and to try again. */
+const LONG_RUN_MS = 2500;
+const SHORT_RUN_MS = 20;
 const RELEASE_MS = 2000;
 const MAX_VERIFY_MS = 60_000;
 const REQUEST_INTERVAL_MS = 120;
@@ -125,7 +128,7 @@
         keyId: isUtility ? 'utilities-1' : 'laboratories-1',
         noRepeat: this.requests % 3 === 0,
         deadlineMs: 12_000,
-        sleepMs: Math.floor(this.requests / 2) % 2 === 0 ? 900 : 20,
+        sleepMs: this.requests % 4 === 1 ? LONG_RUN_MS : SHORT_RUN_MS,
       })
       .catch((err: Error) => cell.violations.push(`caller saw an error: ${err.message}`));
   }
