--- a/packages/bench/src/capacityTable.ts
+++ b/packages/bench/src/capacityTable.ts
@@ -1,5 +1,12 @@
 import type { BenchRun, BenchTable } from './benchReport.js';
-import type { CostFigures, CostRole, CostSlope } from './costPoint.js';
+import {
+  COST_ROLES,
+  type CostFigures,
+  type CostRole,
+  type CostSlope,
+  type RoleCost,
+} from './costPoint.js';
+import { fitLine } from './linearFit.js';
 import type { RestartFigures } from './restartBench.js';
 
 /** Size that the design must carry; see section 3 of the design page. */
@@ -14,6 +21,14 @@
 /** Gateways without a disk in the measured cell; they share its load evenly. */
 const MEASURED_GATEWAYS = 6;
 
+/** Costs that are extrapolated, with the names of their units. */
+const COSTS = [
+  ['cpuPercent', '% of a core'],
+  ['peerBytes', 'peer bytes/s'],
+  ['peerMessages', 'peer messages/s'],
+  ['rssMib', 'RSS MiB'],
+] as const;
+
 const GATEWAY_SHARE = MEASURED_GATEWAYS / TARGET.instances;
 
 interface Load {
@@ -21,18 +36,9 @@
   amount: number;
 }
 
-/**
- * Sums the idle cost and what each dimension of load adds, at `share` of the measured slopes. A
- * falling line is noise and adds nothing.
- */
-function extrapolate(
-  loads: Load[],
-  idle: number,
-  share: number,
-  read: (slope: CostSlope) => number,
-): { total: number; parts: number[] } {
-  const parts = loads.map(({ slope, amount }) => Math.max(0, read(slope)) * amount * share);
-  return { total: idle + parts.reduce((sum, part) => sum + part, 0), parts };
+/** Slope of one cost of a role along a dimension of load, fitted to the measured points. */
+function readSlope({ points }: CostSlope, role: CostRole, cost: keyof RoleCost): number {
+  return fitLine(points.map(({ x, roles }) => ({ x, y: roles[role][cost] }))).slope;
 }
 
 /** Works out the cost of each role at the target size from measured slopes. */
@@ -42,17 +48,15 @@
     { slope: tasks, amount: TARGET.running },
     { slope: requests, amount: TARGET.startsPerSecond },
   ];
-  const roles: CostRole[] = ['leader', 'follower', 'gateway'];
-  const rows = roles.flatMap((role) => {
+  const rows = COST_ROLES.flatMap((role) => {
     const share = role === 'gateway' ? GATEWAY_SHARE : 1;
-    const cost = idle.roles[role];
-    const kinds = [
-      ['% of a core', cost.cpuPercent, (slope: CostSlope) => slope.fits[role].cpu.slope],
-      ['peer bytes/s', cost.peerBytes, (slope: CostSlope) => slope.fits[role].peerBytes.slope],
-      ['RSS MiB', cost.rssMib, (slope: CostSlope) => slope.fits[role].rss.slope],
-    ] as const;
-    return kinds.map(([name, base, read]) => {
-      const { total, parts } = extrapolate(loads, base, share, read);
+    return COSTS.map(([cost, name]) => {
+      const base = idle.roles[role][cost];
+      // A falling line is noise and adds nothing.
+      const parts = loads.map(
+        ({ slope, amount }) => Math.max(0, readSlope(slope, role, cost)) * amount * share,
+      );
+      const total = parts.reduce((sum, part) => sum + part, base);
       return [role, name, ...[base, ...parts, total].map((value) => value.toFixed(1))];
     });
   });
