--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -30,7 +30,6 @@
 
 import { DaemonError } from './daemonError.js';
 import { InstanceDrainer } from './instanceDrainer.js';
-import { PeerTrafficReporter } from './peerTrafficReporter.js';
 import { createPeerTls, createServerTls, MIN_CALLER_TLS_VERSION } from './listenerTls.js';
 import { PeerRaftTransport } from './peerRaftTransport.js';
 import { PeerTrafficReporter } from './peerTrafficReporter.js';
@@ -48,10 +47,9 @@
 }
 
 const BOOT_ID_BYTES = 6;
+const BYTES_PER_MIB = 1024 * 1024;
 
 /** Part of the requests that an instance holds that one team may have. */
-const BYTES_PER_MIB = 1024 * 1024;
-const DRAIN_CALL_TIMEOUT_MS = 5000;
 const MAX_TEAM_SHARE = 0.5;
 
 /** One instance of the system: a gateway and, where there is a disk, a replica. */
@@ -81,7 +79,6 @@
     this.network = new TcpPeerNetwork({
       selfId: id,
       listen: { host: settings.peering.host, port: settings.peering.port },
-      peers: settings.peering.peers,
       peers: settings.peering.peers.map((peer) => ({ ...peer, dial: this.isDialled(peer.id) })),
       tls: createPeerTls(settings.peering.tls),
       logger,
