--- a/packages/scheduling/src/contentionPlanner.ts
+++ b/packages/scheduling/src/contentionPlanner.ts
@@ -57,7 +57,8 @@
     for (const shape of this.listBlocked()) {
       const waitedMs = nowMs - shape.blockedSinceMs!;
       const isUrgent = shape.properties.priority >= URGENT_PRIORITY;
-      if (isUrgent || waitedMs >= this.opts.reclaimAfterMs) {
+      const isDue = isUrgent || waitedMs >= this.opts.reclaimAfterMs;
+      if (this.opts.preemption && isDue) {
         this.preempt(shape, isUrgent, entitlements, nowMs);
       }
       const mayReserve = shape.properties.kind !== 'request';
--- a/packages/scheduling/src/schedulerOptions.ts
+++ b/packages/scheduling/src/schedulerOptions.ts
@@ -32,6 +32,8 @@
   scanIntervalMs: number;
   /** Least time between searches for all tasks of a gang. */
   gangRetryMs: number;
+  /** Lets urgent work and teams under their share take back lent capacity. */
+  preemption: boolean;
   /** Options of the size estimator. */
   sizes: Partial<SizeEstimatorOptions>;
 }
@@ -53,5 +55,6 @@
   overusePauseMs: 4_000,
   scanIntervalMs: 100,
   gangRetryMs: 20,
+  preemption: true,
   sizes: {},
 };
--- a/packages/settings/src/daemonSettings.ts
+++ b/packages/settings/src/daemonSettings.ts
@@ -67,7 +67,7 @@
     policy: 'fair-share' | 'first-fit';
     /** Half-life of past usage in fair shares. */
     usageHalfLifeMs: number;
-    /** Weight of waiting time against packing, 0 to 1. */
+    /** Trades the safety margin of learned sizes for packing: 0 is most cautious, 1 packs most. */
     packingWeight: number;
     /** Lets a team over its share be preempted for one under its share. */
     preemption: boolean;
