Share one seeded random source

Cause: the same generator stood in routing, scheduling and the test harness. Change: it lives in model; all callers import it.

--- a/packages/bench/src/decisionRun.ts
+++ b/packages/bench/src/decisionRun.ts
@@ -5,7 +5,7 @@
 import type { Resources } from '@lagoongap/model/resources.js';
 import type { WorkUnit } from '@lagoongap/model/workload.js';
 import type { EndpointView, Scheduler } from '@lagoongap/scheduling/scheduler.js';
-import { createSeededRandom } from '@lagoongap/scheduling/seededRandom.js';
+import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
 
 /** Size of a cluster that decisions are measured on. */
 export interface ClusterScale {
--- a/packages/bench/src/healthBench.ts
+++ b/packages/bench/src/healthBench.ts
@@ -4,7 +4,7 @@
 import { NoHealthPolicy } from '@lagoongap/routing/noHealthPolicy.js';
 import { PenalizingHealthPolicy } from '@lagoongap/routing/penalizingHealthPolicy.js';
 import { RetryBudget } from '@lagoongap/routing/retryBudget.js';
-import { createSeededRandom } from '@lagoongap/routing/seededRandom.js';
+import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
 import { build, type Histogram } from 'hdr-histogram-js';
 
 import { VirtualClock } from './virtualClock.js';
--- a/packages/bench/src/policyRun.ts
+++ b/packages/bench/src/policyRun.ts
@@ -5,7 +5,7 @@
 import type { Attempt, AttemptOutcome, WorkloadKind, WorkUnit } from '@lagoongap/model/workload.js';
 import { BinaryHeap } from '@lagoongap/scheduling/binaryHeap.js';
 import type { EndpointView, PreemptDecision, Scheduler } from '@lagoongap/scheduling/scheduler.js';
-import { createSeededRandom } from '@lagoongap/scheduling/seededRandom.js';
+import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
 
 import { createFleet } from './policyFleet.js';
 import type { WorkMix, WorkStream } from './policyMixes.js';
--- a/packages/bench/src/schedulerFactory.ts
+++ b/packages/bench/src/schedulerFactory.ts
@@ -2,7 +2,7 @@
 import { FirstFitFifoScheduler } from '@lagoongap/scheduling/firstFitFifoScheduler.js';
 import { RandomScheduler } from '@lagoongap/scheduling/randomScheduler.js';
 import type { Scheduler } from '@lagoongap/scheduling/scheduler.js';
-import { createSeededRandom } from '@lagoongap/scheduling/seededRandom.js';
+import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
 
 /** Names of the schedulers that are compared. */
 export const SCHEDULER_NAMES = ['fair-share', 'first-fit', 'random'] as const;
--- a/packages/tests/src/faults/runFaults.ts
+++ b/packages/tests/src/faults/runFaults.ts
@@ -4,7 +4,7 @@
 import { FairShareScheduler } from '@lagoongap/scheduling/fairShareScheduler.js';
 import { install } from '@sinonjs/fake-timers';
 
-import { createSeededRandom } from '@lagoongap/routing/seededRandom.js';
+import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
 import { STEPS, type Step } from '../harness/stepHooks.js';
 import { readKnownRed } from '../knownRed.js';
 import { explainInapplicable, FAULTS, type Fault } from './faultCatalog.js';
--- a/packages/tests/src/harness/testCell.ts
+++ b/packages/tests/src/harness/testCell.ts
@@ -4,7 +4,7 @@
 import type { ReleaseNote } from '@lagoongap/model/releaseNote.js';
 import { encodeReleaseNote } from '@lagoongap/release-notes/encodeReleaseNote.js';
 
-import { createSeededRandom } from '@lagoongap/routing/seededRandom.js';
+import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
 import type { CallRecord } from '../history/callRecord.js';
 import { FakeEndpoint } from './fakeEndpoint.js';
 import { FakeWire } from './fakeWire.js';
--- a/packages/tests/src/steps/routing/admissionSteps.ts
+++ b/packages/tests/src/steps/routing/admissionSteps.ts
@@ -6,7 +6,7 @@
 import { Deadline } from '@lagoongap/routing/deadline.js';
 import type { LimiterError } from '@lagoongap/routing/limiterError.js';
 import { RetryBudget } from '@lagoongap/routing/retryBudget.js';
-import { createSeededRandom } from '@lagoongap/routing/seededRandom.js';
+import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
 import FakeTimers from '@sinonjs/fake-timers';
 
 interface Caller {
--- a/packages/tests/src/steps/routing/endpointHealthSteps.ts
+++ b/packages/tests/src/steps/routing/endpointHealthSteps.ts
@@ -6,7 +6,7 @@
 import type { AttemptRef, HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 import { NoHealthPolicy } from '@lagoongap/routing/noHealthPolicy.js';
 import { PenalizingHealthPolicy } from '@lagoongap/routing/penalizingHealthPolicy.js';
-import { createSeededRandom } from '@lagoongap/routing/seededRandom.js';
+import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
 import FakeTimers from '@sinonjs/fake-timers';
 
 interface HealthWorld {
--- a/packages/tests/src/steps/scheduling/schedulerPropertySteps.ts
+++ b/packages/tests/src/steps/scheduling/schedulerPropertySteps.ts
@@ -7,7 +7,7 @@
 import { FirstFitFifoScheduler } from '@lagoongap/scheduling/firstFitFifoScheduler.js';
 import { RandomScheduler } from '@lagoongap/scheduling/randomScheduler.js';
 import type { Scheduler } from '@lagoongap/scheduling/scheduler.js';
-import { createSeededRandom } from '@lagoongap/scheduling/seededRandom.js';
+import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
 
 import { MutantScheduler } from './mutantScheduler.js';
 import type { BrokenRule } from './mutantScheduler.js';
--- a/packages/tests/src/steps/scheduling/schedulingWorld.ts
+++ b/packages/tests/src/steps/scheduling/schedulingWorld.ts
@@ -10,7 +10,7 @@
   PreemptDecision,
   RejectDecision,
 } from '@lagoongap/scheduling/scheduler.js';
-import { createSeededRandom } from '@lagoongap/scheduling/seededRandom.js';
+import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
 
 import { SchedulerDriver } from './schedulerDriver.js';
 
