--- a/packages/tests/features/cell/endpoints.feature
+++ b/packages/tests/features/cell/endpoints.feature
@@ -9,11 +9,11 @@
     And 3 stand-in workers
     And a stand-in runner that fails everything
     When the laboratories send repeatable requests until told to stop
-    And 12 repeatable jobs and 12 jobs that must not be repeated run on the workers
+    And 12 repeatable jobs and 12 jobs that must not be repeated run
     And an endpoint with running work is told to leave
-    And another worker with running work is killed
+    And another endpoint with running work is killed
     Then the leaving endpoint has started nothing after 3000 ms and finishes its work
-    And repeatable tasks of the killed worker run elsewhere, not before its lease has run out
+    And repeatable tasks of the killed endpoint run elsewhere, not before its lease has run out
     And its tasks that must not be repeated end as unknown
     And the endpoint that fails everything is ejected
     When the load is told to stop
--- a/packages/tests/src/steps/cell/endpointSteps.ts
+++ b/packages/tests/src/steps/cell/endpointSteps.ts
@@ -82,7 +82,7 @@
 );
 
 When(
-  '{int} repeatable jobs and {int} jobs that must not be repeated run on the workers',
+  '{int} repeatable jobs and {int} jobs that must not be repeated run',
   TIMEOUT,
   async function submit(this: EndpointWorld, repeatable: number, once: number) {
     this.jobsByMarker = new Map();
@@ -91,11 +91,11 @@
       const spec = { size, noRepeat, payload: { runMs: SHORT_TASK_MS, marker } };
       this.jobsByMarker.set(marker, await submitJob(this, spec));
     };
-    const repeatables = Array.from({ length: repeatable }, (_, i) => add(`again-${i}`, false));
-    await Promise.all([
-      ...repeatables,
-      ...Array.from({ length: once }, (_, i) => add(`once-${i}`, true)),
-    ]);
+    // Packing fills one endpoint after the other, so that each gets both kinds in this order.
+    for (let i = 0; i < Math.max(repeatable, once); i += 1) {
+      if (i < repeatable) await add(`again-${i}`, false);
+      if (i < once) await add(`once-${i}`, true);
+    }
     await this.cell!.waitFor('all jobs to run', async () => {
       const starts = listEvents(this).filter(
         ({ type, kind }) => type === 'start' && kind === 'task',
@@ -116,7 +116,7 @@
 );
 
 When(
-  'another worker with running work is killed',
+  'another endpoint with running work is killed',
   TIMEOUT,
   async function kill(this: EndpointWorld) {
     this.dead = findBusiest(this, [this.leaving]);
@@ -158,7 +158,7 @@
 );
 
 Then(
-  'repeatable tasks of the killed worker run elsewhere, not before its lease has run out',
+  'repeatable tasks of the killed endpoint run elsewhere, not before its lease has run out',
   TIMEOUT,
   async function checkRepeated(this: EndpointWorld) {
     const killedAtMs = this.killedEndpoints.get(this.dead)!;
--- a/packages/tests/src/steps/cell/silenceSteps.ts
+++ b/packages/tests/src/steps/cell/silenceSteps.ts
@@ -172,9 +172,9 @@
         ),
       );
       const answers = await Promise.all(calls);
-      return answers.every(({ status, body }) => {
-        return status === 401 || body.error?.type === 'gateway-not-valid';
-      });
+      return answers.every(
+        ({ status, body }) => status === 401 || body.error?.type === 'gateway-not-valid',
+      );
     });
     const tookMs = performance.now() - this.startedAtMs;
     assert.ok(tookMs <= seconds * 1000, `the key was refused everywhere after ${tookMs} ms`);
@@ -201,7 +201,8 @@
 );
 
 Then('another instance leads', TIMEOUT, async function checkLeader(this: SilenceWorld) {
-  await this.cell!.waitFor('another leader', async () => {
-    return (await readLeader(this)) !== this.cutOff && listLiving(this).length === 3;
-  });
+  await this.cell!.waitFor(
+    'another leader',
+    async () => (await readLeader(this)) !== this.cutOff && listLiving(this).length === 3,
+  );
 });
