--- a/packages/bench/src/capacityTable.ts
+++ b/packages/bench/src/capacityTable.ts
@@ -6,7 +6,7 @@
   type CostSlope,
   type RoleCost,
 } from './costPoint.js';
-import { fitLine } from './linearFit.js';
+import { fitLine, type LinearFit } from './linearFit.js';
 import type { RestartFigures } from './restartBench.js';
 
 /** Size that the design must carry; see section 3 of the design page. */
@@ -29,6 +29,9 @@
   ['rssMib', 'RSS MiB'],
 ] as const;
 
+/** Below this share of explained variance an amount is marked as uncertain. */
+const MIN_R2 = 0.9;
+
 const GATEWAY_SHARE = MEASURED_GATEWAYS / TARGET.instances;
 
 interface Load {
@@ -36,9 +39,9 @@
   amount: number;
 }
 
-/** Slope of one cost of a role along a dimension of load, fitted to the measured points. */
-function readSlope({ points }: CostSlope, role: CostRole, cost: keyof RoleCost): number {
-  return fitLine(points.map(({ x, roles }) => ({ x, y: roles[role][cost] }))).slope;
+/** Fit of one cost of a role along a dimension of load. */
+function fitCost({ points }: CostSlope, role: CostRole, cost: keyof RoleCost): LinearFit {
+  return fitLine(points.map(({ x, roles }) => ({ x, y: roles[role][cost] })));
 }
 
 /** Works out the cost of each role at the target size from measured slopes. */
@@ -52,12 +55,14 @@
     const share = role === 'gateway' ? GATEWAY_SHARE : 1;
     return COSTS.map(([cost, name]) => {
       const base = idle.roles[role][cost];
-      // A falling line is noise and adds nothing.
-      const parts = loads.map(
-        ({ slope, amount }) => Math.max(0, readSlope(slope, role, cost)) * amount * share,
-      );
-      const total = parts.reduce((sum, part) => sum + part, base);
-      return [role, name, ...[base, ...parts, total].map((value) => value.toFixed(1))];
+      const parts = loads.map(({ slope, amount }) => {
+        const fit = fitCost(slope, role, cost);
+        // A falling line is noise and adds nothing.
+        return { value: Math.max(0, fit.slope) * amount * share, isSound: fit.r2 >= MIN_R2 };
+      });
+      const total = parts.reduce((sum, { value }) => sum + value, base);
+      const cells = parts.map(({ value, isSound }) => `${isSound ? '' : '~'}${value.toFixed(1)}`);
+      return [role, name, base.toFixed(1), ...cells, total.toFixed(1)];
     });
   });
   const perEndpoint =
@@ -81,7 +86,7 @@
     'at target size',
   ];
   return {
-    title: `Extrapolated to the target size, ${TARGET.instances} instances`,
+    title: `Extrapolated to the target size, ${TARGET.instances} instances (~: R² below ${MIN_R2})`,
     rows: [head, ...rows],
   };
 }
