Refuse unknown options of the daemon

Cause: a misspelt option was ignored. Change: unknown options end with code 2 and the nearest right name.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,9 +1,12 @@
+import { findNearestName } from '@lagoongap/model/nearestName.js';
 import { loadSettings } from '@lagoongap/settings/loadSettings.js';
 import { createLogger } from '@lagoongap/telemetry/createLogger.js';
 import { cac } from 'cac';
 
 import { Daemon } from './daemon.js';
 
+const VERSION = '0.1.0';
+const OPTIONS = ['config', 'check', 'help', 'version', 'h', 'v'];
 const EXIT_FAILURE = 1;
 const EXIT_USAGE = 2;
 
@@ -37,13 +40,25 @@
   await daemon.start();
 }
 
+function assertKnownOptions(options: Record<string, unknown>): void {
+  for (const name of Object.keys(options)) {
+    // The option parser keeps positional words under "--".
+    if (name === '--' || OPTIONS.includes(name)) continue;
+    const nearest = findNearestName(name, OPTIONS);
+    const hint = nearest === undefined ? '' : `; did you mean --${nearest}?`;
+    fail(`unknown option --${name}${hint}`, EXIT_USAGE);
+  }
+}
+
 const cli = cac('lagoongapd');
+cli.usage('--config <file> [--check]');
 cli.option('--config <file>', 'Settings in TOML');
 cli.option('--check', 'Check the settings and exit');
 cli.help();
-cli.version('0.1.0');
+cli.version(VERSION);
 const { options } = cli.parse();
 if (!options.help && !options.version) {
+  assertKnownOptions(options);
   if (typeof options.config !== 'string') fail('--config <file> is required', EXIT_USAGE);
   run(options.config, options.check === true).catch((err: Error) => {
     fail(err.message, EXIT_FAILURE);
