Check refusals of large bodies of unknown length

Cause: badInput.feature covered only bodies with a declared length. Change: two rows send 20 MiB in pieces.

--- a/packages/tests/features/cell/badInput.feature
+++ b/packages/tests/features/cell/badInput.feature
@@ -12,6 +12,7 @@
       | POST   | /v1/notes                  | operator | number = 2\n[[added.teams]]\nname = "a"\nshare = -1 | 400 | share           |
       | POST   | /v1/notes                  | operator | number = = 2                             | 400    | line 1                |
       | POST   | /v1/notes                  | operator | <5 MiB>                                  | 413    | at most 4194304       |
+      | POST   | /v1/notes                  | operator | <20 MiB in pieces>                                 | 413    | more than 4194304       |
       | POST   | /v1/notes                  | unknown  | number = 2                               | 401    | key is unknown        |
       | POST   | /v1/notes                  | none     | number = 2                               | 401    | requires a key        |
       | POST   | /v1/notes                  | caller   | number = 2                               | 403    | role operator         |
@@ -21,6 +22,7 @@
       | POST   | /v1/jobs                   | caller   | {"kind":"batch","queue":"nowhere","work":"metering","size":{"cpuMillis":1}} | 404 | nowhere |
       | POST   | /v1/jobs                   | unknown  | {}                                       | 401    | key is unknown        |
       | POST   | /v1/jobs                   | caller   | <5 MiB>                                  | 413    | at most 4194304       |
+      | POST   | /v1/jobs                   | caller   | <20 MiB in pieces>                                 | 413    | more than 4194304       |
       | POST   | /v1/requests               | caller   | hello                                    | 400    | lagoongap-queue       |
       | POST   | /v1/endpoints              | endpoint | <endpoint with cpuMillis -1>             | 400    | size.cpuMillis        |
       | POST   | /v1/endpoints              | endpoint | <endpoint with cpuMillis NaN>            | 400    | not JSON              |
--- a/packages/tests/src/steps/cell/badInputSteps.ts
+++ b/packages/tests/src/steps/cell/badInputSteps.ts
@@ -1,13 +1,15 @@
 import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
+import { Readable } from 'node:stream';
 
 import { Then, When, type DataTable } from '@cucumber/cucumber';
 import { createKey } from '@lagoongap/release-notes/accessKeys.js';
 import type { CallAnswer } from '@lagoongap/stand-in/localCell.js';
-import { spawnSync } from 'node:child_process';
+import { request } from 'undici';
 
 import { readAsOperator, settleWithin, TIMEOUT } from './cellSupport.js';
 import type { CellWorld } from './cellWorld.js';
@@ -29,6 +31,9 @@
 
 const require = createRequire(import.meta.url);
 const LARGE_BODY_BYTES = 5 * 1024 * 1024;
+const PIECE_BYTES = 64 * 1024;
+/** Together 20 MiB, far more than socket buffers hold after the refusal. */
+const PIECES = 320;
 
 function buildBody(text: string): string | undefined {
   if (text === '') return undefined;
@@ -49,6 +54,25 @@
   return secrets[name];
 }
 
+/** Sends a body of unknown length, which is refused only after a part of it was read. */
+async function sendPieces(world: CellWorld, { method, path, key }: BadCall): Promise<CallAnswer> {
+  const pieces = Array.from({ length: PIECES }, () => Buffer.alloc(PIECE_BYTES, 'x'));
+  const answer = await request(`${world.cell!.url('instance-1')}${path}`, {
+    method: method as 'POST',
+    headers: { authorization: `Bearer ${findKey(world, key)}` },
+    body: Readable.from(pieces),
+  });
+  const { statusCode: status, headers } = answer;
+  return { status, headers, body: await answer.body.json() };
+}
+
+async function send(world: CellWorld, call: BadCall): Promise<CallAnswer> {
+  if (call.body === '<20 MiB in pieces>') return sendPieces(world, call);
+  const { method, path, body } = call;
+  const opts = { method, key: findKey(world, call.key), body: buildBody(body) };
+  return world.cell!.call('instance-1', path, opts);
+}
+
 async function readAll(world: CellWorld): Promise<unknown> {
   const status = await readAsOperator(world, '/v1/status');
   const { number, waiting, running, waitingByQueue } = status;
@@ -66,11 +90,7 @@
     this.before = await readAll(this);
     this.badCalls = [];
     for (const call of table.hashes() as unknown as BadCall[]) {
-      const { method, path, body } = call;
-      const opts = { method, key: findKey(this, call.key), body: buildBody(body) };
-      const answer = await settleWithin(this.cell!.call('instance-1', path, opts), 10_000).catch(
-        (err: Error) => err,
-      );
+      const answer = await settleWithin(send(this, call), 10_000).catch((err: Error) => err);
       this.badCalls.push({ call, answer });
     }
   },
