--- /dev/null
+++ b/packages/tests/src/harness/heldLog.ts
@@ -0,0 +1,93 @@
+import { CommitUnknownError } from '@lagoongap/consensus/commitUnknownError.js';
+import type {
+  Membership,
+  ProposeResult,
+  ReplicatedLog,
+  StateMachine,
+} from '@lagoongap/consensus/replicatedLog.js';
+
+interface Proposal {
+  command: unknown;
+  resolve: (result: ProposeResult) => void;
+  reject: (err: Error) => void;
+}
+
+/** Replicated log of one leader whose commits happen only when a test says so. */
+export class HeldLog implements ReplicatedLog {
+  readonly role = 'leader';
+  readonly term = 2;
+  readonly leaderId = 'instance-1';
+  appliedIndex = 0;
+  private readonly stateMachine: StateMachine;
+  private proposals: Proposal[] = [];
+
+  constructor(stateMachine: StateMachine) {
+    this.stateMachine = stateMachine;
+  }
+
+  /** Number of proposals that wait. */
+  get pendingCount(): number {
+    return this.proposals.length;
+  }
+
+  propose(command: unknown): Promise<ProposeResult> {
+    return new Promise((resolve, reject) => {
+      this.proposals.push({ command, resolve, reject });
+    });
+  }
+
+  /** Commits and applies what waits, in order. */
+  commitAll(): void {
+    for (const { command, resolve } of this.proposals.splice(0)) {
+      this.appliedIndex += 1;
+      const { term, appliedIndex: index } = this;
+      resolve({ index, result: this.stateMachine.apply({ index, term, command }) });
+    }
+  }
+
+  /** Ends leadership: it stays unknown whether what waits is committed. */
+  loseLeadership(): void {
+    for (const { reject } of this.proposals.splice(0))
+      reject(new CommitUnknownError(this.appliedIndex + 1));
+  }
+
+  isLeaderValid(): boolean {
+    return true;
+  }
+
+  whenReadyToLead(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  onRoleChange(): () => void {
+    return () => {};
+  }
+
+  members(): Membership {
+    return { voters: ['instance-1/bootstrap'], learners: [] };
+  }
+
+  isCaughtUp(): boolean {
+    return true;
+  }
+
+  addLearner(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  promote(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  removeMember(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  transferLeadership(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/packages/tests/src/steps/coordinator/giveUpSteps.ts
@@ -0,0 +1,141 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { LeaderSession } from '@lagoongap/coordinator/leaderSession.js';
+import { SILENT_LOG } from '@lagoongap/model/log.js';
+import { NO_RESOURCES } from '@lagoongap/model/resources.js';
+import { HttpExchange } from '@lagoongap/routing/httpExchange.js';
+import { NoHealthPolicy } from '@lagoongap/routing/noHealthPolicy.js';
+import { FirstFitFifoScheduler } from '@lagoongap/scheduling/firstFitFifoScheduler.js';
+import { ClusterState } from '@lagoongap/state/clusterState.js';
+import { Metrics } from '@lagoongap/telemetry/metrics.js';
+
+import { HeldLog } from '../../harness/heldLog.js';
+import { createTestNote } from '../../harness/testCell.js';
+
+interface GiveUpWorld {
+  session?: LeaderSession;
+  log: HeldLog;
+  state: ClusterState;
+  release: Promise<void>;
+  outcome?: 'acknowledged' | 'refused';
+}
+
+const REQUEST_ID = 'request-1';
+const OWNER = 'instance-2:boot1';
+const TURNS = 20;
+
+async function runTurns(): Promise<void> {
+  for (let i = 0; i < TURNS; i += 1) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
+
+/** Commits whatever the leader proposes until it proposes nothing more. */
+async function commitUntilQuiet(log: HeldLog): Promise<void> {
+  for (let i = 0; i < TURNS; i += 1) {
+    await runTurns();
+    if (log.pendingCount === 0) return;
+    log.commitAll();
+  }
+}
+
+function createRunner(): object {
+  return {
+    id: 'runner-1',
+    kind: 'runner',
+    url: 'http://127.0.0.1:1',
+    size: { ...NO_RESOURCES, slots: 4 },
+    rack: 'rack-1',
+    dataCentre: 'dc-1',
+    works: ['metering'],
+    speed: 1,
+    capabilities: [],
+  };
+}
+
+After(async function disposeSession(this: GiveUpWorld) {
+  await this.session?.[Symbol.asyncDispose]();
+  this.session = undefined;
+});
+
+Given('a leader whose commits are held back', function startSession(this: GiveUpWorld) {
+  this.state = new ClusterState();
+  this.log = new HeldLog(this.state);
+  const note = createTestNote();
+  this.state.apply({
+    index: 0,
+    command: { type: 'apply-note', note, contentHash: 'hash', by: 'operator-1', wallTime: 1 },
+  });
+  const announcement = createRunner();
+  const command = { type: 'announce-endpoint', announcement, session: 'session-1' };
+  this.state.apply({ index: 0, command });
+  this.session = new LeaderSession({
+    instanceId: 'instance-1',
+    instances: [{ id: 'instance-1', dataCentre: 'dc-1' }],
+    log: this.log,
+    state: this.state,
+    scheduler: new FirstFitFifoScheduler(),
+    exchange: new HttpExchange(),
+    health: new NoHealthPolicy(),
+    metrics: new Metrics({ processMetrics: false }),
+    timing: { gatewayValidityMs: 2000, endpointHeartbeatMs: 1500, endpointLeaseMs: 6000 },
+    maxBatch: 100,
+    logger: SILENT_LOG,
+    isReachable: () => true,
+  });
+});
+
+Given('a request whose placement is being committed', async function acquire(this: GiveUpWorld) {
+  const params = {
+    requestId: REQUEST_ID,
+    owner: OWNER,
+    keyId: 'laboratories-1',
+    queue: 'certificates',
+    work: 'metering',
+    size: { ...NO_RESOURCES, slots: 1 },
+    noRepeat: false,
+    deadlineMs: 10_000,
+    excluded: [],
+  };
+  this.session!.requests.acquire(params).catch(() => {});
+  await runTurns();
+  assert.equal(this.log.pendingCount, 1);
+});
+
+When('the gateway gives the request up', async function giveUp(this: GiveUpWorld) {
+  const release = { requestId: REQUEST_ID, outcome: 'not-run' as const, final: true };
+  this.session!.requests.release({ owner: OWNER, releases: [release] }).then(
+    () => {
+      this.outcome = 'acknowledged';
+    },
+    () => {
+      this.outcome = 'refused';
+    },
+  );
+  await runTurns();
+});
+
+When('the held commits succeed', async function commit(this: GiveUpWorld) {
+  await commitUntilQuiet(this.log);
+});
+
+When('leadership is lost', async function lose(this: GiveUpWorld) {
+  this.log.loseLeadership();
+  await runTurns();
+});
+
+Then('giving up is not acknowledged', function checkPending(this: GiveUpWorld) {
+  assert.equal(this.outcome, undefined);
+});
+
+Then('giving up is acknowledged and no attempt is left', function checkClosed(this: GiveUpWorld) {
+  assert.equal(this.outcome, 'acknowledged');
+  assert.equal(this.state.attempts.size, 0);
+});
+
+Then('giving up is refused', function checkRefused(this: GiveUpWorld) {
+  assert.equal(this.outcome, 'refused');
+});
