--- a/packages/bench/src/capacityTable.ts
+++ b/packages/bench/src/capacityTable.ts
@@ -110,19 +110,21 @@
   };
 }
 
-/** Snapshot figures per placement record, from the largest measured state. */
+/** Snapshot figures per placement record of each measured state. */
 function tableState(sizes: RestartFigures[]): BenchTable {
   const rows = sizes.map((size) => [
     size.records,
     ((size.snapshotMib * 1024 * 1024) / size.records).toFixed(0),
     ((size.copyMs * 1000) / size.records).toFixed(2),
     ((size.copyMs * TARGET.running) / size.records).toFixed(0),
+    ((size.pauseMs * TARGET.running) / size.records).toFixed(0),
   ]);
   const head = [
     'measured with records',
     'snapshot bytes per record',
     'copy µs per record',
     `copy ms at ${TARGET.running} running`,
+    `longest pause ms at ${TARGET.running} running`,
   ];
   return { title: 'Durable state per placement record', rows: [head, ...rows] };
 }
