Measure the variants of a cell in turn

Measured one after the other, first-fit seemed three times as fast as fair share, because the machine was busier at the start of the run.

--- a/packages/bench/src/cellBench.ts
+++ b/packages/bench/src/cellBench.ts
@@ -126,14 +126,30 @@
   return [name, values.length, at(0).toFixed(0), at(0.5).toFixed(0), at(1).toFixed(0)];
 }
 
-async function measureVariant({ name, scheduling }: Variant): Promise<LoadPoint[]> {
+async function startVariant({ scheduling }: Variant): Promise<BenchCell> {
   const bench = await startBenchCell({ scheduling });
-  await using cell = bench.cell;
-  await startRunners({ ...bench, cell }, RUNNERS, SLOTS);
+  await startRunners(bench, RUNNERS, SLOTS);
   await measureLoad(bench, CONCURRENCIES[2]!, WARM_UP_MS);
+  return bench;
+}
+
+/**
+ * Measures the variants in turn at each concurrency, so that a change of the machine's other load
+ * during the run does not pass for a difference between them.
+ */
+async function measureVariants(): Promise<LoadPoint[]> {
+  const cells: BenchCell[] = [];
   const points: LoadPoint[] = [];
-  for (const concurrency of CONCURRENCIES) {
-    points.push({ variant: name, ...(await measureLoad(bench, concurrency, POINT_MS)) });
+  try {
+    for (const variant of VARIANTS) cells.push(await startVariant(variant));
+    for (const concurrency of CONCURRENCIES) {
+      for (const [i, bench] of cells.entries()) {
+        const point = await measureLoad(bench, concurrency, POINT_MS);
+        points.push({ variant: VARIANTS[i]!.name, ...point });
+      }
+    }
+  } finally {
+    await Promise.all(cells.map(({ cell }) => cell[Symbol.asyncDispose]()));
   }
   return points;
 }
@@ -153,8 +169,7 @@
   tables: BenchTable[];
   figures: Record<string, unknown>;
 }> {
-  const points: LoadPoint[] = [];
-  for (const variant of VARIANTS) points.push(...(await measureVariant(variant)));
+  const points = await measureVariants();
   const { notesMs, failoversMs } = await measureChanges();
   const loadRows = points.map((point) => [
     point.variant,
--- a/packages/bench/src/scriptBench.ts
+++ b/packages/bench/src/scriptBench.ts
@@ -9,29 +9,49 @@
 const run = promisify(execFile);
 const MAX_OUTPUT_BYTES = 16 * 1024 * 1024;
 
-/** Reads a Markdown table or lines of JSON objects. */
-function parseRows(text: string): (string | number)[][] {
-  const lines = text.split('\n').filter((line) => line.trim() !== '');
-  const isTable = lines.some((line) => line.startsWith('|'));
-  if (isTable) {
-    return lines
-      .filter((line) => line.startsWith('|') && !/^[|\s:-]+$/.test(line))
-      .map((line) =>
-        line
-          .split('|')
-          .slice(1, -1)
-          .map((cell) => cell.trim()),
-      );
+function parseCells(line: string): string[] {
+  const cells = line.split('|').slice(1, -1);
+  return cells.map((cell) => cell.trim());
+}
+
+/** Reads the Markdown tables of a text; a line of text in front of a table is its title. */
+function parseTables(lines: string[], title: string): BenchTable[] {
+  const tables: BenchTable[] = [];
+  let heading = title;
+  let current: BenchTable | undefined;
+  for (const line of lines) {
+    if (!line.startsWith('|')) {
+      current = undefined;
+      if (line.trim() !== '') heading = `${title}: ${line.replace(/^#+\s*/, '').trim()}`;
+    } else if (!/^[|\s:-]+$/.test(line)) {
+      if (current === undefined) {
+        current = { title: heading, rows: [] };
+        tables.push(current);
+      }
+      current.rows.push(parseCells(line));
+    }
   }
+  return tables;
+}
+
+/** Reads lines of JSON objects. */
+function parseObjects(lines: string[], title: string): BenchTable {
   const objects = lines.map((line) => JSON.parse(line) as Record<string, string | number>);
+  const rows = objects.map(({ measurement, ...figures }) => {
+    const texts = Object.entries(figures).map(([name, value]) => `${name} ${value}`);
+    return [String(measurement), texts.join(', ')];
+  });
+  return { title, rows: [['measurement', 'figures'], ...rows] };
+}
+
+function parseOutput(text: string, title: string): BenchTable[] {
+  const lines = text.split('\n');
+  if (lines.some((line) => line.startsWith('|'))) return parseTables(lines, title);
   return [
-    ['measurement', 'figures'],
-    ...objects.map(({ measurement, ...figures }) => [
-      String(measurement),
-      Object.entries(figures)
-        .map(([name, value]) => `${name} ${value}`)
-        .join(', '),
-    ]),
+    parseObjects(
+      lines.filter((line) => line.trim() !== ''),
+      title,
+    ),
   ];
 }
 
@@ -50,7 +70,7 @@
     const all = [file, ...args, ...(writesJson ? ['--json', json] : [])];
     const { stdout } = await run(process.execPath, all, { maxBuffer: MAX_OUTPUT_BYTES });
     const figures = writesJson ? { results: JSON.parse(readFileSync(json, 'utf8')) } : {};
-    return { tables: [{ title, rows: parseRows(stdout) }], figures };
+    return { tables: parseOutput(stdout, title), figures };
   } finally {
     rmSync(folder, { recursive: true, force: true });
   }
