--- a/packages/gateway/src/httpReply.ts
+++ b/packages/gateway/src/httpReply.ts
@@ -25,11 +25,6 @@
   internal: 500,
 };
 
-/** Sends a JSON body. */
-export function sendJson(res: ServerResponse, status: number, body: unknown): void {
-  sendText(res, status, `${JSON.stringify(body)}\n`);
-}
-
 function sendText(res: ServerResponse, status: number, text: string): void {
   res.writeHead(status, {
     'content-type': 'application/json',
@@ -38,6 +33,11 @@
   res.end(text);
 }
 
+/** Sends a JSON body. */
+export function sendJson(res: ServerResponse, status: number, body: unknown): void {
+  sendText(res, status, `${JSON.stringify(body)}\n`);
+}
+
 /** Sends a refusal, or destroys the connection if an answer has begun already. */
 export function sendRefusal(res: ServerResponse, refusal: Refusal): void {
   if (res.headersSent) {
