Name the unknown path in its refusal

Ruled out: dropping the place from the check; refusals are redacted anyway. Change: the path without its query is quoted again.

--- a/packages/gateway/src/gatewayServer.ts
+++ b/packages/gateway/src/gatewayServer.ts
@@ -123,7 +123,8 @@
       sendRefusal(res, {
         type: 'not-found',
         runState: 'not-run',
-        message: 'there is no such path',
+        // Secrets are redacted from every refusal, should one stand in the URL.
+        message: `there is no such path: ${req.url?.split('?')[0]}`,
       });
       return;
     }
