Share the load generator and the open load of the process scenarios

Cause: three scenarios started the same load in the same way, and the load generator stood among the tests although it is a tool of its own. Change: load generator in the stand-in package, one function for open loads.

--- a/packages/tests/src/history/loadGenerator.ts
+++ b/packages/stand-in/src/loadGenerator.ts
@@ -1,6 +1,5 @@
-import type { LocalCell } from '@lagoongap/stand-in/localCell.js';
-
 import type { CallRecord } from './callRecord.js';
+import type { LocalCell } from './localCell.js';
 
 /** Options of {@link sendRequests}. */
 export interface LoadOptions {
--- a/packages/tests/src/harness/testCell.ts
+++ b/packages/tests/src/harness/testCell.ts
@@ -5,7 +5,7 @@
 import { encodeReleaseNote } from '@lagoongap/release-notes/encodeReleaseNote.js';
 
 import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
-import type { CallRecord } from '../history/callRecord.js';
+import type { CallRecord } from '@lagoongap/stand-in/callRecord.js';
 import { FakeEndpoint } from './fakeEndpoint.js';
 import { FakeWire } from './fakeWire.js';
 import { createProbedScheduler, type SchedulerFactory } from './schedulerProbe.js';
--- a/packages/tests/src/harness/testInstance.ts
+++ b/packages/tests/src/harness/testInstance.ts
@@ -18,7 +18,7 @@
 import { Metrics } from '@lagoongap/telemetry/metrics.js';
 import type { LogStore } from '@lagoongap/storage/logStore.js';
 
-import type { CallRecord } from '../history/callRecord.js';
+import type { CallRecord } from '@lagoongap/stand-in/callRecord.js';
 import type { FakeEndpoint } from './fakeEndpoint.js';
 import { FakeExchange } from './fakeExchange.js';
 import { FakeNetwork } from './fakeNetwork.js';
--- a/packages/tests/src/history/history.ts
+++ b/packages/tests/src/history/history.ts
@@ -1,6 +1,6 @@
 import type { HistoryEvent } from '@lagoongap/stand-in/standInOptions.js';
 
-import type { CallRecord } from './callRecord.js';
+import type { CallRecord } from '@lagoongap/stand-in/callRecord.js';
 
 /** What callers and endpoints saw in one scenario. */
 export interface History {
--- a/packages/tests/src/steps/cell/cellSteps.ts
+++ b/packages/tests/src/steps/cell/cellSteps.ts
@@ -2,8 +2,8 @@
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
 
+import { sendRequests } from '@lagoongap/stand-in/loadGenerator.js';
 import { checkHistory } from '../../history/checkers.js';
-import { sendRequests } from '../../history/loadGenerator.js';
 import { collectHistory, openCell, TIMEOUT } from './cellSupport.js';
 import type { CellWorld } from './cellWorld.js';
 
--- a/packages/tests/src/steps/cell/cellWorld.ts
+++ b/packages/tests/src/steps/cell/cellWorld.ts
@@ -2,7 +2,7 @@
 import type { CallAnswer, LocalCell } from '@lagoongap/stand-in/localCell.js';
 import type { SilentRelay } from '@lagoongap/stand-in/silentRelay.js';
 
-import type { CallRecord } from '../../history/callRecord.js';
+import type { CallRecord } from '@lagoongap/stand-in/callRecord.js';
 
 /** A release note that an operator sent, and the answer to it. */
 export interface SentNote {
--- a/packages/tests/src/steps/cell/endpointSteps.ts
+++ b/packages/tests/src/steps/cell/endpointSteps.ts
@@ -4,11 +4,10 @@
 import type { ProcessHandle } from '@lagoongap/stand-in/processHandle.js';
 import type { HistoryEvent } from '@lagoongap/stand-in/standInOptions.js';
 
-import { sendRequests } from '../../history/loadGenerator.js';
 import { lookUpJob, readAsOperator, readMachineClock, submitJob, TIMEOUT } from './cellSupport.js';
 import type { CellWorld } from './cellWorld.js';
+import { startOpenLoad } from './openLoad.js';
 
-const UNBOUNDED = 1_000_000;
 const TASK_MS = 20_000;
 const SHORT_TASK_MS = 5000;
 /** Endpoint lease less the longest time since its last renewal: 6000 ms and a heartbeat of 1500 ms. */
@@ -59,25 +58,14 @@
   'the laboratories send repeatable requests until told to stop',
   TIMEOUT,
   async function startLoad(this: CellWorld) {
-    let hasStopped = false;
-    this.stopLoad = () => {
-      hasStopped = true;
-    };
-    this.load = sendRequests({
-      cell: this.cell!,
-      instances: this.cell!.instanceIds,
+    await startOpenLoad(this, {
       keys: [this.keys.laboratories.secret],
-      count: UNBOUNDED,
-      hasStopped: () => hasStopped,
       concurrency: OVERLOAD,
       noRepeatEvery: 0,
       instruction: { sleepMs: 50 },
       markerPrefix: 'repeatable',
-      onEnded: (ended) => {
-        this.ended = ended;
-      },
+      firstAnswers: 50,
     });
-    await this.cell!.waitFor('the first answers', async () => this.ended >= 50);
   },
 );
 
--- a/packages/tests/src/steps/cell/jobSteps.ts
+++ b/packages/tests/src/steps/cell/jobSteps.ts
@@ -2,7 +2,6 @@
 
 import { Given, Then, When } from '@cucumber/cucumber';
 
-import { sendRequests } from '../../history/loadGenerator.js';
 import {
   listLiving,
   lookUpJob,
@@ -12,9 +11,9 @@
   TIMEOUT,
 } from './cellSupport.js';
 import type { CellWorld } from './cellWorld.js';
+import { startOpenLoad } from './openLoad.js';
 
 const SUBMITTERS = 100;
-const UNBOUNDED = 1_000_000;
 /** Takes a whole stand-in worker, so that all other jobs wait. */
 const WHOLE_WORKER = { cpuMillis: 32_000, memoryMib: 1024 };
 
@@ -77,26 +76,16 @@
 
 When(
   'the laboratories send requests until told to stop',
-  async function startOpenLoad(this: CellWorld) {
-    let hasStopped = false;
-    this.stopLoad = () => {
-      hasStopped = true;
-    };
-    this.load = sendRequests({
-      cell: this.cell!,
+  async function startLoad(this: CellWorld) {
+    await startOpenLoad(this, {
       instances: listLiving(this),
       keys: [this.keys.laboratories.secret],
-      count: UNBOUNDED,
-      hasStopped: () => hasStopped,
       concurrency: 8,
       noRepeatEvery: 2,
       instruction: { sleepMs: 10 },
       markerPrefix: 'open',
-      onEnded: (ended) => {
-        this.ended = ended;
-      },
+      firstAnswers: 20,
     });
-    await this.cell!.waitFor('the first answers', async () => this.ended >= 20);
   },
 );
 
--- a/packages/tests/src/steps/cell/shutdownSteps.ts
+++ b/packages/tests/src/steps/cell/shutdownSteps.ts
@@ -2,12 +2,11 @@
 
 import { When } from '@cucumber/cucumber';
 
-import { sendRequests } from '../../history/loadGenerator.js';
 import { settleWithin, TIMEOUT } from './cellSupport.js';
 import type { CellWorld } from './cellWorld.js';
+import { startOpenLoad } from './openLoad.js';
 
 const READY_TIMEOUT_MS = 500;
-const UNBOUNDED = 1_000_000;
 
 /** Returns an instance that has just said that it is ready, beginning with a different one each time. */
 async function pickReady(world: CellWorld, number: number): Promise<string> {
@@ -24,26 +23,15 @@
 When(
   'a balancer sends requests to instances that are ready until told to stop',
   async function balance(this: CellWorld) {
-    let hasStopped = false;
-    this.stopLoad = () => {
-      hasStopped = true;
-    };
-    this.load = sendRequests({
-      cell: this.cell!,
-      instances: this.cell!.instanceIds,
+    await startOpenLoad(this, {
       pickInstance: (number) => pickReady(this, number),
       keys: [this.keys.laboratories.secret, this.keys.utilities.secret],
-      count: UNBOUNDED,
-      hasStopped: () => hasStopped,
       concurrency: 20,
       noRepeatEvery: 2,
       instruction: { sleepMs: 100 },
       markerPrefix: 'balanced',
-      onEnded: (ended) => {
-        this.ended = ended;
-      },
+      firstAnswers: 50,
     });
-    await this.cell!.waitFor('the first answers', async () => this.ended >= 50);
   },
 );
 
