Name the services of the leader by the usual term

Cause: request, job and note desks are no term of the field. Change: RequestService, JobService, NoteService.

--- a/packages/coordinator/src/jobDesk.ts
+++ b/packages/coordinator/src/jobService.ts
@@ -27,8 +27,8 @@
 /** Endpoints that are remembered as unfit for a unit. */
 const MAX_EXCLUDED = 3;
 
-/** Options of {@link JobDesk}. */
-export interface JobDeskOptions {
+/** Options of {@link JobService}. */
+export interface JobServiceOptions {
   state: ClusterState;
   scheduler: Scheduler;
   pipeline: () => PlacementPipeline;
@@ -37,8 +37,8 @@
 }
 
 /** Accepts, cancels and shows jobs, and moves their tasks from attempt to attempt. */
-export class JobDesk {
-  private readonly opts: JobDeskOptions;
+export class JobService {
+  private readonly opts: JobServiceOptions;
   private readonly waiters = new Map<string, Set<() => void>>();
   /** Submissions that are being committed, by job id. */
   private readonly submitting = new Map<string, Promise<SubmitJobResult>>();
@@ -46,7 +46,7 @@
   /** Endpoints that did not start a unit, by unit. */
   private readonly notRunOn = new Map<string, string[]>();
 
-  constructor(opts: JobDeskOptions) {
+  constructor(opts: JobServiceOptions) {
     this.opts = opts;
   }
 
--- a/packages/coordinator/src/leaderSession.ts
+++ b/packages/coordinator/src/leaderSession.ts
@@ -23,16 +23,16 @@
 import { SWEEP_INTERVAL_MS, type CoordinatorTiming } from './coordinatorTiming.js';
 import { EndpointLeases } from './endpointLeases.js';
 import { GatewaySessions } from './gatewaySessions.js';
-import { JobDesk } from './jobDesk.js';
+import { JobService } from './jobService.js';
 import { createUnitId } from './unitId.js';
 import { MetricsReporter } from './metricsReporter.js';
-import { NoteDesk } from './noteDesk.js';
+import { NoteService } from './noteService.js';
 import {
   PlacementPipeline,
   type PlacementListener,
   type UnitDetails,
 } from './placementPipeline.js';
-import { RequestDesk } from './requestDesk.js';
+import { RequestService } from './requestService.js';
 import { StatusReader, type InstanceInfo } from './statusReader.js';
 import { TaskDispatcher } from './taskDispatcher.js';
 import { ValidityGuard } from './validityGuard.js';
@@ -62,11 +62,11 @@
 
 /** Everything that exists only while this instance is the leader. */
 export class LeaderSession implements PlacementListener, AsyncDisposable {
-  readonly requests: RequestDesk;
-  readonly jobs: JobDesk;
+  readonly requests: RequestService;
+  readonly jobs: JobService;
   readonly leases: EndpointLeases;
   readonly sessions: GatewaySessions;
-  readonly notes: NoteDesk;
+  readonly notes: NoteService;
   readonly status: StatusReader;
   private readonly opts: LeaderSessionOptions;
   private readonly guard: ValidityGuard;
@@ -114,7 +114,7 @@
       log: logger,
       onNotRun: (attempt) => this.jobs.noteNotRun(attempt),
     });
-    this.requests = new RequestDesk({
+    this.requests = new RequestService({
       state,
       scheduler,
       pipeline: () => this.pipeline,
@@ -123,7 +123,7 @@
       isOwnerAlive: (owner) => this.sessions.isOwnerAlive(owner),
       onReleased: (attempt, release) => this.handleReleased(attempt, release),
     });
-    this.jobs = new JobDesk({
+    this.jobs = new JobService({
       state,
       scheduler,
       pipeline: () => this.pipeline,
@@ -147,7 +147,7 @@
       onRunning: (attempt) => this.confirmRunning(attempt),
       wake: () => this.pipeline.wake(),
     });
-    this.notes = new NoteDesk({
+    this.notes = new NoteService({
       state,
       commits,
       sessions: this.sessions,
--- a/packages/coordinator/src/noteDesk.ts
+++ b/packages/coordinator/src/noteService.ts
@@ -15,8 +15,8 @@
 import type { CommitQueue } from './commitQueue.js';
 import type { GatewaySessions } from './gatewaySessions.js';
 
-/** Options of {@link NoteDesk}. */
-export interface NoteDeskOptions {
+/** Options of {@link NoteService}. */
+export interface NoteServiceOptions {
   state: ClusterState;
   commits: CommitQueue;
   sessions: GatewaySessions;
@@ -35,10 +35,10 @@
 }
 
 /** Checks and applies release notes. */
-export class NoteDesk {
-  private readonly opts: NoteDeskOptions;
+export class NoteService {
+  private readonly opts: NoteServiceOptions;
 
-  constructor(opts: NoteDeskOptions) {
+  constructor(opts: NoteServiceOptions) {
     this.opts = opts;
   }
 
--- a/packages/coordinator/src/requestDesk.ts
+++ b/packages/coordinator/src/requestService.ts
@@ -31,8 +31,8 @@
 /** Time after which a request between two attempts is given up because its gateway is gone. */
 const IDLE_REQUEST_MS = 60_000;
 
-/** Options of {@link RequestDesk}. */
-export interface RequestDeskOptions {
+/** Options of {@link RequestService}. */
+export interface RequestServiceOptions {
   state: ClusterState;
   scheduler: Scheduler;
   pipeline: () => PlacementPipeline;
@@ -45,8 +45,8 @@
 }
 
 /** Places the requests that gateways hold, and records how they end. */
-export class RequestDesk {
-  private readonly opts: RequestDeskOptions;
+export class RequestService {
+  private readonly opts: RequestServiceOptions;
   private readonly waiters = new Map<string, Waiter[]>();
   /** Requests that wait until an attempt that may still run has been settled. */
   private readonly parked = new Map<string, AcquireParams>();
@@ -58,7 +58,7 @@
   private readonly abandoned = new ExpiringSet(ABANDONED_MEMORY_MS);
   private readonly startedAtMs = performance.now();
 
-  constructor(opts: RequestDeskOptions) {
+  constructor(opts: RequestServiceOptions) {
     this.opts = opts;
     for (const request of opts.state.requests.values()) {
       if (request.state === 'waiting') this.idleSinceMs.set(request.id, performance.now());
