--- a/packages/state/src/clusterState.ts
+++ b/packages/state/src/clusterState.ts
@@ -72,8 +72,8 @@
   }
 
   restore(data: unknown): void {
-    // The log keeps the snapshot to send it to other replicas, so its records must not change.
-    const snapshot = structuredClone(data) as ClusterSnapshot;
+    // The log keeps the snapshot to send it to other replicas, so the tables copy what changes.
+    const snapshot = data as ClusterSnapshot;
     if (snapshot.version !== SNAPSHOT_VERSION) {
       throw new StateError(
         `snapshot has format version ${snapshot.version}, expected ${SNAPSHOT_VERSION}`,
--- a/packages/state/src/configTable.ts
+++ b/packages/state/src/configTable.ts
@@ -116,8 +116,8 @@
     this.hashes = new Map(
       snapshot.noteNumbers.map((number, i) => [number, snapshot.noteHashes[i]!]),
     );
-    this.recentNotes = snapshot.recentNotes;
-    this.audit = snapshot.audit;
+    this.recentNotes = [...snapshot.recentNotes];
+    this.audit = [...snapshot.audit];
   }
 
   private findRefusal(note: ReleaseNote, known: string | undefined): NoteResult | undefined {
--- a/packages/state/src/endpointTable.ts
+++ b/packages/state/src/endpointTable.ts
@@ -33,6 +33,8 @@
 
   restore(endpoints: EndpointRecord[]): void {
     this.endpoints.clear();
-    for (const endpoint of endpoints) this.endpoints.set(endpoint.announcement.id, endpoint);
+    for (const endpoint of endpoints) {
+      this.endpoints.set(endpoint.announcement.id, { ...endpoint });
+    }
   }
 }
--- a/packages/state/src/jobTable.ts
+++ b/packages/state/src/jobTable.ts
@@ -131,7 +131,7 @@
   restore(snapshot: { jobs: JobRecord[]; finished: string[] }): void {
     this.jobs.clear();
     for (const job of snapshot.jobs) {
-      this.jobs.set(job.id, job);
+      this.jobs.set(job.id, copyJob(job));
       if (job.idempotencyKey !== undefined) {
         this.idempotency.add(job.team, job.idempotencyKey, job.id);
       }
--- a/packages/state/src/requestTable.ts
+++ b/packages/state/src/requestTable.ts
@@ -107,7 +107,7 @@
   restore(snapshot: RequestTableSnapshot): void {
     this.requests.clear();
     for (const request of snapshot.requests) {
-      this.requests.set(request.id, request);
+      this.requests.set(request.id, { ...request });
       if (request.idempotencyKey !== undefined) {
         this.idempotency.add(request.team, request.idempotencyKey, request.id);
       }
--- a/packages/state/src/retentionQueue.ts
+++ b/packages/state/src/retentionQueue.ts
@@ -33,7 +33,7 @@
   }
 
   restore(ids: string[]): void {
-    this.ids = ids;
+    this.ids = [...ids];
     this.head = 0;
   }
 
