Send requests longer than the drain delay while instances are stopped

Cause: a shutdown that did not wait for accepted requests passed the scenario, as requests of 100 ms had ended before the drain delay of 1 s. Result: green with the product, red (connection lost) without the wait.

--- a/packages/tests/src/steps/cell/shutdownSteps.ts
+++ b/packages/tests/src/steps/cell/shutdownSteps.ts
@@ -6,6 +6,8 @@
 import type { CellWorld } from './cellWorld.js';
 import { startOpenLoad } from './openLoad.js';
 
+/** Requests that are under way when an instance stops to accept others. */
+const LONGER_THAN_DRAIN_DELAY_MS = 1800;
 const READY_TIMEOUT_MS = 500;
 
 /** Returns an instance that has just said that it is ready, beginning with a different one each time. */
@@ -22,13 +24,14 @@
 
 When(
   'a balancer sends requests to instances that are ready until told to stop',
+  TIMEOUT,
   async function balance(this: CellWorld) {
     await startOpenLoad(this, {
       pickInstance: (number) => pickReady(this, number),
       keys: [this.keys.laboratories.secret, this.keys.utilities.secret],
       concurrency: 20,
       noRepeatEvery: 2,
-      instruction: { sleepMs: 100 },
+      instruction: { sleepMs: LONGER_THAN_DRAIN_DELAY_MS },
       markerPrefix: 'balanced',
       firstAnswers: 50,
     });
