--- a/packages/tests/src/steps/storage/logPropertySteps.ts
+++ b/packages/tests/src/steps/storage/logPropertySteps.ts
@@ -61,7 +61,9 @@
       assert.deepEqual(JSON.parse(JSON.stringify(await roundTrip(values))), expected);
       assert.deepEqual(await roundTrip(expected), expected);
     });
-    await fc.assert(property, { numRuns: runs });
+    // Found with seed 210743254: the decoder renames this key.
+    const renamedKey: unknown = JSON.parse('{"__proto__":0}');
+    await fc.assert(property, { numRuns: runs, examples: [[[renamedKey, undefined]]] });
   },
 );
 
