--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['**/lib/**', '**/node_modules/**'] },
+  { ignores: ['**/lib/**', 'target/**', '**/node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/coordinator/src/replicaManager.ts
+++ b/packages/coordinator/src/replicaManager.ts
@@ -12,8 +12,8 @@
 export interface ReplicaManagerOptions {
   log: ReplicatedLog;
   logger: Log;
-  /** Ids of the instances that may hold a replica. */
-  replicaInstances: string[];
+  /** Ids of the instances that may hold a replica; any instance if absent. */
+  replicaInstances?: string[];
   instanceId: string;
   isReachable: (instance: string) => boolean;
 }
@@ -62,7 +62,7 @@
     const { voters, learners } = log.members();
     const removed = [...voters, ...learners].filter((id) => instanceOf(id) === instance);
     if (removed.length === 0) {
-      if (!replicaInstances.includes(instance)) {
+      if (replicaInstances && !replicaInstances.includes(instance)) {
         refuseRemoval('not-found', `instance ${instance} has no replica`);
       }
       return { instance, removed, voters, learners };
@@ -94,7 +94,8 @@
 
   private async takeStep({ instance, replicaId }: JoinReplicaParams): Promise<JoinReplicaResult> {
     const { log, logger, replicaInstances } = this.opts;
-    if (!replicaInstances.includes(instance) || !replicaId.startsWith(`${instance}/`)) {
+    const isForeign = replicaInstances !== undefined && !replicaInstances.includes(instance);
+    if (isForeign || !replicaId.startsWith(`${instance}/`)) {
       throw new RefusalError({
         type: 'forbidden',
         runState: 'not-run',
@@ -116,6 +117,12 @@
       return { state: 'learner' };
     }
     if (!log.isCaughtUp(replicaId)) return { state: 'learner' };
+    // A newcomer takes the place of a voter that is gone, so that the majority stays reachable.
+    const gone = voters.find((id) => !this.isAlive(instanceOf(id)));
+    if (gone !== undefined) {
+      logger.warn('removing a voter that is gone in favour of a newcomer', { replica: gone });
+      await log.removeMember(gone);
+    }
     logger.info('promoting a replica to voter', { replica: replicaId });
     await log.promote(replicaId);
     return { state: 'voter' };
--- a/packages/daemon/src/replicaJoiner.ts
+++ b/packages/daemon/src/replicaJoiner.ts
@@ -15,7 +15,10 @@
 const RETRY_INTERVAL_MS = 500;
 const CALL_DEADLINE_MS = 5000;
 
-/** Asks the leader to take this replica in, until it is a voter. */
+/**
+ * Asks the leader to take this replica in until it is a voter, and again whenever it hears of no
+ * leader: it may have been replaced while it was cut off.
+ */
 export class ReplicaJoiner implements AsyncDisposable {
   private readonly opts: ReplicaJoinerOptions;
   private timer: NodeJS.Timeout | undefined;
@@ -37,25 +40,20 @@
   private schedule(): void {
     if (this.isClosed) return;
     this.timer = setTimeout(() => {
-      this.step().then(
-        (isDone) => {
-          if (!isDone) this.schedule();
-        },
-        (err: Error) => {
+      this.step()
+        .catch((err: Error) => {
           this.opts.logger.warn('could not join the replicated log yet', { err: err.message });
-          this.schedule();
-        },
-      );
+        })
+        .finally(() => this.schedule());
     }, RETRY_INTERVAL_MS);
   }
 
-  private async step(): Promise<boolean> {
+  private async step(): Promise<void> {
     const { instanceId, replicaId, log, leader } = this.opts;
-    if (log.members().voters.includes(replicaId)) return true;
+    if (log.members().voters.includes(replicaId) && log.leaderId !== undefined) return;
     const params: JoinReplicaParams = { instance: instanceId, replicaId };
-    const { state } = await leader.call<JoinReplicaResult>('replicas.join', params, {
+    await leader.call<JoinReplicaResult>('replicas.join', params, {
       deadlineMs: CALL_DEADLINE_MS,
     });
-    return state === 'voter';
   }
 }
--- /dev/null
+++ b/packages/daemon/src/workflowGateway.ts
@@ -0,0 +1,103 @@
+import { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
+import type { Log } from '@lagoongap/model/log.js';
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+import { TcpPeerNetwork } from '@lagoongap/peering/tcpPeerNetwork.js';
+import type { JobAnswer, JobCall } from '@lagoongap/workflow/jobCalls.js';
+
+import { AdvisorLoop, type Advisor } from './advisorLoop.js';
+import { MemberList } from './memberList.js';
+import { gatewayInstanceId, resolveInstance } from './workflowPeers.js';
+
+/** Options of a {@link WorkflowGateway}. */
+export interface WorkflowGatewayOptions {
+  host: string;
+  peerPort: number;
+  /** Ids of replica instances to begin with. */
+  seeds: string[];
+  advisor: Advisor;
+  log: Log;
+}
+
+/** Answer of the gateway: the leader's, or why there is none. */
+export type GatewayAnswer =
+  | JobAnswer
+  /** No leader took the call; it has changed nothing. */
+  | { type: 'unavailable'; retryAfterMs: number }
+  /** The call may have changed something. */
+  | { type: 'unknown' };
+
+/** Silence of the leader after which this instance takes no more callers. */
+const MAX_SILENCE_MS = 3000;
+
+/** Time after which a caller may come back when there is no leader. */
+const RETRY_AFTER_MS = 1000;
+
+/** Instance without a disk that passes the calls of callers to the leader. */
+export class WorkflowGateway implements AsyncDisposable {
+  readonly members: MemberList;
+  private readonly opts: WorkflowGatewayOptions;
+  private readonly network: TcpPeerNetwork;
+  private readonly leader: LeaderClient;
+  private readonly advisorLoop: AdvisorLoop;
+  private isDraining = false;
+
+  constructor(opts: WorkflowGatewayOptions) {
+    this.opts = opts;
+    const { host, peerPort, seeds, advisor, log } = opts;
+    this.network = new TcpPeerNetwork({
+      selfId: gatewayInstanceId(host),
+      listen: { host, port: peerPort },
+      peers: [],
+      resolvePeer: resolveInstance,
+      logger: log,
+    });
+    this.members = new MemberList(seeds);
+    this.leader = new LeaderClient({
+      network: this.network,
+      replicaInstances: this.members.instances,
+      readLeaderHint: () => undefined,
+    });
+    this.advisorLoop = new AdvisorLoop({ leader: this.leader, advisor, log });
+  }
+
+  /** Whether the balancer should send callers here. */
+  get isReady(): boolean {
+    return !this.isDraining && this.members.silenceMs < MAX_SILENCE_MS;
+  }
+
+  async start(): Promise<void> {
+    await this.network.start();
+    this.members.follow(this.leader, this.opts.log);
+    this.advisorLoop.start();
+  }
+
+  /** Reports this instance as not ready from now on; calls are still served. */
+  beginDrain(): void {
+    this.isDraining = true;
+  }
+
+  /** Resolves with an answer within `deadlineMs`. */
+  async call(call: JobCall, deadlineMs: number): Promise<GatewayAnswer> {
+    const receivedMs = performance.now();
+    try {
+      return await this.leader.call<JobAnswer>('jobs.call', call, { deadlineMs });
+    } catch (err) {
+      const refusal = err instanceof RefusalError ? err.refusal : undefined;
+      const isUnknown = refusal?.runState !== 'not-run' && call.operation !== 'read';
+      this.opts.log.warn('call has no answer', {
+        operation: call.operation,
+        path: call.path,
+        runState: refusal?.runState,
+        heldMs: Math.round(performance.now() - receivedMs),
+        err: (err as Error).message,
+      });
+      return isUnknown ? { type: 'unknown' } : { type: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.advisorLoop[Symbol.dispose]();
+    this.members[Symbol.dispose]();
+    await this.network[Symbol.asyncDispose]();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/workflowPeers.ts
@@ -0,0 +1,28 @@
+import type { PeerAddress } from '@lagoongap/peering/peeringOptions.js';
+
+/** Prefix of the ids of gateways, which call replicas but are never called. */
+const GATEWAY_PREFIX = 'gateway@';
+
+/** Returns the id of the replica instance that listens for peers at an address. */
+export function replicaInstanceId(host: string, port: number): string {
+  return `${host}:${port}`;
+}
+
+/** Returns the id of a gateway instance. */
+export function gatewayInstanceId(host: string): string {
+  return `${GATEWAY_PREFIX}${host}`;
+}
+
+/**
+ * Returns the address in an instance id. The ids of replica instances are their addresses, so the
+ * membership of the replicated log tells how to reach every member.
+ */
+export function resolveInstance(id: string): PeerAddress | undefined {
+  if (id.startsWith(GATEWAY_PREFIX)) {
+    return { id, host: id.slice(GATEWAY_PREFIX.length), port: 0, dial: false };
+  }
+  const separator = id.lastIndexOf(':');
+  const port = Number(id.slice(separator + 1));
+  if (separator <= 0 || !Number.isInteger(port) || port <= 0) return undefined;
+  return { id, host: id.slice(0, separator), port };
+}
--- /dev/null
+++ b/packages/daemon/src/workflowReplica.ts
@@ -0,0 +1,175 @@
+import { RaftReplica } from '@lagoongap/consensus/raftReplica.js';
+import { DEFAULT_TIMING, type RaftTiming } from '@lagoongap/consensus/raftTiming.js';
+import { instanceOf } from '@lagoongap/consensus/replicaId.js';
+import { ReplicaManager } from '@lagoongap/coordinator/replicaManager.js';
+import { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
+import { delay } from '@lagoongap/model/delay.js';
+import type { Log } from '@lagoongap/model/log.js';
+import type { JoinReplicaParams } from '@lagoongap/model/messages.js';
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+import { TcpPeerNetwork } from '@lagoongap/peering/tcpPeerNetwork.js';
+import { FileLogStore } from '@lagoongap/storage/fileLogStore.js';
+import { NodeFileSystem } from '@lagoongap/storage/nodeFileSystem.js';
+import type { ConfigReader } from '@lagoongap/workflow/cellConfig.js';
+import type { EndpointDriver } from '@lagoongap/workflow/endpointDriver.js';
+import { WorkflowCoordinator } from '@lagoongap/workflow/workflowCoordinator.js';
+import { WorkflowState } from '@lagoongap/workflow/workflowState.js';
+import type { WorkflowTiming } from '@lagoongap/workflow/workflowTiming.js';
+
+import { MemberList } from './memberList.js';
+import { PeerRaftTransport } from './peerRaftTransport.js';
+import { ReplicaJoiner } from './replicaJoiner.js';
+import { replicaInstanceId, resolveInstance } from './workflowPeers.js';
+
+/** Options of a {@link WorkflowReplica}. */
+export interface WorkflowReplicaOptions {
+  host: string;
+  peerPort: number;
+  dataFolder: string;
+  /** Whether this boot may start a new cell. */
+  bootstrap: boolean;
+  /** Ids of replica instances to begin with. */
+  seeds: string[];
+  driver: EndpointDriver;
+  parseConfig: ConfigReader;
+  timing: WorkflowTiming;
+  raftTiming?: RaftTiming;
+  log: Log;
+  /** Called when the durable state can no longer be trusted. */
+  onFatal: (err: Error) => void;
+}
+
+/** Applied entries between two snapshots. */
+const SNAPSHOT_ENTRIES = 4000;
+
+/** Size of a log segment; two of them and two snapshots fit on a small disk. */
+const SEGMENT_BYTES = 4 * 1024 * 1024;
+
+/** Time for which a stopping replica goes on to pass calls to its successor. */
+const HANDOVER_MS = 1500;
+
+/** Instance that holds a replica of the workflow state and may lead. */
+export class WorkflowReplica implements AsyncDisposable {
+  readonly leader: LeaderClient;
+  readonly members: MemberList;
+  private readonly opts: WorkflowReplicaOptions;
+  private readonly instanceId: string;
+  private readonly network: TcpPeerNetwork;
+  private readonly replica: RaftReplica;
+  private readonly store: FileLogStore;
+  private readonly coordinator: WorkflowCoordinator;
+  private joiner: ReplicaJoiner | undefined;
+
+  constructor(opts: WorkflowReplicaOptions) {
+    this.opts = opts;
+    const { host, peerPort, log } = opts;
+    this.instanceId = replicaInstanceId(host, peerPort);
+    this.network = new TcpPeerNetwork({
+      selfId: this.instanceId,
+      listen: { host, port: peerPort },
+      peers: [],
+      resolvePeer: resolveInstance,
+      logger: log,
+    });
+    this.members = new MemberList(opts.seeds);
+    this.leader = new LeaderClient({
+      network: this.network,
+      replicaInstances: this.members.instances,
+      readLeaderHint: () => this.replica.leaderId,
+    });
+    this.store = new FileLogStore({
+      dataFolder: opts.dataFolder,
+      segmentBytes: SEGMENT_BYTES,
+      fileSystem: new NodeFileSystem({ locksFolders: false }),
+    });
+    const state = new WorkflowState();
+    const timing = opts.raftTiming ?? DEFAULT_TIMING;
+    this.replica = new RaftReplica({
+      instanceId: this.instanceId,
+      bootstrapVoters: opts.bootstrap ? opts.seeds : undefined,
+      store: this.store,
+      transport: new PeerRaftTransport(this.network),
+      stateMachine: state,
+      timing,
+      snapshotEntries: SNAPSHOT_ENTRIES,
+      onFatal: opts.onFatal,
+    });
+    this.coordinator = new WorkflowCoordinator({
+      instanceId: this.instanceId,
+      network: this.network,
+      log: this.replica,
+      state,
+      driver: opts.driver,
+      parseConfig: opts.parseConfig,
+      timing: opts.timing,
+      logger: log,
+      validityMs: timing.leaderValidityMs,
+    });
+    this.registerMembership();
+  }
+
+  /** Resolves when the replica takes part; the network listens before that. */
+  async start(): Promise<void> {
+    await this.network.start();
+    this.members.follow(this.leader, this.opts.log);
+    this.replica.onRoleChange(({ role, term, leaderId }) => {
+      this.opts.log.info('replica role', { role, term, leaderId });
+    });
+    await this.replica.start();
+    this.joiner = new ReplicaJoiner({
+      instanceId: this.instanceId,
+      replicaId: this.replica.replicaId ?? '',
+      log: this.replica,
+      leader: this.leader,
+      logger: this.opts.log,
+    });
+    this.joiner.start();
+  }
+
+  /** Hands leadership over and goes on to pass calls on for a while. */
+  async drain(): Promise<void> {
+    if (this.replica.role === 'leader') {
+      await this.replica.transferLeadership().catch((err: Error) => {
+        this.opts.log.warn('could not transfer leadership', { err: err.message });
+      });
+    }
+    await delay(HANDOVER_MS);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.members[Symbol.dispose]();
+    await this.joiner?.[Symbol.asyncDispose]();
+    await this.coordinator[Symbol.asyncDispose]();
+    await this.replica[Symbol.asyncDispose]();
+    await this.store[Symbol.asyncDispose]();
+    await this.network[Symbol.asyncDispose]();
+  }
+
+  private registerMembership(): void {
+    const manager = new ReplicaManager({
+      log: this.replica,
+      logger: this.opts.log,
+      instanceId: this.instanceId,
+      isReachable: (instance) => this.network.isAlive(instance),
+    });
+    this.network.handle('replicas.join', (params) => {
+      this.assertLeader();
+      return manager.join(params as JoinReplicaParams);
+    });
+    this.network.handle('cell.members', () => {
+      this.assertLeader();
+      const { voters, learners } = this.replica.members();
+      return [...voters, ...learners].map(instanceOf);
+    });
+  }
+
+  private assertLeader(): void {
+    if (this.replica.isLeaderValid()) return;
+    throw new RefusalError({
+      type: 'no-leader',
+      runState: 'not-run',
+      message: `instance ${this.instanceId} is not the leader`,
+      details: { leaderId: this.replica.leaderId },
+    });
+  }
+}
--- a/packages/peering/src/peeringOptions.ts
+++ b/packages/peering/src/peeringOptions.ts
@@ -28,8 +28,13 @@
   selfId: string;
   /** Port 0 takes a free port. */
   listen: { host: string; port: number };
-  /** All instances; this one may be among them. */
+  /** Instances that are known from the start; this one may be among them. */
   peers: PeerAddress[];
+  /**
+   * Returns the address of an instance that is not among `peers`, or undefined for a stranger.
+   * Such instances are dialled when they are first called or have shown up.
+   */
+  resolvePeer?: (instanceId: string) => PeerAddress | undefined;
   tls?: PeerTlsOptions;
   /** Interval of pings on each connection. */
   pingMs?: number;
--- a/packages/peering/src/tcpPeerNetwork.ts
+++ b/packages/peering/src/tcpPeerNetwork.ts
@@ -9,6 +9,7 @@
 import {
   resolveLimits,
   type ConnectionLimits,
+  type PeerAddress,
   type TcpPeerNetworkOptions,
 } from './peeringOptions.js';
 import { PeerListener, type AnswerSender } from './peerListener.js';
@@ -75,7 +76,7 @@
   ): Promise<unknown> {
     if (this.isDisposed) throw new PeerUnavailableError(instanceId, 'the network is closed');
     if (instanceId === this.selfId) return this.callSelf(method, params, opts.timeoutMs);
-    const dialler = this.diallers.get(instanceId);
+    const dialler = this.findDialler(instanceId);
     if (!dialler) throw new PeerUnavailableError(instanceId, this.explainNoDialler(instanceId));
     return dialler.call(method, params, opts.timeoutMs);
   }
@@ -86,7 +87,7 @@
       this.notifySelf(method, params);
       return;
     }
-    const dialler = this.diallers.get(instanceId);
+    const dialler = this.findDialler(instanceId);
     const counters = this.counters.get(instanceId);
     if (dialler) dialler.notify(method, params);
     else if (counters) counters.dropped += 1;
@@ -110,7 +111,7 @@
       limits: this.limits,
       credentials: this.credentials,
       logger: this.logger,
-      countersOf: (instanceId) => this.counters.get(instanceId),
+      countersOf: (instanceId) => this.counters.get(instanceId) ?? this.meet(instanceId),
       onHello: (from) => this.acceptPeer(from),
       onFrame: (from) => this.recordFrame(from),
       onRequest: (message, from, answer) => this.serve(message, from, answer),
@@ -131,21 +132,42 @@
 
   private startDiallers(): void {
     for (const peer of this.opts.peers) {
-      if (peer.id === this.selfId || peer.dial === false) continue;
-      const dialler = new PeerDialler({
-        selfId: this.selfId,
-        peer,
-        limits: this.limits,
-        credentials: this.credentials,
-        counters: this.counters.get(peer.id)!,
-        logger: this.logger,
-        onFrame: () => this.recordFrame(peer.id),
-      });
-      this.diallers.set(peer.id, dialler);
-      dialler.start();
+      if (peer.id !== this.selfId && peer.dial !== false) this.startDialler(peer);
     }
   }
 
+  private startDialler(peer: PeerAddress): PeerDialler {
+    const dialler = new PeerDialler({
+      selfId: this.selfId,
+      peer,
+      limits: this.limits,
+      credentials: this.credentials,
+      counters: this.counters.get(peer.id)!,
+      logger: this.logger,
+      onFrame: () => this.recordFrame(peer.id),
+    });
+    this.diallers.set(peer.id, dialler);
+    dialler.start();
+    return dialler;
+  }
+
+  private findDialler(instanceId: string): PeerDialler | undefined {
+    const known = this.diallers.get(instanceId);
+    if (known || this.counters.has(instanceId) || !this.listener) return known;
+    this.meet(instanceId);
+    return this.diallers.get(instanceId);
+  }
+
+  /** Takes up an instance that is not among the known ones, if it can be resolved. */
+  private meet(instanceId: string): PeerCounters | undefined {
+    const peer = this.opts.resolvePeer?.(instanceId);
+    if (!peer || instanceId === this.selfId) return undefined;
+    const counters = createPeerCounters();
+    this.counters.set(instanceId, counters);
+    if (peer.dial !== false) this.startDialler(peer);
+    return counters;
+  }
+
   private recordFrame(instanceId: string): void {
     if (!this.isDisposed) this.failureDetector.recordFrame(instanceId);
   }
--- a/packages/storage/src/nodeFileSystem.ts
+++ b/packages/storage/src/nodeFileSystem.ts
@@ -7,8 +7,23 @@
 
 const FLAGS: Record<StorageOpenMode, string> = { create: 'wx+', read: 'r', write: 'r+' };
 
+/** Options of a {@link NodeFileSystem}. */
+export interface NodeFileSystemOptions {
+  /**
+   * Whether folders are locked against other processes; true by default. For file systems without
+   * links, where something else sees to it that only one process uses a folder.
+   */
+  locksFolders?: boolean;
+}
+
 /** File system of the operating system. */
 export class NodeFileSystem implements StorageFileSystem {
+  private readonly opts: NodeFileSystemOptions;
+
+  constructor(opts: NodeFileSystemOptions = {}) {
+    this.opts = opts;
+  }
+
   async createFolder(folder: string): Promise<void> {
     const first = await mkdir(folder, { recursive: true });
     if (first === undefined) return;
@@ -45,6 +60,7 @@
   }
 
   async lock(folder: string): Promise<AsyncDisposable> {
+    if (this.opts.locksFolders === false) return { [Symbol.asyncDispose]: async () => {} };
     return FolderLock.acquire(folder);
   }
 }
--- /dev/null
+++ b/packages/workflow/src/endpointDirectory.ts
@@ -0,0 +1,83 @@
+import { EndpointAgent, type AgentListener } from './endpointAgent.js';
+import type { SessionContext } from './sessionContext.js';
+import { WorkflowError } from './workflowError.js';
+import type { EndpointRecord } from './workflowRecords.js';
+
+/** Heartbeats that may be missing before an endpoint gets no new work. */
+const MAX_MISSED_HEARTBEATS = 2.5;
+
+/** The agents of all endpoints that a leader knows. */
+export class EndpointDirectory implements Disposable {
+  private readonly agents = new Map<string, EndpointAgent>();
+  private readonly context: SessionContext;
+  private readonly listener: AgentListener;
+  private readonly startMs = performance.now();
+
+  constructor(context: SessionContext, listener: AgentListener) {
+    this.context = context;
+    this.listener = listener;
+  }
+
+  /** Returns the agent of an endpoint, which is created if it is new. */
+  add(record: EndpointRecord): EndpointAgent {
+    const known = this.agents.get(record.id);
+    if (known) {
+      known.update(record);
+      return known;
+    }
+    const { driver, fencingToken, timing, isValid, logger } = this.context;
+    const agent = new EndpointAgent({
+      record,
+      driver,
+      listener: this.listener,
+      fencingToken,
+      leaseMs: timing.leaseMs,
+      maxLeaseMs: timing.maxLeaseMs,
+      sessionStartMs: this.startMs,
+      isValid,
+      log: logger,
+    });
+    this.agents.set(record.id, agent);
+    return agent;
+  }
+
+  find(id: string): EndpointAgent | undefined {
+    return this.agents.get(id);
+  }
+
+  /** Returns a known agent; throws WorkflowError otherwise. */
+  require(id: string): EndpointAgent {
+    const agent = this.agents.get(id);
+    if (!agent) throw new WorkflowError(`endpoint ${id} is unknown`);
+    return agent;
+  }
+
+  /** Drops an endpoint; what it ran counts as lost. */
+  remove(id: string, reason: string): void {
+    const agent = this.agents.get(id);
+    if (!agent) return;
+    this.agents.delete(id);
+    agent.markGone(reason);
+  }
+
+  list(): EndpointAgent[] {
+    return [...this.agents.values()];
+  }
+
+  /** Endpoints of a pool that may be given new work. */
+  listAvailable(pool: string): EndpointAgent[] {
+    return this.list().filter((agent) => agent.record.pool === pool && this.isAvailable(agent));
+  }
+
+  [Symbol.dispose](): void {
+    for (const agent of this.agents.values()) agent[Symbol.dispose]();
+  }
+
+  private isAvailable(agent: EndpointAgent): boolean {
+    if (!agent.isSynced || agent.isSuspect || agent.isLeaving || agent.record.isDraining) {
+      return false;
+    }
+    const silentMs = performance.now() - agent.lastHeartbeatMs;
+    return silentMs < this.context.timing.heartbeatMs * MAX_MISSED_HEARTBEATS;
+  }
+}
--- /dev/null
+++ b/packages/workflow/src/jobService.ts
@@ -0,0 +1,104 @@
+import type { CellConfig, QueuePolicy } from './cellConfig.js';
+import type { JobAnswer, JobCall, JobState } from './jobCalls.js';
+import type { JobSpec } from './jobSpec.js';
+import type { SessionContext } from './sessionContext.js';
+import type { JobRecord } from './workflowRecords.js';
+
+/** Receives what calls change. */
+export interface JobServiceListener {
+  onAccepted(job: JobRecord): void;
+  onClosed(job: JobRecord): void;
+}
+
+/** Finds the queue with the longest prefix of the path. */
+export function findQueue(
+  config: CellConfig,
+  host: string,
+  path: string,
+): QueuePolicy | undefined {
+  let best: QueuePolicy | undefined;
+  for (const queue of config.queues) {
+    if (queue.host !== host || !path.startsWith(queue.pathPrefix)) continue;
+    if (!best || queue.pathPrefix.length > best.pathPrefix.length) best = queue;
+  }
+  return best;
+}
+
+function stateOf(job: JobRecord): JobState {
+  if (job.status !== 'open') return job.status;
+  return job.hasStarted ? 'running' : 'queued';
+}
+
+/** Answers the calls of callers from the state of the leader, so that none is ever stale. */
+export class JobService {
+  private readonly context: SessionContext;
+  private readonly listener: JobServiceListener;
+
+  constructor(context: SessionContext, listener: JobServiceListener) {
+    this.context = context;
+    this.listener = listener;
+  }
+
+  /** Resolves when everything that the answer says is durable. */
+  async handle(call: JobCall): Promise<JobAnswer> {
+    const config = this.context.readConfig();
+    if (!config) return { type: 'not-configured' };
+    const queue = findQueue(config, call.host, call.path);
+    if (!queue) return { type: 'no-queue' };
+    const organisation = this.authenticate(config, call.key);
+    if (organisation === undefined && !queue.isOpen) return { type: 'unauthenticated' };
+    const id = call.path.slice(queue.pathPrefix.length);
+    if (id === '') return this.readQueue(call, queue);
+    if (call.operation === 'submit') return this.submit(id, queue, organisation ?? '', call.spec);
+    const job = this.context.state.jobs.get(id);
+    if (!job || job.queue !== queue.name) return { type: 'no-job' };
+    if (call.operation === 'cancel') return this.cancel(job);
+    return { type: 'state', state: stateOf(job) };
+  }
+
+  private authenticate(config: CellConfig, key: string | undefined): string | undefined {
+    if (key === undefined) return undefined;
+    return config.organisations.find(({ keys }) => keys.includes(key))?.name;
+  }
+
+  private readQueue(call: JobCall, queue: QueuePolicy): JobAnswer {
+    if (call.operation !== 'read') return { type: 'invalid', reason: 'the job has no id' };
+    let waitingCount = 0;
+    for (const job of this.context.state.jobs.values()) {
+      if (job.queue === queue.name && job.status === 'open' && !job.hasStarted) waitingCount += 1;
+    }
+    return { type: 'queue', waitingCount };
+  }
+
+  private async submit(
+    id: string,
+    queue: QueuePolicy,
+    organisation: string,
+    spec: JobSpec,
+  ): Promise<JobAnswer> {
+    const { state, propose, logger } = this.context;
+    if (state.jobs.has(id)) return { type: 'accepted' };
+    await propose({
+      type: 'submit',
+      id,
+      queue: queue.name,
+      organisation,
+      maxAttempts: queue.maxAttempts,
+      acceptedMs: Date.now(),
+      spec,
+    });
+    const job = state.jobs.get(id);
+    logger.info('job accepted', { job: id, queue: queue.name, organisation });
+    if (job) this.listener.onAccepted(job);
+    return { type: 'accepted' };
+  }
+
+  private async cancel(job: JobRecord): Promise<JobAnswer> {
+    if (job.status === 'open') {
+      await this.context.propose({ type: 'cancel', id: job.id });
+      this.context.logger.info('job cancelled', { job: job.id, status: job.status });
+      this.listener.onClosed(job);
+    }
+    return { type: 'cancelled' };
+  }
+}
--- /dev/null
+++ b/packages/workflow/src/readySteps.ts
@@ -0,0 +1,123 @@
+import type { QueuePolicy } from './cellConfig.js';
+import { stepKey, type StepSpec } from './jobSpec.js';
+import type { JobRecord } from './workflowRecords.js';
+import type { WorkflowState } from './workflowState.js';
+
+/** A step with tasks that could start now. */
+export interface ReadyStep {
+  /** Unique name: job, occurrence and step. */
+  name: string;
+  job: JobRecord;
+  occurrence: number;
+  step: number;
+  spec: StepSpec;
+  /** Indexes of the tasks that wait. */
+  waiting: number[];
+  /** Time since which the job (or its occurrence) is due, Unix milliseconds. */
+  dueMs: number;
+}
+
+/** Returns the unique name of a step of one occurrence. */
+export function stepName(jobId: string, occurrence: number, step: number): string {
+  return `${jobId}.${stepKey(occurrence, step)}`;
+}
+
+/** Returns the time at which an occurrence is due, Unix milliseconds. */
+export function dueTime(job: JobRecord, occurrence: number): number {
+  const { schedule } = job.spec;
+  return schedule ? schedule.firstMs + occurrence * schedule.intervalMs : job.acceptedMs;
+}
+
+/** Options of {@link ReadySteps}. */
+export interface ReadyStepsOptions {
+  state: WorkflowState;
+  /** Tells whether a start of the task is decided but not recorded yet. */
+  isPending: (step: string, index: number) => boolean;
+}
+
+/** Follows which steps have tasks that could start. */
+export class ReadySteps {
+  private readonly opts: ReadyStepsOptions;
+  private readonly steps = new Map<string, ReadyStep>();
+  private readonly namesByJob = new Map<string, Set<string>>();
+
+  constructor(opts: ReadyStepsOptions) {
+    this.opts = opts;
+  }
+
+  /** Steps in the order in which they are served. */
+  list(findQueue: (name: string) => QueuePolicy | undefined): ReadyStep[] {
+    const priorityOf = ({ job }: ReadyStep): number =>
+      findQueue(job.queue)?.priority ?? Number.MAX_SAFE_INTEGER;
+    return [...this.steps.values()].sort(
+      (a, b) => priorityOf(a) - priorityOf(b) || a.dueMs - b.dueMs,
+    );
+  }
+
+  /** Number of steps with waiting tasks. */
+  get size(): number {
+    return this.steps.size;
+  }
+
+  /** Tells whether a step still has waiting tasks. */
+  has(name: string): boolean {
+    return this.steps.has(name);
+  }
+
+  /**
+   * Finds out anew what could start in a job.
+   *
+   * @returns Time until its next occurrence is due in milliseconds, if there is one.
+   */
+  refresh(job: JobRecord | undefined, id: string, wallMs: number): number | undefined {
+    for (const name of this.namesByJob.get(id) ?? []) this.steps.delete(name);
+    this.namesByJob.delete(id);
+    if (job?.status !== 'open') return undefined;
+    const names = new Set<string>();
+    const count = job.spec.schedule?.count ?? 1;
+    for (let occurrence = 0; occurrence < count; occurrence += 1) {
+      const dueMs = dueTime(job, occurrence);
+      if (job.spec.schedule && dueMs > wallMs) {
+        this.namesByJob.set(id, names);
+        return dueMs - wallMs;
+      }
+      for (let step = 0; step < job.spec.steps.length; step += 1) {
+        const ready = this.findReady(job, occurrence, step, dueMs);
+        if (!ready) continue;
+        this.steps.set(ready.name, ready);
+        names.add(ready.name);
+      }
+    }
+    this.namesByJob.set(id, names);
+    return undefined;
+  }
+
+  /** Tells whether all steps that a step depends on have ended well. */
+  isUnblocked(job: JobRecord, occurrence: number, spec: StepSpec): boolean {
+    const { state } = this.opts;
+    return spec.dependsOn.every((step) => state.findStep(job, occurrence, step)?.isCompleted);
+  }
+
+  private findReady(
+    job: JobRecord,
+    occurrence: number,
+    step: number,
+    dueMs: number,
+  ): ReadyStep | undefined {
+    const { state, isPending } = this.opts;
+    const spec = job.spec.steps[step]!;
+    const record = state.findStep(job, occurrence, step);
+    if (record?.isCompleted || !this.isUnblocked(job, occurrence, spec)) return undefined;
+    const name = stepName(job.id, occurrence, step);
+    const waiting: number[] = [];
+    for (let index = 0; index < spec.taskCount; index += 1) {
+      const task = record?.tasks[index];
+      const isFree = !task || (!task.isDone && task.runs.length === 0);
+      if (isFree && !isPending(name, index)) waiting.push(index);
+    }
+    // A gang starts again only when nothing of its earlier run is left.
+    const isPartial = spec.isGang && waiting.length < spec.taskCount;
+    if (waiting.length === 0 || isPartial) return undefined;
+    return { name, job, occurrence, step, spec, waiting, dueMs };
+  }
+}
--- /dev/null
+++ b/packages/workflow/src/workflowCommand.ts
@@ -0,0 +1,55 @@
+import type { JobSpec, TaskRef } from './jobSpec.js';
+import type { EndpointRecord, RunOutcome } from './workflowRecords.js';
+
+/** A run that is about to be ordered. */
+export interface StartedRun {
+  task: TaskRef;
+  run: number;
+  endpoint: string;
+}
+
+/** The end of a run. */
+export interface EndedRun {
+  task: TaskRef;
+  run: number;
+  outcome: RunOutcome;
+  checkpoint?: string;
+}
+
+/** Replaces the configuration unless a version at least as high is in force. */
+export interface ConfigureCommand {
+  type: 'configure';
+  version: number;
+  document: string;
+}
+
+/** Accepts a job; a job known by its id stays as it is. */
+export interface SubmitCommand {
+  type: 'submit';
+  id: string;
+  queue: string;
+  organisation: string;
+  maxAttempts: number;
+  acceptedMs: number;
+  spec: JobSpec;
+}
+
+/** Change of the replicated workflow state. */
+export type WorkflowCommand =
+  | ConfigureCommand
+  | SubmitCommand
+  | { type: 'cancel'; id: string }
+  | { type: 'start'; runs: StartedRun[] }
+  | { type: 'end'; runs: EndedRun[] }
+  | { type: 'register'; endpoint: EndpointRecord }
+  | { type: 'unregister'; id: string }
+  | { type: 'forget'; ids: string[] }
+  | {
+      type: 'open-wave';
+      number: number;
+      instances: string[];
+      withinMs: number;
+      maxDown: number;
+    }
+  | { type: 'begin-maintenance'; number: number; instance: string }
+  | { type: 'close-wave'; number: number };
--- /dev/null
+++ b/packages/workflow/src/workflowCoordinator.ts
@@ -0,0 +1,159 @@
+import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+import type { PeerNetwork } from '@lagoongap/peering/peerNetwork.js';
+
+import type { AdviceReport } from './adviceBroker.js';
+import type { EndpointHeartbeat } from './endpointService.js';
+import type { JobCall } from './jobCalls.js';
+import type { WorkflowSessionOptions } from './sessionContext.js';
+import { SuspensionGuard } from './suspensionGuard.js';
+import { WorkflowSession } from './workflowSession.js';
+
+/** Options of a {@link WorkflowCoordinator}. */
+export interface WorkflowCoordinatorOptions extends Omit<WorkflowSessionOptions, 'isValid'> {
+  instanceId: string;
+  network: PeerNetwork;
+  /** Length of the leader's validity in milliseconds. */
+  validityMs: number;
+}
+
+/** Answer to a change of the configuration. */
+export type ConfigureAnswer = { type: 'accepted' } | { type: 'invalid'; reason: string };
+
+/** Longest wait of an instance for a question to the advisor. */
+const MAX_EXCHANGE_WAIT_MS = 1000;
+
+/** Runs a session while this replica leads, and answers the calls of other instances. */
+export class WorkflowCoordinator implements AsyncDisposable {
+  private readonly opts: WorkflowCoordinatorOptions;
+  private readonly guard: SuspensionGuard;
+  private readonly unsubscribe: () => void;
+  private session: WorkflowSession | undefined;
+  private sessionTerm = 0;
+
+  constructor(opts: WorkflowCoordinatorOptions) {
+    this.opts = opts;
+    this.guard = new SuspensionGuard(opts.validityMs);
+    this.registerMethods();
+    this.unsubscribe = opts.log.onRoleChange(() => this.followRole());
+    this.followRole();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.unsubscribe();
+    await this.endSession();
+  }
+
+  private get log(): ReplicatedLog {
+    return this.opts.log;
+  }
+
+  private isValid(): boolean {
+    return this.guard.isTrusted() && this.log.isLeaderValid();
+  }
+
+  private followRole(): void {
+    const { role, term } = this.log;
+    if (role === 'leader' && this.sessionTerm !== term) {
+      this.sessionTerm = term;
+      this.beginSession(term).catch((err: Error) => {
+        this.opts.logger.warn('leadership did not begin', { term, err: err.message });
+      });
+    } else if (role !== 'leader') {
+      this.sessionTerm = 0;
+      this.endSession().catch((err: Error) => {
+        this.opts.logger.warn('leadership did not end cleanly', { err: err.message });
+      });
+    }
+  }
+
+  private async beginSession(term: number): Promise<void> {
+    await this.endSession();
+    await this.log.whenReadyToLead();
+    if (this.log.term !== term || this.log.role !== 'leader') return;
+    const session = new WorkflowSession({ ...this.opts, isValid: () => this.isValid() });
+    this.session = session;
+    session.start();
+  }
+
+  private async endSession(): Promise<void> {
+    const { session } = this;
+    this.session = undefined;
+    await session?.[Symbol.asyncDispose]();
+  }
+
+  /** Returns the session of a valid leadership; throws a `no-leader` refusal otherwise. */
+  private requireSession(): WorkflowSession {
+    const { session } = this;
+    if (!session || !this.isValid()) {
+      throw new RefusalError({
+        type: 'no-leader',
+        runState: 'not-run',
+        message: `instance ${this.opts.instanceId} is not the leader`,
+        details: { leaderId: session ? undefined : this.log.leaderId },
+      });
+    }
+    return session;
+  }
+
+  /** Rejects an answer that was worked out before leadership was lost. */
+  private async confirm<Answer>(session: WorkflowSession, answer: Answer): Promise<Answer> {
+    if (this.requireSession() !== session) throw new Error('leadership has changed');
+    return answer;
+  }
+
+  private registerMethods(): void {
+    this.handle<JobCall>('jobs.call', async (session, call) =>
+      this.confirm(session, await session.jobs.handle(call)),
+    );
+    this.handle<EndpointHeartbeat>('endpoints.heartbeat', async (session, heartbeat) => {
+      await session.endpoints.heartbeat(heartbeat);
+      return this.confirm(session, { leader: this.opts.instanceId });
+    });
+    this.handle<{ id: string }>('endpoints.leave', (session, { id }) => session.endpoints.leave(id));
+    this.handle<{ document: string }>('config.apply', (_, { document }) => this.configure(document));
+    this.handle('config.read', () => this.opts.state.config);
+    this.handle<{ reports: AdviceReport[]; waitMs: number }>(
+      'advice.exchange',
+      (session, { reports, waitMs }) =>
+        session.broker.exchange(reports, Math.min(waitMs, MAX_EXCHANGE_WAIT_MS)),
+    );
+    this.handle<{ number: number; instances: string[]; withinMs: number; maxDown: number }>(
+      'waves.open',
+      async (_, params) => {
+        await this.log.propose({ type: 'open-wave', ...params });
+        return { type: 'accepted' };
+      },
+    );
+    this.handle<{ number: number }>(
+      'waves.read',
+      (_, { number }) => this.opts.state.waves.get(number) ?? null,
+    );
+  }
+
+  private async configure(document: string): Promise<ConfigureAnswer> {
+    let version: number;
+    try {
+      ({ version } = this.opts.parseConfig(document));
+    } catch (err) {
+      const reason = (err as Error).message;
+      this.opts.logger.info('configuration is invalid', { reason });
+      return { type: 'invalid', reason };
+    }
+    const { state, logger } = this.opts;
+    if (version <= state.config.version) {
+      logger.info('configuration is not newer', { version, current: state.config.version });
+      return { type: 'accepted' };
+    }
+    await this.log.propose({ type: 'configure', version, document });
+    logger.info('configuration is in force', { version, current: state.config.version });
+    return { type: 'accepted' };
+  }
+
+  private handle<Params>(
+    method: string,
+    handler: (session: WorkflowSession, params: Params) => unknown,
+  ): void {
+    this.opts.network.handle(method, (params) => handler(this.requireSession(), params as Params));
+  }
+}
--- /dev/null
+++ b/packages/workflow/src/workflowSession.ts
@@ -0,0 +1,383 @@
+import { AdviceBroker } from './adviceBroker.js';
+import type { CellConfig } from './cellConfig.js';
+import type { AgentListener, AgentRun, EndpointAgent } from './endpointAgent.js';
+import { EndpointDirectory } from './endpointDirectory.js';
+import type { ActiveRun, EndReport } from './endpointDriver.js';
+import { EndpointService } from './endpointService.js';
+import { InterferenceGuard } from './interferenceGuard.js';
+import { JobService } from './jobService.js';
+import { parseTaskName, taskName, type TaskRef } from './jobSpec.js';
+import { ReadySteps, stepName } from './readySteps.js';
+import { RunLedger } from './runLedger.js';
+import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
+import { SpeedLearner } from './speedLearner.js';
+import { StepScheduler, type PlannedStart } from './stepScheduler.js';
+import type { EndedRun } from './workflowCommand.js';
+import type { JobRecord } from './workflowRecords.js';
+
+/** Shortest time between two scheduling turns. */
+const TURN_INTERVAL_MS = 4;
+
+/** Time between two rounds of upkeep: ended jobs, silent endpoints, steps that wait. */
+const UPKEEP_INTERVAL_MS = 500;
+
+/** Silence after which an endpoint without work is forgotten, in heartbeats. */
+const FORGET_HEARTBEATS = 20;
+
+function runKey(task: TaskRef, run: number): string {
+  return `${taskName(task)}:${run}`;
+}
+
+/**
+ * One leadership of the workflow layer: takes over what runs, starts waiting tasks, records their
+ * ends and stops what is no longer wanted. All of it is dropped when the leadership ends.
+ */
+export class WorkflowSession implements AgentListener, AsyncDisposable {
+  readonly broker = new AdviceBroker();
+  readonly jobs: JobService;
+  readonly endpoints: EndpointService;
+  private readonly opts: WorkflowSessionOptions;
+  private readonly context: SessionContext;
+  private readonly ledger = new RunLedger();
+  private readonly speeds = new SpeedLearner();
+  private readonly directory: EndpointDirectory;
+  private readonly ready: ReadySteps;
+  private readonly scheduler: StepScheduler;
+  private readonly interference: InterferenceGuard;
+  private readonly occurrenceTimers = new Map<string, NodeJS.Timeout>();
+  private readonly endedSince = new Map<string, number>();
+  private config: CellConfig | undefined;
+  private turnTimer: NodeJS.Timeout | undefined;
+  private upkeepTimer: NodeJS.Timeout | undefined;
+  private isDisposed = false;
+
+  constructor(opts: WorkflowSessionOptions) {
+    this.opts = opts;
+    this.context = {
+      state: opts.state,
+      driver: opts.driver,
+      timing: opts.timing,
+      logger: opts.logger,
+      fencingToken: opts.log.term,
+      isValid: () => !this.isDisposed && opts.isValid(),
+      propose: async (command) => (await opts.log.propose(command)).result,
+      readConfig: () => this.readConfig(),
+    };
+    this.directory = new EndpointDirectory(this.context, this);
+    this.ready = new ReadySteps({
+      state: opts.state,
+      isPending: (step, index) => this.scheduler.isPending(step, index),
+    });
+    this.scheduler = new StepScheduler({
+      context: this.context,
+      ready: this.ready,
+      ledger: this.ledger,
+      directory: this.directory,
+      speeds: this.speeds,
+      broker: this.broker,
+      onAdvice: () => this.requestTurn(),
+    });
+    this.interference = new InterferenceGuard(this.context);
+    this.jobs = new JobService(this.context, {
+      onAccepted: (job) => this.followJob(job.id),
+      onClosed: (job) => this.closeJob(job),
+    });
+    this.endpoints = new EndpointService(this.context, this.directory, {
+      onChanged: (id) => {
+        this.scheduler.dropTickets(id);
+        this.requestTurn();
+      },
+    });
+  }
+
+  /** Takes over what the predecessor left, and begins to place work. */
+  start(): void {
+    const { state, logger } = this.opts;
+    for (const record of state.endpoints.values()) this.directory.add(record);
+    let adopted = 0;
+    for (const job of state.jobs.values()) adopted += this.adoptRuns(job);
+    for (const agent of this.directory.list()) agent.start();
+    for (const id of state.jobs.keys()) this.followJob(id);
+    this.upkeepTimer = setInterval(() => this.keepUp(), UPKEEP_INTERVAL_MS);
+    logger.info('leadership of workflows begins', {
+      term: this.context.fencingToken,
+      jobs: state.jobs.size,
+      endpoints: state.endpoints.size,
+      runs: adopted,
+      configVersion: state.config.version,
+    });
+  }
+
+  /** Configuration in force; parsed again when its version has changed. */
+  readConfig(): CellConfig | undefined {
+    const { state, parseConfig } = this.opts;
+    const { version, document } = state.config;
+    if (version === 0) return undefined;
+    if (this.config?.version !== version) this.config = parseConfig(document);
+    return this.config;
+  }
+
+  async onEnds(
+    agent: EndpointAgent,
+    reports: { run: AgentRun; report: EndReport }[],
+  ): Promise<void> {
+    for (const { run, report } of reports) this.learn(agent, run, report);
+    const ends = reports.map(({ run, report }) => ({
+      task: run.task,
+      run: run.run,
+      outcome: report.outcome,
+      checkpoint: report.checkpoint || run.checkpoint || undefined,
+    }));
+    await this.recordEnds(ends, agent.id);
+  }
+
+  onLost(agent: EndpointAgent, runs: AgentRun[], reason: string): void {
+    if (reason === 'no-ticket') this.scheduler.dropTickets(agent.id);
+    this.opts.logger.warn('runs are lost', {
+      endpoint: agent.id,
+      reason,
+      runs: runs.map(({ key }) => key),
+    });
+    const ends = runs.map(({ task, run, checkpoint }) => ({
+      task,
+      run,
+      outcome: 'lost' as const,
+      checkpoint: checkpoint || undefined,
+    }));
+    this.recordEnds(ends, agent.id).catch((err: Error) => this.reportLapse('ends', err));
+  }
+
+  onUnknownRun(agent: EndpointAgent, active: ActiveRun): void {
+    const task = parseTaskName(active.task);
+    if (!task) return;
+    const key = runKey(task, active.run);
+    const job = this.opts.state.jobs.get(task.jobId);
+    const spec = job?.spec.steps[task.step];
+    this.opts.logger.warn('endpoint runs what is not recorded', { endpoint: agent.id, run: key });
+    if (job && spec) {
+      this.ledger.reserve({
+        key,
+        endpoint: agent.id,
+        organisation: job.organisation,
+        stepName: stepName(job.id, task.occurrence, task.step),
+        size: spec.size,
+        fillsIdleCapacity: spec.fillsIdleCapacity,
+      });
+    }
+    const run = this.createRun(task, active.run, active.checkpoint);
+    agent.adopt(run);
+    agent.stop(run);
+  }
+
+  onInspected(agent: EndpointAgent, active: ActiveRun[]): void {
+    this.interference.observe(agent, active);
+  }
+
+  onAvailabilityChange(): void {
+    this.requestTurn();
+  }
+
+  onFenced(): void {
+    this.opts.logger.warn('a newer leader gives orders', { term: this.context.fencingToken });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.isDisposed = true;
+    clearTimeout(this.turnTimer);
+    clearInterval(this.upkeepTimer);
+    for (const timer of this.occurrenceTimers.values()) clearTimeout(timer);
+    this.directory[Symbol.dispose]();
+    this.broker[Symbol.dispose]();
+    this.opts.logger.info('leadership of workflows ends', { term: this.context.fencingToken });
+  }
+
+  private adoptRuns(job: JobRecord): number {
+    let count = 0;
+    for (const step of job.steps.values()) {
+      step.tasks.forEach((record, index) => {
+        for (const { run, endpoint } of record.runs) {
+          const task = { jobId: job.id, occurrence: step.occurrence, step: step.step, index };
+          this.adoptRun(job, task, run, endpoint, record.checkpoint ?? '');
+          count += 1;
+        }
+      });
+    }
+    return count;
+  }
+
+  private adoptRun(
+    job: JobRecord,
+    task: TaskRef,
+    run: number,
+    endpoint: string,
+    checkpoint: string,
+  ): void {
+    const spec = job.spec.steps[task.step]!;
+    const adopted = this.createRun(task, run, checkpoint);
+    this.ledger.reserve({
+      key: adopted.key,
+      endpoint,
+      organisation: job.organisation,
+      stepName: stepName(job.id, task.occurrence, task.step),
+      size: spec.size,
+      fillsIdleCapacity: spec.fillsIdleCapacity,
+    });
+    const agent = this.directory.find(endpoint);
+    if (!agent) {
+      const end = { task, run, outcome: 'lost' as const };
+      this.recordEnds([end], endpoint).catch((err: Error) => this.reportLapse('ends', err));
+      return;
+    }
+    agent.adopt(adopted);
+    if (job.status !== 'open') agent.stop(adopted);
+  }
+
+  private createRun(task: TaskRef, run: number, checkpoint: string): AgentRun {
+    return {
+      key: runKey(task, run),
+      name: taskName(task),
+      task,
+      run,
+      phase: 'running',
+      confirmedMs: 0,
+      orderedMs: performance.now(),
+      isStopping: false,
+      isStopped: false,
+      checkpoint,
+    };
+  }
+
+  private async recordEnds(ends: EndedRun[], endpoint: string): Promise<void> {
+    await this.context.propose({ type: 'end', runs: ends });
+    const jobs = new Set<string>();
+    for (const { task, run, outcome } of ends) {
+      this.ledger.release(runKey(task, run));
+      jobs.add(task.jobId);
+      this.opts.logger.info('run ended', { run: runKey(task, run), endpoint, outcome });
+    }
+    for (const id of jobs) this.followJob(id);
+  }
+
+  private learn(agent: EndpointAgent, run: AgentRun, report: EndReport): void {
+    const spec = this.opts.state.findSpec(run.task);
+    const isMeasurable = report.outcome === 'done' && run.confirmedMs > 0 && run.run === 1;
+    if (!spec || !isMeasurable || spec.fillsIdleCapacity || spec.dataRack !== '') return;
+    const actualMs = performance.now() - run.confirmedMs;
+    this.speeds.record(agent.id, agent.record.kind, spec.estimateMs, actualMs);
+  }
+
+  /** Takes up a change of a job: what could start, what must stop, when it is due again. */
+  private followJob(id: string): void {
+    const job = this.opts.state.jobs.get(id);
+    clearTimeout(this.occurrenceTimers.get(id));
+    const waitMs = this.ready.refresh(job, id, Date.now());
+    if (waitMs !== undefined) {
+      this.occurrenceTimers.set(
+        id,
+        setTimeout(() => this.followJob(id), waitMs),
+      );
+    }
+    if (job && job.status !== 'open') this.closeJob(job);
+    this.requestTurn();
+  }
+
+  /** Stops what is left of a job that has ended. */
+  private closeJob(job: JobRecord): void {
+    this.ready.refresh(job, job.id, Date.now());
+    if (!this.endedSince.has(job.id)) {
+      this.endedSince.set(job.id, performance.now());
+      this.opts.logger.info('job ended', { job: job.id, status: job.status });
+    }
+    for (const step of job.steps.values()) {
+      this.scheduler.forget(stepName(job.id, step.occurrence, step.step));
+      step.tasks.forEach((record, index) => {
+        const task = { jobId: job.id, occurrence: step.occurrence, step: step.step, index };
+        for (const { run, endpoint } of record.runs) {
+          const known = this.directory.find(endpoint)?.runs.get(runKey(task, run));
+          if (known) this.directory.require(endpoint).stop(known);
+        }
+      });
+    }
+  }
+
+  private requestTurn(): void {
+    if (this.isDisposed || this.turnTimer) return;
+    this.turnTimer = setTimeout(() => {
+      this.turnTimer = undefined;
+      this.runTurn().catch((err: Error) => this.reportLapse('turn', err));
+    }, TURN_INTERVAL_MS);
+  }
+
+  private async runTurn(): Promise<void> {
+    const config = this.readConfig();
+    if (!config || !this.context.isValid()) return;
+    const planned = this.scheduler.decide(config);
+    if (planned.length === 0) return;
+    for (const id of new Set(planned.map(({ task }) => task.jobId))) {
+      this.ready.refresh(this.opts.state.jobs.get(id), id, Date.now());
+    }
+    try {
+      await this.context.propose({
+        type: 'start',
+        runs: planned.map(({ task, run, endpoint }) => ({ task, run, endpoint })),
+      });
+    } finally {
+      for (const start of planned) this.scheduler.settle(start);
+    }
+    for (const start of planned) this.dispatch(start);
+  }
+
+  /** Orders a start that is recorded, unless its job has ended meanwhile. */
+  private dispatch(start: PlannedStart): void {
+    const { task, run, ticket, agent } = start;
+    const job = this.opts.state.jobs.get(task.jobId);
+    if (!job || !this.context.isValid()) return;
+    const record = this.opts.state.findTask(task);
+    const order = this.createRun(task, run, record?.checkpoint ?? '');
+    order.phase = 'ordered';
+    if (job.status !== 'open' || this.directory.find(agent.id) !== agent) {
+      this.onLost(agent, [order], 'not wanted any more');
+      return;
+    }
+    this.opts.logger.info('run ordered', { run: order.key, endpoint: agent.id });
+    agent.order(order, job.spec.payload, ticket).catch((err: Error) => {
+      this.opts.logger.error('start order failed', { run: order.key, err: err.message });
+    });
+  }
+
+  private keepUp(): void {
+    if (!this.context.isValid()) return;
+    this.forgetJobs();
+    this.forgetSilentEndpoints();
+    this.requestTurn();
+  }
+
+  private forgetJobs(): void {
+    const nowMs = performance.now();
+    const ids: string[] = [];
+    for (const [id, sinceMs] of this.endedSince) {
+      if (nowMs - sinceMs > this.opts.timing.retentionMs) ids.push(id);
+    }
+    if (ids.length === 0) return;
+    for (const id of ids) {
+      this.endedSince.delete(id);
+      this.occurrenceTimers.delete(id);
+    }
+    this.context
+      .propose({ type: 'forget', ids })
+      .catch((err: Error) => this.reportLapse('retention', err));
+  }
+
+  private forgetSilentEndpoints(): void {
+    const silenceMs = this.opts.timing.heartbeatMs * FORGET_HEARTBEATS;
+    const nowMs = performance.now();
+    for (const agent of this.directory.list()) {
+      const isIdle = agent.runs.size === 0;
+      if (isIdle && nowMs - agent.lastHeartbeatMs > silenceMs) this.endpoints.forget(agent.id);
+    }
+  }
+
+  private reportLapse(what: string, err: Error): void {
+    this.opts.logger.warn('leadership could not record a change', { what, err: err.message });
+  }
+}
--- /dev/null
+++ b/packages/workflow/src/workflowState.ts
@@ -0,0 +1,252 @@
+import type { CommittedEntry, StateMachine } from '@lagoongap/consensus/replicatedLog.js';
+
+import { stepKey, type StepSpec, type TaskRef } from './jobSpec.js';
+import type { EndedRun, StartedRun, SubmitCommand, WorkflowCommand } from './workflowCommand.js';
+import { WorkflowError } from './workflowError.js';
+import type {
+  EndpointRecord,
+  JobRecord,
+  StepRecord,
+  TaskRecord,
+  WaveRecord,
+} from './workflowRecords.js';
+
+/** Configuration document in force; version 0 before the first. */
+export interface StoredConfig {
+  version: number;
+  document: string;
+}
+
+/** Plain form of the state for snapshots. */
+interface WorkflowSnapshot {
+  config: StoredConfig;
+  jobs: (Omit<JobRecord, 'steps'> & { steps: [string, StepRecord][] })[];
+  endpoints: EndpointRecord[];
+  waves: WaveRecord[];
+}
+
+function createTask(): TaskRecord {
+  return { isDone: false, lastRun: 0, failures: 0, runs: [] };
+}
+
+function copyStep(step: StepRecord): StepRecord {
+  const tasks = step.tasks.map((task) => ({
+    ...task,
+    runs: task.runs.map((run) => ({ ...run })),
+  }));
+  return { ...step, tasks };
+}
+
+/**
+ * Replicated state of workflows: configuration, jobs with their runs, endpoints and maintenance
+ * waves. Commands are applied deterministically; times in them are stamped by the leader.
+ */
+export class WorkflowState implements StateMachine {
+  readonly jobs = new Map<string, JobRecord>();
+  readonly endpoints = new Map<string, EndpointRecord>();
+  readonly waves = new Map<number, WaveRecord>();
+  config: StoredConfig = { version: 0, document: '' };
+
+  apply({ command }: CommittedEntry): unknown {
+    return this.run(command as WorkflowCommand);
+  }
+
+  snapshot(): WorkflowSnapshot {
+    return {
+      config: { ...this.config },
+      jobs: [...this.jobs.values()].map((job) => ({
+        ...job,
+        steps: [...job.steps].map(([key, step]) => [key, copyStep(step)]),
+      })),
+      endpoints: [...this.endpoints.values()],
+      waves: [...this.waves.values()].map((wave) => ({ ...wave, begun: [...wave.begun] })),
+    };
+  }
+
+  restore(snapshot: unknown): void {
+    const { config, jobs, endpoints, waves } = snapshot as WorkflowSnapshot;
+    this.config = { ...config };
+    this.jobs.clear();
+    for (const job of jobs) {
+      const steps = new Map(job.steps.map(([key, step]) => [key, copyStep(step)]));
+      this.jobs.set(job.id, { ...job, steps });
+    }
+    this.endpoints.clear();
+    for (const endpoint of endpoints) this.endpoints.set(endpoint.id, endpoint);
+    this.waves.clear();
+    for (const wave of waves) this.waves.set(wave.number, { ...wave, begun: [...wave.begun] });
+  }
+
+  /** Returns the record of a step, or undefined before any of its tasks has started. */
+  findStep(job: JobRecord, occurrence: number, step: number): StepRecord | undefined {
+    return job.steps.get(stepKey(occurrence, step));
+  }
+
+  /** Returns the record of a task, or undefined if the job is unknown or the task never started. */
+  findTask({ jobId, occurrence, step, index }: TaskRef): TaskRecord | undefined {
+    const job = this.jobs.get(jobId);
+    return job && this.findStep(job, occurrence, step)?.tasks[index];
+  }
+
+  /** Returns what a step asks for, or undefined if the job is unknown. */
+  findSpec({ jobId, step }: TaskRef): StepSpec | undefined {
+    return this.jobs.get(jobId)?.spec.steps[step];
+  }
+
+  private run(command: WorkflowCommand): unknown {
+    switch (command.type) {
+      case 'configure':
+        if (command.version <= this.config.version) return false;
+        this.config = { version: command.version, document: command.document };
+        return true;
+      case 'submit':
+        return this.submit(command);
+      case 'cancel':
+        return this.cancel(command.id);
+      case 'start':
+        for (const run of command.runs) this.start(run);
+        return undefined;
+      case 'end':
+        for (const run of command.runs) this.end(run);
+        return undefined;
+      case 'register':
+        this.endpoints.set(command.endpoint.id, command.endpoint);
+        return undefined;
+      case 'unregister':
+        this.endpoints.delete(command.id);
+        return undefined;
+      case 'forget':
+        for (const id of command.ids) this.jobs.delete(id);
+        return undefined;
+      case 'open-wave':
+        this.openWave(command);
+        return undefined;
+      case 'begin-maintenance':
+        this.beginMaintenance(command.number, command.instance);
+        return undefined;
+      case 'close-wave':
+        this.closeWave(command.number);
+        return undefined;
+      default:
+        throw new WorkflowError(`unknown command ${JSON.stringify(command)}`);
+    }
+  }
+
+  private submit(command: SubmitCommand): void {
+    if (this.jobs.has(command.id)) return;
+    const { id, queue, organisation, maxAttempts, acceptedMs, spec } = command;
+    const occurrences = spec.schedule?.count ?? 1;
+    this.jobs.set(id, {
+      id,
+      queue,
+      organisation,
+      maxAttempts,
+      acceptedMs,
+      spec,
+      status: 'open',
+      hasStarted: false,
+      openSteps: occurrences * spec.steps.length,
+      steps: new Map(),
+    });
+  }
+
+  private cancel(id: string): boolean {
+    const job = this.jobs.get(id);
+    if (!job) return false;
+    if (job.status === 'open') job.status = 'cancelled';
+    return true;
+  }
+
+  private start({ task, run, endpoint }: StartedRun): void {
+    const job = this.jobs.get(task.jobId);
+    if (!job) return;
+    job.hasStarted = true;
+    const record = this.stepOf(job, task.occurrence, task.step).tasks[task.index];
+    if (!record) throw new WorkflowError(`job ${job.id} has no task ${task.step}.${task.index}`);
+    record.lastRun = Math.max(record.lastRun, run);
+    record.runs.push({ run, endpoint });
+  }
+
+  private end(ended: EndedRun): void {
+    const job = this.jobs.get(ended.task.jobId);
+    const task = this.findTask(ended.task);
+    if (!job || !task) return;
+    const position = task.runs.findIndex(({ run }) => run === ended.run);
+    if (position < 0) return;
+    task.runs.splice(position, 1);
+    if (ended.checkpoint) task.checkpoint = ended.checkpoint;
+    const step = this.stepOf(job, ended.task.occurrence, ended.task.step);
+    const spec = job.spec.steps[ended.task.step]!;
+    if (ended.outcome === 'done' && !spec.isService) this.complete(job, step, spec, task);
+    if (ended.outcome === 'failed' && !spec.isService) this.countFailure(job, step, spec, ended);
+  }
+
+  private complete(job: JobRecord, step: StepRecord, spec: StepSpec, task: TaskRecord): void {
+    const completed = spec.isGang ? step.tasks : [task];
+    for (const record of completed) {
+      if (!record.isDone) step.doneCount += 1;
+      record.isDone = true;
+    }
+    if (step.doneCount < spec.taskCount || job.status !== 'open') return;
+    // Later copies of a task end well too, but a step ends once.
+    if (!step.isCompleted) job.openSteps -= 1;
+    step.isCompleted = true;
+    if (job.openSteps === 0) job.status = 'completed';
+  }
+
+  private countFailure(job: JobRecord, step: StepRecord, spec: StepSpec, ended: EndedRun): void {
+    const task = step.tasks[ended.task.index]!;
+    if (task.isDone) return;
+    if (spec.isGang) {
+      if (ended.run <= step.lastFailedGangRun) return;
+      step.lastFailedGangRun = ended.run;
+      step.gangFailures += 1;
+      if (step.gangFailures >= job.maxAttempts && job.status === 'open') job.status = 'failed';
+      return;
+    }
+    task.failures += 1;
+    if (task.failures >= job.maxAttempts && job.status === 'open') job.status = 'failed';
+  }
+
+  private stepOf(job: JobRecord, occurrence: number, step: number): StepRecord {
+    const key = stepKey(occurrence, step);
+    const known = job.steps.get(key);
+    if (known) return known;
+    const spec = job.spec.steps[step];
+    if (!spec) throw new WorkflowError(`job ${job.id} has no step ${step}`);
+    const created: StepRecord = {
+      occurrence,
+      step,
+      doneCount: 0,
+      isCompleted: false,
+      gangFailures: 0,
+      lastFailedGangRun: 0,
+      tasks: Array.from({ length: spec.taskCount }, createTask),
+    };
+    job.steps.set(key, created);
+    return created;
+  }
+
+  private openWave(command: Extract<WorkflowCommand, { type: 'open-wave' }>): void {
+    if (this.waves.has(command.number)) return;
+    const { number, instances, withinMs, maxDown } = command;
+    this.waves.set(number, {
+      number,
+      instances,
+      withinMs,
+      maxDown,
+      begun: [],
+      isCompleted: instances.length === 0,
+    });
+  }
+
+  private beginMaintenance(number: number, instance: string): void {
+    const wave = this.waves.get(number);
+    if (wave && !wave.begun.includes(instance)) wave.begun.push(instance);
+  }
+
+  private closeWave(number: number): void {
+    const wave = this.waves.get(number);
+    if (wave) wave.isCompleted = true;
+  }
+}
