Let the lease of a silent endpoint run out, and avoid where a step went wrong

Change: no renewal while an endpoint does not answer; the watch is woken after an order is settled; places where a step went wrong cost more.

--- /dev/null
+++ b/packages/tests/features/workflow/jobs.feature
@@ -0,0 +1,103 @@
+Feature: Jobs of dependent steps
+  Guards against steps that start too early, jobs that end with a wrong state, and limits that
+  are exceeded.
+
+  Background:
+    Given a workflow leader
+
+  Scenario: a step starts after all tasks of the step before
+    Given 2 workers of 4 cores
+    When job "j" of steps with 3 and 2 tasks is submitted
+    And 300 ms of workflow time pass
+    Then 3 runs were started
+    When 2000 ms of workflow time pass
+    Then 5 runs were started
+    And job "j" is "completed"
+
+  Scenario: capacity is never exceeded, and waiting tasks follow
+    Given 2 workers of 2 cores
+    When job "j" of 10 tasks is submitted
+    And 300 ms of workflow time pass
+    Then 4 runs were started
+    When 3000 ms of workflow time pass
+    Then job "j" is "completed"
+    And no worker had more than 2 tasks
+
+  Scenario: an organisation stays within its limit
+    Given 4 workers of 4 cores
+    And the organisation may run 3 cores
+    When job "j" of 9 tasks is submitted
+    And 300 ms of workflow time pass
+    Then 3 runs were started
+    When 3000 ms of workflow time pass
+    Then job "j" is "completed"
+
+  Scenario: a gang starts as a whole
+    Given 2 workers of 2 cores
+    When gang job "big" of 5 tasks is submitted
+    And gang job "small" of 4 tasks is submitted
+    And 300 ms of workflow time pass
+    Then 4 runs were started
+    And job "small" is "running"
+    And job "big" is "queued"
+
+  Scenario: tasks of a step are spread where that is asked for
+    Given 3 workers of 8 cores
+    When job "j" of 6 tasks with at most 2 on a worker is submitted
+    And 300 ms of workflow time pass
+    Then 6 runs were started
+    And no worker had more than 2 tasks
+
+  Scenario: a task that fails too often fails its job
+    Given 1 workers of 4 cores
+    And worker w1 fails what it starts
+    When job "j" of 1 tasks is submitted
+    And 10000 ms of workflow time pass
+    Then job "j" is "failed"
+    And 3 runs were started
+
+  Scenario: a cancelled job is stopped
+    Given 1 workers of 4 cores
+    When job "j" of 4 tasks of 60000 ms is submitted
+    And 100 ms of workflow time pass
+    And job "j" is cancelled
+    And 500 ms of workflow time pass
+    Then job "j" is "cancelled"
+    And nothing runs
+
+  Scenario: a service is started again however its tasks end
+    Given 1 workers of 4 cores
+    When service "s" of 2 tasks is submitted
+    And 5000 ms of workflow time pass
+    Then job "s" is "running"
+    And 2 tasks run
+
+  Scenario: a repeated job runs at its times
+    Given 1 workers of 4 cores
+    When job "j" of 1 task is submitted for 3 times, 2000 ms apart
+    And 1000 ms of workflow time pass
+    Then 1 runs were started
+    When 2000 ms of workflow time pass
+    Then 2 runs were started
+    When 3000 ms of workflow time pass
+    Then job "j" is "completed"
+
+  Scenario: the same job handed in twice is one job
+    Given 1 workers of 4 cores
+    When job "j" of 1 tasks is submitted
+    And job "j" of 1 tasks is submitted
+    And 2000 ms of workflow time pass
+    Then 1 runs were started
+
+  Scenario: a draining endpoint gets no new work
+    Given 1 workers of 4 cores
+    When worker w1 is draining
+    And job "j" of 1 tasks is submitted
+    And 500 ms of workflow time pass
+    Then 0 runs were started
+
+  Scenario: calls are answered by what is known
+    Given 1 workers of 4 cores
+    Then a call for job "none" is answered "no-job"
+    And a call with key "other" is answered "unauthenticated"
+    And a call for the queue is answered "queue"
--- a/packages/tests/src/harness/heldLog.ts
+++ b/packages/tests/src/harness/heldLog.ts
@@ -15,7 +15,7 @@
 /** Replicated log of one leader whose commits happen only when a test says so. */
 export class HeldLog implements ReplicatedLog {
   readonly role = 'leader';
-  readonly term = 2;
+  readonly term: number = 2;
   readonly leaderId = 'instance-1';
   appliedIndex = 0;
   private readonly stateMachine: StateMachine;
--- /dev/null
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -0,0 +1,214 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+
+import type { WorkerMood } from '../../workflow/fakeWorker.js';
+import { createStep, WorkflowWorld } from '../../workflow/workflowWorld.js';
+
+interface Steps {
+  world: WorkflowWorld;
+  maxTasks: number;
+}
+
+const MOODS: Record<string, WorkerMood> = {
+  'loses the answers to its starts': 'start-answers-lost',
+  'carries starts out late': 'starts-late',
+  'stalls what it starts': 'stalled',
+  'fails what it starts': 'failing',
+  'falls silent': 'silent',
+};
+
+const RUN_INTERVAL_MS = 20;
+
+After(async function disposeWorld(this: Steps) {
+  await this.world?.[Symbol.asyncDispose]();
+});
+
+/** Lets time pass and keeps the largest number of tasks that any worker had. */
+async function pass(steps: Steps, ms: number): Promise<void> {
+  for (let passed = 0; passed < ms; passed += RUN_INTERVAL_MS) {
+    await steps.world.advance(Math.min(RUN_INTERVAL_MS, ms - passed));
+    for (const { runs } of steps.world.driver.workers.values()) {
+      steps.maxTasks = Math.max(steps.maxTasks ?? 0, runs.size);
+    }
+  }
+}
+
+function setDuration(steps: Steps, ms: number): void {
+  for (const worker of steps.world.driver.workers.values()) worker.durationMs = ms;
+}
+
+Given('a workflow leader', function createLeader(this: Steps) {
+  this.world = new WorkflowWorld();
+});
+
+Given('{int} workers of {int} cores', async function addWorkers(this: Steps, count, cores) {
+  await this.world.addWorkers(count, cores);
+});
+
+Given('the organisation may run {int} cores', function limit(this: Steps, cores: number) {
+  this.world.limitCores(cores);
+});
+
+Given(
+  /^worker (\w+) (loses the answers to its starts|carries starts out late|stalls what it starts|fails what it starts|falls silent)$/,
+  function setMood(this: Steps, id: string, mood: string) {
+    this.world.driver.worker(id).mood = MOODS[mood]!;
+  },
+);
+
+When('worker {word} begins a new life', async function rebear(this: Steps, id: string) {
+  this.world.driver.worker(id).rebear();
+  await this.world.beat();
+});
+
+When('worker {word} is draining', async function drain(this: Steps, id: string) {
+  const record = this.world.records.get(id)!;
+  this.world.records.set(id, { ...record, isDraining: true });
+  await this.world.beat();
+});
+
+When(
+  'worker {word} ends its tasks after {int} ms from now on',
+  function setWorkerDuration(this: Steps, id: string, ms: number) {
+    this.world.driver.worker(id).durationMs = ms;
+  },
+);
+
+When('job {string} of {int} tasks is submitted', async function submit(this: Steps, id, count) {
+  await this.world.submit(id, [createStep({ taskCount: count })]);
+});
+
+When(
+  'job {string} of {int} tasks of {int} ms is submitted',
+  async function submitLong(this: Steps, id: string, count: number, ms: number) {
+    setDuration(this, ms);
+    await this.world.submit(id, [createStep({ taskCount: count, estimateMs: ms })]);
+  },
+);
+
+When(
+  'job {string} of {int} tasks that may be copied is submitted',
+  async function submitCopied(this: Steps, id: string, count: number) {
+    await this.world.submit(id, [createStep({ taskCount: count, allowsCopies: true })]);
+  },
+);
+
+When(
+  'job {string} of {int} tasks with at most {int} on a worker is submitted',
+  async function submitSpread(this: Steps, id: string, count: number, most: number) {
+    await this.world.submit(id, [createStep({ taskCount: count, maxPerEndpoint: most })]);
+  },
+);
+
+When(
+  'job {string} of steps with {int} and {int} tasks is submitted',
+  async function submitSteps(this: Steps, id: string, first: number, second: number) {
+    const steps = [
+      createStep({ taskCount: first }),
+      createStep({ taskCount: second, dependsOn: [0] }),
+    ];
+    await this.world.submit(id, steps);
+  },
+);
+
+When('gang job {string} of {int} tasks is submitted', async function gang(this: Steps, id, count) {
+  await this.world.submit(id, [createStep({ taskCount: count, isGang: true })]);
+});
+
+When('service {string} of {int} tasks is submitted', async function serve(this: Steps, id, count) {
+  await this.world.submit(id, [createStep({ taskCount: count, isService: true })]);
+});
+
+When(
+  'job {string} of 1 task is submitted for {int} times, {int} ms apart',
+  async function repeat(this: Steps, id: string, count: number, intervalMs: number) {
+    const schedule = { firstMs: Date.now() + 100, intervalMs, count };
+    await this.world.submit(id, [createStep({})], { schedule });
+  },
+);
+
+When(
+  '{int} jobs of 1 task are submitted {int} ms apart',
+  async function submitMany(this: Steps, count: number, intervalMs: number) {
+    for (let i = 0; i < count; i += 1) {
+      await this.world.submit(`job${i}`, [createStep({})]);
+      await pass(this, intervalMs);
+    }
+  },
+);
+
+When('job {string} is cancelled', async function cancel(this: Steps, id: string) {
+  const answer = await this.world.call({ operation: 'cancel' }, id);
+  assert.equal(answer.type, 'cancelled');
+});
+
+When('the workflow leader changes', async function changeLeader(this: Steps) {
+  await this.world.changeLeader();
+});
+
+When('{int} ms of workflow time pass', async function passTime(this: Steps, ms: number) {
+  await pass(this, ms);
+});
+
+Then('job {string} is {string}', async function checkState(this: Steps, id: string, state: string) {
+  const answer = await this.world.call({ operation: 'read' }, id);
+  assert.deepEqual(answer, { type: 'state', state });
+});
+
+Then('at least {int} jobs are {string}', function countJobs(this: Steps, count: number, status) {
+  const jobs = [...this.world.state.jobs.values()];
+  const matching = jobs.filter((job) => job.status === status).length;
+  assert.ok(matching >= count, `${matching} of ${jobs.length} jobs are ${status}`);
+});
+
+Then('{int} runs were started', function countStarts(this: Steps, count: number) {
+  assert.equal(this.world.driver.started.length, count);
+});
+
+Then('{int} tasks run', function countRunning(this: Steps, count: number) {
+  const workers = [...this.world.driver.workers.values()];
+  assert.equal(
+    workers.reduce((sum, { runs }) => sum + runs.size, 0),
+    count,
+  );
+});
+
+Then('nothing runs', function checkIdle(this: Steps) {
+  for (const { runs } of this.world.driver.workers.values()) assert.equal(runs.size, 0);
+});
+
+Then('no task was started more than once', function checkOnce(this: Steps) {
+  const tasks = this.world.driver.started.map((run) => run.split(':')[0]);
+  assert.equal(new Set(tasks).size, tasks.length, tasks.join(' '));
+});
+
+Then('no task ran twice at the same time', function checkTwice(this: Steps) {
+  assert.ok(this.world.driver.maxRunsPerTask <= 1);
+});
+
+Then('worker {word} has started nothing', function checkNone(this: Steps, id: string) {
+  assert.deepEqual(this.world.driver.worker(id).started, []);
+});
+
+Then('no worker had more than {int} tasks', function checkRoom(this: Steps, most: number) {
+  assert.ok(this.maxTasks <= most, `${this.maxTasks} tasks`);
+});
+
+Then(
+  'a call for job {string} is answered {string}',
+  async function checkCall(this: Steps, id: string, type: string) {
+    assert.equal((await this.world.call({ operation: 'read' }, id)).type, type);
+  },
+);
+
+Then(
+  'a call with key {string} is answered {string}',
+  async function checkKey(this: Steps, key: string, type: string) {
+    assert.equal((await this.world.call({ operation: 'read' }, 'j', key)).type, type);
+  },
+);
+
+Then('a call for the queue is answered {string}', async function checkQueue(this: Steps, type) {
+  assert.equal((await this.world.call({ operation: 'read' }, '')).type, type);
+});
--- /dev/null
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -0,0 +1,132 @@
+import type {
+  ActiveRun,
+  EndReport,
+  InspectOrder,
+  Inspection,
+  RunOrder,
+  StartOrder,
+  StartOutcome,
+} from '@lagoongap/workflow/endpointDriver.js';
+import type { RunOutcome } from '@lagoongap/workflow/workflowRecords.js';
+
+/** How a worker treats orders. */
+export type WorkerMood =
+  'sound' | 'failing' | 'stalled' | 'silent' | 'start-answers-lost' | 'starts-late';
+
+interface WorkerRun {
+  order: StartOrder;
+  timer?: NodeJS.Timeout;
+}
+
+/** Time after which a late order is carried out. */
+const LATE_MS = 3000;
+
+/** One life of a worker that runs what it is told to, on the paused clock. */
+export class FakeWorker {
+  readonly runs = new Map<string, WorkerRun>();
+  /** Every start that was carried out, as `<task>:<run>`. */
+  readonly started: string[] = [];
+  mood: WorkerMood = 'sound';
+  /** Duration of a task in milliseconds. */
+  durationMs = 500;
+  /** Load reported for every run. */
+  load = 0;
+  bornMs = 1;
+  private readonly refused = new Map<string, number>();
+  private reports: EndReport[] = [];
+  private nextReport = 1;
+  private fence = 0;
+  private untilMs = 0;
+  private leaseTimer: NodeJS.Timeout | undefined;
+  private waiters: (() => void)[] = [];
+
+  start(order: StartOrder): StartOutcome {
+    if (order.fencingToken < this.fence) return 'fenced';
+    this.fence = order.fencingToken;
+    const key = `${order.task}:${order.run}`;
+    if (this.runs.has(key)) return 'started';
+    if (order.run <= (this.refused.get(order.task) ?? 0)) return 'superseded';
+    if (order.untilMs <= this.clockMs()) return 'late';
+    this.renew(order.untilMs);
+    const run: WorkerRun = { order };
+    this.runs.set(key, run);
+    this.started.push(key);
+    if (this.mood !== 'stalled') {
+      const outcome = this.mood === 'failing' ? 'failed' : 'done';
+      run.timer = setTimeout(() => this.end(key, outcome), this.durationMs);
+    }
+    return 'started';
+  }
+
+  /** Carries an order out when its sender has long stopped to wait. */
+  startLate(order: StartOrder): void {
+    setTimeout(() => this.start(order), LATE_MS);
+  }
+
+  stop({ task, run, fencingToken }: RunOrder): boolean {
+    if (fencingToken < this.fence) return false;
+    this.fence = fencingToken;
+    this.refused.set(task, Math.max(run, this.refused.get(task) ?? 0));
+    this.end(`${task}:${run}`, 'stopped');
+    return true;
+  }
+
+  async inspect(order: InspectOrder): Promise<Inspection | undefined> {
+    if (order.fencingToken < this.fence) return undefined;
+    this.fence = order.fencingToken;
+    this.reports = this.reports.filter(({ number }) => number > order.ackedReport);
+    if (order.untilMs !== undefined) this.renew(order.untilMs);
+    if (this.reports.length === 0 && order.waitMs > 0) await this.waitForEnd(order.waitMs);
+    const active: ActiveRun[] = [...this.runs.values()].map(({ order: { task, run } }) => ({
+      task,
+      run,
+      checkpoint: '',
+      percent: 100,
+      load: this.load,
+    }));
+    return { clockMs: this.clockMs(), bornMs: this.bornMs, active, ended: [...this.reports] };
+  }
+
+  /** Ends everything without a report and begins a new life. */
+  rebear(): void {
+    for (const { timer } of this.runs.values()) clearTimeout(timer);
+    this.runs.clear();
+    this.refused.clear();
+    this.reports = [];
+    this.nextReport = 1;
+    this.fence = 0;
+    this.untilMs = 0;
+    this.bornMs += 1;
+  }
+
+  private clockMs(): number {
+    return Math.floor(performance.now());
+  }
+
+  private renew(untilMs: number): void {
+    this.untilMs = Math.max(this.untilMs, untilMs);
+    clearTimeout(this.leaseTimer);
+    this.leaseTimer = setTimeout(() => {
+      for (const key of [...this.runs.keys()]) this.end(key, 'lapsed');
+    }, this.untilMs - this.clockMs());
+  }
+
+  private end(key: string, outcome: RunOutcome): void {
+    const run = this.runs.get(key);
+    if (!run) return;
+    clearTimeout(run.timer);
+    this.runs.delete(key);
+    const { task, run: number } = run.order;
+    this.refused.set(task, Math.max(number, this.refused.get(task) ?? 0));
+    this.reports.push({ number: this.nextReport, task, run: number, outcome, checkpoint: '' });
+    this.nextReport += 1;
+    for (const wake of this.waiters.splice(0)) wake();
+  }
+
+  private async waitForEnd(ms: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.waiters.push(resolve);
+      setTimeout(resolve, ms);
+    });
+  }
+}
--- /dev/null
+++ b/packages/tests/src/workflow/termLog.ts
@@ -0,0 +1,22 @@
+import type { ProposeResult, StateMachine } from '@lagoongap/consensus/replicatedLog.js';
+
+import { HeldLog } from '../harness/heldLog.js';
+
+/** Replicated log of one leadership that commits everything at once. */
+export class TermLog extends HeldLog {
+  override readonly term: number;
+  /** Leadership has ended: nothing is committed any more. */
+  isOver = false;
+
+  constructor(stateMachine: StateMachine, term: number) {
+    super(stateMachine);
+    this.term = term;
+  }
+
+  override propose(command: unknown): Promise<ProposeResult> {
+    const result = super.propose(command);
+    if (this.isOver) this.loseLeadership();
+    else this.commitAll();
+    return result;
+  }
+}
--- /dev/null
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -0,0 +1,193 @@
+import { SILENT_LOG } from '@lagoongap/model/log.js';
+import { NO_RESOURCES } from '@lagoongap/model/resources.js';
+import type { CellConfig } from '@lagoongap/workflow/cellConfig.js';
+import type { JobAnswer } from '@lagoongap/workflow/jobCalls.js';
+import type { JobSpec, StepSpec } from '@lagoongap/workflow/jobSpec.js';
+import type { EndpointRecord, JobRecord } from '@lagoongap/workflow/workflowRecords.js';
+import { WorkflowSession } from '@lagoongap/workflow/workflowSession.js';
+import { WorkflowState } from '@lagoongap/workflow/workflowState.js';
+import { DEFAULT_WORKFLOW_TIMING } from '@lagoongap/workflow/workflowTiming.js';
+import FakeTimers from '@sinonjs/fake-timers';
+
+import { FakeDriver } from './fakeDriver.js';
+import { TermLog } from './termLog.js';
+
+/** What the code under test uses; the test runner keeps the rest. */
+const CLOCK_FUNCTIONS = [
+  'setTimeout',
+  'clearTimeout',
+  'setInterval',
+  'clearInterval',
+  'performance',
+  'Date',
+] as const;
+
+const START_MS = 1_700_000_000_000;
+const CORE = 1000;
+const TICK_MS = 2;
+const HEARTBEAT_MS = 1500;
+
+/** Fields of a step that a scenario sets; the others take defaults. */
+export type StepRow = Partial<StepSpec> & { cores?: number };
+
+/** Returns a step with defaults. */
+export function createStep({ cores = 1, ...fields }: StepRow): StepSpec {
+  return {
+    taskCount: 1,
+    size: { ...NO_RESOURCES, cpuMillis: cores * CORE, memoryMib: 1 },
+    estimateMs: 500,
+    dependsOn: [],
+    isCheckpointing: false,
+    isGang: false,
+    isRackLocal: false,
+    requiredLabel: '',
+    dataRack: '',
+    maxPerEndpoint: 0,
+    allowsCopies: false,
+    isService: false,
+    image: '',
+    latencyTargetMs: 0,
+    fillsIdleCapacity: false,
+    maxUnavailable: 0,
+    ...fields,
+  };
+}
+
+/** A leader of workflows with workers in the same process, on a paused clock. */
+export class WorkflowWorld implements AsyncDisposable {
+  readonly driver = new FakeDriver();
+  readonly state = new WorkflowState();
+  readonly clock = FakeTimers.install({ now: START_MS, toFake: [...CLOCK_FUNCTIONS] });
+  readonly records = new Map<string, EndpointRecord>();
+  readonly answers: JobAnswer[] = [];
+  session: WorkflowSession;
+  log: TermLog;
+  private config: CellConfig;
+  private sequence = 0;
+
+  constructor(config: Partial<CellConfig['queues'][number]> = {}) {
+    this.config = {
+      version: 1,
+      queues: [
+        {
+          name: 'q',
+          host: 'h',
+          pathPrefix: '/q/',
+          pool: 'p',
+          priority: 1,
+          maxAttempts: 3,
+          stretch: 1,
+          targetMs: 0,
+          isOpen: false,
+          ...config,
+        },
+      ],
+      organisations: [{ name: 'o', keys: ['k'], weight: 1, limit: { ...NO_RESOURCES } }],
+    };
+    this.state.config = { version: 1, document: 'config' };
+    this.log = new TermLog(this.state, 2);
+    this.session = this.createSession();
+    this.session.start();
+  }
+
+  /** Limits the processor time of the organisation, in cores. */
+  limitCores(cores: number): void {
+    this.config.organisations[0]!.limit = { ...NO_RESOURCES, cpuMillis: cores * CORE };
+  }
+
+  async addWorkers(
+    count: number,
+    cores: number,
+    fields: Partial<EndpointRecord> = {},
+  ): Promise<void> {
+    for (let i = 1; i <= count; i += 1) {
+      const id = `w${this.records.size + 1}`;
+      this.driver.worker(id);
+      this.records.set(id, {
+        id,
+        address: `${id}:1`,
+        dataCentre: 'd',
+        pool: 'p',
+        instance: `m-${id}`,
+        bornMs: 1,
+        capacity: { ...NO_RESOURCES, cpuMillis: cores * CORE, memoryMib: 1000 },
+        kind: 'a',
+        rack: 'r1',
+        labels: ['a', 'r1'],
+        isDraining: false,
+        ...fields,
+      });
+    }
+    await this.beat();
+    await this.advance(50);
+  }
+
+  /** Lets all workers that are not silent report. */
+  async beat(): Promise<void> {
+    this.sequence += 1;
+    for (const endpoint of this.records.values()) {
+      if (this.driver.worker(endpoint.id).mood === 'silent') continue;
+      const { bornMs } = this.driver.worker(endpoint.id);
+      const record = { ...endpoint, bornMs };
+      this.session.endpoints
+        .heartbeat({ endpoint: record, sequence: this.sequence })
+        .catch(() => undefined);
+    }
+    await this.advance(TICK_MS);
+  }
+
+  async submit(id: string, steps: StepSpec[], fields: Partial<JobSpec> = {}): Promise<JobAnswer> {
+    return this.call({ operation: 'submit', spec: { payload: id, steps, ...fields } }, id);
+  }
+
+  async call(
+    operation:
+      { operation: 'submit'; spec: JobSpec } | { operation: 'read' } | { operation: 'cancel' },
+    id: string,
+    key: string | undefined = 'k',
+  ): Promise<JobAnswer> {
+    const answer = this.session.jobs.handle({ host: 'h', path: `/q/${id}`, key, ...operation });
+    await this.advance(TICK_MS);
+    return answer;
+  }
+
+  /** Lets time pass; workers report as usual. */
+  async advance(ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += TICK_MS) {
+      await this.clock.tickAsync(TICK_MS);
+      if (performance.now() % HEARTBEAT_MS < TICK_MS) await this.beat();
+    }
+  }
+
+  /** Ends the leadership without a word and begins the next one. */
+  async changeLeader(): Promise<void> {
+    this.log.isOver = true;
+    await this.session[Symbol.asyncDispose]();
+    this.log = new TermLog(this.state, this.log.term + 1);
+    this.session = this.createSession();
+    this.session.start();
+    await this.beat();
+  }
+
+  job(id: string): JobRecord {
+    return this.state.jobs.get(id)!;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.session[Symbol.asyncDispose]();
+    this.clock.uninstall();
+  }
+
+  private createSession(): WorkflowSession {
+    const { log } = this;
+    return new WorkflowSession({
+      log,
+      state: this.state,
+      driver: this.driver,
+      parseConfig: () => this.config,
+      timing: { ...DEFAULT_WORKFLOW_TIMING, leaseMs: 5000, maxLeaseMs: 6000 },
+      logger: SILENT_LOG,
+      isValid: () => !log.isOver,
+    });
+  }
+}
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -181,7 +181,7 @@
     log.info('start order has no answer', { run: run.key, endpoint: this.id });
     while (!this.isDisposed && this.runs.has(run.key) && run.phase === 'unsettled') {
       const isAnswered = await this.inspect(0);
-      if (run.phase !== 'unsettled' || !this.runs.has(run.key)) return;
+      if (run.phase !== 'unsettled' || !this.runs.has(run.key)) break;
       if (!isAnswered) {
         await delay(RETRY_MS);
       } else if (run.isStopped) {
@@ -191,6 +191,7 @@
         run.isStopped = await driver.stop(this.record, order);
       }
     }
+    this.poke();
   }
 
   /** Stops a run; repeated until the endpoint has accepted it or the run has gone. */
@@ -259,10 +260,12 @@
     if (!isValid()) return false;
     const sentMs = performance.now();
     const { record } = this;
+    // An endpoint that does not answer may still hear: its lease must be let run out.
+    const mayRenew = this.clock.isKnown && !this.isSuspect;
     const result = await driver.inspect(record, {
       fencingToken,
       ackedReport: this.ackedReport,
-      untilMs: this.clock.isKnown ? this.clock.grant(leaseMs, sentMs) : undefined,
+      untilMs: mayRenew ? this.clock.grant(leaseMs, sentMs) : undefined,
       waitMs,
     });
     if (this.isDisposed) return false;
--- a/packages/workflow/src/stepPlacer.ts
+++ b/packages/workflow/src/stepPlacer.ts
@@ -21,6 +21,8 @@
   fits: (candidate: PlacementCandidate, spec: StepSpec) => boolean;
   /** Tasks of the step on the endpoint. */
   countOn: (candidate: PlacementCandidate) => number;
+  /** Runs of the step that failed or stood still on the endpoint. */
+  troubleOn: (candidate: PlacementCandidate) => number;
   /** Part of the endpoint's processor time that is taken, 0 to 1 and above. */
   loadOf: (candidate: PlacementCandidate) => number;
 }
@@ -31,6 +33,9 @@
 /** Added cost of a place where filling tasks would disturb serving ones. */
 const INTERFERENCE_COST = 5;
 
+/** Added cost of each run of the step that went wrong there. */
+const TROUBLE_COST = 3;
+
 function isAllowed(candidate: PlacementCandidate, spec: StepSpec, room: PlacementRoom): boolean {
   if (spec.requiredLabel !== '' && !candidate.labels.includes(spec.requiredLabel)) return false;
   if (spec.maxPerEndpoint > 0 && room.countOn(candidate) >= spec.maxPerEndpoint) return false;
@@ -55,6 +60,7 @@
     const isFar = spec.dataRack !== '' && candidate.rack !== spec.dataRack;
     let cost = candidate.durationFactor * (isFar ? farFactor : 1);
     cost += LOAD_WEIGHT * room.loadOf(candidate);
+    cost += TROUBLE_COST * room.troubleOn(candidate);
     if (spec.fillsIdleCapacity && candidate.isServing) cost += INTERFERENCE_COST;
     if (cost >= bestCost || !isAllowed(candidate, spec, room)) continue;
     best = candidate;
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -58,6 +58,7 @@
   private readonly opts: StepSchedulerOptions;
   private readonly books = new Map<string, TicketBook>();
   private readonly asking = new Set<string>();
+  private readonly troubles = new Map<string, Map<string, number>>();
   private readonly suitableShares = new Map<string, MovingAverage>();
   /** Starts that are decided but not recorded, by step and task index. */
   private readonly pending = new Set<string>();
@@ -76,9 +77,17 @@
     this.pending.delete(`${stepName}.${task.index}`);
   }
 
+  /** Notes that a run of a step went wrong on an endpoint, which others are preferred to then. */
+  noteTrouble(step: string, endpoint: string): void {
+    const counts = this.troubles.get(step) ?? new Map<string, number>();
+    counts.set(endpoint, (counts.get(endpoint) ?? 0) + 1);
+    this.troubles.set(step, counts);
+  }
+
   /** Forgets what was learnt about a step that has ended. */
   forget(step: string): void {
     this.books.delete(step);
+    this.troubles.delete(step);
   }
 
   /** Forgets the tickets of an endpoint that began a new life or rejected one. */
@@ -209,6 +218,7 @@
       fits: (candidate, { size, fillsIdleCapacity }) =>
         ledger.hasRoom(candidate.id, candidate.capacity, size, fillsIdleCapacity) &&
         (!limit || ledger.isWithinLimit(organisation, limit, size)),
+      troubleOn: ({ id }) => this.troubles.get(ready.name)?.get(id) ?? 0,
       countOn: ({ id }) => ledger.countOf(ready.name, id),
       loadOf: ({ id, capacity }) => {
         const filling = ready.spec.fillsIdleCapacity ? ledger.fillingOn(id) : 0;
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -148,6 +148,7 @@
     });
     for (const { key, task } of runs) {
       this.health.recordAbandoned({ attemptId: key, unitId: task.jobId, endpointId: agent.id });
+      this.noteTrouble(agent, task);
     }
     const ends = runs.map(({ task, run, checkpoint }) => ({
       task,
@@ -270,6 +271,10 @@
     for (const id of jobs) this.followJob(id);
   }
 
+  private noteTrouble(agent: EndpointAgent, task: TaskRef): void {
+    this.scheduler.noteTrouble(stepName(task.jobId, task.occurrence, task.step), agent.id);
+  }
+
   /** Stops the copies of a task that has ended well. */
   private stopCopies(task: TaskRef): void {
     const record = this.opts.state.findTask(task);
@@ -288,6 +293,7 @@
     if (report.outcome === 'done') this.health.recordSuccess(attempt);
     else if (report.outcome === 'failed') this.health.recordFailure(attempt);
     else this.health.recordAbandoned(attempt);
+    if (report.outcome === 'failed') this.noteTrouble(agent, run.task);
     const spec = this.opts.state.findSpec(run.task);
     const isMeasurable = report.outcome === 'done' && run.confirmedMs > 0 && run.run === 1;
     if (!spec || !isMeasurable || spec.fillsIdleCapacity || spec.dataRack !== '') return;
@@ -378,6 +384,7 @@
     for (const id of this.stragglers.findJobs()) this.followJob(id);
     for (const { agent, run } of this.stragglers.findStalled()) {
       this.opts.logger.warn('run stands still', { run: run.key, endpoint: agent.id });
+      this.noteTrouble(agent, run.task);
       agent.stop(run);
     }
     this.requestTurn();
