--- a/packages/workflow/src/readySteps.ts
+++ b/packages/workflow/src/readySteps.ts
@@ -106,6 +106,36 @@
     return undefined;
   }
 
+  /** Steps of a job that wait for earlier steps of which no task waits for a start any more. */
+  listUpcoming(job: JobRecord): ReadyStep[] {
+    const { state } = this.opts;
+    const upcoming: ReadyStep[] = [];
+    if (job.status !== 'open') return upcoming;
+    for (const { occurrence } of job.steps.values()) {
+      job.spec.steps.forEach((spec, step) => {
+        const isStarted = state.findStep(job, occurrence, step) !== undefined;
+        if (isStarted || this.isUnblocked(job, occurrence, spec)) return;
+        const isNear = spec.dependsOn.every((earlier) => {
+          const record = state.findStep(job, occurrence, earlier);
+          return record?.tasks.every(({ isDone, runs }) => isDone || runs.length > 0);
+        });
+        if (!isNear) return;
+        const waiting = Array.from({ length: spec.taskCount }, (_, index) => index);
+        const name = stepName(job.id, occurrence, step);
+        upcoming.push({
+          name,
+          job,
+          occurrence,
+          step,
+          spec,
+          waiting,
+          dueMs: dueTime(job, occurrence),
+        });
+      });
+    }
+    return upcoming;
+  }
+
   /** Tells whether all steps that a step depends on have ended well. */
   isUnblocked(job: JobRecord, occurrence: number, spec: StepSpec): boolean {
     const { state } = this.opts;
--- a/packages/workflow/src/stragglerWatch.ts
+++ b/packages/workflow/src/stragglerWatch.ts
@@ -1,6 +1,7 @@
 import type { AgentRun, EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { taskName, type StepSpec, type TaskRef } from './jobSpec.js';
+import type { ReadyStep } from './readySteps.js';
 import type { SessionContext } from './sessionContext.js';
 import type { SpeedLearner } from './speedLearner.js';
 import type { RunRecord } from './workflowRecords.js';
@@ -66,6 +67,25 @@
     return stalled;
   }
 
+  /** Monotonic time at which the steps before a step are expected to have ended. */
+  expectStepEnd({ job, occurrence, spec }: ReadyStep): number {
+    let endMs = 0;
+    for (const step of spec.dependsOn) {
+      const earlier = job.spec.steps[step]!;
+      const tasks = this.context.state.findStep(job, occurrence, step)?.tasks ?? [];
+      for (const [index, { runs }] of tasks.entries()) {
+        const name = taskName({ jobId: job.id, occurrence, step, index });
+        for (const { run, endpoint } of runs) {
+          const agent = this.directory.find(endpoint);
+          const known = agent?.runs.get(`${name}:${run}`);
+          if (!agent || !known) continue;
+          endMs = Math.max(endMs, known.orderedMs + this.expectMs(agent, earlier));
+        }
+      }
+    }
+    return endMs;
+  }
+
   private isSlow(agent: EndpointAgent, run: AgentRun, spec: StepSpec): boolean {
     const limitMs = this.expectMs(agent, spec) * COPY_FACTOR + COPY_MARGIN_MS;
     return performance.now() - run.orderedMs > limitMs;
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -23,7 +23,10 @@
 const TURN_INTERVAL_MS = 4;
 
 /** Time between two rounds of upkeep: ended jobs, silent endpoints, steps that wait. */
-const UPKEEP_INTERVAL_MS = 500;
+const UPKEEP_INTERVAL_MS = 250;
+
+/** Time by which advice is asked for ahead of its use, beyond the advisor's own. */
+const ADVICE_LEAD_MS = 1000;
 
 /** Silence after which an endpoint without work is forgotten, in heartbeats. */
 const FORGET_HEARTBEATS = 20;
@@ -356,6 +359,10 @@
       for (const start of planned) this.scheduler.settle(start);
     }
     for (const start of planned) this.dispatch(start);
+    for (const id of new Set(planned.map(({ task }) => task.jobId))) {
+      const job = this.opts.state.jobs.get(id);
+      if (job && job.spec.steps.length > 1) this.prepareNext(job, config);
+    }
   }
 
   /** Orders a start that is recorded, unless its job has ended meanwhile. */
@@ -377,10 +384,33 @@
     });
   }
 
+  /** Asks for advice on the steps that come next, so that they can start without a wait. */
+  private prepareNext(job: JobRecord, config: CellConfig): void {
+    const queue = config.queues.find(({ name }) => name === job.queue);
+    if (!queue?.advice) return;
+    const { decideMs, validMs } = queue.advice;
+    for (const step of this.ready.listUpcoming(job)) {
+      const waitMs = this.stragglers.expectStepEnd(step) - performance.now();
+      // Tickets must outlive the wait; questions take their time.
+      if (waitMs < decideMs + Math.min(ADVICE_LEAD_MS, validMs / 2)) {
+        this.scheduler.prepare(step, queue);
+      }
+    }
+  }
+
+  private prepareSteps(): void {
+    const config = this.readConfig();
+    if (!config) return;
+    for (const job of this.opts.state.jobs.values()) {
+      if (job.status === 'open' && job.spec.steps.length > 1) this.prepareNext(job, config);
+    }
+  }
+
   private keepUp(): void {
     if (!this.context.isValid()) return;
     this.forgetJobs();
     this.forgetSilentEndpoints();
+    this.prepareSteps();
     for (const id of this.stragglers.findJobs()) this.followJob(id);
     for (const { agent, run } of this.stragglers.findStalled()) {
       this.opts.logger.warn('run stands still', { run: run.key, endpoint: agent.id });
