--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -127,6 +127,11 @@
     this.registerMembership();
   }
 
+  /** Whether this replica leads. */
+  get isLeader(): boolean {
+    return this.replica.role === 'leader';
+  }
+
   /** Resolves when the replica takes part; the network listens before that. */
   async start(): Promise<void> {
     await this.network.start();
@@ -147,7 +152,7 @@
 
   /** Hands leadership over and goes on to pass calls on for a while. */
   async drain(): Promise<void> {
-    if (this.replica.role === 'leader') {
+    if (this.isLeader) {
       await this.replica.transferLeadership().catch((err: Error) => {
         this.opts.log.warn('could not transfer leadership', { err: err.message });
       });
--- /dev/null
+++ b/packages/tests/src/platform/platformCell.ts
@@ -0,0 +1,141 @@
+import { mkdtemp, rm } from 'node:fs/promises';
+import { createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { WorkflowGateway } from '@lagoongap/daemon/workflowGateway.js';
+import { replicaInstanceId } from '@lagoongap/daemon/workflowPeers.js';
+import { WorkflowReplica } from '@lagoongap/daemon/workflowReplica.js';
+import { SILENT_LOG } from '@lagoongap/model/log.js';
+import { CallerApi } from '@lagoongap/platform/callerApi.js';
+import { parseConfigDocument } from '@lagoongap/platform/configDocument.js';
+import { ControlApi } from '@lagoongap/platform/controlApi.js';
+import { HttpAdvisor } from '@lagoongap/platform/httpAdvisor.js';
+import { HttpEndpointDriver } from '@lagoongap/platform/httpEndpointDriver.js';
+import { HttpService } from '@lagoongap/platform/httpService.js';
+import { PlatformClient } from '@lagoongap/platform/platformClient.js';
+import { DEFAULT_WORKFLOW_TIMING } from '@lagoongap/workflow/workflowTiming.js';
+
+import { EndpointStandIn } from './endpointStandIn.js';
+
+const HOST = '127.0.0.1';
+const MAX_BODY_BYTES = 1024 * 1024;
+
+interface RunningReplica {
+  replica: WorkflowReplica;
+  control: HttpService;
+  address: string;
+  folder: string;
+}
+
+async function findPort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, HOST, resolve);
+  });
+  const { port } = server.address() as { port: number };
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+/** Replicas and a gateway on loopback, with stand-ins for endpoints and advisor. */
+export class PlatformCell implements AsyncDisposable {
+  readonly endpoints: EndpointStandIn[] = [];
+  callers = '';
+  private readonly client = new PlatformClient();
+  private readonly advisor = new EndpointStandIn('advisor', () => []);
+  private readonly replicas: RunningReplica[] = [];
+  private gateway: WorkflowGateway | undefined;
+  private callerService: HttpService | undefined;
+
+  /** Addresses of the replicas that run. */
+  get controls(): string[] {
+    return this.replicas.map(({ address }) => address);
+  }
+
+  async start(replicaCount: number): Promise<void> {
+    await this.advisor.start();
+    const ports: number[] = [];
+    while (ports.length < replicaCount) ports.push(await findPort());
+    const seeds = ports.map((port) => replicaInstanceId(HOST, port));
+    for (const port of ports) await this.addReplica(port, seeds);
+    await Promise.all(this.replicas.map(({ replica }) => replica.start()));
+    const gateway = new WorkflowGateway({
+      host: HOST,
+      peerPort: await findPort(),
+      seeds,
+      advisor: new HttpAdvisor(this.client, this.advisor.address, SILENT_LOG),
+      log: SILENT_LOG,
+    });
+    this.gateway = gateway;
+    await gateway.start();
+    const api = new CallerApi(gateway, SILENT_LOG);
+    this.callers = `${HOST}:${await findPort()}`;
+    this.callerService = this.createService(this.callers, api);
+    await this.callerService.listen();
+  }
+
+  async addEndpoints(count: number): Promise<void> {
+    for (let i = 1; i <= count; i += 1) {
+      const endpoint = new EndpointStandIn(`i-${i}`, () => this.controls);
+      this.endpoints.push(endpoint);
+      await endpoint.start();
+    }
+  }
+
+  /** Stops the replica that leads, without a word. */
+  async stopLeader(): Promise<void> {
+    const index = this.replicas.findIndex(({ replica }) => replica.isLeader);
+    const [leader] = this.replicas.splice(index, 1);
+    await PlatformCell.stop(leader!);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const endpoint of [...this.endpoints, this.advisor]) await endpoint[Symbol.asyncDispose]();
+    await this.callerService?.[Symbol.asyncDispose]();
+    await this.gateway?.[Symbol.asyncDispose]();
+    for (const running of this.replicas) await PlatformCell.stop(running);
+    await this.client[Symbol.asyncDispose]();
+  }
+
+  private async addReplica(peerPort: number, seeds: string[]): Promise<void> {
+    const folder = await mkdtemp(join(tmpdir(), 'lagoongap-platform-'));
+    const replica = new WorkflowReplica({
+      host: HOST,
+      peerPort,
+      dataFolder: join(folder, 'data'),
+      bootstrap: true,
+      seeds,
+      driver: new HttpEndpointDriver(this.client, SILENT_LOG),
+      parseConfig: parseConfigDocument,
+      timing: DEFAULT_WORKFLOW_TIMING,
+      log: SILENT_LOG,
+      onFatal: (err) => {
+        throw err;
+      },
+    });
+    const port = await findPort();
+    const address = `${HOST}:${port}`;
+    const api = new ControlApi({ leader: replica.leader, controlPort: port, log: SILENT_LOG });
+    const control = this.createService(address, api);
+    await control.listen();
+    this.replicas.push({ replica, control, address, folder });
+  }
+
+  private createService(address: string, api: CallerApi | ControlApi): HttpService {
+    return new HttpService({
+      address,
+      maxBodyBytes: MAX_BODY_BYTES,
+      handle: (call) => api.handle(call),
+      log: SILENT_LOG,
+    });
+  }
+
+  private static async stop({ replica, control, folder }: RunningReplica): Promise<void> {
+    await control[Symbol.asyncDispose]();
+    await replica[Symbol.asyncDispose]();
+    await rm(folder, { recursive: true, force: true });
+  }
+}
