Ask for advice on the first steps while a job is being recorded

Cause: advice was asked for only after the commit of the submission, about 20 ms later. Change: asked for at once; what is asked ahead of time lives in a module of its own.

--- a/packages/workflow/src/jobService.ts
+++ b/packages/workflow/src/jobService.ts
@@ -2,10 +2,13 @@
 import type { JobAnswer, JobCall, JobState } from './jobCalls.js';
 import type { JobSpec } from './jobSpec.js';
 import type { SessionContext } from './sessionContext.js';
+import type { SubmitCommand } from './workflowCommand.js';
 import type { JobRecord } from './workflowRecords.js';
 
 /** Receives what calls change. */
 export interface JobServiceListener {
+  /** The job is about to be recorded; it may still come to nothing. */
+  onSubmitting(job: SubmitCommand): void;
   onAccepted(job: JobRecord): void;
   onClosed(job: JobRecord): void;
 }
@@ -74,7 +77,7 @@
   ): Promise<JobAnswer> {
     const { state, propose, logger } = this.context;
     if (state.jobs.has(id)) return { type: 'accepted' };
-    await propose({
+    const command: SubmitCommand = {
       type: 'submit',
       id,
       queue: queue.name,
@@ -82,7 +85,9 @@
       maxAttempts: queue.maxAttempts,
       acceptedMs: Date.now(),
       spec,
-    });
+    };
+    this.listener.onSubmitting(command);
+    await propose(command);
     const job = state.jobs.get(id);
     logger.info('job accepted', { job: id, queue: queue.name, organisation });
     if (job) this.listener.onAccepted(job);
--- a/packages/workflow/src/readySteps.ts
+++ b/packages/workflow/src/readySteps.ts
@@ -31,6 +31,20 @@
   return schedule ? schedule.firstMs + occurrence * schedule.intervalMs : job.acceptedMs;
 }
 
+/** Returns a step of which all tasks wait. */
+function createReadyStep(job: JobRecord, occurrence: number, step: number): ReadyStep {
+  const spec = job.spec.steps[step]!;
+  return {
+    name: stepName(job.id, occurrence, step),
+    job,
+    occurrence,
+    step,
+    spec,
+    waiting: Array.from({ length: spec.taskCount }, (_, index) => index),
+    dueMs: dueTime(job, occurrence),
+  };
+}
+
 /** Goes through all tasks of a job that have a record. */
 export function* listTasks(job: JobRecord): Generator<{ task: TaskRef; record: TaskRecord }> {
   for (const { occurrence, step, tasks } of job.steps.values()) {
@@ -106,6 +120,13 @@
     return undefined;
   }
 
+  /** Steps of a job that depend on no other, whether or not the job is recorded. */
+  listFirst(job: JobRecord): ReadyStep[] {
+    return job.spec.steps.flatMap((spec, step) =>
+      spec.dependsOn.length === 0 ? [createReadyStep(job, 0, step)] : [],
+    );
+  }
+
   /** Steps of a job that wait for earlier steps of which no task waits for a start any more. */
   listUpcoming(job: JobRecord): ReadyStep[] {
     const { state } = this.opts;
@@ -120,17 +141,7 @@
           return record?.tasks.every(({ isDone, runs }) => isDone || runs.length > 0);
         });
         if (!isNear) return;
-        const waiting = Array.from({ length: spec.taskCount }, (_, index) => index);
-        const name = stepName(job.id, occurrence, step);
-        upcoming.push({
-          name,
-          job,
-          occurrence,
-          step,
-          spec,
-          waiting,
-          dueMs: dueTime(job, occurrence),
-        });
+        upcoming.push(createReadyStep(job, occurrence, step));
       });
     }
     return upcoming;
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -2,6 +2,7 @@
 import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 
 import { AdviceBroker } from './adviceBroker.js';
+import { AdvicePlanner } from './advicePlanner.js';
 import type { CellConfig } from './cellConfig.js';
 import type { AgentListener, AgentRun, EndpointAgent } from './endpointAgent.js';
 import { EndpointDirectory } from './endpointDirectory.js';
@@ -25,9 +26,6 @@
 /** Time between two rounds of upkeep: ended jobs, silent endpoints, steps that wait. */
 const UPKEEP_INTERVAL_MS = 250;
 
-/** Time by which advice is asked for ahead of its use, beyond the advisor's own. */
-const ADVICE_LEAD_MS = 1000;
-
 /** Silence after which an endpoint without work is forgotten, in heartbeats. */
 const FORGET_HEARTBEATS = 20;
 
@@ -53,6 +51,7 @@
   private readonly scheduler: StepScheduler;
   private readonly interference: InterferenceGuard;
   private readonly stragglers: StragglerWatch;
+  private readonly advice: AdvicePlanner;
   private readonly occurrenceTimers = new Map<string, NodeJS.Timeout>();
   private readonly endedSince = new Map<string, number>();
   private config: CellConfig | undefined;
@@ -89,7 +88,14 @@
     });
     this.interference = new InterferenceGuard(this.context);
     this.stragglers = new StragglerWatch(this.context, this.directory, this.speeds);
+    this.advice = new AdvicePlanner({
+      context: this.context,
+      ready: this.ready,
+      scheduler: this.scheduler,
+      stragglers: this.stragglers,
+    });
     this.jobs = new JobService(this.context, {
+      onSubmitting: (command) => this.advice.prepareFirst(command),
       onAccepted: (job) => this.followJob(job.id),
       onClosed: (job) => this.closeJob(job),
     });
@@ -361,7 +367,7 @@
     for (const start of planned) this.dispatch(start);
     for (const id of new Set(planned.map(({ task }) => task.jobId))) {
       const job = this.opts.state.jobs.get(id);
-      if (job && job.spec.steps.length > 1) this.prepareNext(job, config);
+      if (job) this.advice.prepareNext(job, config);
     }
   }
 
@@ -384,33 +390,11 @@
     });
   }
 
-  /** Asks for advice on the steps that come next, so that they can start without a wait. */
-  private prepareNext(job: JobRecord, config: CellConfig): void {
-    const queue = config.queues.find(({ name }) => name === job.queue);
-    if (!queue?.advice) return;
-    const { decideMs, validMs } = queue.advice;
-    for (const step of this.ready.listUpcoming(job)) {
-      const waitMs = this.stragglers.expectStepEnd(step) - performance.now();
-      // Tickets must outlive the wait; questions take their time.
-      if (waitMs < decideMs + Math.min(ADVICE_LEAD_MS, validMs / 2)) {
-        this.scheduler.prepare(step, queue);
-      }
-    }
-  }
-
-  private prepareSteps(): void {
-    const config = this.readConfig();
-    if (!config) return;
-    for (const job of this.opts.state.jobs.values()) {
-      if (job.status === 'open' && job.spec.steps.length > 1) this.prepareNext(job, config);
-    }
-  }
-
   private keepUp(): void {
     if (!this.context.isValid()) return;
     this.forgetJobs();
     this.forgetSilentEndpoints();
-    this.prepareSteps();
+    this.advice.prepareAll();
     for (const id of this.stragglers.findJobs()) this.followJob(id);
     for (const { agent, run } of this.stragglers.findStalled()) {
       this.opts.logger.warn('run stands still', { run: run.key, endpoint: agent.id });
--- a/packages/workflow/src/workflowState.ts
+++ b/packages/workflow/src/workflowState.ts
@@ -25,6 +25,24 @@
   waves: WaveRecord[];
 }
 
+/** Returns the record of a job that was just accepted. */
+export function createJob(command: SubmitCommand): JobRecord {
+  const { id, queue, organisation, maxAttempts, acceptedMs, spec } = command;
+  const occurrences = spec.schedule?.count ?? 1;
+  return {
+    id,
+    queue,
+    organisation,
+    maxAttempts,
+    acceptedMs,
+    spec,
+    status: 'open',
+    hasStarted: false,
+    openSteps: occurrences * spec.steps.length,
+    steps: new Map(),
+  };
+}
+
 function createTask(): TaskRecord {
   return { isDone: false, lastRun: 0, failures: 0, runs: [] };
 }
@@ -133,21 +151,7 @@
   }
 
   private submit(command: SubmitCommand): void {
-    if (this.jobs.has(command.id)) return;
-    const { id, queue, organisation, maxAttempts, acceptedMs, spec } = command;
-    const occurrences = spec.schedule?.count ?? 1;
-    this.jobs.set(id, {
-      id,
-      queue,
-      organisation,
-      maxAttempts,
-      acceptedMs,
-      spec,
-      status: 'open',
-      hasStarted: false,
-      openSteps: occurrences * spec.steps.length,
-      steps: new Map(),
-    });
+    if (!this.jobs.has(command.id)) this.jobs.set(command.id, createJob(command));
   }
 
   private cancel(id: string): boolean {
