Retry what a stalled leader could not record, shorten lost inspections, dial members at start

A leader without its majority for a moment went on to lead, but ends and losses that it could not commit in that moment were never recorded. A lost inspection held up all ends of an endpoint for 2.7 s. The first votes after a restart were dropped, as no connection was dialled before them (0.35 s of an outage of 2.1 s).

--- a/packages/daemon/src/workflowGateway.ts
+++ b/packages/daemon/src/workflowGateway.ts
@@ -75,6 +75,7 @@
 
   async start(): Promise<void> {
     await this.network.start();
+    for (const seed of this.opts.seeds) this.network.connect(seed);
     this.members.follow(this.leader, this.opts.log);
     this.advisorLoop.start();
   }
--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -135,11 +135,14 @@
   /** Resolves when the replica takes part; the network listens before that. */
   async start(): Promise<void> {
     await this.network.start();
+    for (const seed of this.opts.seeds) this.network.connect(seed);
     this.members.follow(this.leader, this.opts.log);
     this.replica.onRoleChange(({ role, term, leaderId }) => {
       this.opts.log.info('replica role', { role, term, leaderId });
     });
     await this.replica.start();
+    const { voters, learners } = this.replica.members();
+    for (const id of [...voters, ...learners]) this.network.connect(instanceOf(id));
     this.joiner = new ReplicaJoiner({
       instanceId: this.instanceId,
       replicaId: this.replica.replicaId ?? '',
--- a/packages/peering/src/tcpPeerNetwork.ts
+++ b/packages/peering/src/tcpPeerNetwork.ts
@@ -93,6 +93,11 @@
     else if (counters) counters.dropped += 1;
   }
 
+  /** Begins to dial an instance now, so that there is a connection when it is first called. */
+  connect(instanceId: string): void {
+    this.findDialler(instanceId);
+  }
+
   isAlive(instanceId: string): boolean {
     if (instanceId === this.selfId) return true;
     return this.failureDetector.livenessOf(instanceId) === 'alive';
--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -73,6 +73,33 @@
     Then job "j" is "completed"
     And no task ran twice at the same time
 
+  Scenario: ends that cannot be recorded for a moment are recorded later
+    When job "j" of 8 tasks is submitted
+    And 400 ms of workflow time pass
+    And no majority answers the workflow leader
+    And 600 ms of workflow time pass
+    And a majority answers the workflow leader
+    And 1000 ms of workflow time pass
+    Then job "j" is "completed"
+    And no task was started more than once
+
+  Scenario: losses that cannot be recorded for a moment are recorded later
+    When job "j" of 8 tasks of 2000 ms is submitted
+    And 100 ms of workflow time pass
+    And no majority answers the workflow leader
+    And worker w1 begins a new life
+    And 600 ms of workflow time pass
+    And a majority answers the workflow leader
+    And 6000 ms of workflow time pass
+    Then job "j" is "completed"
+
+  Scenario: an inspection without an answer does not hold up the ends for long
+    When job "j" of 4 tasks of 1000 ms is submitted
+    And 100 ms of workflow time pass
+    And the inspection of worker w1 gets no answer
+    And 2300 ms of workflow time pass
+    Then job "j" is "completed"
+
   Scenario: a copy helps a task on a silent endpoint where copies are allowed
     When job "j" of 8 tasks that may be copied is submitted
     And 20 ms of workflow time pass
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -143,6 +143,18 @@
   assert.equal(answer.type, 'cancelled');
 });
 
+When('no majority answers the workflow leader', function stall(this: Steps) {
+  this.world.log.isStalled = true;
+});
+
+When('a majority answers the workflow leader', function resume(this: Steps) {
+  this.world.log.isStalled = false;
+});
+
+When('the inspection of worker {word} gets no answer', function lose(this: Steps, id: string) {
+  this.world.driver.loseInspections(id);
+});
+
 When('the workflow leader changes', async function changeLeader(this: Steps) {
   await this.world.changeLeader();
 });
--- a/packages/tests/src/workflow/fakeDriver.ts
+++ b/packages/tests/src/workflow/fakeDriver.ts
@@ -27,6 +27,7 @@
   readonly paces: string[] = [];
   /** Most tasks that were at work at once under one name. */
   maxRunsPerTask = 0;
+  private readonly lostBefore = new Map<string, number>();
 
   worker(id: string): FakeWorker {
     let worker = this.workers.get(id);
@@ -37,6 +38,11 @@
     return worker;
   }
 
+  /** Loses the answers to the inspections that are under way. */
+  loseInspections(id: string): void {
+    this.lostBefore.set(id, performance.now());
+  }
+
   async start(target: EndpointTarget, order: StartOrder): Promise<StartAnswer | undefined> {
     const worker = this.worker(target.id);
     if (worker.mood === 'silent') return this.time();
@@ -63,7 +69,12 @@
       await pause(TIMEOUT_MS);
       return { failure: 'unreachable' };
     }
+    const sentMs = performance.now();
     const answer = await worker.inspect(order);
+    if (sentMs <= (this.lostBefore.get(target.id) ?? -1)) {
+      await pause(sentMs + order.waitMs + TIMEOUT_MS - performance.now());
+      return { failure: 'unreachable' };
+    }
     return answer ? { answer } : { failure: 'fenced' };
   }
 
--- a/packages/tests/src/workflow/termLog.ts
+++ b/packages/tests/src/workflow/termLog.ts
@@ -1,3 +1,4 @@
+import { NotLeaderError } from '@lagoongap/consensus/notLeaderError.js';
 import type { ProposeResult, StateMachine } from '@lagoongap/consensus/replicatedLog.js';
 
 import { HeldLog } from '../harness/heldLog.js';
@@ -7,6 +8,8 @@
   override readonly term: number;
   /** Leadership has ended: nothing is committed any more. */
   isOver = false;
+  /** No majority answers at present, but nobody else leads. */
+  isStalled = false;
 
   constructor(stateMachine: StateMachine, term: number) {
     super(stateMachine);
@@ -14,6 +17,7 @@
   }
 
   override propose(command: unknown): Promise<ProposeResult> {
+    if (this.isStalled) return Promise.reject(new NotLeaderError());
     const result = super.propose(command);
     if (this.isOver) this.loseLeadership();
     else this.commitAll();
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -187,7 +187,7 @@
       parseConfig: () => this.config,
       timing: { ...DEFAULT_WORKFLOW_TIMING, leaseMs: 5000, maxLeaseMs: 6000 },
       logger: SILENT_LOG,
-      isValid: () => !log.isOver,
+      isValid: () => !log.isOver && !log.isStalled,
     });
   }
 }
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -70,14 +70,11 @@
   log: Log;
 }
 
-/** Longest wait of an inspection for an end. */
-const MAX_WAIT_MS = 2000;
-
-/** Wait of an inspection where response times are watched. */
-const WATCH_WAIT_MS = 600;
+/** Longest wait of an inspection for an end; one that is lost holds up the ends this long. */
+const MAX_WAIT_MS = 700;
 
 /** Pause after an inspection without an answer. */
-const RETRY_MS = 250;
+const RETRY_MS = 100;
 
 /** Reports that an answer holds at most; a full answer does not show all ends. */
 const MAX_REPORTS = 500;
@@ -243,7 +240,10 @@
         await this.sleep(undefined);
         continue;
       }
-      const isAnswered = await this.inspect(this.chooseWait());
+      const isAnswered = await this.inspect(this.chooseWait()).catch((err: Error) => {
+        this.opts.log.warn('inspection failed', { endpoint: this.id, err: err.message });
+        return false;
+      });
       if (this.isDisposed) return;
       if (!isAnswered) await this.sleep(RETRY_MS);
     }
@@ -290,7 +290,7 @@
 
   private chooseWait(): number {
     if (!this.isSynced || this.runs.size === 0) return 0;
-    return this.isWatched ? WATCH_WAIT_MS : MAX_WAIT_MS;
+    return MAX_WAIT_MS;
   }
 
   private async takeUp(answer: Inspection, sentMs: number): Promise<void> {
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -12,6 +12,7 @@
 import { JobService } from './jobService.js';
 import { parseTaskName, taskName, type TaskRef } from './jobSpec.js';
 import { listTasks, ReadySteps, stepName } from './readySteps.js';
+import { proposeWhileLeading } from './proposeWhileLeading.js';
 import { RunLedger } from './runLedger.js';
 import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
 import { SpeedLearner } from './speedLearner.js';
@@ -68,7 +69,7 @@
       logger: opts.logger,
       fencingToken: opts.log.term,
       isValid: () => !this.isDisposed && opts.isValid(),
-      propose: async (command) => (await opts.log.propose(command)).result,
+      propose: (command) => proposeWhileLeading(opts.log, command, opts.log.term),
       readConfig: () => this.readConfig(),
     };
     this.directory = new EndpointDirectory(this.context, this, this.health);
