--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -10,6 +10,7 @@
 import { TcpPeerNetwork } from '@lagoongap/peering/tcpPeerNetwork.js';
 import { FileLogStore } from '@lagoongap/storage/fileLogStore.js';
 import { NodeFileSystem } from '@lagoongap/storage/nodeFileSystem.js';
+import { SILENT_METER, type WorkflowMeter } from '@lagoongap/telemetry/workflowMetrics.js';
 import type { ConfigReader } from '@lagoongap/workflow/cellConfig.js';
 import type { EndpointDriver } from '@lagoongap/workflow/endpointDriver.js';
 import { WorkflowCoordinator } from '@lagoongap/workflow/workflowCoordinator.js';
@@ -35,6 +36,7 @@
   timing: WorkflowTiming;
   raftTiming?: RaftTiming;
   log: Log;
+  meter?: WorkflowMeter;
   /** Called when the durable state can no longer be trusted. */
   onFatal: (err: Error) => void;
 }
@@ -122,6 +124,7 @@
       parseConfig: opts.parseConfig,
       timing: opts.timing,
       logger: log,
+      meter: opts.meter ?? SILENT_METER,
       validityMs: timing.leaderValidityMs,
     });
     this.registerMembership();
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -1,5 +1,6 @@
 import { SILENT_LOG } from '@lagoongap/model/log.js';
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
+import { SILENT_METER } from '@lagoongap/telemetry/workflowMetrics.js';
 import type { CellConfig } from '@lagoongap/workflow/cellConfig.js';
 import type { JobAnswer } from '@lagoongap/workflow/jobCalls.js';
 import type { JobSpec, StepSpec } from '@lagoongap/workflow/jobSpec.js';
@@ -187,6 +188,7 @@
       parseConfig: () => this.config,
       timing: { ...DEFAULT_WORKFLOW_TIMING, leaseMs: 5000, maxLeaseMs: 6000 },
       logger: SILENT_LOG,
+      meter: SILENT_METER,
       isValid: () => !log.isOver && !log.isStalled,
     });
   }
--- a/packages/workflow/src/sessionContext.ts
+++ b/packages/workflow/src/sessionContext.ts
@@ -1,5 +1,6 @@
 import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
 import type { Log } from '@lagoongap/model/log.js';
+import type { WorkflowMeter } from '@lagoongap/telemetry/workflowMetrics.js';
 
 import type { CellConfig, ConfigReader } from './cellConfig.js';
 import type { EndpointDriver } from './endpointDriver.js';
@@ -13,6 +14,7 @@
   driver: EndpointDriver;
   timing: WorkflowTiming;
   logger: Log;
+  meter: WorkflowMeter;
   /** Token of this leadership; higher than that of every earlier one. */
   fencingToken: number;
   /** Tells whether this instance still leads. */
@@ -31,5 +33,6 @@
   parseConfig: ConfigReader;
   timing: WorkflowTiming;
   logger: Log;
+  meter: WorkflowMeter;
   isValid: () => boolean;
 }
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -234,10 +234,12 @@
     const named = this.chooseNamed(ready, queue, candidates);
     if (named.length === 0) return;
     this.asking.add(ready.name);
+    const startMs = performance.now();
     this.opts.broker
       .ask(ready.name, named, advice, queue.priority)
       .then((answer) => {
         this.asking.delete(ready.name);
+        this.opts.context.meter.countAdvice(answer !== undefined, performance.now() - startMs);
         if (!answer) return;
         const share = this.shareOf(queue.name);
         const book = this.bookOf(ready.name);
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -9,9 +9,10 @@
 import type { ActiveRun, EndReport } from './endpointDriver.js';
 import { EndpointService } from './endpointService.js';
 import { InterferenceGuard } from './interferenceGuard.js';
+import { JobRetention } from './jobRetention.js';
 import { JobService } from './jobService.js';
 import { parseTaskName, taskName, type TaskRef } from './jobSpec.js';
-import { listTasks, ReadySteps, stepName } from './readySteps.js';
+import { dueTime, listTasks, ReadySteps, stepName } from './readySteps.js';
 import { proposeWhileLeading } from './proposeWhileLeading.js';
 import { RunLedger } from './runLedger.js';
 import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
@@ -54,7 +55,7 @@
   private readonly stragglers: StragglerWatch;
   private readonly advice: AdvicePlanner;
   private readonly occurrenceTimers = new Map<string, NodeJS.Timeout>();
-  private readonly endedSince = new Map<string, number>();
+  private readonly retention: JobRetention;
   private config: CellConfig | undefined;
   private turnTimer: NodeJS.Timeout | undefined;
   private upkeepTimer: NodeJS.Timeout | undefined;
@@ -67,9 +68,15 @@
       driver: opts.driver,
       timing: opts.timing,
       logger: opts.logger,
+      meter: opts.meter,
       fencingToken: opts.log.term,
       isValid: () => !this.isDisposed && opts.isValid(),
-      propose: (command) => proposeWhileLeading(opts.log, command, opts.log.term),
+      propose: async (command) => {
+        const startMs = performance.now();
+        const result = await proposeWhileLeading(opts.log, command, opts.log.term);
+        opts.meter.countCommit(performance.now() - startMs);
+        return result;
+      },
       readConfig: () => this.readConfig(),
     };
     this.directory = new EndpointDirectory(this.context, this, this.health);
@@ -88,6 +95,7 @@
       onAdvice: () => this.requestTurn(),
     });
     this.interference = new InterferenceGuard(this.context);
+    this.retention = new JobRetention(this.context);
     this.stragglers = new StragglerWatch(this.context, this.directory, this.speeds);
     this.advice = new AdvicePlanner({
       context: this.context,
@@ -117,6 +125,7 @@
     for (const agent of this.directory.list()) agent.start();
     for (const id of state.jobs.keys()) this.followJob(id);
     this.upkeepTimer = setInterval(() => this.keepUp(), UPKEEP_INTERVAL_MS);
+    this.opts.meter.countLeadership();
     logger.info('leadership of workflows begins', {
       term: this.context.fencingToken,
       jobs: state.jobs.size,
@@ -276,6 +285,7 @@
       this.ledger.release(runKey(task, run));
       jobs.add(task.jobId);
       this.opts.logger.info('run ended', { run: runKey(task, run), endpoint, outcome });
+      this.opts.meter.countRunEnded(outcome);
       if (outcome === 'done') this.stopCopies(task);
     }
     for (const id of jobs) this.followJob(id);
@@ -329,9 +339,9 @@
   /** Stops what is left of a job that has ended. */
   private closeJob(job: JobRecord): void {
     this.ready.refresh(job, job.id, Date.now());
-    if (!this.endedSince.has(job.id)) {
-      this.endedSince.set(job.id, performance.now());
+    if (this.retention.note(job.id)) {
       this.opts.logger.info('job ended', { job: job.id, status: job.status });
+      this.opts.meter.countJobEnded(job.status, Date.now() - job.acceptedMs);
     }
     for (const step of job.steps.values()) {
       this.scheduler.forget(stepName(job.id, step.occurrence, step.step));
@@ -385,6 +395,7 @@
       return;
     }
     this.opts.logger.info('run ordered', { run: order.key, endpoint: agent.id });
+    this.opts.meter.countRunOrdered(Date.now() - dueTime(job, task.occurrence));
     this.health.recordStart({ attemptId: order.key, unitId: job.id, endpointId: agent.id });
     agent.order(order, job.spec.payload, ticket).catch((err: Error) => {
       this.opts.logger.error('start order failed', { run: order.key, err: err.message });
@@ -393,8 +404,12 @@
 
   private keepUp(): void {
     if (!this.context.isValid()) return;
-    this.forgetJobs();
+    for (const id of this.retention.forgetDue()) this.occurrenceTimers.delete(id);
     this.forgetSilentEndpoints();
+    const agents = this.directory.list();
+    const available = agents.filter((agent) => this.directory.isInTouch(agent)).length;
+    this.opts.meter.setEndpoints(available, agents.length);
+    this.opts.meter.setConfigVersion(this.opts.state.config.version);
     this.advice.prepareAll();
     for (const id of this.stragglers.findJobs()) this.followJob(id);
     for (const { agent, run } of this.stragglers.findStalled()) {
@@ -405,22 +420,6 @@
     this.requestTurn();
   }
 
-  private forgetJobs(): void {
-    const nowMs = performance.now();
-    const ids: string[] = [];
-    for (const [id, sinceMs] of this.endedSince) {
-      if (nowMs - sinceMs > this.opts.timing.retentionMs) ids.push(id);
-    }
-    if (ids.length === 0) return;
-    for (const id of ids) {
-      this.endedSince.delete(id);
-      this.occurrenceTimers.delete(id);
-    }
-    this.context
-      .propose({ type: 'forget', ids })
-      .catch((err: Error) => this.reportLapse('retention', err));
-  }
-
   private forgetSilentEndpoints(): void {
     const silenceMs = this.opts.timing.heartbeatMs * FORGET_HEARTBEATS;
     const nowMs = performance.now();
