Carry out maintenance waves

Change: a wave takes down at most max_count instances at a time, never one whose tasks would leave more of a service away than it allows, and goes on under the next leader. Inspections wait 700 ms only where short tasks run.

--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -13,6 +13,7 @@
 import { SILENT_METER, type WorkflowMeter } from '@lagoongap/telemetry/workflowMetrics.js';
 import type { ConfigReader } from '@lagoongap/workflow/cellConfig.js';
 import type { EndpointDriver } from '@lagoongap/workflow/endpointDriver.js';
+import { NO_INSTANCE_API, type InstanceApi } from '@lagoongap/workflow/instanceApi.js';
 import { WorkflowCoordinator } from '@lagoongap/workflow/workflowCoordinator.js';
 import { WorkflowState } from '@lagoongap/workflow/workflowState.js';
 import type { WorkflowTiming } from '@lagoongap/workflow/workflowTiming.js';
@@ -32,6 +33,7 @@
   /** Ids of replica instances to begin with. */
   seeds: string[];
   driver: EndpointDriver;
+  instances?: InstanceApi;
   parseConfig: ConfigReader;
   timing: WorkflowTiming;
   raftTiming?: RaftTiming;
@@ -121,6 +123,8 @@
       log: this.replica,
       state,
       driver: opts.driver,
+      instances: opts.instances ?? NO_INSTANCE_API,
+      holder: this.instanceId,
       parseConfig: opts.parseConfig,
       timing: opts.timing,
       logger: log,
--- /dev/null
+++ b/packages/tests/features/workflow/waves.feature
@@ -0,0 +1,31 @@
+Feature: Maintenance waves
+  Guards against too many instances down at once, services that lose too many tasks, and waves
+  that are said to be completed too early.
+
+  Background:
+    Given a workflow leader
+
+  Scenario: a wave takes down a bounded number of instances at a time
+    Given 4 workers of 4 cores
+    When a wave over 4 instances with at most 2 down is opened
+    And 30000 ms of workflow time pass
+    Then the wave is completed with 4 instances maintained
+    And at most 2 instances were down at once
+
+  Scenario: a service keeps the tasks that it needs
+    Given 4 workers of 4 cores
+    When service "s" of 3 tasks of which 1 may be missing is submitted
+    And 1000 ms of workflow time pass
+    And a wave over 4 instances with at most 4 down is opened
+    And 60000 ms of workflow time pass
+    Then the wave is completed with 4 instances maintained
+    And at most 2 instances were down at once
+
+  Scenario: a wave goes on under the next leader
+    Given 3 workers of 4 cores
+    When a wave over 3 instances with at most 1 down is opened
+    And 1000 ms of workflow time pass
+    And the workflow leader changes
+    And 30000 ms of workflow time pass
+    Then the wave is completed with 3 instances maintained
+    And 3 instances were maintained
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -20,6 +20,9 @@
 
 const RUN_INTERVAL_MS = 20;
 
+/** Longer than any scenario. */
+const SERVICE_MS = 600_000;
+
 After(async function disposeWorld(this: Steps) {
   await this.world?.[Symbol.asyncDispose]();
 });
@@ -178,6 +181,47 @@
   assert.equal(this.world.driver.started.length, count);
 });
 
+When(
+  'a wave over {int} instances with at most {int} down is opened',
+  async function openWave(this: Steps, count: number, maxDown: number) {
+    const instances = [...this.world.records.values()].slice(0, count).map((r) => r.instance);
+    await this.world.log.propose({
+      type: 'open-wave',
+      number: 1,
+      instances,
+      withinMs: 20_000,
+      maxDown,
+    });
+  },
+);
+
+When(
+  'service {string} of {int} tasks of which {int} may be missing is submitted',
+  async function serve(this: Steps, id: string, count: number, missing: number) {
+    setDuration(this, SERVICE_MS);
+    const spread = {
+      taskCount: count,
+      isService: true,
+      maxUnavailable: missing,
+      maxPerEndpoint: 1,
+    };
+    await this.world.submit(id, [createStep(spread)]);
+  },
+);
+
+Then('the wave is completed with {int} instances maintained', function check(this: Steps, count) {
+  assert.equal(this.world.state.waves.get(1)!.isCompleted, true);
+  assert.equal(new Set(this.world.maintained).size, count);
+});
+
+Then('{int} instances were maintained', function check(this: Steps, count: number) {
+  assert.equal(this.world.maintained.length, count);
+});
+
+Then('at most {int} instances were down at once', function checkDown(this: Steps, most: number) {
+  assert.ok(this.world.maxDown <= most, `${this.world.maxDown} were down`);
+});
+
 Then('{int} tasks run', function countRunning(this: Steps, count: number) {
   const workers = [...this.world.driver.workers.values()];
   assert.equal(
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -2,6 +2,7 @@
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
 import { SILENT_METER } from '@lagoongap/telemetry/workflowMetrics.js';
 import type { CellConfig } from '@lagoongap/workflow/cellConfig.js';
+import type { InstanceApi } from '@lagoongap/workflow/instanceApi.js';
 import type { JobAnswer } from '@lagoongap/workflow/jobCalls.js';
 import type { JobSpec, StepSpec } from '@lagoongap/workflow/jobSpec.js';
 import type { EndpointRecord, JobRecord } from '@lagoongap/workflow/workflowRecords.js';
@@ -28,6 +29,9 @@
 const TICK_MS = 2;
 const HEARTBEAT_MS = 1500;
 
+/** Time for which an instance is down for its maintenance. */
+const MAINTENANCE_MS = 2000;
+
 /** Fields of a step that a scenario sets; the others take defaults. */
 export type StepRow = Partial<StepSpec> & { cores?: number };
 
@@ -55,7 +59,7 @@
 }
 
 /** A leader of workflows with workers in the same process, on a paused clock. */
-export class WorkflowWorld implements AsyncDisposable {
+export class WorkflowWorld implements AsyncDisposable, InstanceApi {
   readonly driver = new FakeDriver();
   readonly state = new WorkflowState();
   readonly clock = FakeTimers.install({ now: START_MS, toFake: [...CLOCK_FUNCTIONS] });
@@ -65,6 +69,11 @@
   log: TermLog;
   private config: CellConfig;
   private sequence = 0;
+  /** Instances whose maintenance has begun, in order. */
+  readonly maintained: string[] = [];
+  /** Most instances that were down at once. */
+  maxDown = 0;
+  private readonly down = new Set<string>();
 
   constructor(config: Partial<CellConfig['queues'][number]> = {}) {
     this.config = {
@@ -170,6 +179,22 @@
     await this.beat();
   }
 
+  /** Takes an instance down for the time of a maintenance. */
+  async beginMaintenance({ instance }: { instance: string }): Promise<'begun'> {
+    const [id] = [...this.records].find(([, record]) => record.instance === instance)!;
+    const worker = this.driver.worker(id);
+    this.maintained.push(instance);
+    this.down.add(instance);
+    this.maxDown = Math.max(this.maxDown, this.down.size);
+    worker.rebear();
+    worker.mood = 'silent';
+    setTimeout(() => {
+      this.down.delete(instance);
+      worker.mood = 'sound';
+    }, MAINTENANCE_MS);
+    return 'begun';
+  }
+
   job(id: string): JobRecord {
     return this.state.jobs.get(id)!;
   }
@@ -185,6 +210,8 @@
       log,
       state: this.state,
       driver: this.driver,
+      instances: this,
+      holder: 'leader',
       parseConfig: () => this.config,
       timing: { ...DEFAULT_WORKFLOW_TIMING, leaseMs: 5000, maxLeaseMs: 6000 },
       logger: SILENT_LOG,
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -34,6 +34,8 @@
   isStopping: boolean;
   /** A stop order was accepted, so the run cannot come back. */
   isStopped: boolean;
+  /** Rough estimate of the duration in milliseconds. */
+  estimateMs: number;
   /** Latest saved progress. */
   checkpoint: string;
 }
@@ -70,8 +72,14 @@
   log: Log;
 }
 
-/** Longest wait of an inspection for an end; one that is lost holds up the ends this long. */
-const MAX_WAIT_MS = 700;
+/** Longest wait of an inspection for an end. */
+const MAX_WAIT_MS = 2000;
+
+/** Wait where short tasks run; an inspection that is lost holds up their ends this long. */
+const SHORT_WAIT_MS = 700;
+
+/** Estimate up to which a task is short. */
+const SHORT_TASK_MS = 2000;
 
 /** Pause after an inspection without an answer. */
 const RETRY_MS = 100;
@@ -290,7 +298,8 @@
 
   private chooseWait(): number {
     if (!this.isSynced || this.runs.size === 0) return 0;
-    return MAX_WAIT_MS;
+    const isShort = [...this.runs.values()].some(({ estimateMs }) => estimateMs <= SHORT_TASK_MS);
+    return isShort || this.isWatched ? SHORT_WAIT_MS : MAX_WAIT_MS;
   }
 
   private async takeUp(answer: Inspection, sentMs: number): Promise<void> {
--- a/packages/workflow/src/sessionContext.ts
+++ b/packages/workflow/src/sessionContext.ts
@@ -4,6 +4,7 @@
 
 import type { CellConfig, ConfigReader } from './cellConfig.js';
 import type { EndpointDriver } from './endpointDriver.js';
+import type { InstanceApi } from './instanceApi.js';
 import type { WorkflowCommand } from './workflowCommand.js';
 import type { WorkflowState } from './workflowState.js';
 import type { WorkflowTiming } from './workflowTiming.js';
@@ -30,6 +31,9 @@
   log: ReplicatedLog;
   state: WorkflowState;
   driver: EndpointDriver;
+  instances: InstanceApi;
+  /** Names this instance towards the platform. */
+  holder: string;
   parseConfig: ConfigReader;
   timing: WorkflowTiming;
   logger: Log;
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -19,6 +19,7 @@
 import { SpeedLearner } from './speedLearner.js';
 import { StragglerWatch } from './stragglerWatch.js';
 import { StepScheduler, type PlannedStart } from './stepScheduler.js';
+import { WaveRunner } from './waveRunner.js';
 import type { EndedRun } from './workflowCommand.js';
 import type { JobRecord } from './workflowRecords.js';
 
@@ -56,6 +57,7 @@
   private readonly advice: AdvicePlanner;
   private readonly occurrenceTimers = new Map<string, NodeJS.Timeout>();
   private readonly retention: JobRetention;
+  private readonly waves: WaveRunner;
   private config: CellConfig | undefined;
   private turnTimer: NodeJS.Timeout | undefined;
   private upkeepTimer: NodeJS.Timeout | undefined;
@@ -95,6 +97,12 @@
       onAdvice: () => this.requestTurn(),
     });
     this.interference = new InterferenceGuard(this.context);
+    this.waves = new WaveRunner({
+      context: this.context,
+      directory: this.directory,
+      instances: opts.instances,
+      holder: opts.holder,
+    });
     this.retention = new JobRetention(this.context);
     this.stragglers = new StragglerWatch(this.context, this.directory, this.speeds);
     this.advice = new AdvicePlanner({
@@ -274,6 +282,7 @@
       orderedMs: performance.now(),
       isStopping: false,
       isStopped: false,
+      estimateMs: this.opts.state.findSpec(task)?.estimateMs ?? 0,
       checkpoint,
     };
   }
@@ -411,6 +420,7 @@
     this.opts.meter.setEndpoints(available, agents.length);
     this.opts.meter.setConfigVersion(this.opts.state.config.version);
     this.advice.prepareAll();
+    this.waves.advance().catch((err: Error) => this.reportLapse('wave', err));
     for (const id of this.stragglers.findJobs()) this.followJob(id);
     for (const { agent, run } of this.stragglers.findStalled()) {
       this.opts.logger.warn('run stands still', { run: run.key, endpoint: agent.id });
