--- a/packages/workflow/src/runLedger.ts
+++ b/packages/workflow/src/runLedger.ts
@@ -100,9 +100,9 @@
   }
 
   /** Number of runs of a step on an endpoint. */
-  countOf(stepName: string, endpoint: string): number {
+  countOf(step: string, endpoint: string): number {
     let count = 0;
-    for (const run of this.useOf(endpoint).runs.values()) if (run.stepName === stepName) count += 1;
+    for (const run of this.useOf(endpoint).runs.values()) if (run.stepName === step) count += 1;
     return count;
   }
 
