--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -112,6 +112,28 @@
     if (queue.advice) this.ask(step, queue, this.listCandidates(queue));
   }
 
+  /** Tells what keeps the tasks of a step waiting, for the log. */
+  explain(ready: ReadyStep, config: CellConfig): Record<string, unknown> {
+    const queue = config.queues.find(({ name }) => name === ready.job.queue);
+    if (!queue) return { reason: 'its queue is not configured any more' };
+    const candidates = this.listCandidates(queue);
+    const room = this.createRoom(ready, config);
+    const nowMs = performance.now();
+    const book = this.books.get(ready.name);
+    const count = (test: (candidate: PlacementCandidate) => boolean): number =>
+      candidates.filter(test).length;
+    return {
+      endpoints: candidates.length,
+      withRoom: count((candidate) => this.countSlots(ready.spec, candidate) > 0),
+      withinLimit: count((candidate) => room.fits(candidate, ready.spec)),
+      withTicket: count(({ id }) => book?.find(id, nowMs) !== undefined),
+      suitable: count(({ id }) => book?.judge(id) === 'suitable'),
+      unsuitable: count(({ id }) => book?.judge(id) === 'unsuitable'),
+      isAsking: this.asking.has(ready.name),
+      questions: this.opts.broker.backlog,
+    };
+  }
+
   private placeStep(ready: ReadyStep, queue: QueuePolicy, config: CellConfig): PlannedStart[] {
     const candidates = this.listCandidates(queue);
     const nowMs = performance.now();
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -19,6 +19,7 @@
 import { SpeedLearner } from './speedLearner.js';
 import { StragglerWatch } from './stragglerWatch.js';
 import { StepScheduler, type PlannedStart } from './stepScheduler.js';
+import { WaitReport } from './waitReport.js';
 import { WaveRunner } from './waveRunner.js';
 import type { EndedRun } from './workflowCommand.js';
 import type { JobRecord } from './workflowRecords.js';
@@ -58,6 +59,7 @@
   private readonly occurrenceTimers = new Map<string, NodeJS.Timeout>();
   private readonly retention: JobRetention;
   private readonly waves: WaveRunner;
+  private readonly waitReport: WaitReport;
   private config: CellConfig | undefined;
   private turnTimer: NodeJS.Timeout | undefined;
   private upkeepTimer: NodeJS.Timeout | undefined;
@@ -103,6 +105,7 @@
       instances: opts.instances,
       holder: opts.holder,
     });
+    this.waitReport = new WaitReport(this.context, this.ready, this.scheduler);
     this.retention = new JobRetention(this.context);
     this.stragglers = new StragglerWatch(this.context, this.directory, this.speeds);
     this.advice = new AdvicePlanner({
@@ -409,6 +412,7 @@
     this.opts.meter.setEndpoints(available, agents.length);
     this.opts.meter.setConfigVersion(this.opts.state.config.version);
     this.advice.prepareAll();
+    this.waitReport.write();
     this.waves.advance().catch((err: Error) => this.reportLapse('wave', err));
     for (const id of this.stragglers.findJobs()) this.followJob(id);
     for (const { agent, run } of this.stragglers.findStalled()) {
