Make up for starts that were recorded but not ordered, and hand questions out again

A start that was committed just before leadership was not valid for a moment was dropped without an order and without a word, and its run counted as active for the rest of the leadership. The line 'step waits' also showed urgent steps without tickets for 2 s: a question handed to an instance that had just been killed was asked again only after 1.5 s more than the call takes. Ruled out: limits, tickets and room (other jobs of the organisation started meanwhile). Change: such a start is recorded as lost and decided anew; a question that does not come back in time goes to the next instance.

--- a/packages/tests/features/workflow/jobs.feature
+++ b/packages/tests/features/workflow/jobs.feature
@@ -96,6 +96,15 @@
     And 500 ms of workflow time pass
     Then 0 runs were started
 
+  Scenario: a question that its instance does not bring back is asked again
+    Given a queue with advice
+    And 2 workers of 4 cores
+    And an instance that takes questions and falls silent
+    And an instance that answers questions
+    When job "j" of 2 tasks is submitted
+    And 1500 ms of workflow time pass
+    Then job "j" is "completed"
+
   Scenario: calls are answered by what is known
     Given 1 workers of 4 cores
     Then a call for job "none" is answered "no-job"
--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -83,6 +83,15 @@
     Then job "j" is "completed"
     And no task was started more than once
 
+  Scenario: starts that are recorded but cannot be ordered for a moment are made up for
+    Given the workflow leader loses its majority with its next starts
+    When job "j" of 4 tasks is submitted
+    And 200 ms of workflow time pass
+    And a majority answers the workflow leader
+    And 2000 ms of workflow time pass
+    Then job "j" is "completed"
+    And no task was started more than once
+
   Scenario: losses that cannot be recorded for a moment are recorded later
     When job "j" of 8 tasks of 2000 ms is submitted
     And 100 ms of workflow time pass
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -2,6 +2,8 @@
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
 
+import type { AdviceReport } from '@lagoongap/workflow/adviceBroker.js';
+
 import type { WorkerMood } from '../../workflow/fakeWorker.js';
 import { createStep, WorkflowWorld } from '../../workflow/workflowWorld.js';
 
@@ -45,6 +47,32 @@
   this.world = new WorkflowWorld();
 });
 
+Given('a queue with advice', async function addAdvice(this: Steps) {
+  await this.world[Symbol.asyncDispose]();
+  this.world = new WorkflowWorld({ advice: { decideMs: 20, perEndpointMs: 1, validMs: 2500 } });
+});
+
+Given('an instance that takes questions and falls silent', function fail(this: Steps) {
+  this.world.session.broker.exchange([], 60_000).catch(() => undefined);
+});
+
+Given('an instance that answers questions', function answer(this: Steps) {
+  const { broker } = this.world.session;
+  const ask = async (reports: AdviceReport[]): Promise<void> => {
+    const question = await broker.exchange(reports, 1000);
+    if (!question) return ask([]);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+    const good = question.endpoints.map((endpoint) => ({ endpoint, ticket: 't' }));
+    return ask([{ id: question.id, good, durationMs: 20, validMs: 2500 }]);
+  };
+  // Begins after the silent instance, so that this one gets the second question.
+  setTimeout(() => {
+    ask([]).catch(() => undefined);
+  }, 1);
+});
+
 Given('{int} workers of {int} cores', async function addWorkers(this: Steps, count, cores) {
   await this.world.addWorkers(count, cores);
 });
@@ -150,6 +178,10 @@
   this.world.log.isStalled = true;
 });
 
+When('the workflow leader loses its majority with its next starts', function lose(this: Steps) {
+  this.world.log.stallsAfterStart = true;
+});
+
 When('a majority answers the workflow leader', function resume(this: Steps) {
   this.world.log.isStalled = false;
 });
--- a/packages/tests/src/workflow/termLog.ts
+++ b/packages/tests/src/workflow/termLog.ts
@@ -10,6 +10,8 @@
   isOver = false;
   /** No majority answers at present, but nobody else leads. */
   isStalled = false;
+  /** The majority is lost as soon as the next starts are committed. */
+  stallsAfterStart = false;
 
   constructor(stateMachine: StateMachine, term: number) {
     super(stateMachine);
@@ -21,6 +23,10 @@
     const result = super.propose(command);
     if (this.isOver) this.loseLeadership();
     else this.commitAll();
+    if (this.stallsAfterStart && (command as { type: string }).type === 'start') {
+      this.stallsAfterStart = false;
+      this.isStalled = true;
+    }
     return result;
   }
 }
--- a/packages/workflow/src/adviceBroker.ts
+++ b/packages/workflow/src/adviceBroker.ts
@@ -27,6 +27,7 @@
   urgency: number;
   resolve: (answer: AdviceAnswer | undefined) => void;
   handedOutMs: number;
+  handouts: number;
   deadline?: NodeJS.Timeout;
 }
 
@@ -36,7 +37,10 @@
 }
 
 /** Time for the ways between leader, instance and advisor, beyond the advisor's own. */
-const TRANSIT_ALLOWANCE_MS = 1500;
+const TRANSIT_ALLOWANCE_MS = 250;
+
+/** Times that a question is handed out before it is given up. */
+const MAX_HANDOUTS = 4;
 
 /**
  * Spreads questions to the advisor over all instances. The advisor answers one call at a time for
@@ -70,7 +74,7 @@
     this.nextId += 1;
     const question = { id, step, endpoints, timeoutMs: callMs + TRANSIT_ALLOWANCE_MS };
     return new Promise((resolve) => {
-      const pending: Pending = { question, urgency, resolve, handedOutMs: 0 };
+      const pending: Pending = { question, urgency, resolve, handedOutMs: 0, handouts: 0 };
       const position = this.waiting.findIndex((other) => other.urgency > urgency);
       this.waiting.splice(position < 0 ? this.waiting.length : position, 0, pending);
       this.match();
@@ -113,16 +117,27 @@
       clearTimeout(waiter.timer);
       const { question } = pending;
       pending.handedOutMs = performance.now();
+      pending.handouts += 1;
       pending.deadline = setTimeout(() => this.giveUp(question.id), question.timeoutMs);
       this.handedOut.set(question.id, pending);
       waiter.resolve(question);
     }
   }
 
+  /** Hands a question to another instance, as the one that has it may be gone. */
   private giveUp(id: number): void {
     const pending = this.handedOut.get(id);
+    if (!pending) return;
     this.handedOut.delete(id);
-    pending?.resolve(undefined);
+    if (pending.handouts >= MAX_HANDOUTS) {
+      pending.resolve(undefined);
+      return;
+    }
+    // A late answer to the earlier handout must not be taken for one to the next.
+    pending.question = { ...pending.question, id: this.nextId };
+    this.nextId += 1;
+    this.waiting.unshift(pending);
+    this.match();
   }
 
   private settle({ id, good, durationMs, validMs }: AdviceReport): void {
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -380,7 +380,7 @@
   private dispatch(start: PlannedStart): void {
     const { task, run, ticket, agent } = start;
     const job = this.opts.state.jobs.get(task.jobId);
-    if (!job || !this.context.isValid()) return;
+    if (!job) return;
     const record = this.opts.state.findTask(task);
     const order = this.createRun(task, run, record?.checkpoint ?? '');
     order.phase = 'ordered';
@@ -388,6 +388,10 @@
       this.onLost(agent, [order], 'not wanted any more');
       return;
     }
+    if (!this.context.isValid()) {
+      this.onLost(agent, [order], 'no majority answered when it was to be ordered');
+      return;
+    }
     const waitedMs = Date.now() - dueTime(job, task.occurrence);
     this.opts.logger.info('run ordered', {
       run: order.key,
