Bound the time of a scheduling turn and of a take-over

Each turn built the list of 246 endpoints for each waiting step, and a take-over inspected all endpoints at once. Change: one list of endpoints a turn; advised steps look only at endpoints with tickets; at most 20 ms a turn; 8 first inspections a turn of the event loop; a search for endpoints to ask about at most every 50 ms a step.

--- a/packages/workflow/src/endpointDirectory.ts
+++ b/packages/workflow/src/endpointDirectory.ts
@@ -1,3 +1,4 @@
+import { delay } from '@lagoongap/model/delay.js';
 import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 
 import { EndpointAgent, type AgentListener } from './endpointAgent.js';
@@ -8,6 +9,9 @@
 /** Heartbeats that may be missing before an endpoint gets no new work. */
 const MAX_MISSED_HEARTBEATS = 2.5;
 
+/** Endpoints that are inspected for the first time in one turn of the event loop. */
+const AGENTS_PER_TURN = 8;
+
 /** The agents of all endpoints that a leader knows. */
 export class EndpointDirectory implements Disposable {
   private readonly agents = new Map<string, EndpointAgent>();
@@ -15,6 +19,7 @@
   private readonly listener: AgentListener;
   private readonly health: HealthPolicy;
   private readonly startMs = performance.now();
+  private isDisposed = false;
 
   constructor(context: SessionContext, listener: AgentListener, health: HealthPolicy) {
     this.context = context;
@@ -46,6 +51,15 @@
     return agent;
   }
 
+  /** Begins to watch all endpoints, a few at a time, so that leadership is renewed meanwhile. */
+  async startAll(): Promise<void> {
+    for (const [index, agent] of this.list().entries()) {
+      if (index % AGENTS_PER_TURN === AGENTS_PER_TURN - 1) await delay(1);
+      if (this.isDisposed) return;
+      agent.start();
+    }
+  }
+
   find(id: string): EndpointAgent | undefined {
     return this.agents.get(id);
   }
@@ -89,6 +103,7 @@
   }
 
   [Symbol.dispose](): void {
+    this.isDisposed = true;
     for (const agent of this.agents.values()) agent[Symbol.dispose]();
     this.health[Symbol.dispose]();
   }
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -26,6 +26,13 @@
   agent: EndpointAgent;
 }
 
+/** Result of a scheduling turn. */
+export interface TurnResult {
+  planned: PlannedStart[];
+  /** False if the time of a turn was up before all waiting steps were looked at. */
+  isComplete: boolean;
+}
+
 /** Options of a {@link StepScheduler}. */
 export interface StepSchedulerOptions {
   context: SessionContext;
@@ -38,6 +45,9 @@
   onAdvice: () => void;
 }
 
+/** Longest time of a turn; a fraction of the leader's validity. */
+const MAX_TURN_MS = 20;
+
 /** Tickets that expire sooner are renewed ahead of use. */
 const RENEWAL_MARGIN_MS = 600;
 
@@ -58,6 +68,8 @@
   private readonly opts: StepSchedulerOptions;
   private readonly books = new Map<string, TicketBook>();
   private readonly asking = new Set<string>();
+  /** Endpoints that may take work in this turn, by pool. */
+  private readonly candidates = new Map<string, Map<string, PlacementCandidate>>();
   private readonly troubles = new Map<string, Map<string, number>>();
   private readonly suitableShares = new Map<string, MovingAverage>();
   /** Starts that are decided but not recorded, by step and task index. */
@@ -96,27 +108,33 @@
   }
 
   /** Decides what starts now and reserves room for it. */
-  decide(config: CellConfig): PlannedStart[] {
+  decide(config: CellConfig): TurnResult {
     const queues = new Map(config.queues.map((queue) => [queue.name, queue]));
     const planned: PlannedStart[] = [];
+    const startMs = performance.now();
+    this.candidates.clear();
     for (const ready of this.opts.ready.list((name) => queues.get(name))) {
       const queue = queues.get(ready.job.queue);
       if (!queue) continue;
+      // Leadership is renewed between turns, so that none may take long.
+      if (performance.now() - startMs > MAX_TURN_MS) return { planned, isComplete: false };
       planned.push(...this.placeStep(ready, queue, config));
     }
-    return planned;
+    return { planned, isComplete: true };
   }
 
   /** Asks for advice on a step before it can start. */
   prepare(step: ReadyStep, queue: QueuePolicy): void {
-    if (queue.advice) this.ask(step, queue, this.listCandidates(queue));
+    if (!queue.advice) return;
+    this.candidates.clear();
+    this.ask(step, queue, this.listCandidates(queue));
   }
 
   /** Tells what keeps the tasks of a step waiting, for the log. */
   explain(ready: ReadyStep, config: CellConfig): Record<string, unknown> {
     const queue = config.queues.find(({ name }) => name === ready.job.queue);
     if (!queue) return { reason: 'its queue is not configured any more' };
-    const candidates = this.listCandidates(queue);
+    const candidates = [...this.listCandidates(queue).values()];
     const room = this.createRoom(ready, config);
     const nowMs = performance.now();
     const book = this.books.get(ready.name);
@@ -139,8 +157,8 @@
     const nowMs = performance.now();
     const book = queue.advice ? this.bookOf(ready.name) : undefined;
     const usable = book
-      ? candidates.filter(({ id }) => book.find(id, nowMs) !== undefined)
-      : candidates;
+      ? book.listValid(nowMs).flatMap((id) => candidates.get(id) ?? [])
+      : [...candidates.values()];
     const room = this.createRoom(ready, config);
     const planned = ready.spec.isGang
       ? this.placeGang(ready, usable, room)
@@ -213,17 +231,27 @@
     return (record?.lastRun ?? 0) + 1;
   }
 
-  private listCandidates(queue: QueuePolicy): PlacementCandidate[] {
+  /** Endpoints of a queue's pool that may take work, the same ones for a whole turn. */
+  private listCandidates({ pool }: QueuePolicy): Map<string, PlacementCandidate> {
     const { directory, speeds } = this.opts;
-    return directory.listAvailable(queue.pool).map((agent) => ({
-      id: agent.id,
-      kind: agent.record.kind,
-      rack: agent.record.rack,
-      labels: agent.record.labels,
-      capacity: agent.record.capacity,
-      durationFactor: speeds.factor(agent.id, agent.record.kind),
-      isServing: agent.isWatched,
-    }));
+    const known = this.candidates.get(pool);
+    if (known) return known;
+    const candidates = new Map<string, PlacementCandidate>();
+    for (const { id, record, isWatched } of directory.listAvailable(pool)) {
+      const { kind, rack, labels, capacity } = record;
+      const durationFactor = speeds.factor(id, kind);
+      candidates.set(id, {
+        id,
+        kind,
+        rack,
+        labels,
+        capacity,
+        durationFactor,
+        isServing: isWatched,
+      });
+    }
+    this.candidates.set(pool, candidates);
+    return candidates;
   }
 
   private createRoom(ready: ReadyStep, config: CellConfig): PlacementRoom {
@@ -244,9 +272,13 @@
   }
 
   /** Asks for tickets of the endpoints that are most likely to be used next. */
-  private ask(ready: ReadyStep, queue: QueuePolicy, candidates: PlacementCandidate[]): void {
+  private ask(
+    ready: ReadyStep,
+    queue: QueuePolicy,
+    candidates: Map<string, PlacementCandidate>,
+  ): void {
     const { advice } = queue;
-    if (!advice || this.asking.has(ready.name)) return;
+    if (!advice || this.asking.has(ready.name) || !this.bookOf(ready.name).mayAsk()) return;
     const named = this.chooseNamed(ready, queue, candidates);
     if (named.length === 0) return;
     this.asking.add(ready.name);
@@ -276,14 +308,14 @@
   private chooseNamed(
     ready: ReadyStep,
     queue: QueuePolicy,
-    candidates: PlacementCandidate[],
+    candidates: Map<string, PlacementCandidate>,
   ): string[] {
     const { ledger } = this.opts;
     const { spec } = ready;
     const book = this.bookOf(ready.name);
     const nowMs = performance.now();
     const share = this.shareOf(queue.name).value;
-    const scored = candidates
+    const scored = [...candidates.values()]
       .filter(({ id, labels }) => {
         if (spec.requiredLabel !== '' && !labels.includes(spec.requiredLabel)) return false;
         return book.judge(id) !== 'unsuitable' && !book.isFresh(id, nowMs, RENEWAL_MARGIN_MS);
@@ -298,7 +330,7 @@
           slots: this.countSlots(spec, candidate),
         };
       })
-      .sort((a, b) => b.slots * b.chance - a.slots * a.chance || a.id.localeCompare(b.id));
+      .sort((a, b) => b.slots * b.chance - a.slots * a.chance);
     const wanted = ready.waiting.length * PLACES_PER_TASK;
     const named: string[] = [];
     let expected = 0;
--- a/packages/workflow/src/ticketBook.ts
+++ b/packages/workflow/src/ticketBook.ts
@@ -21,6 +21,9 @@
 /** Time that a start order may take from the decision to the endpoint. */
 const DISPATCH_MARGIN_MS = 200;
 
+/** Shortest time between two searches for endpoints to ask about. */
+const ASK_INTERVAL_MS = 50;
+
 /**
  * Knowledge about where one step may run. Which endpoints are suitable does not change, so it is
  * kept when their tickets expire.
@@ -29,6 +32,7 @@
   private readonly tickets = new Map<string, HeldTicket>();
   private readonly suitable = new Set<string>();
   private readonly unsuitable = new Set<string>();
+  private nextAskMs = 0;
 
   /** Takes up an answer. */
   record({ asked, good, expiresMs }: AdviceAnswer): void {
@@ -46,6 +50,19 @@
     return held && held.expiresMs > nowMs + DISPATCH_MARGIN_MS ? held.ticket : undefined;
   }
 
+  /** Endpoints whose tickets outlive the dispatch of an order. */
+  listValid(nowMs: number): string[] {
+    return [...this.tickets.keys()].filter((endpoint) => this.find(endpoint, nowMs) !== undefined);
+  }
+
+  /** Tells whether it is time to look for endpoints to ask about again; true at most so often. */
+  mayAsk(): boolean {
+    const nowMs = performance.now();
+    if (nowMs < this.nextAskMs) return false;
+    this.nextAskMs = nowMs + ASK_INTERVAL_MS;
+    return true;
+  }
+
   /** Tells whether a ticket is held that is valid for at least `marginMs` more. */
   isFresh(endpoint: string, nowMs: number, marginMs: number): boolean {
     return (this.tickets.get(endpoint)?.expiresMs ?? 0) > nowMs + marginMs;
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -133,7 +133,7 @@
     for (const record of state.endpoints.values()) this.directory.add(record);
     let adopted = 0;
     for (const job of state.jobs.values()) adopted += this.adoptRuns(job);
-    for (const agent of this.directory.list()) agent.start();
+    this.directory.startAll().catch((err: Error) => this.reportLapse('agents', err));
     for (const id of state.jobs.keys()) this.followJob(id);
     this.upkeepTimer = setInterval(() => this.keepUp(), UPKEEP_INTERVAL_MS);
     this.opts.meter.countLeadership();
@@ -356,7 +356,8 @@
   private async runTurn(): Promise<void> {
     const config = this.readConfig();
     if (!config || !this.context.isValid()) return;
-    const planned = this.scheduler.decide(config);
+    const { planned, isComplete } = this.scheduler.decide(config);
+    if (!isComplete) this.requestTurn();
     if (planned.length === 0) return;
     for (const id of new Set(planned.map(({ task }) => task.jobId))) {
       this.ready.refresh(this.opts.state.jobs.get(id), id, Date.now());
