--- a/packages/daemon/src/workflowGateway.ts
+++ b/packages/daemon/src/workflowGateway.ts
@@ -6,7 +6,7 @@
 
 import { AdvisorLoop, type Advisor } from './advisorLoop.js';
 import { MemberList } from './memberList.js';
-import { gatewayInstanceId, resolveInstance } from './workflowPeers.js';
+import { gatewayInstanceId, WORKFLOW_PEERING } from './workflowPeers.js';
 
 /** Options of a {@link WorkflowGateway}. */
 export interface WorkflowGatewayOptions {
@@ -26,12 +26,6 @@
   /** The call may have changed something. */
   | { type: 'unknown' };
 
-/** Interval of pings on connections to replicas. */
-const PING_MS = 300;
-
-/** Silence after which a connection to a replica is replaced. */
-const PEER_SILENCE_MS = 1000;
-
 /** Silence of the leader after which this instance takes no more callers. */
 const MAX_SILENCE_MS = 3000;
 
@@ -54,9 +48,7 @@
       selfId: gatewayInstanceId(host),
       listen: { host, port: peerPort },
       peers: [],
-      resolvePeer: resolveInstance,
-      pingMs: PING_MS,
-      silenceMs: PEER_SILENCE_MS,
+      ...WORKFLOW_PEERING,
       logger: log,
     });
     this.members = new MemberList(seeds);
--- a/packages/daemon/src/workflowPeers.ts
+++ b/packages/daemon/src/workflowPeers.ts
@@ -26,3 +26,10 @@
   if (separator <= 0 || !Number.isInteger(port) || port <= 0) return undefined;
   return { id, host: id.slice(0, separator), port };
 }
+
+/** How instances of workflows find each other and notice that a connection has gone silent. */
+export const WORKFLOW_PEERING = {
+  resolvePeer: resolveInstance,
+  pingMs: 300,
+  silenceMs: 1000,
+};
--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -21,7 +21,7 @@
 import { MemberList } from './memberList.js';
 import { PeerRaftTransport } from './peerRaftTransport.js';
 import { ReplicaJoiner } from './replicaJoiner.js';
-import { replicaInstanceId, resolveInstance } from './workflowPeers.js';
+import { replicaInstanceId, WORKFLOW_PEERING } from './workflowPeers.js';
 
 /** Options of a {@link WorkflowReplica}. */
 export interface WorkflowReplicaOptions {
@@ -54,12 +54,6 @@
   leaderValidityMs: 280,
 };
 
-/** Interval of pings on connections between instances. */
-const PING_MS = 300;
-
-/** Silence after which a connection between instances is replaced. */
-const PEER_SILENCE_MS = 1000;
-
 /** Applied entries between two snapshots. */
 const SNAPSHOT_ENTRIES = 4000;
 
@@ -89,9 +83,7 @@
       selfId: this.instanceId,
       listen: { host, port: peerPort },
       peers: [],
-      resolvePeer: resolveInstance,
-      pingMs: PING_MS,
-      silenceMs: PEER_SILENCE_MS,
+      ...WORKFLOW_PEERING,
       logger: log,
     });
     this.members = new MemberList(opts.seeds);
--- a/packages/workflow/src/workflowTiming.ts
+++ b/packages/workflow/src/workflowTiming.ts
@@ -10,10 +10,6 @@
   retentionMs: number;
   /** How much longer a task takes away from its data or its gang's rack. */
   farFactor: number;
-  /** Time within which a serving task above its target must be relieved. */
-  harmMs: number;
-  /** Time after which a changed pace takes effect. */
-  paceMs: number;
   /** Time that an instance's maintenance takes. */
   maintenanceMs: number;
 }
@@ -25,7 +21,5 @@
   heartbeatMs: 1500,
   retentionMs: 300_000,
   farFactor: 1,
-  harmMs: 4000,
-  paceMs: 100,
   maintenanceMs: 2000,
 };
