Read the settings again while no leader answers

Cause: the settings file may change without a signal; a gateway whose seeds were all exchanged would have kept the old ones.

--- a/packages/tests/features/platform/formats.feature
+++ b/packages/tests/features/platform/formats.feature
@@ -55,6 +55,12 @@
     When settings with no fault are read
     Then the instance has a data folder, 3 seeds and leases of 4800 ms
 
+  Scenario: seeds are exchanged while no leader answers
+    Given a gateway that knows the seeds "10.0.0.1 10.0.0.2" and no leader
+    When the settings file names the seeds "10.0.0.8 10.0.0.9"
+    And 9000 ms pass without an answer of a leader
+    Then the gateway knows the seeds "10.0.0.8 10.0.0.9" as well
+
   Scenario: settings without the address of an instance are refused
     When settings with no address are read
     Then reading it fails with "ip"
