--- a/packages/tests/features/workflow/jobs.feature
+++ b/packages/tests/features/workflow/jobs.feature
@@ -105,6 +105,18 @@
     And 1500 ms of workflow time pass
     Then job "j" is "completed"
 
+  Scenario: many waiting steps: a turn that runs out of time goes on where it stopped
+    Given a leader whose turns have time for one step only
+    And 2 workers of 2 cores
+    When gang job "big1" of 5 tasks is submitted
+    And gang job "big2" of 5 tasks is submitted
+    And job "j" of 2 tasks is submitted
+    And job "k" of 2 tasks is submitted
+    And 1500 ms of workflow time pass
+    Then job "j" is "completed"
+    And job "k" is "completed"
+    And job "big1" is "queued"
+
   Scenario: calls are answered by what is known
     Given 1 workers of 4 cores
     Then a call for job "none" is answered "no-job"
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -52,6 +52,11 @@
   this.world = new WorkflowWorld({ advice: { decideMs: 20, perEndpointMs: 1, validMs: 2500 } });
 });
 
+Given('a leader whose turns have time for one step only', async function limit(this: Steps) {
+  await this.world[Symbol.asyncDispose]();
+  this.world = new WorkflowWorld({}, { turnMs: -1 });
+});
+
 Given('an instance that takes questions and falls silent', function fail(this: Steps) {
   this.world.session.broker.exchange([], 60_000).catch(() => undefined);
 });
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -8,7 +8,10 @@
 import type { EndpointRecord, JobRecord } from '@lagoongap/workflow/workflowRecords.js';
 import { WorkflowSession } from '@lagoongap/workflow/workflowSession.js';
 import { WorkflowState } from '@lagoongap/workflow/workflowState.js';
-import { DEFAULT_WORKFLOW_TIMING } from '@lagoongap/workflow/workflowTiming.js';
+import {
+  DEFAULT_WORKFLOW_TIMING,
+  type WorkflowTiming,
+} from '@lagoongap/workflow/workflowTiming.js';
 import FakeTimers from '@sinonjs/fake-timers';
 
 import { FakeDriver } from './fakeDriver.js';
@@ -75,7 +78,13 @@
   maxDown = 0;
   private readonly down = new Set<string>();
 
-  constructor(config: Partial<CellConfig['queues'][number]> = {}) {
+  private readonly timing: WorkflowTiming;
+
+  constructor(
+    config: Partial<CellConfig['queues'][number]> = {},
+    timing: Partial<WorkflowTiming> = {},
+  ) {
+    this.timing = { ...DEFAULT_WORKFLOW_TIMING, leaseMs: 5000, maxLeaseMs: 6000, ...timing };
     this.config = {
       version: 1,
       queues: [
@@ -213,7 +222,7 @@
       instances: this,
       holder: 'leader',
       parseConfig: () => this.config,
-      timing: { ...DEFAULT_WORKFLOW_TIMING, leaseMs: 5000, maxLeaseMs: 6000 },
+      timing: this.timing,
       logger: SILENT_LOG,
       meter: SILENT_METER,
       isValid: () => !log.isOver && !log.isStalled,
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -29,7 +29,7 @@
 /** Result of a scheduling turn. */
 export interface TurnResult {
   planned: PlannedStart[];
-  /** False if the time of a turn was up before all waiting steps were looked at. */
+  /** False if another turn should follow soon, to look at the rest of the waiting steps. */
   isComplete: boolean;
 }
 
@@ -45,9 +45,6 @@
   onAdvice: () => void;
 }
 
-/** Longest time of a turn; a fraction of the leader's validity. */
-const MAX_TURN_MS = 20;
-
 /** Tickets that expire sooner are renewed ahead of use. */
 const RENEWAL_MARGIN_MS = 600;
 
@@ -68,6 +65,8 @@
   private readonly opts: StepSchedulerOptions;
   private readonly books = new Map<string, TicketBook>();
   private readonly asking = new Set<string>();
+  /** Place in the order of waiting steps at which the next turn goes on. */
+  private resumeAt = 0;
   /** Endpoints that may take work in this turn, by pool. */
   private readonly candidates = new Map<string, Map<string, PlacementCandidate>>();
   private readonly troubles = new Map<string, Map<string, number>>();
@@ -113,14 +112,22 @@
     const planned: PlannedStart[] = [];
     const startMs = performance.now();
     this.candidates.clear();
-    for (const ready of this.opts.ready.list((name) => queues.get(name))) {
+    const { turnMs } = this.opts.context.timing;
+    const waiting = this.opts.ready.list((name) => queues.get(name));
+    const first = this.resumeAt < waiting.length ? this.resumeAt : 0;
+    for (let i = first; i < waiting.length; i += 1) {
+      const ready = waiting[i]!;
       const queue = queues.get(ready.job.queue);
-      if (!queue) continue;
+      if (queue) planned.push(...this.placeStep(ready, queue, config));
       // Leadership is renewed between turns, so that none may take long.
-      if (performance.now() - startMs > MAX_TURN_MS) return { planned, isComplete: false };
-      planned.push(...this.placeStep(ready, queue, config));
+      if (performance.now() - startMs > turnMs && i + 1 < waiting.length) {
+        this.resumeAt = i + 1;
+        return { planned, isComplete: false };
+      }
     }
-    return { planned, isComplete: true };
+    this.resumeAt = 0;
+    // What came up meanwhile may stand before the place where this turn began.
+    return { planned, isComplete: first === 0 };
   }
 
   /** Asks for advice on a step before it can start. */
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -24,6 +24,9 @@
 import type { EndedRun } from './workflowCommand.js';
 import type { JobRecord } from './workflowRecords.js';
 
+/** Pause after a turn that ran out of time, in turns; leaves most of the time to other work. */
+const TURN_PAUSE_FACTOR = 3;
+
 /** Shortest time between two scheduling turns. */
 const TURN_INTERVAL_MS = 4;
 
@@ -345,19 +348,19 @@
     }
   }
 
-  private requestTurn(): void {
+  private requestTurn(pauseMs = TURN_INTERVAL_MS): void {
     if (this.isDisposed || this.turnTimer) return;
     this.turnTimer = setTimeout(() => {
       this.turnTimer = undefined;
       this.runTurn().catch((err: Error) => this.reportLapse('turn', err));
-    }, TURN_INTERVAL_MS);
+    }, pauseMs);
   }
 
   private async runTurn(): Promise<void> {
     const config = this.readConfig();
     if (!config || !this.context.isValid()) return;
     const { planned, isComplete } = this.scheduler.decide(config);
-    if (!isComplete) this.requestTurn();
+    if (!isComplete) this.requestTurn(this.opts.timing.turnMs * TURN_PAUSE_FACTOR);
     if (planned.length === 0) return;
     for (const id of new Set(planned.map(({ task }) => task.jobId))) {
       this.ready.refresh(this.opts.state.jobs.get(id), id, Date.now());
--- a/packages/workflow/src/workflowTiming.ts
+++ b/packages/workflow/src/workflowTiming.ts
@@ -8,6 +8,8 @@
   heartbeatMs: number;
   /** Time for which an ended job is kept. */
   retentionMs: number;
+  /** Time of a scheduling turn after which the rest is left to the next one. */
+  turnMs: number;
   /** How much longer a task takes away from its data or its gang's rack. */
   farFactor: number;
   /** Time that an instance's maintenance takes. */
@@ -20,6 +22,7 @@
   maxLeaseMs: 10_000,
   heartbeatMs: 1500,
   retentionMs: 300_000,
+  turnMs: 20,
   farFactor: 1,
   maintenanceMs: 2000,
 };
