--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -10,8 +10,10 @@
 import { TcpPeerNetwork } from '@lagoongap/peering/tcpPeerNetwork.js';
 import { FileLogStore } from '@lagoongap/storage/fileLogStore.js';
 import { NodeFileSystem } from '@lagoongap/storage/nodeFileSystem.js';
+import { SILENT_METER, type WorkflowMeter } from '@lagoongap/telemetry/workflowMetrics.js';
 import type { ConfigReader } from '@lagoongap/workflow/cellConfig.js';
 import type { EndpointDriver } from '@lagoongap/workflow/endpointDriver.js';
+import { NO_INSTANCE_API, type InstanceApi } from '@lagoongap/workflow/instanceApi.js';
 import { WorkflowCoordinator } from '@lagoongap/workflow/workflowCoordinator.js';
 import { WorkflowState } from '@lagoongap/workflow/workflowState.js';
 import type { WorkflowTiming } from '@lagoongap/workflow/workflowTiming.js';
@@ -31,10 +33,12 @@
   /** Ids of replica instances to begin with. */
   seeds: string[];
   driver: EndpointDriver;
+  instances?: InstanceApi;
   parseConfig: ConfigReader;
   timing: WorkflowTiming;
   raftTiming?: RaftTiming;
   log: Log;
+  meter?: WorkflowMeter;
   /** Called when the durable state can no longer be trusted. */
   onFatal: (err: Error) => void;
 }
@@ -119,22 +123,33 @@
       log: this.replica,
       state,
       driver: opts.driver,
+      instances: opts.instances ?? NO_INSTANCE_API,
+      holder: this.instanceId,
       parseConfig: opts.parseConfig,
       timing: opts.timing,
       logger: log,
+      meter: opts.meter ?? SILENT_METER,
       validityMs: timing.leaderValidityMs,
     });
     this.registerMembership();
   }
 
+  /** Whether this replica leads. */
+  get isLeader(): boolean {
+    return this.replica.role === 'leader';
+  }
+
   /** Resolves when the replica takes part; the network listens before that. */
   async start(): Promise<void> {
     await this.network.start();
+    for (const seed of this.opts.seeds) this.network.connect(seed);
     this.members.follow(this.leader, this.opts.log);
     this.replica.onRoleChange(({ role, term, leaderId }) => {
       this.opts.log.info('replica role', { role, term, leaderId });
     });
     await this.replica.start();
+    const { voters, learners } = this.replica.members();
+    for (const id of [...voters, ...learners]) this.network.connect(instanceOf(id));
     this.joiner = new ReplicaJoiner({
       instanceId: this.instanceId,
       replicaId: this.replica.replicaId ?? '',
@@ -147,7 +162,7 @@
 
   /** Hands leadership over and goes on to pass calls on for a while. */
   async drain(): Promise<void> {
-    if (this.replica.role === 'leader') {
+    if (this.isLeader) {
       await this.replica.transferLeadership().catch((err: Error) => {
         this.opts.log.warn('could not transfer leadership', { err: err.message });
       });
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -34,6 +34,8 @@
   isStopping: boolean;
   /** A stop order was accepted, so the run cannot come back. */
   isStopped: boolean;
+  /** Rough estimate of the duration in milliseconds. */
+  estimateMs: number;
   /** Latest saved progress. */
   checkpoint: string;
 }
@@ -73,11 +75,14 @@
 /** Longest wait of an inspection for an end. */
 const MAX_WAIT_MS = 2000;
 
-/** Wait of an inspection where response times are watched. */
-const WATCH_WAIT_MS = 600;
+/** Wait where short tasks run; an inspection that is lost holds up their ends this long. */
+const SHORT_WAIT_MS = 700;
+
+/** Estimate up to which a task is short. */
+const SHORT_TASK_MS = 2000;
 
 /** Pause after an inspection without an answer. */
-const RETRY_MS = 250;
+const RETRY_MS = 100;
 
 /** Reports that an answer holds at most; a full answer does not show all ends. */
 const MAX_REPORTS = 500;
@@ -181,7 +186,7 @@
     log.info('start order has no answer', { run: run.key, endpoint: this.id });
     while (!this.isDisposed && this.runs.has(run.key) && run.phase === 'unsettled') {
       const isAnswered = await this.inspect(0);
-      if (run.phase !== 'unsettled' || !this.runs.has(run.key)) return;
+      if (run.phase !== 'unsettled' || !this.runs.has(run.key)) break;
       if (!isAnswered) {
         await delay(RETRY_MS);
       } else if (run.isStopped) {
@@ -191,6 +196,7 @@
         run.isStopped = await driver.stop(this.record, order);
       }
     }
+    this.poke();
   }
 
   /** Stops a run; repeated until the endpoint has accepted it or the run has gone. */
@@ -242,7 +248,10 @@
         await this.sleep(undefined);
         continue;
       }
-      const isAnswered = await this.inspect(this.chooseWait());
+      const isAnswered = await this.inspect(this.chooseWait()).catch((err: Error) => {
+        this.opts.log.warn('inspection failed', { endpoint: this.id, err: err.message });
+        return false;
+      });
       if (this.isDisposed) return;
       if (!isAnswered) await this.sleep(RETRY_MS);
     }
@@ -259,10 +268,12 @@
     if (!isValid()) return false;
     const sentMs = performance.now();
     const { record } = this;
+    // An endpoint that does not answer may still hear: its lease must be let run out.
+    const mayRenew = this.clock.isKnown && !this.isSuspect;
     const result = await driver.inspect(record, {
       fencingToken,
       ackedReport: this.ackedReport,
-      untilMs: this.clock.isKnown ? this.clock.grant(leaseMs, sentMs) : undefined,
+      untilMs: mayRenew ? this.clock.grant(leaseMs, sentMs) : undefined,
       waitMs,
     });
     if (this.isDisposed) return false;
@@ -287,7 +298,8 @@
 
   private chooseWait(): number {
     if (!this.isSynced || this.runs.size === 0) return 0;
-    return this.isWatched ? WATCH_WAIT_MS : MAX_WAIT_MS;
+    const isShort = [...this.runs.values()].some(({ estimateMs }) => estimateMs <= SHORT_TASK_MS);
+    return isShort || this.isWatched ? SHORT_WAIT_MS : MAX_WAIT_MS;
   }
 
   private async takeUp(answer: Inspection, sentMs: number): Promise<void> {
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -2,20 +2,24 @@
 import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 
 import { AdviceBroker } from './adviceBroker.js';
+import { AdvicePlanner } from './advicePlanner.js';
 import type { CellConfig } from './cellConfig.js';
 import type { AgentListener, AgentRun, EndpointAgent } from './endpointAgent.js';
 import { EndpointDirectory } from './endpointDirectory.js';
 import type { ActiveRun, EndReport } from './endpointDriver.js';
 import { EndpointService } from './endpointService.js';
 import { InterferenceGuard } from './interferenceGuard.js';
+import { JobRetention } from './jobRetention.js';
 import { JobService } from './jobService.js';
 import { parseTaskName, taskName, type TaskRef } from './jobSpec.js';
-import { listTasks, ReadySteps, stepName } from './readySteps.js';
+import { dueTime, listTasks, ReadySteps, stepName } from './readySteps.js';
+import { proposeWhileLeading } from './proposeWhileLeading.js';
 import { RunLedger } from './runLedger.js';
 import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
 import { SpeedLearner } from './speedLearner.js';
 import { StragglerWatch } from './stragglerWatch.js';
 import { StepScheduler, type PlannedStart } from './stepScheduler.js';
+import { WaveRunner } from './waveRunner.js';
 import type { EndedRun } from './workflowCommand.js';
 import type { JobRecord } from './workflowRecords.js';
 
@@ -23,7 +27,7 @@
 const TURN_INTERVAL_MS = 4;
 
 /** Time between two rounds of upkeep: ended jobs, silent endpoints, steps that wait. */
-const UPKEEP_INTERVAL_MS = 500;
+const UPKEEP_INTERVAL_MS = 250;
 
 /** Silence after which an endpoint without work is forgotten, in heartbeats. */
 const FORGET_HEARTBEATS = 20;
@@ -50,8 +54,10 @@
   private readonly scheduler: StepScheduler;
   private readonly interference: InterferenceGuard;
   private readonly stragglers: StragglerWatch;
+  private readonly advice: AdvicePlanner;
   private readonly occurrenceTimers = new Map<string, NodeJS.Timeout>();
-  private readonly endedSince = new Map<string, number>();
+  private readonly retention: JobRetention;
+  private readonly waves: WaveRunner;
   private config: CellConfig | undefined;
   private turnTimer: NodeJS.Timeout | undefined;
   private upkeepTimer: NodeJS.Timeout | undefined;
@@ -64,9 +70,15 @@
       driver: opts.driver,
       timing: opts.timing,
       logger: opts.logger,
+      meter: opts.meter,
       fencingToken: opts.log.term,
       isValid: () => !this.isDisposed && opts.isValid(),
-      propose: async (command) => (await opts.log.propose(command)).result,
+      propose: async (command) => {
+        const startMs = performance.now();
+        const result = await proposeWhileLeading(opts.log, command, opts.log.term);
+        opts.meter.countCommit(performance.now() - startMs);
+        return result;
+      },
       readConfig: () => this.readConfig(),
     };
     this.directory = new EndpointDirectory(this.context, this, this.health);
@@ -85,8 +97,22 @@
       onAdvice: () => this.requestTurn(),
     });
     this.interference = new InterferenceGuard(this.context);
+    this.waves = new WaveRunner({
+      context: this.context,
+      directory: this.directory,
+      instances: opts.instances,
+      holder: opts.holder,
+    });
+    this.retention = new JobRetention(this.context);
     this.stragglers = new StragglerWatch(this.context, this.directory, this.speeds);
+    this.advice = new AdvicePlanner({
+      context: this.context,
+      ready: this.ready,
+      scheduler: this.scheduler,
+      stragglers: this.stragglers,
+    });
     this.jobs = new JobService(this.context, {
+      onSubmitting: (command) => this.advice.prepareFirst(command),
       onAccepted: (job) => this.followJob(job.id),
       onClosed: (job) => this.closeJob(job),
     });
@@ -107,6 +133,7 @@
     for (const agent of this.directory.list()) agent.start();
     for (const id of state.jobs.keys()) this.followJob(id);
     this.upkeepTimer = setInterval(() => this.keepUp(), UPKEEP_INTERVAL_MS);
+    this.opts.meter.countLeadership();
     logger.info('leadership of workflows begins', {
       term: this.context.fencingToken,
       jobs: state.jobs.size,
@@ -148,6 +175,7 @@
     });
     for (const { key, task } of runs) {
       this.health.recordAbandoned({ attemptId: key, unitId: task.jobId, endpointId: agent.id });
+      this.noteTrouble(agent, task);
     }
     const ends = runs.map(({ task, run, checkpoint }) => ({
       task,
@@ -254,6 +282,7 @@
       orderedMs: performance.now(),
       isStopping: false,
       isStopped: false,
+      estimateMs: this.opts.state.findSpec(task)?.estimateMs ?? 0,
       checkpoint,
     };
   }
@@ -265,11 +294,16 @@
       this.ledger.release(runKey(task, run));
       jobs.add(task.jobId);
       this.opts.logger.info('run ended', { run: runKey(task, run), endpoint, outcome });
+      this.opts.meter.countRunEnded(outcome);
       if (outcome === 'done') this.stopCopies(task);
     }
     for (const id of jobs) this.followJob(id);
   }
 
+  private noteTrouble(agent: EndpointAgent, task: TaskRef): void {
+    this.scheduler.noteTrouble(stepName(task.jobId, task.occurrence, task.step), agent.id);
+  }
+
   /** Stops the copies of a task that has ended well. */
   private stopCopies(task: TaskRef): void {
     const record = this.opts.state.findTask(task);
@@ -288,6 +322,7 @@
     if (report.outcome === 'done') this.health.recordSuccess(attempt);
     else if (report.outcome === 'failed') this.health.recordFailure(attempt);
     else this.health.recordAbandoned(attempt);
+    if (report.outcome === 'failed') this.noteTrouble(agent, run.task);
     const spec = this.opts.state.findSpec(run.task);
     const isMeasurable = report.outcome === 'done' && run.confirmedMs > 0 && run.run === 1;
     if (!spec || !isMeasurable || spec.fillsIdleCapacity || spec.dataRack !== '') return;
@@ -313,9 +348,9 @@
   /** Stops what is left of a job that has ended. */
   private closeJob(job: JobRecord): void {
     this.ready.refresh(job, job.id, Date.now());
-    if (!this.endedSince.has(job.id)) {
-      this.endedSince.set(job.id, performance.now());
+    if (this.retention.note(job.id)) {
       this.opts.logger.info('job ended', { job: job.id, status: job.status });
+      this.opts.meter.countJobEnded(job.status, Date.now() - job.acceptedMs);
     }
     for (const step of job.steps.values()) {
       this.scheduler.forget(stepName(job.id, step.occurrence, step.step));
@@ -350,6 +385,10 @@
       for (const start of planned) this.scheduler.settle(start);
     }
     for (const start of planned) this.dispatch(start);
+    for (const id of new Set(planned.map(({ task }) => task.jobId))) {
+      const job = this.opts.state.jobs.get(id);
+      if (job) this.advice.prepareNext(job, config);
+    }
   }
 
   /** Orders a start that is recorded, unless its job has ended meanwhile. */
@@ -365,6 +404,7 @@
       return;
     }
     this.opts.logger.info('run ordered', { run: order.key, endpoint: agent.id });
+    this.opts.meter.countRunOrdered(Date.now() - dueTime(job, task.occurrence));
     this.health.recordStart({ attemptId: order.key, unitId: job.id, endpointId: agent.id });
     agent.order(order, job.spec.payload, ticket).catch((err: Error) => {
       this.opts.logger.error('start order failed', { run: order.key, err: err.message });
@@ -373,32 +413,23 @@
 
   private keepUp(): void {
     if (!this.context.isValid()) return;
-    this.forgetJobs();
+    for (const id of this.retention.forgetDue()) this.occurrenceTimers.delete(id);
     this.forgetSilentEndpoints();
+    const agents = this.directory.list();
+    const available = agents.filter((agent) => this.directory.isInTouch(agent)).length;
+    this.opts.meter.setEndpoints(available, agents.length);
+    this.opts.meter.setConfigVersion(this.opts.state.config.version);
+    this.advice.prepareAll();
+    this.waves.advance().catch((err: Error) => this.reportLapse('wave', err));
     for (const id of this.stragglers.findJobs()) this.followJob(id);
     for (const { agent, run } of this.stragglers.findStalled()) {
       this.opts.logger.warn('run stands still', { run: run.key, endpoint: agent.id });
+      this.noteTrouble(agent, run.task);
       agent.stop(run);
     }
     this.requestTurn();
   }
 
-  private forgetJobs(): void {
-    const nowMs = performance.now();
-    const ids: string[] = [];
-    for (const [id, sinceMs] of this.endedSince) {
-      if (nowMs - sinceMs > this.opts.timing.retentionMs) ids.push(id);
-    }
-    if (ids.length === 0) return;
-    for (const id of ids) {
-      this.endedSince.delete(id);
-      this.occurrenceTimers.delete(id);
-    }
-    this.context
-      .propose({ type: 'forget', ids })
-      .catch((err: Error) => this.reportLapse('retention', err));
-  }
-
   private forgetSilentEndpoints(): void {
     const silenceMs = this.opts.timing.heartbeatMs * FORGET_HEARTBEATS;
     const nowMs = performance.now();
