--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -5,7 +5,7 @@
 import { taskName, type TaskRef } from './jobSpec.js';
 import { MovingAverage } from './movingAverage.js';
 import type { ReadyStep, ReadySteps } from './readySteps.js';
-import type { RunLedger } from './runLedger.js';
+import { createReservation, type RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
 import type { SpeedLearner } from './speedLearner.js';
 import {
@@ -112,6 +112,28 @@
     if (queue.advice) this.ask(step, queue, this.listCandidates(queue));
   }
 
+  /** Tells what keeps the tasks of a step waiting, for the log. */
+  explain(ready: ReadyStep, config: CellConfig): Record<string, unknown> {
+    const queue = config.queues.find(({ name }) => name === ready.job.queue);
+    if (!queue) return { reason: 'its queue is not configured any more' };
+    const candidates = this.listCandidates(queue);
+    const room = this.createRoom(ready, config);
+    const nowMs = performance.now();
+    const book = this.books.get(ready.name);
+    const count = (test: (candidate: PlacementCandidate) => boolean): number =>
+      candidates.filter(test).length;
+    return {
+      endpoints: candidates.length,
+      withRoom: count((candidate) => this.countSlots(ready.spec, candidate) > 0),
+      withinLimit: count((candidate) => room.fits(candidate, ready.spec)),
+      withTicket: count(({ id }) => book?.find(id, nowMs) !== undefined),
+      suitable: count(({ id }) => book?.judge(id) === 'suitable'),
+      unsuitable: count(({ id }) => book?.judge(id) === 'unsuitable'),
+      isAsking: this.asking.has(ready.name),
+      questions: this.opts.broker.backlog,
+    };
+  }
+
   private placeStep(ready: ReadyStep, queue: QueuePolicy, config: CellConfig): PlannedStart[] {
     const candidates = this.listCandidates(queue);
     const nowMs = performance.now();
@@ -182,14 +204,8 @@
   }
 
   private reserve(ready: ReadyStep, key: string, endpoint: string): void {
-    this.opts.ledger.reserve({
-      key,
-      endpoint,
-      organisation: ready.job.organisation,
-      stepName: ready.name,
-      size: ready.spec.size,
-      fillsIdleCapacity: ready.spec.fillsIdleCapacity,
-    });
+    const task = { jobId: ready.job.id, occurrence: ready.occurrence, step: ready.step, index: 0 };
+    this.opts.ledger.reserve(createReservation(ready.job, task, key, endpoint));
   }
 
   private nextRun({ job, occurrence, step }: ReadyStep, index: number): number {
