--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -10,8 +10,10 @@
 import { TcpPeerNetwork } from '@lagoongap/peering/tcpPeerNetwork.js';
 import { FileLogStore } from '@lagoongap/storage/fileLogStore.js';
 import { NodeFileSystem } from '@lagoongap/storage/nodeFileSystem.js';
+import { SILENT_METER, type WorkflowMeter } from '@lagoongap/telemetry/workflowMetrics.js';
 import type { ConfigReader } from '@lagoongap/workflow/cellConfig.js';
 import type { EndpointDriver } from '@lagoongap/workflow/endpointDriver.js';
+import { NO_INSTANCE_API, type InstanceApi } from '@lagoongap/workflow/instanceApi.js';
 import { WorkflowCoordinator } from '@lagoongap/workflow/workflowCoordinator.js';
 import { WorkflowState } from '@lagoongap/workflow/workflowState.js';
 import type { WorkflowTiming } from '@lagoongap/workflow/workflowTiming.js';
@@ -31,10 +33,12 @@
   /** Ids of replica instances to begin with. */
   seeds: string[];
   driver: EndpointDriver;
+  instances?: InstanceApi;
   parseConfig: ConfigReader;
   timing: WorkflowTiming;
   raftTiming?: RaftTiming;
   log: Log;
+  meter?: WorkflowMeter;
   /** Called when the durable state can no longer be trusted. */
   onFatal: (err: Error) => void;
 }
@@ -119,9 +123,12 @@
       log: this.replica,
       state,
       driver: opts.driver,
+      instances: opts.instances ?? NO_INSTANCE_API,
+      holder: this.instanceId,
       parseConfig: opts.parseConfig,
       timing: opts.timing,
       logger: log,
+      meter: opts.meter ?? SILENT_METER,
       validityMs: timing.leaderValidityMs,
     });
     this.registerMembership();
