Repeat stops after a stall, and watch endpoints that come back

Cause: an agent gave up a stop order as soon as leadership was not valid for a moment and never began again, as the run stayed marked as stopping; an endpoint that had left stayed in the directory with a disposed agent, so that its next life was not watched until the next leadership. Both were found by reading. Change: stops are repeated until the run has gone; an endpoint that has left is forgotten like a silent one. Also removed: a dead parameter of findAbsent and a second refresh of closed jobs.

--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -127,3 +127,25 @@
     When 20 jobs of 1 task are submitted 300 ms apart
     And 10000 ms of workflow time pass
     Then at least 18 jobs are "completed"
+
+  Scenario: a stop that cannot be ordered for a moment is ordered later
+    When job "j" of 8 tasks of 60000 ms is submitted
+    And 100 ms of workflow time pass
+    And worker w1 falls silent
+    And job "j" is cancelled
+    And 300 ms of workflow time pass
+    And no majority answers the workflow leader
+    And worker w1 answers again
+    And 600 ms of workflow time pass
+    And a majority answers the workflow leader
+    And 1000 ms of workflow time pass
+    Then nothing runs
+
+  Scenario: an endpoint that has left and comes back under its name is watched again
+    When worker w1 leaves
+    And 1000 ms of workflow time pass
+    And worker w1 comes back
+    And job "j" of 8 tasks is submitted
+    And 2000 ms of workflow time pass
+    Then job "j" is "completed"
+    And worker w1 has started 4 runs
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -98,6 +98,23 @@
   await this.world.beat();
 });
 
+When('worker {word} answers again', function restore(this: Steps, id: string) {
+  this.world.driver.worker(id).mood = 'sound';
+});
+
+When('worker {word} leaves', function leave(this: Steps, id: string) {
+  this.world.session.endpoints.leave(id);
+  this.world.driver.worker(id).mood = 'silent';
+});
+
+When('worker {word} comes back', async function comeBack(this: Steps, id: string) {
+  const worker = this.world.driver.worker(id);
+  worker.rebear();
+  worker.mood = 'sound';
+  await this.world.beat();
+  await pass(this, 100);
+});
+
 When('worker {word} is draining', async function drain(this: Steps, id: string) {
   const record = this.world.records.get(id)!;
   this.world.records.set(id, { ...record, isDraining: true });
@@ -284,6 +301,10 @@
   assert.deepEqual(this.world.driver.worker(id).started, []);
 });
 
+Then('worker {word} has started {int} runs', function check(this: Steps, id: string, count) {
+  assert.equal(this.world.driver.worker(id).started.length, count);
+});
+
 Then('no worker had more than {int} tasks', function checkRoom(this: Steps, most: number) {
   assert.ok(this.maxTasks <= most, `${this.maxTasks} tasks`);
 });
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -51,6 +51,8 @@
   /** Called with all runs after each inspection. */
   onInspected(agent: EndpointAgent, active: ActiveRun[]): void;
   onAvailabilityChange(agent: EndpointAgent): void;
+  /** The endpoint has said that it ends, and answers no more. */
+  onLeft(agent: EndpointAgent): void;
   /** A newer leader has given orders. */
   onFenced(): void;
 }
@@ -318,14 +320,13 @@
       if (!run) listener.onUnknownRun(this, active);
       else this.confirm(run, active);
     }
-    const ended = new Set(ends.map(({ run }) => run));
     const isWhole = answer.ended.length < MAX_REPORTS;
     if (ends.length > 0) {
       for (const { run } of ends) this.runs.delete(run.key);
       await listener.onEnds(this, ends);
       if (this.isDisposed) return;
     }
-    if (isWhole) this.findAbsent(answer.active, ended, sentMs);
+    if (isWhole) this.findAbsent(answer.active, sentMs);
     this.hasUnackedReports = lastReport > this.ackedReport;
     this.ackedReport = lastReport;
     this.isSynced = true;
@@ -341,11 +342,11 @@
   }
 
   /** Finds runs that an inspection sent at `sentMs` should have shown. */
-  private findAbsent(active: ActiveRun[], ended: Set<AgentRun>, sentMs: number): void {
+  private findAbsent(active: ActiveRun[], sentMs: number): void {
     const shown = new Set(active.map(({ task, run }) => `${task}:${run}`));
     const lost: AgentRun[] = [];
     for (const run of this.runs.values()) {
-      if (ended.has(run) || shown.has(run.key)) continue;
+      if (shown.has(run.key)) continue;
       if (run.phase === 'running' && run.confirmedMs < sentMs) lost.push(run);
     }
     if (lost.length > 0) this.drop(lost, 'not on the endpoint');
@@ -363,8 +364,7 @@
       listener.onAvailabilityChange(this);
     }
     if (this.isLeaving && failure === 'unreachable') {
-      this.markGone('the endpoint has left');
-      listener.onAvailabilityChange(this);
+      listener.onLeft(this);
       return;
     }
     if (this.runs.size > 0 && this.haveLeasesEnded()) {
@@ -386,9 +386,10 @@
 
   private async repeatStop(run: AgentRun): Promise<void> {
     const { driver, fencingToken, isValid } = this.opts;
-    while (!this.isDisposed && this.runs.has(run.key) && isValid()) {
+    while (!this.isDisposed && this.runs.has(run.key)) {
       const order = { task: run.name, run: run.run, fencingToken };
-      if (await driver.stop(this.record, order)) {
+      // Without a majority nothing is ordered; the leadership may go on a moment later.
+      if (isValid() && (await driver.stop(this.record, order))) {
         run.isStopped = true;
         this.poke();
         return;
--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -83,10 +83,10 @@
     agent.poke();
   }
 
-  /** Forgets an endpoint that has been silent for long. */
-  forget(id: string): void {
-    this.context.logger.info('silent endpoint is forgotten', { endpoint: id });
-    this.directory.remove(id, 'the endpoint is silent');
+  /** Forgets an endpoint that has ended or has been silent for long. */
+  forget(id: string, reason: string): void {
+    this.context.logger.info('endpoint is forgotten', { endpoint: id, reason });
+    this.directory.remove(id, reason);
     this.context.propose({ type: 'unregister', id }).catch((err: Error) => {
       this.context.logger.warn('endpoint could not be forgotten', { id, err: err.message });
     });
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -120,7 +120,7 @@
     this.jobs = new JobService(this.context, {
       onSubmitting: (command) => this.advice.prepareFirst(command),
       onAccepted: (job) => this.followJob(job.id),
-      onClosed: (job) => this.closeJob(job),
+      onClosed: (job) => this.followJob(job.id),
     });
     this.endpoints = new EndpointService(this.context, this.directory, {
       onChanged: (id) => {
@@ -215,6 +215,11 @@
     this.requestTurn();
   }
 
+  onLeft(agent: EndpointAgent): void {
+    this.endpoints.forget(agent.id, 'the endpoint has left');
+    this.requestTurn();
+  }
+
   onFenced(): void {
     this.opts.logger.warn('a newer leader gives orders', { term: this.context.fencingToken });
   }
@@ -335,7 +340,6 @@
 
   /** Stops what is left of a job that has ended. */
   private closeJob(job: JobRecord): void {
-    this.ready.refresh(job, job.id, Date.now());
     if (this.retention.note(job.id)) {
       this.opts.logger.info('job ended', { job: job.id, status: job.status });
       this.opts.meter.countJobEnded(job.status, Date.now() - job.acceptedMs);
@@ -436,7 +440,7 @@
     const nowMs = performance.now();
     for (const agent of this.directory.list()) {
       const isIdle = agent.runs.size === 0;
-      if (isIdle && nowMs - agent.lastHeartbeatMs > silenceMs) this.endpoints.forget(agent.id);
+      if (isIdle && nowMs - agent.lastHeartbeatMs > silenceMs) this.endpoints.forget(agent.id, 'the endpoint is silent');
     }
   }
 
