Look only at waiting steps for which something has changed

Change: a step that found no place is passed over until a ticket comes, its organisation comes within its limit, room comes free on an endpoint that it may use, or 250 ms have passed. Questions to the advisor have a module of their own. Within a priority, jobs that can still be in time go before late and overdue ones.

--- a/packages/tests/features/workflow/jobs.feature
+++ b/packages/tests/features/workflow/jobs.feature
@@ -23,6 +23,13 @@
     Then job "j" is "completed"
     And no worker had more than 2 tasks
 
+  Scenario: a full fleet: waiting tasks start as soon as others end
+    Given 2 workers of 2 cores
+    When job "j" of 4 tasks is submitted
+    And job "k" of 4 tasks is submitted
+    And 560 ms of workflow time pass
+    Then 8 runs were started
+
   Scenario: an organisation stays within its limit
     Given 4 workers of 4 cores
     And the organisation may run 3 cores
--- a/packages/tests/features/workflow/policies.feature
+++ b/packages/tests/features/workflow/policies.feature
@@ -77,3 +77,37 @@
     When 20 tasks of kind "a" take 1000 ms instead of 1000 ms
     And 10 tasks on "w9" of kind "a" take 6000 ms instead of 1000 ms
     Then "w9" is at least 2 times slower than its kind
+
+  Scenario: a burst that cannot be served in time: jobs that can still be in time go first
+    Given waiting jobs of 1000 ms that should end within 1500 ms
+      | id      | priority | waitedMs |
+      | overdue | 1        | 9000     |
+      | late    | 1        | 2000     |
+      | old     | 1        | 400      |
+      | fresh   | 1        | 10       |
+      | urgent  | 0        | 2000     |
+    Then they are served in the order "urgent old fresh late overdue"
+
+  Scenario: a service has no time by which it is too late
+    Given waiting services of 1000 ms that should end within 1500 ms
+      | id    | priority | waitedMs |
+      | first | 1        | 9000     |
+      | next  | 1        | 100      |
+    Then they are served in the order "first next"
+
+  Scenario: a full fleet: a step without a place is looked at again when something changed
+    Given a step of 2 tasks that found no place, with tickets for "w1"
+    Then it is passed over
+    When a run on "w2" is released
+    Then it is passed over
+    When a run on "w1" is released
+    Then it is looked at again
+    When it finds no place again
+    Then it is passed over
+    When a ticket for "w3" comes
+    Then it is looked at again
+
+  Scenario: a full fleet: a trial that is taken back gives no room
+    Given a step of 2 tasks that found no place, with tickets for "w1"
+    When a run on "w1" is withdrawn
+    Then it is passed over
--- a/packages/tests/src/steps/workflow/policySteps.ts
+++ b/packages/tests/src/steps/workflow/policySteps.ts
@@ -3,6 +3,13 @@
 import { After, Given, Then, When, type DataTable } from '@cucumber/cucumber';
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
 import { nextPace } from '@lagoongap/workflow/interferenceGuard.js';
+import { BlockedSteps } from '@lagoongap/workflow/blockedSteps.js';
+import type { QueuePolicy } from '@lagoongap/workflow/cellConfig.js';
+import { RunLedger } from '@lagoongap/workflow/runLedger.js';
+import type { ReadyStep } from '@lagoongap/workflow/readySteps.js';
+import { orderSteps } from '@lagoongap/workflow/stepOrder.js';
+import { TicketBook } from '@lagoongap/workflow/ticketBook.js';
+import { createJob } from '@lagoongap/workflow/workflowState.js';
 import { LeaseClock } from '@lagoongap/workflow/leaseClock.js';
 import { SpeedLearner } from '@lagoongap/workflow/speedLearner.js';
 import { choosePlace, type PlacementCandidate } from '@lagoongap/workflow/stepPlacer.js';
@@ -17,9 +24,72 @@
   guardClock?: ReturnType<typeof FakeTimers.install>;
   guard: SuspensionGuard;
   speeds: SpeedLearner;
+  waiting: ReadyStep[];
+  queues: QueuePolicy[];
+  ledger: RunLedger;
+  book: TicketBook;
+  blocked: BlockedSteps;
 }
 
 const FAR_FACTOR = 3;
+const NOW_MS = 1_700_000_000_000;
+const TICKET_MS = 60_000;
+
+function createWaiting(id: string, queue: string, waitedMs: number, step: StepRow): ReadyStep {
+  const spec = createStep(step);
+  const job = createJob({
+    type: 'submit',
+    id,
+    queue,
+    organisation: 'o',
+    maxAttempts: 1,
+    acceptedMs: NOW_MS - waitedMs,
+    spec: { payload: '', steps: [spec] },
+  });
+  const waiting = Array.from({ length: spec.taskCount }, (_, index) => index);
+  return { name: id, job, occurrence: 0, step: 0, spec, waiting, dueMs: job.acceptedMs };
+}
+
+function createQueue(priority: string, targetMs: number): QueuePolicy {
+  return {
+    name: priority,
+    host: 'h',
+    pathPrefix: `/${priority}/`,
+    pool: 'p',
+    priority: Number(priority),
+    maxAttempts: 1,
+    stretch: 1,
+    targetMs,
+    isOpen: false,
+  };
+}
+
+function addTicket(world: PolicyWorld, endpoint: string): void {
+  const expiresMs = performance.now() + TICKET_MS;
+  world.book.record({ asked: [endpoint], good: [{ endpoint, ticket: 't' }], expiresMs });
+}
+
+/** Counts a run on an endpoint and takes it back, as an end or as a trial. */
+function passRun(world: PolicyWorld, endpoint: string, how: 'release' | 'withdraw'): void {
+  const size = { ...NO_RESOURCES, cpuMillis: 1 };
+  const key = `run-${endpoint}`;
+  const reservation = { key, endpoint, organisation: 'o', stepName: 's', size };
+  world.ledger.reserve({ ...reservation, fillsIdleCapacity: false });
+  world.ledger[how](key);
+}
+
+function isPassedOver(world: PolicyWorld): boolean {
+  const { book, blocked, waiting } = world;
+  const chance = { step: waiting[0]!, book, isWithinLimit: true, hasRoom: () => true };
+  return blocked.isBlocked(chance, performance.now());
+}
+
+function noteNoPlace(world: PolicyWorld): void {
+  const { book, blocked, waiting } = world;
+  book.mayAsk();
+  const chance = { step: waiting[0]!, book, isWithinLimit: true, hasRoom: () => true };
+  blocked.note(chance, waiting[0]!.waiting.length);
+}
 
 After(function restoreClock(this: PolicyWorld) {
   this.guardClock?.uninstall();
@@ -154,3 +224,58 @@
     assert.ok(this.speeds.slowness(id) >= factor, `${this.speeds.slowness(id)}`);
   },
 );
+
+Given(
+  /^waiting (jobs|services) of (\d+) ms that should end within (\d+) ms$/,
+  function setWaiting(this: PolicyWorld, kind, estimateMs, targetMs, table: DataTable) {
+    const step = { estimateMs: Number(estimateMs), isService: kind === 'services' };
+    const rows = table.hashes() as { id: string; priority: string; waitedMs: string }[];
+    const objectiveMs = Number(targetMs) - Number(estimateMs);
+    this.queues = rows.map(({ priority }) => createQueue(priority, objectiveMs));
+    this.waiting = rows.map(({ id, priority, waitedMs }) =>
+      createWaiting(id, priority, Number(waitedMs), step),
+    );
+  },
+);
+
+Then('they are served in the order {string}', function checkOrder(this: PolicyWorld, ids: string) {
+  const findQueue = (name: string) => this.queues.find((queue) => queue.name === name);
+  const ordered = orderSteps(this.waiting, findQueue, NOW_MS);
+  assert.equal(ordered.map(({ name }) => name).join(' '), ids);
+});
+
+Given(
+  'a step of {int} tasks that found no place, with tickets for {string}',
+  function block(this: PolicyWorld, taskCount: number, endpoint: string) {
+    this.ledger = new RunLedger();
+    this.book = new TicketBook();
+    this.blocked = new BlockedSteps(this.ledger);
+    this.waiting = [createWaiting('s', '0', 0, { taskCount })];
+    addTicket(this, endpoint);
+    noteNoPlace(this);
+  },
+);
+
+When('a run on {string} is released', function release(this: PolicyWorld, endpoint: string) {
+  passRun(this, endpoint, 'release');
+});
+
+When('a run on {string} is withdrawn', function withdraw(this: PolicyWorld, endpoint: string) {
+  passRun(this, endpoint, 'withdraw');
+});
+
+When('it finds no place again', function again(this: PolicyWorld) {
+  noteNoPlace(this);
+});
+
+When('a ticket for {string} comes', function come(this: PolicyWorld, endpoint: string) {
+  addTicket(this, endpoint);
+});
+
+Then('it is passed over', function checkBlocked(this: PolicyWorld) {
+  assert.equal(isPassedOver(this), true);
+});
+
+Then('it is looked at again', function checkUnblocked(this: PolicyWorld) {
+  assert.equal(isPassedOver(this), false);
+});
--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -11,6 +11,9 @@
   clockMs?: number;
 }
 
+/** Silence after which an endpoint without work is forgotten, in heartbeats. */
+const FORGET_HEARTBEATS = 20;
+
 /** Receives changes of endpoints. */
 export interface EndpointServiceListener {
   /** The endpoint is new, has begun a new life, or has other properties. */
@@ -92,6 +95,16 @@
     });
   }
 
+  /** Forgets the endpoints without work that have been silent for long. */
+  forgetSilent(): void {
+    const silenceMs = this.context.timing.heartbeatMs * FORGET_HEARTBEATS;
+    const nowMs = performance.now();
+    for (const { id, runs, lastHeartbeatMs } of this.directory.list()) {
+      const isSilent = nowMs - lastHeartbeatMs > silenceMs;
+      if (isSilent && runs.size === 0) this.forget(id, 'the endpoint is silent');
+    }
+  }
+
   /** An instance or address has one life at a time: a newer one shows that the older has ended. */
   private async removePredecessors(record: EndpointRecord): Promise<void> {
     for (const other of this.directory.list()) {
--- a/packages/workflow/src/readySteps.ts
+++ b/packages/workflow/src/readySteps.ts
@@ -1,4 +1,3 @@
-import type { QueuePolicy } from './cellConfig.js';
 import { stepName, type StepSpec, type TaskRef } from './jobSpec.js';
 import type { JobRecord, RunRecord, TaskRecord } from './workflowRecords.js';
 import type { WorkflowState } from './workflowState.js';
@@ -68,13 +67,9 @@
     this.opts = opts;
   }
 
-  /** Steps in the order in which they are served. */
-  list(findQueue: (name: string) => QueuePolicy | undefined): ReadyStep[] {
-    const priorityOf = ({ job }: ReadyStep): number =>
-      findQueue(job.queue)?.priority ?? Number.MAX_SAFE_INTEGER;
-    return [...this.steps.values()].sort(
-      (a, b) => priorityOf(a) - priorityOf(b) || a.dueMs - b.dueMs,
-    );
+  /** Steps with waiting tasks, in no particular order. */
+  list(): Iterable<ReadyStep> {
+    return this.steps.values();
   }
 
   /** Number of steps with waiting tasks. */
--- a/packages/workflow/src/runLedger.ts
+++ b/packages/workflow/src/runLedger.ts
@@ -1,4 +1,4 @@
-import { fitsInto, NO_RESOURCES, type Resources } from '@lagoongap/model/resources.js';
+import { NO_RESOURCES, type Resources } from '@lagoongap/model/resources.js';
 
 import { stepName, type TaskRef } from './jobSpec.js';
 import { WorkflowError } from './workflowError.js';
@@ -59,6 +59,26 @@
   private readonly reservations = new Map<string, Reservation>();
   private readonly endpoints = new Map<string, EndpointUse>();
   private readonly organisations = new Map<string, Resources>();
+  /** Endpoints in the order in which runs on them were released. */
+  private releases: string[] = [];
+  /** Releases that were forgotten. */
+  private forgottenReleases = 0;
+
+  /** Number of releases so far. */
+  get releaseCount(): number {
+    return this.forgottenReleases + this.releases.length;
+  }
+
+  /** Endpoints on which runs were released after the first `count` releases. */
+  listReleases(count: number): string[] {
+    return this.releases.slice(Math.max(0, count - this.forgottenReleases));
+  }
+
+  /** Forgets which endpoints had releases. */
+  forgetReleases(): void {
+    this.forgottenReleases += this.releases.length;
+    this.releases = [];
+  }
 
   /** Counts a run; a run that is already counted stays as it is. */
   reserve(reservation: Reservation): void {
@@ -71,6 +91,14 @@
 
   /** Stops counting a run. */
   release(key: string): void {
+    const endpoint = this.reservations.get(key)?.endpoint;
+    if (endpoint === undefined) return;
+    this.withdraw(key);
+    this.releases.push(endpoint);
+  }
+
+  /** Takes back a reservation that was only a trial, so that no room has become free. */
+  withdraw(key: string): void {
     const reservation = this.reservations.get(key);
     if (!reservation) return;
     this.reservations.delete(key);
@@ -108,8 +136,13 @@
 
   /** Tells whether a run fits into the room that is left on an endpoint. */
   hasRoom(endpoint: string, capacity: Resources, size: Resources, fills: boolean): boolean {
-    const wanted = add(this.useOf(endpoint).used, fills ? { ...size, cpuMillis: 0 } : size, 1);
-    return fitsInto(wanted, { ...capacity, slots: 0 });
+    const { used } = this.useOf(endpoint);
+    const cpuMillis = fills ? 0 : size.cpuMillis;
+    return (
+      used.cpuMillis + cpuMillis <= capacity.cpuMillis &&
+      used.memoryMib + size.memoryMib <= capacity.memoryMib &&
+      used.accelerators + size.accelerators <= capacity.accelerators
+    );
   }
 
   /** Tells whether a run keeps an organisation within its limit; 0 means no limit. */
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -1,9 +1,12 @@
+import type { Resources } from '@lagoongap/model/resources.js';
+
 import type { AdviceBroker } from './adviceBroker.js';
+import { AdviceSeeker, countSlots } from './adviceSeeker.js';
+import { BlockedSteps, type PlacementChance } from './blockedSteps.js';
 import type { CellConfig, QueuePolicy } from './cellConfig.js';
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { taskName, type TaskRef } from './jobSpec.js';
-import { MovingAverage } from './movingAverage.js';
 import type { ReadyStep, ReadySteps } from './readySteps.js';
 import { createReservation, type RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
@@ -14,7 +17,7 @@
   type PlacementCandidate,
   type PlacementRoom,
 } from './stepPlacer.js';
-import { TicketBook } from './ticketBook.js';
+import { orderSteps } from './stepOrder.js';
 import type { StartedRun } from './workflowCommand.js';
 
 /** A start that was decided. */
@@ -45,37 +48,28 @@
   onAdvice: () => void;
 }
 
-/** Tickets that expire sooner are renewed ahead of use. */
-const RENEWAL_MARGIN_MS = 600;
-
-/** Most endpoints named in one question. */
-const MAX_NAMED = 100;
-
-/** Share of suitable endpoints assumed before any answer. */
-const INITIAL_SUITABLE_SHARE = 0.5;
-
-/** Places asked for per waiting task, so that a full endpoint can be passed over. */
-const PLACES_PER_TASK = 2;
-
-/** Fewest endpoints named in a question, as the fixed part of its cost is large. */
-const MIN_NAMED = 8;
+/** Time for which the list of endpoints is kept while questions are prepared. */
+const CANDIDATES_AGE_MS = 20;
 
 /** Decides which waiting tasks start where, and keeps the advice that this needs. */
 export class StepScheduler {
   private readonly opts: StepSchedulerOptions;
-  private readonly books = new Map<string, TicketBook>();
-  private readonly asking = new Set<string>();
+  private readonly seeker: AdviceSeeker;
+  private readonly blocked: BlockedSteps;
   /** Place in the order of waiting steps at which the next turn goes on. */
   private resumeAt = 0;
   /** Endpoints that may take work in this turn, by pool. */
   private readonly candidates = new Map<string, Map<string, PlacementCandidate>>();
+  private candidatesMs = -Infinity;
   private readonly troubles = new Map<string, Map<string, number>>();
-  private readonly suitableShares = new Map<string, MovingAverage>();
   /** Starts that are decided but not recorded, by step and task index. */
   private readonly pending = new Set<string>();
 
   constructor(opts: StepSchedulerOptions) {
     this.opts = opts;
+    const { context, ledger, broker, onAdvice } = opts;
+    this.seeker = new AdviceSeeker({ context, ledger, broker, onAdvice });
+    this.blocked = new BlockedSteps(ledger);
   }
 
   /** Tells whether a start of the task is decided but not recorded yet. */
@@ -97,13 +91,18 @@
 
   /** Forgets what was learnt about a step that has ended. */
   forget(step: string): void {
-    this.books.delete(step);
+    this.seeker.forget(step);
     this.troubles.delete(step);
   }
 
   /** Forgets the tickets of an endpoint that began a new life or rejected one. */
   dropTickets(endpoint: string): void {
-    for (const book of this.books.values()) book.drop(endpoint);
+    this.seeker.dropTickets(endpoint);
+  }
+
+  /** Looks at every waiting step in the next turn, as endpoints or the configuration changed. */
+  lookAgain(): void {
+    this.blocked.clear();
   }
 
   /** Decides what starts now and reserves room for it. */
@@ -111,14 +110,14 @@
     const queues = new Map(config.queues.map((queue) => [queue.name, queue]));
     const planned: PlannedStart[] = [];
     const startMs = performance.now();
-    this.candidates.clear();
+    this.forgetCandidates();
     const { turnMs } = this.opts.context.timing;
-    const waiting = this.opts.ready.list((name) => queues.get(name));
+    const waiting = orderSteps(this.opts.ready.list(), (name) => queues.get(name), Date.now());
     const first = this.resumeAt < waiting.length ? this.resumeAt : 0;
     for (let i = first; i < waiting.length; i += 1) {
       const ready = waiting[i]!;
       const queue = queues.get(ready.job.queue);
-      if (queue) planned.push(...this.placeStep(ready, queue, config));
+      if (queue) planned.push(...this.placeUnlessBlocked(ready, queue, config));
       // Leadership is renewed between turns, so that none may take long.
       if (performance.now() - startMs > turnMs && i + 1 < waiting.length) {
         this.resumeAt = i + 1;
@@ -133,8 +132,8 @@
   /** Asks for advice on a step before it can start. */
   prepare(step: ReadyStep, queue: QueuePolicy): void {
     if (!queue.advice) return;
-    this.candidates.clear();
-    this.ask(step, queue, this.listCandidates(queue));
+    if (performance.now() - this.candidatesMs > CANDIDATES_AGE_MS) this.forgetCandidates();
+    this.seeker.ask(step, queue, this.listCandidates(queue));
   }
 
   /** Tells what keeps the tasks of a step waiting, for the log. */
@@ -144,25 +143,51 @@
     const candidates = [...this.listCandidates(queue).values()];
     const room = this.createRoom(ready, config);
     const nowMs = performance.now();
-    const book = this.books.get(ready.name);
+    const book = this.seeker.bookOf(ready.name);
     const count = (test: (candidate: PlacementCandidate) => boolean): number =>
       candidates.filter(test).length;
     return {
       endpoints: candidates.length,
-      withRoom: count((candidate) => this.countSlots(ready.spec, candidate) > 0),
+      withRoom: count((candidate) => countSlots(ready.spec, candidate, this.opts.ledger) > 0),
       withinLimit: count((candidate) => room.fits(candidate, ready.spec)),
-      withTicket: count(({ id }) => book?.find(id, nowMs) !== undefined),
-      suitable: count(({ id }) => book?.judge(id) === 'suitable'),
-      unsuitable: count(({ id }) => book?.judge(id) === 'unsuitable'),
-      isAsking: this.asking.has(ready.name),
-      questions: this.opts.broker.backlog,
+      withTicket: count(({ id }) => book.find(id, nowMs) !== undefined),
+      suitable: count(({ id }) => book.judge(id) === 'suitable'),
+      unsuitable: count(({ id }) => book.judge(id) === 'unsuitable'),
+      isAsking: this.seeker.isAsking(ready.name),
+      questions: this.seeker.backlog,
     };
   }
 
+  private placeUnlessBlocked(
+    ready: ReadyStep,
+    queue: QueuePolicy,
+    config: CellConfig,
+  ): PlannedStart[] {
+    const { ledger } = this.opts;
+    const { spec, job } = ready;
+    const limit = this.findLimit(ready, config);
+    const candidates = this.listCandidates(queue);
+    const chance: PlacementChance = {
+      step: ready,
+      book: queue.advice ? this.seeker.bookOf(ready.name) : undefined,
+      isWithinLimit: !limit || ledger.isWithinLimit(job.organisation, limit, spec.size),
+      hasRoom: (id) => {
+        const capacity = candidates.get(id)?.capacity;
+        return (
+          capacity !== undefined && ledger.hasRoom(id, capacity, spec.size, spec.fillsIdleCapacity)
+        );
+      },
+    };
+    if (this.blocked.isBlocked(chance, performance.now())) return [];
+    const planned = this.placeStep(ready, queue, config);
+    this.blocked.note(chance, ready.waiting.length - planned.length);
+    return planned;
+  }
+
   private placeStep(ready: ReadyStep, queue: QueuePolicy, config: CellConfig): PlannedStart[] {
     const candidates = this.listCandidates(queue);
     const nowMs = performance.now();
-    const book = queue.advice ? this.bookOf(ready.name) : undefined;
+    const book = queue.advice ? this.seeker.bookOf(ready.name) : undefined;
     const usable = book
       ? book.listValid(nowMs).flatMap((id) => candidates.get(id) ?? [])
       : [...candidates.values()];
@@ -171,7 +196,7 @@
       ? this.placeGang(ready, usable, room)
       : this.placeTasks(ready, usable, room);
     for (const start of planned) start.ticket = book?.find(start.endpoint, nowMs);
-    if (queue.advice && planned.length < ready.waiting.length) this.ask(ready, queue, candidates);
+    if (planned.length < ready.waiting.length) this.seeker.ask(ready, queue, candidates);
     return planned;
   }
 
@@ -204,10 +229,10 @@
         this.reserve(ready, key, place.id);
       },
       release: () => {
-        for (const key of trials.splice(0)) ledger.release(key);
+        for (const key of trials.splice(0)) ledger.withdraw(key);
       },
     });
-    for (const key of trials) ledger.release(key);
+    for (const key of trials) ledger.withdraw(key);
     if (!places) return [];
     const run = Math.max(...ready.waiting.map((index) => this.nextRun(ready, index)));
     return places.map((place, index) => this.plan(ready, index, place, run));
@@ -261,10 +286,19 @@
     return candidates;
   }
 
+  private forgetCandidates(): void {
+    this.candidates.clear();
+    this.candidatesMs = performance.now();
+  }
+
+  private findLimit({ job }: ReadyStep, config: CellConfig): Resources | undefined {
+    return config.organisations.find(({ name }) => name === job.organisation)?.limit;
+  }
+
   private createRoom(ready: ReadyStep, config: CellConfig): PlacementRoom {
     const { ledger } = this.opts;
     const { organisation } = ready.job;
-    const limit = config.organisations.find(({ name }) => name === organisation)?.limit;
+    const limit = this.findLimit(ready, config);
     return {
       fits: (candidate, { size, fillsIdleCapacity }) =>
         ledger.hasRoom(candidate.id, candidate.capacity, size, fillsIdleCapacity) &&
@@ -277,111 +311,4 @@
       },
     };
   }
-
-  /** Asks for tickets of the endpoints that are most likely to be used next. */
-  private ask(
-    ready: ReadyStep,
-    queue: QueuePolicy,
-    candidates: Map<string, PlacementCandidate>,
-  ): void {
-    const { advice } = queue;
-    if (!advice || this.asking.has(ready.name) || !this.bookOf(ready.name).mayAsk()) return;
-    const named = this.chooseNamed(ready, queue, candidates);
-    if (named.length === 0) return;
-    this.asking.add(ready.name);
-    const startMs = performance.now();
-    this.opts.broker
-      .ask(ready.name, named, advice, queue.priority)
-      .then((answer) => {
-        this.asking.delete(ready.name);
-        this.opts.context.meter.countAdvice(answer !== undefined, performance.now() - startMs);
-        if (!answer) return;
-        const share = this.shareOf(queue.name);
-        const book = this.bookOf(ready.name);
-        for (const id of named) {
-          if (book.judge(id) === 'unknown') {
-            share.add(answer.good.some(({ endpoint }) => endpoint === id) ? 1 : 0);
-          }
-        }
-        book.record(answer);
-        this.opts.onAdvice();
-      })
-      .catch((err: Error) => {
-        this.asking.delete(ready.name);
-        this.opts.context.logger.warn('advice failed', { step: ready.name, err: err.message });
-      });
-  }
-
-  private chooseNamed(
-    ready: ReadyStep,
-    queue: QueuePolicy,
-    candidates: Map<string, PlacementCandidate>,
-  ): string[] {
-    const { ledger } = this.opts;
-    const { spec } = ready;
-    const book = this.bookOf(ready.name);
-    const nowMs = performance.now();
-    const share = this.shareOf(queue.name).value;
-    const scored = [...candidates.values()]
-      .filter(({ id, labels }) => {
-        if (spec.requiredLabel !== '' && !labels.includes(spec.requiredLabel)) return false;
-        return book.judge(id) !== 'unsuitable' && !book.isFresh(id, nowMs, RENEWAL_MARGIN_MS);
-      })
-      .map((candidate) => {
-        const { id, capacity } = candidate;
-        const isSuitable = book.judge(id) === 'suitable';
-        return {
-          id,
-          capacity,
-          chance: isSuitable ? 1 : share,
-          slots: this.countSlots(spec, candidate),
-        };
-      })
-      .sort((a, b) => b.slots * b.chance - a.slots * a.chance);
-    const wanted = ready.waiting.length * PLACES_PER_TASK;
-    const named: string[] = [];
-    let expected = 0;
-    for (const { id, chance, slots } of scored) {
-      if (named.length >= MAX_NAMED || (expected >= wanted && named.length >= MIN_NAMED)) break;
-      named.push(id);
-      expected += chance * slots;
-    }
-    // Tickets for places without any room would expire unused.
-    const hasRoom = scored.some(({ slots }) => slots > 0);
-    return hasRoom || ledger.usedBy(ready.job.organisation).cpuMillis === 0 ? named : [];
-  }
-
-  private countSlots(spec: ReadyStep['spec'], { id, capacity }: PlacementCandidate): number {
-    const used = this.opts.ledger.usedOn(id);
-    const { size } = spec;
-    const fit = (free: number, need: number): number =>
-      need > 0 ? Math.max(0, Math.floor(free / need)) : Number.MAX_SAFE_INTEGER;
-    const slots = Math.min(
-      spec.fillsIdleCapacity
-        ? Number.MAX_SAFE_INTEGER
-        : fit(capacity.cpuMillis - used.cpuMillis, size.cpuMillis),
-      fit(capacity.memoryMib - used.memoryMib, size.memoryMib),
-      fit(capacity.accelerators - used.accelerators, size.accelerators),
-    );
-    const bound = spec.maxPerEndpoint > 0 ? spec.maxPerEndpoint : spec.taskCount;
-    return Math.min(slots, bound);
-  }
-
-  private bookOf(step: string): TicketBook {
-    let book = this.books.get(step);
-    if (!book) {
-      book = new TicketBook();
-      this.books.set(step, book);
-    }
-    return book;
-  }
-
-  private shareOf(queue: string): MovingAverage {
-    let share = this.suitableShares.get(queue);
-    if (!share) {
-      share = new MovingAverage(INITIAL_SUITABLE_SHARE);
-      this.suitableShares.set(queue, share);
-    }
-    return share;
-  }
 }
--- a/packages/workflow/src/ticketBook.ts
+++ b/packages/workflow/src/ticketBook.ts
@@ -24,6 +24,9 @@
 /** Shortest time between two searches for endpoints to ask about. */
 const ASK_INTERVAL_MS = 50;
 
+/** Time to the next search after one that found nothing to ask about. */
+const IDLE_ASK_INTERVAL_MS = 250;
+
 /**
  * Knowledge about where one step may run. Which endpoints are suitable does not change, so it is
  * kept when their tickets expire.
@@ -32,10 +35,23 @@
   private readonly tickets = new Map<string, HeldTicket>();
   private readonly suitable = new Set<string>();
   private readonly unsuitable = new Set<string>();
-  private nextAskMs = 0;
+  private changes = 0;
+  private searchedMs = -Infinity;
+  private intervalMs = ASK_INTERVAL_MS;
+
+  /** Changes with each answer. */
+  get version(): number {
+    return this.changes;
+  }
+
+  /** Monotonic time from which endpoints to ask about may be searched for again. */
+  get nextAskMs(): number {
+    return this.searchedMs + this.intervalMs;
+  }
 
   /** Takes up an answer. */
   record({ asked, good, expiresMs }: AdviceAnswer): void {
+    this.changes += 1;
     const named = new Set(good.map(({ endpoint }) => endpoint));
     for (const endpoint of asked) if (!named.has(endpoint)) this.unsuitable.add(endpoint);
     for (const { endpoint, ticket } of good) {
@@ -59,10 +75,16 @@
   mayAsk(): boolean {
     const nowMs = performance.now();
     if (nowMs < this.nextAskMs) return false;
-    this.nextAskMs = nowMs + ASK_INTERVAL_MS;
+    this.searchedMs = nowMs;
+    this.intervalMs = ASK_INTERVAL_MS;
     return true;
   }
 
+  /** Puts the next search off, as the last one found nothing to ask about. */
+  noteNothingToAsk(): void {
+    this.intervalMs = IDLE_ASK_INTERVAL_MS;
+  }
+
   /** Tells whether a ticket is held that is valid for at least `marginMs` more. */
   isFresh(endpoint: string, nowMs: number, marginMs: number): boolean {
     return (this.tickets.get(endpoint)?.expiresMs ?? 0) > nowMs + marginMs;
--- a/packages/workflow/src/waitReport.ts
+++ b/packages/workflow/src/waitReport.ts
@@ -28,7 +28,7 @@
     const nowMs = performance.now();
     for (const name of this.since.keys()) if (!this.ready.has(name)) this.since.delete(name);
     let lines = 0;
-    for (const step of this.ready.list(() => undefined)) {
+    for (const step of this.ready.list()) {
       const sinceMs = this.since.get(step.name) ?? nowMs;
       this.since.set(step.name, sinceMs);
       if (lines >= MAX_LINES || nowMs - sinceMs < REPORT_AFTER_MS) continue;
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -33,9 +33,6 @@
 /** Time between two rounds of upkeep: ended jobs, silent endpoints, steps that wait. */
 const UPKEEP_INTERVAL_MS = 250;
 
-/** Silence after which an endpoint without work is forgotten, in heartbeats. */
-const FORGET_HEARTBEATS = 20;
-
 function runKey(task: TaskRef, run: number): string {
   return `${taskName(task)}:${run}`;
 }
@@ -125,6 +122,7 @@
     this.endpoints = new EndpointService(this.context, this.directory, {
       onChanged: (id) => {
         this.scheduler.dropTickets(id);
+        this.scheduler.lookAgain();
         this.requestTurn();
       },
     });
@@ -212,6 +210,7 @@
     for (const id of new Set([...agent.runs.values()].map(({ task }) => task.jobId))) {
       this.followJob(id);
     }
+    this.scheduler.lookAgain();
     this.requestTurn();
   }
 
@@ -417,8 +416,9 @@
 
   private keepUp(): void {
     if (!this.context.isValid()) return;
+    this.scheduler.lookAgain();
     for (const id of this.retention.forgetDue()) this.occurrenceTimers.delete(id);
-    this.forgetSilentEndpoints();
+    this.endpoints.forgetSilent();
     const agents = this.directory.list();
     const available = agents.filter((agent) => this.directory.isInTouch(agent)).length;
     this.opts.meter.setEndpoints(available, agents.length);
@@ -435,15 +435,6 @@
     this.requestTurn();
   }
 
-  private forgetSilentEndpoints(): void {
-    const silenceMs = this.opts.timing.heartbeatMs * FORGET_HEARTBEATS;
-    const nowMs = performance.now();
-    for (const agent of this.directory.list()) {
-      const isIdle = agent.runs.size === 0;
-      if (isIdle && nowMs - agent.lastHeartbeatMs > silenceMs) this.endpoints.forget(agent.id, 'the endpoint is silent');
-    }
-  }
-
   private reportLapse(what: string, err: Error): void {
     this.opts.logger.warn('leadership could not record a change', { what, err: err.message });
   }
