--- a/packages/tests/features/platform/formats.feature
+++ b/packages/tests/features/platform/formats.feature
@@ -78,3 +78,11 @@
       | not-configured  | 503    | 1     |
       | unavailable     | 503    | 2     |
       | unknown         | 504    |       |
+
+  Scenario: an answer that came while the process stood still is not given up
+    Given a server that answers and then keeps the process busy for 200 ms
+    Then a call to it with a timeout of 100 ms is answered 200
+
+  Scenario: a call that gets no answer is given up
+    Given a server that never answers
+    Then a call to it with a timeout of 50 ms fails with "no answer within 50 ms"
--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -116,6 +116,22 @@
     And 2500 ms of workflow time pass
     Then job "j" is "completed"
 
+  Scenario: an overloaded leader: the time that it was late itself is not held against runs
+    When worker w1 ends its tasks after 2100 ms from now on
+    And worker w2 ends its tasks after 2100 ms from now on
+    And job "j" of 4 tasks that may be copied is submitted
+    And 20 ms of workflow time pass
+    And the workflow leader stands still for 2000 ms
+    And 30 ms of workflow time pass
+    Then 4 runs were started
+
+  Scenario: heartbeats that go astray: an endpoint that answers is still given work
+    Given 2 workers of 4 cores
+    And the heartbeats of all workers go astray
+    When 20 jobs of 1 task are submitted 300 ms apart
+    And 2000 ms of workflow time pass
+    Then at least 20 jobs are "completed"
+
   Scenario: a task that stands still is started again elsewhere
     Given worker w1 stalls what it starts
     When job "j" of 4 tasks is submitted
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -212,6 +212,17 @@
   this.world.driver.loseInspections(id);
 });
 
+When(
+  'the workflow leader stands still for {int} ms',
+  async function stand(this: Steps, ms: number) {
+    await this.world.standStill(ms);
+  },
+);
+
+Given('the heartbeats of all workers go astray', function lose(this: Steps) {
+  this.world.losesHeartbeats = true;
+});
+
 When('the workflow leader changes', async function changeLeader(this: Steps) {
   await this.world.changeLeader();
 });
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -72,6 +72,8 @@
   log: TermLog;
   private config: CellConfig;
   private sequence = 0;
+  /** Heartbeats of workers do not reach the leader. */
+  losesHeartbeats = false;
   /** Instances whose maintenance has begun, in order. */
   readonly maintained: string[] = [];
   /** Most instances that were down at once. */
@@ -143,6 +145,10 @@
 
   /** Lets all workers that are not silent report. */
   async beat(): Promise<void> {
+    if (this.losesHeartbeats) {
+      await this.advance(TICK_MS);
+      return;
+    }
     this.sequence += 1;
     for (const endpoint of this.records.values()) {
       if (this.driver.worker(endpoint.id).mood === 'silent') continue;
@@ -178,6 +184,12 @@
     }
   }
 
+  /** Lets all timers of a time fire late and in one go, as in a process that stood still. */
+  async standStill(ms: number): Promise<void> {
+    this.clock.jump(ms);
+    await this.advance(TICK_MS);
+  }
+
   /** Ends the leadership without a word and begins the next one. */
   async changeLeader(): Promise<void> {
     this.log.isOver = true;
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -108,6 +108,8 @@
   /** Response times on the endpoint are watched. */
   isWatched = false;
   lastHeartbeatMs = performance.now();
+  /** Monotonic time of the latest answer to an inspection. */
+  lastAnswerMs = -Infinity;
   lastSequence = -1;
   /** Set when the endpoint has said that it ends. */
   isLeaving = false;
@@ -290,7 +292,8 @@
       if (isOtherLife && answer.bornMs > this.record.bornMs) this.isSuspect = true;
       return false;
     }
-    this.clock.observe({ clockMs: answer.clockMs, sentMs, receivedMs: performance.now() });
+    this.lastAnswerMs = performance.now();
+    this.clock.observe({ clockMs: answer.clockMs, sentMs, receivedMs: this.lastAnswerMs });
     // Reports are acknowledged in order, so that none is before its end is durable.
     const earlier = this.takingUp;
     this.takingUp = earlier.catch(() => undefined).then(() => this.takeUp(answer, sentMs));
--- a/packages/workflow/src/endpointDirectory.ts
+++ b/packages/workflow/src/endpointDirectory.ts
@@ -95,10 +95,11 @@
     );
   }
 
-  /** Tells whether an endpoint answers and reports. */
+  /** Tells whether an endpoint answers, and has said so lately; its heartbeats may go astray. */
   isInTouch(agent: EndpointAgent): boolean {
     if (!agent.isSynced || agent.isSuspect || agent.isLeaving) return false;
-    const silentMs = performance.now() - agent.lastHeartbeatMs;
+    const lastSignMs = Math.max(agent.lastHeartbeatMs, agent.lastAnswerMs);
+    const silentMs = performance.now() - lastSignMs;
     return silentMs < this.context.timing.heartbeatMs * MAX_MISSED_HEARTBEATS;
   }
 
--- a/packages/workflow/src/stragglerWatch.ts
+++ b/packages/workflow/src/stragglerWatch.ts
@@ -1,6 +1,7 @@
 import type { AgentRun, EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { taskName, type StepSpec, type TaskRef } from './jobSpec.js';
+import type { LoopLag } from './loopLag.js';
 import type { ReadyStep } from './readySteps.js';
 import type { SessionContext } from './sessionContext.js';
 import type { SpeedLearner } from './speedLearner.js';
@@ -23,11 +24,19 @@
   private readonly context: SessionContext;
   private readonly directory: EndpointDirectory;
   private readonly speeds: SpeedLearner;
+  private readonly lag: LoopLag;
 
-  constructor(context: SessionContext, directory: EndpointDirectory, speeds: SpeedLearner) {
+  /** @param lag - How late this process learns of ends; such time is not held against runs. */
+  constructor(
+    context: SessionContext,
+    directory: EndpointDirectory,
+    speeds: SpeedLearner,
+    lag: LoopLag,
+  ) {
     this.context = context;
     this.directory = directory;
     this.speeds = speeds;
+    this.lag = lag;
   }
 
   /** Tells whether a copy of a run is likely to end before it. */
@@ -61,7 +70,7 @@
         if (!mayStall || run.isStopping || run.phase !== 'running') continue;
         // Each restart allows for more time, in case the estimate was wrong.
         const limitMs = this.expectMs(agent, spec) * STALL_FACTOR * run.run + STALL_MARGIN_MS;
-        if (performance.now() - run.orderedMs > limitMs) stalled.push({ agent, run });
+        if (this.elapsedMs(run) > limitMs) stalled.push({ agent, run });
       }
     }
     return stalled;
@@ -88,7 +97,11 @@
 
   private isSlow(agent: EndpointAgent, run: AgentRun, spec: StepSpec): boolean {
     const limitMs = this.expectMs(agent, spec) * COPY_FACTOR + COPY_MARGIN_MS;
-    return performance.now() - run.orderedMs > limitMs;
+    return this.elapsedMs(run) > limitMs;
+  }
+
+  private elapsedMs({ orderedMs }: AgentRun): number {
+    return performance.now() - orderedMs - this.lag.ms;
   }
 
   private expectMs({ record }: EndpointAgent, spec: StepSpec): number {
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -11,6 +11,7 @@
 import { InterferenceGuard } from './interferenceGuard.js';
 import { JobRetention } from './jobRetention.js';
 import { JobService } from './jobService.js';
+import { LoopLag } from './loopLag.js';
 import { parseTaskName, stepName, type TaskRef } from './jobSpec.js';
 import { listTasks, ReadySteps } from './readySteps.js';
 import { proposeWhileLeading } from './proposeWhileLeading.js';
@@ -54,6 +55,7 @@
   private readonly interference: InterferenceGuard;
   private readonly stragglers: StragglerWatch;
   private readonly advice: AdvicePlanner;
+  private readonly lag = new LoopLag(UPKEEP_INTERVAL_MS);
   private readonly occurrenceTimers = new Map<string, NodeJS.Timeout>();
   private readonly retention: JobRetention;
   private readonly waves: WaveRunner;
@@ -111,7 +113,7 @@
     });
     this.waitReport = new WaitReport(this.context, this.ready, this.scheduler);
     this.retention = new JobRetention(this.context);
-    this.stragglers = new StragglerWatch(this.context, this.directory, this.speeds);
+    this.stragglers = new StragglerWatch(this.context, this.directory, this.speeds, this.lag);
     this.advice = new AdvicePlanner({
       context: this.context,
       ready: this.ready,
@@ -375,6 +377,7 @@
   }
 
   private keepUp(): void {
+    this.lag.observe();
     if (!this.context.isValid()) return;
     this.scheduler.lookAgain();
     for (const id of this.retention.forgetDue()) this.occurrenceTimers.delete(id);
