Serve organisations below their share first, and blame no endpoint for orders never sent

Cause: the weight of an organisation had no effect on the order of waiting steps, so that one that floods a full fleet kept the others waiting; a run that a leader without majority recorded and never sent counted as trouble of its endpoint. Both were found by reading. Change: within a priority and prospect the organisation goes first that uses less of its share, those within a factor of 1.5 by age; runs that were never sent say nothing about their endpoint.

--- a/packages/tests/features/workflow/policies.feature
+++ b/packages/tests/features/workflow/policies.feature
@@ -88,6 +88,21 @@
       | urgent  | 0        | 2000     |
     Then they are served in the order "urgent old fresh late overdue"
 
+  Scenario: a large organisation floods a full fleet: the one below its share goes first
+    Given waiting jobs of 1000 ms that should end within 1500 ms
+      | id    | priority | waitedMs | use  |
+      | large | 1        | 400      | 9000 |
+      | small | 1        | 10       | 1000 |
+      | urgent | 0       | 10       | 9000 |
+    Then they are served in the order "urgent small large"
+
+  Scenario: organisations that use about as much of their shares: the oldest goes first
+    Given waiting jobs of 1000 ms that should end within 1500 ms
+      | id    | priority | waitedMs | use  |
+      | young | 1        | 10       | 1000 |
+      | old   | 1        | 400      | 1100 |
+    Then they are served in the order "old young"
+
   Scenario: a service has no time by which it is too late
     Given waiting services of 1000 ms that should end within 1500 ms
       | id    | priority | waitedMs |
--- a/packages/tests/src/steps/workflow/policySteps.ts
+++ b/packages/tests/src/steps/workflow/policySteps.ts
@@ -35,13 +35,19 @@
 const NOW_MS = 1_700_000_000_000;
 const TICKET_MS = 60_000;
 
-function createWaiting(id: string, queue: string, waitedMs: number, step: StepRow): ReadyStep {
+function createWaiting(
+  id: string,
+  queue: string,
+  waitedMs: number,
+  step: StepRow,
+  organisation = 'o',
+): ReadyStep {
   const spec = createStep(step);
   const job = createJob({
     type: 'submit',
     id,
     queue,
-    organisation: 'o',
+    organisation,
     maxAttempts: 1,
     acceptedMs: NOW_MS - waitedMs,
     spec: { payload: '', steps: [spec] },
@@ -229,18 +235,24 @@
   /^waiting (jobs|services) of (\d+) ms that should end within (\d+) ms$/,
   function setWaiting(this: PolicyWorld, kind, estimateMs, targetMs, table: DataTable) {
     const step = { estimateMs: Number(estimateMs), isService: kind === 'services' };
-    const rows = table.hashes() as { id: string; priority: string; waitedMs: string }[];
+    const rows = table.hashes() as {
+      id: string;
+      priority: string;
+      waitedMs: string;
+      /** Use per weight of the organisation, which is named by it. */
+      use?: string;
+    }[];
     const objectiveMs = Number(targetMs) - Number(estimateMs);
     this.queues = rows.map(({ priority }) => createQueue(priority, objectiveMs));
-    this.waiting = rows.map(({ id, priority, waitedMs }) =>
-      createWaiting(id, priority, Number(waitedMs), step),
+    this.waiting = rows.map(({ id, priority, waitedMs, use = '0' }) =>
+      createWaiting(id, priority, Number(waitedMs), step, use),
     );
   },
 );
 
 Then('they are served in the order {string}', function checkOrder(this: PolicyWorld, ids: string) {
   const findQueue = (name: string) => this.queues.find((queue) => queue.name === name);
-  const ordered = orderSteps(this.waiting, findQueue, NOW_MS);
+  const ordered = orderSteps(this.waiting, { findQueue, readUse: Number, wallMs: NOW_MS });
   assert.equal(ordered.map(({ name }) => name).join(' '), ids);
 });
 
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -13,8 +13,8 @@
   context: SessionContext;
   directory: EndpointDirectory;
   health: HealthPolicy;
-  /** Called for runs that are recorded but will not be ordered. */
-  onLost: (agent: EndpointAgent, runs: AgentRun[], reason: string) => void;
+  /** Called for a run that is recorded but will not be ordered. */
+  onNotSent: (agent: EndpointAgent, run: AgentRun, reason: string) => void;
 }
 
 /** Returns the unique name of a run. */
@@ -63,7 +63,7 @@
    * @returns Whether it was ordered.
    */
   private order(start: PlannedStart): boolean {
-    const { context, directory, health, onLost } = this.opts;
+    const { context, directory, health, onNotSent } = this.opts;
     const { state, meter, logger } = context;
     const { task, run, ticket, agent } = start;
     const job = state.jobs.get(task.jobId);
@@ -72,11 +72,11 @@
     const order = createAgentRun(state, task, run, record?.checkpoint ?? '');
     order.phase = 'ordered';
     if (job.status !== 'open' || directory.find(agent.id) !== agent) {
-      onLost(agent, [order], 'not wanted any more');
+      onNotSent(agent, order, 'not wanted any more');
       return false;
     }
     if (!context.isValid()) {
-      onLost(agent, [order], 'no majority answered when it was to be ordered');
+      onNotSent(agent, order, 'no majority answered when it was to be ordered');
       return false;
     }
     meter.countRunOrdered(Date.now() - dueTime(job, task.occurrence));
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -112,7 +112,12 @@
     const startMs = performance.now();
     this.forgetCandidates();
     const { turnMs } = this.opts.context.timing;
-    const waiting = orderSteps(this.opts.ready.list(), (name) => queues.get(name), Date.now());
+    const weights = new Map(config.organisations.map(({ name, weight }) => [name, weight]));
+    const waiting = orderSteps(this.opts.ready.list(), {
+      findQueue: (name) => queues.get(name),
+      readUse: (name) => this.opts.ledger.usedBy(name).cpuMillis / (weights.get(name) || 1),
+      wallMs: Date.now(),
+    });
     const first = this.resumeAt < waiting.length ? this.resumeAt : 0;
     for (let i = first; i < waiting.length; i += 1) {
       const ready = waiting[i]!;
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -102,7 +102,7 @@
       context: this.context,
       directory: this.directory,
       health: this.health,
-      onLost: (agent, runs, reason) => this.onLost(agent, runs, reason),
+      onNotSent: (agent, run, reason) => this.recordLost(agent, [run], reason),
     });
     this.interference = new InterferenceGuard(this.context);
     this.waves = new WaveRunner({
@@ -178,22 +178,11 @@
 
   onLost(agent: EndpointAgent, runs: AgentRun[], reason: string): void {
     if (reason === 'no-ticket') this.scheduler.dropTickets(agent.id);
-    this.opts.logger.warn('runs are lost', {
-      endpoint: agent.id,
-      reason,
-      runs: runs.map(({ key }) => key),
-    });
     for (const { key, task } of runs) {
       this.health.recordAbandoned({ attemptId: key, unitId: task.jobId, endpointId: agent.id });
       this.noteTrouble(agent, task);
     }
-    const ends = runs.map(({ task, run, checkpoint }) => ({
-      task,
-      run,
-      outcome: 'lost' as const,
-      checkpoint: checkpoint || undefined,
-    }));
-    this.recordEnds(ends, agent.id).catch((err: Error) => this.reportLapse('ends', err));
+    this.recordLost(agent, runs, reason);
   }
 
   onUnknownRun(agent: EndpointAgent, active: ActiveRun): void {
@@ -269,6 +258,22 @@
     if (job.status !== 'open') agent.stop(adopted);
   }
 
+  /** Records runs that ended without a report; tells nothing about their endpoint. */
+  private recordLost(agent: EndpointAgent, runs: AgentRun[], reason: string): void {
+    this.opts.logger.warn('runs are lost', {
+      endpoint: agent.id,
+      reason,
+      runs: runs.map(({ key }) => key),
+    });
+    const ends = runs.map(({ task, run, checkpoint }) => ({
+      task,
+      run,
+      outcome: 'lost' as const,
+      checkpoint: checkpoint || undefined,
+    }));
+    this.recordEnds(ends, agent.id).catch((err: Error) => this.reportLapse('ends', err));
+  }
+
   private async recordEnds(ends: EndedRun[], endpoint: string): Promise<void> {
     await this.context.propose({ type: 'end', runs: ends });
     const jobs = new Set<string>();
