Remove a voter that is gone from an even group

Change: the leader looks every 500 ms, and removes a voter that has been out of reach for 1 s from a group of an even number. Such a group bears as many losses without it, with a smaller majority.

--- a/packages/coordinator/src/replicaManager.ts
+++ b/packages/coordinator/src/replicaManager.ts
@@ -1,3 +1,4 @@
+import { instanceOf } from '@lagoongap/consensus/replicaId.js';
 import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
 import type { Log } from '@lagoongap/model/log.js';
 import type {
@@ -18,9 +19,8 @@
   isReachable: (instance: string) => boolean;
 }
 
-function instanceOf(replicaId: string): string {
-  return replicaId.slice(0, replicaId.indexOf('/'));
-}
+/** Time for which a voter must be out of reach before a group is made smaller by it. */
+const GONE_MS = 1000;
 
 function refuseRemoval(type: 'not-found' | 'conflict', message: string): never {
   throw new RefusalError({ type, runState: 'not-run', message });
@@ -34,6 +34,8 @@
 export class ReplicaManager {
   private readonly opts: ReplicaManagerOptions;
   private current: Promise<unknown> = Promise.resolve();
+  /** Monotonic times since which instances with a voter are out of reach. */
+  private readonly goneSince = new Map<string, number>();
 
   constructor(opts: ReplicaManagerOptions) {
     this.opts = opts;
@@ -47,6 +49,17 @@
     return step;
   }
 
+  /**
+   * Removes a voter that is gone from a group of an even number, which bears no more losses than
+   * the group without it, but needs a larger majority. Such a group is left when an instance is
+   * replaced by one that joins before it goes. To be called from time to time by the leader.
+   */
+  shrink(): Promise<void> {
+    const step = this.current.then(() => this.removeGoneVoter());
+    this.current = step.catch(() => {});
+    return step;
+  }
+
   /**
    * Removes the replica of an instance that will not come back. Refused while the instance
    * can be reached, or if less than a majority of the remaining voters could be.
@@ -75,6 +88,30 @@
     return { instance, removed, ...log.members() };
   }
 
+  private async removeGoneVoter(): Promise<void> {
+    const { log, logger } = this.opts;
+    const { voters } = log.members();
+    const nowMs = performance.now();
+    for (const instance of [...this.goneSince.keys()]) {
+      const isVoter = voters.some((id) => instanceOf(id) === instance);
+      if (!isVoter || this.isAlive(instance)) this.goneSince.delete(instance);
+    }
+    for (const id of voters) {
+      const instance = instanceOf(id);
+      if (!this.isAlive(instance) && !this.goneSince.has(instance)) {
+        this.goneSince.set(instance, nowMs);
+      }
+    }
+    const gone = voters.filter((id) => {
+      const sinceMs = this.goneSince.get(instanceOf(id));
+      return sinceMs !== undefined && nowMs - sinceMs >= GONE_MS;
+    });
+    if (voters.length % 2 !== 0 || gone.length !== 1) return;
+    const [replica] = gone as [string];
+    logger.warn('removing a voter that is gone from an even group', { replica, voters });
+    await log.removeMember(replica);
+  }
+
   private assertRemovable(instance: string, voters: string[]): void {
     if (this.isAlive(instance)) {
       refuseRemoval('conflict', `instance ${instance} is alive; stop it before its removal`);
--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -66,6 +66,9 @@
 /** Size of a log segment; two of them and two snapshots fit on a small disk. */
 const SEGMENT_BYTES = 4 * 1024 * 1024;
 
+/** Time between two looks at whether a voter is gone for good. */
+const MEMBERSHIP_CHECK_MS = 500;
+
 /** Time for which a stopping replica goes on to pass calls to its successor. */
 const HANDOVER_MS = 1500;
 
@@ -79,6 +82,8 @@
   private readonly replica: RaftReplica;
   private readonly store: FileLogStore;
   private readonly coordinator: WorkflowCoordinator;
+  private readonly manager: ReplicaManager;
+  private membershipTimer: NodeJS.Timeout | undefined;
   private joiner: ReplicaJoiner | undefined;
 
   constructor(opts: WorkflowReplicaOptions) {
@@ -130,6 +135,12 @@
       meter: opts.meter ?? SILENT_METER,
       validityMs: timing.leaderValidityMs,
     });
+    this.manager = new ReplicaManager({
+      log: this.replica,
+      logger: log,
+      instanceId: this.instanceId,
+      isReachable: (instance) => this.network.isAlive(instance),
+    });
     this.registerMembership();
   }
 
@@ -157,6 +168,7 @@
       logger: this.opts.log,
     });
     this.joiner.start();
+    this.membershipTimer = setInterval(() => this.checkMembership(), MEMBERSHIP_CHECK_MS);
   }
 
   /** Hands leadership over and goes on to pass calls on for a while. */
@@ -170,6 +182,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    clearInterval(this.membershipTimer);
     this.members[Symbol.dispose]();
     await this.joiner?.[Symbol.asyncDispose]();
     await this.coordinator[Symbol.asyncDispose]();
@@ -179,15 +192,9 @@
   }
 
   private registerMembership(): void {
-    const manager = new ReplicaManager({
-      log: this.replica,
-      logger: this.opts.log,
-      instanceId: this.instanceId,
-      isReachable: (instance) => this.network.isAlive(instance),
-    });
     this.network.handle('replicas.join', (params) => {
       this.assertLeader();
-      return manager.join(params as JoinReplicaParams);
+      return this.manager.join(params as JoinReplicaParams);
     });
     this.network.handle('cell.members', () => {
       this.assertLeader();
@@ -196,6 +203,13 @@
     });
   }
 
+  private checkMembership(): void {
+    if (!this.replica.isLeaderValid()) return;
+    this.manager.shrink().catch((err: Error) => {
+      this.opts.log.warn('a voter that is gone could not be removed', { err: err.message });
+    });
+  }
+
   private assertLeader(): void {
     if (this.replica.isLeaderValid()) return;
     throw new RefusalError({
--- a/packages/tests/src/harness/heldLog.ts
+++ b/packages/tests/src/harness/heldLog.ts
@@ -71,15 +71,15 @@
     return true;
   }
 
-  addLearner(): Promise<void> {
+  addLearner(_: string): Promise<void> {
     return Promise.resolve();
   }
 
-  promote(): Promise<void> {
+  promote(_: string): Promise<void> {
     return Promise.resolve();
   }
 
-  removeMember(): Promise<void> {
+  removeMember(_: string): Promise<void> {
     return Promise.resolve();
   }
 
--- /dev/null
+++ b/packages/tests/src/steps/coordinator/membershipSteps.ts
@@ -0,0 +1,120 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { instanceOf } from '@lagoongap/consensus/replicaId.js';
+import type { Membership } from '@lagoongap/consensus/replicatedLog.js';
+import { ReplicaManager } from '@lagoongap/coordinator/replicaManager.js';
+import { SILENT_LOG } from '@lagoongap/model/log.js';
+import FakeTimers from '@sinonjs/fake-timers';
+
+import { HeldLog } from '../../harness/heldLog.js';
+import { CommandList } from '../../consensus/commandList.js';
+
+/** Log whose membership changes take effect at once. */
+class MemberLog extends HeldLog {
+  private membership: Membership;
+
+  constructor(voters: string[]) {
+    super(new CommandList());
+    this.membership = { voters, learners: [] };
+  }
+
+  override members(): Membership {
+    const { voters, learners } = this.membership;
+    return { voters: [...voters], learners: [...learners] };
+  }
+
+  override async addLearner(id: string): Promise<void> {
+    this.membership.learners.push(id);
+  }
+
+  override async promote(id: string): Promise<void> {
+    await this.removeMember(id);
+    this.membership.voters.push(id);
+  }
+
+  override async removeMember(id: string): Promise<void> {
+    const { voters, learners } = this.membership;
+    const isOther = (other: string): boolean => other !== id;
+    this.membership = { voters: voters.filter(isOther), learners: learners.filter(isOther) };
+  }
+
+  override isCaughtUp(): boolean {
+    return true;
+  }
+}
+
+interface MembershipWorld {
+  membershipClock?: ReturnType<typeof FakeTimers.install>;
+  log: MemberLog;
+  gone: Set<string>;
+  manager: ReplicaManager;
+}
+
+const LEADER = 'b';
+const FIRST_DISK = 'first';
+const SECOND_DISK = 'second';
+const CHECK_MS = 500;
+const MAX_JOIN_STEPS = 5;
+
+async function join(world: MembershipWorld, instance: string, disk: string): Promise<void> {
+  const replicaId = `${instance}/${disk}`;
+  for (let steps = 0; steps < MAX_JOIN_STEPS; steps += 1) {
+    const { state } = await world.manager.join({ instance, replicaId });
+    if (state === 'voter') return;
+  }
+  assert.fail(`${replicaId} did not become a voter`);
+}
+
+After(function restore(this: MembershipWorld) {
+  this.membershipClock?.uninstall();
+});
+
+Given('the voters {string}', function create(this: MembershipWorld, instances: string) {
+  this.membershipClock = FakeTimers.install({ toFake: ['performance'] });
+  this.gone = new Set();
+  this.log = new MemberLog(instances.split(' ').map((id) => `${id}/${FIRST_DISK}`));
+  this.manager = new ReplicaManager({
+    log: this.log,
+    logger: SILENT_LOG,
+    instanceId: LEADER,
+    isReachable: (instance) => !this.gone.has(instance),
+  });
+});
+
+When('replica instance {string} goes', function go(this: MembershipWorld, instance: string) {
+  this.gone.add(instance);
+});
+
+When('replica instance {string} comes back', function back(this: MembershipWorld, id: string) {
+  this.gone.delete(id);
+});
+
+When('replica instance {string} joins', async function joinNew(this: MembershipWorld, id: string) {
+  await join(this, id, FIRST_DISK);
+});
+
+When(
+  'replica instance {string} joins with an empty disk',
+  async function joinEmpty(this: MembershipWorld, id: string) {
+    await join(this, id, SECOND_DISK);
+  },
+);
+
+When(
+  'the membership is checked for {int} ms',
+  async function check(this: MembershipWorld, ms: number) {
+    for (let passed = 0; passed <= ms; passed += CHECK_MS) {
+      await this.manager.shrink();
+      this.membershipClock!.tick(CHECK_MS);
+    }
+  },
+);
+
+Then('the voters are {string}', function checkVoters(this: MembershipWorld, instances: string) {
+  assert.equal(this.log.members().voters.map(instanceOf).join(' '), instances);
+});
+
+Then('the former replica of {string} has no vote', function check(this: MembershipWorld, id) {
+  assert.ok(!this.log.members().voters.includes(`${id}/${FIRST_DISK}`));
+});
