--- a/packages/tests/src/soak/soakSystem.ts
+++ b/packages/tests/src/soak/soakSystem.ts
@@ -1,4 +1,5 @@
 import { spawn, type ChildProcess } from 'node:child_process';
+import { existsSync } from 'node:fs';
 import { appendFile, mkdir, open, readdir, rm, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 
@@ -12,8 +13,8 @@
   host: string;
   child: ChildProcess | undefined;
   isFirstStart: boolean;
-  /** Time before which it is not started again; monotonic milliseconds. */
-  isHeldDown: boolean;
+  /** Faults that keep it down at present; they may overlap. */
+  holds: number;
 }
 
 const CONTROL_PORT = 8180;
@@ -47,7 +48,7 @@
       host: `${this.network}.${host}`,
       child: undefined,
       isFirstStart: true,
-      isHeldDown: false,
+      holds: 0,
     });
     for (let i = 1; i <= replicas; i += 1) this.processes.push(create('replica', i, i));
     for (let i = 1; i <= gateways; i += 1) this.processes.push(create('gateway', i, 100 + i));
@@ -77,10 +78,10 @@
   /** Kills a program; it starts again after `downMs`. */
   async kill(role: SoakRole, target: number, downMs: number): Promise<void> {
     const program = this.pick(role, target);
-    program.isHeldDown = true;
+    program.holds += 1;
     program.child?.kill('SIGKILL');
     await this.pause(downMs);
-    program.isHeldDown = false;
+    program.holds -= 1;
     await this.runAgain(program);
   }
 
@@ -106,12 +107,12 @@
   /** Kills a replica, changes its files while it is down, and starts it again. */
   async damage(target: number, downMs: number, how: 'wipe' | 'tear'): Promise<void> {
     const program = this.pick('replica', target);
-    program.isHeldDown = true;
+    program.holds += 1;
     program.child?.kill('SIGKILL');
     await this.pause(downMs);
     if (how === 'wipe') await rm(this.dataFolder(program), { recursive: true, force: true });
     else await this.tearLog(program);
-    program.isHeldDown = false;
+    program.holds -= 1;
     await this.runAgain(program);
   }
 
@@ -149,6 +150,8 @@
   /** Adds bytes to the newest segment, as a write that was torn by a power loss leaves them. */
   private async tearLog(program: SoakProcess): Promise<void> {
     const folder = this.dataFolder(program);
+    // Another fault may have wiped the folder while the replica was down.
+    if (!existsSync(folder)) return;
     const names = (await readdir(folder)).filter((name) => name.endsWith('.log')).sort();
     const newest = names.at(-1);
     if (newest !== undefined)
@@ -198,7 +201,7 @@
     program.isFirstStart = false;
     child.on('exit', () => {
       if (program.child === child) program.child = undefined;
-      if (!program.isHeldDown) this.runLater(program);
+      if (program.holds === 0) this.runLater(program);
     });
   }
 
@@ -211,7 +214,7 @@
   }
 
   private async runAgain(program: SoakProcess): Promise<void> {
-    if (this.isDisposed || program.child || program.isHeldDown) return;
+    if (this.isDisposed || program.child || program.holds > 0) return;
     await this.run(program);
   }
 
