--- a/packages/tests/src/soak/runSoak.ts
+++ b/packages/tests/src/soak/runSoak.ts
@@ -20,7 +20,7 @@
   keep?: boolean;
 }
 
-async function playSeed(seed: number, folder: string, flags: SoakFlags): Promise<SoakResult> {
+async function playWhole(seed: number, folder: string, flags: SoakFlags): Promise<SoakResult> {
   await using run = new SoakRun({
     seed,
     folder,
@@ -32,6 +32,16 @@
   return await run.play();
 }
 
+/** Plays a seed; a soak that cannot go on is a failure of the seed, not of the whole run. */
+async function playSeed(seed: number, folder: string, flags: SoakFlags): Promise<SoakResult> {
+  try {
+    return await playWhole(seed, folder, flags);
+  } catch (err) {
+    const violations = [`the soak could not go on: ${(err as Error).stack}`];
+    return { seed, violations, accepted: 0, starts: 0, faults: [] };
+  }
+}
+
 function report({ seed, accepted, starts, faults, violations }: SoakResult): void {
   const plan = faults.map(({ kind, atMs }) => `${kind}@${atMs}`).join(' ');
   const verdict = violations.length === 0 ? 'kept' : 'BROKEN';
@@ -52,7 +62,7 @@
       played += 1;
       if (result.violations.length === 0) continue;
       broken.push(seed);
-      await writeFile(join(folder, `seed-${seed}`, 'result.json'), JSON.stringify(result, null, 2));
+      await writeFile(join(folder, `seed-${seed}.json`), JSON.stringify(result, null, 2));
     }
   };
   await Promise.all(Array.from({ length: flags.jobs }, work));
--- a/packages/tests/src/soak/soakSystem.ts
+++ b/packages/tests/src/soak/soakSystem.ts
@@ -39,6 +39,8 @@
     this.folder = folder;
     this.network = `127.${20 + (Math.floor(seed / OCTET) % 200)}.${seed % OCTET}`;
     this.advisorAddress = advisorAddress;
+    // No program may outlive a soak that ends by an error.
+    process.once('exit', () => this.killAll());
   }
 
   async start(replicas: number, gateways: number): Promise<void> {
@@ -134,6 +136,10 @@
     );
   }
 
+  private killAll(): void {
+    for (const { child } of this.processes) child?.kill('SIGKILL');
+  }
+
   private list(role: SoakRole): SoakProcess[] {
     return this.processes.filter((program) => program.role === role);
   }
