--- a/packages/tests/src/soak/faultPlan.ts
+++ b/packages/tests/src/soak/faultPlan.ts
@@ -1,3 +1,5 @@
+import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
+
 /** Faults that a soak injects from outside the programs. */
 export const FAULT_KINDS = [
   'kill-replica',
@@ -44,22 +46,9 @@
 const MAX_DURATION_MS = 3500;
 const MAX_TARGET = 1000;
 
-/** Returns a generator of numbers in [0, 1) that depends on the seed alone (mulberry32). */
-export function createRandom(seed: number): () => number {
-  let state = seed;
-  /* eslint-disable no-bitwise */
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296;
-  };
-  /* eslint-enable no-bitwise */
-}
-
 /** Returns the faults of a seed in the order of their times; they come in series and overlap. */
 export function planFaults(seed: number, loadMs: number): PlannedFault[] {
-  const random = createRandom(seed);
+  const random = createSeededRandom(seed);
   const between = (min: number, max: number): number => Math.floor(min + random() * (max - min));
   const count = between(MIN_FAULTS, MAX_FAULTS + 1);
   const faults = Array.from({ length: count }, () => ({
--- a/packages/tests/src/soak/soakLoad.ts
+++ b/packages/tests/src/soak/soakLoad.ts
@@ -1,7 +1,8 @@
+import { delay } from '@lagoongap/model/delay.js';
+import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
 import { request } from 'undici';
 
 import { createConfig } from '../platform/documents.js';
-import { createRandom } from './faultPlan.js';
 import type { CallOutcome, SoakHistory, SoakJob } from './soakHistory.js';
 
 const HOST = 'jobs.example';
@@ -20,12 +21,6 @@
 const GONE = 410;
 const REFUSALS = [429, 503];
 
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /** Callers and an operator that press on while faults strike. */
 export class SoakLoad {
   private readonly history: SoakHistory;
@@ -42,7 +37,7 @@
     callers: () => string[],
     controls: () => string[],
   ) {
-    this.random = createRandom(seed);
+    this.random = createSeededRandom(seed);
     this.history = history;
     this.callers = callers;
     this.controls = controls;
@@ -57,7 +52,7 @@
     for (let tries = 0; ; tries += 1) {
       const status = await this.callControl('PUT', tries, document);
       if (status?.code === OK) break;
-      await pause(RETRY_MS);
+      await delay(RETRY_MS);
     }
     this.history.noteConfigAcked(version);
   }
@@ -73,7 +68,7 @@
         this.track(this.configure());
         this.track(this.readConfig());
       }
-      await pause(JOB_INTERVAL_MS);
+      await delay(JOB_INTERVAL_MS);
     }
   }
 
@@ -124,7 +119,7 @@
       if (answer?.code === OK) outcome = 'accepted';
       else outcome = answer && REFUSALS.includes(answer.code) ? 'refused' : 'unknown';
       this.history.noteAnswer(id, outcome);
-      if (outcome !== 'accepted') await pause(RETRY_MS);
+      if (outcome !== 'accepted') await delay(RETRY_MS);
     }
     if (outcome === 'accepted' && this.random() < CANCELLED_SHARE) await this.cancel(id);
   }
@@ -136,7 +131,7 @@
         this.history.noteCancelled(id);
         return;
       }
-      await pause(RETRY_MS);
+      await delay(RETRY_MS);
     }
   }
 
--- a/packages/tests/src/soak/soakRun.ts
+++ b/packages/tests/src/soak/soakRun.ts
@@ -1,5 +1,6 @@
 import { join } from 'node:path';
 
+import { delay } from '@lagoongap/model/delay.js';
 import { SilentRelay } from '@lagoongap/stand-in/silentRelay.js';
 
 import { EndpointStandIn } from '../platform/endpointStandIn.js';
@@ -38,12 +39,6 @@
 /** Time for which a cell may take to accept its first configuration. */
 const POLL_MS = 250;
 
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /** An endpoint behind a relay that can be cut. */
 interface RelayedEndpoint {
   standIn: EndpointStandIn;
@@ -81,7 +76,7 @@
     await Promise.all([
       load.press(loadMs),
       ...faults.map(async (fault) => {
-        await pause(fault.atMs);
+        await delay(fault.atMs);
         await this.inject(system, fault);
       }),
     ]);
@@ -127,12 +122,12 @@
     const leader = system.indexOfControl(standIn.leaderAddress ?? '');
     const setMood = async (mood: typeof worker.mood): Promise<void> => {
       worker.mood = mood;
-      await pause(durationMs);
+      await delay(durationMs);
       worker.mood = 'sound';
     };
     const cut = async (direction: 'both' | 'to-target' | 'from-target'): Promise<void> => {
       relay.pause(direction);
-      await pause(durationMs);
+      await delay(durationMs);
       relay.resume();
     };
     switch (kind) {
@@ -203,7 +198,7 @@
         if (!isOver) left.push(id);
       }
       open = left;
-      if (open.length > 0) await pause(POLL_MS);
+      if (open.length > 0) await delay(POLL_MS);
     }
     for (const id of open) this.history.violations.push(`${id} has not ended`);
     await load.readConfig();
--- a/packages/tests/src/soak/soakSystem.ts
+++ b/packages/tests/src/soak/soakSystem.ts
@@ -3,6 +3,8 @@
 import { appendFile, mkdir, open, readdir, rm, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 
+import { delay } from '@lagoongap/model/delay.js';
+
 /** Role of a program of the system. */
 export type SoakRole = 'replica' | 'gateway';
 
@@ -82,7 +84,7 @@
     const program = this.pick(role, target);
     program.holds += 1;
     program.child?.kill('SIGKILL');
-    await this.pause(downMs);
+    await delay(downMs);
     program.holds -= 1;
     await this.runAgain(program);
   }
@@ -91,7 +93,7 @@
   async freeze(role: SoakRole, target: number, ms: number): Promise<void> {
     const { child } = this.pick(role, target);
     child?.kill('SIGSTOP');
-    await this.pause(ms);
+    await delay(ms);
     child?.kill('SIGCONT');
   }
 
@@ -111,7 +113,7 @@
     const program = this.pick('replica', target);
     program.holds += 1;
     program.child?.kill('SIGKILL');
-    await this.pause(downMs);
+    await delay(downMs);
     if (how === 'wipe') await rm(this.dataFolder(program), { recursive: true, force: true });
     else await this.tearLog(program);
     program.holds -= 1;
@@ -223,10 +225,4 @@
     if (this.isDisposed || program.child || program.holds > 0) return;
     await this.run(program);
   }
-
-  private async pause(ms: number): Promise<void> {
-    await new Promise((resolve) => {
-      setTimeout(resolve, ms);
-    });
-  }
 }
