--- a/packages/tests/src/soak/runSoak.ts
+++ b/packages/tests/src/soak/runSoak.ts
@@ -54,6 +54,9 @@
   const folder = await mkdtemp(join(tmpdir(), 'lagoongap-soak-'));
   const seeds = Array.from({ length: flags.seeds }, (_, index) => first + index);
   const broken: number[] = [];
+  // Ends by way of `exit`, which takes the programs along.
+  process.once('SIGTERM', () => process.exit(1));
+  process.once('SIGINT', () => process.exit(1));
   let played = 0;
   const work = async (): Promise<void> => {
     for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
