Tell from logs what happened to a job

lagoongap explain ID LOG... joins the lines of several instances that name a job, step or run with the changes of leader, configuration and contact between them and trouble with its endpoints.

--- a/packages/client/src/argumentParser.ts
+++ b/packages/client/src/argumentParser.ts
@@ -78,8 +78,9 @@
 
 function checkArguments(command: CommandDefinition, args: string[]): void {
   const wanted = command.usage.split(' ').slice(1);
-  const isVariadic = wanted.some((each) => each.startsWith('<...'));
-  if (args.length < wanted.length || (args.length > wanted.length && !isVariadic)) {
+  const requiredCount = wanted.filter((each) => each.startsWith('<')).length;
+  const isVariadic = wanted.some((each) => each.includes('...'));
+  if (args.length < requiredCount || (args.length > wanted.length && !isVariadic)) {
     throw new ClientError('usage', `expected: lagoongap ${command.usage}`);
   }
 }
--- a/packages/client/src/commandTable.ts
+++ b/packages/client/src/commandTable.ts
@@ -1,4 +1,5 @@
 import type { CommandContext } from './commandContext.js';
+import { explainJob } from './commands/explainCommand.js';
 import { drainInstance, replaceReplica } from './commands/instanceCommands.js';
 import { cancelJobs, showJob, submitJob, waitForJob } from './commands/jobCommands.js';
 import { manageKeys } from './commands/keyCommands.js';
@@ -104,6 +105,11 @@
     options: [{ usage: '--verify', description: 'Check the hash chain' }],
     run: showAudit,
   },
+  {
+    usage: 'explain <id> [...files]',
+    description: 'Tell from logs what happened to a job, step or run',
+    run: (context, id, ...files) => explainJob(context, id, files),
+  },
   {
     usage: 'key <action>',
     description: 'Create a key ("key create") or hash a secret ("key hash")',
--- a/packages/tests/src/steps/client/clientSteps.ts
+++ b/packages/tests/src/steps/client/clientSteps.ts
@@ -193,6 +193,10 @@
   assert.ok(this.stderr.includes(text), this.stderr);
 });
 
+Then(/^the client does not print '(.*)'$/, function checkAbsent(this: ClientWorld, text: string) {
+  assert.ok(!this.stdout.includes(text), this.stdout);
+});
+
 Then('the client prints one JSON document', function checkJson(this: ClientWorld) {
   assert.equal(typeof JSON.parse(this.stdout), 'object');
 });
