--- /dev/null
+++ b/packages/tests/src/harness/logWriter.ts
@@ -0,0 +1,23 @@
+import { delay } from '@lagoongap/model/delay.js';
+import { BoundedStream } from '@lagoongap/telemetry/boundedStream.js';
+
+/** Lines written in one turn of the event loop. */
+const LINES_PER_TURN = 50;
+
+/** Time for the last lines to be written. */
+const FLUSH_MS = 200;
+
+const lineCount = Number(process.argv[2]);
+const stream = new BoundedStream();
+let longestPauseMs = 0;
+let lastMs = performance.now();
+for (let line = 0; line < lineCount; line += 1) {
+  stream.write(`${JSON.stringify({ line, text: 'x'.repeat(200) })}\n`);
+  if (line % LINES_PER_TURN !== 0) continue;
+  await delay(1);
+  const nowMs = performance.now();
+  longestPauseMs = Math.max(longestPauseMs, nowMs - lastMs);
+  lastMs = nowMs;
+}
+await delay(FLUSH_MS);
+process.stderr.write(`${JSON.stringify({ longestPauseMs, leftOut: stream.leftOutCount })}\n`);
