--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -11,6 +11,9 @@
   clockMs?: number;
 }
 
+/** Silence after which an endpoint without work is forgotten, in heartbeats. */
+const FORGET_HEARTBEATS = 20;
+
 /** Receives changes of endpoints. */
 export interface EndpointServiceListener {
   /** The endpoint is new, has begun a new life, or has other properties. */
@@ -83,15 +86,25 @@
     agent.poke();
   }
 
-  /** Forgets an endpoint that has been silent for long. */
-  forget(id: string): void {
-    this.context.logger.info('silent endpoint is forgotten', { endpoint: id });
-    this.directory.remove(id, 'the endpoint is silent');
+  /** Forgets an endpoint that has ended or has been silent for long. */
+  forget(id: string, reason: string): void {
+    this.context.logger.info('endpoint is forgotten', { endpoint: id, reason });
+    this.directory.remove(id, reason);
     this.context.propose({ type: 'unregister', id }).catch((err: Error) => {
       this.context.logger.warn('endpoint could not be forgotten', { id, err: err.message });
     });
   }
 
+  /** Forgets the endpoints without work that have been silent for long. */
+  forgetSilent(): void {
+    const silenceMs = this.context.timing.heartbeatMs * FORGET_HEARTBEATS;
+    const nowMs = performance.now();
+    for (const { id, runs, lastHeartbeatMs } of this.directory.list()) {
+      const isSilent = nowMs - lastHeartbeatMs > silenceMs;
+      if (isSilent && runs.size === 0) this.forget(id, 'the endpoint is silent');
+    }
+  }
+
   /** An instance or address has one life at a time: a newer one shows that the older has ended. */
   private async removePredecessors(record: EndpointRecord): Promise<void> {
     for (const other of this.directory.list()) {
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -11,14 +11,15 @@
 import { InterferenceGuard } from './interferenceGuard.js';
 import { JobRetention } from './jobRetention.js';
 import { JobService } from './jobService.js';
-import { parseTaskName, stepName, taskName, type TaskRef } from './jobSpec.js';
-import { dueTime, listTasks, ReadySteps } from './readySteps.js';
+import { parseTaskName, stepName, type TaskRef } from './jobSpec.js';
+import { listTasks, ReadySteps } from './readySteps.js';
 import { proposeWhileLeading } from './proposeWhileLeading.js';
+import { createAgentRun, RunDispatcher, runKey } from './runDispatcher.js';
 import { createReservation, RunLedger } from './runLedger.js';
 import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
 import { SpeedLearner } from './speedLearner.js';
 import { StragglerWatch } from './stragglerWatch.js';
-import { StepScheduler, type PlannedStart } from './stepScheduler.js';
+import { StepScheduler } from './stepScheduler.js';
 import { WaitReport } from './waitReport.js';
 import { WaveRunner } from './waveRunner.js';
 import type { EndedRun } from './workflowCommand.js';
@@ -33,13 +34,6 @@
 /** Time between two rounds of upkeep: ended jobs, silent endpoints, steps that wait. */
 const UPKEEP_INTERVAL_MS = 250;
 
-/** Silence after which an endpoint without work is forgotten, in heartbeats. */
-const FORGET_HEARTBEATS = 20;
-
-function runKey(task: TaskRef, run: number): string {
-  return `${taskName(task)}:${run}`;
-}
-
 /**
  * One leadership of the workflow layer: takes over what runs, starts waiting tasks, records their
  * ends and stops what is no longer wanted. All of it is dropped when the leadership ends.
@@ -56,6 +50,7 @@
   private readonly directory: EndpointDirectory;
   private readonly ready: ReadySteps;
   private readonly scheduler: StepScheduler;
+  private readonly dispatcher: RunDispatcher;
   private readonly interference: InterferenceGuard;
   private readonly stragglers: StragglerWatch;
   private readonly advice: AdvicePlanner;
@@ -101,6 +96,12 @@
       broker: this.broker,
       onAdvice: () => this.requestTurn(),
     });
+    this.dispatcher = new RunDispatcher({
+      context: this.context,
+      directory: this.directory,
+      health: this.health,
+      onLost: (agent, runs, reason) => this.onLost(agent, runs, reason),
+    });
     this.interference = new InterferenceGuard(this.context);
     this.waves = new WaveRunner({
       context: this.context,
@@ -120,11 +121,12 @@
     this.jobs = new JobService(this.context, {
       onSubmitting: (command) => this.advice.prepareFirst(command),
       onAccepted: (job) => this.followJob(job.id),
-      onClosed: (job) => this.closeJob(job),
+      onClosed: (job) => this.followJob(job.id),
     });
     this.endpoints = new EndpointService(this.context, this.directory, {
       onChanged: (id) => {
         this.scheduler.dropTickets(id);
+        this.scheduler.lookAgain();
         this.requestTurn();
       },
     });
@@ -199,7 +201,7 @@
     const job = this.opts.state.jobs.get(task.jobId);
     this.opts.logger.warn('endpoint runs what is not recorded', { endpoint: agent.id, run: key });
     if (job) this.ledger.reserve(createReservation(job, task, key, agent.id));
-    const run = this.createRun(task, active.run, active.checkpoint);
+    const run = createAgentRun(this.opts.state, task, active.run, active.checkpoint);
     agent.adopt(run);
     agent.stop(run);
   }
@@ -212,6 +214,12 @@
     for (const id of new Set([...agent.runs.values()].map(({ task }) => task.jobId))) {
       this.followJob(id);
     }
+    this.scheduler.lookAgain();
+    this.requestTurn();
+  }
+
+  onLeft(agent: EndpointAgent): void {
+    this.endpoints.forget(agent.id, 'the endpoint has left');
     this.requestTurn();
   }
 
@@ -247,7 +255,7 @@
     endpoint: string,
     checkpoint: string,
   ): void {
-    const adopted = this.createRun(task, run, checkpoint);
+    const adopted = createAgentRun(this.opts.state, task, run, checkpoint);
     this.ledger.reserve(createReservation(job, task, adopted.key, endpoint));
     const agent = this.directory.find(endpoint);
     if (!agent) {
@@ -259,32 +267,19 @@
     if (job.status !== 'open') agent.stop(adopted);
   }
 
-  private createRun(task: TaskRef, run: number, checkpoint: string): AgentRun {
-    return {
-      key: runKey(task, run),
-      name: taskName(task),
-      task,
-      run,
-      phase: 'running',
-      confirmedMs: 0,
-      orderedMs: performance.now(),
-      isStopping: false,
-      isStopped: false,
-      estimateMs: this.opts.state.findSpec(task)?.estimateMs ?? 0,
-      checkpoint,
-    };
-  }
-
   private async recordEnds(ends: EndedRun[], endpoint: string): Promise<void> {
     await this.context.propose({ type: 'end', runs: ends });
     const jobs = new Set<string>();
     for (const { task, run, outcome } of ends) {
       this.ledger.release(runKey(task, run));
       jobs.add(task.jobId);
-      this.opts.logger.info('run ended', { run: runKey(task, run), endpoint, outcome });
       this.opts.meter.countRunEnded(outcome);
       if (outcome === 'done') this.stopCopies(task);
     }
+    this.opts.logger.info('runs ended', {
+      endpoint,
+      runs: ends.map(({ task, run, outcome }) => `${runKey(task, run)} ${outcome}`).join(),
+    });
     for (const id of jobs) this.followJob(id);
   }
 
@@ -335,7 +330,6 @@
 
   /** Stops what is left of a job that has ended. */
   private closeJob(job: JobRecord): void {
-    this.ready.refresh(job, job.id, Date.now());
     if (this.retention.note(job.id)) {
       this.opts.logger.info('job ended', { job: job.id, status: job.status });
       this.opts.meter.countJobEnded(job.status, Date.now() - job.acceptedMs);
@@ -373,48 +367,18 @@
     } finally {
       for (const start of planned) this.scheduler.settle(start);
     }
-    for (const start of planned) this.dispatch(start);
+    this.dispatcher.dispatch(planned);
     for (const id of new Set(planned.map(({ task }) => task.jobId))) {
       const job = this.opts.state.jobs.get(id);
       if (job) this.advice.prepareNext(job, config);
     }
   }
 
-  /** Orders a start that is recorded, unless its job has ended meanwhile. */
-  private dispatch(start: PlannedStart): void {
-    const { task, run, ticket, agent } = start;
-    const job = this.opts.state.jobs.get(task.jobId);
-    if (!job) return;
-    const record = this.opts.state.findTask(task);
-    const order = this.createRun(task, run, record?.checkpoint ?? '');
-    order.phase = 'ordered';
-    if (job.status !== 'open' || this.directory.find(agent.id) !== agent) {
-      this.onLost(agent, [order], 'not wanted any more');
-      return;
-    }
-    if (!this.context.isValid()) {
-      this.onLost(agent, [order], 'no majority answered when it was to be ordered');
-      return;
-    }
-    const waitedMs = Date.now() - dueTime(job, task.occurrence);
-    this.opts.logger.info('run ordered', {
-      run: order.key,
-      endpoint: agent.id,
-      waitedMs,
-      heartbeatAgeMs: Math.round(performance.now() - agent.lastHeartbeatMs),
-      term: this.context.fencingToken,
-    });
-    this.opts.meter.countRunOrdered(waitedMs);
-    this.health.recordStart({ attemptId: order.key, unitId: job.id, endpointId: agent.id });
-    agent.order(order, job.spec.payload, ticket).catch((err: Error) => {
-      this.opts.logger.error('start order failed', { run: order.key, err: err.message });
-    });
-  }
-
   private keepUp(): void {
     if (!this.context.isValid()) return;
+    this.scheduler.lookAgain();
     for (const id of this.retention.forgetDue()) this.occurrenceTimers.delete(id);
-    this.forgetSilentEndpoints();
+    this.endpoints.forgetSilent();
     const agents = this.directory.list();
     const available = agents.filter((agent) => this.directory.isInTouch(agent)).length;
     this.opts.meter.setEndpoints(available, agents.length);
@@ -431,15 +395,6 @@
     this.requestTurn();
   }
 
-  private forgetSilentEndpoints(): void {
-    const silenceMs = this.opts.timing.heartbeatMs * FORGET_HEARTBEATS;
-    const nowMs = performance.now();
-    for (const agent of this.directory.list()) {
-      const isIdle = agent.runs.size === 0;
-      if (isIdle && nowMs - agent.lastHeartbeatMs > silenceMs) this.endpoints.forget(agent.id);
-    }
-  }
-
   private reportLapse(what: string, err: Error): void {
     this.opts.logger.warn('leadership could not record a change', { what, err: err.message });
   }
