Drop orders of an earlier life in the stand-in endpoint

A process takes with it what it has not begun, so the fault is the stand-in's; ruled out: a start without a fence by the system. The exit handler of a soak goes with it.

--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -165,3 +165,12 @@
     And 2000 ms of workflow time pass
     Then job "j" is "completed"
     And worker w1 has started 4 runs
+
+  Scenario: a start that a worker has not carried out is gone with its life
+    Given worker w1 carries starts out late
+    When job "j" of 4 tasks is submitted
+    And 500 ms of workflow time pass
+    And worker w1 begins a new life
+    And 6000 ms of workflow time pass
+    Then job "j" is "completed"
+    And worker w1 has started nothing
--- a/packages/tests/src/soak/soakSystem.ts
+++ b/packages/tests/src/soak/soakSystem.ts
@@ -42,7 +42,7 @@
     this.network = `127.${20 + (Math.floor(seed / OCTET) % 200)}.${seed % OCTET}`;
     this.advisorAddress = advisorAddress;
     // No program may outlive a soak that ends by an error.
-    process.once('exit', () => this.killAll());
+    process.once('exit', this.killAll);
   }
 
   async start(replicas: number, gateways: number): Promise<void> {
@@ -126,6 +126,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.isDisposed = true;
+    process.off('exit', this.killAll);
     await Promise.all(
       this.processes.map(async ({ child }) => {
         if (!child || child.exitCode !== null || child.signalCode !== null) return;
@@ -138,9 +139,9 @@
     );
   }
 
-  private killAll(): void {
+  private readonly killAll = (): void => {
     for (const { child } of this.processes) child?.kill('SIGKILL');
-  }
+  };
 
   private list(role: SoakRole): SoakProcess[] {
     return this.processes.filter((program) => program.role === role);
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -48,6 +48,8 @@
   private untilMs = 0;
   private leaseTimer: NodeJS.Timeout | undefined;
   private waiters: (() => void)[] = [];
+  /** Orders that this life has taken and not carried out yet. */
+  private readonly lateStarts = new Set<NodeJS.Timeout>();
 
   start(order: StartOrder): StartOutcome {
     if (order.fencingToken < this.fence) return 'fenced';
@@ -70,7 +72,11 @@
 
   /** Carries an order out when its sender has long stopped to wait. */
   startLate(order: StartOrder): void {
-    setTimeout(() => this.start(order), LATE_MS);
+    const timer = setTimeout(() => {
+      this.lateStarts.delete(timer);
+      this.start(order);
+    }, LATE_MS);
+    this.lateStarts.add(timer);
   }
 
   stop({ task, run, fencingToken }: RunOrder): boolean {
@@ -101,6 +107,8 @@
 
   /** Ends everything without a report and begins a new life. */
   rebear(): void {
+    for (const timer of this.lateStarts) clearTimeout(timer);
+    this.lateStarts.clear();
     for (const { order, timer } of this.runs.values()) {
       clearTimeout(timer);
       const { task, run } = order;
