--- a/packages/tests/src/soak/soakRun.ts
+++ b/packages/tests/src/soak/soakRun.ts
@@ -61,7 +61,7 @@
     const { seed, replicas, gateways, loadMs } = this.opts;
     await this.advisor.start();
     const folder = join(this.opts.folder, `seed-${seed}`);
-    const system = new SoakSystem(folder, seed, this.advisor.address);
+    const system = new SoakSystem(folder, this.advisor.address);
     this.system = system;
     await system.start(replicas, gateways);
     const load = new SoakLoad(
--- a/packages/tests/src/soak/soakSystem.ts
+++ b/packages/tests/src/soak/soakSystem.ts
@@ -24,10 +24,28 @@
 const READY_PORT = 8184;
 const RESTART_DELAY_MS = 200;
 const GARBAGE_BYTES = 37;
-const OCTET = 256;
 
 const PROGRAM = 'platform/lib/main.js';
 
+/** First and number of the second octets that soaks use on the loopback network. */
+const FIRST_NETWORK = 20;
+const NETWORKS = 200;
+
+/** Cells of one process that may run at the same time, and processes for each second octet. */
+const CELLS = 8;
+const PROCESSES = 32;
+
+let cellCount = 0;
+
+/** Returns a loopback network that no other cell of this or another soak uses. */
+function chooseNetwork(): string {
+  const { pid } = process;
+  const cell = cellCount % CELLS;
+  cellCount += 1;
+  const second = FIRST_NETWORK + (Math.floor(pid / PROCESSES) % NETWORKS);
+  return `127.${second}.${(pid % PROCESSES) * CELLS + cell}`;
+}
+
 /** Starts the programs of a cell, restarts those that end, and lets faults hit them. */
 export class SoakSystem implements AsyncDisposable {
   private readonly folder: string;
@@ -36,10 +54,9 @@
   private readonly processes: SoakProcess[] = [];
   private isDisposed = false;
 
-  /** @param seed - Chooses the loopback addresses, so that soaks can run side by side. */
-  constructor(folder: string, seed: number, advisorAddress: string) {
+  constructor(folder: string, advisorAddress: string) {
     this.folder = folder;
-    this.network = `127.${20 + (Math.floor(seed / OCTET) % 200)}.${seed % OCTET}`;
+    this.network = chooseNetwork();
     this.advisorAddress = advisorAddress;
     // No program may outlive a soak that ends by an error.
     process.once('exit', this.killAll);
