Keep the number of voters odd, with a replica that is left over on standby

Six voters tolerate two losses like five do, so the sixth vote only costs.

A single learner that would make the number even is no longer promoted. It follows the log, and replaces the first voter that becomes unreachable.

--- a/packages/coordinator/src/replicaManager.ts
+++ b/packages/coordinator/src/replicaManager.ts
@@ -30,6 +30,10 @@
  * Changes the membership of the replicated log: adds replicas, also those of instances whose disk
  * was lost, and removes replicas. The former identity of an instance with an empty disk is removed
  * first: it can never vote again, and counting it would let a second loss stop the cluster.
+ *
+ * The number of voters is kept odd where possible. One voter more would tolerate no more failures,
+ * and a partition into equal halves would leave neither half a majority. A replica that is left
+ * over stays a learner, on standby for the first voter that becomes unreachable.
  */
 export class ReplicaManager {
   private readonly opts: ReplicaManagerOptions;
@@ -41,7 +45,10 @@
     this.opts = opts;
   }
 
-  /** Performs the next step of a join; the replica repeats the call until it is a voter. */
+  /**
+   * Performs the next step of a join; the replica repeats the call until it is a voter, also while
+   * it is on standby.
+   */
   join(params: JoinReplicaParams): Promise<JoinReplicaResult> {
     const step = this.current.then(() => this.advanceJoin(params));
     // Membership changes run one at a time.
@@ -168,8 +175,20 @@
       });
       await log.removeMember(unreachable);
     }
+    if (!this.shouldPromote()) return { state: 'learner' };
     logger.info('promoting a replica to voter', { replica: replicaId });
     await log.promote(replicaId);
     return { state: 'voter' };
   }
+
+  /** Returns whether a promotion leads to an odd number of voters, if need be with another one. */
+  private shouldPromote(): boolean {
+    const { log } = this.opts;
+    const { voters, learners } = log.members();
+    if (voters.length % 2 === 0) return true;
+    const candidates = learners.filter(
+      (id) => log.isCaughtUp(id) && this.isSelfOrReachable(instanceIdOf(id)),
+    );
+    return candidates.length >= 2;
+  }
 }
--- a/packages/tests/features/coordinator/membership.feature
+++ b/packages/tests/features/coordinator/membership.feature
@@ -40,3 +40,33 @@
     When replica instance "a" joins with an empty disk
     Then the voters are "b c a"
     And the former replica of "a" has no vote
+
+  # Guards against an even number of voters: a partition into halves leaves no majority anywhere.
+  Scenario: of six replicas five vote, so that a partition into halves leaves a majority
+    Given the voters "a b c"
+    When replica instances "d e f" join at the same time
+    Then the voters are "a b c d e"
+    And the learners are "f"
+    And a partition into halves of all replicas leaves one half a majority
+
+  Scenario: a replica on standby replaces a voter that becomes unreachable
+    Given the voters "a b c"
+    When replica instance "d" joins on standby
+    Then the voters are "a b c"
+    And the learners are "d"
+    When replica instance "c" becomes unreachable
+    And replica instance "d" joins
+    Then the voters are "a b d"
+
+  Scenario: a replica on standby completes a group of even size
+    Given the voters "a b c d"
+    When replica instance "e" joins
+    Then the voters are "a b c d e"
+
+  Scenario: a single new replica stays on standby while another one is unreachable
+    Given the voters "a b c"
+    When replica instance "d" joins on standby
+    And replica instance "d" becomes unreachable
+    And replica instance "e" joins on standby
+    Then the voters are "a b c"
+    And the learners are "d e"
--- a/packages/tests/src/steps/coordinator/membershipSteps.ts
+++ b/packages/tests/src/steps/coordinator/membershipSteps.ts
@@ -57,13 +57,23 @@
 const CHECK_INTERVAL_MS = 500;
 const MAX_JOIN_STEPS = 5;
 
-async function join(world: MembershipWorld, instance: string, disk: string): Promise<void> {
+/** Repeats the call of a joining replica as the replica does; returns its last state. */
+async function repeatJoin(
+  world: MembershipWorld,
+  instance: string,
+  disk: string,
+): Promise<'learner' | 'voter'> {
   const replicaId = `${instance}/${disk}`;
   for (let steps = 0; steps < MAX_JOIN_STEPS; steps += 1) {
     const { state } = await world.manager.join({ instance, replicaId });
-    if (state === 'voter') return;
+    if (state === 'voter') return state;
   }
-  assert.fail(`${replicaId} did not become a voter`);
+  return 'learner';
+}
+
+async function join(world: MembershipWorld, instance: string, disk: string): Promise<void> {
+  const state = await repeatJoin(world, instance, disk);
+  assert.equal(state, 'voter', `${instance}/${disk} did not become a voter`);
 }
 
 After(function restore(this: MembershipWorld) {
@@ -100,6 +110,24 @@
   await join(this, id, FIRST_DISK);
 });
 
+When(
+  'replica instances {string} join at the same time',
+  async function joinTogether(this: MembershipWorld, instances: string) {
+    for (let steps = 0; steps < MAX_JOIN_STEPS; steps += 1) {
+      for (const instance of instances.split(' ')) {
+        await this.manager.join({ instance, replicaId: `${instance}/${FIRST_DISK}` });
+      }
+    }
+  },
+);
+
+When(
+  'replica instance {string} joins on standby',
+  async function joinOnStandby(this: MembershipWorld, instance: string) {
+    assert.equal(await repeatJoin(this, instance, FIRST_DISK), 'learner');
+  },
+);
+
 When(
   'replica instance {string} joins with an empty disk',
   async function joinEmpty(this: MembershipWorld, id: string) {
@@ -121,6 +149,25 @@
   assert.equal(this.log.members().voters.map(instanceIdOf).join(' '), instances);
 });
 
+Then('the learners are {string}', function checkLearners(this: MembershipWorld, instances: string) {
+  assert.equal(this.log.members().learners.map(instanceIdOf).join(' '), instances);
+});
+
+Then(
+  'a partition into halves of all replicas leaves one half a majority',
+  function checkHalves(this: MembershipWorld) {
+    const { voters, learners } = this.log.members();
+    const all = [...voters, ...learners];
+    for (let mask = 0; mask < 2 ** all.length; mask += 1) {
+      const half = all.filter((_, index) => Math.floor(mask / 2 ** index) % 2 === 1);
+      if (half.length * 2 !== all.length) continue;
+      const votes = voters.filter((id) => half.includes(id)).length;
+      const hasMajority = votes * 2 > voters.length || (voters.length - votes) * 2 > voters.length;
+      assert.ok(hasMajority, `neither half has a majority: ${half.join()} of ${voters.join()}`);
+    }
+  },
+);
+
 Then('the former replica of {string} has no vote', function check(this: MembershipWorld, id) {
   assert.ok(!this.log.members().voters.includes(`${id}/${FIRST_DISK}`));
 });
