--- a/packages/workflow/src/adviceBroker.ts
+++ b/packages/workflow/src/adviceBroker.ts
@@ -26,6 +26,8 @@
   query: AdviceQuery;
   priority: number;
   resolve: (response: AdviceResponse | undefined) => void;
+  /** Monotonic time of the call to {@link AdviceBroker.query}. */
+  queuedMs: number;
   assignedMs: number;
   assignments: number;
   deadline?: NodeJS.Timeout;
@@ -58,6 +60,17 @@
     return this.waiting.length;
   }
 
+  /** Age in milliseconds of the oldest query that is not assigned to an instance yet. */
+  get oldestAgeMs(): number {
+    const nowMs = performance.now();
+    return this.waiting.reduce((max, { queuedMs }) => Math.max(max, nowMs - queuedMs), 0);
+  }
+
+  /** Returns whether a query for a step is assigned to an instance. */
+  isAssigned(step: string): boolean {
+    return [...this.assigned.values()].some(({ query }) => query.step === step);
+  }
+
   /**
    * Resolves with the response, or with undefined if there was none.
    *
@@ -78,6 +91,7 @@
         query,
         priority,
         resolve,
+        queuedMs: performance.now(),
         assignedMs: 0,
         assignments: 0,
       };
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -48,6 +48,13 @@
   onAdvice: () => void;
 }
 
+/** Outcome of the latest evaluation of a step in a scheduling cycle. */
+interface Evaluation {
+  /** Monotonic time. */
+  atMs: number;
+  outcome: 'blocked' | 'unplaced' | 'placed';
+}
+
 /** Maximum age of the cached endpoint list when tickets are prefetched. */
 const CANDIDATES_MAX_AGE_MS = 20;
 
@@ -64,6 +71,8 @@
   private readonly failures = new Map<string, Map<string, number>>();
   /** Planned starts that are not committed yet, by step and task index. */
   private readonly pending = new Set<string>();
+  /** Latest evaluation of each waiting step. */
+  private readonly evaluations = new Map<string, Evaluation>();
 
   constructor(opts: StepSchedulerOptions) {
     this.opts = opts;
@@ -93,6 +102,7 @@
   forgetStep(step: string): void {
     this.ticketProvider.forgetStep(step);
     this.failures.delete(step);
+    this.evaluations.delete(step);
   }
 
   /** Deletes the tickets of an endpoint that has restarted or rejected one. */
@@ -149,17 +159,21 @@
     const usage = this.createUsage(ready, config);
     const nowMs = performance.now();
     const tickets = this.ticketProvider.ticketsOf(ready.name);
+    const evaluation = this.evaluations.get(ready.name);
+    const { maxPerEndpoint } = ready.spec;
     const count = (test: (candidate: PlacementCandidate) => boolean): number =>
       candidates.filter(test).length;
     return {
       endpoints: candidates.length,
       withRoom: count((candidate) => countSlots(ready.spec, candidate, this.opts.ledger) > 0),
       withinLimit: count((candidate) => usage.fits(candidate, ready.spec)),
+      atStepLimit: count((it) => maxPerEndpoint > 0 && usage.countOn(it) >= maxPerEndpoint),
       withTicket: count(({ id }) => tickets.find(id, nowMs) !== undefined),
       suitable: count(({ id }) => tickets.suitabilityOf(id) === 'suitable'),
       unsuitable: count(({ id }) => tickets.suitabilityOf(id) === 'unsuitable'),
-      isAsking: this.ticketProvider.isQueryPending(ready.name),
-      questions: this.ticketProvider.backlog,
+      evaluatedAgoMs: evaluation && Math.round(nowMs - evaluation.atMs),
+      outcome: evaluation?.outcome,
+      ...this.ticketProvider.explain(ready.name),
     };
   }
 
@@ -184,8 +198,14 @@
         );
       },
     };
-    if (this.blocked.isBlocked(conditions, performance.now())) return [];
+    const atMs = performance.now();
+    if (this.blocked.isBlocked(conditions, atMs)) {
+      this.evaluations.set(ready.name, { atMs, outcome: 'blocked' });
+      return [];
+    }
     const planned = this.placeStep(ready, queue, config);
+    const outcome = planned.length > 0 ? 'placed' : 'unplaced';
+    this.evaluations.set(ready.name, { atMs, outcome });
     this.blocked.recordBlocked(conditions, ready.waiting.length - planned.length);
     return planned;
   }
--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -53,7 +53,8 @@
 export class TicketProvider {
   private readonly opts: TicketProviderOptions;
   private readonly caches = new Map<string, TicketCache>();
-  private readonly pendingSteps = new Set<string>();
+  /** Monotonic time of the query in flight, by step. */
+  private readonly pendingSteps = new Map<string, number>();
   private readonly suitableShares = new Map<string, MovingAverage>();
 
   constructor(opts: TicketProviderOptions) {
@@ -70,14 +71,17 @@
     return cache;
   }
 
-  /** Returns whether a query for a step is in flight. */
-  isQueryPending(step: string): boolean {
-    return this.pendingSteps.has(step);
-  }
-
-  /** Number of queries that are not assigned to an instance yet. */
-  get backlog(): number {
-    return this.opts.broker.backlog;
+  /** Returns log fields about the query for a step and the queries before it. */
+  explain(step: string): Record<string, unknown> {
+    const { broker } = this.opts;
+    const sinceMs = this.pendingSteps.get(step);
+    return {
+      isAsking: sinceMs !== undefined,
+      queryAgeMs: sinceMs !== undefined ? Math.round(performance.now() - sinceMs) : undefined,
+      isQueryAssigned: sinceMs !== undefined ? broker.isAssigned(step) : undefined,
+      questions: broker.backlog,
+      oldestQuestionMs: Math.round(broker.oldestAgeMs),
+    };
   }
 
   /** Deletes the cached tickets of a step that has ended. */
@@ -105,9 +109,9 @@
       cache.backOff();
       return;
     }
-    this.pendingSteps.add(ready.name);
     const { broker, context, onAdvice } = this.opts;
     const startMs = performance.now();
+    this.pendingSteps.set(ready.name, startMs);
     broker
       .query(ready.name, endpoints, advice, queue.priority)
       .then((response) => {
