Query the advisor only about endpoints where the step may run another task

A service with at most one task per endpoint stayed short of a task for good although endpoints had capacity. The endpoints of a query were sorted by the tasks that fit, which ignored the step's own tasks there: suitable endpoints at the step's limit came before those of unknown suitability, and with eight endpoints a query, tickets of 2.5 s and half a second a call the rotation returned to the first ones before it reached a usable endpoint.

The tasks of the step that an endpoint runs now count against the limit.

--- /dev/null
+++ b/packages/tests/src/workflow/simulatedAdvisor.ts
@@ -0,0 +1,43 @@
+import type { AdviceBroker, AdviceQuery, AdviceReport } from '@lagoongap/workflow/adviceBroker.js';
+import type { AdvicePolicy } from '@lagoongap/workflow/cellConfig.js';
+
+/** Time for which an instance waits for a query. */
+const POLL_MS = 1000;
+
+/** Advisor that answers the queries of several instances on the fake clock, one at a time each. */
+export class SimulatedAdvisor {
+  /** Endpoints of all queries, by step. */
+  readonly asked = new Map<string, Set<string>>();
+  /** Endpoints that no step may use. */
+  readonly unsuitable = new Set<string>();
+  private readonly policy: AdvicePolicy;
+
+  constructor(policy: AdvicePolicy) {
+    this.policy = policy;
+  }
+
+  /** Lets instances poll for queries; a broker that is disposed of ends their polls. */
+  serve(broker: AdviceBroker, instances: number): void {
+    for (let i = 0; i < instances; i += 1) this.poll(broker, []).catch(() => undefined);
+  }
+
+  private async poll(broker: AdviceBroker, reports: AdviceReport[]): Promise<void> {
+    const query = await broker.exchange(reports, POLL_MS);
+    return this.poll(broker, query ? [await this.answer(query)] : []);
+  }
+
+  private async answer({ id, step, endpoints }: AdviceQuery): Promise<AdviceReport> {
+    const { decideMs, perEndpointMs, validMs } = this.policy;
+    const durationMs = decideMs + perEndpointMs * endpoints.length;
+    const asked = this.asked.get(step) ?? new Set<string>();
+    for (const endpoint of endpoints) asked.add(endpoint);
+    this.asked.set(step, asked);
+    await new Promise((resolve) => {
+      setTimeout(resolve, durationMs);
+    });
+    const good = endpoints
+      .filter((endpoint) => !this.unsuitable.has(endpoint))
+      .map((endpoint) => ({ endpoint, ticket: `${step} ${endpoint}` }));
+    return { id, good, durationMs, validMs };
+  }
+}
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -111,6 +111,16 @@
     this.session.start();
   }
 
+  /** Adds a queue to the configuration. */
+  addQueue(name: string, fields: Partial<CellConfig['queues'][number]>): void {
+    this.config.queues.push({
+      ...this.config.queues[0]!,
+      name,
+      pathPrefix: `/${name}/`,
+      ...fields,
+    });
+  }
+
   /** Limits the processor time of the organisation, in cores. */
   limitCores(cores: number): void {
     this.config.organisations[0]!.limit = { ...NO_RESOURCES, cpuMillis: cores * CORE_CPU_MILLIS };
@@ -161,8 +171,14 @@
     await this.advance(TICK_MS);
   }
 
-  async submit(id: string, steps: StepSpec[], fields: Partial<JobSpec> = {}): Promise<JobResponse> {
-    return this.call({ operation: 'submit', spec: { payload: id, steps, ...fields } }, id);
+  async submit(
+    id: string,
+    steps: StepSpec[],
+    fields: Partial<JobSpec> = {},
+    queue = 'q',
+  ): Promise<JobResponse> {
+    const spec = { payload: id, steps, ...fields };
+    return this.call({ operation: 'submit', spec }, id, 'k', queue);
   }
 
   async call(
@@ -170,8 +186,10 @@
       { operation: 'submit'; spec: JobSpec } | { operation: 'read' } | { operation: 'cancel' },
     id: string,
     key: string | undefined = 'k',
+    queue = 'q',
   ): Promise<JobResponse> {
-    const response = this.session.jobs.handle({ host: 'h', path: `/q/${id}`, key, ...operation });
+    const path = `/${queue}/${id}`;
+    const response = this.session.jobs.handle({ host: 'h', path, key, ...operation });
     await this.advance(TICK_MS);
     return response;
   }
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -165,7 +165,7 @@
       candidates.filter(test).length;
     return {
       endpoints: candidates.length,
-      withRoom: count((candidate) => countSlots(ready.spec, candidate, this.opts.ledger) > 0),
+      withRoom: count((candidate) => countSlots(ready, candidate, this.opts.ledger) > 0),
       withinLimit: count((candidate) => usage.fits(candidate, ready.spec)),
       atStepLimit: count((it) => maxPerEndpoint > 0 && usage.countOn(it) >= maxPerEndpoint),
       withTicket: count(({ id }) => tickets.find(id, nowMs) !== undefined),
--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -30,9 +30,9 @@
 /** Minimum that spreads the large fixed cost of a query over several endpoints. */
 const MIN_ENDPOINTS_PER_QUERY = 8;
 
-/** Returns how many more tasks of a step fit on an endpoint. */
+/** Returns how many more tasks of a step an endpoint can run, given its capacity and the limit. */
 export function countSlots(
-  { taskCount, maxPerEndpoint, size, fillsIdleCapacity }: ReadyStep['spec'],
+  { name, spec: { taskCount, maxPerEndpoint, size, fillsIdleCapacity } }: ReadyStep,
   { id, capacity }: PlacementCandidate,
   ledger: RunLedger,
 ): number {
@@ -45,7 +45,7 @@
       : fit(capacity.cpuMillis - used.cpuMillis, size.cpuMillis),
     fit(capacity.memoryMib - used.memoryMib, size.memoryMib),
     fit(capacity.accelerators - used.accelerators, size.accelerators),
-    maxPerEndpoint > 0 ? maxPerEndpoint : taskCount,
+    maxPerEndpoint > 0 ? Math.max(0, maxPerEndpoint - ledger.countRuns(name, id)) : taskCount,
   );
 }
 
@@ -149,7 +149,7 @@
       if (spec.requiredLabel !== '' && !labels.includes(spec.requiredLabel)) continue;
       const suitability = cache.suitabilityOf(id);
       if (suitability === 'unsuitable' || cache.isFresh(id, nowMs, RENEWAL_MARGIN_MS)) continue;
-      const slots = countSlots(spec, candidate, ledger);
+      const slots = countSlots(ready, candidate, ledger);
       if (slots > 0) hasCapacity = true;
       scored.push({ id, expected: slots * (suitability === 'suitable' ? 1 : share) });
     }
