Count the leases of earlier leaders from the end of their validity

The core is cut into single instances from 20.1 s to 26.2 s while endpoints leave, so their tasks end unseen. The next leader begins at 27.2 s, cannot reach the endpoints, and assumed that its predecessor may have granted the longest lease (10 s, and 5 %) up to its own election: 'the lease expired' at 37.5 s to 38.0 s, started 0.8 s to 1.4 s later. But the predecessor was valid only until 20.7 s.

Each vote now tells how long ago the voter last heard from a leader or led itself. An earlier leader was valid only while a majority acknowledged it, and shares a voter with the majority of the election, so its validity had ended one minimum election timeout after the latest of these contacts (a restarted voter counts from its start; 2 % for clock rates; no age from an earlier version counts as contact just now). The leader waits for leases from that time.

The scenario of the workflow failed before (2 of 4 tasks 1.5 s after the election). The seeded schedules check for every election that no leader of an earlier term was valid after the assumed time, and a mutation that hides the contacts is detected.

--- a/packages/consensus/src/elections.ts
+++ b/packages/consensus/src/elections.ts
@@ -7,6 +7,9 @@
 } from './raftMessage.js';
 import type { RaftRole, RaftState } from './raftState.js';
 
+/** Maximum relative difference between the rates of two clocks. */
+const CLOCK_RATE_TOLERANCE = 0.02;
+
 /**
  * Handles pre-votes and votes, both as a candidate and as a voter.
  *
@@ -17,6 +20,8 @@
  */
 export class Elections {
   private readonly votes = new Set<string>();
+  /** Time at which any of the granting voters last heard from a leader. */
+  private lastContactMs = -Infinity;
 
   /**
    * @param isLeaderLeaseActive - Returns whether a leader may still be valid, so that no vote may
@@ -29,6 +34,15 @@
     private readonly onElected: () => void,
   ) {}
 
+  /**
+   * Time by which the validity of every earlier leader had ended, once this replica is elected. An
+   * earlier leader was valid only while a majority acknowledged it, and every majority shares a
+   * voter with the one that elected this replica.
+   */
+  get predecessorEndMs(): number {
+    return this.lastContactMs + this.state.options.timing.electionMinMs;
+  }
+
   /** Starts a pre-vote round, which does not increment the term. */
   startPreVote(): void {
     const { state } = this;
@@ -56,6 +70,7 @@
       type: 'vote-reply',
       ...this.messageHeader(state.replicaId),
       granted: true,
+      contactAgeMs: state.contactAgeMs,
     });
   }
 
@@ -97,16 +112,20 @@
   /** Sends the reply to a vote request once term and vote are durable. */
   sendVoteReply(message: VoteMessage, granted: boolean): void {
     const header = this.messageHeader(message.from);
-    this.state.sendWhenDurable({ type: 'vote-reply', ...header, granted });
+    const { contactAgeMs } = this.state;
+    this.state.sendWhenDurable({ type: 'vote-reply', ...header, granted, contactAgeMs });
   }
 
   receiveVoteReply(message: VoteReplyMessage): void {
     if (this.state.role !== 'candidate' || !message.granted) return;
+    const ageMs = (message.contactAgeMs ?? 0) * (1 - CLOCK_RATE_TOLERANCE);
+    this.lastContactMs = Math.max(this.lastContactMs, this.state.nowMs - ageMs);
     this.countVote(message.from);
   }
 
   private startRound(role: RaftRole): void {
     this.votes.clear();
+    this.lastContactMs = -Infinity;
     this.state.role = role;
     this.state.leader = undefined;
     this.state.resetElectionTimer();
--- a/packages/consensus/src/leaderLease.ts
+++ b/packages/consensus/src/leaderLease.ts
@@ -4,22 +4,27 @@
  * lease also runs from its start.
  */
 export class LeaderLease {
-  private lastContactMs: number;
+  private contactMs: number;
 
   constructor(
     startedAtMs: number,
     private readonly durationMs: number,
   ) {
-    this.lastContactMs = startedAtMs;
+    this.contactMs = startedAtMs;
+  }
+
+  /** Time of the last message from the leader, or of the start. */
+  get lastContactMs(): number {
+    return this.contactMs;
   }
 
   /** Renews the lease on receipt of a message from the leader. */
   renew(nowMs: number): void {
-    this.lastContactMs = nowMs;
+    this.contactMs = nowMs;
   }
 
   /** Returns whether votes must be refused. */
   isActive(nowMs: number): boolean {
-    return nowMs - this.lastContactMs < this.durationMs;
+    return nowMs - this.contactMs < this.durationMs;
   }
 }
--- a/packages/consensus/src/raftCore.ts
+++ b/packages/consensus/src/raftCore.ts
@@ -79,6 +79,11 @@
     return this.leader?.termStartIndex;
   }
 
+  /** Time by which the validity of every earlier leader had ended; defined only on the leader. */
+  get predecessorEndMs(): number | undefined {
+    return this.leader && this.elections.predecessorEndMs;
+  }
+
   /** Returns whether this replica is a valid leader at the given time. */
   isLeaderValid(nowMs: number): boolean {
     this.advanceClock(nowMs);
@@ -272,6 +277,7 @@
   private becomeFollower(term: number, leader: string | undefined): void {
     const { state } = this;
     if (term > state.term) state.setTerm(term, undefined);
+    if (this.leader) state.lastValidMs = Math.min(state.nowMs, this.leader.validUntilMs);
     // A leader whose transfer timed out or that lost its quorum lets others campaign first.
     if (this.leader !== undefined || state.role !== 'follower') state.resetElectionTimer();
     this.leader = undefined;
--- a/packages/consensus/src/raftMessage.ts
+++ b/packages/consensus/src/raftMessage.ts
@@ -38,6 +38,11 @@
 export interface VoteReplyMessage extends RaftMessageHeader {
   type: 'vote-reply';
   granted: boolean;
+  /**
+   * Time since the sender last heard from a leader or was a valid leader itself, in milliseconds.
+   * Absent in replies of earlier versions.
+   */
+  contactAgeMs?: number;
 }
 
 /** Replicates log entries; a message without entries is a heartbeat. */
--- a/packages/consensus/src/raftReplica.ts
+++ b/packages/consensus/src/raftReplica.ts
@@ -99,6 +99,10 @@
     return this.isStopped ? undefined : this.core?.leaderId;
   }
 
+  get predecessorEndMs(): number | undefined {
+    return this.core?.predecessorEndMs;
+  }
+
   get appliedIndex(): number {
     return this.lastApplied;
   }
--- a/packages/consensus/src/raftState.ts
+++ b/packages/consensus/src/raftState.ts
@@ -27,6 +27,8 @@
   snapshot: Snapshot | undefined;
   nowMs: number;
   electionDeadlineMs = 0;
+  /** End of the validity of this replica's last leadership. */
+  lastValidMs = -Infinity;
   readonly log: RaftLog;
   readonly memberships: MembershipHistory;
   readonly writes: WriteQueue;
@@ -79,6 +81,11 @@
     return this.leader === undefined ? undefined : instanceIdOf(this.leader);
   }
 
+  /** Time since this replica last heard from a leader or was a valid leader itself. */
+  get contactAgeMs(): number {
+    return this.nowMs - Math.max(this.leaderLease.lastContactMs, this.lastValidMs);
+  }
+
   /** Restarts the election timer with a new random timeout. */
   resetElectionTimer(): void {
     const { timing, random } = this.options;
--- a/packages/consensus/src/replicatedLog.ts
+++ b/packages/consensus/src/replicatedLog.ts
@@ -51,6 +51,11 @@
   readonly role: ReplicaRole;
   readonly term: number;
   readonly leaderId: string | undefined;
+  /**
+   * Monotonic time by which the validity of every earlier leader had ended; defined only while this
+   * replica leads.
+   */
+  readonly predecessorEndMs: number | undefined;
   /** Index of the last entry applied to the state machine. */
   readonly appliedIndex: number;
   /**
--- a/packages/tests/features/consensus/replica.feature
+++ b/packages/tests/features/consensus/replica.feature
@@ -86,6 +86,19 @@
     When the Raft clock advances by 1100 ms
     Then Raft replica leader has the role "follower"
 
+  # Guards against waits that count from an election although the last leader lost its majority long before.
+  Scenario: a new leader knows when its predecessor lost its majority
+    Given a Raft cluster of "a b c"
+    When Raft replica a is isolated
+    And Raft replica b is isolated
+    And Raft replica c is isolated
+    And the Raft clock advances by 6000 ms
+    Then Raft has no valid leader
+    When Raft replica a is reconnected
+    And Raft replica b is reconnected
+    And Raft replica c is reconnected
+    Then the next Raft leader knows that its predecessor was not valid for the last 5000 ms
+
   Scenario: uncommitted entries of an isolated leader have an unknown outcome and are overwritten
     Given a Raft cluster of "a b c"
     When Raft replica leader is isolated
--- a/packages/tests/features/consensus/schedules.feature
+++ b/packages/tests/features/consensus/schedules.feature
@@ -37,6 +37,7 @@
       | entries of earlier terms commit by counting replicas      | elections        | 1    | 400   | committed entries persist  |
       | no leader lease after restart                             | leases           | 400  | 200   | one valid leader           |
       | votes during a leader lease                               | leases           | 1    | 50    | one valid leader           |
+      | votes hide a recent contact with the leader               | leases           | 1    | 300   | predecessor end            |
       | leader validity starts at the receipt of acknowledgements | transfers        | 1    | 150   | one valid leader           |
       | leader validity survives a transfer                       | transfers        | 1    | 100   | one valid leader           |
       | replica keeps its id after disk loss                      | lost disks       | 1    | 20    | lost replica sends nothing |
--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -73,6 +73,23 @@
     Then job "j" is "completed"
     And no task ran twice at the same time
 
+  # Guards against a service that stays down long after the last lease of an earlier leader.
+  Scenario: tasks of an unresponsive endpoint restart soon after a long time without a leader
+    When service "s" of 4 tasks with at most 4 per worker is submitted
+    And 300 ms of workflow time pass
+    And worker w1 becomes unresponsive
+    And the workflow leader changes after 6000 ms without a leader
+    And 1500 ms of workflow time pass
+    Then service "s" runs 4 tasks
+
+  Scenario: after a short time without a leader, tasks restart only when the last lease has expired
+    When job "j" of 8 tasks of 20000 ms is submitted
+    And 100 ms of workflow time pass
+    And worker w1 becomes unresponsive
+    And the workflow leader changes after 2000 ms without a leader
+    And 30000 ms of workflow time pass
+    Then no task ran twice at the same time
+
   Scenario: ends that cannot be committed at first are committed later
     When job "j" of 8 tasks is submitted
     And 400 ms of workflow time pass
--- a/packages/tests/src/consensus/mutatedCore.ts
+++ b/packages/tests/src/consensus/mutatedCore.ts
@@ -47,6 +47,10 @@
     if (isVote && this.mutation === 'log position is ignored in votes') {
       return { ...message, lastTerm: LARGE_TERM };
     }
+    const isVoteReply = message.type === 'vote-reply';
+    if (isVoteReply && this.mutation === 'votes hide a recent contact with the leader') {
+      return { ...message, contactAgeMs: Infinity };
+    }
     if (message.type === 'append' && this.mutation === 'log position is ignored in appends') {
       const prevTerm = this.state.log.termAt(message.prevIndex) ?? message.prevTerm;
       return { ...message, prevTerm };
--- a/packages/tests/src/consensus/mutation.ts
+++ b/packages/tests/src/consensus/mutation.ts
@@ -8,6 +8,7 @@
   | 'leader validity starts at the receipt of acknowledgements'
   | 'leader validity survives a transfer'
   | 'votes during a leader lease'
+  | 'votes hide a recent contact with the leader'
   | 'membership changes without a commit in the term'
   | 'learners are promoted before they catch up'
   | 'log position is ignored in votes'
--- a/packages/tests/src/consensus/ruleViolation.ts
+++ b/packages/tests/src/consensus/ruleViolation.ts
@@ -5,6 +5,7 @@
   | 'committed entries persist'
   | 'state machine safety'
   | 'one valid leader'
+  | 'predecessor end'
   | 'lost replica sends nothing'
   | 'liveness'
   | 'core error';
--- a/packages/tests/src/consensus/simulatedReplica.ts
+++ b/packages/tests/src/consensus/simulatedReplica.ts
@@ -111,6 +111,10 @@
     for (const effect of this.core.takeEffects()) this.runEffect(this.core, effect);
   }
 
+  private toSimulationMs(clockMs: number): number {
+    return (clockMs - this.clockOffsetMs) / this.clockRate;
+  }
+
   private scheduleTick(): void {
     const { incarnation } = this;
     this.simulation.after(TICK_MS / this.clockRate, () => {
@@ -148,6 +152,11 @@
       case 'role':
         if (effect.change.role === 'leader') {
           checker.checkElection(this.replicaId, effect.change.term, this.disk);
+          this.simulation.checkPredecessorEnd(
+            this.replicaId,
+            effect.change.term,
+            this.toSimulationMs(core.predecessorEndMs!),
+          );
         }
         break;
       default:
--- a/packages/tests/src/consensus/simulation.ts
+++ b/packages/tests/src/consensus/simulation.ts
@@ -31,6 +31,8 @@
   readonly network = new SimulatedNetwork(this);
   readonly replicas: SimulatedReplica[] = [];
   private readonly events = new EventQueue();
+  /** Time of the latest check at which the leader of a term was valid, by term. */
+  private readonly lastValidMs = new Map<number, number>();
   private isHealed = false;
   private lastCommand = 0;
 
@@ -69,6 +71,18 @@
     this.events.add(this.nowMs + delayMs, run);
   }
 
+  /** Checks the time by which a new leader assumes that the validity of earlier ones had ended. */
+  checkPredecessorEnd(replicaId: string, term: number, endMs: number): void {
+    const { mutation } = this.options;
+    // Mutations that allow two valid leaders break this rule too; they must be detected as such.
+    if (mutation && mutation !== 'votes hide a recent contact with the leader') return;
+    for (const [validTerm, validMs] of this.lastValidMs) {
+      if (validTerm >= term || validMs <= endMs) continue;
+      const details = `term ${validTerm} was valid at ${validMs.toFixed(3)} ms, ${replicaId} of term ${term} assumes ${endMs.toFixed(3)} ms`;
+      throw new RuleViolation('predecessor end', details);
+    }
+  }
+
   private runUntil(isDone: () => boolean): void {
     while (!isDone()) {
       const event = this.events.removeFirst();
@@ -80,6 +94,7 @@
 
   private checkValidLeaders(): void {
     const valid = this.replicas.filter((replica) => replica.isValidLeader);
+    for (const { core } of valid) this.lastValidMs.set(core!.term, this.nowMs);
     if (valid.length > 1) {
       const ids = valid.map(({ replicaId }) => replicaId);
       this.checker.checkValidLeaders(ids, this.nowMs);
--- a/packages/tests/src/harness/manualCommitLog.ts
+++ b/packages/tests/src/harness/manualCommitLog.ts
@@ -18,6 +18,7 @@
   readonly term: number = 2;
   readonly leaderId = 'instance-1';
   appliedIndex = 0;
+  readonly predecessorEndMs = performance.now();
   private readonly stateMachine: StateMachine;
   private proposals: Proposal[] = [];
 
--- a/packages/tests/src/steps/consensus/replicaSteps.ts
+++ b/packages/tests/src/steps/consensus/replicaSteps.ts
@@ -110,6 +110,16 @@
   this.cluster.setIsolated(resolveInstanceId(this, name), false);
 });
 
+Then(
+  'the next Raft leader knows that its predecessor was not valid for the last {int} ms',
+  async function checkPredecessor(this: ReplicaWorld, ms: number) {
+    const { cluster } = this;
+    await cluster.waitUntil('leader', () => cluster.leader !== undefined);
+    const ageMs = performance.now() - cluster.get(cluster.leader!).replica.predecessorEndMs!;
+    assert.ok(ageMs >= ms, `${ageMs} ms`);
+  },
+);
+
 When('the writes of Raft replica {word} stall', function stall(this: ReplicaWorld, name: string) {
   this.cluster.stallWrites(resolveInstanceId(this, name));
 });
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -233,6 +233,13 @@
   await this.world.changeLeader();
 });
 
+When(
+  'the workflow leader changes after {int} ms without a leader',
+  async function change(this: Steps, gapMs: number) {
+    await this.world.changeLeader(gapMs);
+  },
+);
+
 When('{int} ms of workflow time pass', async function passTime(this: Steps, ms: number) {
   await pass(this, ms);
 });
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -67,8 +67,8 @@
   leaseMs: number;
   /** Longest lease that any leader can have granted in milliseconds. */
   maxLeaseMs: number;
-  /** Monotonic time at which this leadership began. */
-  sessionStartMs: number;
+  /** Monotonic time after which no earlier leader can have granted a lease. */
+  predecessorEndMs: number;
   /** Returns whether the leadership of this instance is valid. */
   isValid: () => boolean;
   log: Log;
@@ -381,9 +381,9 @@
 
   private haveLeasesEnded(): boolean {
     const nowMs = performance.now();
-    const { maxLeaseMs, sessionStartMs } = this.opts;
+    const { maxLeaseMs, predecessorEndMs } = this.opts;
     const havePredecessorLeasesEnded =
-      nowMs - sessionStartMs > maxLeaseMs * PREDECESSOR_LEASE_MARGIN_FACTOR;
+      nowMs - predecessorEndMs > maxLeaseMs * PREDECESSOR_LEASE_MARGIN_FACTOR;
     return havePredecessorLeasesEnded && (!this.clock.hasReading || this.clock.hasExpired(nowMs));
   }
 
--- a/packages/workflow/src/endpointDirectory.ts
+++ b/packages/workflow/src/endpointDirectory.ts
@@ -18,7 +18,6 @@
   private readonly context: SessionContext;
   private readonly listener: AgentListener;
   private readonly health: HealthPolicy;
-  private readonly startMs = performance.now();
   private isDisposed = false;
 
   constructor(context: SessionContext, listener: AgentListener, health: HealthPolicy) {
@@ -35,7 +34,7 @@
       known.update(record);
       return known;
     }
-    const { driver, fencingToken, timing, isValid, logger } = this.context;
+    const { driver, fencingToken, timing, predecessorEndMs, isValid, logger } = this.context;
     const agent = new EndpointAgent({
       record,
       driver,
@@ -43,7 +42,7 @@
       fencingToken,
       leaseMs: timing.leaseMs,
       maxLeaseMs: timing.maxLeaseMs,
-      sessionStartMs: this.startMs,
+      predecessorEndMs,
       isValid,
       log: logger,
     });
--- a/packages/workflow/src/sessionContext.ts
+++ b/packages/workflow/src/sessionContext.ts
@@ -18,6 +18,8 @@
   meter: WorkflowMetricsRecorder;
   /** Fencing token of this leadership; higher than that of every earlier one. */
   fencingToken: number;
+  /** Monotonic time after which no earlier leader can have given orders or granted leases. */
+  predecessorEndMs: number;
   /** Returns whether the leadership of this instance is valid. */
   isValid: () => boolean;
   /** Resolves with the result once the command is durable and applied. */
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -74,6 +74,7 @@
       logger: opts.logger,
       meter: opts.meter,
       fencingToken: opts.log.term,
+      predecessorEndMs: Math.min(performance.now(), opts.log.predecessorEndMs ?? Infinity),
       isValid: () => !this.isDisposed && opts.isValid(),
       propose: async (command) => {
         const startMs = performance.now();
@@ -151,6 +152,7 @@
     this.opts.meter.countLeadership();
     logger.info('leadership of workflows begins', {
       term: this.context.fencingToken,
+      predecessorEndAgoMs: Math.round(performance.now() - this.context.predecessorEndMs),
       jobs: state.jobs.size,
       endpoints: state.endpoints.size,
       runs: adopted,
