Share the advisor's call time between priorities instead of strictly by priority

While queries of several priorities wait, each priority now gets twice the call time of the next lower one. Time counts rather than queries, as a call of a service takes ten to twenty times as long as an urgent one.

--- a/packages/tests/features/workflow/advice.feature
+++ b/packages/tests/features/workflow/advice.feature
@@ -14,3 +14,15 @@
     When worker w5 fails for good
     And 14000 ms of workflow time pass
     Then service "s" runs 50 tasks
+
+  # Guards against queries of a service that starve behind urgent ones which arrive faster than the advisor answers.
+  Scenario: urgent queries refill the queue: a service still gets its tickets, and urgent work most of the time
+    When 40 urgent steps query for 20 ms calls without pause and 10 other steps for 500 ms calls
+    And 8 instances send the queries for 10 s
+    Then no query waited longer than 4000 ms
+    And urgent queries got between 60 % and 75 % of the call time
+
+  Scenario: queries of one priority alone get all instances
+    When 0 urgent steps query for 20 ms calls without pause and 10 other steps for 500 ms calls
+    And 8 instances send the queries for 10 s
+    Then no query waited longer than 1000 ms
--- a/packages/tests/src/steps/workflow/adviceSteps.ts
+++ b/packages/tests/src/steps/workflow/adviceSteps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 
 import { Given, Then, When } from '@cucumber/cucumber';
+import { AdviceQueue, type QueuedQuery } from '@lagoongap/workflow/adviceQueue.js';
 
 import { SimulatedAdvisor } from '../../workflow/simulatedAdvisor.js';
 import { createStep, WorkflowWorld } from '../../workflow/workflowWorld.js';
@@ -8,6 +9,10 @@
 interface AdviceSteps {
   world: WorkflowWorld;
   advisor: SimulatedAdvisor;
+  load: QueuedQuery[];
+  maxWaitMs: number;
+  /** Call time by priority. */
+  callMs: number[];
 }
 
 const TICKET_VALID_MS = 2500;
@@ -47,3 +52,59 @@
   }
   assert.equal(names.size, expected);
 });
+
+When(
+  '{int} urgent steps query for {int} ms calls without pause and {int} other steps for {int} ms calls',
+  function setLoad(
+    this: AdviceSteps,
+    urgent: number,
+    urgentMs: number,
+    others: number,
+    ms: number,
+  ) {
+    const repeat = (count: number, query: QueuedQuery): QueuedQuery[] =>
+      Array.from({ length: count }, () => query);
+    this.load = [
+      ...repeat(urgent, { priority: 0, callMs: urgentMs }),
+      ...repeat(others, { priority: 1, callMs: ms }),
+    ];
+  },
+);
+
+When(
+  '{int} instances send the queries for {int} s',
+  function send(this: AdviceSteps, instances: number, seconds: number) {
+    const queue = new AdviceQueue<QueuedQuery & { queuedMs: number }>();
+    for (const query of this.load) queue.add({ ...query, queuedMs: 0 });
+    const freeAtMs = new Array<number>(instances).fill(0);
+    const answered: { atMs: number; query: QueuedQuery }[] = [];
+    this.maxWaitMs = 0;
+    this.callMs = [0, 0];
+    for (let nowMs = 0; nowMs < seconds * 1000; nowMs += 1) {
+      for (const { query } of answered.filter(({ atMs }) => atMs === nowMs)) {
+        queue.add({ ...query, queuedMs: nowMs });
+      }
+      for (const [at, freeMs] of freeAtMs.entries()) {
+        const query = freeMs <= nowMs ? queue.take() : undefined;
+        if (!query) continue;
+        freeAtMs[at] = nowMs + query.callMs;
+        answered.push({ atMs: nowMs + query.callMs, query });
+        this.callMs[query.priority]! += query.callMs;
+      }
+      for (const { queuedMs } of queue) this.maxWaitMs = Math.max(this.maxWaitMs, nowMs - queuedMs);
+    }
+  },
+);
+
+Then('no query waited longer than {int} ms', function checkWait(this: AdviceSteps, maxMs: number) {
+  assert.ok(this.maxWaitMs <= maxMs, `${this.maxWaitMs} ms`);
+});
+
+Then(
+  'urgent queries got between {int} % and {int} % of the call time',
+  function checkShare(this: AdviceSteps, min: number, max: number) {
+    const [urgent, others] = this.callMs as [number, number];
+    const percent = (100 * urgent) / (urgent + others);
+    assert.ok(percent >= min && percent <= max, `${percent} %`);
+  },
+);
--- a/packages/workflow/src/adviceBroker.ts
+++ b/packages/workflow/src/adviceBroker.ts
@@ -1,3 +1,4 @@
+import { AdviceQueue, type QueuedQuery } from './adviceQueue.js';
 import type { AdvicePolicy } from './cellConfig.js';
 import type { AdviceResponse, Ticket } from './ticketCache.js';
 
@@ -22,9 +23,8 @@
   validMs?: number;
 }
 
-interface PendingQuery {
+interface PendingQuery extends QueuedQuery {
   query: AdviceQuery;
-  priority: number;
   resolve: (response: AdviceResponse | undefined) => void;
   /** Monotonic time of the call to {@link AdviceBroker.query}. */
   queuedMs: number;
@@ -47,23 +47,25 @@
 /**
  * Distributes queries to the advisor over all instances. The advisor processes one call at a time
  * per calling instance, so each instance polls for one query, sends it, reports the result and
- * polls again. Queries are assigned in priority order.
+ * polls again. The call time is shared between priorities (see {@link AdviceQueue}).
  */
 export class AdviceBroker implements Disposable {
-  private readonly waiting: PendingQuery[] = [];
+  private readonly waiting = new AdviceQueue<PendingQuery>();
   private readonly assigned = new Map<number, PendingQuery>();
   private readonly waiters: Waiter[] = [];
   private nextId = 1;
 
   /** Number of queries that are not assigned to an instance yet. */
   get backlog(): number {
-    return this.waiting.length;
+    return this.waiting.size;
   }
 
   /** Age in milliseconds of the oldest query that is not assigned to an instance yet. */
   get oldestAgeMs(): number {
     const nowMs = performance.now();
-    return this.waiting.reduce((max, { queuedMs }) => Math.max(max, nowMs - queuedMs), 0);
+    let maxMs = 0;
+    for (const { queuedMs } of this.waiting) maxMs = Math.max(maxMs, nowMs - queuedMs);
+    return maxMs;
   }
 
   /** Returns whether a query for a step is assigned to an instance. */
@@ -74,7 +76,7 @@
   /**
    * Resolves with the response, or with undefined if there was none.
    *
-   * @param priority - Lower values are sent first.
+   * @param priority - Lower values get a larger share of the call time.
    */
   query(
     step: string,
@@ -90,13 +92,13 @@
       const pending: PendingQuery = {
         query,
         priority,
+        callMs,
         resolve,
         queuedMs: performance.now(),
         assignedMs: 0,
         assignments: 0,
       };
-      const position = this.waiting.findIndex((other) => other.priority > priority);
-      this.waiting.splice(position < 0 ? this.waiting.length : position, 0, pending);
+      this.waiting.add(pending);
       this.assignQueries();
     });
   }
@@ -127,13 +129,14 @@
       resolve(undefined);
     }
     this.assigned.clear();
-    for (const { resolve } of this.waiting.splice(0)) resolve(undefined);
+    for (const { resolve } of this.waiting.remove(() => true)) resolve(undefined);
   }
 
   private assignQueries(): void {
-    while (this.waiters.length > 0 && this.waiting.length > 0) {
+    while (this.waiters.length > 0) {
+      const pending = this.waiting.take();
+      if (!pending) return;
       const waiter = this.waiters.shift()!;
-      const pending = this.waiting.shift()!;
       clearTimeout(waiter.timer);
       const { query } = pending;
       pending.assignedMs = performance.now();
@@ -156,7 +159,7 @@
     // With a new id, a late report for this assignment is not mistaken for one for the next.
     pending.query = { ...pending.query, id: this.nextId };
     this.nextId += 1;
-    this.waiting.unshift(pending);
+    this.waiting.addFirst(pending);
     this.assignQueries();
   }
 
