Use reports of the advisor that arrive after their deadline

A query was reassigned when its report was not processed within the expected duration and 250 ms, under a new id, and a report for the old id was ignored. An overloaded leader, or an instance short of processor time, delays every report by more than that, so that each answer was thrown away and the call was made up to four times. A report is now used for whichever assignment it is, as long as the query is open; the tickets expire as counted from that assignment.

The scenario failed before: with reports 400 ms late the job had not started after 1.5 s.

--- a/packages/tests/features/workflow/advice.feature
+++ b/packages/tests/features/workflow/advice.feature
@@ -26,3 +26,12 @@
     When 0 urgent steps query for 20 ms calls without pause and 10 other steps for 500 ms calls
     And 8 instances send the queries for 10 s
     Then no query waited longer than 1000 ms
+
+  # Guards against calls that are repeated for ever because an overloaded leader reads their reports late.
+  Scenario: reports that arrive after their deadline are used
+    Given an advisor that takes 100 ms and 1 ms per endpoint, queried by 1 instances
+    And reports to the leader are delayed by 400 ms
+    And 2 workers of 4 cores
+    When job "j" of 2 tasks is submitted
+    And 1500 ms of workflow time pass
+    Then job "j" is "completed"
--- a/packages/tests/src/steps/workflow/adviceSteps.ts
+++ b/packages/tests/src/steps/workflow/adviceSteps.ts
@@ -39,6 +39,10 @@
   },
 );
 
+Given('reports to the leader are delayed by {int} ms', function delay(this: AdviceSteps, ms) {
+  this.advisor.reportDelayMs = ms;
+});
+
 When('worker {word} fails for good', function fail(this: AdviceSteps, id: string) {
   const worker = this.world.driver.worker(id);
   worker.restart();
--- a/packages/tests/src/workflow/simulatedAdvisor.ts
+++ b/packages/tests/src/workflow/simulatedAdvisor.ts
@@ -10,6 +10,8 @@
   readonly asked = new Map<string, Set<string>>();
   /** Endpoints that no step may use. */
   readonly unsuitable = new Set<string>();
+  /** Additional time until a report reaches the leader. */
+  reportDelayMs = 0;
   private readonly policy: AdvicePolicy;
 
   constructor(policy: AdvicePolicy) {
@@ -33,7 +35,7 @@
     for (const endpoint of endpoints) asked.add(endpoint);
     this.asked.set(step, asked);
     await new Promise((resolve) => {
-      setTimeout(resolve, durationMs);
+      setTimeout(resolve, durationMs + this.reportDelayMs);
     });
     const good = endpoints
       .filter((endpoint) => !this.unsuitable.has(endpoint))
--- a/packages/workflow/src/adviceBroker.ts
+++ b/packages/workflow/src/adviceBroker.ts
@@ -28,8 +28,9 @@
   resolve: (response: AdviceResponse | undefined) => void;
   /** Monotonic time of the call to {@link AdviceBroker.query}. */
   queuedMs: number;
-  assignedMs: number;
-  assignments: number;
+  /** Monotonic time of each assignment, by the id that the query had. */
+  assignments: Map<number, number>;
+  /** Timer of the latest assignment. */
   deadline?: NodeJS.Timeout;
 }
 
@@ -51,6 +52,7 @@
  */
 export class AdviceBroker implements Disposable {
   private readonly waiting = new AdviceQueue<PendingQuery>();
+  /** Queries by the ids of all their assignments. */
   private readonly assigned = new Map<number, PendingQuery>();
   private readonly waiters: Waiter[] = [];
   private nextId = 1;
@@ -70,7 +72,9 @@
 
   /** Returns whether a query for a step is assigned to an instance. */
   isAssigned(step: string): boolean {
-    return [...this.assigned.values()].some(({ query }) => query.step === step);
+    return [...this.assigned.values()].some(
+      ({ query, assignments }) => query.step === step && assignments.has(query.id),
+    );
   }
 
   /**
@@ -95,8 +99,7 @@
         callMs,
         resolve,
         queuedMs: performance.now(),
-        assignedMs: 0,
-        assignments: 0,
+        assignments: new Map(),
       };
       this.waiting.add(pending);
       this.assignQueries();
@@ -139,8 +142,7 @@
       const waiter = this.waiters.shift()!;
       clearTimeout(waiter.timer);
       const { query } = pending;
-      pending.assignedMs = performance.now();
-      pending.assignments += 1;
+      pending.assignments.set(query.id, performance.now());
       pending.deadline = setTimeout(() => this.handleTimeout(query.id), query.timeoutMs);
       this.assigned.set(query.id, pending);
       waiter.resolve(query);
@@ -151,33 +153,35 @@
   private handleTimeout(id: number): void {
     const pending = this.assigned.get(id);
     if (!pending) return;
-    this.assigned.delete(id);
-    if (pending.assignments >= MAX_ASSIGNMENTS) {
-      pending.resolve(undefined);
+    if (pending.assignments.size >= MAX_ASSIGNMENTS) {
+      this.settle(pending, undefined);
       return;
     }
-    // With a new id, a late report for this assignment is not mistaken for one for the next.
+    // With a new id, reports tell which assignment they belong to.
     pending.query = { ...pending.query, id: this.nextId };
     this.nextId += 1;
     this.waiting.addFirst(pending);
     this.assignQueries();
   }
 
+  /** Handles a report for any assignment of a query, even after its deadline. */
   private handleReport({ id, good, durationMs, validMs }: AdviceReport): void {
     const pending = this.assigned.get(id);
     if (!pending) return;
-    this.assigned.delete(id);
-    clearTimeout(pending.deadline);
-    if (!good || validMs === undefined) {
-      pending.resolve(undefined);
-      return;
+    if (good && validMs !== undefined) {
+      // Lower bound of the response time, whatever the network latency.
+      const respondedMs = pending.assignments.get(id)! + durationMs;
+      const { endpoints: asked } = pending.query;
+      this.settle(pending, { asked, good, expiresMs: respondedMs + validMs });
+    } else if (pending.query.id === id) {
+      this.settle(pending, undefined);
     }
-    // Lower bound of the response time, whatever the network latency.
-    const respondedMs = pending.assignedMs + durationMs;
-    pending.resolve({
-      asked: pending.query.endpoints,
-      good,
-      expiresMs: respondedMs + validMs,
-    });
+  }
+
+  private settle(pending: PendingQuery, response: AdviceResponse | undefined): void {
+    clearTimeout(pending.deadline);
+    for (const id of pending.assignments.keys()) this.assigned.delete(id);
+    this.waiting.remove((other) => other === pending);
+    pending.resolve(response);
   }
 }
