Give queries to the advisor ids that no other term uses

Query ids began at 1 in every leadership, and an instance sends the report for a query of a lost leader to the next one. There the report settled the query that had the same id by then: its tickets were recorded for another step, whose starts the endpoints rejected, and every endpoint of that query without such a ticket was marked as unsuitable for good.

Ids now begin at the term times 2^32. The scenario failed before: a job of 2 tasks stayed queued, as both endpoints counted as unsuitable.

--- a/packages/tests/features/workflow/advice.feature
+++ b/packages/tests/features/workflow/advice.feature
@@ -35,3 +35,15 @@
     When job "j" of 2 tasks is submitted
     And 1500 ms of workflow time pass
     Then job "j" is "completed"
+
+  # Guards against tickets of one step that are recorded for another after a change of leader.
+  Scenario: a report for a query of the previous leader is ignored
+    Given an advisor that takes 100 ms and 1 ms per endpoint, queried by 0 instances
+    And 2 workers of 4 cores
+    And an instance that polls for a query
+    When job "j" of 2 tasks is submitted
+    And the workflow leader changes
+    And 1 instances query the advisor for the new leader
+    And the instance reports that its query found no suitable endpoint
+    And 1500 ms of workflow time pass
+    Then job "j" is "completed"
--- a/packages/tests/src/steps/workflow/adviceSteps.ts
+++ b/packages/tests/src/steps/workflow/adviceSteps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 
 import { Given, Then, When } from '@cucumber/cucumber';
+import type { AdviceQuery } from '@lagoongap/workflow/adviceBroker.js';
 import { AdviceQueue, type QueuedQuery } from '@lagoongap/workflow/adviceQueue.js';
 
 import { SimulatedAdvisor } from '../../workflow/simulatedAdvisor.js';
@@ -9,6 +10,7 @@
 interface AdviceSteps {
   world: WorkflowWorld;
   advisor: SimulatedAdvisor;
+  query: Promise<AdviceQuery | undefined>;
   load: QueuedQuery[];
   maxWaitMs: number;
   /** Call time by priority. */
@@ -43,6 +45,27 @@
   this.advisor.reportDelayMs = ms;
 });
 
+Given('an instance that polls for a query', function poll(this: AdviceSteps) {
+  this.query = this.world.session.broker.exchange([], 1000);
+});
+
+When(
+  '{int} instances query the advisor for the new leader',
+  async function serve(this: AdviceSteps, instances: number) {
+    this.advisor.serve(this.world.session.broker, instances);
+    await this.world.advance(20);
+  },
+);
+
+When(
+  'the instance reports that its query found no suitable endpoint',
+  async function report(this: AdviceSteps) {
+    const { id } = (await this.query)!;
+    const none = { id, good: [], durationMs: 20, validMs: TICKET_VALID_MS };
+    this.world.session.broker.exchange([none], 1000).catch(() => undefined);
+  },
+);
+
 When('worker {word} fails for good', function fail(this: AdviceSteps, id: string) {
   const worker = this.world.driver.worker(id);
   worker.restart();
--- a/packages/workflow/src/adviceBroker.ts
+++ b/packages/workflow/src/adviceBroker.ts
@@ -42,6 +42,9 @@
 /** Allowance for network latency between leader, instance and advisor. */
 const TRANSIT_ALLOWANCE_MS = 250;
 
+/** Distance between the first query ids of two terms. */
+const IDS_PER_TERM = 2 ** 32;
+
 /** Number of assignments after which a query fails. */
 const MAX_ASSIGNMENTS = 4;
 
@@ -55,7 +58,12 @@
   /** Queries by the ids of all their assignments. */
   private readonly assigned = new Map<number, PendingQuery>();
   private readonly waiters: Waiter[] = [];
-  private nextId = 1;
+  private nextId: number;
+
+  /** @param term - Term of the leadership; reports for queries of another term are ignored. */
+  constructor(term: number) {
+    this.nextId = term * IDS_PER_TERM;
+  }
 
   /** Number of queries that are not assigned to an instance yet. */
   get backlog(): number {
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -40,7 +40,7 @@
  * ends of runs and stops runs that are no longer needed. Discarded when the leadership ends.
  */
 export class WorkflowSession implements AgentListener, AsyncDisposable {
-  readonly broker = new AdviceBroker();
+  readonly broker: AdviceBroker;
   readonly jobs: JobService;
   readonly endpoints: EndpointService;
   private readonly opts: WorkflowSessionOptions;
@@ -84,6 +84,7 @@
       },
       readConfig: () => this.readConfig(),
     };
+    this.broker = new AdviceBroker(opts.log.term);
     this.directory = new EndpointDirectory(this.context, this, this.health);
     this.ready = new ReadySteps({
       state: opts.state,
