--- /dev/null
+++ b/packages/tests/src/steps/workflow/adviceSteps.ts
@@ -0,0 +1,137 @@
+import assert from 'node:assert/strict';
+
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { AdviceQuery } from '@lagoongap/workflow/adviceBroker.js';
+import { AdviceQueue, type QueuedQuery } from '@lagoongap/workflow/adviceQueue.js';
+
+import { SimulatedAdvisor } from '../../workflow/simulatedAdvisor.js';
+import { createStep, WorkflowWorld } from '../../workflow/workflowWorld.js';
+
+interface AdviceSteps {
+  world: WorkflowWorld;
+  advisor: SimulatedAdvisor;
+  query: Promise<AdviceQuery | undefined>;
+  load: QueuedQuery[];
+  maxWaitMs: number;
+  /** Call time by priority. */
+  callMs: number[];
+}
+
+const TICKET_VALID_MS = 2500;
+
+/** Duration of service tasks; longer than any scenario. */
+const SERVICE_MS = 600_000;
+
+Given(
+  'an advisor that takes {int} ms and {float} ms per endpoint, queried by {int} instances',
+  async function addAdvisor(this: AdviceSteps, decideMs, perEndpointMs, instances: number) {
+    await this.world[Symbol.asyncDispose]();
+    const advice = { decideMs, perEndpointMs, validMs: TICKET_VALID_MS };
+    this.world = new WorkflowWorld({ advice });
+    this.advisor = new SimulatedAdvisor(advice);
+    this.advisor.serve(this.world.session.broker, instances);
+  },
+);
+
+When(
+  'service {string} of {int} tasks with at most {int} per worker is submitted',
+  async function serve(this: AdviceSteps, id: string, taskCount: number, maxPerEndpoint: number) {
+    for (const worker of this.world.driver.workers.values()) worker.durationMs = SERVICE_MS;
+    await this.world.submit(id, [createStep({ taskCount, maxPerEndpoint, isService: true })]);
+  },
+);
+
+Given('reports to the leader are delayed by {int} ms', function delay(this: AdviceSteps, ms) {
+  this.advisor.reportDelayMs = ms;
+});
+
+Given('an instance that polls for a query', function poll(this: AdviceSteps) {
+  this.query = this.world.session.broker.exchange([], 1000);
+});
+
+When(
+  '{int} instances query the advisor for the new leader',
+  async function serve(this: AdviceSteps, instances: number) {
+    this.advisor.serve(this.world.session.broker, instances);
+    await this.world.advance(20);
+  },
+);
+
+When(
+  'the instance reports that its query found no suitable endpoint',
+  async function report(this: AdviceSteps) {
+    const { id } = (await this.query)!;
+    const none = { id, good: [], durationMs: 20, validMs: TICKET_VALID_MS };
+    this.world.session.broker.exchange([none], 1000).catch(() => undefined);
+  },
+);
+
+When('worker {word} fails for good', function fail(this: AdviceSteps, id: string) {
+  const worker = this.world.driver.worker(id);
+  worker.restart();
+  worker.behaviour = 'silent';
+});
+
+Then('service {string} runs {int} tasks', function count(this: AdviceSteps, id, expected: number) {
+  const names = new Set<string>();
+  for (const { runs } of this.world.driver.workers.values()) {
+    for (const { order } of runs.values()) if (order.payload === id) names.add(order.task);
+  }
+  assert.equal(names.size, expected);
+});
+
+When(
+  '{int} urgent steps query for {int} ms calls without pause and {int} other steps for {int} ms calls',
+  function setLoad(
+    this: AdviceSteps,
+    urgent: number,
+    urgentMs: number,
+    others: number,
+    ms: number,
+  ) {
+    const repeat = (count: number, query: QueuedQuery): QueuedQuery[] =>
+      Array.from({ length: count }, () => query);
+    this.load = [
+      ...repeat(urgent, { priority: 0, callMs: urgentMs }),
+      ...repeat(others, { priority: 1, callMs: ms }),
+    ];
+  },
+);
+
+When(
+  '{int} instances send the queries for {int} s',
+  function send(this: AdviceSteps, instances: number, seconds: number) {
+    const queue = new AdviceQueue<QueuedQuery & { queuedMs: number }>();
+    for (const query of this.load) queue.add({ ...query, queuedMs: 0 });
+    const freeAtMs = new Array<number>(instances).fill(0);
+    const answered: { atMs: number; query: QueuedQuery }[] = [];
+    this.maxWaitMs = 0;
+    this.callMs = [0, 0];
+    for (let nowMs = 0; nowMs < seconds * 1000; nowMs += 1) {
+      for (const { query } of answered.filter(({ atMs }) => atMs === nowMs)) {
+        queue.add({ ...query, queuedMs: nowMs });
+      }
+      for (const [at, freeMs] of freeAtMs.entries()) {
+        const query = freeMs <= nowMs ? queue.take() : undefined;
+        if (!query) continue;
+        freeAtMs[at] = nowMs + query.callMs;
+        answered.push({ atMs: nowMs + query.callMs, query });
+        this.callMs[query.priority]! += query.callMs;
+      }
+      for (const { queuedMs } of queue) this.maxWaitMs = Math.max(this.maxWaitMs, nowMs - queuedMs);
+    }
+  },
+);
+
+Then('no query waited longer than {int} ms', function checkWait(this: AdviceSteps, maxMs: number) {
+  assert.ok(this.maxWaitMs <= maxMs, `${this.maxWaitMs} ms`);
+});
+
+Then(
+  'urgent queries got between {int} % and {int} % of the call time',
+  function checkShare(this: AdviceSteps, min: number, max: number) {
+    const [urgent, others] = this.callMs as [number, number];
+    const percent = (100 * urgent) / (urgent + others);
+    assert.ok(percent >= min && percent <= max, `${percent} %`);
+  },
+);
--- a/packages/workflow/src/adviceBroker.ts
+++ b/packages/workflow/src/adviceBroker.ts
@@ -1,3 +1,4 @@
+import { AdviceQueue, type QueuedQuery } from './adviceQueue.js';
 import type { AdvicePolicy } from './cellConfig.js';
 import type { AdviceResponse, Ticket } from './ticketCache.js';
 
@@ -22,12 +23,14 @@
   validMs?: number;
 }
 
-interface PendingQuery {
+interface PendingQuery extends QueuedQuery {
   query: AdviceQuery;
-  priority: number;
   resolve: (response: AdviceResponse | undefined) => void;
-  assignedMs: number;
-  assignments: number;
+  /** Monotonic time of the call to {@link AdviceBroker.query}. */
+  queuedMs: number;
+  /** Monotonic time of each assignment, by the id that the query had. */
+  assignments: Map<number, number>;
+  /** Timer of the latest assignment. */
   deadline?: NodeJS.Timeout;
 }
 
@@ -39,29 +42,53 @@
 /** Allowance for network latency between leader, instance and advisor. */
 const TRANSIT_ALLOWANCE_MS = 250;
 
+/** Distance between the first query ids of two terms. */
+const IDS_PER_TERM = 2 ** 32;
+
 /** Number of assignments after which a query fails. */
 const MAX_ASSIGNMENTS = 4;
 
 /**
  * Distributes queries to the advisor over all instances. The advisor processes one call at a time
  * per calling instance, so each instance polls for one query, sends it, reports the result and
- * polls again. Queries are assigned in priority order.
+ * polls again. The call time is shared between priorities (see {@link AdviceQueue}).
  */
 export class AdviceBroker implements Disposable {
-  private readonly waiting: PendingQuery[] = [];
+  private readonly waiting = new AdviceQueue<PendingQuery>();
+  /** Queries by the ids of all their assignments. */
   private readonly assigned = new Map<number, PendingQuery>();
   private readonly waiters: Waiter[] = [];
-  private nextId = 1;
+  private nextId: number;
+
+  /** @param term - Term of the leadership; reports for queries of another term are ignored. */
+  constructor(term: number) {
+    this.nextId = term * IDS_PER_TERM;
+  }
 
   /** Number of queries that are not assigned to an instance yet. */
   get backlog(): number {
-    return this.waiting.length;
+    return this.waiting.size;
+  }
+
+  /** Age in milliseconds of the oldest query that is not assigned to an instance yet. */
+  get oldestAgeMs(): number {
+    const nowMs = performance.now();
+    let maxMs = 0;
+    for (const { queuedMs } of this.waiting) maxMs = Math.max(maxMs, nowMs - queuedMs);
+    return maxMs;
+  }
+
+  /** Returns whether a query for a step is assigned to an instance. */
+  isAssigned(step: string): boolean {
+    return [...this.assigned.values()].some(
+      ({ query, assignments }) => query.step === step && assignments.has(query.id),
+    );
   }
 
   /**
    * Resolves with the response, or with undefined if there was none.
    *
-   * @param priority - Lower values are sent first.
+   * @param priority - Lower values get a larger share of the call time.
    */
   query(
     step: string,
@@ -77,12 +104,12 @@
       const pending: PendingQuery = {
         query,
         priority,
+        callMs,
         resolve,
-        assignedMs: 0,
-        assignments: 0,
+        queuedMs: performance.now(),
+        assignments: new Map(),
       };
-      const position = this.waiting.findIndex((other) => other.priority > priority);
-      this.waiting.splice(position < 0 ? this.waiting.length : position, 0, pending);
+      this.waiting.add(pending);
       this.assignQueries();
     });
   }
@@ -113,17 +140,17 @@
       resolve(undefined);
     }
     this.assigned.clear();
-    for (const { resolve } of this.waiting.splice(0)) resolve(undefined);
+    for (const { resolve } of this.waiting.remove(() => true)) resolve(undefined);
   }
 
   private assignQueries(): void {
-    while (this.waiters.length > 0 && this.waiting.length > 0) {
+    while (this.waiters.length > 0) {
+      const pending = this.waiting.take();
+      if (!pending) return;
       const waiter = this.waiters.shift()!;
-      const pending = this.waiting.shift()!;
       clearTimeout(waiter.timer);
       const { query } = pending;
-      pending.assignedMs = performance.now();
-      pending.assignments += 1;
+      pending.assignments.set(query.id, performance.now());
       pending.deadline = setTimeout(() => this.handleTimeout(query.id), query.timeoutMs);
       this.assigned.set(query.id, pending);
       waiter.resolve(query);
@@ -134,33 +161,35 @@
   private handleTimeout(id: number): void {
     const pending = this.assigned.get(id);
     if (!pending) return;
-    this.assigned.delete(id);
-    if (pending.assignments >= MAX_ASSIGNMENTS) {
-      pending.resolve(undefined);
+    if (pending.assignments.size >= MAX_ASSIGNMENTS) {
+      this.settle(pending, undefined);
       return;
     }
-    // With a new id, a late report for this assignment is not mistaken for one for the next.
+    // With a new id, reports tell which assignment they belong to.
     pending.query = { ...pending.query, id: this.nextId };
     this.nextId += 1;
-    this.waiting.unshift(pending);
+    this.waiting.addFirst(pending);
     this.assignQueries();
   }
 
+  /** Handles a report for any assignment of a query, even after its deadline. */
   private handleReport({ id, good, durationMs, validMs }: AdviceReport): void {
     const pending = this.assigned.get(id);
     if (!pending) return;
-    this.assigned.delete(id);
-    clearTimeout(pending.deadline);
-    if (!good || validMs === undefined) {
-      pending.resolve(undefined);
-      return;
+    if (good && validMs !== undefined) {
+      // Lower bound of the response time, whatever the network latency.
+      const respondedMs = pending.assignments.get(id)! + durationMs;
+      const { endpoints: asked } = pending.query;
+      this.settle(pending, { asked, good, expiresMs: respondedMs + validMs });
+    } else if (pending.query.id === id) {
+      this.settle(pending, undefined);
     }
-    // Lower bound of the response time, whatever the network latency.
-    const respondedMs = pending.assignedMs + durationMs;
-    pending.resolve({
-      asked: pending.query.endpoints,
-      good,
-      expiresMs: respondedMs + validMs,
-    });
+  }
+
+  private settle(pending: PendingQuery, response: AdviceResponse | undefined): void {
+    clearTimeout(pending.deadline);
+    for (const id of pending.assignments.keys()) this.assigned.delete(id);
+    this.waiting.remove((other) => other === pending);
+    pending.resolve(response);
   }
 }
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -40,7 +40,7 @@
  * ends of runs and stops runs that are no longer needed. Discarded when the leadership ends.
  */
 export class WorkflowSession implements AgentListener, AsyncDisposable {
-  readonly broker = new AdviceBroker();
+  readonly broker: AdviceBroker;
   readonly jobs: JobService;
   readonly endpoints: EndpointService;
   private readonly opts: WorkflowSessionOptions;
@@ -74,6 +74,7 @@
       logger: opts.logger,
       meter: opts.meter,
       fencingToken: opts.log.term,
+      predecessorEndMs: Math.min(performance.now(), opts.log.predecessorEndMs ?? Infinity),
       isValid: () => !this.isDisposed && opts.isValid(),
       propose: async (command) => {
         const startMs = performance.now();
@@ -83,6 +84,7 @@
       },
       readConfig: () => this.readConfig(),
     };
+    this.broker = new AdviceBroker(opts.log.term);
     this.directory = new EndpointDirectory(this.context, this, this.health);
     this.ready = new ReadySteps({
       state: opts.state,
@@ -151,6 +153,7 @@
     this.opts.meter.countLeadership();
     logger.info('leadership of workflows begins', {
       term: this.context.fencingToken,
+      predecessorEndAgoMs: Math.round(performance.now() - this.context.predecessorEndMs),
       jobs: state.jobs.size,
       endpoints: state.endpoints.size,
       runs: adopted,
