Confirm a committed submission whatever happens to the leadership

Cause: the leader committed the submission, but its validity had lapsed for a moment while it waited for the commit. The check after the commit replaced the response `accepted` with a `no-leader` refusal whose run state was `not-run`, and the leader client took every `no-leader` refusal for a try without effect, whatever run state it carried.

The class is a refusal that is decided before an act and thrown after it: - a response that confirms a commit needs no check of the leadership; - a response that commits nothing is checked, so its refusal is true; - errors of the log become refusals with their run state: `not-run` if the proposal was certainly not appended, `unknown` if it may commit; - the leader client honours the run state of each refusal and keeps it over all tries of a call, also if a later try is refused for good. A heartbeat that is stored is acknowledged without a second check.

The mapping to 503 and 504 moves to JobCallForwarder, so that tests run it on the paused clock.

--- /dev/null
+++ b/packages/daemon/src/jobCallForwarder.ts
@@ -0,0 +1,47 @@
+import type { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
+import type { Log } from '@lagoongap/model/log.js';
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+import type { JobCall, JobResponse } from '@lagoongap/workflow/jobCalls.js';
+
+/** Response of the gateway: the leader's response, or the reason why there is none. */
+export type GatewayResponse =
+  | JobResponse
+  /** No leader accepted the call; nothing was changed. */
+  | { type: 'unavailable'; retryAfterMs: number }
+  /** The outcome is unknown: the call may have been applied. */
+  | { type: 'unknown' };
+
+/** Time after which a caller may retry when there is no leader. */
+const RETRY_AFTER_MS = 1000;
+
+/** Forwards the calls of callers to the leader. */
+export class JobCallForwarder {
+  private readonly leader: LeaderClient;
+  private readonly log: Log;
+
+  constructor(leader: LeaderClient, log: Log) {
+    this.leader = leader;
+    this.log = log;
+  }
+
+  /** Resolves with a response within `deadlineMs`. */
+  async call(call: JobCall, deadlineMs: number): Promise<GatewayResponse> {
+    const receivedMs = performance.now();
+    try {
+      return await this.leader.call<JobResponse>('jobs.call', call, { deadlineMs });
+    } catch (err) {
+      const refusal = err instanceof RefusalError ? err.refusal : undefined;
+      const isUnknown = refusal?.runState !== 'not-run' && call.operation !== 'read';
+      this.log.warn('call to the leader failed', {
+        operation: call.operation,
+        path: call.path,
+        runState: refusal?.runState,
+        heldMs: Math.round(performance.now() - receivedMs),
+        err: (err as Error).message,
+      });
+      return isUnknown
+        ? { type: 'unknown' }
+        : { type: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
+    }
+  }
+}
--- a/packages/daemon/src/workflowGateway.ts
+++ b/packages/daemon/src/workflowGateway.ts
@@ -1,10 +1,9 @@
 import { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
 import type { Log } from '@lagoongap/model/log.js';
-import { RefusalError } from '@lagoongap/model/refusalError.js';
 import { TcpPeerNetwork } from '@lagoongap/peering/tcpPeerNetwork.js';
-import type { JobResponse, JobCall } from '@lagoongap/workflow/jobCalls.js';
 
 import { AdvisorLoop, type Advisor } from './advisorLoop.js';
+import { JobCallForwarder } from './jobCallForwarder.js';
 import { MemberList } from './memberList.js';
 import { gatewayInstanceId, WORKFLOW_PEERING } from './workflowPeers.js';
 
@@ -18,23 +17,14 @@
   log: Log;
 }
 
-/** Response of the gateway: the leader's response, or the reason why there is none. */
-export type GatewayResponse =
-  | JobResponse
-  /** No leader accepted the call; nothing was changed. */
-  | { type: 'unavailable'; retryAfterMs: number }
-  /** The outcome is unknown: the call may have been applied. */
-  | { type: 'unknown' };
-
 /** Time without a response of the leader after which this instance reports itself as not ready. */
 const LEADER_CONTACT_TIMEOUT_MS = 3000;
 
-/** Time after which a caller may retry when there is no leader. */
-const RETRY_AFTER_MS = 1000;
-
 /** Runs an instance without a disk that forwards the calls of callers to the leader. */
 export class WorkflowGateway implements AsyncDisposable {
   readonly members: MemberList;
+  /** Forwards the calls of callers. */
+  readonly jobs: JobCallForwarder;
   private readonly opts: WorkflowGatewayOptions;
   private readonly network: TcpPeerNetwork;
   private readonly leader: LeaderClient;
@@ -57,6 +47,7 @@
       replicaInstances: this.members.instances,
       readLeaderHint: () => undefined,
     });
+    this.jobs = new JobCallForwarder(this.leader, log);
     this.advisorLoop = new AdvisorLoop({ leader: this.leader, advisor, log });
   }
 
@@ -77,27 +68,6 @@
     this.isDraining = true;
   }
 
-  /** Resolves with a response within `deadlineMs`. */
-  async call(call: JobCall, deadlineMs: number): Promise<GatewayResponse> {
-    const receivedMs = performance.now();
-    try {
-      return await this.leader.call<JobResponse>('jobs.call', call, { deadlineMs });
-    } catch (err) {
-      const refusal = err instanceof RefusalError ? err.refusal : undefined;
-      const isUnknown = refusal?.runState !== 'not-run' && call.operation !== 'read';
-      this.opts.log.warn('call to the leader failed', {
-        operation: call.operation,
-        path: call.path,
-        runState: refusal?.runState,
-        heldMs: Math.round(performance.now() - receivedMs),
-        err: (err as Error).message,
-      });
-      return isUnknown
-        ? { type: 'unknown' }
-        : { type: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
-    }
-  }
-
   async [Symbol.asyncDispose](): Promise<void> {
     this.advisorLoop[Symbol.dispose]();
     this.members[Symbol.dispose]();
--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -37,6 +37,10 @@
   return data?.refusal;
 }
 
+function mayHaveTakenEffect(err: Error, refusal: Refusal | undefined): boolean {
+  return refusal ? refusal.runState !== 'not-run' : err.name !== 'PeerUnavailableError';
+}
+
 /**
  * Calls RPC methods of the current leader. Each method is idempotent, so a call whose
  * response was lost is retried at the next leader until its deadline.
@@ -53,8 +57,8 @@
 
   /**
    * Resolves with the leader's response. Rejects with the leader's refusal, or with a
-   * `no-leader` refusal after the deadline: its run state is `not-run` if no try can have
-   * arrived, `unknown` otherwise.
+   * `no-leader` refusal after the deadline. The run state covers all tries: it is `not-run` only
+   * if each of them was certainly not sent or was refused with that run state.
    */
   async call<Result>(method: string, params: unknown, opts: LeaderCallOptions): Promise<Result> {
     const endMs = performance.now() + opts.deadlineMs;
@@ -71,8 +75,10 @@
       } catch (reason) {
         const err = toError(reason);
         const refusal = readRefusal(err);
-        if (refusal && refusal.type !== 'no-leader') throw new RefusalError(refusal);
-        if (!refusal && err.name !== 'PeerUnavailableError') mayHaveRun = true;
+        if (mayHaveTakenEffect(err, refusal)) mayHaveRun = true;
+        if (refusal && refusal.type !== 'no-leader') {
+          throw new RefusalError({ ...refusal, runState: mayHaveRun ? 'unknown' : 'not-run' }, err);
+        }
         if (err.name === 'PeerTimeoutError') {
           this.unresponsiveReplica = {
             id: target,
--- /dev/null
+++ b/packages/tests/features/workflow/leaderCalls.feature
@@ -0,0 +1,105 @@
+Feature: Calls to the leader while leadership changes
+  Guards against a caller that is told that its call had no effect although it took effect, and
+  against callers that wait for an instance that cannot respond.
+
+  Background:
+    Given a gateway and the replicas "r1 r2 r3"
+    And replica "r1" leads
+    And the gateway knows the leader
+
+  # Guards against a refusal that is decided after the commit: the caller got 503 for a job that ran.
+  Scenario: a committed job is confirmed although the leader's validity ends before the response
+    When a caller submits job "j" with a deadline of 2500 ms
+    And 10 ms of the calls pass
+    And the validity of replica "r1" ends
+    And replica "r1" commits its proposals
+    And 20 ms of the calls pass
+    Then the caller got status 200
+
+  # Guards against the same refusal where the leadership, not only its validity, has ended.
+  Scenario: a committed job is confirmed although leadership ends before the response
+    When a caller submits job "j" with a deadline of 2500 ms
+    And 10 ms of the calls pass
+    And replica "r1" commits its proposals and is deposed
+    And 20 ms of the calls pass
+    Then the caller got status 200
+
+  # Guards against a 503 for a cancellation that was carried out.
+  Scenario: a committed cancellation is confirmed although the leader's validity ends
+    Given job "j" has been accepted by replica "r1"
+    When a caller cancels job "j" with a deadline of 2500 ms
+    And 10 ms of the calls pass
+    And the validity of replica "r1" ends
+    And replica "r1" commits its proposals
+    And 20 ms of the calls pass
+    Then the caller got status 200
+
+  # Guards against "not run" for a proposal that a later leader may still commit.
+  Scenario: leadership ends while a submission is being committed, and no leader follows
+    When a caller submits job "j" with a deadline of 2500 ms
+    And 10 ms of the calls pass
+    And replica "r1" is deposed
+    And 2600 ms of the calls pass
+    Then the caller got status 504
+
+  # Guards against 504 for a call that certainly had no effect, which the caller would repeat.
+  Scenario: a submission that no leader appended has certainly not run
+    When the validity of replica "r1" ends
+    And a caller submits job "j" with a deadline of 2500 ms
+    And 100 ms of the calls pass
+    And replica "r1" is deposed
+    And 2600 ms of the calls pass
+    Then the caller got status 503
+
+  # Guards against 504 where the leader waited to append the proposal and then lost its leadership.
+  Scenario: a submission that waited for the leader's majority and was never appended
+    When replica "r1" refuses proposals
+    And a caller submits job "j" with a deadline of 2500 ms
+    And 100 ms of the calls pass
+    And replica "r1" is deposed
+    And 2600 ms of the calls pass
+    Then the caller got status 503
+
+  # Guards against a run state that forgets an earlier try of the same call.
+  Scenario: the connection is lost after a submission was sent, and no leader responds
+    When a caller submits job "j" with a deadline of 2500 ms
+    And 10 ms of the calls pass
+    And replica "r1" is disconnected
+    And 2600 ms of the calls pass
+    Then the caller got status 504
+
+  # Guards against a lost job: a try whose outcome is unknown is repeated at the next leader.
+  Scenario: leadership is handed over while a submission is being committed
+    When a caller submits job "j" with a deadline of 2500 ms
+    And 10 ms of the calls pass
+    And replica "r2" leads
+    And 1000 ms of the calls pass
+    And replica "r2" commits its proposals
+    And 20 ms of the calls pass
+    Then the caller got status 200
+    And job "j" is stored
+
+  # Guards against a refusal of a replica that is stopping: it appends nothing, but still leads.
+  Scenario: a submission arrives while the leader transfers its leadership
+    When replica "r1" refuses proposals
+    And a caller submits job "j" with a deadline of 2500 ms
+    And 100 ms of the calls pass
+    And replica "r2" leads
+    And 1000 ms of the calls pass
+    And replica "r2" commits its proposals
+    And 20 ms of the calls pass
+    Then the caller got status 200
+
+  # Guards against a client that judges by the type of a refusal and ignores its run state.
+  Scenario: a refusal whose run state is unknown makes the outcome of the call unknown
+    Given the method "test.change" of all replicas refuses with "no-leader" and run state "unknown"
+    When the gateway calls "test.change" with a deadline of 500 ms
+    And 600 ms of the calls pass
+    Then the call was refused with run state "unknown"
+
+  # Guards against a definite refusal of a later try that hides an earlier try with an effect.
+  Scenario: a later refusal does not hide an earlier try whose outcome is unknown
+    Given the method "test.change" of all replicas fails once and then refuses with "conflict"
+    When the gateway calls "test.change" with a deadline of 500 ms
+    And 600 ms of the calls pass
+    Then the call was refused with run state "unknown"
--- a/packages/tests/src/harness/manualCommitLog.ts
+++ b/packages/tests/src/harness/manualCommitLog.ts
@@ -2,7 +2,9 @@
 import type {
   Membership,
   ProposeResult,
+  ReplicaRole,
   ReplicatedLog,
+  RoleChange,
   StateMachine,
 } from '@lagoongap/consensus/replicatedLog.js';
 
@@ -14,9 +16,9 @@
 
 /** Replicated log of a single leader that commits only when a test calls `commitAll`. */
 export class ManualCommitLog implements ReplicatedLog {
-  readonly role = 'leader';
+  readonly role: ReplicaRole = 'leader';
   readonly term: number = 2;
-  readonly leaderId = 'instance-1';
+  readonly leaderId: string | undefined = 'instance-1';
   appliedIndex = 0;
   private readonly stateMachine: StateMachine;
   private proposals: Proposal[] = [];
@@ -59,7 +61,7 @@
     return Promise.resolve();
   }
 
-  onRoleChange(): () => void {
+  onRoleChange(_: (change: RoleChange) => void): () => void {
     return () => {};
   }
 
--- a/packages/tests/src/platform/platformCell.ts
+++ b/packages/tests/src/platform/platformCell.ts
@@ -71,7 +71,7 @@
     });
     this.gateway = gateway;
     await gateway.start();
-    const api = new CallerApi(gateway, SILENT_LOG);
+    const api = new CallerApi(gateway.jobs, SILENT_LOG);
     this.callers = `${HOST}:${await findFreePort()}`;
     this.callerService = this.createService(this.callers, api);
     await this.callerService.listen();
--- a/packages/tests/src/steps/platform/formatSteps.ts
+++ b/packages/tests/src/steps/platform/formatSteps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 
 import { Then, When } from '@cucumber/cucumber';
-import type { GatewayResponse } from '@lagoongap/daemon/workflowGateway.js';
+import type { GatewayResponse } from '@lagoongap/daemon/jobCallForwarder.js';
 import { toHttpResponse } from '@lagoongap/platform/callerApi.js';
 import { parseConfigDocument } from '@lagoongap/platform/configDocument.js';
 import { parseHeartbeat } from '@lagoongap/platform/heartbeatDocument.js';
--- /dev/null
+++ b/packages/tests/src/steps/workflow/leaderCallSteps.ts
@@ -0,0 +1,153 @@
+import assert from 'node:assert/strict';
+
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import type { RefusalType, RunState } from '@lagoongap/model/refusal.js';
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+
+import { CallWorld, type ObservedCall } from '../../workflow/callWorld.js';
+
+interface Steps {
+  calls?: CallWorld;
+  call: ObservedCall;
+}
+
+const SETTLE_MS = 20;
+const LEARN_MS = 1000;
+
+After(async function dispose(this: Steps) {
+  await this.calls?.[Symbol.asyncDispose]();
+});
+
+Given('a gateway and the replicas {string}', async function create(this: Steps, ids: string) {
+  this.calls = new CallWorld(ids.split(' '));
+  await this.calls.start();
+});
+
+Given('replica {string} leads', async function elect(this: Steps, id: string) {
+  await this.calls!.elect(id);
+});
+
+Given('the gateway knows the leader', async function learn(this: Steps) {
+  const call = this.calls!.observe(async () => {
+    await this.calls!.client.call('config.read', {}, { deadlineMs: LEARN_MS });
+    return 200;
+  });
+  await this.calls!.advance(LEARN_MS);
+  assert.equal(call.status, 200);
+});
+
+Given(
+  'job {string} has been accepted by replica {string}',
+  async function accept(this: Steps, job: string, replica: string) {
+    const call = this.calls!.submit(job, LEARN_MS);
+    await this.calls!.advance(SETTLE_MS);
+    this.calls!.log(replica).commitAll();
+    await this.calls!.advance(SETTLE_MS);
+    assert.equal(call.status, 200);
+  },
+);
+
+Given(
+  'the method {string} of all replicas refuses with {string} and run state {string}',
+  function refuse(this: Steps, method: string, type: RefusalType, runState: RunState) {
+    for (const id of this.calls!.replicaIds) {
+      this.calls!.network(id).handle(method, () => {
+        throw new RefusalError({ type, runState, message: 'refused' });
+      });
+    }
+  },
+);
+
+Given(
+  'the method {string} of all replicas fails once and then refuses with {string}',
+  function failOnce(this: Steps, method: string, type: RefusalType) {
+    let calls = 0;
+    const handler = (): never => {
+      calls += 1;
+      if (calls === 1) throw new Error('failed after the change');
+      throw new RefusalError({ type, runState: 'not-run', message: 'refused' });
+    };
+    for (const id of this.calls!.replicaIds) this.calls!.network(id).handle(method, handler);
+  },
+);
+
+When(
+  'a caller submits job {string} with a deadline of {int} ms',
+  function submit(this: Steps, id: string, deadlineMs: number) {
+    this.call = this.calls!.submit(id, deadlineMs);
+  },
+);
+
+When(
+  'a caller cancels job {string} with a deadline of {int} ms',
+  function cancel(this: Steps, id: string, deadlineMs: number) {
+    this.call = this.calls!.cancel(id, deadlineMs);
+  },
+);
+
+When(
+  'an endpoint sends heartbeat {int} with a deadline of {int} ms',
+  function send(this: Steps, sequence: number, deadlineMs: number) {
+    this.call = this.calls!.sendHeartbeat(sequence, deadlineMs);
+  },
+);
+
+When(
+  'the gateway calls {string} with a deadline of {int} ms',
+  function call(this: Steps, method: string, deadlineMs: number) {
+    this.call = this.calls!.observe(async () => {
+      await this.calls!.client.call(method, {}, { deadlineMs });
+      return 200;
+    });
+  },
+);
+
+When('{int} ms of the calls pass', async function pass(this: Steps, ms: number) {
+  await this.calls!.advance(ms);
+});
+
+When('the validity of replica {string} ends', function end(this: Steps, id: string) {
+  this.calls!.log(id).isValid = false;
+});
+
+When('replica {string} refuses proposals', function refuse(this: Steps, id: string) {
+  this.calls!.log(id).refusesProposals = true;
+});
+
+When('replica {string} commits its proposals', function commit(this: Steps, id: string) {
+  this.calls!.log(id).commitAll();
+});
+
+When(
+  'replica {string} commits its proposals and is deposed',
+  function end(this: Steps, id: string) {
+    this.calls!.log(id).commitAll();
+    this.calls!.depose(id);
+  },
+);
+
+When('replica {string} is deposed', function depose(this: Steps, id: string) {
+  this.calls!.depose(id);
+});
+
+When('replica {string} is disconnected', async function disconnect(this: Steps, id: string) {
+  this.calls!.transport.isolate(id, [...this.calls!.replicaIds, 'g'], 'both');
+});
+
+Then('the caller got status {int}', function check(this: Steps, status: number) {
+  assert.equal(this.call.error, undefined);
+  assert.equal(this.call.status, status);
+});
+
+Then('the call is not answered', function check(this: Steps) {
+  assert.equal(this.call.answeredMs, undefined);
+});
+
+Then('job {string} is stored', function check(this: Steps, id: string) {
+  assert.ok(this.calls!.state.jobs.has(id));
+});
+
+Then('the call was refused with run state {string}', function check(this: Steps, runState: string) {
+  assert.ok(this.call.error instanceof RefusalError, this.call.error?.message);
+  assert.equal(this.call.error.refusal.runState, runState);
+});
--- /dev/null
+++ b/packages/tests/src/workflow/callWorld.ts
@@ -0,0 +1,210 @@
+import { JobCallForwarder } from '@lagoongap/daemon/jobCallForwarder.js';
+import { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
+import { SILENT_LOG } from '@lagoongap/model/log.js';
+import { NO_RESOURCES } from '@lagoongap/model/resources.js';
+import { toHttpResponse } from '@lagoongap/platform/callerApi.js';
+import { NOOP_METRICS_RECORDER } from '@lagoongap/telemetry/workflowMetrics.js';
+import type { CellConfig } from '@lagoongap/workflow/cellConfig.js';
+import { NO_INSTANCE_API } from '@lagoongap/workflow/instanceApi.js';
+import type { JobCall } from '@lagoongap/workflow/jobCalls.js';
+import type { EndpointHeartbeat } from '@lagoongap/workflow/endpointService.js';
+import type { EndpointRecord } from '@lagoongap/workflow/workflowRecords.js';
+import { WorkflowCoordinator } from '@lagoongap/workflow/workflowCoordinator.js';
+import { WorkflowState } from '@lagoongap/workflow/workflowState.js';
+import { DEFAULT_WORKFLOW_TIMING } from '@lagoongap/workflow/workflowTiming.js';
+import FakeTimers from '@sinonjs/fake-timers';
+
+import { FakeNetwork } from '../harness/fakeNetwork.js';
+import { FakeTransport } from '../harness/fakeTransport.js';
+import { StepHooks } from '../harness/stepHooks.js';
+import { FakeDriver } from './fakeDriver.js';
+import { LeadershipLog } from './leadershipLog.js';
+import { RecordingNetwork } from './recordingNetwork.js';
+import { createStep } from './workflowWorld.js';
+
+/** Functions replaced by the fake clock; the others are left to the test runner. */
+const CLOCK_FUNCTIONS = [
+  'setTimeout',
+  'clearTimeout',
+  'setInterval',
+  'clearInterval',
+  'performance',
+  'Date',
+] as const;
+
+const VALIDITY_MS = 280;
+const TICK_MS = 2;
+
+const RANDOM = 0.5;
+
+const CONFIG: CellConfig = {
+  version: 1,
+  queues: [
+    {
+      name: 'q',
+      host: 'h',
+      pathPrefix: '/q/',
+      pool: 'p',
+      priority: 1,
+      maxAttempts: 3,
+      stretch: 1,
+      targetMs: 0,
+      isOpen: true,
+    },
+  ],
+  organisations: [],
+};
+
+const ENDPOINT: EndpointRecord = {
+  id: 'w1',
+  address: 'w1:1',
+  dataCentre: 'd',
+  pool: 'p',
+  instance: 'm-w1',
+  bornMs: 1,
+  capacity: { ...NO_RESOURCES, cpuMillis: 4000, memoryMib: 1000 },
+  kind: 'a',
+  rack: 'r1',
+  labels: [],
+  isDraining: false,
+};
+
+interface Replica {
+  network: FakeNetwork;
+  log: LeadershipLog;
+  coordinator: WorkflowCoordinator;
+}
+
+/** A call in progress or answered; times are on the fake clock. */
+export interface ObservedCall {
+  sentMs: number;
+  answeredMs?: number;
+  /** HTTP status that the caller gets. */
+  status?: number;
+  error?: Error;
+}
+
+/** A gateway and replicas, connected in memory on a paused clock; a test commits and elects. */
+export class CallWorld implements AsyncDisposable {
+  readonly clock = FakeTimers.install({ toFake: [...CLOCK_FUNCTIONS] });
+  readonly transport = new FakeTransport({ hooks: new StepHooks(), random: () => RANDOM });
+  readonly gateway = new RecordingNetwork('g', this.transport);
+  readonly client: LeaderClient;
+  /** State of all replicas; contains committed entries only. */
+  readonly state = new WorkflowState();
+  readonly replicaIds: string[];
+  private readonly replicas = new Map<string, Replica>();
+  private readonly jobs: JobCallForwarder;
+  private term = 1;
+
+  constructor(replicaIds: string[]) {
+    this.replicaIds = replicaIds;
+    this.state.config = { version: 1, document: 'config' };
+    for (const id of replicaIds) this.replicas.set(id, this.createReplica(id));
+    this.client = new LeaderClient({
+      network: this.gateway,
+      replicaInstances: replicaIds,
+      readLeaderHint: () => undefined,
+    });
+    this.jobs = new JobCallForwarder(this.client, SILENT_LOG);
+  }
+
+  async start(): Promise<void> {
+    await this.gateway.start();
+    for (const { network } of this.replicas.values()) await network.start();
+  }
+
+  log(id: string): LeadershipLog {
+    return this.replicas.get(id)!.log;
+  }
+
+  network(id: string): FakeNetwork {
+    return this.replicas.get(id)!.network;
+  }
+
+  /** Makes a replica the leader; the others follow it. */
+  async elect(id: string): Promise<void> {
+    this.term += 1;
+    for (const [other, { log }] of this.replicas) {
+      if (other !== id) log.setRole('follower', this.term, id);
+    }
+    this.log(id).setRole('leader', this.term, id);
+    await this.advance(TICK_MS);
+  }
+
+  /** Ends the leadership of a replica; no successor is known. */
+  depose(id: string): void {
+    this.term += 1;
+    this.log(id).setRole('follower', this.term, undefined);
+  }
+
+  submit(id: string, deadlineMs: number): ObservedCall {
+    const spec = { payload: id, steps: [createStep({})] };
+    return this.call({ host: 'h', path: `/q/${id}`, operation: 'submit', spec }, deadlineMs);
+  }
+
+  cancel(id: string, deadlineMs: number): ObservedCall {
+    return this.call({ host: 'h', path: `/q/${id}`, operation: 'cancel' }, deadlineMs);
+  }
+
+  sendHeartbeat(sequence: number, deadlineMs: number): ObservedCall {
+    const params: EndpointHeartbeat = { endpoint: ENDPOINT, sequence };
+    return this.observe(async () => {
+      await this.client.call('endpoints.heartbeat', params, { deadlineMs });
+      return 200;
+    });
+  }
+
+  /** Records when a call is answered, and its status or error. */
+  observe(action: () => Promise<number>): ObservedCall {
+    const call: ObservedCall = { sentMs: performance.now() };
+    action()
+      .then((status) => {
+        call.status = status;
+      })
+      .catch((err: Error) => {
+        call.error = err;
+      })
+      .finally(() => {
+        call.answeredMs = performance.now();
+      });
+    return call;
+  }
+
+  async advance(ms: number): Promise<void> {
+    await this.clock.tickAsync(ms);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.gateway[Symbol.asyncDispose]();
+    for (const { network, coordinator } of this.replicas.values()) {
+      await network[Symbol.asyncDispose]();
+      await coordinator[Symbol.asyncDispose]();
+    }
+    this.clock.uninstall();
+  }
+
+  private call(call: JobCall, deadlineMs: number): ObservedCall {
+    return this.observe(async () => toHttpResponse(await this.jobs.call(call, deadlineMs)).status);
+  }
+
+  private createReplica(id: string): Replica {
+    const network = new FakeNetwork(id, this.transport);
+    const log = new LeadershipLog(this.state);
+    const coordinator = new WorkflowCoordinator({
+      instanceId: id,
+      network,
+      log,
+      state: this.state,
+      driver: new FakeDriver(),
+      instances: NO_INSTANCE_API,
+      holder: id,
+      parseConfig: () => CONFIG,
+      timing: DEFAULT_WORKFLOW_TIMING,
+      logger: SILENT_LOG,
+      meter: NOOP_METRICS_RECORDER,
+      validityMs: VALIDITY_MS,
+    });
+    return { network, log, coordinator };
+  }
+}
--- a/packages/workflow/src/workflowCoordinator.ts
+++ b/packages/workflow/src/workflowCoordinator.ts
@@ -1,10 +1,13 @@
+import { CommitUnknownError } from '@lagoongap/consensus/commitUnknownError.js';
+import { NotLeaderError } from '@lagoongap/consensus/notLeaderError.js';
 import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
+import type { RunState } from '@lagoongap/model/refusal.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 import type { PeerNetwork } from '@lagoongap/peering/peerNetwork.js';
 
 import type { AdviceReport } from './adviceBroker.js';
 import type { EndpointHeartbeat } from './endpointService.js';
-import type { JobCall } from './jobCalls.js';
+import type { JobCall, JobResponse } from './jobCalls.js';
 import type { WorkflowSessionOptions } from './sessionContext.js';
 import { SuspensionDetector } from './suspensionDetector.js';
 import { WorkflowSession } from './workflowSession.js';
@@ -23,6 +26,11 @@
 /** Maximum time for which a poll for an advisor query is kept open. */
 const MAX_EXCHANGE_WAIT_MS = 1000;
 
+/** Returns whether a response confirms a committed change, which no loss of leadership undoes. */
+function confirmsCommit({ type }: JobResponse): boolean {
+  return type === 'accepted' || type === 'cancelled';
+}
+
 /** Runs a session while this replica leads, and handles the calls of other instances. */
 export class WorkflowCoordinator implements AsyncDisposable {
   private readonly opts: WorkflowCoordinatorOptions;
@@ -85,34 +93,51 @@
   /** Returns the session of a valid leadership; throws a `no-leader` refusal if there is none. */
   private requireSession(): WorkflowSession {
     const { session } = this;
-    if (!session || !this.isValid()) {
-      throw new RefusalError({
-        type: 'no-leader',
-        runState: 'not-run',
-        message: `instance ${this.opts.instanceId} is not the leader`,
-        details: { leaderId: session ? undefined : this.log.leaderId },
-      });
-    }
+    if (!session || !this.isValid()) throw this.createRefusal('not-run');
     return session;
   }
 
-  /** Rejects a response that was computed before leadership was lost. */
-  private async ensureStillLeading<Response>(
-    session: WorkflowSession,
-    response: Response,
-  ): Promise<Response> {
-    if (this.requireSession() !== session) throw new Error('leadership has changed');
+  /** Rejects a response that commits nothing and was computed before leadership was lost. */
+  private ensureStillLeading<Response>(session: WorkflowSession, response: Response): Response {
+    if (this.requireSession() !== session) throw this.createRefusal('not-run');
     return response;
   }
 
+  private createRefusal(runState: RunState, cause?: Error): RefusalError {
+    const refusal = {
+      type: 'no-leader' as const,
+      runState,
+      message: `instance ${this.opts.instanceId} is not the leader`,
+      details: { leaderId: this.session ? undefined : this.log.leaderId },
+    };
+    return new RefusalError(refusal, cause);
+  }
+
+  /**
+   * Converts an error of the replicated log to a refusal.
+   *
+   * @param notAppended - Run state of a call whose last proposal was not appended.
+   */
+  private toRefusal(err: unknown, notAppended: RunState): unknown {
+    if (err instanceof NotLeaderError) return this.createRefusal(notAppended, err);
+    if (err instanceof CommitUnknownError) return this.createRefusal('unknown', err);
+    return err;
+  }
+
   private registerHandlers(): void {
-    this.registerHandler<JobCall>('jobs.call', async (session, call) =>
-      this.ensureStillLeading(session, await session.jobs.handle(call)),
-    );
-    this.registerHandler<EndpointHeartbeat>('endpoints.heartbeat', async (session, heartbeat) => {
-      await session.endpoints.heartbeat(heartbeat);
-      return this.ensureStillLeading(session, { leader: this.opts.instanceId });
+    this.registerHandler<JobCall>('jobs.call', async (session, call) => {
+      const response = await session.jobs.handle(call);
+      return confirmsCommit(response) ? response : this.ensureStillLeading(session, response);
     });
+    this.registerHandler<EndpointHeartbeat>(
+      'endpoints.heartbeat',
+      async (session, heartbeat) => {
+        await session.endpoints.heartbeat(heartbeat);
+        return { leader: this.opts.instanceId };
+      },
+      // A predecessor of the endpoint may have been removed before.
+      'unknown',
+    );
     this.registerHandler<{ id: string }>('endpoints.leave', (session, { id }) =>
       session.endpoints.leave(id),
     );
@@ -165,7 +190,15 @@
   private registerHandler<Params>(
     method: string,
     handler: (session: WorkflowSession, params: Params) => unknown,
+    notAppended: RunState = 'not-run',
   ): void {
-    this.opts.network.handle(method, (params) => handler(this.requireSession(), params as Params));
+    this.opts.network.handle(method, async (params) => {
+      const session = this.requireSession();
+      try {
+        return await handler(session, params as Params);
+      } catch (err) {
+        throw this.toRefusal(err, notAppended);
+      }
+    });
   }
 }
