Acknowledge a repeated heartbeat only when its endpoint is stored

Cause: the leader updates its own record of an endpoint before the record is committed. A second heartbeat with the same content, or the same heartbeat sent again after a lost response, found nothing changed and was acknowledged although the record was not durable; a failover in between lost a registration or a `draining` that the endpoint had seen confirmed. For the same reason a newer record could be committed before an older one that waited for the leader's majority, so that the older one remained.

Change: heartbeats wait for the registration of their endpoint that is in progress, and registrations of one endpoint are committed in order.

--- a/packages/tests/features/workflow/leaderCalls.feature
+++ b/packages/tests/features/workflow/leaderCalls.feature
@@ -103,3 +103,26 @@
     When the gateway calls "test.change" with a deadline of 500 ms
     And 600 ms of the calls pass
     Then the call was refused with run state "unknown"
+
+  # Guards against a heartbeat that is acknowledged while its endpoint is not yet stored.
+  Scenario: a repeated heartbeat is acknowledged only when the endpoint is stored
+    When an endpoint sends heartbeat 1 with a deadline of 900 ms
+    And 10 ms of the calls pass
+    And an endpoint sends heartbeat 1 with a deadline of 900 ms
+    And 20 ms of the calls pass
+    Then the call is not answered
+    When replica "r1" commits its proposals
+    And 20 ms of the calls pass
+    Then the caller got status 200
+
+  # Guards against an older state of an endpoint that is committed after a newer one.
+  Scenario: the states of an endpoint are stored in the order of its heartbeats
+    When replica "r1" refuses proposals
+    And an endpoint sends heartbeat 1 with a deadline of 900 ms
+    And 15 ms of the calls pass
+    And replica "r1" accepts proposals
+    And the endpoint is draining
+    And an endpoint sends heartbeat 2 with a deadline of 900 ms
+    And replica "r1" commits its proposals every 5 ms for 100 ms
+    Then the caller got status 200
+    And the stored endpoint is draining
--- a/packages/tests/src/steps/workflow/leaderCallSteps.ts
+++ b/packages/tests/src/steps/workflow/leaderCallSteps.ts
@@ -114,6 +114,25 @@
   this.calls!.log(id).refusesProposals = true;
 });
 
+When('replica {string} accepts proposals', function accept(this: Steps, id: string) {
+  this.calls!.log(id).refusesProposals = false;
+});
+
+When('the endpoint is draining', function drain(this: Steps) {
+  this.calls!.endpoint = { ...this.calls!.endpoint, isDraining: true };
+});
+
+When(
+  'replica {string} commits its proposals every {int} ms for {int} ms',
+  async function commit(this: Steps, id: string, intervalMs: number, durationMs: number) {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += intervalMs) {
+      await this.calls!.advance(intervalMs);
+      this.calls!.log(id).commitAll();
+    }
+    await this.calls!.advance(SETTLE_MS);
+  },
+);
+
 When('replica {string} commits its proposals', function commit(this: Steps, id: string) {
   this.calls!.log(id).commitAll();
 });
@@ -147,6 +166,11 @@
   assert.ok(this.calls!.state.jobs.has(id));
 });
 
+Then('the stored endpoint is draining', function check(this: Steps) {
+  const { endpoint, state } = this.calls!;
+  assert.equal(state.endpoints.get(endpoint.id)?.isDraining, true);
+});
+
 Then('the call was refused with run state {string}', function check(this: Steps, runState: string) {
   assert.ok(this.call.error instanceof RefusalError, this.call.error?.message);
   assert.equal(this.call.error.refusal.runState, runState);
--- a/packages/tests/src/workflow/callWorld.ts
+++ b/packages/tests/src/workflow/callWorld.ts
@@ -93,6 +93,8 @@
   /** State of all replicas; contains committed entries only. */
   readonly state = new WorkflowState();
   readonly replicaIds: string[];
+  /** Record that the next heartbeat reports. */
+  endpoint = ENDPOINT;
   private readonly replicas = new Map<string, Replica>();
   private readonly jobs: JobCallForwarder;
   private term = 1;
@@ -148,7 +150,7 @@
   }
 
   sendHeartbeat(sequence: number, deadlineMs: number): ObservedCall {
-    const params: EndpointHeartbeat = { endpoint: ENDPOINT, sequence };
+    const params: EndpointHeartbeat = { endpoint: this.endpoint, sequence };
     return this.observe(async () => {
       await this.client.call('endpoints.heartbeat', params, { deadlineMs });
       return 200;
--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -29,6 +29,8 @@
   private readonly context: SessionContext;
   private readonly directory: EndpointDirectory;
   private readonly listener: EndpointServiceListener;
+  /** Registrations that are not yet durable, by endpoint id. */
+  private readonly registrations = new Map<string, Promise<void>>();
 
   constructor(
     context: SessionContext,
@@ -41,40 +43,14 @@
   }
 
   /**
-   * Processes a heartbeat. Resolves when a new endpoint, a restart or a change of properties is
-   * durable; late heartbeats of earlier incarnations are ignored.
+   * Processes a heartbeat. Resolves when the last reported registration of the endpoint is durable;
+   * late heartbeats of earlier incarnations are ignored.
    */
-  async heartbeat({ endpoint, sequence, clockMs }: EndpointHeartbeat): Promise<void> {
-    const known = this.directory.find(endpoint.id);
-    if (known) {
-      const isEarlierIncarnation = endpoint.bornMs < known.record.bornMs;
-      const isSameIncarnation = endpoint.bornMs === known.record.bornMs;
-      if (isEarlierIncarnation || (isSameIncarnation && sequence <= known.lastSequence)) return;
-    }
-    const record = endpoint;
-    const isNew = !known;
-    const isChanged = isNew || !isSame(known.record, record);
-    const agent = isChanged ? this.directory.add(record) : known;
-    agent.lastHeartbeatMs = performance.now();
-    agent.lastSequence = sequence;
-    agent.isLeaving = false;
-    if (clockMs !== undefined) {
-      const receivedMs = performance.now();
-      agent.clock.observe({ clockMs, sentMs: receivedMs, receivedMs });
-    }
-    if (!isChanged) return;
-    this.context.logger.info('endpoint has changed', {
-      endpoint: record.id,
-      address: record.address,
-      pool: record.pool,
-      bornMs: record.bornMs,
-      isDraining: record.isDraining,
-      sequence,
-    });
-    if (isNew) agent.start();
-    await this.removePredecessors(record);
-    await this.context.propose({ type: 'register', endpoint: record });
-    this.listener.onChanged(record.id);
+  async heartbeat(heartbeat: EndpointHeartbeat): Promise<void> {
+    const { id } = heartbeat.endpoint;
+    if (this.observe(heartbeat)) this.register(heartbeat);
+    // A repeated heartbeat must not be acknowledged before the change that it reports is durable.
+    await this.registrations.get(id);
   }
 
   /** Handles the shutdown of an endpoint; its runs are lost once it no longer responds. */
@@ -105,6 +81,59 @@
     }
   }
 
+  /** Updates the agent of an endpoint; returns whether its record has to be committed. */
+  private observe({ endpoint, sequence, clockMs }: EndpointHeartbeat): boolean {
+    const known = this.directory.find(endpoint.id);
+    if (known) {
+      const isEarlierIncarnation = endpoint.bornMs < known.record.bornMs;
+      const isSameIncarnation = endpoint.bornMs === known.record.bornMs;
+      if (isEarlierIncarnation || (isSameIncarnation && sequence <= known.lastSequence)) {
+        return false;
+      }
+    }
+    const isChanged = !known || !isSame(known.record, endpoint);
+    const agent = isChanged ? this.directory.add(endpoint) : known;
+    agent.lastHeartbeatMs = performance.now();
+    agent.lastSequence = sequence;
+    agent.isLeaving = false;
+    if (clockMs !== undefined) {
+      const receivedMs = performance.now();
+      agent.clock.observe({ clockMs, sentMs: receivedMs, receivedMs });
+    }
+    if (!known) agent.start();
+    return isChanged;
+  }
+
+  /** Commits the record of an endpoint, after an earlier record of it. */
+  private register({ endpoint, sequence }: EndpointHeartbeat): void {
+    const { id } = endpoint;
+    this.context.logger.info('endpoint has changed', {
+      endpoint: id,
+      address: endpoint.address,
+      pool: endpoint.pool,
+      bornMs: endpoint.bornMs,
+      isDraining: endpoint.isDraining,
+      sequence,
+    });
+    const previous = this.registrations.get(id);
+    const registration = this.commitRecord(endpoint, previous);
+    this.registrations.set(id, registration);
+    // A failed registration stays: it fails all later heartbeats, which go to the next leader.
+    registration.then(
+      () => {
+        if (this.registrations.get(id) === registration) this.registrations.delete(id);
+      },
+      () => undefined,
+    );
+  }
+
+  private async commitRecord(record: EndpointRecord, previous?: Promise<void>): Promise<void> {
+    await previous;
+    await this.removePredecessors(record);
+    await this.context.propose({ type: 'register', endpoint: record });
+    this.listener.onChanged(record.id);
+  }
+
   /** Removes older incarnations on the same instance or address, which must have ended. */
   private async removePredecessors(record: EndpointRecord): Promise<void> {
     for (const other of this.directory.list()) {
