--- a/packages/tests/features/workflow/leaderCalls.feature
+++ b/packages/tests/features/workflow/leaderCalls.feature
@@ -126,3 +126,18 @@
     And replica "r1" commits its proposals every 5 ms for 100 ms
     Then the caller got status 200
     And the stored endpoint is draining
+
+  # Guards against a clear refusal of a configuration that a later leader may still commit.
+  Scenario: the outcome of a configuration is unknown
+    When an operator sends configuration 2 to the leader
+    And 10 ms of the calls pass
+    And replica "r1" is deposed
+    And 2600 ms of the calls pass
+    Then the caller got status 504
+
+  # Guards against an unknown outcome of a configuration that certainly changed nothing.
+  Scenario: no leader accepts a configuration
+    When replica "r1" is deposed
+    And an operator sends configuration 2 to the leader
+    And 2600 ms of the calls pass
+    Then the caller got status 503
--- a/packages/tests/src/steps/workflow/leaderCallSteps.ts
+++ b/packages/tests/src/steps/workflow/leaderCallSteps.ts
@@ -102,6 +102,10 @@
   },
 );
 
+When('an operator sends configuration {int} to the leader', function send(this: Steps, version) {
+  this.call = this.calls!.configure(version);
+});
+
 When('{int} ms of the calls pass', async function pass(this: Steps, ms: number) {
   await this.calls!.advance(ms);
 });
--- a/packages/tests/src/workflow/callWorld.ts
+++ b/packages/tests/src/workflow/callWorld.ts
@@ -3,6 +3,7 @@
 import { SILENT_LOG } from '@lagoongap/model/log.js';
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
 import { toHttpResponse } from '@lagoongap/platform/callerApi.js';
+import { ControlApi } from '@lagoongap/platform/controlApi.js';
 import { NOOP_METRICS_RECORDER } from '@lagoongap/telemetry/workflowMetrics.js';
 import type { CellConfig } from '@lagoongap/workflow/cellConfig.js';
 import { NO_INSTANCE_API } from '@lagoongap/workflow/instanceApi.js';
@@ -97,11 +98,12 @@
   endpoint = ENDPOINT;
   private readonly replicas = new Map<string, Replica>();
   private readonly jobs: JobCallForwarder;
+  private readonly control: ControlApi;
   private term = 1;
 
   constructor(replicaIds: string[]) {
     this.replicaIds = replicaIds;
-    this.state.config = { version: 1, document: 'config' };
+    this.state.config = { version: 1, document: '1' };
     for (const id of replicaIds) this.replicas.set(id, this.createReplica(id));
     this.client = new LeaderClient({
       network: this.gateway,
@@ -109,6 +111,7 @@
       readLeaderHint: () => undefined,
     });
     this.jobs = new JobCallForwarder(this.client, SILENT_LOG);
+    this.control = new ControlApi({ leader: this.client, controlPort: 1, log: SILENT_LOG });
   }
 
   async start(): Promise<void> {
@@ -157,6 +160,12 @@
     });
   }
 
+  /** Sends a configuration of the given version, as an operator does. */
+  configure(version: number): ObservedCall {
+    const req = { method: 'PUT', path: '/-/config', headers: {}, body: String(version) };
+    return this.observe(async () => (await this.control.handle(req)).status);
+  }
+
   /** Records when a call is answered, and its status or error. */
   observe(action: () => Promise<number>): ObservedCall {
     const call: ObservedCall = { sentMs: performance.now() };
@@ -201,7 +210,7 @@
       driver: new FakeDriver(),
       instances: NO_INSTANCE_API,
       holder: id,
-      parseConfig: () => CONFIG,
+      parseConfig: (document) => ({ ...CONFIG, version: Number(document) }),
       timing: DEFAULT_WORKFLOW_TIMING,
       logger: SILENT_LOG,
       meter: NOOP_METRICS_RECORDER,
