Find the successor of an unresponsive leader during a call

Changes: - a call that the leader handles without waiting is repeated at another replica after 500 ms without a response. The first try stays pending, so that the late response of a slow leader still counts; without this a commit that takes over 500 ms would never be confirmed; - all unresponsive replicas are remembered, not only the last one; - a hint to the leader is followed at once, but only once in a row; - the failure of a try at one replica no longer discards the leader that another call has found meanwhile; - no try starts in the last 30 ms before the deadline, as its outcome would be unknown where the call has certainly not run so far; - members that the leader reports are dialled ahead of the first call.

Four of the five new scenarios fail on the code before; the fifth, the late response of a slow leader, fails if a try is abandoned instead.

--- a/packages/daemon/src/jobCallForwarder.ts
+++ b/packages/daemon/src/jobCallForwarder.ts
@@ -3,6 +3,8 @@
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 import type { JobCall, JobResponse } from '@lagoongap/workflow/jobCalls.js';
 
+import { TRY_TIMEOUT_MS } from './workflowPeers.js';
+
 /** Response of the gateway: the leader's response, or the reason why there is none. */
 export type GatewayResponse =
   | JobResponse
@@ -28,7 +30,10 @@
   async call(call: JobCall, deadlineMs: number): Promise<GatewayResponse> {
     const receivedMs = performance.now();
     try {
-      return await this.leader.call<JobResponse>('jobs.call', call, { deadlineMs });
+      return await this.leader.call<JobResponse>('jobs.call', call, {
+        deadlineMs,
+        tryTimeoutMs: TRY_TIMEOUT_MS,
+      });
     } catch (err) {
       const refusal = err instanceof RefusalError ? err.refusal : undefined;
       const isUnknown = refusal?.runState !== 'not-run' && call.operation !== 'read';
--- a/packages/daemon/src/memberList.ts
+++ b/packages/daemon/src/memberList.ts
@@ -1,6 +1,8 @@
 import type { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
 import type { Log } from '@lagoongap/model/log.js';
 
+import { TRY_TIMEOUT_MS } from './workflowPeers.js';
+
 /** Time between two requests for the member list. */
 const REFRESH_INTERVAL_MS = 1000;
 
@@ -13,12 +15,15 @@
  */
 export class MemberList implements Disposable {
   readonly instances: string[];
+  private readonly connect: (instance: string) => void;
   private seeds: string[];
   private timer: NodeJS.Timeout | undefined;
   private lastContactMs = -Infinity;
 
-  constructor(seeds: string[]) {
+  /** @param connect - Called with each listed instance, so that it is dialled ahead of calls. */
+  constructor(seeds: string[], connect: (instance: string) => void = () => undefined) {
     this.seeds = seeds;
+    this.connect = connect;
     this.instances = [...seeds];
   }
 
@@ -43,6 +48,7 @@
           {},
           {
             deadlineMs: READ_TIMEOUT_MS,
+            tryTimeoutMs: TRY_TIMEOUT_MS,
           },
         );
         this.lastContactMs = performance.now();
@@ -72,5 +78,6 @@
   private update(members: string[]): void {
     const next = [...new Set([...members, ...this.seeds])];
     this.instances.splice(0, this.instances.length, ...next);
+    for (const instance of next) this.connect(instance);
   }
 }
--- a/packages/daemon/src/workflowGateway.ts
+++ b/packages/daemon/src/workflowGateway.ts
@@ -41,7 +41,7 @@
       ...WORKFLOW_PEERING,
       logger: log,
     });
-    this.members = new MemberList(seeds);
+    this.members = new MemberList(seeds, (id) => this.network.connect(id));
     this.leader = new LeaderClient({
       network: this.network,
       replicaInstances: this.members.instances,
--- a/packages/daemon/src/workflowPeers.ts
+++ b/packages/daemon/src/workflowPeers.ts
@@ -33,3 +33,9 @@
   pingMs: 300,
   silenceMs: 1000,
 };
+
+/**
+ * Time after which a call that the leader handles without waiting is repeated at another replica.
+ * A successor has been elected by then if the leader failed before the call.
+ */
+export const TRY_TIMEOUT_MS = 500;
--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -101,7 +101,7 @@
       ...WORKFLOW_PEERING,
       logger: log,
     });
-    this.members = new MemberList(opts.seeds);
+    this.members = new MemberList(opts.seeds, (id) => this.network.connect(id));
     this.leader = new LeaderClient({
       network: this.network,
       replicaInstances: this.members.instances,
--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -1,9 +1,9 @@
-import { delay } from '@lagoongap/model/delay.js';
 import type { Refusal } from '@lagoongap/model/refusal.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
-import { toError } from '@lagoongap/model/toError.js';
 import type { PeerNetwork } from '@lagoongap/peering/peerNetwork.js';
 
+import { CallTries } from './callTries.js';
+
 /** Options of {@link LeaderClient}. */
 export interface LeaderClientOptions {
   network: PeerNetwork;
@@ -17,7 +17,10 @@
 export interface LeaderCallOptions {
   /** Total time for all tries. */
   deadlineMs: number;
-  /** Timeout of one try, for calls that the leader handles without waiting. */
+  /**
+   * Time after which an unanswered try is repeated at another replica, for calls that the leader
+   * handles without waiting. A late response still counts.
+   */
   tryTimeoutMs?: number;
   signal?: AbortSignal;
 }
@@ -25,6 +28,9 @@
 /** Upper bound of the random pause between two tries. */
 const RETRY_PAUSE_MS = 100;
 
+/** Minimum time before the deadline at which a call is tried again. */
+const MIN_RETRY_MS = 30;
+
 /**
  * Time for which a replica is skipped after a timeout. The other replicas keep naming a frozen
  * leader until they have elected a new one, which takes about this long.
@@ -49,7 +55,8 @@
   private readonly opts: LeaderClientOptions;
   private leader: string | undefined;
   private nextIndex = 0;
-  private unresponsiveReplica: { id: string; untilMs: number } | undefined;
+  /** End of the time for which a replica is skipped, by replica. */
+  private readonly skippedUntilMs = new Map<string, number>();
 
   constructor(opts: LeaderClientOptions) {
     this.opts = opts;
@@ -62,62 +69,94 @@
    */
   async call<Result>(method: string, params: unknown, opts: LeaderCallOptions): Promise<Result> {
     const endMs = performance.now() + opts.deadlineMs;
+    const tries = new CallTries();
     let mayHaveRun = false;
+    let current: string | undefined;
+    let isRedirected = false;
+    let waitEndMs = performance.now();
     for (;;) {
-      const target = this.pickTarget();
       const remainingMs = endMs - performance.now();
-      const timeoutMs = Math.min(remainingMs, opts.tryTimeoutMs ?? remainingMs);
-      if (remainingMs <= 0 || opts.signal?.aborted) throw this.createRefusal(method, mayHaveRun);
-      try {
-        const result = await this.opts.network.call(target, method, params, { timeoutMs });
-        this.leader = target;
-        return result as Result;
-      } catch (reason) {
-        const err = toError(reason);
-        const refusal = readRefusal(err);
-        if (mayHaveTakenEffect(err, refusal)) mayHaveRun = true;
-        if (refusal && refusal.type !== 'no-leader') {
-          throw new RefusalError({ ...refusal, runState: mayHaveRun ? 'unknown' : 'not-run' }, err);
-        }
-        if (err.name === 'PeerTimeoutError') {
-          this.unresponsiveReplica = {
-            id: target,
-            untilMs: performance.now() + UNRESPONSIVE_SKIP_MS,
-          };
+      // The outcome of a try would be unknown if the deadline passed during it.
+      const isTooLate = tries.count > 0 && remainingMs < MIN_RETRY_MS;
+      const isFinished = isTooLate && tries.pendingCount === 0;
+      if (remainingMs <= 0 || isFinished || opts.signal?.aborted) {
+        throw this.createRefusal(method, mayHaveRun || tries.pendingCount > 0);
+      }
+      if (performance.now() >= waitEndMs) {
+        if (current !== undefined) this.skip(current);
+        current = isTooLate ? undefined : this.pickTarget();
+        if (current !== undefined) {
+          const request = { timeoutMs: remainingMs };
+          tries.add(current, this.opts.network.call(current, method, params, request));
         }
-        this.followHint(target, refusal);
+        waitEndMs = Math.min(endMs, performance.now() + (opts.tryTimeoutMs ?? remainingMs));
+      }
+      const outcome = await tries.next(waitEndMs - performance.now());
+      if (!outcome) continue;
+      const { target } = outcome;
+      if ('result' in outcome) {
+        this.leader = target;
+        this.skippedUntilMs.delete(target);
+        return outcome.result as Result;
       }
-      await delay(Math.random() * RETRY_PAUSE_MS);
+      const refusal = readRefusal(outcome.err);
+      if (mayHaveTakenEffect(outcome.err, refusal)) mayHaveRun = true;
+      if (refusal && refusal.type !== 'no-leader') {
+        const runState = mayHaveRun ? 'unknown' : 'not-run';
+        throw new RefusalError({ ...refusal, runState }, outcome.err);
+      }
+      const hasHint = this.handleFailure(target, outcome.err, refusal);
+      if (target !== current) continue;
+      current = undefined;
+      // Replicas that name each other as the leader must not be called in a tight loop.
+      isRedirected = hasHint && !isRedirected;
+      waitEndMs = performance.now() + (isRedirected ? 0 : Math.random() * RETRY_PAUSE_MS);
     }
   }
 
   private pickTarget(): string {
     const leaderId = this.leader ?? this.opts.readLeaderHint();
-    return leaderId !== undefined && !this.isUnresponsive(leaderId)
-      ? leaderId
-      : this.pickNextReplica();
+    return leaderId !== undefined && !this.isSkipped(leaderId) ? leaderId : this.pickNextReplica();
   }
 
+  /** Picks replicas in turn; those that are skipped only if there is no other. */
   private pickNextReplica(): string {
     const { replicaInstances } = this.opts;
-    this.nextIndex += 1;
-    const id = replicaInstances[this.nextIndex % replicaInstances.length]!;
-    if (!this.isUnresponsive(id)) return id;
+    for (let i = 0; i < replicaInstances.length; i += 1) {
+      const id = this.takeNextReplica();
+      if (!this.isSkipped(id)) return id;
+    }
+    return this.takeNextReplica();
+  }
+
+  private takeNextReplica(): string {
+    const { replicaInstances } = this.opts;
     this.nextIndex += 1;
     return replicaInstances[this.nextIndex % replicaInstances.length]!;
   }
 
-  private isUnresponsive(id: string): boolean {
-    const { unresponsiveReplica } = this;
-    return unresponsiveReplica?.id === id && performance.now() < unresponsiveReplica.untilMs;
+  private skip(id: string): void {
+    this.skippedUntilMs.set(id, performance.now() + UNRESPONSIVE_SKIP_MS);
+  }
+
+  private isSkipped(id: string): boolean {
+    return performance.now() < (this.skippedUntilMs.get(id) ?? -Infinity);
   }
 
-  private followHint(failed: string, refusal: Refusal | undefined): void {
+  /** Returns whether a failed try has named another replica that can be called. */
+  private handleFailure(target: string, err: Error, refusal: Refusal | undefined): boolean {
+    if (err.name === 'PeerTimeoutError') this.skip(target);
+    else if (refusal) this.skippedUntilMs.delete(target);
     const hint = (refusal?.details as { leaderId?: string } | undefined)?.leaderId;
-    const isUsable = hint !== failed && hint !== undefined && !this.isUnresponsive(hint);
-    this.leader = isUsable ? hint : undefined;
+    const isUsable = hint !== target && hint !== undefined && !this.isSkipped(hint);
+    if (isUsable) this.leader = hint;
+    // Another call may have found the next leader meanwhile.
+    else if (this.leader === target) this.leader = undefined;
     // The local replica may not have detected yet that its leader has failed.
-    if (!isUsable && this.opts.readLeaderHint() === failed) this.leader = this.pickNextReplica();
+    if (!isUsable && this.leader === undefined && this.opts.readLeaderHint() === target) {
+      this.leader = this.pickNextReplica();
+    }
+    return isUsable;
   }
 
   private createRefusal(method: string, mayHaveRun: boolean): RefusalError {
--- a/packages/tests/features/workflow/leaderCalls.feature
+++ b/packages/tests/features/workflow/leaderCalls.feature
@@ -141,3 +141,51 @@
     And an operator sends configuration 2 to the leader
     And 2600 ms of the calls pass
     Then the caller got status 503
+
+  # Guards against callers that wait for a dead leader although its successor is ready.
+  Scenario: a call is repeated at the successor of an unresponsive leader
+    When replica "r1" becomes unresponsive
+    And a caller submits job "j" with a deadline of 2500 ms
+    And replica "r2" leads
+    And replica "r2" commits its proposals every 5 ms for 800 ms
+    Then the caller got status 200
+    And job "j" is stored
+
+  # Guards against a repeated try that discards the response of a slow leader.
+  Scenario: the late response of a slow leader counts
+    When replica "r1" becomes unresponsive
+    And a caller submits job "j" with a deadline of 2500 ms
+    And 900 ms of the calls pass
+    And replica "r1" responds again
+    And replica "r1" commits its proposals every 5 ms for 20 ms
+    Then the caller got status 200
+
+  # Guards against a client that forgets one unresponsive replica when it meets a second one.
+  Scenario: two replicas are unresponsive
+    Given a gateway and the replicas "r1 r2 r3 r4 r5"
+    And replica "r1" leads
+    And the gateway knows the leader
+    When replica "r1" becomes unresponsive
+    And replica "r3" becomes unresponsive
+    And a caller submits job "j" with a deadline of 2500 ms
+    And replica "r4" leads
+    And replica "r4" commits its proposals every 5 ms for 1200 ms
+    Then the caller got status 200
+    When replica "r4" is deposed
+    And a caller submits job "k" with a deadline of 200 ms
+    And 250 ms of the calls pass
+    Then the last call was not sent to "r1 r3"
+    And the caller got status 503
+
+  # Guards against a pause before a try at the leader that another replica has just named.
+  Scenario: a hint to the leader is followed at once
+    Given the gateway forgets the leader
+    When a caller submits job "j" with a deadline of 2500 ms
+    And replica "r1" commits its proposals every 2 ms for 10 ms
+    Then the caller got status 200
+
+  # Guards against a first call to a new leader that fails because it has never been dialled.
+  Scenario: members that the leader reports are dialled before they are called
+    Given the leader reports the members "r1 r2 r4"
+    When the gateway reads the members
+    Then the gateway has dialled "r1 r2 r4 r3"
--- a/packages/tests/src/steps/workflow/leaderCallSteps.ts
+++ b/packages/tests/src/steps/workflow/leaderCallSteps.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import { MemberList } from '@lagoongap/daemon/memberList.js';
+import { SILENT_LOG } from '@lagoongap/model/log.js';
 import type { RefusalType, RunState } from '@lagoongap/model/refusal.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 
@@ -19,6 +21,7 @@
 });
 
 Given('a gateway and the replicas {string}', async function create(this: Steps, ids: string) {
+  await this.calls?.[Symbol.asyncDispose]();
   this.calls = new CallWorld(ids.split(' '));
   await this.calls.start();
 });
@@ -74,6 +77,7 @@
 When(
   'a caller submits job {string} with a deadline of {int} ms',
   function submit(this: Steps, id: string, deadlineMs: number) {
+    this.calls!.gateway.called.splice(0);
     this.call = this.calls!.submit(id, deadlineMs);
   },
 );
@@ -153,6 +157,35 @@
   this.calls!.depose(id);
 });
 
+When('replica {string} becomes unresponsive', function pause(this: Steps, id: string) {
+  this.calls!.transport.pause(id);
+});
+
+When('replica {string} responds again', function resume(this: Steps, id: string) {
+  this.calls!.transport.resume(id);
+});
+
+Given('the gateway forgets the leader', function forget(this: Steps) {
+  this.calls!.forgetLeader();
+});
+
+Given('the leader reports the members {string}', function report(this: Steps, ids: string) {
+  for (const id of this.calls!.replicaIds) {
+    this.calls!.network(id).handle('cell.members', () => ids.split(' '));
+  }
+});
+
+When('the gateway reads the members', async function read(this: Steps) {
+  const { replicaIds, client, dialled } = this.calls!;
+  using members = new MemberList([...replicaIds], (id) => dialled.push(id));
+  members.startPolling(client, SILENT_LOG);
+  await this.calls!.advance(LEARN_MS);
+});
+
+Then('the gateway has dialled {string}', function check(this: Steps, ids: string) {
+  assert.deepEqual([...new Set(this.calls!.dialled)], ids.split(' '));
+});
+
 When('replica {string} is disconnected', async function disconnect(this: Steps, id: string) {
   this.calls!.transport.isolate(id, [...this.calls!.replicaIds, 'g'], 'both');
 });
@@ -170,6 +203,10 @@
   assert.ok(this.calls!.state.jobs.has(id));
 });
 
+Then('the last call was not sent to {string}', function check(this: Steps, ids: string) {
+  for (const id of ids.split(' ')) assert.ok(!this.calls!.gateway.called.includes(id), id);
+});
+
 Then('the stored endpoint is draining', function check(this: Steps) {
   const { endpoint, state } = this.calls!;
   assert.equal(state.endpoints.get(endpoint.id)?.isDraining, true);
--- a/packages/tests/src/workflow/callWorld.ts
+++ b/packages/tests/src/workflow/callWorld.ts
@@ -90,24 +90,31 @@
   readonly clock = FakeTimers.install({ toFake: [...CLOCK_FUNCTIONS] });
   readonly transport = new FakeTransport({ hooks: new StepHooks(), random: () => RANDOM });
   readonly gateway = new RecordingNetwork('g', this.transport);
-  readonly client: LeaderClient;
+  /** Instances that the gateway has dialled ahead of calls. */
+  readonly dialled: string[] = [];
   /** State of all replicas; contains committed entries only. */
   readonly state = new WorkflowState();
   readonly replicaIds: string[];
   /** Record that the next heartbeat reports. */
   endpoint = ENDPOINT;
   private readonly replicas = new Map<string, Replica>();
-  private readonly jobs: JobCallForwarder;
-  private readonly control: ControlApi;
+  client!: LeaderClient;
+  private jobs!: JobCallForwarder;
+  private control!: ControlApi;
   private term = 1;
 
   constructor(replicaIds: string[]) {
     this.replicaIds = replicaIds;
     this.state.config = { version: 1, document: '1' };
     for (const id of replicaIds) this.replicas.set(id, this.createReplica(id));
+    this.forgetLeader();
+  }
+
+  /** Replaces the leader client of the gateway by one that knows no leader. */
+  forgetLeader(): void {
     this.client = new LeaderClient({
       network: this.gateway,
-      replicaInstances: replicaIds,
+      replicaInstances: this.replicaIds,
       readLeaderHint: () => undefined,
     });
     this.jobs = new JobCallForwarder(this.client, SILENT_LOG);
