Retry an election soon after a round without a result

Cause: a candidate whose pre-vote or vote round failed waits a whole new election timeout, 600 to 1200 ms, though a round takes a round trip and a disk sync. Rounds fail because two replicas time out together and split the votes, or because a slow disk delays the requests of a candidate until its own next round discards them.

Change: the timer of a running election starts at one to two heartbeats and doubles with each failed round up to the election timeout. Of two pre-candidates the one with the higher id withdraws; a follower that grants a pre-vote leaves the candidate at least one heartbeat. A replica whose term and vote are not durable yet starts no further round. Voters still refuse while a leader may be valid, so leader validity does not depend on these times.

--- a/packages/consensus/src/elections.ts
+++ b/packages/consensus/src/elections.ts
@@ -32,6 +32,7 @@
   /** Starts a pre-vote round, which does not increment the term. */
   startPreVote(): void {
     const { state } = this;
+    if (state.role !== 'follower') state.recordFailedRound();
     this.startRound('pre-candidate');
     this.countVote(state.replicaId);
     for (const to of this.otherVoters()) {
@@ -65,6 +66,7 @@
       message.term > state.term &&
       !this.isLeaderLeaseActive() &&
       state.log.isCandidateUpToDate({ index: message.lastIndex, term: message.lastTerm });
+    if (granted) this.deferTo(message.from);
     const term = granted ? message.term : state.term;
     state.sendWhenDurable({
       type: 'pre-vote-reply',
@@ -105,11 +107,25 @@
     this.countVote(message.from);
   }
 
+  /**
+   * Leaves another candidate the time for its round, so that replicas that time out together do not
+   * split the votes. Of two pre-candidates, the one with the lower replica id continues. A grant is
+   * never refused for this: the other candidate may be the only one that reaches a majority.
+   */
+  private deferTo(candidate: string): void {
+    const { state } = this;
+    if (state.role === 'follower') state.deferElection();
+    if (state.role !== 'pre-candidate' || candidate > state.replicaId) return;
+    state.role = 'follower';
+    state.recordFailedRound();
+    state.startRetryTimer();
+  }
+
   private startRound(role: RaftRole): void {
     this.votes.clear();
     this.state.role = role;
     this.state.leader = undefined;
-    this.state.resetElectionTimer();
+    this.state.startRetryTimer();
   }
 
   private countVote(from: string): void {
--- a/packages/consensus/src/raftCore.ts
+++ b/packages/consensus/src/raftCore.ts
@@ -198,8 +198,11 @@
   }
 
   private startElection(): void {
-    if (this.state.isVoter) this.elections.startPreVote();
-    else this.state.resetElectionTimer();
+    const { state } = this;
+    if (!state.isVoter) state.resetElectionTimer();
+    // Requests that wait for the disk are not sent yet; another round would discard them.
+    else if (!state.writes.isHardStateDurable) state.startRetryTimer();
+    else this.elections.startPreVote();
   }
 
   /** Returns whether a leader may still be valid, so that no vote may be granted. */
@@ -273,7 +276,7 @@
     const { state } = this;
     if (term > state.term) state.setTerm(term, undefined);
     // A leader whose transfer timed out or that lost its quorum lets others campaign first.
-    if (this.leader !== undefined || state.role !== 'follower') state.resetElectionTimer();
+    if (this.leader !== undefined) state.resetElectionTimer();
     this.leader = undefined;
     this.transfer = undefined;
     state.role = 'follower';
--- a/packages/consensus/src/raftState.ts
+++ b/packages/consensus/src/raftState.ts
@@ -27,6 +27,8 @@
   snapshot: Snapshot | undefined;
   nowMs: number;
   electionDeadlineMs = 0;
+  /** Rounds without a result since the last full election timeout. */
+  private failedRounds = 0;
   readonly log: RaftLog;
   readonly memberships: MembershipHistory;
   readonly writes: WriteQueue;
@@ -81,9 +83,37 @@
 
   /** Restarts the election timer with a new random timeout. */
   resetElectionTimer(): void {
-    const { timing, random } = this.options;
-    const spread = timing.electionMaxMs - timing.electionMinMs;
-    this.electionDeadlineMs = this.nowMs + timing.electionMinMs + random() * spread;
+    const { electionMinMs, electionMaxMs } = this.options.timing;
+    this.failedRounds = 0;
+    this.setElectionTimer(electionMinMs, electionMaxMs);
+  }
+
+  /**
+   * Restarts the election timer for the next round of an election that has begun. A round takes a
+   * round trip and a disk sync, so the first retries follow sooner than a full election timeout;
+   * voters still refuse while a leader may be valid. The delay doubles with each round, so that
+   * slow disks and networks get the time that they need.
+   */
+  startRetryTimer(): void {
+    const { heartbeatMs, electionMinMs, electionMaxMs } = this.options.timing;
+    const minMs = heartbeatMs * 2 ** this.failedRounds;
+    if (minMs >= electionMinMs) this.setElectionTimer(electionMinMs, electionMaxMs);
+    else this.setElectionTimer(minMs, Math.min(2 * minMs, electionMaxMs));
+  }
+
+  /** Extends the election timer to at least one heartbeat interval. */
+  deferElection(): void {
+    const { heartbeatMs } = this.options.timing;
+    this.electionDeadlineMs = Math.max(this.electionDeadlineMs, this.nowMs + heartbeatMs);
+  }
+
+  /** Records that a round of an election has ended without a leader. */
+  recordFailedRound(): void {
+    this.failedRounds += 1;
+  }
+
+  private setElectionTimer(minMs: number, maxMs: number): void {
+    this.electionDeadlineMs = this.nowMs + minMs + this.options.random() * (maxMs - minMs);
   }
 
   /** Sets term and vote, and stages them for the next write. */
--- a/packages/tests/src/consensus/simulation.ts
+++ b/packages/tests/src/consensus/simulation.ts
@@ -64,6 +64,23 @@
     }
   }
 
+  /**
+   * Kills the leader for good at a random time and returns the simulated time until another replica
+   * is a valid leader, in milliseconds; throws RuleViolation.
+   */
+  measureFailover(): number {
+    for (const replica of this.replicas) replica.start();
+    this.repeatAtRate(this.options.proposalsPerSecond, () => this.propose());
+    this.runUntil(() => this.validLeader() !== undefined);
+    const killAtMs = this.nowMs + this.random.between(...this.options.restartMs);
+    this.runUntil(() => this.nowMs >= killAtMs && this.validLeader() !== undefined);
+    const startMs = this.nowMs;
+    this.validLeader()!.crash();
+    const limitMs = startMs + RECOVERY_TIMEOUT_MS;
+    this.runUntil(() => this.validLeader() !== undefined || this.nowMs >= limitMs);
+    return this.nowMs - startMs;
+  }
+
   /** Runs a function after a delay in simulated time. */
   after(delayMs: number, run: () => void): void {
     this.events.add(this.nowMs + delayMs, run);
--- a/packages/tests/src/consensus/simulationOptions.ts
+++ b/packages/tests/src/consensus/simulationOptions.ts
@@ -78,6 +78,7 @@
   | 'leases'
   | 'elections'
   | 'membership races'
+  | 'failover'
   | 'combined';
 
 type Overrides = Partial<Omit<SimulationOptions, 'faults'>> & { faults?: Partial<FaultRates> };
@@ -115,6 +116,8 @@
     maxWriteMs: 5,
     restartMs: [5, 700],
   },
+  // A reliable network, so that only timeouts and disks delay an election.
+  failover: { faults: { loss: 0, duplication: 0, longDelay: 0 } },
   combined: {
     replicaCount: 5,
     snapshotEntries: 12,
