Count gateway validity from the last confirmation of the leader

Cause: a leader that is cut off stays valid for up to 500 ms, and until then it answers the polls of its own gateway with the full 2 s, so the gateway serves for up to 2.5 s after the cut. Any delay of the readiness check comes on top.

Change: the leader grants 2 s less the time since a majority last confirmed it, which is when leader validity starts, too. The gateway still counts from the send time of its poll, so a grant ends within 2 s of the last contact of the leader with a majority. A leader in contact grants at most a heartbeat and a round trip less than before.

--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -50,18 +50,27 @@
     return this.state.commitIndex >= this.termStartIndex;
   }
 
+  /** Send time of the latest message that a majority of the voters has acknowledged. */
+  get quorumContactMs(): number {
+    const { state } = this;
+    const contacts = state.voters.map((id) =>
+      id === state.replicaId ? state.nowMs : (this.progress.get(id)?.ackedSentAtMs ?? -Infinity),
+    );
+    return contacts.length === 0 ? -Infinity : quorumValue(contacts);
+  }
+
   /**
    * Time until which no other leader can be elected: a follower that acknowledges a message refuses
    * votes after receiving it for longer than leader validity lasts after the message was sent.
    */
   get validUntilMs(): number {
-    return this.quorumAckedSentAtMs + this.state.options.timing.leaderValidityMs;
+    return this.quorumContactMs + this.state.options.timing.leaderValidityMs;
   }
 
   /** Whether a majority of the voters has been unresponsive for the maximum election timeout. */
   get hasLostQuorum(): boolean {
     const { nowMs, options } = this.state;
-    const contactMs = Math.max(this.quorumAckedSentAtMs, this.electedAtMs);
+    const contactMs = Math.max(this.quorumContactMs, this.electedAtMs);
     return nowMs - contactMs >= options.timing.electionMaxMs;
   }
 
@@ -167,14 +176,6 @@
     return this.state.log.termAt(index) === this.state.term;
   }
 
-  private get quorumAckedSentAtMs(): number {
-    const { state } = this;
-    const contacts = state.voters.map((id) =>
-      id === state.replicaId ? state.nowMs : (this.progress.get(id)?.ackedSentAtMs ?? -Infinity),
-    );
-    return contacts.length === 0 ? -Infinity : quorumValue(contacts);
-  }
-
   private isActive(replicaId: string): boolean {
     const { nowMs, options } = this.state;
     const ackedSentAtMs = this.progress.get(replicaId)?.ackedSentAtMs ?? -Infinity;
--- a/packages/consensus/src/raftCore.ts
+++ b/packages/consensus/src/raftCore.ts
@@ -86,6 +86,11 @@
     return this.state.nowMs < this.leader.validUntilMs;
   }
 
+  /** Time at which a majority certainly followed this leader; -Infinity on other replicas. */
+  get quorumContactMs(): number {
+    return this.leader?.quorumContactMs ?? -Infinity;
+  }
+
   /**
    * Returns whether a member has durably stored everything that was committed one heartbeat ago.
    */
--- a/packages/consensus/src/raftReplica.ts
+++ b/packages/consensus/src/raftReplica.ts
@@ -113,6 +113,10 @@
     return this.core.isLeaderValid(performance.now());
   }
 
+  get quorumContactMs(): number {
+    return this.core?.quorumContactMs ?? -Infinity;
+  }
+
   /** Rejects with NotLeaderError if this replica is not the leader or loses leadership. */
   async whenReadyToLead(): Promise<void> {
     const { termStartIndex, term } = this.requireCore();
--- a/packages/consensus/src/replicatedLog.ts
+++ b/packages/consensus/src/replicatedLog.ts
@@ -61,6 +61,11 @@
   propose(command: unknown): Promise<ProposeResult>;
   /** Returns whether this replica is a valid leader at this moment. */
   isLeaderValid(): boolean;
+  /**
+   * Monotonic time in milliseconds at which a majority certainly followed this leader; -Infinity if
+   * this replica is not the leader.
+   */
+  readonly quorumContactMs: number;
   /** Resolves once this leader has applied every entry committed before its term. */
   whenReadyToLead(): Promise<void>;
   /** Registers a listener for role changes; returns a function that unsubscribes it. */
--- a/packages/coordinator/src/gatewaySessions.ts
+++ b/packages/coordinator/src/gatewaySessions.ts
@@ -33,7 +33,8 @@
   }
 
   /**
-   * Grants validity to a gateway. The response carries the release notes that the gateway lacks, or
+   * Grants validity to a gateway, counted from the time at which a majority last confirmed the
+   * leadership: a leader that is cut off must not extend the validity of its own gateway. The response carries the release notes that the gateway lacks, or
    * the whole configuration if these notes are no longer kept.
    */
   poll(params: PollParams): PollResult {
@@ -45,7 +46,7 @@
     const result: PollResult = {
       leader: instanceId,
       term: term(),
-      validityMs: timing.gatewayValidityMs,
+      validityMs: Math.max(0, timing.gatewayValidityMs - guard.readConfirmationAgeMs()),
       number: state.config.number,
     };
     if (number === state.config.number) return result;
--- a/packages/coordinator/src/validityGuard.ts
+++ b/packages/coordinator/src/validityGuard.ts
@@ -22,6 +22,11 @@
     return !this.isClosed && this.log.isLeaderValid();
   }
 
+  /** Returns the time since a majority last confirmed the leadership, in milliseconds. */
+  readConfirmationAgeMs(): number {
+    return performance.now() - this.log.quorumContactMs;
+  }
+
   /**
    * Asserts that this instance is the valid leader at this moment.
    *
--- a/packages/tests/src/harness/manualCommitLog.ts
+++ b/packages/tests/src/harness/manualCommitLog.ts
@@ -20,6 +20,7 @@
   appliedIndex = 0;
   private readonly stateMachine: StateMachine;
   private proposals: Proposal[] = [];
+  private validityEndedAtMs: number | undefined;
 
   constructor(stateMachine: StateMachine) {
     this.stateMachine = stateMachine;
@@ -52,7 +53,16 @@
   }
 
   isLeaderValid(): boolean {
-    return true;
+    return this.validityEndedAtMs === undefined;
+  }
+
+  get quorumContactMs(): number {
+    return this.validityEndedAtMs ?? performance.now();
+  }
+
+  /** Ends the validity of the leader; its proposals may still be committed. */
+  endValidity(): void {
+    this.validityEndedAtMs ??= performance.now();
   }
 
   whenReadyToLead(): Promise<void> {
