Tell calls "unknown" when leadership ends after their commit

Callers are told the truth only if a refusal that says not-run was decided before the act. In the coordinator, an announcement and a heartbeat checked leader validity again after their commit and threw the same not-run refusal as before it; a call for a placement was rejected as not-run when the session ended, also while its placement was being committed.

Cause: one check, assertValid, serves both before and after a commit, and RequestService.close did not tell waiting requests from decided ones.

Change: assertStillValid is used after a commit and says unknown. close says not-run only for a request that it can still take out of its queue. The other places were read and are decided before the act: admission, sessions, notes (conflicts are decided at apply), job submission and cancellation (a failed commit carries no refusal, which the leader client counts as unknown), membership. A caller of a request is told by its gateway, which knows whether it wrote to an endpoint.

--- a/packages/coordinator/src/endpointLeases.ts
+++ b/packages/coordinator/src/endpointLeases.ts
@@ -75,7 +75,7 @@
     this.assertNotInUse(announcement);
     const session = createId('session');
     await commits.commit({ type: 'announce-endpoint', announcement, session });
-    guard.assertValid();
+    guard.assertStillValid();
     this.renew(announcement.id);
     this.publish(state.endpoints.get(announcement.id)!);
     this.opts.scheduleCycle();
@@ -103,7 +103,7 @@
     const finished = this.listFinished(id, heartbeat.finished);
     const lost = this.listLost(params);
     await closer.close([...finished, ...lost]);
-    guard.assertValid();
+    guard.assertStillValid();
     return {
       leaseMs: timing.endpointLeaseMs,
       acknowledged: heartbeat.finished.map(({ attempt }) => attempt),
--- a/packages/coordinator/src/leaderSession.ts
+++ b/packages/coordinator/src/leaderSession.ts
@@ -2,7 +2,6 @@
 import type { EndpointState } from '@lagoongap/model/endpoint.js';
 import type { Log } from '@lagoongap/model/log.js';
 import type { Release } from '@lagoongap/model/messages.js';
-import { RefusalError } from '@lagoongap/model/refusalError.js';
 import type { WorkUnit } from '@lagoongap/model/workload.js';
 import { resolveWorks } from '@lagoongap/model/endpointRules.js';
 import type { EndpointClient } from '@lagoongap/routing/endpointClient.js';
@@ -233,13 +232,7 @@
     this.unsubscribe();
     this.opts.health[Symbol.dispose]();
     this.jobs.close();
-    this.requests.close(
-      new RefusalError({
-        type: 'no-leader',
-        runState: 'not-run',
-        message: 'this instance is no longer the leader',
-      }),
-    );
+    this.requests.close();
   }
 
   private restore(): void {
--- a/packages/coordinator/src/requestService.ts
+++ b/packages/coordinator/src/requestService.ts
@@ -178,9 +178,15 @@
     }
   }
 
-  /** Rejects all waiting calls when leadership ends; gateways repeat them at the next leader. */
-  close(err: Error): void {
-    for (const waiters of this.waiters.values()) {
+  /**
+   * Rejects all waiting calls when leadership ends; gateways repeat them at the next leader. A
+   * request that no longer waits in its queue may have a placement that will be committed.
+   */
+  close(): void {
+    for (const [requestId, waiters] of this.waiters) {
+      const runState = this.opts.pipeline().cancel(requestId) ? 'not-run' : 'unknown';
+      const message = 'this instance is no longer the leader';
+      const err = new RefusalError({ type: 'no-leader', runState, message });
       for (const waiter of waiters) waiter.reject(err);
     }
     this.waiters.clear();
--- a/packages/coordinator/src/validityGuard.ts
+++ b/packages/coordinator/src/validityGuard.ts
@@ -1,4 +1,5 @@
 import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
+import type { RunState } from '@lagoongap/model/refusal.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 
 /**
@@ -30,13 +31,26 @@
   /**
    * Asserts that this instance is the valid leader at this moment.
    *
-   * @throws {RefusalError} of type `no-leader` otherwise.
+   * @throws {RefusalError} of type `no-leader` with the run state `not-run` otherwise.
    */
   assertValid(): void {
+    this.assert('not-run');
+  }
+
+  /**
+   * Asserts the same after a commit: the call has taken effect, but its response may be outdated.
+   *
+   * @throws {RefusalError} of type `no-leader` with the run state `unknown` otherwise.
+   */
+  assertStillValid(): void {
+    this.assert('unknown');
+  }
+
+  private assert(runState: RunState): void {
     if (this.isValid()) return;
     throw new RefusalError({
       type: 'no-leader',
-      runState: 'not-run',
+      runState,
       message: 'this instance is not the valid leader',
       details: { leaderId: this.log.leaderId },
     });
