--- a/packages/consensus/src/raftCore.ts
+++ b/packages/consensus/src/raftCore.ts
@@ -91,6 +91,11 @@
     return this.state.nowMs < this.leader.validUntilMs;
   }
 
+  /** Time at which a majority certainly followed this leader; -Infinity on other replicas. */
+  get quorumContactMs(): number {
+    return this.leader?.quorumContactMs ?? -Infinity;
+  }
+
   /**
    * Returns whether a member has durably stored everything that was committed one heartbeat ago.
    */
@@ -203,8 +208,11 @@
   }
 
   private startElection(): void {
-    if (this.state.isVoter) this.elections.startPreVote();
-    else this.state.resetElectionTimer();
+    const { state } = this;
+    if (!state.isVoter) state.resetElectionTimer();
+    // Requests that wait for the disk are not sent yet; another round would discard them.
+    else if (!state.writes.isHardStateDurable) state.startRetryTimer();
+    else this.elections.startPreVote();
   }
 
   /** Returns whether a leader may still be valid, so that no vote may be granted. */
@@ -279,7 +287,7 @@
     if (term > state.term) state.setTerm(term, undefined);
     if (this.leader) state.lastValidMs = Math.min(state.nowMs, this.leader.validUntilMs);
     // A leader whose transfer timed out or that lost its quorum lets others campaign first.
-    if (this.leader !== undefined || state.role !== 'follower') state.resetElectionTimer();
+    if (this.leader !== undefined) state.resetElectionTimer();
     this.leader = undefined;
     this.transfer = undefined;
     state.role = 'follower';
