Keep changes of leader and failures when the log's buffer is full

Cause: BoundedStream dropped whatever came when its 256 KiB were taken, so a burst of successes displaced the lines behind it.

Change: a level `notice` (normal but significant, as in syslog) for changes of leader; the stream knows the level of each line and makes room for notices, warnings and errors by dropping the oldest routine lines. What is left out is counted by level, in the metric and in a line that has a time and a message. Writing still never blocks.

--- a/packages/model/src/log.ts
+++ b/packages/model/src/log.ts
@@ -5,6 +5,8 @@
 export interface Log {
   debug(message: string, fields?: LogFields): void;
   info(message: string, fields?: LogFields): void;
+  /** A normal but significant event, such as a change of leader; kept when others are dropped. */
+  notice(message: string, fields?: LogFields): void;
   warn(message: string, fields?: LogFields): void;
   error(message: string, fields?: LogFields): void;
 }
@@ -13,6 +15,7 @@
 export const SILENT_LOG: Log = {
   debug() {},
   info() {},
+  notice() {},
   warn() {},
   error() {},
 };
--- a/packages/telemetry/src/createLogger.ts
+++ b/packages/telemetry/src/createLogger.ts
@@ -7,7 +7,7 @@
 
 /** Destination of log records. */
 export interface LogStream {
-  write(text: string): unknown;
+  write(text: string, level: LogLevel): unknown;
 }
 
 /** Options of {@link createLogger}. */
@@ -29,6 +29,8 @@
   _meta: { date: Date; logLevelName: string };
 }
 
+const STANDARD_ERROR: LogStream = { write: (text) => process.stderr.write(text) };
+
 /** Line length in characters above which fields are broken over several lines. */
 const MAX_PRETTY_LINE_LENGTH = 120;
 
@@ -50,12 +52,17 @@
 
 /** Creates the logger of a process. */
 export function createLogger(opts: LoggerOptions = {}): Logger {
-  const { level = 'info', format = 'json', fields = {}, stream = process.stderr } = opts;
+  const { level = 'info', format = 'json', fields = {}, stream = STANDARD_ERROR } = opts;
   const formatRecord = format === 'json' ? formatJson : formatPretty;
   const tslog = new Tslog<unknown>({
     type: 'hidden',
     hideLogPositionForProduction: true,
-    attachedTransports: [(record) => stream.write(formatRecord(record as unknown as TslogRecord))],
+    attachedTransports: [
+      (transported) => {
+        const record = transported as unknown as TslogRecord;
+        stream.write(formatRecord(record), record._meta.logLevelName.toLowerCase() as LogLevel);
+      },
+    ],
   });
   return new TslogLogger(tslog, level, fields);
 }
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -1,5 +1,5 @@
 /** Severities of log records, lowest first. */
-export const LOG_LEVELS = ['debug', 'info', 'warn', 'error'] as const;
+export const LOG_LEVELS = ['debug', 'info', 'notice', 'warn', 'error'] as const;
 
 /** Severity of a log record. */
 export type LogLevel = (typeof LOG_LEVELS)[number];
@@ -11,6 +11,8 @@
 export interface Logger {
   debug(message: string, fields?: LogFields): void;
   info(message: string, fields?: LogFields): void;
+  /** A normal but significant event, such as a change of leader; kept when others are dropped. */
+  notice(message: string, fields?: LogFields): void;
   warn(message: string, fields?: LogFields): void;
   error(message: string, fields?: LogFields): void;
   /** Returns whether records of a level are written, so that callers can skip building them. */
--- a/packages/telemetry/src/tslogLogger.ts
+++ b/packages/telemetry/src/tslogLogger.ts
@@ -4,7 +4,13 @@
 import { redact, redactText } from './redact.js';
 
 /** Level ids of tslog. */
-const LEVEL_IDS: Readonly<Record<LogLevel, number>> = { debug: 2, info: 3, warn: 4, error: 5 };
+const LEVEL_IDS: Readonly<Record<LogLevel, number>> = {
+  debug: 2,
+  info: 3,
+  notice: 3,
+  warn: 4,
+  error: 5,
+};
 
 /** Logger based on tslog; redacts records before it passes them on. */
 export class TslogLogger implements Logger {
@@ -22,6 +28,10 @@
     this.write('info', message, fields);
   }
 
+  notice(message: string, fields?: LogFields): void {
+    this.write('notice', message, fields);
+  }
+
   warn(message: string, fields?: LogFields): void {
     this.write('warn', message, fields);
   }
--- a/packages/telemetry/src/workflowMetrics.ts
+++ b/packages/telemetry/src/workflowMetrics.ts
@@ -1,10 +1,24 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
+import type { CallFailureReason, FailedCallState, TakeoverPhase } from './callFailure.js';
+import type { LogLevel } from './logger.js';
+
 /** Bucket bounds of the latency histograms. */
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
 
+/** Bucket bounds of the event-loop delay; leadership lapses after 0.28 s without a renewal. */
+const DELAY_BUCKETS_SECONDS = [0.005, 0.01, 0.02, 0.04, 0.07, 0.14, 0.28, 0.5, 1, 2];
+
 const MS_PER_SECOND = 1000;
 
+/** Waiting steps of the queues of one priority. */
+export interface WaitingSteps {
+  steps: number;
+  tasks: number;
+  /** Longest time for which one of them has been ready to start. */
+  longestWaitMs: number;
+}
+
 /** Records the metrics of the workflow layer and its gateways; durations are in milliseconds. */
 export interface WorkflowMetricsRecorder {
   countCall(operation: string, answer: string, durationMs: number): void;
@@ -17,6 +31,22 @@
   countLeadership(): void;
   setEndpoints(available: number, known: number): void;
   setConfigVersion(version: number): void;
+  /** Counts a call of a caller that was refused or got no response. */
+  countCallFailure(reason: CallFailureReason, state: FailedCallState): void;
+  /** Counts one failed try at the leader; a call may take several. */
+  countTryFailure(reason: CallFailureReason): void;
+  /** Adds time for which this instance had no valid leader. */
+  addLeaderAbsence(durationMs: number): void;
+  setLeaderAbsent(isAbsent: boolean): void;
+  /** Adds time for which this instance led without valid leadership. */
+  addInvalidLeadership(durationMs: number): void;
+  /** Records a phase of a change of leader, measured from the election. */
+  observeTakeover(phase: TakeoverPhase, durationMs: number): void;
+  observeEventLoopDelay(durationMs: number): void;
+  /** Records the time that the leader took for a call of another instance. */
+  observeLeaderCall(method: string, isAnswered: boolean, durationMs: number): void;
+  /** Replaces the waiting steps of all priorities. */
+  setWaitingSteps(waiting: ReadonlyMap<number, WaitingSteps>): void;
 }
 
 /** Discards all metrics. */
@@ -31,6 +61,15 @@
   countLeadership() {},
   setEndpoints() {},
   setConfigVersion() {},
+  countCallFailure() {},
+  countTryFailure() {},
+  addLeaderAbsence() {},
+  setLeaderAbsent() {},
+  addInvalidLeadership() {},
+  observeTakeover() {},
+  observeEventLoopDelay() {},
+  observeLeaderCall() {},
+  setWaitingSteps() {},
 };
 
 /** Workflow metrics in a separate registry. */
@@ -99,7 +138,74 @@
   private readonly droppedLogLines = this.createGauge(
     'lagoongap_log_lines_left_out',
     'Log lines left out because their reader was slow',
+    ['level'],
+  );
+
+  private readonly callFailures = this.createCounter(
+    'lagoongap_call_failures_total',
+    'Calls of callers that were refused or got no response, by reason',
+    ['reason', 'state'],
+  );
+
+  private readonly tryFailures = this.createCounter(
+    'lagoongap_leader_try_failures_total',
+    'Tries to reach the leader that failed, by reason; a call may take several',
+    ['reason'],
+  );
+
+  private readonly leaderAbsence = this.createCounter(
+    'lagoongap_without_leader_seconds_total',
+    'Time for which this instance had no valid leader',
+    [],
+  );
+
+  private readonly leaderAbsent = this.createGauge(
+    'lagoongap_without_leader',
+    'Whether this instance has no valid leader at present',
+    [],
+  );
+
+  private readonly invalidLeadership = this.createCounter(
+    'lagoongap_invalid_leadership_seconds_total',
+    'Time for which this instance led without valid leadership',
+    [],
+  );
+
+  private readonly takeovers = this.createHistogram(
+    'lagoongap_takeover_seconds',
+    'Time from the election of this instance to a phase of its leadership',
+    ['phase'],
+  );
+
+  private readonly eventLoopDelay = this.createHistogram(
+    'lagoongap_event_loop_delay_seconds',
+    'Delay of the event loop of the leader',
     [],
+    DELAY_BUCKETS_SECONDS,
+  );
+
+  private readonly leaderCalls = this.createHistogram(
+    'lagoongap_leader_call_seconds',
+    'Time that the leader took for a call of another instance',
+    ['method', 'answered'],
+  );
+
+  private readonly waitingSteps = this.createGauge(
+    'lagoongap_waiting_steps',
+    'Steps with tasks that are ready to start, by priority of the queue',
+    ['priority'],
+  );
+
+  private readonly waitingTasks = this.createGauge(
+    'lagoongap_waiting_tasks',
+    'Tasks that are ready to start, by priority of the queue',
+    ['priority'],
+  );
+
+  private readonly longestWait = this.createGauge(
+    'lagoongap_longest_wait_seconds',
+    'Longest time for which a step has been ready to start, by priority of the queue',
+    ['priority'],
   );
 
   countCall(operation: string, answer: string, durationMs: number): void {
@@ -143,13 +249,61 @@
     this.configVersion.set(version);
   }
 
-  setDroppedLogLines(count: number): void {
-    this.droppedLogLines.set(count);
+  countCallFailure(reason: CallFailureReason, state: FailedCallState): void {
+    this.callFailures.inc({ reason, state });
+  }
+
+  countTryFailure(reason: CallFailureReason): void {
+    this.tryFailures.inc({ reason });
+  }
+
+  addLeaderAbsence(durationMs: number): void {
+    this.leaderAbsence.inc(durationMs / MS_PER_SECOND);
+  }
+
+  setLeaderAbsent(isAbsent: boolean): void {
+    this.leaderAbsent.set(isAbsent ? 1 : 0);
+  }
+
+  addInvalidLeadership(durationMs: number): void {
+    this.invalidLeadership.inc(durationMs / MS_PER_SECOND);
+  }
+
+  observeTakeover(phase: TakeoverPhase, durationMs: number): void {
+    this.takeovers.observe({ phase }, durationMs / MS_PER_SECOND);
+  }
+
+  observeEventLoopDelay(durationMs: number): void {
+    this.eventLoopDelay.observe(durationMs / MS_PER_SECOND);
+  }
+
+  observeLeaderCall(method: string, isAnswered: boolean, durationMs: number): void {
+    const labels = { method, answered: String(isAnswered) };
+    this.leaderCalls.observe(labels, durationMs / MS_PER_SECOND);
+  }
+
+  setWaitingSteps(waiting: ReadonlyMap<number, WaitingSteps>): void {
+    for (const gauge of [this.waitingSteps, this.waitingTasks, this.longestWait]) gauge.reset();
+    for (const [priority, { steps, tasks, longestWaitMs }] of waiting) {
+      this.waitingSteps.set({ priority }, steps);
+      this.waitingTasks.set({ priority }, tasks);
+      this.longestWait.set({ priority }, longestWaitMs / MS_PER_SECOND);
+    }
+  }
+
+  /** Sets the number of log lines of a level that were left out since the start of the process. */
+  setDroppedLogLines(level: LogLevel, count: number): void {
+    this.droppedLogLines.set({ level }, count);
   }
 
-  private createHistogram(name: string, help: string, labelNames: string[]): Histogram {
+  private createHistogram(
+    name: string,
+    help: string,
+    labelNames: string[],
+    buckets: readonly number[] = LATENCY_BUCKETS_SECONDS,
+  ): Histogram {
     const registers = [this.registry];
-    return new Histogram({ name, help, labelNames, buckets: LATENCY_BUCKETS_SECONDS, registers });
+    return new Histogram({ name, help, labelNames, buckets: [...buckets], registers });
   }
 
   private createCounter(name: string, help: string, labelNames: string[]): Counter {
--- a/packages/tests/src/harness/logWriter.ts
+++ b/packages/tests/src/harness/logWriter.ts
@@ -1,5 +1,8 @@
 import { delay } from '@lagoongap/model/delay.js';
 import { BoundedStream } from '@lagoongap/telemetry/boundedStream.js';
+import { LOG_LEVELS, type LogLevel } from '@lagoongap/telemetry/logger.js';
+
+const SIGNIFICANT_LEVELS = ['notice', 'warn', 'error'] as const;
 
 /** Lines written in one event-loop iteration. */
 const LINES_PER_ITERATION = 50;
@@ -8,11 +11,20 @@
 const FLUSH_WAIT_MS = 200;
 
 const lineCount = Number(process.argv[2]);
+/** Every so many lines one is about a change of leader or a failure, in turn; 0 for none. */
+const significantInterval = Number(process.argv[3] ?? 0);
+
+function levelOf(line: number): LogLevel {
+  if (significantInterval === 0 || line % significantInterval !== 0) return 'info';
+  return SIGNIFICANT_LEVELS[(line / significantInterval) % SIGNIFICANT_LEVELS.length]!;
+}
+
 const stream = new BoundedStream();
 let longestPauseMs = 0;
 let lastMs = performance.now();
 for (let line = 0; line < lineCount; line += 1) {
-  stream.write(`${JSON.stringify({ line, text: 'x'.repeat(200) })}\n`);
+  const level = levelOf(line);
+  stream.write(`${JSON.stringify({ line, level, text: 'x'.repeat(200) })}\n`, level);
   if (line % LINES_PER_ITERATION !== 0) continue;
   await delay(1);
   const nowMs = performance.now();
@@ -20,4 +32,6 @@
   lastMs = nowMs;
 }
 await delay(FLUSH_WAIT_MS);
-process.stderr.write(`${JSON.stringify({ longestPauseMs, leftOut: stream.droppedLineCount })}\n`);
+const byLevel = Object.fromEntries(LOG_LEVELS.map((level) => [level, stream.countDropped(level)]));
+const leftOut = stream.droppedLineCount;
+process.stderr.write(`${JSON.stringify({ longestPauseMs, leftOut, byLevel })}\n`);
