--- a/packages/tests/src/steps/telemetry/metricsSteps.ts
+++ b/packages/tests/src/steps/telemetry/metricsSteps.ts
@@ -1,28 +1,17 @@
 import assert from 'node:assert/strict';
-import { readFileSync } from 'node:fs';
 
 import { Given, Then, When } from '@cucumber/cucumber';
 import { METRIC_DEFINITIONS } from '@lagoongap/telemetry/metricDefinitions.js';
 import { Metrics, type TeamMetrics } from '@lagoongap/telemetry/metrics.js';
 
+import { readDocumentedMetrics } from './documentedMetrics.js';
+
 interface MetricsWorld {
   metrics: Metrics;
 }
 
 const TEAM: TeamMetrics = { running: { tasks: 1 }, limit: {}, share: 0.1, usedShare: 0.1 };
 
-/** Reads the rows of the metrics table, each as name, type, labels and meaning. */
-function readDocumentedMetrics(file: string): string[] {
-  return readFileSync(file, 'utf8')
-    .split('\n')
-    .filter((line) => line.startsWith('| `lagoongap_'))
-    .map((line) => line.split('|').map((cell) => cell.replaceAll('`', '').trim()))
-    .map((cells) => {
-      assert.ok(cells[5], `${cells[1]} does not say which values need attention`);
-      return cells.slice(1, 5).join(' | ');
-    });
-}
-
 Given('metrics without process metrics', function create(this: MetricsWorld) {
   this.metrics = new Metrics({ processMetrics: false });
 });
--- a/packages/workflow/src/sessionContext.ts
+++ b/packages/workflow/src/sessionContext.ts
@@ -39,4 +39,6 @@
   logger: Log;
   meter: WorkflowMetricsRecorder;
   isValid: () => boolean;
+  /** Monotonic time of the election; by default the creation of the session. */
+  electedMs?: number;
 }
--- /dev/null
+++ b/packages/workflow/src/takeoverRecorder.ts
@@ -0,0 +1,27 @@
+import type { Log } from '@lagoongap/model/log.js';
+import type { TakeoverPhase } from '@lagoongap/telemetry/callFailure.js';
+import type { WorkflowMetricsRecorder } from '@lagoongap/telemetry/workflowMetrics.js';
+
+/** Records when a new leader first reaches each phase, measured from its election. */
+export class TakeoverRecorder {
+  private readonly log: Log;
+  private readonly meter: WorkflowMetricsRecorder;
+  private readonly electedMs: number;
+  private readonly reached = new Set<TakeoverPhase>();
+
+  /** @param electedMs - Monotonic time of the election. */
+  constructor(log: Log, meter: WorkflowMetricsRecorder, electedMs: number) {
+    this.log = log;
+    this.meter = meter;
+    this.electedMs = electedMs;
+  }
+
+  /** Records that a phase has been reached; does nothing after the first time. */
+  recordReached(phase: TakeoverPhase): void {
+    if (this.reached.has(phase)) return;
+    this.reached.add(phase);
+    const durationMs = performance.now() - this.electedMs;
+    this.meter.observeTakeover(phase, durationMs);
+    this.log.notice('take-over phase reached', { phase, sinceElectionMs: Math.round(durationMs) });
+  }
+}
--- /dev/null
+++ b/packages/workflow/src/waitMetrics.ts
@@ -0,0 +1,41 @@
+import type { WaitingSteps } from '@lagoongap/telemetry/workflowMetrics.js';
+
+import type { ReadySteps } from './readySteps.js';
+import type { SessionContext } from './sessionContext.js';
+
+/** Reports the steps that are ready to start, and how long they have been, by queue priority. */
+export class WaitMetrics {
+  private readonly context: SessionContext;
+  private readonly ready: ReadySteps;
+  /** Monotonic time since which a step has been ready. */
+  private sinceMs = new Map<string, number>();
+
+  constructor(context: SessionContext, ready: ReadySteps) {
+    this.context = context;
+    this.ready = ready;
+  }
+
+  /** Observes the waiting steps; called periodically. */
+  observe(): void {
+    const config = this.context.readConfig();
+    if (!config) return;
+    const nowMs = performance.now();
+    const priorities = new Map(config.queues.map(({ name, priority }) => [name, priority]));
+    const waiting = new Map<number, WaitingSteps>();
+    for (const priority of priorities.values()) {
+      waiting.set(priority, { steps: 0, tasks: 0, longestWaitMs: 0 });
+    }
+    const sinceMs = new Map<string, number>();
+    for (const step of this.ready.list()) {
+      const startMs = this.sinceMs.get(step.name) ?? nowMs;
+      sinceMs.set(step.name, startMs);
+      const total = waiting.get(priorities.get(step.job.queue) ?? NaN);
+      if (!total) continue;
+      total.steps += 1;
+      total.tasks += step.waiting.length;
+      total.longestWaitMs = Math.max(total.longestWaitMs, nowMs - startMs);
+    }
+    this.sinceMs = sinceMs;
+    this.context.meter.setWaitingSteps(waiting);
+  }
+}
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -13,6 +13,7 @@
 import { JobService } from './jobService.js';
 import { EventLoopLag } from './eventLoopLag.js';
 import { parseTaskName, stepName, type TaskRef } from './jobSpec.js';
+import { LeadershipMonitor } from './leadershipMonitor.js';
 import { listTasks, ReadySteps } from './readySteps.js';
 import { proposeWhileLeading } from './proposeWhileLeading.js';
 import { createAgentRun, RunDispatcher, runKey } from './runDispatcher.js';
@@ -21,7 +22,9 @@
 import { DurationEstimator } from './durationEstimator.js';
 import { StragglerDetector } from './stragglerDetector.js';
 import { StepScheduler } from './stepScheduler.js';
+import { TakeoverRecorder } from './takeoverRecorder.js';
 import { WaitLogger } from './waitLogger.js';
+import { WaitMetrics } from './waitMetrics.js';
 import { WaveRunner } from './waveRunner.js';
 import type { EndedRun } from './workflowCommand.js';
 import type { JobRecord } from './workflowRecords.js';
@@ -43,6 +46,7 @@
   readonly broker = new AdviceBroker();
   readonly jobs: JobService;
   readonly endpoints: EndpointService;
+  readonly takeover: TakeoverRecorder;
   private readonly opts: WorkflowSessionOptions;
   private readonly context: SessionContext;
   private readonly ledger = new RunLedger();
@@ -60,6 +64,8 @@
   private readonly retention: JobRetention;
   private readonly waves: WaveRunner;
   private readonly waitLogger: WaitLogger;
+  private readonly waitMetrics: WaitMetrics;
+  private monitor: LeadershipMonitor | undefined;
   private config: CellConfig | undefined;
   private cycleTimer: NodeJS.Timeout | undefined;
   private housekeepingTimer: NodeJS.Timeout | undefined;
@@ -67,6 +73,8 @@
 
   constructor(opts: WorkflowSessionOptions) {
     this.opts = opts;
+    const electedMs = opts.electedMs ?? performance.now();
+    this.takeover = new TakeoverRecorder(opts.logger, opts.meter, electedMs);
     this.context = {
       state: opts.state,
       driver: opts.driver,
@@ -112,6 +120,7 @@
       holder: opts.holder,
     });
     this.waitLogger = new WaitLogger(this.context, this.ready, this.scheduler);
+    this.waitMetrics = new WaitMetrics(this.context, this.ready);
     this.retention = new JobRetention(this.context);
     this.stragglers = new StragglerDetector(
       this.context,
@@ -141,15 +150,17 @@
 
   /** Adopts the runs of the previous leader and starts scheduling. */
   start(): void {
-    const { state, logger } = this.opts;
+    const { state, logger, meter, isValid } = this.opts;
+    this.monitor = new LeadershipMonitor({ log: logger, meter, isValid });
     for (const record of state.endpoints.values()) this.directory.add(record);
     let adopted = 0;
     for (const job of state.jobs.values()) adopted += this.adoptRuns(job);
     this.directory.startAll().catch((err: Error) => this.logFailure('endpoint agents', err));
     for (const id of state.jobs.keys()) this.refreshJob(id);
     this.housekeepingTimer = setInterval(() => this.runHousekeeping(), HOUSEKEEPING_INTERVAL_MS);
-    this.opts.meter.countLeadership();
-    logger.info('leadership of workflows begins', {
+    meter.countLeadership();
+    this.takeover.recordReached('adopted');
+    logger.notice('leadership of workflows begins', {
       term: this.context.fencingToken,
       jobs: state.jobs.size,
       endpoints: state.endpoints.size,
@@ -227,10 +238,12 @@
     this.isDisposed = true;
     clearTimeout(this.cycleTimer);
     clearInterval(this.housekeepingTimer);
+    this.monitor?.[Symbol.dispose]();
+    this.opts.meter.setWaitingSteps(new Map());
     for (const timer of this.occurrenceTimers.values()) clearTimeout(timer);
     this.directory[Symbol.dispose]();
     this.broker[Symbol.dispose]();
-    this.opts.logger.info('leadership of workflows ends', { term: this.context.fencingToken });
+    this.opts.logger.notice('leadership of workflows ends', { term: this.context.fencingToken });
   }
 
   private adoptRuns(job: JobRecord): number {
@@ -365,6 +378,7 @@
   private async runCycle(): Promise<void> {
     const config = this.readConfig();
     if (!config || !this.context.isValid()) return;
+    this.takeover.recordReached('first-cycle');
     const { planned, isComplete } = this.scheduler.decide(config);
     if (!isComplete) this.requestCycle(this.opts.timing.turnMs * CYCLE_PAUSE_FACTOR);
     if (planned.length === 0) return;
@@ -398,6 +412,7 @@
     this.opts.meter.setConfigVersion(this.opts.state.config.version);
     this.advice.prefetchAll();
     this.waitLogger.logWaitingSteps();
+    this.waitMetrics.observe();
     this.waves.advance().catch((err: Error) => this.logFailure('maintenance waves', err));
     for (const id of this.stragglers.findSlowJobs()) this.refreshJob(id);
     for (const { agent, run } of this.stragglers.findStalled()) {
