--- a/packages/daemon/src/memberList.ts
+++ b/packages/daemon/src/memberList.ts
@@ -47,7 +47,7 @@
         );
         this.lastContactMs = performance.now();
         this.update(members);
-        if (!hasContact) log.info('leader is reachable', { members });
+        if (!hasContact) log.notice('leader is reachable', { members });
         hasContact = true;
       } catch (err) {
         if (hasContact) log.warn('leader is out of touch', { err: (err as Error).message });
--- a/packages/daemon/src/workflowGateway.ts
+++ b/packages/daemon/src/workflowGateway.ts
@@ -2,6 +2,12 @@
 import type { Log } from '@lagoongap/model/log.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 import { TcpPeerNetwork } from '@lagoongap/peering/tcpPeerNetwork.js';
+import type { CallFailureReason } from '@lagoongap/telemetry/callFailure.js';
+import { LeaderAbsence } from '@lagoongap/telemetry/leaderAbsence.js';
+import {
+  NOOP_METRICS_RECORDER,
+  type WorkflowMetricsRecorder,
+} from '@lagoongap/telemetry/workflowMetrics.js';
 import type { JobResponse, JobCall } from '@lagoongap/workflow/jobCalls.js';
 
 import { AdvisorLoop, type Advisor } from './advisorLoop.js';
@@ -16,15 +22,16 @@
   seeds: string[];
   advisor: Advisor;
   log: Log;
+  meter?: WorkflowMetricsRecorder;
 }
 
 /** Response of the gateway: the leader's response, or the reason why there is none. */
 export type GatewayResponse =
   | JobResponse
   /** No leader accepted the call; nothing was changed. */
-  | { type: 'unavailable'; retryAfterMs: number }
+  | { type: 'unavailable'; retryAfterMs: number; reason?: CallFailureReason }
   /** The outcome is unknown: the call may have been applied. */
-  | { type: 'unknown' };
+  | { type: 'unknown'; reason?: CallFailureReason };
 
 /** Time without a response of the leader after which this instance reports itself as not ready. */
 const LEADER_CONTACT_TIMEOUT_MS = 3000;
@@ -56,6 +63,7 @@
       network: this.network,
       replicaInstances: this.members.instances,
       readLeaderHint: () => undefined,
+      absence: new LeaderAbsence({ log, meter: opts.meter ?? NOOP_METRICS_RECORDER }),
     });
     this.advisorLoop = new AdvisorLoop({ leader: this.leader, advisor, log });
   }
@@ -84,17 +92,20 @@
       return await this.leader.call<JobResponse>('jobs.call', call, { deadlineMs });
     } catch (err) {
       const refusal = err instanceof RefusalError ? err.refusal : undefined;
+      const details = refusal?.details as { reason?: CallFailureReason } | undefined;
+      const reason = details?.reason ?? 'failed';
       const isUnknown = refusal?.runState !== 'not-run' && call.operation !== 'read';
       this.opts.log.warn('call to the leader failed', {
         operation: call.operation,
         path: call.path,
         runState: refusal?.runState,
+        reason,
         heldMs: Math.round(performance.now() - receivedMs),
         err: (err as Error).message,
       });
       return isUnknown
-        ? { type: 'unknown' }
-        : { type: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
+        ? { type: 'unknown', reason }
+        : { type: 'unavailable', retryAfterMs: RETRY_AFTER_MS, reason };
     }
   }
 
--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -10,6 +10,7 @@
 import { TcpPeerNetwork } from '@lagoongap/peering/tcpPeerNetwork.js';
 import { FileLogStore } from '@lagoongap/storage/fileLogStore.js';
 import { NodeFileSystem } from '@lagoongap/storage/nodeFileSystem.js';
+import { LeaderAbsence } from '@lagoongap/telemetry/leaderAbsence.js';
 import {
   NOOP_METRICS_RECORDER,
   type WorkflowMetricsRecorder,
@@ -106,6 +107,7 @@
       network: this.network,
       replicaInstances: this.members.instances,
       readLeaderHint: () => this.replica.leaderId,
+      absence: new LeaderAbsence({ log, meter: opts.meter ?? NOOP_METRICS_RECORDER }),
     });
     this.store = new FileLogStore({
       dataFolder: opts.dataFolder,
@@ -159,7 +161,7 @@
     for (const seed of this.opts.seeds) this.network.connect(seed);
     this.members.startPolling(this.leader, this.opts.log);
     this.replica.onRoleChange(({ role, term, leaderId }) => {
-      this.opts.log.info('replica role', { role, term, leaderId });
+      this.opts.log.notice('replica role', { role, term, leaderId });
     });
     await this.replica.start();
     const { voters, learners } = this.replica.members();
@@ -220,7 +222,7 @@
       type: 'no-leader',
       runState: 'not-run',
       message: `instance ${this.instanceId} is not the leader`,
-      details: { leaderId: this.replica.leaderId },
+      details: this.isLeader ? { reason: 'leader-not-valid' } : { leaderId: this.replica.leaderId },
     });
   }
 }
--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -3,6 +3,10 @@
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 import { toError } from '@lagoongap/model/toError.js';
 import type { PeerNetwork } from '@lagoongap/peering/peerNetwork.js';
+import type { CallFailureReason } from '@lagoongap/telemetry/callFailure.js';
+import type { LeaderAbsence } from '@lagoongap/telemetry/leaderAbsence.js';
+
+import { classifyTryFailure } from './classifyTryFailure.js';
 
 /** Options of {@link LeaderClient}. */
 export interface LeaderClientOptions {
@@ -11,6 +15,8 @@
   replicaInstances: string[];
   /** Returns the leader that the local replica follows, if any. */
   readLeaderHint: () => string | undefined;
+  /** Records failed tries and responses. */
+  absence?: LeaderAbsence;
 }
 
 /** Options of {@link LeaderClient.call}. */
@@ -59,19 +65,26 @@
   async call<Result>(method: string, params: unknown, opts: LeaderCallOptions): Promise<Result> {
     const endMs = performance.now() + opts.deadlineMs;
     let mayHaveRun = false;
+    let reason: CallFailureReason = 'no-leader-known';
     for (;;) {
       const target = this.pickTarget();
       const remainingMs = endMs - performance.now();
       const timeoutMs = Math.min(remainingMs, opts.tryTimeoutMs ?? remainingMs);
-      if (remainingMs <= 0 || opts.signal?.aborted) throw this.createRefusal(method, mayHaveRun);
+      if (remainingMs <= 0 || opts.signal?.aborted) {
+        throw this.createRefusal(method, mayHaveRun, reason);
+      }
+      const sentMs = performance.now();
       try {
         const result = await this.opts.network.call(target, method, params, { timeoutMs });
         this.leader = target;
+        this.opts.absence?.recordResponse(target);
         return result as Result;
-      } catch (reason) {
-        const err = toError(reason);
+      } catch (thrown) {
+        const err = toError(thrown);
         const refusal = readRefusal(err);
         if (refusal && refusal.type !== 'no-leader') throw new RefusalError(refusal);
+        reason = classifyTryFailure(err, refusal);
+        this.opts.absence?.recordFailure(reason, target, sentMs);
         if (!refusal && err.name !== 'PeerUnavailableError') mayHaveRun = true;
         if (err.name === 'PeerTimeoutError') {
           this.unresponsiveReplica = {
@@ -114,11 +127,16 @@
     if (!isUsable && this.opts.readLeaderHint() === failed) this.leader = this.pickNextReplica();
   }
 
-  private createRefusal(method: string, mayHaveRun: boolean): RefusalError {
+  private createRefusal(
+    method: string,
+    mayHaveRun: boolean,
+    reason: CallFailureReason,
+  ): RefusalError {
     return new RefusalError({
       type: 'no-leader',
       runState: mayHaveRun ? 'unknown' : 'not-run',
       message: `no valid leader responded to ${method} before the deadline`,
+      details: { reason },
     });
   }
 }
--- a/packages/telemetry/src/callFailure.ts
+++ b/packages/telemetry/src/callFailure.ts
@@ -2,7 +2,9 @@
 export type CallFailureReason =
   /** No instance was known to lead. */
   | 'no-leader-known'
-  /** The instance that was asked does not lead, or its leadership is not valid. */
+  /** The instance that was asked does not lead, and named the leader. */
+  | 'not-leader'
+  /** The leadership of the instance that was asked is not valid at present. */
   | 'leader-not-valid'
   /** The instance that was asked could not be reached; nothing was sent. */
   | 'unreachable'
@@ -30,5 +32,5 @@
   | 'adopted'
   /** The first scheduling cycle has begun. */
   | 'first-cycle'
-  /** The first call has been answered. */
+  /** The first call of a caller has been answered. */
   | 'first-response';
--- a/packages/workflow/src/workflowCoordinator.ts
+++ b/packages/workflow/src/workflowCoordinator.ts
@@ -68,11 +68,14 @@
   }
 
   private async beginSession(term: number): Promise<void> {
+    const electedMs = performance.now();
     await this.endSession();
     await this.log.whenReadyToLead();
     if (this.log.term !== term || this.log.role !== 'leader') return;
-    const session = new WorkflowSession({ ...this.opts, isValid: () => this.isValid() });
+    const isValid = () => this.isValid();
+    const session = new WorkflowSession({ ...this.opts, isValid, electedMs });
     this.session = session;
+    session.takeover.recordReached('applied');
     session.start();
   }
 
@@ -90,7 +93,7 @@
         type: 'no-leader',
         runState: 'not-run',
         message: `instance ${this.opts.instanceId} is not the leader`,
-        details: { leaderId: session ? undefined : this.log.leaderId },
+        details: session ? { reason: 'leader-not-valid' } : { leaderId: this.log.leaderId },
       });
     }
     return session;
@@ -158,7 +161,7 @@
       return { type: 'accepted' };
     }
     await this.log.propose({ type: 'configure', version, document });
-    logger.info('configuration is in force', { version, current: state.config.version });
+    logger.notice('configuration is in force', { version, current: state.config.version });
     return { type: 'accepted' };
   }
 
@@ -166,6 +169,9 @@
     method: string,
     handler: (session: WorkflowSession, params: Params) => unknown,
   ): void {
-    this.opts.network.handle(method, (params) => handler(this.requireSession(), params as Params));
+    this.opts.network.handle(method, async (params) => {
+      const session = this.requireSession();
+      return session.measureCall(method, () => handler(session, params as Params));
+    });
   }
 }
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -169,6 +169,20 @@
     });
   }
 
+  /** Runs the handler of a call, and records its duration and the first response. */
+  async measureCall(method: string, handle: () => unknown): Promise<unknown> {
+    const startMs = performance.now();
+    let isAnswered = false;
+    try {
+      const response = await handle();
+      isAnswered = true;
+      if (method === 'jobs.call') this.takeover.recordReached('first-response');
+      return response;
+    } finally {
+      this.opts.meter.observeLeaderCall(method, isAnswered, performance.now() - startMs);
+    }
+  }
+
   /** Returns the configuration in force; parsed again when its version changes. */
   readConfig(): CellConfig | undefined {
     const { state, parseConfig } = this.opts;
