--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -84,7 +84,7 @@
         const refusal = readRefusal(err);
         if (refusal && refusal.type !== 'no-leader') throw new RefusalError(refusal);
         reason = classifyTryFailure(err, refusal);
-        this.opts.absence?.recordFailure(reason, target, sentMs);
+        this.opts.absence?.recordFailure(reason, { target, method, sentMs });
         if (!refusal && err.name !== 'PeerUnavailableError') mayHaveRun = true;
         if (err.name === 'PeerTimeoutError') {
           this.unresponsiveReplica = {
--- a/packages/telemetry/src/leaderAbsence.ts
+++ b/packages/telemetry/src/leaderAbsence.ts
@@ -9,9 +9,19 @@
   meter: WorkflowMetricsRecorder;
 }
 
+/** One try of a call. */
+export interface LeaderTry {
+  /** Instance that was asked. */
+  target: string;
+  method: string;
+  /** Monotonic time at which the try began. */
+  sentMs: number;
+}
+
 /**
  * Measures for how long an instance has had no valid leader, from the results of its calls. A
- * period lasts from the start of the first failed try to the next response of a leader.
+ * period lasts from the start of the first failed try, but not from before the last response, to
+ * the next response of a leader.
  */
 export class LeaderAbsence {
   private readonly log: Log;
@@ -19,6 +29,7 @@
   private beganMs: number | undefined;
   private countedUntilMs = 0;
   private totalMs = 0;
+  private lastResponseMs = -Infinity;
   private readonly failures = new Map<CallFailureReason, number>();
 
   constructor({ log, meter }: LeaderAbsenceOptions) {
@@ -31,21 +42,23 @@
     return this.totalMs;
   }
 
-  /** Records a try at `target` that began at the monotonic time `sentMs` and failed. */
-  recordFailure(reason: CallFailureReason, target: string | undefined, sentMs: number): void {
+  /** Records a failed try. */
+  recordFailure(reason: CallFailureReason, { target, method, sentMs }: LeaderTry): void {
     this.meter.countTryFailure(reason);
     this.failures.set(reason, (this.failures.get(reason) ?? 0) + 1);
     if (this.beganMs === undefined) {
-      this.beganMs = sentMs;
-      this.countedUntilMs = sentMs;
+      // A call may wait at the leader for long while others are answered.
+      this.beganMs = Math.max(sentMs, this.lastResponseMs);
+      this.countedUntilMs = this.beganMs;
       this.meter.setLeaderAbsent(true);
-      this.log.notice('no valid leader', { reason, target });
+      this.log.notice('no valid leader', { reason, target, method });
     }
     this.addElapsed();
   }
 
   /** Records a response of a valid leader. */
   recordResponse(leader: string): void {
+    this.lastResponseMs = performance.now();
     if (this.beganMs === undefined) return;
     this.addElapsed();
     this.log.notice('valid leader found', {
--- a/packages/tests/src/steps/telemetry/workflowMetricsSteps.ts
+++ b/packages/tests/src/steps/telemetry/workflowMetricsSteps.ts
@@ -41,7 +41,7 @@
   function fail(this: WorkflowMetricsWorld, ms: string, reason: CallFailureReason) {
     const sentMs = performance.now();
     this.clock!.tick(Number(ms));
-    this.absence.recordFailure(reason, 'core-1', sentMs);
+    this.absence.recordFailure(reason, { target: 'core-1', method: 'jobs.call', sentMs });
   },
 );
 
--- a/packages/workflow/src/waitMetrics.ts
+++ b/packages/workflow/src/sessionMetrics.ts
@@ -1,22 +1,37 @@
 import type { WaitingSteps } from '@lagoongap/telemetry/workflowMetrics.js';
 
+import type { EndpointDirectory } from './endpointDirectory.js';
 import type { ReadySteps } from './readySteps.js';
 import type { SessionContext } from './sessionContext.js';
 
-/** Reports the steps that are ready to start, and how long they have been, by queue priority. */
-export class WaitMetrics {
+/**
+ * Reports the endpoints, the configuration in force, and the steps that are ready to start with
+ * the time for which they have been, by queue priority.
+ */
+export class SessionMetrics {
   private readonly context: SessionContext;
   private readonly ready: ReadySteps;
+  private readonly directory: EndpointDirectory;
   /** Monotonic time since which a step has been ready. */
   private sinceMs = new Map<string, number>();
 
-  constructor(context: SessionContext, ready: ReadySteps) {
+  constructor(context: SessionContext, ready: ReadySteps, directory: EndpointDirectory) {
     this.context = context;
     this.ready = ready;
+    this.directory = directory;
   }
 
-  /** Observes the waiting steps; called periodically. */
-  observe(): void {
+  /** Updates all metrics; called periodically. */
+  update(): void {
+    const { meter, state } = this.context;
+    const agents = this.directory.list();
+    const available = agents.filter((agent) => this.directory.isResponsive(agent)).length;
+    meter.setEndpoints(available, agents.length);
+    meter.setConfigVersion(state.config.version);
+    this.updateWaitingSteps();
+  }
+
+  private updateWaitingSteps(): void {
     const config = this.context.readConfig();
     if (!config) return;
     const nowMs = performance.now();
--- a/packages/workflow/src/takeoverRecorder.ts
+++ b/packages/workflow/src/takeoverRecorder.ts
@@ -2,7 +2,7 @@
 import type { TakeoverPhase } from '@lagoongap/telemetry/callFailure.js';
 import type { WorkflowMetricsRecorder } from '@lagoongap/telemetry/workflowMetrics.js';
 
-/** Records when a new leader first reaches each phase, measured from its election. */
+/** Records the phases of a leadership, measured from its election, and the calls that it handles. */
 export class TakeoverRecorder {
   private readonly log: Log;
   private readonly meter: WorkflowMetricsRecorder;
@@ -24,4 +24,18 @@
     this.meter.observeTakeover(phase, durationMs);
     this.log.notice('take-over phase reached', { phase, sinceElectionMs: Math.round(durationMs) });
   }
+
+  /** Runs the handler of a call, and records its duration. */
+  async measureCall(method: string, handle: () => unknown): Promise<unknown> {
+    const startMs = performance.now();
+    let isAnswered = false;
+    try {
+      const response = await handle();
+      isAnswered = true;
+      if (method === 'jobs.call') this.recordReached('first-response');
+      return response;
+    } finally {
+      this.meter.observeLeaderCall(method, isAnswered, performance.now() - startMs);
+    }
+  }
 }
--- a/packages/workflow/src/workflowCoordinator.ts
+++ b/packages/workflow/src/workflowCoordinator.ts
@@ -171,7 +171,7 @@
   ): void {
     this.opts.network.handle(method, async (params) => {
       const session = this.requireSession();
-      return session.measureCall(method, () => handler(session, params as Params));
+      return session.takeover.measureCall(method, () => handler(session, params as Params));
     });
   }
 }
