Take over in slices, so that a new leader keeps its validity

Cause: start() adopted every run, refreshed every stored job, ended ones too, and logged and counted the end of each of them again, all in one turn of the event loop. prefetchAll, every 250 ms, chose endpoints for all upcoming steps in one turn.

Change: adoption of all runs comes first and is done in slices of 4 ms; nothing is scheduled until it is complete, so that nothing can be overcommitted, and agents start after it. Then the open jobs are refreshed in slices, then scheduling begins. Ends that a former leader has reported are neither logged nor counted. prefetchAll runs in slices with pauses, one pass at a time. A change of availability refreshes only jobs whose tasks may be copied, as no others depend on it. Agents start once, as an endpoint can register during the adoption.

--- a/packages/workflow/src/advicePrefetcher.ts
+++ b/packages/workflow/src/advicePrefetcher.ts
@@ -1,5 +1,6 @@
 import type { CellConfig } from './cellConfig.js';
 import type { ReadySteps } from './readySteps.js';
+import { runInSlices } from './runInSlices.js';
 import type { SessionContext } from './sessionContext.js';
 import type { StepScheduler } from './stepScheduler.js';
 import type { StragglerDetector } from './stragglerDetector.js';
@@ -18,9 +19,13 @@
 /** Time by which advice is requested ahead of its use, in addition to the advisor's latency. */
 const PREFETCH_LEAD_MS = 1000;
 
+/** Pause between two slices of a pass over all jobs, for calls and orders. */
+const SLICE_PAUSE_MS = 8;
+
 /** Requests advice for steps that cannot start yet, so that they do not wait for it later. */
 export class AdvicePrefetcher {
   private readonly opts: AdvicePrefetcherOptions;
+  private isPassing = false;
 
   constructor(opts: AdvicePrefetcherOptions) {
     this.opts = opts;
@@ -49,10 +54,17 @@
     }
   }
 
-  /** Requests advice for the upcoming steps of all jobs. */
-  prefetchAll(): void {
-    const config = this.opts.context.readConfig();
-    if (!config) return;
-    for (const job of this.opts.context.state.jobs.values()) this.prefetchUpcoming(job, config);
+  /** Requests advice for the upcoming steps of all jobs; does nothing while a pass is running. */
+  async prefetchAll(): Promise<void> {
+    const { context } = this.opts;
+    const config = context.readConfig();
+    if (!config || this.isPassing) return;
+    this.isPassing = true;
+    const prefetch = (job: JobRecord): void => this.prefetchUpcoming(job, config);
+    try {
+      await runInSlices(context.state.jobs.values(), prefetch, context.isValid, SLICE_PAUSE_MS);
+    } finally {
+      this.isPassing = false;
+    }
   }
 }
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -118,6 +118,7 @@
   private readonly opts: EndpointAgentOptions;
   private ackedReport = 0;
   private hasUnackedReports = false;
+  private isStarted = false;
   private isDisposed = false;
   private wake: (() => void) | undefined;
   private processing: Promise<void> = Promise.resolve();
@@ -131,8 +132,10 @@
     return this.record.id;
   }
 
-  /** Starts the inspection loop. */
+  /** Starts the inspection loop; does nothing if it has been started. */
   start(): void {
+    if (this.isStarted) return;
+    this.isStarted = true;
     this.loop().catch((err: Error) => {
       this.opts.log.error('endpoint agent failed', { endpoint: this.id, err: err.message });
     });
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -17,14 +17,15 @@
 import { listTasks, ReadySteps } from './readySteps.js';
 import { proposeWhileLeading } from './proposeWhileLeading.js';
 import { createAgentRun, RunDispatcher, runKey } from './runDispatcher.js';
+import { runInSlices } from './runInSlices.js';
 import { createReservation, RunLedger } from './runLedger.js';
 import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
 import { DurationEstimator } from './durationEstimator.js';
+import { SessionMetrics } from './sessionMetrics.js';
 import { StragglerDetector } from './stragglerDetector.js';
 import { StepScheduler } from './stepScheduler.js';
 import { TakeoverRecorder } from './takeoverRecorder.js';
 import { WaitLogger } from './waitLogger.js';
-import { WaitMetrics } from './waitMetrics.js';
 import { WaveRunner } from './waveRunner.js';
 import type { EndedRun } from './workflowCommand.js';
 import type { JobRecord } from './workflowRecords.js';
@@ -64,17 +65,20 @@
   private readonly retention: JobRetention;
   private readonly waves: WaveRunner;
   private readonly waitLogger: WaitLogger;
-  private readonly waitMetrics: WaitMetrics;
-  private monitor: LeadershipMonitor | undefined;
+  private readonly metrics: SessionMetrics;
+  private readonly monitor: LeadershipMonitor;
   private config: CellConfig | undefined;
   private cycleTimer: NodeJS.Timeout | undefined;
   private housekeepingTimer: NodeJS.Timeout | undefined;
+  /** All runs of the previous leader are adopted; nothing is scheduled before. */
+  private hasTakenOver = false;
   private isDisposed = false;
 
   constructor(opts: WorkflowSessionOptions) {
     this.opts = opts;
-    const electedMs = opts.electedMs ?? performance.now();
-    this.takeover = new TakeoverRecorder(opts.logger, opts.meter, electedMs);
+    const { logger, meter, isValid, electedMs = performance.now() } = opts;
+    this.takeover = new TakeoverRecorder(logger, meter, electedMs);
+    this.monitor = new LeadershipMonitor({ log: logger, meter, isValid });
     this.context = {
       state: opts.state,
       driver: opts.driver,
@@ -120,7 +124,7 @@
       holder: opts.holder,
     });
     this.waitLogger = new WaitLogger(this.context, this.ready, this.scheduler);
-    this.waitMetrics = new WaitMetrics(this.context, this.ready);
+    this.metrics = new SessionMetrics(this.context, this.ready, this.directory);
     this.retention = new JobRetention(this.context);
     this.stragglers = new StragglerDetector(
       this.context,
@@ -148,15 +152,31 @@
     });
   }
 
-  /** Adopts the runs of the previous leader and starts scheduling. */
+  /** Begins to adopt the runs of the previous leader; scheduling starts when all are adopted. */
   start(): void {
-    const { state, logger, meter, isValid } = this.opts;
-    this.monitor = new LeadershipMonitor({ log: logger, meter, isValid });
+    const { state, logger } = this.opts;
     for (const record of state.endpoints.values()) this.directory.add(record);
+    this.retention.recordFormerEnds();
+    this.takeOver().catch((err: Error) => {
+      logger.error('take-over failed', { term: this.context.fencingToken, err: err.message });
+    });
+  }
+
+  private async takeOver(): Promise<void> {
+    const { state, logger, meter } = this.opts;
+    const isActive = () => !this.isDisposed;
     let adopted = 0;
-    for (const job of state.jobs.values()) adopted += this.adoptRuns(job);
+    const adopt = (job: JobRecord): void => {
+      adopted += this.adoptRuns(job);
+    };
+    await runInSlices(state.jobs.values(), adopt, isActive);
+    if (this.isDisposed) return;
     this.directory.startAll().catch((err: Error) => this.logFailure('endpoint agents', err));
-    for (const id of state.jobs.keys()) this.refreshJob(id);
+    const openJobs = [...state.jobs.values()].filter(({ status }) => status === 'open');
+    await runInSlices(openJobs, ({ id }) => this.refreshJob(id), isActive);
+    if (this.isDisposed) return;
+    this.hasTakenOver = true;
+    this.requestCycle();
     this.housekeepingTimer = setInterval(() => this.runHousekeeping(), HOUSEKEEPING_INTERVAL_MS);
     meter.countLeadership();
     this.takeover.recordReached('adopted');
@@ -169,20 +189,6 @@
     });
   }
 
-  /** Runs the handler of a call, and records its duration and the first response. */
-  async measureCall(method: string, handle: () => unknown): Promise<unknown> {
-    const startMs = performance.now();
-    let isAnswered = false;
-    try {
-      const response = await handle();
-      isAnswered = true;
-      if (method === 'jobs.call') this.takeover.recordReached('first-response');
-      return response;
-    } finally {
-      this.opts.meter.observeLeaderCall(method, isAnswered, performance.now() - startMs);
-    }
-  }
-
   /** Returns the configuration in force; parsed again when its version changes. */
   readConfig(): CellConfig | undefined {
     const { state, parseConfig } = this.opts;
@@ -232,9 +238,10 @@
   }
 
   onAvailabilityChange(agent: EndpointAgent): void {
-    for (const id of new Set([...agent.runs.values()].map(({ task }) => task.jobId))) {
-      this.refreshJob(id);
-    }
+    // Only tasks that may be copied can start because the endpoint of their run is unavailable.
+    const tasks = [...agent.runs.values()].map(({ task }) => task);
+    const copied = tasks.filter((task) => this.opts.state.findSpec(task)?.allowsCopies);
+    for (const id of new Set(copied.map(({ jobId }) => jobId))) this.refreshJob(id);
     this.scheduler.recheckBlocked();
     this.requestCycle();
   }
@@ -252,7 +259,7 @@
     this.isDisposed = true;
     clearTimeout(this.cycleTimer);
     clearInterval(this.housekeepingTimer);
-    this.monitor?.[Symbol.dispose]();
+    this.monitor[Symbol.dispose]();
     this.opts.meter.setWaitingSteps(new Map());
     for (const timer of this.occurrenceTimers.values()) clearTimeout(timer);
     this.directory[Symbol.dispose]();
@@ -382,7 +389,7 @@
   }
 
   private requestCycle(pauseMs = CYCLE_INTERVAL_MS): void {
-    if (this.isDisposed || this.cycleTimer) return;
+    if (this.isDisposed || !this.hasTakenOver || this.cycleTimer) return;
     this.cycleTimer = setTimeout(() => {
       this.cycleTimer = undefined;
       this.runCycle().catch((err: Error) => this.logFailure('scheduling cycle', err));
@@ -420,13 +427,9 @@
     this.scheduler.recheckBlocked();
     for (const id of this.retention.removeExpired()) this.occurrenceTimers.delete(id);
     this.endpoints.removeUnresponsive();
-    const agents = this.directory.list();
-    const available = agents.filter((agent) => this.directory.isResponsive(agent)).length;
-    this.opts.meter.setEndpoints(available, agents.length);
-    this.opts.meter.setConfigVersion(this.opts.state.config.version);
-    this.advice.prefetchAll();
+    this.metrics.update();
+    this.advice.prefetchAll().catch((err: Error) => this.logFailure('advice', err));
     this.waitLogger.logWaitingSteps();
-    this.waitMetrics.observe();
     this.waves.advance().catch((err: Error) => this.logFailure('maintenance waves', err));
     for (const id of this.stragglers.findSlowJobs()) this.refreshJob(id);
     for (const { agent, run } of this.stragglers.findStalled()) {
