--- a/packages/daemon/src/jobCallForwarder.ts
+++ b/packages/daemon/src/jobCallForwarder.ts
@@ -1,6 +1,7 @@
 import type { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
 import type { Log } from '@lagoongap/model/log.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
+import type { CallFailureReason } from '@lagoongap/telemetry/callFailure.js';
 import type { JobCall, JobResponse } from '@lagoongap/workflow/jobCalls.js';
 
 import { TRY_TIMEOUT_MS } from './workflowPeers.js';
@@ -9,9 +10,9 @@
 export type GatewayResponse =
   | JobResponse
   /** No leader accepted the call; nothing was changed. */
-  | { type: 'unavailable'; retryAfterMs: number }
+  | { type: 'unavailable'; retryAfterMs: number; reason?: CallFailureReason }
   /** The outcome is unknown: the call may have been applied. */
-  | { type: 'unknown' };
+  | { type: 'unknown'; reason?: CallFailureReason };
 
 /** Time after which a caller may retry when there is no leader. */
 const RETRY_AFTER_MS = 1000;
@@ -36,17 +37,20 @@
       });
     } catch (err) {
       const refusal = err instanceof RefusalError ? err.refusal : undefined;
+      const details = refusal?.details as { reason?: CallFailureReason } | undefined;
+      const reason = details?.reason ?? 'failed';
       const isUnknown = refusal?.runState !== 'not-run' && call.operation !== 'read';
       this.log.warn('call to the leader failed', {
         operation: call.operation,
         path: call.path,
         runState: refusal?.runState,
+        reason,
         heldMs: Math.round(performance.now() - receivedMs),
         err: (err as Error).message,
       });
       return isUnknown
-        ? { type: 'unknown' }
-        : { type: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
+        ? { type: 'unknown', reason }
+        : { type: 'unavailable', retryAfterMs: RETRY_AFTER_MS, reason };
     }
   }
 }
--- a/packages/daemon/src/workflowGateway.ts
+++ b/packages/daemon/src/workflowGateway.ts
@@ -1,6 +1,11 @@
 import { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
 import type { Log } from '@lagoongap/model/log.js';
 import { TcpPeerNetwork } from '@lagoongap/peering/tcpPeerNetwork.js';
+import { LeaderAbsence } from '@lagoongap/telemetry/leaderAbsence.js';
+import {
+  NOOP_METRICS_RECORDER,
+  type WorkflowMetricsRecorder,
+} from '@lagoongap/telemetry/workflowMetrics.js';
 
 import { AdvisorLoop, type Advisor } from './advisorLoop.js';
 import { JobCallForwarder } from './jobCallForwarder.js';
@@ -15,6 +20,7 @@
   seeds: string[];
   advisor: Advisor;
   log: Log;
+  meter?: WorkflowMetricsRecorder;
 }
 
 /** Time without a response of the leader after which this instance reports itself as not ready. */
@@ -46,6 +52,7 @@
       network: this.network,
       replicaInstances: this.members.instances,
       readLeaderHint: () => undefined,
+      absence: new LeaderAbsence({ log, meter: opts.meter ?? NOOP_METRICS_RECORDER }),
     });
     this.jobs = new JobCallForwarder(this.leader, log);
     this.advisorLoop = new AdvisorLoop({ leader: this.leader, advisor, log });
--- a/packages/gateway/src/callTries.ts
+++ b/packages/gateway/src/callTries.ts
@@ -1,7 +1,11 @@
 import { toError } from '@lagoongap/model/toError.js';
 
 /** How one try of a call ended. */
-export type TryOutcome = { target: string; result: unknown } | { target: string; err: Error };
+export type TryOutcome = {
+  target: string;
+  /** Monotonic time at which the try was sent. */
+  sentMs: number;
+} & ({ result: unknown } | { err: Error });
 
 /** The tries of one call. An unanswered try stays pending: its late response still counts. */
 export class CallTries {
@@ -20,11 +24,12 @@
   }
 
   add(target: string, response: Promise<unknown>): void {
+    const sentMs = performance.now();
     this.added += 1;
     this.pending += 1;
     response.then(
-      (result) => this.settle({ target, result }),
-      (reason) => this.settle({ target, err: toError(reason) }),
+      (result) => this.settle({ target, sentMs, result }),
+      (reason) => this.settle({ target, sentMs, err: toError(reason) }),
     );
   }
 
--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -1,6 +1,10 @@
 import type { Refusal } from '@lagoongap/model/refusal.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 import type { PeerNetwork } from '@lagoongap/peering/peerNetwork.js';
+import type { CallFailureReason } from '@lagoongap/telemetry/callFailure.js';
+import type { LeaderAbsence } from '@lagoongap/telemetry/leaderAbsence.js';
+
+import { classifyTryFailure } from './classifyTryFailure.js';
 
 import { CallTries } from './callTries.js';
 
@@ -11,6 +15,8 @@
   replicaInstances: string[];
   /** Returns the leader that the local replica follows, if any. */
   readLeaderHint: () => string | undefined;
+  /** Records failed tries and responses. */
+  absence?: LeaderAbsence;
 }
 
 /** Options of {@link LeaderClient.call}. */
@@ -74,13 +80,19 @@
     let current: string | undefined;
     let isRedirected = false;
     let waitEndMs = performance.now();
+    let reason: CallFailureReason = 'no-leader-known';
     for (;;) {
       const remainingMs = endMs - performance.now();
       // The outcome of a try would be unknown if the deadline passed during it.
       const isTooLate = tries.count > 0 && remainingMs < MIN_RETRY_MS;
       const isFinished = isTooLate && tries.pendingCount === 0;
       if (remainingMs <= 0 || isFinished || opts.signal?.aborted) {
-        throw this.createRefusal(method, mayHaveRun || tries.pendingCount > 0);
+        const hasPending = tries.pendingCount > 0;
+        throw this.createRefusal(
+          method,
+          mayHaveRun || hasPending,
+          hasPending ? 'timed-out' : reason,
+        );
       }
       if (performance.now() >= waitEndMs) {
         if (current !== undefined) this.skip(current);
@@ -93,9 +105,10 @@
       }
       const outcome = await tries.next(waitEndMs - performance.now());
       if (!outcome) continue;
-      const { target } = outcome;
+      const { target, sentMs } = outcome;
       if ('result' in outcome) {
         this.leader = target;
+        this.opts.absence?.recordResponse(target);
         this.skippedUntilMs.delete(target);
         return outcome.result as Result;
       }
@@ -105,6 +118,8 @@
         const runState = mayHaveRun ? 'unknown' : 'not-run';
         throw new RefusalError({ ...refusal, runState }, outcome.err);
       }
+      reason = classifyTryFailure(outcome.err, refusal);
+      this.opts.absence?.recordFailure(reason, { target, method, sentMs });
       const hasHint = this.handleFailure(target, outcome.err, refusal);
       if (target !== current) continue;
       current = undefined;
@@ -159,11 +174,16 @@
     return isUsable;
   }
 
-  private createRefusal(method: string, mayHaveRun: boolean): RefusalError {
+  private createRefusal(
+    method: string,
+    mayHaveRun: boolean,
+    reason: CallFailureReason,
+  ): RefusalError {
     return new RefusalError({
       type: 'no-leader',
       runState: mayHaveRun ? 'unknown' : 'not-run',
       message: `no valid leader responded to ${method} before the deadline`,
+      details: { reason },
     });
   }
 }
--- a/packages/workflow/src/sessionContext.ts
+++ b/packages/workflow/src/sessionContext.ts
@@ -41,4 +41,6 @@
   logger: Log;
   meter: WorkflowMetricsRecorder;
   isValid: () => boolean;
+  /** Monotonic time of the election; by default the creation of the session. */
+  electedMs?: number;
 }
--- a/packages/workflow/src/workflowCoordinator.ts
+++ b/packages/workflow/src/workflowCoordinator.ts
@@ -76,11 +76,14 @@
   }
 
   private async beginSession(term: number): Promise<void> {
+    const electedMs = performance.now();
     await this.endSession();
     await this.log.whenReadyToLead();
     if (this.log.term !== term || this.log.role !== 'leader') return;
-    const session = new WorkflowSession({ ...this.opts, isValid: () => this.isValid() });
+    const isValid = () => this.isValid();
+    const session = new WorkflowSession({ ...this.opts, isValid, electedMs });
     this.session = session;
+    session.takeover.recordReached('applied');
     session.start();
   }
 
@@ -108,7 +111,7 @@
       type: 'no-leader' as const,
       runState,
       message: `instance ${this.opts.instanceId} is not the leader`,
-      details: { leaderId: this.session ? undefined : this.log.leaderId },
+      details: this.session ? { reason: 'leader-not-valid' } : { leaderId: this.log.leaderId },
     };
     return new RefusalError(refusal, cause);
   }
@@ -183,7 +186,7 @@
       return { type: 'accepted' };
     }
     await this.log.propose({ type: 'configure', version, document });
-    logger.info('configuration is in force', { version, current: state.config.version });
+    logger.notice('configuration is in force', { version, current: state.config.version });
     return { type: 'accepted' };
   }
 
@@ -195,7 +198,7 @@
     this.opts.network.handle(method, async (params) => {
       const session = this.requireSession();
       try {
-        return await handler(session, params as Params);
+        return await session.takeover.measureCall(method, () => handler(session, params as Params));
       } catch (err) {
         throw this.toRefusal(err, notAppended);
       }
