Compute the cost of an endpoint once per step instead of once per task

Cause: a scheduling cycle evaluated every candidate of a step again for each of its tasks, though a placement changes only the endpoint that it uses. EndpointSelector keeps the costs and refreshes that one. Full endpoints drop out before their cost is computed.

--- a/packages/workflow/src/stepPlacer.ts
+++ b/packages/workflow/src/stepPlacer.ts
@@ -42,32 +42,77 @@
   return usage.fits(candidate, spec);
 }
 
+/** An endpoint that may run a task of the step, and its cost. */
+interface Option {
+  candidate: PlacementCandidate;
+  cost: number;
+}
+
 /**
- * Chooses the endpoint for one task of a step: the one where it is expected to end first, with a
- * preference for lightly loaded endpoints and for separating best-effort from latency-sensitive
- * tasks.
- *
- * @param farFactor - Slowdown factor of a task that runs outside the rack of its data.
+ * Chooses endpoints for the tasks of one step, one after the other: the one where a task is expected
+ * to end first, with a preference for lightly loaded endpoints and for separating best-effort from
+ * latency-sensitive tasks. Costs are computed once per endpoint, as only a placement changes them.
  */
-export function chooseEndpoint(
-  spec: StepSpec,
-  candidates: PlacementCandidate[],
-  usage: PlacementUsage,
-  farFactor: number,
-): PlacementCandidate | undefined {
-  let best: PlacementCandidate | undefined;
-  let bestCost = Infinity;
-  for (const candidate of candidates) {
+export class EndpointSelector {
+  private readonly spec: StepSpec;
+  private readonly usage: PlacementUsage;
+  private readonly farFactor: number;
+  private readonly options: Option[] = [];
+
+  /** @param farFactor - Slowdown factor of a task that runs outside the rack of its data. */
+  constructor(
+    spec: StepSpec,
+    candidates: readonly PlacementCandidate[],
+    usage: PlacementUsage,
+    farFactor: number,
+  ) {
+    this.spec = spec;
+    this.usage = usage;
+    this.farFactor = farFactor;
+    for (const candidate of candidates) {
+      if (!isAllowed(candidate, spec, usage)) continue;
+      this.options.push({ candidate, cost: this.costOf(candidate) });
+    }
+  }
+
+  /** Returns the best endpoint for one more task, or undefined if there is none. */
+  choose(): PlacementCandidate | undefined {
+    let best: Option | undefined;
+    for (const option of this.options) if (!best || option.cost < best.cost) best = option;
+    // The limit of the organisation may have been reached; it is the same for all endpoints.
+    return best && this.usage.fits(best.candidate, this.spec) ? best.candidate : undefined;
+  }
+
+  /** Re-evaluates an endpoint on which a task has been placed. */
+  refresh(candidate: PlacementCandidate): void {
+    const index = this.options.findIndex((option) => option.candidate === candidate);
+    if (index < 0) return;
+    if (isAllowed(candidate, this.spec, this.usage)) {
+      this.options[index]!.cost = this.costOf(candidate);
+    } else {
+      this.options.splice(index, 1);
+    }
+  }
+
+  private costOf(candidate: PlacementCandidate): number {
+    const { spec, usage, farFactor } = this;
     const isRemote = spec.dataRack !== '' && candidate.rack !== spec.dataRack;
     let cost = candidate.durationFactor * (isRemote ? farFactor : 1);
     cost += LOAD_WEIGHT * usage.loadOf(candidate);
     cost += FAILURE_COST * usage.failuresOn(candidate);
     if (spec.fillsIdleCapacity && candidate.isLatencySensitive) cost += INTERFERENCE_COST;
-    if (cost >= bestCost || !isAllowed(candidate, spec, usage)) continue;
-    best = candidate;
-    bestCost = cost;
+    return cost;
   }
-  return best;
+}
+
+/** Chooses the endpoint for one task of a step; see {@link EndpointSelector}. */
+export function chooseEndpoint(
+  spec: StepSpec,
+  candidates: PlacementCandidate[],
+  usage: PlacementUsage,
+  farFactor: number,
+): PlacementCandidate | undefined {
+  return new EndpointSelector(spec, candidates, usage, farFactor).choose();
 }
 
 /**
@@ -90,10 +135,12 @@
     : [];
   for (const group of [...groups, candidates]) {
     const endpoints: PlacementCandidate[] = [];
+    const selector = new EndpointSelector(spec, group, usage, farFactor);
     while (endpoints.length < spec.taskCount) {
-      const endpoint = chooseEndpoint(spec, group, usage, farFactor);
+      const endpoint = selector.choose();
       if (!endpoint) break;
       trial.reserve(endpoint);
+      selector.refresh(endpoint);
       endpoints.push(endpoint);
     }
     if (endpoints.length === spec.taskCount) return endpoints;
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -13,7 +13,7 @@
 import type { DurationEstimator } from './durationEstimator.js';
 import {
   chooseGangEndpoints,
-  chooseEndpoint,
+  EndpointSelector,
   type PlacementCandidate,
   type PlacementUsage,
 } from './stepPlacer.js';
@@ -213,10 +213,12 @@
   ): PlannedStart[] {
     const planned: PlannedStart[] = [];
     const { farFactor } = this.opts.context.timing;
+    const selector = new EndpointSelector(ready.spec, candidates, usage, farFactor);
     for (const index of ready.waiting) {
-      const endpoint = chooseEndpoint(ready.spec, candidates, usage, farFactor);
+      const endpoint = selector.choose();
       if (!endpoint) break;
       planned.push(this.plan(ready, index, endpoint, this.nextRun(ready, index)));
+      selector.refresh(endpoint);
     }
     return planned;
   }
