Look up usage and tickets of full endpoints less often in a scheduling cycle

Cause: with a full fleet each evaluation of a waiting step looked up every endpoint by name several times (ticket, suitability, usage), and sorted all of them to choose the endpoints of a query. Candidates hold their usage now, expired tickets are deleted, and full endpoints are looked at only as a supplement to a query.

--- a/packages/workflow/src/runLedger.ts
+++ b/packages/workflow/src/runLedger.ts
@@ -35,7 +35,8 @@
   };
 }
 
-interface EndpointUsage {
+/** Resources in use on an endpoint; updated in place. */
+export interface EndpointUsage {
   used: Resources;
   /** Processor time requested by best-effort tasks; not included in `used`. */
   bestEffortCpuMillis: number;
@@ -161,15 +162,8 @@
     );
   }
 
-  private applyUsage(reservation: Reservation, usage: EndpointUsage, sign: 1 | -1): void {
-    const { size, fillsIdleCapacity, organisation } = reservation;
-    const counted = fillsIdleCapacity ? { ...size, cpuMillis: 0 } : size;
-    usage.used = addResources(usage.used, counted, sign);
-    if (fillsIdleCapacity) usage.bestEffortCpuMillis += sign * size.cpuMillis;
-    this.organisations.set(organisation, addResources(this.usedBy(organisation), size, sign));
-  }
-
-  private usageOf(endpoint: string): EndpointUsage {
+  /** Returns the usage of an endpoint, which stays the same object. */
+  usageOf(endpoint: string): EndpointUsage {
     let usage = this.endpoints.get(endpoint);
     if (!usage) {
       usage = { used: NO_RESOURCES, bestEffortCpuMillis: 0, runs: new Map() };
@@ -177,4 +171,12 @@
     }
     return usage;
   }
+
+  private applyUsage(reservation: Reservation, usage: EndpointUsage, sign: 1 | -1): void {
+    const { size, fillsIdleCapacity, organisation } = reservation;
+    const counted = fillsIdleCapacity ? { ...size, cpuMillis: 0 } : size;
+    usage.used = addResources(usage.used, counted, sign);
+    if (fillsIdleCapacity) usage.bestEffortCpuMillis += sign * size.cpuMillis;
+    this.organisations.set(organisation, addResources(this.usedBy(organisation), size, sign));
+  }
 }
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -1,7 +1,7 @@
 import type { Resources } from '@lagoongap/model/resources.js';
 
 import type { AdviceBroker } from './adviceBroker.js';
-import { TicketProvider, countSlots } from './ticketProvider.js';
+import { countSlots, TicketProvider, type FleetCandidate } from './ticketProvider.js';
 import { BlockedSteps, type PlacementConditions } from './blockedSteps.js';
 import type { CellConfig, QueuePolicy } from './cellConfig.js';
 import type { EndpointAgent } from './endpointAgent.js';
@@ -59,7 +59,7 @@
   /** Index in the ordered list of waiting steps at which the next cycle resumes. */
   private resumeIndex = 0;
   /** Available endpoints in the current cycle, by pool. */
-  private readonly candidates = new Map<string, Map<string, PlacementCandidate>>();
+  private readonly candidates = new Map<string, Map<string, FleetCandidate>>();
   private candidatesListedMs = -Infinity;
   private readonly failures = new Map<string, Map<string, number>>();
   /** Planned starts that are not committed yet, by step and task index. */
@@ -149,11 +149,11 @@
     const usage = this.createUsage(ready, config);
     const nowMs = performance.now();
     const tickets = this.ticketProvider.ticketsOf(ready.name);
-    const count = (test: (candidate: PlacementCandidate) => boolean): number =>
+    const count = (test: (candidate: FleetCandidate) => boolean): number =>
       candidates.filter(test).length;
     return {
       endpoints: candidates.length,
-      withRoom: count((candidate) => countSlots(ready.spec, candidate, this.opts.ledger) > 0),
+      withRoom: count((candidate) => countSlots(ready.spec, candidate) > 0),
       withinLimit: count((candidate) => usage.fits(candidate, ready.spec)),
       withTicket: count(({ id }) => tickets.find(id, nowMs) !== undefined),
       suitable: count(({ id }) => tickets.suitabilityOf(id) === 'suitable'),
@@ -194,9 +194,11 @@
     const candidates = this.listCandidates(queue);
     const nowMs = performance.now();
     const tickets = queue.advice ? this.ticketProvider.ticketsOf(ready.name) : undefined;
-    const usable = tickets
-      ? tickets.listValid(nowMs).flatMap((id) => candidates.get(id) ?? [])
-      : [...candidates.values()];
+    const usable: PlacementCandidate[] = tickets ? [] : [...candidates.values()];
+    for (const id of tickets?.listValid(nowMs) ?? []) {
+      const candidate = candidates.get(id);
+      if (candidate && countSlots(ready.spec, candidate) > 0) usable.push(candidate);
+    }
     const usage = this.createUsage(ready, config);
     const planned = ready.spec.isGang
       ? this.placeGang(ready, usable, usage)
@@ -272,11 +274,11 @@
   }
 
   /** Returns the available endpoints of a queue's pool; constant during a cycle. */
-  private listCandidates({ pool }: QueuePolicy): Map<string, PlacementCandidate> {
-    const { directory, durations } = this.opts;
+  private listCandidates({ pool }: QueuePolicy): Map<string, FleetCandidate> {
+    const { directory, durations, ledger } = this.opts;
     const known = this.candidates.get(pool);
     if (known) return known;
-    const candidates = new Map<string, PlacementCandidate>();
+    const candidates = new Map<string, FleetCandidate>();
     for (const { id, record, hasLatencyTarget } of directory.listAvailable(pool)) {
       const { kind, rack, labels, capacity } = record;
       const durationFactor = durations.durationFactor(id, kind);
@@ -288,6 +290,7 @@
         capacity,
         durationFactor,
         isLatencySensitive: hasLatencyTarget,
+        usage: ledger.usageOf(id),
       });
     }
     this.candidates.set(pool, candidates);
--- a/packages/workflow/src/ticketCache.ts
+++ b/packages/workflow/src/ticketCache.ts
@@ -33,8 +33,8 @@
  */
 export class TicketCache {
   private readonly tickets = new Map<string, CachedTicket>();
-  private readonly suitable = new Set<string>();
-  private readonly unsuitable = new Set<string>();
+  /** Whether the endpoint may run the step, by endpoint. */
+  private readonly suitability = new Map<string, boolean>();
   private responseCount = 0;
   private lastSearchMs = -Infinity;
   private intervalMs = SEARCH_INTERVAL_MS;
@@ -52,10 +52,11 @@
   /** Adds the result of a query. */
   record({ asked, good, expiresMs }: AdviceResponse): void {
     this.responseCount += 1;
-    const suitable = new Set(good.map(({ endpoint }) => endpoint));
-    for (const endpoint of asked) if (!suitable.has(endpoint)) this.unsuitable.add(endpoint);
+    for (const endpoint of asked) {
+      if (!this.suitability.has(endpoint)) this.suitability.set(endpoint, false);
+    }
     for (const { endpoint, ticket } of good) {
-      this.suitable.add(endpoint);
+      this.suitability.set(endpoint, true);
       this.tickets.set(endpoint, { ticket, expiresMs });
     }
   }
@@ -66,9 +67,17 @@
     return cached && cached.expiresMs > nowMs + DISPATCH_MARGIN_MS ? cached.ticket : undefined;
   }
 
-  /** Lists the endpoints whose tickets remain valid until a start order arrives. */
+  /**
+   * Lists the endpoints whose tickets remain valid until a start order arrives, and deletes the
+   * tickets that have expired.
+   */
   listValid(nowMs: number): string[] {
-    return [...this.tickets.keys()].filter((endpoint) => this.find(endpoint, nowMs) !== undefined);
+    const valid: string[] = [];
+    for (const [endpoint, { expiresMs }] of this.tickets) {
+      if (expiresMs > nowMs + DISPATCH_MARGIN_MS) valid.push(endpoint);
+      else if (expiresMs <= nowMs) this.tickets.delete(endpoint);
+    }
+    return valid;
   }
 
   /** Returns whether a search for endpoints to query may begin now, and records its time. */
@@ -92,8 +101,9 @@
 
   /** Returns the cached suitability of an endpoint. */
   suitabilityOf(endpoint: string): 'suitable' | 'unsuitable' | 'unknown' {
-    if (this.suitable.has(endpoint)) return 'suitable';
-    return this.unsuitable.has(endpoint) ? 'unsuitable' : 'unknown';
+    const isSuitable = this.suitability.get(endpoint);
+    if (isSuitable === undefined) return 'unknown';
+    return isSuitable ? 'suitable' : 'unsuitable';
   }
 
   /** Deletes the ticket of an endpoint that rejected it or has restarted. */
--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -2,7 +2,7 @@
 import type { QueuePolicy } from './cellConfig.js';
 import { MovingAverage } from './movingAverage.js';
 import type { ReadyStep } from './readySteps.js';
-import type { RunLedger } from './runLedger.js';
+import type { EndpointUsage, RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
 import type { PlacementCandidate } from './stepPlacer.js';
 import { TicketCache } from './ticketCache.js';
@@ -30,23 +30,28 @@
 /** Minimum that spreads the large fixed cost of a query over several endpoints. */
 const MIN_ENDPOINTS_PER_QUERY = 8;
 
+/** Placement candidate with its usage, which is updated in place. */
+export interface FleetCandidate extends PlacementCandidate {
+  usage: EndpointUsage;
+}
+
+/** Returns how many times `need` fits into `free`. */
+function countFits(free: number, need: number): number {
+  if (need <= 0) return Number.MAX_SAFE_INTEGER;
+  return free < need ? 0 : Math.floor(free / need);
+}
+
 /** Returns how many more tasks of a step fit on an endpoint. */
 export function countSlots(
   { taskCount, maxPerEndpoint, size, fillsIdleCapacity }: ReadyStep['spec'],
-  { id, capacity }: PlacementCandidate,
-  ledger: RunLedger,
+  { capacity, usage: { used } }: FleetCandidate,
 ): number {
-  const used = ledger.usedOn(id);
-  const fit = (free: number, need: number): number =>
-    need > 0 ? Math.max(0, Math.floor(free / need)) : Number.MAX_SAFE_INTEGER;
-  return Math.min(
-    fillsIdleCapacity
-      ? Number.MAX_SAFE_INTEGER
-      : fit(capacity.cpuMillis - used.cpuMillis, size.cpuMillis),
-    fit(capacity.memoryMib - used.memoryMib, size.memoryMib),
-    fit(capacity.accelerators - used.accelerators, size.accelerators),
-    maxPerEndpoint > 0 ? maxPerEndpoint : taskCount,
-  );
+  let slots = maxPerEndpoint > 0 ? maxPerEndpoint : taskCount;
+  if (!fillsIdleCapacity) {
+    slots = Math.min(slots, countFits(capacity.cpuMillis - used.cpuMillis, size.cpuMillis));
+  }
+  slots = Math.min(slots, countFits(capacity.memoryMib - used.memoryMib, size.memoryMib));
+  return Math.min(slots, countFits(capacity.accelerators - used.accelerators, size.accelerators));
 }
 
 /** Queries the advisor for endpoints that may run a step, and caches the tickets it returns. */
@@ -94,7 +99,7 @@
   query(
     ready: ReadyStep,
     queue: QueuePolicy,
-    candidates: ReadonlyMap<string, PlacementCandidate>,
+    candidates: ReadonlyMap<string, FleetCandidate>,
   ): void {
     const { advice } = queue;
     if (!advice || this.pendingSteps.has(ready.name)) return;
@@ -131,36 +136,45 @@
   private chooseEndpoints(
     ready: ReadyStep,
     queue: QueuePolicy,
-    candidates: ReadonlyMap<string, PlacementCandidate>,
+    candidates: ReadonlyMap<string, FleetCandidate>,
   ): string[] {
     const { ledger } = this.opts;
     const { spec } = ready;
     const cache = this.ticketsOf(ready.name);
     const nowMs = performance.now();
     const share = this.suitableShareOf(queue.name).value;
-    const scored: { id: string; expected: number }[] = [];
-    let hasCapacity = false;
+    const isUseful = ({ id, labels }: FleetCandidate): boolean =>
+      (spec.requiredLabel === '' || labels.includes(spec.requiredLabel)) &&
+      cache.suitabilityOf(id) !== 'unsuitable' &&
+      !cache.isFresh(id, nowMs, RENEWAL_MARGIN_MS);
+    const free: { id: string; expected: number }[] = [];
+    const full: FleetCandidate[] = [];
     for (const candidate of candidates.values()) {
-      const { id, labels } = candidate;
-      if (spec.requiredLabel !== '' && !labels.includes(spec.requiredLabel)) continue;
-      const suitability = cache.suitabilityOf(id);
-      if (suitability === 'unsuitable' || cache.isFresh(id, nowMs, RENEWAL_MARGIN_MS)) continue;
-      const slots = countSlots(spec, candidate, ledger);
-      if (slots > 0) hasCapacity = true;
-      scored.push({ id, expected: slots * (suitability === 'suitable' ? 1 : share) });
+      const slots = countSlots(spec, candidate);
+      if (slots === 0) {
+        full.push(candidate);
+      } else if (isUseful(candidate)) {
+        const isSuitable = cache.suitabilityOf(candidate.id) === 'suitable';
+        free.push({ id: candidate.id, expected: slots * (isSuitable ? 1 : share) });
+      }
     }
     // Without any free capacity the tickets would expire unused.
-    if (!hasCapacity && ledger.usedBy(ready.job.organisation).cpuMillis > 0) return [];
-    scored.sort((a, b) => b.expected - a.expected);
+    if (free.length === 0 && ledger.usedBy(ready.job.organisation).cpuMillis > 0) return [];
+    free.sort((a, b) => b.expected - a.expected);
     const wanted = ready.waiting.length * SLOTS_PER_TASK;
     const endpoints: string[] = [];
     let expectedSlots = 0;
-    for (const { id, expected } of scored) {
-      const isEnough = expectedSlots >= wanted && endpoints.length >= MIN_ENDPOINTS_PER_QUERY;
-      if (endpoints.length >= MAX_ENDPOINTS_PER_QUERY || isEnough) break;
+    const limit = (): number =>
+      expectedSlots >= wanted ? MIN_ENDPOINTS_PER_QUERY : MAX_ENDPOINTS_PER_QUERY;
+    for (const { id, expected } of free) {
+      if (endpoints.length >= limit()) return endpoints;
       endpoints.push(id);
       expectedSlots += expected;
     }
+    for (const candidate of full) {
+      if (endpoints.length >= limit()) break;
+      if (isUseful(candidate)) endpoints.push(candidate.id);
+    }
     return endpoints;
   }
 
