Copy and check log records once

Cause: a record was redacted into a copy, then cloned and masked by tslog, and every field name went through the patterns for secrets in every record. tslog passes the redacted record on as it is, and the results for field names are remembered (at most 1,000). Log lines are unchanged; the redaction features pass.

--- a/packages/telemetry/src/createLogger.ts
+++ b/packages/telemetry/src/createLogger.ts
@@ -55,6 +55,13 @@
   const tslog = new Tslog<unknown>({
     type: 'hidden',
     hideLogPositionForProduction: true,
+    // Records are redacted plain data already, so that tslog need not copy and mask them again.
+    overwrite: {
+      mask: (args) => args,
+      toLogObj: ([message, recordFields]) => ({ 0: message, 1: recordFields }),
+      addMeta: (record, _, logLevelName) =>
+        Object.assign(record as object, { _meta: { date: new Date(), logLevelName } }) as never,
+    },
     attachedTransports: [(record) => stream.write(formatRecord(record as unknown as TslogRecord))],
   });
   return new TslogLogger(tslog, level, fields);
--- a/packages/telemetry/src/redact.ts
+++ b/packages/telemetry/src/redact.ts
@@ -57,10 +57,31 @@
   return redacted.length > MAX_TEXT_LENGTH ? `${redacted.slice(0, MAX_TEXT_LENGTH)}…` : redacted;
 }
 
+/** How a field name is written, and whether it is that of a secret. */
+interface FieldName {
+  text: string;
+  isSecret: boolean;
+}
+
+/** Maximum number of field names that are remembered, as some come from data. */
+const MAX_FIELD_NAMES = 1000;
+
+const fieldNames = new Map<string, FieldName>();
+
+function describeFieldName(name: string): FieldName {
+  const known = fieldNames.get(name);
+  if (known) return known;
+  const described = {
+    text: redactText(name),
+    isSecret: SECRET_FIELDS.has(name.toLowerCase().replace(/[-_]/g, '')),
+  };
+  if (fieldNames.size < MAX_FIELD_NAMES) fieldNames.set(name, described);
+  return described;
+}
+
 /** Returns whether a field contains a secret. Numbers are fencing tokens, which are not secret. */
-function isSecretField(name: string, value: unknown): boolean {
-  if (typeof value === 'number' || value === undefined || value === null) return false;
-  return SECRET_FIELDS.has(name.toLowerCase().replace(/[-_]/g, ''));
+function isSecretField({ isSecret }: FieldName, value: unknown): boolean {
+  return isSecret && typeof value !== 'number' && value !== undefined && value !== null;
 }
 
 function readProperty(object: object, name: string): unknown {
@@ -116,7 +137,8 @@
   }
 
   private redactEntry([name, value]: [string, unknown]): [string, unknown] {
-    return [redactText(name), isSecretField(name, value) ? REDACTED : this.redact(value)];
+    const described = describeFieldName(name);
+    return [described.text, isSecretField(described, value) ? REDACTED : this.redact(value)];
   }
 
   private redactList(list: unknown[]): unknown[] {
