Keep the list of available endpoints for 20 ms

Cause: every scheduling cycle (250 a second) listed all endpoints anew. The list lasts up to 20 ms now; a change of an endpoint's record, a removal, or a change of its availability drops it at once.

The order of placements differs slightly, as a list may be older.

--- a/packages/workflow/src/endpointDirectory.ts
+++ b/packages/workflow/src/endpointDirectory.ts
@@ -19,6 +19,7 @@
   private readonly listener: AgentListener;
   private readonly health: HealthPolicy;
   private readonly startMs = performance.now();
+  private changeCount = 0;
   private isDisposed = false;
 
   constructor(context: SessionContext, listener: AgentListener, health: HealthPolicy) {
@@ -27,8 +28,14 @@
     this.health = health;
   }
 
+  /** Version of the set of endpoints and of their records. */
+  get version(): number {
+    return this.changeCount;
+  }
+
   /** Returns the agent of an endpoint after an update of its record; created if new. */
   add(record: EndpointRecord): EndpointAgent {
+    this.changeCount += 1;
     this.health.setEndpoint(record.id, [record.pool]);
     const known = this.agents.get(record.id);
     if (known) {
@@ -75,6 +82,7 @@
   remove(id: string, reason: string): void {
     const agent = this.agents.get(id);
     if (!agent) return;
+    this.changeCount += 1;
     this.agents.delete(id);
     this.health.removeEndpoint(id);
     agent.markRemoved(reason);
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -48,7 +48,7 @@
   onAdvice: () => void;
 }
 
-/** Maximum age of the cached endpoint list when tickets are prefetched. */
+/** Maximum age of the list of available endpoints. */
 const CANDIDATES_MAX_AGE_MS = 20;
 
 /** Places waiting tasks on endpoints, and requests the tickets that this needs. */
@@ -58,9 +58,10 @@
   private readonly blocked: BlockedSteps;
   /** Index in the ordered list of waiting steps at which the next cycle resumes. */
   private resumeIndex = 0;
-  /** Available endpoints in the current cycle, by pool. */
+  /** Available endpoints, by pool. */
   private readonly candidates = new Map<string, Map<string, FleetCandidate>>();
   private candidatesListedMs = -Infinity;
+  private candidatesVersion = 0;
   private readonly failures = new Map<string, Map<string, number>>();
   /** Planned starts that are not committed yet, by step and task index. */
   private readonly pending = new Set<string>();
@@ -103,6 +104,7 @@
   /** Makes the next cycle re-evaluate all steps, after endpoints or the configuration changed. */
   recheckBlocked(): void {
     this.blocked.clear();
+    this.candidates.clear();
   }
 
   /** Runs a scheduling cycle: decides which tasks start now and reserves capacity for them. */
@@ -110,7 +112,7 @@
     const queues = new Map(config.queues.map((queue) => [queue.name, queue]));
     const planned: PlannedStart[] = [];
     const startMs = performance.now();
-    this.clearCandidates();
+    this.dropOutdatedCandidates();
     const { turnMs } = this.opts.context.timing;
     const weights = new Map(config.organisations.map(({ name, weight }) => [name, weight]));
     const waiting = orderSteps(this.opts.ready.list(), {
@@ -137,7 +139,7 @@
   /** Requests tickets for a step before it can start. */
   prefetch(step: ReadyStep, queue: QueuePolicy): void {
     if (!queue.advice) return;
-    if (performance.now() - this.candidatesListedMs > CANDIDATES_MAX_AGE_MS) this.clearCandidates();
+    this.dropOutdatedCandidates();
     this.ticketProvider.query(step, queue, this.listCandidates(queue));
   }
 
@@ -297,9 +299,14 @@
     return candidates;
   }
 
-  private clearCandidates(): void {
+  private dropOutdatedCandidates(): void {
+    const { version } = this.opts.directory;
+    const nowMs = performance.now();
+    const isRecent = nowMs - this.candidatesListedMs <= CANDIDATES_MAX_AGE_MS;
+    if (isRecent && version === this.candidatesVersion && this.candidates.size > 0) return;
     this.candidates.clear();
-    this.candidatesListedMs = performance.now();
+    this.candidatesListedMs = nowMs;
+    this.candidatesVersion = version;
   }
 
   private findLimit({ job }: ReadyStep, config: CellConfig): Resources | undefined {
