Pause after a scheduling cycle in proportion to its duration

Cause: a cycle that evaluated all waiting steps within its time limit of 20 ms was followed by the next one after 4 ms, so that a leader with many waiting steps spent most of its event loop on scheduling, before heartbeats and calls. Only cycles that reached the limit paused longer.

Change: the pause is three times the duration of the cycle, between 4 and 60 ms, so that scheduling takes at most a quarter of a saturated event loop.

--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -184,6 +184,22 @@
     }
   }
 
+  /** Time that scheduling cycles have taken since {@link slowDownCycles}. */
+  cycleTimeMs = 0;
+
+  /** Makes every scheduling cycle take the given time, in which no timer fires. */
+  slowDownCycles(ms: number): void {
+    const { now } = performance;
+    performance.now = () => now.call(performance) + this.cycleTimeMs;
+    const { organisations } = this.config;
+    // A cycle reads the weights of the organisations once.
+    const readWeights: typeof organisations.map = (read) => {
+      this.cycleTimeMs += ms;
+      return [...organisations].map(read);
+    };
+    this.config.organisations = Object.assign([...organisations], { map: readWeights });
+  }
+
   /** Fires all timers of a period late and at once, as after a blocked event loop. */
   async blockEventLoop(ms: number): Promise<void> {
     this.clock.jump(ms);
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -4,6 +4,7 @@
 import { AdviceBroker } from './adviceBroker.js';
 import { AdvicePrefetcher } from './advicePrefetcher.js';
 import type { CellConfig } from './cellConfig.js';
+import { CyclePacer } from './cyclePacer.js';
 import type { AgentListener, AgentRun, EndpointAgent } from './endpointAgent.js';
 import { EndpointDirectory } from './endpointDirectory.js';
 import type { ActiveRun, EndReport } from './endpointDriver.js';
@@ -26,12 +27,6 @@
 import type { EndedRun } from './workflowCommand.js';
 import type { JobRecord } from './workflowRecords.js';
 
-/** Delay after a cycle that reached its time limit, as a multiple of it, for other work. */
-const CYCLE_PAUSE_FACTOR = 3;
-
-/** Minimum time between two scheduling cycles. */
-const CYCLE_INTERVAL_MS = 4;
-
 /** Interval of housekeeping: ended jobs, unresponsive endpoints, waiting steps. */
 const HOUSEKEEPING_INTERVAL_MS = 250;
 
@@ -55,6 +50,7 @@
   private readonly bestEffortThrottle: BestEffortThrottle;
   private readonly stragglers: StragglerDetector;
   private readonly advice: AdvicePrefetcher;
+  private readonly cyclePacer = new CyclePacer();
   private readonly loopLag = new EventLoopLag(HOUSEKEEPING_INTERVAL_MS);
   private readonly occurrenceTimers = new Map<string, NodeJS.Timeout>();
   private readonly retention: JobRetention;
@@ -354,23 +350,25 @@
     }
   }
 
-  private requestCycle(pauseMs = CYCLE_INTERVAL_MS): void {
+  private requestCycle(): void {
     if (this.isDisposed || this.cycleTimer) return;
     this.cycleTimer = setTimeout(() => {
       this.cycleTimer = undefined;
       this.runCycle().catch((err: Error) => this.logFailure('scheduling cycle', err));
-    }, pauseMs);
+    }, this.cyclePacer.pauseMs);
   }
 
   private async runCycle(): Promise<void> {
     const config = this.readConfig();
     if (!config || !this.context.isValid()) return;
+    const startMs = performance.now();
     const { planned, isComplete } = this.scheduler.decide(config);
-    if (!isComplete) this.requestCycle(this.opts.timing.turnMs * CYCLE_PAUSE_FACTOR);
-    if (planned.length === 0) return;
     for (const id of new Set(planned.map(({ task }) => task.jobId))) {
       this.ready.refresh(this.opts.state.jobs.get(id), id, Date.now());
     }
+    this.cyclePacer.recordCycle(performance.now() - startMs);
+    if (!isComplete) this.requestCycle();
+    if (planned.length === 0) return;
     try {
       await this.context.propose({
         type: 'start',
