--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -1,7 +1,7 @@
 import type { Resources } from '@lagoongap/model/resources.js';
 
 import type { AdviceBroker } from './adviceBroker.js';
-import { TicketProvider, countSlots } from './ticketProvider.js';
+import { countSlots, TicketProvider, type FleetCandidate } from './ticketProvider.js';
 import { BlockedSteps, type PlacementConditions } from './blockedSteps.js';
 import type { CellConfig, QueuePolicy } from './cellConfig.js';
 import type { EndpointAgent } from './endpointAgent.js';
@@ -13,7 +13,7 @@
 import type { DurationEstimator } from './durationEstimator.js';
 import {
   chooseGangEndpoints,
-  chooseEndpoint,
+  EndpointSelector,
   type PlacementCandidate,
   type PlacementUsage,
 } from './stepPlacer.js';
@@ -55,7 +55,7 @@
   outcome: 'blocked' | 'unplaced' | 'placed';
 }
 
-/** Maximum age of the cached endpoint list when tickets are prefetched. */
+/** Maximum age of the list of available endpoints. */
 const CANDIDATES_MAX_AGE_MS = 20;
 
 /** Places waiting tasks on endpoints, and requests the tickets that this needs. */
@@ -65,9 +65,10 @@
   private readonly blocked: BlockedSteps;
   /** Index in the ordered list of waiting steps at which the next cycle resumes. */
   private resumeIndex = 0;
-  /** Available endpoints in the current cycle, by pool. */
-  private readonly candidates = new Map<string, Map<string, PlacementCandidate>>();
+  /** Available endpoints, by pool. */
+  private readonly candidates = new Map<string, Map<string, FleetCandidate>>();
   private candidatesListedMs = -Infinity;
+  private candidatesVersion = 0;
   private readonly failures = new Map<string, Map<string, number>>();
   /** Planned starts that are not committed yet, by step and task index. */
   private readonly pending = new Set<string>();
@@ -113,6 +114,7 @@
   /** Makes the next cycle re-evaluate all steps, after endpoints or the configuration changed. */
   recheckBlocked(): void {
     this.blocked.clear();
+    this.candidates.clear();
   }
 
   /** Runs a scheduling cycle: decides which tasks start now and reserves capacity for them. */
@@ -120,7 +122,7 @@
     const queues = new Map(config.queues.map((queue) => [queue.name, queue]));
     const planned: PlannedStart[] = [];
     const startMs = performance.now();
-    this.clearCandidates();
+    this.dropOutdatedCandidates();
     const { turnMs } = this.opts.context.timing;
     const weights = new Map(config.organisations.map(({ name, weight }) => [name, weight]));
     const waiting = orderSteps(this.opts.ready.list(), {
@@ -147,7 +149,7 @@
   /** Requests tickets for a step before it can start. */
   prefetch(step: ReadyStep, queue: QueuePolicy): void {
     if (!queue.advice) return;
-    if (performance.now() - this.candidatesListedMs > CANDIDATES_MAX_AGE_MS) this.clearCandidates();
+    this.dropOutdatedCandidates();
     this.ticketProvider.query(step, queue, this.listCandidates(queue));
   }
 
@@ -161,7 +163,7 @@
     const tickets = this.ticketProvider.ticketsOf(ready.name);
     const evaluation = this.evaluations.get(ready.name);
     const { maxPerEndpoint } = ready.spec;
-    const count = (test: (candidate: PlacementCandidate) => boolean): number =>
+    const count = (test: (candidate: FleetCandidate) => boolean): number =>
       candidates.filter(test).length;
     return {
       endpoints: candidates.length,
@@ -214,9 +216,11 @@
     const candidates = this.listCandidates(queue);
     const nowMs = performance.now();
     const tickets = queue.advice ? this.ticketProvider.ticketsOf(ready.name) : undefined;
-    const usable = tickets
-      ? tickets.listValid(nowMs).flatMap((id) => candidates.get(id) ?? [])
-      : [...candidates.values()];
+    const usable: PlacementCandidate[] = tickets ? [] : [...candidates.values()];
+    for (const id of tickets?.listValid(nowMs) ?? []) {
+      const candidate = candidates.get(id);
+      if (candidate && countSlots(ready, candidate, this.opts.ledger) > 0) usable.push(candidate);
+    }
     const usage = this.createUsage(ready, config);
     const planned = ready.spec.isGang
       ? this.placeGang(ready, usable, usage)
@@ -233,10 +237,12 @@
   ): PlannedStart[] {
     const planned: PlannedStart[] = [];
     const { farFactor } = this.opts.context.timing;
+    const selector = new EndpointSelector(ready.spec, candidates, usage, farFactor);
     for (const index of ready.waiting) {
-      const endpoint = chooseEndpoint(ready.spec, candidates, usage, farFactor);
+      const endpoint = selector.choose();
       if (!endpoint) break;
       planned.push(this.plan(ready, index, endpoint, this.nextRun(ready, index)));
+      selector.refresh(endpoint);
     }
     return planned;
   }
@@ -290,11 +296,11 @@
   }
 
   /** Returns the available endpoints of a queue's pool; constant during a cycle. */
-  private listCandidates({ pool }: QueuePolicy): Map<string, PlacementCandidate> {
-    const { directory, durations } = this.opts;
+  private listCandidates({ pool }: QueuePolicy): Map<string, FleetCandidate> {
+    const { directory, durations, ledger } = this.opts;
     const known = this.candidates.get(pool);
     if (known) return known;
-    const candidates = new Map<string, PlacementCandidate>();
+    const candidates = new Map<string, FleetCandidate>();
     for (const { id, record, hasLatencyTarget } of directory.listAvailable(pool)) {
       const { kind, rack, labels, capacity } = record;
       const durationFactor = durations.durationFactor(id, kind);
@@ -306,15 +312,21 @@
         capacity,
         durationFactor,
         isLatencySensitive: hasLatencyTarget,
+        usage: ledger.usageOf(id),
       });
     }
     this.candidates.set(pool, candidates);
     return candidates;
   }
 
-  private clearCandidates(): void {
+  private dropOutdatedCandidates(): void {
+    const { version } = this.opts.directory;
+    const nowMs = performance.now();
+    const isRecent = nowMs - this.candidatesListedMs <= CANDIDATES_MAX_AGE_MS;
+    if (isRecent && version === this.candidatesVersion && this.candidates.size > 0) return;
     this.candidates.clear();
-    this.candidatesListedMs = performance.now();
+    this.candidatesListedMs = nowMs;
+    this.candidatesVersion = version;
   }
 
   private findLimit({ job }: ReadyStep, config: CellConfig): Resources | undefined {
