--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -191,3 +191,15 @@
     And 6000 ms of workflow time pass
     Then job "j" is "completed"
     And worker w1 has started no run
+
+  # Guards against a run that the next leader takes for lost because it does not know the endpoint.
+  Scenario: an endpoint gets no work before its registration is durable
+    Given registrations of endpoints cannot be committed at first
+    And 1 workers of 4 cores
+    When job "j" of 12 tasks is submitted
+    And 300 ms of workflow time pass
+    Then worker w3 has started no run
+    When registrations of endpoints can be committed again
+    And 2000 ms of workflow time pass
+    Then job "j" is "completed"
+    And worker w3 has started 4 runs
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -110,6 +110,14 @@
   this.world.driver.worker(id).behaviour = 'silent';
 });
 
+Given('registrations of endpoints cannot be committed at first', function refuse(this: Steps) {
+  this.world.log.refusesRegistrations = true;
+});
+
+When('registrations of endpoints can be committed again', function accept(this: Steps) {
+  this.world.log.refusesRegistrations = false;
+});
+
 When('worker {word} registers again', async function register(this: Steps, id: string) {
   const worker = this.world.driver.worker(id);
   worker.restart();
--- a/packages/tests/src/workflow/autoCommitLog.ts
+++ b/packages/tests/src/workflow/autoCommitLog.ts
@@ -10,6 +10,8 @@
   isLeadershipOver = false;
   /** The majority is unreachable at present, but no other leader is elected. */
   hasLostMajority = false;
+  /** Registrations of endpoints are refused, to be proposed again. */
+  refusesRegistrations = false;
   /** The majority is lost once the next starts are committed. */
   losesMajorityAfterStart = false;
 
@@ -23,11 +25,13 @@
   }
 
   override propose(command: unknown): Promise<ProposeResult> {
-    if (this.hasLostMajority) return Promise.reject(new NotLeaderError());
+    const { type } = command as { type: string };
+    const isRefused = this.refusesRegistrations && type === 'register';
+    if (this.hasLostMajority || isRefused) return Promise.reject(new NotLeaderError());
     const result = super.propose(command);
     if (this.isLeadershipOver) this.loseLeadership();
     else this.commitAll();
-    if (this.losesMajorityAfterStart && (command as { type: string }).type === 'start') {
+    if (this.losesMajorityAfterStart && type === 'start') {
       this.losesMajorityAfterStart = false;
       this.hasLostMajority = true;
     }
--- a/packages/workflow/src/endpointDirectory.ts
+++ b/packages/workflow/src/endpointDirectory.ts
@@ -97,11 +97,20 @@
       (agent) =>
         agent.record.pool === pool &&
         this.isResponsive(agent) &&
+        this.isRegistered(agent) &&
         !agent.record.isDraining &&
         !this.health.isEjected(agent.id),
     );
   }
 
+  /**
+   * Returns whether the registration of an endpoint's incarnation is durable. The next leader would
+   * take runs on an endpoint that it does not know for lost.
+   */
+  private isRegistered({ id, record }: EndpointAgent): boolean {
+    return this.context.state.endpoints.get(id)?.bornMs === record.bornMs;
+  }
+
   /** Returns whether an endpoint has responded or sent a heartbeat recently; either is enough. */
   isResponsive(agent: EndpointAgent): boolean {
     if (!agent.isSynced || agent.isSuspect || agent.isLeaving) return false;
