Refuse to propose commands of an ended leadership in a later term

Found while tracing REFUSED: a session passed the present term of the log with each proposal instead of its own.

--- a/packages/workflow/src/proposeWhileLeading.ts
+++ b/packages/workflow/src/proposeWhileLeading.ts
@@ -18,6 +18,8 @@
   term: number,
 ): Promise<unknown> {
   for (;;) {
+    // A leadership that has ended may still have work in progress when the next one begins here.
+    if (log.term !== term) throw new NotLeaderError(log.leaderId);
     try {
       return (await log.propose(command)).result;
     } catch (err) {
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -87,7 +87,7 @@
       isValid: () => !this.isDisposed && opts.isValid(),
       propose: async (command) => {
         const startMs = performance.now();
-        const result = await proposeWhileLeading(opts.log, command, opts.log.term);
+        const result = await proposeWhileLeading(opts.log, command, this.context.fencingToken);
         opts.meter.countCommit(performance.now() - startMs);
         return result;
       },
