Spread the queries of different steps over the endpoints

Every waiting step queried the advisor about the endpoints with the most free slots, and these were the same for all: the steps got tickets for the same few endpoints, the first ones filled them, and the others held tickets for full endpoints and asked for the next few, again all the same.

An endpoint that is named in other queries in flight now counts for less.

--- a/packages/tests/features/workflow/advice.feature
+++ b/packages/tests/features/workflow/advice.feature
@@ -47,3 +47,11 @@
     And the instance reports that its query found no suitable endpoint
     And 1500 ms of workflow time pass
     Then job "j" is "completed"
+
+  # Guards against steps that all query the same endpoints, so that most tickets are for full ones.
+  Scenario: many steps query at once: their queries are spread over the endpoints
+    Given an advisor that takes 450 ms and 6.5 ms per endpoint, queried by 10 instances
+    And 40 workers of 4 cores
+    When 10 jobs of 16 tasks of 60000 ms are submitted at once
+    And 1000 ms of workflow time pass
+    Then at least 150 runs were started
--- a/packages/tests/src/steps/workflow/adviceSteps.ts
+++ b/packages/tests/src/steps/workflow/adviceSteps.ts
@@ -66,6 +66,20 @@
   },
 );
 
+When(
+  '{int} jobs of {int} tasks of {int} ms are submitted at once',
+  async function submitAll(this: AdviceSteps, count: number, taskCount: number, ms: number) {
+    for (const worker of this.world.driver.workers.values()) worker.durationMs = ms;
+    const step = createStep({ taskCount, estimateMs: ms });
+    for (let i = 0; i < count; i += 1) await this.world.submit(`job${i}`, [step]);
+  },
+);
+
+Then('at least {int} runs were started', function checkStarts(this: AdviceSteps, min: number) {
+  const { length } = this.world.driver.started;
+  assert.ok(length >= min, `${length} runs`);
+});
+
 When('worker {word} fails for good', function fail(this: AdviceSteps, id: string) {
   const worker = this.world.driver.worker(id);
   worker.restart();
--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -55,6 +55,8 @@
   private readonly caches = new Map<string, TicketCache>();
   /** Monotonic time of the query in flight, by step. */
   private readonly pendingSteps = new Map<string, number>();
+  /** Number of queries in flight by endpoint. */
+  private readonly inFlight = new Map<string, number>();
   private readonly suitableShares = new Map<string, MovingAverage>();
 
   constructor(opts: TicketProviderOptions) {
@@ -112,10 +114,14 @@
     const { broker, context, onAdvice } = this.opts;
     const startMs = performance.now();
     this.pendingSteps.set(ready.name, startMs);
+    this.countInFlight(endpoints, 1);
     broker
       .query(ready.name, endpoints, advice, queue.priority)
-      .then((response) => {
+      .finally(() => {
         this.pendingSteps.delete(ready.name);
+        this.countInFlight(endpoints, -1);
+      })
+      .then((response) => {
         context.meter.countAdvice(response !== undefined, performance.now() - startMs);
         if (!response) return;
         const share = this.suitableShareOf(queue.name);
@@ -127,7 +133,6 @@
         onAdvice();
       })
       .catch((err: Error) => {
-        this.pendingSteps.delete(ready.name);
         context.logger.warn('advisor query failed', { step: ready.name, err: err.message });
       });
   }
@@ -142,7 +147,7 @@
     const cache = this.ticketsOf(ready.name);
     const nowMs = performance.now();
     const share = this.suitableShareOf(queue.name).value;
-    const scored: { id: string; expected: number }[] = [];
+    const scored: { id: string; expected: number; preference: number }[] = [];
     let hasCapacity = false;
     for (const candidate of candidates.values()) {
       const { id, labels } = candidate;
@@ -151,11 +156,14 @@
       if (suitability === 'unsuitable' || cache.isFresh(id, nowMs, RENEWAL_MARGIN_MS)) continue;
       const slots = countSlots(ready, candidate, ledger);
       if (slots > 0) hasCapacity = true;
-      scored.push({ id, expected: slots * (suitability === 'suitable' ? 1 : share) });
+      const expected = slots * (suitability === 'suitable' ? 1 : share);
+      // Other steps may get tickets for the same slots, so that queries should spread.
+      const preference = expected / (1 + (this.inFlight.get(id) ?? 0));
+      scored.push({ id, expected, preference });
     }
     // Without any free capacity the tickets would expire unused.
     if (!hasCapacity && ledger.usedBy(ready.job.organisation).cpuMillis > 0) return [];
-    scored.sort((a, b) => b.expected - a.expected);
+    scored.sort((a, b) => b.preference - a.preference);
     const wanted = ready.waiting.length * SLOTS_PER_TASK;
     const endpoints: string[] = [];
     let expectedSlots = 0;
@@ -168,6 +176,14 @@
     return endpoints;
   }
 
+  private countInFlight(endpoints: string[], change: 1 | -1): void {
+    for (const id of endpoints) {
+      const count = (this.inFlight.get(id) ?? 0) + change;
+      if (count > 0) this.inFlight.set(id, count);
+      else this.inFlight.delete(id);
+    }
+  }
+
   private suitableShareOf(queue: string): MovingAverage {
     let share = this.suitableShares.get(queue);
     if (!share) {
