Bound the share of low priorities by their rank

With shares halved at each priority, the lowest of ten priorities would get a thousandth of the advisor's call time while all wait. Shares of 1, 1/2, 1/3 ... keep the two-to-one between the first two, and leave the tenth 3 %.

--- a/packages/workflow/src/adviceQueue.ts
+++ b/packages/workflow/src/adviceQueue.ts
@@ -13,13 +13,10 @@
   virtualMs: number;
 }
 
-/** Factor between the shares of a priority and the next lower one. */
-const SHARE_FACTOR = 2;
-
 /**
- * Orders queries to the advisor. While queries of several priorities wait, each priority gets twice
- * the call time of the next lower one, so that urgent work cannot starve the rest however fast its
- * queries arrive, nor the long calls of less urgent work occupy all instances.
+ * Orders queries to the advisor. While queries of several priorities wait, the second one gets half
+ * the call time of the first, the third one a third, and so on, so that urgent work cannot starve
+ * the rest however fast its queries arrive, nor long calls of less urgent work occupy all instances.
  */
 export class AdviceQueue<Query extends QueuedQuery> {
   /** Sorted by priority. */
@@ -56,7 +53,7 @@
     const query = next?.queries.shift();
     if (!next || !query) return undefined;
     this.virtualMs = next.virtualMs;
-    next.virtualMs += query.callMs * SHARE_FACTOR ** this.classes.indexOf(next);
+    next.virtualMs += query.callMs * (1 + this.classes.indexOf(next));
     return query;
   }
 
