--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -63,6 +63,8 @@
   private readonly caches = new Map<string, TicketCache>();
   /** Monotonic time of the query in flight, by step. */
   private readonly pendingSteps = new Map<string, number>();
+  /** Number of queries in flight by endpoint. */
+  private readonly inFlight = new Map<string, number>();
   private readonly suitableShares = new Map<string, MovingAverage>();
 
   constructor(opts: TicketProviderOptions) {
@@ -120,10 +122,14 @@
     const { broker, context, onAdvice } = this.opts;
     const startMs = performance.now();
     this.pendingSteps.set(ready.name, startMs);
+    this.countInFlight(endpoints, 1);
     broker
       .query(ready.name, endpoints, advice, queue.priority)
-      .then((response) => {
+      .finally(() => {
         this.pendingSteps.delete(ready.name);
+        this.countInFlight(endpoints, -1);
+      })
+      .then((response) => {
         context.meter.countAdvice(response !== undefined, performance.now() - startMs);
         if (!response) return;
         const share = this.suitableShareOf(queue.name);
@@ -135,7 +141,6 @@
         onAdvice();
       })
       .catch((err: Error) => {
-        this.pendingSteps.delete(ready.name);
         context.logger.warn('advisor query failed', { step: ready.name, err: err.message });
       });
   }
@@ -154,20 +159,23 @@
       (spec.requiredLabel === '' || labels.includes(spec.requiredLabel)) &&
       cache.suitabilityOf(id) !== 'unsuitable' &&
       !cache.isFresh(id, nowMs, RENEWAL_MARGIN_MS);
-    const free: { id: string; expected: number }[] = [];
+    const free: { id: string; expected: number; preference: number }[] = [];
     const full: FleetCandidate[] = [];
     for (const candidate of candidates.values()) {
       const slots = countSlots(ready, candidate, ledger);
       if (slots === 0) {
         full.push(candidate);
       } else if (isUseful(candidate)) {
-        const isSuitable = cache.suitabilityOf(candidate.id) === 'suitable';
-        free.push({ id: candidate.id, expected: slots * (isSuitable ? 1 : share) });
+        const { id } = candidate;
+        const expected = slots * (cache.suitabilityOf(id) === 'suitable' ? 1 : share);
+        // Other steps may get tickets for the same slots, so that queries should spread.
+        const preference = expected / (1 + (this.inFlight.get(id) ?? 0));
+        free.push({ id, expected, preference });
       }
     }
     // Without any free capacity the tickets would expire unused.
     if (free.length === 0 && ledger.usedBy(ready.job.organisation).cpuMillis > 0) return [];
-    free.sort((a, b) => b.expected - a.expected);
+    free.sort((a, b) => b.preference - a.preference);
     const wanted = ready.waiting.length * SLOTS_PER_TASK;
     const endpoints: string[] = [];
     let expectedSlots = 0;
@@ -185,6 +193,14 @@
     return endpoints;
   }
 
+  private countInFlight(endpoints: string[], change: 1 | -1): void {
+    for (const id of endpoints) {
+      const count = (this.inFlight.get(id) ?? 0) + change;
+      if (count > 0) this.inFlight.set(id, count);
+      else this.inFlight.delete(id);
+    }
+  }
+
   private suitableShareOf(queue: string): MovingAverage {
     let share = this.suitableShares.get(queue);
     if (!share) {
