Keep the steps of the leader calls apart from those of the cell

Both kept their state as `calls` in the world of a scenario, so that the clean-up of one met the calls of the other: eight scenarios of the cell failed in it.

--- a/packages/tests/src/steps/workflow/leaderCallSteps.ts
+++ b/packages/tests/src/steps/workflow/leaderCallSteps.ts
@@ -9,7 +9,7 @@
 import { CallWorld, type ObservedCall } from '../../workflow/callWorld.js';
 
 interface Steps {
-  calls?: CallWorld;
+  callWorld?: CallWorld;
   call: ObservedCall;
 }
 
@@ -17,35 +17,35 @@
 const LEARN_MS = 1000;
 
 After(async function dispose(this: Steps) {
-  await this.calls?.[Symbol.asyncDispose]();
+  await this.callWorld?.[Symbol.asyncDispose]();
 });
 
 Given('a gateway and the replicas {string}', async function create(this: Steps, ids: string) {
-  await this.calls?.[Symbol.asyncDispose]();
-  this.calls = new CallWorld(ids.split(' '));
-  await this.calls.start();
+  await this.callWorld?.[Symbol.asyncDispose]();
+  this.callWorld = new CallWorld(ids.split(' '));
+  await this.callWorld.start();
 });
 
 Given('replica {string} leads', async function elect(this: Steps, id: string) {
-  await this.calls!.elect(id);
+  await this.callWorld!.elect(id);
 });
 
 Given('the gateway knows the leader', async function learn(this: Steps) {
-  const call = this.calls!.observe(async () => {
-    await this.calls!.client.call('config.read', {}, { deadlineMs: LEARN_MS });
+  const call = this.callWorld!.observe(async () => {
+    await this.callWorld!.client.call('config.read', {}, { deadlineMs: LEARN_MS });
     return 200;
   });
-  await this.calls!.advance(LEARN_MS);
+  await this.callWorld!.advance(LEARN_MS);
   assert.equal(call.status, 200);
 });
 
 Given(
   'job {string} has been accepted by replica {string}',
   async function accept(this: Steps, job: string, replica: string) {
-    const call = this.calls!.submit(job, LEARN_MS);
-    await this.calls!.advance(SETTLE_MS);
-    this.calls!.log(replica).commitAll();
-    await this.calls!.advance(SETTLE_MS);
+    const call = this.callWorld!.submit(job, LEARN_MS);
+    await this.callWorld!.advance(SETTLE_MS);
+    this.callWorld!.log(replica).commitAll();
+    await this.callWorld!.advance(SETTLE_MS);
     assert.equal(call.status, 200);
   },
 );
@@ -53,8 +53,8 @@
 Given(
   'the method {string} of all replicas refuses with {string} and run state {string}',
   function refuse(this: Steps, method: string, type: RefusalType, runState: RunState) {
-    for (const id of this.calls!.replicaIds) {
-      this.calls!.network(id).handle(method, () => {
+    for (const id of this.callWorld!.replicaIds) {
+      this.callWorld!.network(id).handle(method, () => {
         throw new RefusalError({ type, runState, message: 'refused' });
       });
     }
@@ -70,124 +70,124 @@
       if (calls === 1) throw new Error('failed after the change');
       throw new RefusalError({ type, runState: 'not-run', message: 'refused' });
     };
-    for (const id of this.calls!.replicaIds) this.calls!.network(id).handle(method, handler);
+    for (const id of this.callWorld!.replicaIds) this.callWorld!.network(id).handle(method, handler);
   },
 );
 
 When(
   'a caller submits job {string} with a deadline of {int} ms',
   function submit(this: Steps, id: string, deadlineMs: number) {
-    this.calls!.gateway.called.splice(0);
-    this.call = this.calls!.submit(id, deadlineMs);
+    this.callWorld!.gateway.called.splice(0);
+    this.call = this.callWorld!.submit(id, deadlineMs);
   },
 );
 
 When(
   'a caller cancels job {string} with a deadline of {int} ms',
   function cancel(this: Steps, id: string, deadlineMs: number) {
-    this.call = this.calls!.cancel(id, deadlineMs);
+    this.call = this.callWorld!.cancel(id, deadlineMs);
   },
 );
 
 When(
   'an endpoint sends heartbeat {int} with a deadline of {int} ms',
   function send(this: Steps, sequence: number, deadlineMs: number) {
-    this.call = this.calls!.sendHeartbeat(sequence, deadlineMs);
+    this.call = this.callWorld!.sendHeartbeat(sequence, deadlineMs);
   },
 );
 
 When(
   'the gateway calls {string} with a deadline of {int} ms',
   function call(this: Steps, method: string, deadlineMs: number) {
-    this.call = this.calls!.observe(async () => {
-      await this.calls!.client.call(method, {}, { deadlineMs });
+    this.call = this.callWorld!.observe(async () => {
+      await this.callWorld!.client.call(method, {}, { deadlineMs });
       return 200;
     });
   },
 );
 
 When('an operator sends configuration {int} to the leader', function send(this: Steps, version) {
-  this.call = this.calls!.configure(version);
+  this.call = this.callWorld!.configure(version);
 });
 
 When('{int} ms of the calls pass', async function pass(this: Steps, ms: number) {
-  await this.calls!.advance(ms);
+  await this.callWorld!.advance(ms);
 });
 
 When('the validity of replica {string} ends', function end(this: Steps, id: string) {
-  this.calls!.log(id).isValid = false;
+  this.callWorld!.log(id).isValid = false;
 });
 
 When('replica {string} refuses proposals', function refuse(this: Steps, id: string) {
-  this.calls!.log(id).refusesProposals = true;
+  this.callWorld!.log(id).refusesProposals = true;
 });
 
 When('replica {string} accepts proposals', function accept(this: Steps, id: string) {
-  this.calls!.log(id).refusesProposals = false;
+  this.callWorld!.log(id).refusesProposals = false;
 });
 
 When('the endpoint is draining', function drain(this: Steps) {
-  this.calls!.endpoint = { ...this.calls!.endpoint, isDraining: true };
+  this.callWorld!.endpoint = { ...this.callWorld!.endpoint, isDraining: true };
 });
 
 When(
   'replica {string} commits its proposals every {int} ms for {int} ms',
   async function commit(this: Steps, id: string, intervalMs: number, durationMs: number) {
     for (let passedMs = 0; passedMs < durationMs; passedMs += intervalMs) {
-      await this.calls!.advance(intervalMs);
-      this.calls!.log(id).commitAll();
+      await this.callWorld!.advance(intervalMs);
+      this.callWorld!.log(id).commitAll();
     }
-    await this.calls!.advance(SETTLE_MS);
+    await this.callWorld!.advance(SETTLE_MS);
   },
 );
 
 When('replica {string} commits its proposals', function commit(this: Steps, id: string) {
-  this.calls!.log(id).commitAll();
+  this.callWorld!.log(id).commitAll();
 });
 
 When(
   'replica {string} commits its proposals and is deposed',
   function end(this: Steps, id: string) {
-    this.calls!.log(id).commitAll();
-    this.calls!.depose(id);
+    this.callWorld!.log(id).commitAll();
+    this.callWorld!.depose(id);
   },
 );
 
 When('replica {string} is deposed', function depose(this: Steps, id: string) {
-  this.calls!.depose(id);
+  this.callWorld!.depose(id);
 });
 
 When('replica {string} becomes unresponsive', function pause(this: Steps, id: string) {
-  this.calls!.transport.pause(id);
+  this.callWorld!.transport.pause(id);
 });
 
 When('replica {string} responds again', function resume(this: Steps, id: string) {
-  this.calls!.transport.resume(id);
+  this.callWorld!.transport.resume(id);
 });
 
 Given('the gateway forgets the leader', function forget(this: Steps) {
-  this.calls!.forgetLeader();
+  this.callWorld!.forgetLeader();
 });
 
 Given('the leader reports the members {string}', function report(this: Steps, ids: string) {
-  for (const id of this.calls!.replicaIds) {
-    this.calls!.network(id).handle('cell.members', () => ids.split(' '));
+  for (const id of this.callWorld!.replicaIds) {
+    this.callWorld!.network(id).handle('cell.members', () => ids.split(' '));
   }
 });
 
 When('the gateway reads the members', async function read(this: Steps) {
-  const { replicaIds, client, dialled } = this.calls!;
+  const { replicaIds, client, dialled } = this.callWorld!;
   using members = new MemberList([...replicaIds], (id) => dialled.push(id));
   members.startPolling(client, SILENT_LOG);
-  await this.calls!.advance(LEARN_MS);
+  await this.callWorld!.advance(LEARN_MS);
 });
 
 Then('the gateway has dialled {string}', function check(this: Steps, ids: string) {
-  assert.deepEqual([...new Set(this.calls!.dialled)], ids.split(' '));
+  assert.deepEqual([...new Set(this.callWorld!.dialled)], ids.split(' '));
 });
 
 When('replica {string} is disconnected', async function disconnect(this: Steps, id: string) {
-  this.calls!.transport.isolate(id, [...this.calls!.replicaIds, 'g'], 'both');
+  this.callWorld!.transport.isolate(id, [...this.callWorld!.replicaIds, 'g'], 'both');
 });
 
 Then('the caller got status {int}', function check(this: Steps, status: number) {
@@ -200,15 +200,15 @@
 });
 
 Then('job {string} is stored', function check(this: Steps, id: string) {
-  assert.ok(this.calls!.state.jobs.has(id));
+  assert.ok(this.callWorld!.state.jobs.has(id));
 });
 
 Then('the last call was not sent to {string}', function check(this: Steps, ids: string) {
-  for (const id of ids.split(' ')) assert.ok(!this.calls!.gateway.called.includes(id), id);
+  for (const id of ids.split(' ')) assert.ok(!this.callWorld!.gateway.called.includes(id), id);
 });
 
 Then('the stored endpoint is draining', function check(this: Steps) {
-  const { endpoint, state } = this.calls!;
+  const { endpoint, state } = this.callWorld!;
   assert.equal(state.endpoints.get(endpoint.id)?.isDraining, true);
 });
 
