Do not repeat a call of the leader to itself at other replicas

A replica that leads forwards the heartbeats that it receives to itself. Where their commit took longer than the time of a try, it asked the other replicas for the leader, which name it: wasted work in a moment when the leader is slow.

--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -19,7 +19,8 @@
   deadlineMs: number;
   /**
    * Time after which an unanswered try is repeated at another replica, for calls that the leader
-   * handles without waiting. A late response still counts.
+   * handles without waiting. A late response still counts. Does not apply to a call of the leader
+   * to itself.
    */
   tryTimeoutMs?: number;
   signal?: AbortSignal;
@@ -89,7 +90,9 @@
           const request = { timeoutMs: remainingMs };
           tries.add(current, this.opts.network.call(current, method, params, request));
         }
-        waitEndMs = Math.min(endMs, performance.now() + (opts.tryTimeoutMs ?? remainingMs));
+        const isLocal = current === this.opts.network.selfId;
+        const tryTimeoutMs = (isLocal ? undefined : opts.tryTimeoutMs) ?? remainingMs;
+        waitEndMs = Math.min(endMs, performance.now() + tryTimeoutMs);
       }
       const outcome = await tries.next(waitEndMs - performance.now());
       if (!outcome) continue;
--- a/packages/tests/features/workflow/leaderCalls.feature
+++ b/packages/tests/features/workflow/leaderCalls.feature
@@ -189,3 +189,12 @@
     Given the leader reports the members "r1 r2 r4"
     When the gateway reads the members
     Then the gateway has dialled "r1 r2 r4 r3"
+
+  # Guards against a slow leader that spends its time on asking others for the leader.
+  Scenario: the leader does not repeat a call to itself at other replicas
+    When an endpoint sends a heartbeat to replica "r1", which repeats tries after 100 ms
+    And 300 ms of the calls pass
+    And replica "r1" commits its proposals
+    And 20 ms of the calls pass
+    Then the caller got status 200
+    And replica "r1" called only itself
--- a/packages/tests/src/steps/workflow/leaderCallSteps.ts
+++ b/packages/tests/src/steps/workflow/leaderCallSteps.ts
@@ -70,7 +70,8 @@
       if (calls === 1) throw new Error('failed after the change');
       throw new RefusalError({ type, runState: 'not-run', message: 'refused' });
     };
-    for (const id of this.callWorld!.replicaIds) this.callWorld!.network(id).handle(method, handler);
+    for (const id of this.callWorld!.replicaIds)
+      this.callWorld!.network(id).handle(method, handler);
   },
 );
 
@@ -96,6 +97,17 @@
   },
 );
 
+When(
+  'an endpoint sends a heartbeat to replica {string}, which repeats tries after {int} ms',
+  function send(this: Steps, id: string, tryTimeoutMs: number) {
+    this.call = this.callWorld!.sendHeartbeatTo(id, { deadlineMs: 900, tryTimeoutMs });
+  },
+);
+
+Then('replica {string} called only itself', function check(this: Steps, id: string) {
+  assert.deepEqual(this.callWorld!.network(id).called, [id]);
+});
+
 When(
   'the gateway calls {string} with a deadline of {int} ms',
   function call(this: Steps, method: string, deadlineMs: number) {
--- a/packages/tests/src/workflow/callWorld.ts
+++ b/packages/tests/src/workflow/callWorld.ts
@@ -1,5 +1,5 @@
 import { JobCallForwarder } from '@lagoongap/daemon/jobCallForwarder.js';
-import { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
+import { LeaderClient, type LeaderCallOptions } from '@lagoongap/gateway/leaderClient.js';
 import { SILENT_LOG } from '@lagoongap/model/log.js';
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
 import { toHttpResponse } from '@lagoongap/platform/callerApi.js';
@@ -15,7 +15,6 @@
 import { DEFAULT_WORKFLOW_TIMING } from '@lagoongap/workflow/workflowTiming.js';
 import FakeTimers from '@sinonjs/fake-timers';
 
-import { FakeNetwork } from '../harness/fakeNetwork.js';
 import { FakeTransport } from '../harness/fakeTransport.js';
 import { StepHooks } from '../harness/stepHooks.js';
 import { FakeDriver } from './fakeDriver.js';
@@ -71,7 +70,7 @@
 };
 
 interface Replica {
-  network: FakeNetwork;
+  network: RecordingNetwork;
   log: LeadershipLog;
   coordinator: WorkflowCoordinator;
 }
@@ -130,7 +129,7 @@
     return this.replicas.get(id)!.log;
   }
 
-  network(id: string): FakeNetwork {
+  network(id: string): RecordingNetwork {
     return this.replicas.get(id)!.network;
   }
 
@@ -160,11 +159,17 @@
   }
 
   sendHeartbeat(sequence: number, deadlineMs: number): ObservedCall {
-    const params: EndpointHeartbeat = { endpoint: this.endpoint, sequence };
-    return this.observe(async () => {
-      await this.client.call('endpoints.heartbeat', params, { deadlineMs });
-      return 200;
+    return this.callWith(this.client, sequence, { deadlineMs });
+  }
+
+  /** Sends a heartbeat to a replica, which calls the leader. */
+  sendHeartbeatTo(id: string, opts: LeaderCallOptions): ObservedCall {
+    const client = new LeaderClient({
+      network: this.network(id),
+      replicaInstances: this.replicaIds,
+      readLeaderHint: () => this.log(id).leaderId,
     });
+    return this.callWith(client, 1, opts);
   }
 
   /** Sends a configuration of the given version, as an operator does. */
@@ -202,12 +207,20 @@
     this.clock.uninstall();
   }
 
+  private callWith(client: LeaderClient, sequence: number, opts: LeaderCallOptions): ObservedCall {
+    const params: EndpointHeartbeat = { endpoint: this.endpoint, sequence };
+    return this.observe(async () => {
+      await client.call('endpoints.heartbeat', params, opts);
+      return 200;
+    });
+  }
+
   private call(call: JobCall, deadlineMs: number): ObservedCall {
     return this.observe(async () => toHttpResponse(await this.jobs.call(call, deadlineMs)).status);
   }
 
   private createReplica(id: string): Replica {
-    const network = new FakeNetwork(id, this.transport);
+    const network = new RecordingNetwork(id, this.transport);
     const log = new LeadershipLog(this.state);
     const coordinator = new WorkflowCoordinator({
       instanceId: id,
