Lose disks and all power at the moment of an acknowledgement in the schedules

Schedules lost disks and processes only one after the other.

The kind "lost disks and power" ends all processes at the very event at which the leader commits an entry, destroys one of 3 or 4, two of 5 or 6 and four of 9 disks, and requires that no later leader lacks a committed entry and that the rest elects and repairs the group, even groups included. Overlapping faults no longer start a running replica again.

--- a/packages/tests/src/consensus/simulation.ts
+++ b/packages/tests/src/consensus/simulation.ts
@@ -32,6 +32,8 @@
   readonly replicas: SimulatedReplica[] = [];
   private readonly events = new EventQueue();
   private isHealed = false;
+  /** Commit index after which all replicas lose power, if that is due. */
+  private powerLossAfterIndex: number | undefined;
   private lastCommand = 0;
 
   constructor(
@@ -92,6 +94,7 @@
       this.nowMs = event.atMs;
       event.run();
       this.checkValidLeaders();
+      this.losePowerIfDue();
     }
   }
 
@@ -119,6 +122,7 @@
     const actions: [keyof FaultRates, () => void][] = [
       ['crashes', () => this.crash(this.pickFaultTarget())],
       ['diskLosses', () => this.loseDisk(this.random.pick(this.replicas))],
+      ['powerLosses', () => this.schedulePowerLoss()],
       ['pauses', () => this.pause(this.pickFaultTarget())],
       ['partitions', () => this.partition()],
       [
@@ -139,23 +143,64 @@
   private crash(replica: SimulatedReplica): void {
     if (replica.core === undefined) return;
     replica.crash();
-    this.afterFault(() => replica.start(), this.options.restartMs);
+    this.startLater(replica);
   }
 
   /** Simulates a disk loss, unless an earlier one is not yet repaired. */
   private loseDisk(replica: SimulatedReplica): void {
+    if (replica.core === undefined || !this.isComplete()) return;
+    this.replaceDisk(replica);
+    this.startLater(replica);
+  }
+
+  /** Returns whether every replica is a voter and a valid leader knows that. */
+  private isComplete(): boolean {
     const voters = new Set(this.checker.committedMembership.voters);
     const leader = this.validLeader();
-    if (leader === undefined || replica.core === undefined) return;
-    if (!this.checker.isCommittedMembership(leader.core!.membership)) return;
-    if (voters.size < 3 || this.replicas.some(({ replicaId }) => !voters.has(replicaId))) return;
+    if (leader === undefined) return false;
+    if (!this.checker.isCommittedMembership(leader.core!.membership)) return false;
+    return voters.size >= 3 && this.replicas.every(({ replicaId }) => voters.has(replicaId));
+  }
+
+  /** Kills a replica and gives it an empty disk. */
+  private replaceDisk(replica: SimulatedReplica): void {
     const oldId = replica.replicaId;
     this.checker.lostIds.add(oldId);
     replica.crash();
     const isReused = this.options.mutation === 'replica keeps its id after disk loss';
     const newId = `${replica.instanceId}/${this.checker.lostIds.size}`;
     replica.disk = new SimulatedDisk(isReused ? oldId : newId);
-    this.afterFault(() => replica.start(), this.options.restartMs);
+  }
+
+  private schedulePowerLoss(): void {
+    this.powerLossAfterIndex ??= this.validLeader()?.core?.commitIndex;
+  }
+
+  /**
+   * Ends all processes at the moment at which the leader acknowledges an entry, and destroys as many
+   * disks as a group of this size tolerates.
+   */
+  private losePowerIfDue(): void {
+    const commitIndex = this.validLeader()?.core?.commitIndex ?? 0;
+    if (this.powerLossAfterIndex === undefined || this.isHealed) return;
+    if (commitIndex <= this.powerLossAfterIndex || !this.isComplete()) return;
+    this.powerLossAfterIndex = undefined;
+    const toleratedCount = Math.floor((this.replicas.length - 1) / 2);
+    const intact = [...this.replicas];
+    for (let i = 0; i < toleratedCount; i += 1) {
+      const replica = this.random.pick(intact);
+      intact.splice(intact.indexOf(replica), 1);
+      this.replaceDisk(replica);
+    }
+    for (const replica of intact) replica.crash();
+    for (const replica of this.replicas) this.startLater(replica);
+  }
+
+  /** Starts a replica after the time of a restart, unless an overlapping fault has started it. */
+  private startLater(replica: SimulatedReplica): void {
+    this.afterFault(() => {
+      if (replica.core === undefined) replica.start();
+    }, this.options.restartMs);
   }
 
   private pause(replica: SimulatedReplica): void {
--- a/packages/tests/src/consensus/simulationOptions.ts
+++ b/packages/tests/src/consensus/simulationOptions.ts
@@ -6,6 +6,8 @@
 export interface FaultRates {
   crashes: number;
   diskLosses: number;
+  /** Power losses of all replicas, right after a commit, that destroy as many disks as tolerated. */
+  powerLosses: number;
   pauses: number;
   partitions: number;
   transfers: number;
@@ -40,6 +42,7 @@
 const NO_FAULTS: FaultRates = {
   crashes: 0,
   diskLosses: 0,
+  powerLosses: 0,
   pauses: 0,
   partitions: 0,
   transfers: 0,
@@ -73,6 +76,7 @@
   | 'pauses'
   | 'snapshots'
   | 'lost disks'
+  | 'lost disks and power'
   | 'membership'
   | 'transfers'
   | 'leases'
@@ -90,6 +94,12 @@
   pauses: { faults: { pauses: 1.5, crashes: 0.3 } },
   snapshots: { faults: { crashes: 0.7, partitions: 0.7 }, snapshotEntries: 6 },
   'lost disks': { faults: { crashes: 0.3, diskLosses: 1 }, snapshotEntries: 12 },
+  'lost disks and power': {
+    faults: { powerLosses: 1, crashes: 0.2, transfers: 0.2 },
+    snapshotEntries: 12,
+    maxWriteMs: 40,
+    restartMs: [20, 600],
+  },
   membership: { faults: { memberChanges: 5, crashes: 1.5, partitions: 1.5 }, replicaCount: 4 },
   transfers: { faults: { transfers: 2, partitions: 0.5, pauses: 0.3 } },
   // Proposals are rare, so that a replica that was isolated can still win an election.
--- a/packages/tests/src/steps/consensus/scheduleSteps.ts
+++ b/packages/tests/src/steps/consensus/scheduleSteps.ts
@@ -38,6 +38,20 @@
   },
 );
 
+When(
+  '{int} consensus schedules with {string} and {int} voters run from seed {int}',
+  TIMEOUT,
+  function runSized(
+    this: ScheduleWorld,
+    count: number,
+    kind: ScheduleKind,
+    replicaCount: number,
+    seed: number,
+  ) {
+    this.finding = runSchedules(createSimulationOptions(kind, { replicaCount }), count, seed);
+  },
+);
+
 When(
   'up to {int} consensus schedules with {string} run from seed {int} under the mutation {string}',
   TIMEOUT,
