Let soak faults come in series and end all programs after an acknowledgement

The soak drew single faults, never lost a disk together with all programs, and judged a refusal only at the end, against all tries of a job.

New: "lose-power-and-disk" waits for the next acknowledgement of a job or configuration, then kills all programs, gateways included, and wipes as many disks as tolerated (once a run). Three in ten faults become a series of two to four at successive targets, which overlap. Clients keep open connections until the server closes them or is gone.

--- a/packages/tests/features/soak/checker.feature
+++ b/packages/tests/features/soak/checker.feature
@@ -52,6 +52,20 @@
     When soak run "a.0.0.0:1" starts on "w1"
     Then the soak history has a violation that starts with "a.0.0.0 was started, but its job was refused"
 
+  Scenario: a refused job that runs before it is submitted again
+    Given the response to soak job "a" is "refused"
+    When soak run "a.0.0.0:1" starts on "w1"
+    And soak job "a" is submitted again
+    And the response to soak job "a" is "accepted"
+    Then the soak history has a violation that starts with "a.0.0.0 was started on w1, but its job had been refused"
+
+  Scenario: a refused job that runs while it is submitted again
+    Given the response to soak job "a" is "refused"
+    When soak job "a" is submitted again
+    And soak run "a.0.0.0:1" on "w1" ends "done"
+    And the response to soak job "a" is "accepted"
+    Then the soak history has no violations
+
   Scenario: a job reported as completed too early
     When soak run "a.0.0.0:1" on "w1" ends "done"
     And soak job "a" is reported as "completed"
--- a/packages/tests/src/soak/faultPlan.ts
+++ b/packages/tests/src/soak/faultPlan.ts
@@ -10,6 +10,7 @@
   'wipe-replica',
   'tear-log',
   'kill-all-replicas',
+  'lose-power-and-disk',
   'kill-gateway',
   'freeze-gateway',
   'stop-gateway',
@@ -42,21 +43,35 @@
 const MIN_FAULTS = 4;
 const MAX_FAULTS = 9;
 
+/** Probability that a fault is repeated in a series, at one target after the other. */
+const SERIES_PROBABILITY = 0.3;
+const MAX_SERIES_LENGTH = 4;
+const MAX_SERIES_GAP_MS = 600;
+
 const MIN_DURATION_MS = 200;
 const MAX_DURATION_MS = 3500;
 const MAX_TARGET = 1000;
 
-/** Returns the faults of a seed, ordered by start time. Faults may overlap. */
+/** Returns the faults of a seed, ordered by start time. Faults come in series and may overlap. */
 export function planFaults(seed: number, loadMs: number): PlannedFault[] {
   const random = createSeededRandom(seed);
   const drawInteger = (min: number, max: number): number =>
     Math.floor(min + random() * (max - min));
   const count = drawInteger(MIN_FAULTS, MAX_FAULTS + 1);
-  const faults = Array.from({ length: count }, () => ({
-    kind: FAULT_KINDS[drawInteger(0, FAULT_KINDS.length)]!,
-    atMs: drawInteger(0, loadMs),
-    durationMs: drawInteger(MIN_DURATION_MS, MAX_DURATION_MS),
-    target: drawInteger(0, MAX_TARGET),
-  }));
+  const faults = Array.from({ length: count }, () => {
+    const first: PlannedFault = {
+      kind: FAULT_KINDS[drawInteger(0, FAULT_KINDS.length)]!,
+      atMs: drawInteger(0, loadMs),
+      durationMs: drawInteger(MIN_DURATION_MS, MAX_DURATION_MS),
+      target: drawInteger(0, MAX_TARGET),
+    };
+    const length = random() < SERIES_PROBABILITY ? drawInteger(2, MAX_SERIES_LENGTH + 1) : 1;
+    const gapMs = drawInteger(0, MAX_SERIES_GAP_MS);
+    return Array.from({ length }, (_, step) => ({
+      ...first,
+      atMs: first.atMs + step * gapMs,
+      target: first.target + step,
+    }));
+  }).flat();
   return faults.sort((a, b) => a.atMs - b.atMs);
 }
--- a/packages/tests/src/soak/runSoak.ts
+++ b/packages/tests/src/soak/runSoak.ts
@@ -16,6 +16,7 @@
   jobs: number;
   seconds: number;
   replicas: number;
+  gateways: number;
   endpoints: number;
   keep?: boolean;
 }
@@ -29,7 +30,7 @@
     seed,
     folder,
     replicas: flags.replicas,
-    gateways: 2,
+    gateways: flags.gateways,
     endpoints: flags.endpoints,
     loadMs: flags.seconds * MS_PER_SECOND,
   });
@@ -91,6 +92,7 @@
     default: DEFAULT_LOAD_S,
   })
   .option('--replicas <count>', 'Number of replicas', { default: 3 })
+  .option('--gateways <count>', 'Number of gateways', { default: 2 })
   .option('--endpoints <count>', 'Number of endpoints', { default: 6 })
   .option('--keep', 'Keeps the logs if all seeds pass')
   .action((flags: SoakFlags) => main(flags));
--- a/packages/tests/src/soak/soakHistory.ts
+++ b/packages/tests/src/soak/soakHistory.ts
@@ -24,6 +24,8 @@
 interface JobHistory {
   job: SoakJob;
   outcomes: CallOutcome[];
+  /** Number of submissions without an outcome yet. */
+  openCalls: number;
   isCancelled: boolean;
   tasks: Map<string, TaskHistory>;
 }
@@ -38,6 +40,7 @@
   private readonly usedCpuMillis = new Map<string, number>();
   private readonly capacityMillis: number;
   private acknowledgedVersion = 0;
+  private acknowledgementListeners: (() => void)[] = [];
   private readonly documents = new Map<number, string>();
 
   constructor(capacityMillis: number) {
@@ -56,11 +59,32 @@
 
   recordSubmission(job: SoakJob): void {
     const tasks = new Map<string, TaskHistory>();
-    this.jobs.set(job.id, { job, outcomes: [], isCancelled: false, tasks });
+    this.jobs.set(job.id, { job, outcomes: [], openCalls: 0, isCancelled: false, tasks });
+  }
+
+  /** Records that a caller sends the submission of a job, for the first time or again. */
+  recordCall(id: string): void {
+    const history = this.jobs.get(id);
+    if (history) history.openCalls += 1;
   }
 
   recordOutcome(id: string, outcome: CallOutcome): void {
-    this.jobs.get(id)?.outcomes.push(outcome);
+    const history = this.jobs.get(id);
+    if (!history) return;
+    history.openCalls = Math.max(0, history.openCalls - 1);
+    history.outcomes.push(outcome);
+    if (outcome === 'accepted') this.notifyAcknowledgement();
+  }
+
+  /** Resolves at the next acknowledgement of a job or a configuration, or after `maxMs`. */
+  waitForAcknowledgement(maxMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, maxMs);
+      this.acknowledgementListeners.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
   }
 
   recordCancellation(id: string): void {
@@ -79,6 +103,9 @@
     if (task.runningOn.size > 0) {
       this.violations.push(`${name} runs twice: on ${[...task.runningOn].join()} and ${endpoint}`);
     }
+    if (history.openCalls === 0 && SoakHistory.isRefused(history)) {
+      this.violations.push(`${name} was started on ${endpoint}, but its job had been refused`);
+    }
     for (const run of task.doneRuns) task.doneBeforeStart.add(run);
     task.runningOn.add(endpoint);
     const usedMillis = (this.usedCpuMillis.get(endpoint) ?? 0) + history.job.cpuMillis;
@@ -124,6 +151,7 @@
 
   recordConfigAcknowledged(version: number): void {
     this.acknowledgedVersion = Math.max(this.acknowledgedVersion, version);
+    this.notifyAcknowledgement();
   }
 
   /** Minimum configuration version that a read sent now must return. */
@@ -143,8 +171,9 @@
 
   /** Checks the guarantees that can be checked only after the soak has ended. */
   checkFinalState(): void {
-    for (const { job, outcomes, isCancelled, tasks } of this.jobs.values()) {
-      const isRefused = outcomes.length > 0 && outcomes.every((outcome) => outcome === 'refused');
+    for (const history of this.jobs.values()) {
+      const { job, isCancelled, tasks } = history;
+      const isRefused = SoakHistory.isRefused(history);
       for (const [name, task] of tasks) {
         if (isRefused) this.violations.push(`${name} was started, but its job was refused`);
         if ([...task.doneBeforeStart].some((run) => task.acknowledgedRuns.has(run))) {
@@ -157,6 +186,14 @@
     }
   }
 
+  private static isRefused({ outcomes }: JobHistory): boolean {
+    return outcomes.length > 0 && outcomes.every((outcome) => outcome === 'refused');
+  }
+
+  private notifyAcknowledgement(): void {
+    for (const listener of this.acknowledgementListeners.splice(0)) listener();
+  }
+
   private findTask(name: string): { history?: JobHistory; task?: TaskHistory; step: number } {
     const [id = '', , step, index] = name.split('.');
     const history = this.jobs.get(id);
--- a/packages/tests/src/soak/soakLoad.ts
+++ b/packages/tests/src/soak/soakLoad.ts
@@ -1,6 +1,6 @@
 import { delay } from '@lagoongap/model/delay.js';
 import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
-import { request } from 'undici';
+import { Agent, request } from 'undici';
 
 import { createConfig } from '../platform/documents.js';
 import type { CallOutcome, SoakHistory, SoakJob } from './soakHistory.js';
@@ -21,6 +21,10 @@
 const STATUS_GONE = 410;
 const REFUSAL_STATUSES = [429, 503];
 
+/** Idle time after which a client closes a connection, longer than a soak. */
+const CONNECTION_IDLE_MS = 600_000;
+const CONNECTIONS_PER_SERVER = 8;
+
 /** Load of callers and an operator that continues while faults are injected. */
 export class SoakLoad {
   private readonly history: SoakHistory;
@@ -28,6 +32,13 @@
   private readonly controls: () => string[];
   private readonly random: () => number;
   private readonly open = new Set<Promise<void>>();
+  /** Clients keep using open connections until the server has closed them or is gone. */
+  private readonly agent = new Agent({
+    connections: CONNECTIONS_PER_SERVER,
+    keepAliveTimeout: CONNECTION_IDLE_MS,
+    keepAliveMaxTimeout: CONNECTION_IDLE_MS,
+  });
+
   private version = 0;
   private jobCount = 0;
 
@@ -116,6 +127,7 @@
     const body = JSON.stringify({ task_spec: 'soak', steps });
     let outcome: CallOutcome = 'unknown';
     for (let tries = 0; tries < MAX_TRIES && outcome !== 'accepted'; tries += 1) {
+      this.history.recordCall(id);
       const response = await this.callCaller('POST', id, body);
       if (response?.code === STATUS_OK) outcome = 'accepted';
       else outcome = response && REFUSAL_STATUSES.includes(response.code) ? 'refused' : 'unknown';
@@ -166,7 +178,8 @@
   ): Promise<{ code: number; text: string } | undefined> {
     try {
       const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
-      const res = await request(url, { method, headers, body: body ?? null, signal });
+      const dispatcher = this.agent;
+      const res = await request(url, { method, headers, body: body ?? null, signal, dispatcher });
       return { code: res.statusCode, text: await res.body.text() };
     } catch {
       // The soak provokes lost connections; the caller records their outcome as unknown.
--- a/packages/tests/src/soak/soakRun.ts
+++ b/packages/tests/src/soak/soakRun.ts
@@ -36,6 +36,9 @@
 /** Time within which all accepted jobs must end after the last fault. */
 const SETTLE_TIMEOUT_MS = 30_000;
 
+/** Time for which a power loss waits for an acknowledgement. */
+const MAX_ACKNOWLEDGEMENT_WAIT_MS = 2000;
+
 /** Interval at which the states of unfinished jobs are read. */
 const POLL_INTERVAL_MS = 250;
 
@@ -148,6 +151,8 @@
         return system.damageDisk(target, durationMs, 'tear');
       case 'kill-all-replicas':
         return system.killAllReplicas(durationMs);
+      case 'lose-power-and-disk':
+        return this.losePower(system, target, durationMs);
       case 'kill-gateway':
         return system.kill('gateway', target, durationMs);
       case 'freeze-gateway':
@@ -177,9 +182,18 @@
     }
   }
 
-  /** Whether a disk has been wiped: three replicas tolerate the loss of one disk only. */
+  /** Whether disks have been wiped: no more may be lost than the replicas tolerate at once. */
   private hasWipedDisk = false;
 
+  /** Ends all programs right after the next acknowledgement, with as many disks as tolerated. */
+  private async losePower(system: SoakSystem, target: number, downMs: number): Promise<void> {
+    await this.history.waitForAcknowledgement(MAX_ACKNOWLEDGEMENT_WAIT_MS);
+    const toleratedCount = Math.floor((this.opts.replicas - 1) / 2);
+    const wipedCount = this.hasWipedDisk ? 0 : toleratedCount;
+    this.hasWipedDisk = true;
+    await system.losePower(target, wipedCount, downMs);
+  }
+
   private async wipeDisk(system: SoakSystem, target: number, downMs: number): Promise<void> {
     if (this.hasWipedDisk) return system.kill('replica', target, downMs);
     this.hasWipedDisk = true;
--- a/packages/tests/src/soak/soakSystem.ts
+++ b/packages/tests/src/soak/soakSystem.ts
@@ -144,6 +144,28 @@
     );
   }
 
+  /**
+   * Kills all programs at once, wipes the disks of replicas, and restarts all programs.
+   *
+   * @param first - Selects the first replica whose disk is wiped.
+   */
+  async losePower(first: number, wipedCount: number, downMs: number): Promise<void> {
+    const programs = [...this.processes];
+    for (const program of programs) {
+      program.holds += 1;
+      program.child?.kill('SIGKILL');
+    }
+    await delay(downMs);
+    for (let i = 0; i < wipedCount; i += 1) {
+      const folder = this.getDataFolder(this.pickProcess('replica', first + i));
+      await rm(folder, { recursive: true, force: true });
+    }
+    for (const program of programs) {
+      program.holds -= 1;
+      await this.restartIfDown(program);
+    }
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.isDisposed = true;
     process.off('exit', this.killAll);
--- a/packages/tests/src/steps/soak/checkerSteps.ts
+++ b/packages/tests/src/steps/soak/checkerSteps.ts
@@ -44,6 +44,10 @@
   },
 );
 
+When('soak job {string} is submitted again', function resubmit(this: CheckerWorld, id: string) {
+  this.history.recordCall(id);
+});
+
 When('soak run {string} starts on {string}', function start(this: CheckerWorld, run: string, id) {
   this.history.recordStart(id, parseRun(run).name);
 });
