--- a/packages/client/src/commands/explainCommand.ts
+++ b/packages/client/src/commands/explainCommand.ts
@@ -11,7 +11,8 @@
 
 function formatLine({ time, instance, level, message, ...fields }: LogLine): string {
   const details = Object.entries(fields).map(([name, value]) => `${name}=${formatValue(value)}`);
-  const levelLabel = level === 'info' ? '' : ` ${level}:`;
+  const isNormal = level === 'info' || level === 'notice';
+  const levelLabel = isNormal ? '' : ` ${level}:`;
   return [`${time} ${instance ?? '-'}${levelLabel} ${message}`, ...details].join('  ');
 }
 
--- a/packages/client/src/jobTimeline.ts
+++ b/packages/client/src/jobTimeline.ts
@@ -19,8 +19,8 @@
 }
 
 /**
- * Messages about changes of leadership, configuration and connectivity, which may explain a gap
- * between two lines.
+ * Messages about changes of leadership, configuration and connectivity, and about missing lines,
+ * which may explain a gap between two lines.
  */
 const CONTEXT_MESSAGES = new Set([
   'replica role',
@@ -28,7 +28,15 @@
   'leadership of workflows ends',
   'a newer leader gives orders',
   'configuration is in force',
+  'take-over phase reached',
+  'leadership is not valid',
+  'leadership was not valid',
+  'event loop was blocked',
+  'leader is reachable',
   'leader is out of touch',
+  'no valid leader',
+  'valid leader found',
+  'log lines left out',
   'replica listens',
   'replica stops',
 ]);
@@ -71,6 +79,12 @@
   return { ...line, runs: ownRuns.join() };
 }
 
+/** Returns the time at which the event of a line began, in Unix milliseconds. */
+function beginTimeMs({ time, tookMs, heldMs }: LogLine): number {
+  const durationMs = tookMs ?? heldMs;
+  return Date.parse(time) - (typeof durationMs === 'number' ? durationMs : 0);
+}
+
 function listEndpoints(lines: LogLine[]): Set<string> {
   const endpoints = new Set<string>();
   for (const { endpoint, runs } of lines) {
@@ -92,8 +106,8 @@
 
 /**
  * Merges the logs of several instances into the timeline of one job, request, step or run. It
- * contains every line that names the id and, between the first and the last of them, changes of
- * leader, configuration and connectivity, and failures and changes of the endpoints that it ran on.
+ * contains every line that names the id and, from the beginning of the first to the last of them,
+ * changes of leader, configuration and connectivity, and failures and changes of the endpoints that it ran on.
  */
 export function buildTimeline(texts: Iterable<string>, id: string): JobTimeline {
   const all: LogLine[] = [];
@@ -108,10 +122,10 @@
     Object.values(line).some((value) => containsId(value, id));
   const ownLines = all.filter(namesId).map((line) => filterRuns(line, id));
   const endpoints = listEndpoints(ownLines);
-  const first = ownLines[0]?.time ?? '';
-  const last = ownLines.at(-1)?.time ?? '';
+  const firstMs = Math.min(...ownLines.map(beginTimeMs));
+  const lastMs = Math.max(...ownLines.map(({ time }) => Date.parse(time)));
   const isContext = ({ time, message, endpoint }: LogLine): boolean => {
-    if (time < first || time > last) return false;
+    if (Date.parse(time) < firstMs || Date.parse(time) > lastMs) return false;
     if (CONTEXT_MESSAGES.has(message)) return true;
     return ENDPOINT_MESSAGES.has(message) && endpoints.has(String(endpoint));
   };
--- a/packages/tests/features/client/explain.feature
+++ b/packages/tests/features/client/explain.feature
@@ -43,6 +43,22 @@
     And the client does not print 'ffffffffffffffff'
     And the client does not print 'role=follower'
 
+  # Guards against a refusal without its cause, as only the gateway's last line names the request.
+  Scenario: a refused request is shown with what happened while it was held
+    Given the client file "refused.log":
+      """
+      {"instance":"core-a-2","phase":"applied","sinceElectionMs":12,"time":"2026-01-20T04:00:49.100Z","level":"notice","message":"take-over phase reached"}
+      {"instance":"front-c-3","reason":"leader-not-valid","target":"10.1.0.39:7700","method":"jobs.call","time":"2026-01-20T04:00:51.061Z","level":"notice","message":"no valid leader"}
+      {"instance":"core-a-2","blockedMs":160,"time":"2026-01-20T04:00:51.057Z","level":"warn","message":"event loop was blocked"}
+      {"instance":"front-c-3","operation":"submit","path":"/q/902b3408e0bd1b1d","answer":"unavailable","reason":"leader-not-valid","tookMs":900,"time":"2026-01-20T04:00:51.310Z","level":"info","message":"call answered"}
+      """
+    When the client runs "explain 902b3408e0bd1b1d refused.log"
+    Then the client exits with 0
+    And the client prints 'front-c-3 no valid leader  reason=leader-not-valid'
+    And the client prints 'core-a-2 warn: event loop was blocked  blockedMs=160'
+    And the client prints 'reason=leader-not-valid  tookMs=900'
+    And the client does not print 'take-over phase reached'
+
   Scenario: the timeline is printed as one JSON document
     When the client runs "explain 056bbc6b1367df37 replica.log --json"
     Then the client exits with 0
