Log responses that come too late

What was seen: a try that timed out looked the same whether the leader was slow or gone.

Change: RpcClient remembers up to 1,000 calls that timed out, and a response to one of them is logged (`response came too late`, with method and delay) before it is ignored as before. The reason `answered-late` is dropped from CallFailureReason: at the deadline nobody can know it.

features/peering/peerNetwork: all passed, with the step that looks for the line.

--- a/packages/peering/src/peerDialler.ts
+++ b/packages/peering/src/peerDialler.ts
@@ -136,7 +136,9 @@
     this.backoff.reset();
     counters.connects += 1;
     connection.raiseFrameLimit(limits.maxFrameBytes);
-    this.client = new RpcClient(peer.id, (rpc) => this.send(connection, rpc));
+    const logLate = (method: string, lateMs: number): void =>
+      logger.warn('response came too late', { peer: peer.id, method, lateMs: Math.round(lateMs) });
+    this.client = new RpcClient(peer.id, (rpc) => this.send(connection, rpc), logLate);
     this.pingTimer = setInterval(() => this.ping(connection), limits.pingMs);
     this.opts.onFrame();
     logger.info('connected to instance', { peer: peer.id });
--- a/packages/peering/src/rpcClient.ts
+++ b/packages/peering/src/rpcClient.ts
@@ -20,8 +20,15 @@
  */
 const LOCAL_FAILURE_CODE = 0;
 
+/** Maximum number of timed-out calls whose late responses are recognised. */
+const MAX_TIMED_OUT = 1000;
+
+/** Called for a response that came `lateMs` after the timeout of its call. */
+export type LateResponseListener = (method: string, lateMs: number) => void;
+
 /**
- * JSON-RPC client over one connection. Responses to calls that are no longer pending are ignored.
+ * JSON-RPC client over one connection. Responses to calls that are no longer pending are reported
+ * as late and otherwise ignored.
  */
 export class RpcClient {
   private readonly instanceId: string;
@@ -29,11 +36,19 @@
   private readonly pendingMethods = new Map<JSONRPCID, string>();
   private readonly localFailures = new WeakMap<object, Error>();
   private readonly sendFailures = new Map<JSONRPCID, Error>();
+  private readonly onLateResponse: LateResponseListener | undefined;
+  /** Calls that have timed out, with the monotonic time of the timeout, oldest first. */
+  private readonly timedOut = new Map<JSONRPCID, { method: string; atMs: number }>();
   private lastId = 0;
 
   /** @param send - Queues a message on the connection; may throw FrameError. */
-  constructor(instanceId: string, send: (message: unknown) => SendResult) {
+  constructor(
+    instanceId: string,
+    send: (message: unknown) => SendResult,
+    onLateResponse?: LateResponseListener,
+  ) {
     this.instanceId = instanceId;
+    this.onLateResponse = onLateResponse;
     this.client = new JSONRPCClient((message) => this.sendMessage(message, send));
   }
 
@@ -42,8 +57,10 @@
     this.lastId += 1;
     const id = this.lastId;
     this.pendingMethods.set(id, method);
-    const failOnTimeout = () =>
-      this.createFailure(id, new PeerTimeoutError(this.instanceId, method, timeoutMs));
+    const failOnTimeout = () => {
+      this.recordTimeout(id, method);
+      return this.createFailure(id, new PeerTimeoutError(this.instanceId, method, timeoutMs));
+    };
     try {
       const request = createJSONRPCRequest(id, method, params);
       const requester = this.client.timeout(timeoutMs, failOnTimeout);
@@ -61,7 +78,20 @@
 
   /** Processes a received response. */
   receive(message: FrameMessage): void {
-    this.client.receive(message as unknown as JSONRPCResponse);
+    const response = message as unknown as JSONRPCResponse;
+    const late = response.id === null ? undefined : this.timedOut.get(response.id);
+    if (late) {
+      this.timedOut.delete(response.id);
+      this.onLateResponse?.(late.method, performance.now() - late.atMs);
+    }
+    this.client.receive(response);
+  }
+
+  private recordTimeout(id: JSONRPCID, method: string): void {
+    this.timedOut.set(id, { method, atMs: performance.now() });
+    if (this.timedOut.size <= MAX_TIMED_OUT) return;
+    const [oldest] = this.timedOut.keys();
+    this.timedOut.delete(oldest!);
   }
 
   /** Rejects all pending calls with PeerConnectionLostError. */
--- a/packages/telemetry/src/callFailure.ts
+++ b/packages/telemetry/src/callFailure.ts
@@ -12,8 +12,6 @@
   | 'connection-lost'
   /** No response arrived in time. */
   | 'timed-out'
-  /** The leader executed the call, and its response came after the deadline of the caller. */
-  | 'answered-late'
   /** The leader failed to handle the call. */
   | 'failed'
   /** A limit was reached. */
--- a/packages/tests/features/peering/peerNetwork.feature
+++ b/packages/tests/features/peering/peerNetwork.feature
@@ -24,11 +24,13 @@
       | a    |
       | b    |
 
-  Scenario: a late response is ignored
+  # Guards against a slow leader that cannot be told from one that never responds.
+  Scenario: a late response is logged and otherwise ignored
     Given two connected peers
     When peer b is called with a timeout of 30 ms and responds after 90 ms
     Then the call failed with PeerTimeoutError
     And later calls receive their own responses while the late one arrives
+    And peer a logged that the response to method delay came too late
 
   Scenario: a call without a connection is reported as not sent
     Given two connected peers
--- a/packages/tests/src/steps/peering/peerNetworkSteps.ts
+++ b/packages/tests/src/steps/peering/peerNetworkSteps.ts
@@ -103,6 +103,15 @@
   },
 );
 
+Then(
+  'peer a logged that the response to method {word} came too late',
+  function checkLate(this: PeeringWorld, method: string) {
+    const lines = this.peering.log.filter((line) => line.includes('response came too late'));
+    assert.equal(lines.length, 1);
+    assert.ok(lines[0]!.startsWith('a: ') && lines[0]!.includes(`"method":"${method}"`));
+  },
+);
+
 Then(
   'later calls receive their own responses while the late one arrives',
   async function checkLaterCalls(this: PeeringWorld) {
