Do not take a leader for unresponsive when a call had too little time

What callers saw: after an election, instances avoided the new leader for a second: heartbeats of endpoints failed, gateways said "leader is out of touch" and answered 503, while the leader was valid.

Cause: the exchange with the advisor's broker is held by the leader for up to 1 s and has a deadline of 1.8 s. When it met an election that took more than 0.8 s, the rest of its time was shorter than the hold, it timed out, and LeaderClient skipped the healthy leader for 1 s for all calls of the instance. The same holds for any call that reaches the leader with little of its deadline left.

Change: calls say how long the leader may hold them, and a timeout counts as unresponsiveness only if the replica had 300 ms beyond that (or the whole timeout of a try that the caller chose). A shorter one changes nothing about the target.

Tested: features/gateway/heldCalls failed before (a call that is answered at once took 1,010 ms), and passes; a leader that does not answer is still avoided. gateway, peering, platform, coordinator: 82 passed.

--- a/packages/daemon/src/advisorLoop.ts
+++ b/packages/daemon/src/advisorLoop.ts
@@ -60,7 +60,7 @@
         query = await this.opts.leader.call<AdviceQuery | null>(
           'advice.exchange',
           { reports, waitMs: QUERY_WAIT_MS },
-          { deadlineMs: EXCHANGE_TIMEOUT_MS },
+          { deadlineMs: EXCHANGE_TIMEOUT_MS, heldMs: QUERY_WAIT_MS },
         );
         reports = [];
       } catch (err) {
--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -25,6 +25,8 @@
   deadlineMs: number;
   /** Timeout of one try, for calls that the leader handles without waiting. */
   tryTimeoutMs?: number;
+  /** Longest time for which the leader holds the call before it responds; 0 by default. */
+  heldMs?: number;
   signal?: AbortSignal;
 }
 
@@ -37,6 +39,12 @@
  */
 const UNRESPONSIVE_SKIP_MS = 1000;
 
+/**
+ * Time to respond, beyond the time for which the leader holds the call, from which a timeout means
+ * that a replica is unresponsive. A try with less time left says nothing about the replica.
+ */
+const MIN_RESPONSE_TIME_MS = 300;
+
 function readRefusal(err: Error): Refusal | undefined {
   if (err instanceof RefusalError) return err.refusal;
   const { data } = err as { data?: { refusal?: Refusal } };
@@ -86,6 +94,9 @@
         reason = classifyTryFailure(err, refusal);
         this.opts.absence?.recordFailure(reason, { target, method, sentMs });
         if (!refusal && err.name !== 'PeerUnavailableError') mayHaveRun = true;
+        const conclusiveMs = (opts.heldMs ?? 0) + MIN_RESPONSE_TIME_MS;
+        const hadTime = timeoutMs >= Math.min(conclusiveMs, opts.tryTimeoutMs ?? Infinity);
+        if (err.name === 'PeerTimeoutError' && !hadTime) continue;
         if (err.name === 'PeerTimeoutError') {
           this.unresponsiveReplica = {
             id: target,
