--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -29,6 +29,8 @@
    * to itself.
    */
   tryTimeoutMs?: number;
+  /** Longest time for which the leader holds the call before it responds; 0 by default. */
+  heldMs?: number;
   signal?: AbortSignal;
 }
 
@@ -44,6 +46,12 @@
  */
 const UNRESPONSIVE_SKIP_MS = 1000;
 
+/**
+ * Time to respond, beyond the time for which the leader holds the call, from which a timeout means
+ * that a replica is unresponsive. A try with less time left says nothing about the replica.
+ */
+const MIN_RESPONSE_TIME_MS = 300;
+
 function readRefusal(err: Error): Refusal | undefined {
   if (err instanceof RefusalError) return err.refusal;
   const { data } = err as { data?: { refusal?: Refusal } };
@@ -123,6 +131,11 @@
       }
       reason = classifyTryFailure(outcome.err, refusal);
       this.opts.absence?.recordFailure(reason, { target, method, sentMs });
+      const conclusiveMs = (opts.heldMs ?? 0) + MIN_RESPONSE_TIME_MS;
+      const minMs = Math.min(conclusiveMs, opts.tryTimeoutMs ?? Infinity);
+      const hadTime = performance.now() - sentMs >= minMs;
+      // A deadline that was too short tells nothing about the replica.
+      if (outcome.err.name === 'PeerTimeoutError' && !hadTime) continue;
       const hasHint = this.handleFailure(target, outcome.err, refusal);
       if (target !== current) continue;
       current = undefined;
