Skip waiting steps whose query to the advisor is pending

Cause: the time of the next search for a step had passed while its query was pending, so every scheduling cycle evaluated the step in full until the response came, half a second and more for slow advisors. The response, or its absence, makes the step due again.

--- a/packages/bench/src/workflowRun.ts
+++ b/packages/bench/src/workflowRun.ts
@@ -44,7 +44,10 @@
 
 const HEARTBEAT_MS = 1500;
 const COMMIT_MS = 10;
-const ADVICE_MS = 30;
+
+/** Latency of the advisor: fixed, and per endpoint in the query. */
+const SHORT_ADVICE_MS = { fixed: 21, perEndpoint: 0.3 };
+const LONG_ADVICE_MS = { fixed: 380, perEndpoint: 5.5 };
 const TICKET_VALIDITY_MS = 2000;
 const SUITABLE_SHARE = 0.7;
 const MS_PER_SECOND = 1000;
@@ -80,7 +83,7 @@
   };
 }
 
-function createQueue(name: string, priority: number): QueuePolicy {
+function createQueue(name: string, priority: number, advice: typeof LONG_ADVICE_MS): QueuePolicy {
   return {
     name,
     host: 'h',
@@ -91,7 +94,11 @@
     stretch: 2,
     targetMs: 500,
     isOpen: false,
-    advice: { decideMs: ADVICE_MS, perEndpointMs: 0, validMs: TICKET_VALIDITY_MS },
+    advice: {
+      decideMs: advice.fixed,
+      perEndpointMs: advice.perEndpoint,
+      validMs: TICKET_VALIDITY_MS,
+    },
   };
 }
 
@@ -118,7 +125,11 @@
     const names = Array.from({ length: scale.organisations }, (_, i) => `team-${i}`);
     this.config = {
       version: 1,
-      queues: [createQueue('short', 0), createQueue('service', 1), createQueue('long', 2)],
+      queues: [
+        createQueue('short', 0, SHORT_ADVICE_MS),
+        createQueue('service', 1, LONG_ADVICE_MS),
+        createQueue('long', 2, LONG_ADVICE_MS),
+      ],
       organisations: names.map((name) => ({
         name,
         keys: [`key-${name}`],
@@ -253,13 +264,15 @@
         setTimeout(() => this.pollAdvice([]), 1);
         return;
       }
-      const { id, endpoints } = query;
+      const { id, step, endpoints } = query;
+      const advice = step.startsWith('short') ? SHORT_ADVICE_MS : LONG_ADVICE_MS;
+      const durationMs = advice.fixed + advice.perEndpoint * endpoints.length;
       setTimeout(() => {
         const good = endpoints
           .filter(() => this.random() < SUITABLE_SHARE)
           .map((endpoint) => ({ endpoint, ticket: `ticket-${id}-${endpoint}` }));
-        this.pollAdvice([{ id, good, durationMs: ADVICE_MS, validMs: TICKET_VALIDITY_MS }]);
-      }, ADVICE_MS);
+        this.pollAdvice([{ id, good, durationMs, validMs: TICKET_VALIDITY_MS }]);
+      }, durationMs);
     };
     answer().catch(() => undefined);
   }
@@ -288,7 +301,7 @@
     this.jobCount += 1;
     const { organisations } = this.config;
     const [key] = organisations[this.jobCount % organisations.length]!.keys;
-    const path = `/${queue}/${this.jobCount.toString(16).padStart(16, '0')}`;
+    const path = `/${queue}/${queue}-${this.jobCount.toString(16).padStart(12, '0')}`;
     const spec = { payload: String(durationMs), steps };
     const startMs = performance.now();
     this.session.jobs.handle({ host: 'h', path, key, operation: 'submit', spec }).then(
--- a/packages/workflow/src/blockedSteps.ts
+++ b/packages/workflow/src/blockedSteps.ts
@@ -7,8 +7,6 @@
   waitingCount: number;
   /** Version of the step's ticket cache; 0 if no tickets are needed. */
   ticketVersion: number;
-  /** Monotonic time at which the advisor may be queried again. */
-  retryAtMs: number;
   /** Number of capacity releases that were considered. */
   releaseCount: number;
   isWithinLimit: boolean;
@@ -42,7 +40,6 @@
     this.states.set(step.name, {
       waitingCount,
       ticketVersion: tickets?.version ?? 0,
-      retryAtMs: tickets?.nextSearchMs ?? Infinity,
       releaseCount: this.ledger.releaseCount,
       isWithinLimit,
     });
@@ -55,7 +52,8 @@
   ): boolean {
     const state = this.states.get(step.name);
     if (!state || state.waitingCount !== step.waiting.length) return false;
-    if (state.ticketVersion !== (tickets?.version ?? 0) || nowMs >= state.retryAtMs) return false;
+    if (state.ticketVersion !== (tickets?.version ?? 0)) return false;
+    if (tickets && nowMs >= tickets.nextSearchMs) return false;
     if (!isWithinLimit) return true;
     if (!state.isWithinLimit) return false;
     const released = this.ledger.listReleases(state.releaseCount);
--- a/packages/workflow/src/ticketCache.ts
+++ b/packages/workflow/src/ticketCache.ts
@@ -37,6 +37,7 @@
   private readonly suitability = new Map<string, boolean>();
   private responseCount = 0;
   private lastSearchMs = -Infinity;
+  private isQueryPending = false;
   private intervalMs = SEARCH_INTERVAL_MS;
 
   /** Version of the cache; increases with each response. */
@@ -44,9 +45,22 @@
     return this.responseCount;
   }
 
-  /** Monotonic time of the next allowed search for endpoints to query. */
+  /**
+   * Monotonic time of the next allowed search for endpoints to query; Infinity while a query is
+   * pending, whose response changes the version of the cache.
+   */
   get nextSearchMs(): number {
-    return this.lastSearchMs + this.intervalMs;
+    return this.isQueryPending ? Infinity : this.lastSearchMs + this.intervalMs;
+  }
+
+  /** Records that a query was sent. */
+  beginQuery(): void {
+    this.isQueryPending = true;
+  }
+
+  /** Records that the query was answered or has failed. */
+  endQuery(): void {
+    this.isQueryPending = false;
   }
 
   /** Adds the result of a query. */
--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -111,12 +111,14 @@
       return;
     }
     this.pendingSteps.add(ready.name);
+    cache.beginQuery();
     const { broker, context, onAdvice } = this.opts;
     const startMs = performance.now();
     broker
       .query(ready.name, endpoints, advice, queue.priority)
       .then((response) => {
         this.pendingSteps.delete(ready.name);
+        cache.endQuery();
         context.meter.countAdvice(response !== undefined, performance.now() - startMs);
         if (!response) return;
         const share = this.suitableShareOf(queue.name);
@@ -129,6 +131,7 @@
       })
       .catch((err: Error) => {
         this.pendingSteps.delete(ready.name);
+        cache.endQuery();
         context.logger.warn('advisor query failed', { step: ready.name, err: err.message });
       });
   }
