--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -122,11 +122,13 @@
     const { broker, context, onAdvice } = this.opts;
     const startMs = performance.now();
     this.pendingSteps.set(ready.name, startMs);
+    cache.beginQuery();
     this.countInFlight(endpoints, 1);
     broker
       .query(ready.name, endpoints, advice, queue.priority)
       .finally(() => {
         this.pendingSteps.delete(ready.name);
+        cache.endQuery();
         this.countInFlight(endpoints, -1);
       })
       .then((response) => {
