Send a call once to a slow leader, and count pending tries as unknown

The review of the incident found three faults of repeated tries. A refusal by one replica hid a try that was pending at another, and an outcome that arrived at the deadline was not read.

A call goes to each replica once while it is pending there; a replica that names the leader ends its avoidance; pauses double while a try is pending; pending and unread outcomes count as unknown.

--- a/packages/gateway/src/callTries.ts
+++ b/packages/gateway/src/callTries.ts
@@ -11,22 +11,32 @@
 export class CallTries {
   private readonly outcomes: TryOutcome[] = [];
   private added = 0;
-  private pending = 0;
+  private readonly pendingTargets: string[] = [];
   private wake: (() => void) | undefined;
 
   get count(): number {
     return this.added;
   }
 
-  /** Number of tries without an outcome. */
+  /** Whether a try has ended whose outcome has not been returned yet. */
+  get hasOutcome(): boolean {
+    return this.outcomes.length > 0;
+  }
+
+  /** Number of tries whose outcome has not been returned yet. */
   get pendingCount(): number {
-    return this.pending;
+    return this.pendingTargets.length;
+  }
+
+  /** Returns whether a try at a replica is pending. */
+  isPendingAt(target: string): boolean {
+    return this.pendingTargets.includes(target);
   }
 
   add(target: string, response: Promise<unknown>): void {
     const sentMs = performance.now();
     this.added += 1;
-    this.pending += 1;
+    this.pendingTargets.push(target);
     response.then(
       (result) => this.settle({ target, sentMs, result }),
       (reason) => this.settle({ target, sentMs, err: toError(reason) }),
@@ -35,8 +45,10 @@
 
   /** Resolves with the next outcome of any try, or with undefined after `timeoutMs`. */
   async next(timeoutMs: number): Promise<TryOutcome | undefined> {
-    if (this.outcomes.length === 0) await this.waitForOutcome(timeoutMs);
-    return this.outcomes.shift();
+    if (!this.hasOutcome) await this.waitForOutcome(timeoutMs);
+    const outcome = this.outcomes.shift();
+    if (outcome) this.pendingTargets.splice(this.pendingTargets.indexOf(outcome.target), 1);
+    return outcome;
   }
 
   private waitForOutcome(timeoutMs: number): Promise<void> {
@@ -50,7 +62,6 @@
   }
 
   private settle(outcome: TryOutcome): void {
-    this.pending -= 1;
     this.outcomes.push(outcome);
     this.wake?.();
   }
--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -37,6 +37,9 @@
 /** Upper bound of the random pause between two tries. */
 const RETRY_PAUSE_MS = 100;
 
+/** Upper bound of the random pause while an earlier try is pending. */
+const MAX_RETRY_PAUSE_MS = 400;
+
 /** Minimum time before the deadline at which a call is tried again. */
 const MIN_RETRY_MS = 30;
 
@@ -88,6 +91,7 @@
     let mayHaveRun = false;
     let current: string | undefined;
     let isRedirected = false;
+    let pauseMs = RETRY_PAUSE_MS;
     let waitEndMs = performance.now();
     let reason: CallFailureReason = 'no-leader-known';
     for (;;) {
@@ -95,7 +99,8 @@
       // The outcome of a try would be unknown if the deadline passed during it.
       const isTooLate = tries.count > 0 && remainingMs < MIN_RETRY_MS;
       const isFinished = isTooLate && tries.pendingCount === 0;
-      if (remainingMs <= 0 || isFinished || opts.signal?.aborted) {
+      const isOver = remainingMs <= 0 || isFinished || opts.signal?.aborted;
+      if (isOver && !tries.hasOutcome) {
         const hasPending = tries.pendingCount > 0;
         throw this.createRefusal(
           method,
@@ -103,9 +108,12 @@
           hasPending ? 'timed-out' : reason,
         );
       }
-      if (performance.now() >= waitEndMs) {
+      if (performance.now() >= waitEndMs && !tries.hasOutcome) {
         if (current !== undefined) this.skip(current);
         current = isTooLate ? undefined : this.pickTarget();
+        // A slow leader must not get the same call again.
+        if (current !== undefined && tries.isPendingAt(current)) current = this.pickNextReplica();
+        if (current !== undefined && tries.isPendingAt(current)) current = undefined;
         if (current !== undefined) {
           const request = { timeoutMs: remainingMs };
           tries.add(current, this.opts.network.call(current, method, params, request));
@@ -126,7 +134,7 @@
       const refusal = readRefusal(outcome.err);
       if (mayHaveTakenEffect(outcome.err, refusal)) mayHaveRun = true;
       if (refusal && refusal.type !== 'no-leader') {
-        const runState = mayHaveRun ? 'unknown' : 'not-run';
+        const runState = mayHaveRun || tries.pendingCount > 0 ? 'unknown' : 'not-run';
         throw new RefusalError({ ...refusal, runState }, outcome.err);
       }
       reason = classifyTryFailure(outcome.err, refusal);
@@ -141,7 +149,9 @@
       current = undefined;
       // Replicas that name each other as the leader must not be called in a tight loop.
       isRedirected = hasHint && !isRedirected;
-      waitEndMs = performance.now() + (isRedirected ? 0 : Math.random() * RETRY_PAUSE_MS);
+      // While a try is pending, the others only look for a successor of a leader that may be slow.
+      pauseMs = tries.pendingCount > 0 ? Math.min(2 * pauseMs, MAX_RETRY_PAUSE_MS) : RETRY_PAUSE_MS;
+      waitEndMs = performance.now() + (isRedirected ? 0 : Math.random() * pauseMs);
     }
   }
 
@@ -179,7 +189,9 @@
     if (err.name === 'PeerTimeoutError') this.skip(target);
     else if (refusal) this.skippedUntilMs.delete(target);
     const hint = (refusal?.details as { leaderId?: string } | undefined)?.leaderId;
-    const isUsable = hint !== target && hint !== undefined && !this.isSkipped(hint);
+    // A replica that follows the leader hears from it, so the leader is slow rather than gone.
+    if (hint !== undefined && hint !== target) this.skippedUntilMs.delete(hint);
+    const isUsable = hint !== target && hint !== undefined;
     if (isUsable) this.leader = hint;
     // Another call may have found the next leader meanwhile.
     else if (this.leader === target) this.leader = undefined;
--- a/packages/tests/features/workflow/leaderCalls.feature
+++ b/packages/tests/features/workflow/leaderCalls.feature
@@ -198,3 +198,23 @@
     And 20 ms of the calls pass
     Then the caller got status 200
     And replica "r1" called only itself
+
+  # Guards against a slow leader that gets each call several times and is then avoided.
+  Scenario: a slow leader gets a call once, and later calls still go to it
+    When a caller submits job "j" with a deadline of 2500 ms
+    And 900 ms of the calls pass
+    Then the last call was sent to "r1" once
+    When a caller submits job "k" with a deadline of 2500 ms
+    And 10 ms of the calls pass
+    Then the last call was sent to "r1" once
+    When replica "r1" commits its proposals every 5 ms for 20 ms
+    Then the caller got status 200
+
+  # Guards against a refusal that hides a try of the same call whose outcome is unknown.
+  Scenario: a refusal while another try is pending makes the outcome unknown
+    Given the method "m" of replica "r1" is never answered
+    And the method "m" of replica "r2" refuses with "conflict"
+    And the method "m" of replica "r3" refuses with "conflict"
+    When the gateway calls "m" with a deadline of 2500 ms, which repeats tries after 100 ms
+    And 300 ms of the calls pass
+    Then the call was refused with run state "unknown"
--- a/packages/tests/src/steps/workflow/leaderCallSteps.ts
+++ b/packages/tests/src/steps/workflow/leaderCallSteps.ts
@@ -118,6 +118,32 @@
   },
 );
 
+When(
+  'the gateway calls {string} with a deadline of {int} ms, which repeats tries after {int} ms',
+  function call(this: Steps, method: string, deadlineMs: number, tryTimeoutMs: number) {
+    this.call = this.callWorld!.observe(async () => {
+      await this.callWorld!.client.call(method, {}, { deadlineMs, tryTimeoutMs });
+      return 200;
+    });
+  },
+);
+
+Given(
+  'the method {string} of replica {string} is never answered',
+  function hold(this: Steps, method: string, id: string) {
+    this.callWorld!.network(id).handle(method, () => new Promise(() => {}));
+  },
+);
+
+Given(
+  'the method {string} of replica {string} refuses with {string}',
+  function refuseAt(this: Steps, method: string, id: string, type: RefusalType) {
+    this.callWorld!.network(id).handle(method, () => {
+      throw new RefusalError({ type, runState: 'not-run', message: 'refused' });
+    });
+  },
+);
+
 When('an operator sends configuration {int} to the leader', function send(this: Steps, version) {
   this.call = this.callWorld!.configure(version);
 });
@@ -215,6 +241,11 @@
   assert.ok(this.callWorld!.state.jobs.has(id));
 });
 
+Then('the last call was sent to {string} once', function check(this: Steps, id: string) {
+  const tries = this.callWorld!.gateway.called.filter((target) => target === id);
+  assert.equal(tries.length, 1);
+});
+
 Then('the last call was not sent to {string}', function check(this: Steps, ids: string) {
   for (const id of ids.split(' ')) assert.ok(!this.callWorld!.gateway.called.includes(id), id);
 });
