Replace a voter only after it was unreachable for a second, and remove failed learners

Found by the review: a replica on standby asks every 500 ms and replaced a voter as soon as the failure detector suspected it, so that each connection that was lost for a moment cost two membership changes and a rejoin. A learner that failed stayed listed for good, and gateways kept calling it.

The time that shrinkEvenGroup already waited now holds for replacements, and learners are removed after ten seconds. Two scenarios let that second pass before the replacement joins; the results that they check are the same.

--- a/packages/coordinator/src/replicaManager.ts
+++ b/packages/coordinator/src/replicaManager.ts
@@ -19,9 +19,12 @@
   isReachable: (instance: string) => boolean;
 }
 
-/** Time for which a voter must be unreachable before it is removed from an even group. */
+/** Time for which a voter must be unreachable before it is removed or replaced. */
 const UNREACHABLE_VOTER_REMOVAL_MS = 1000;
 
+/** Time for which a learner must be unreachable before it is removed. */
+const UNREACHABLE_LEARNER_REMOVAL_MS = 10_000;
+
 function refuseRemoval(type: 'not-found' | 'conflict', message: string): never {
   throw new RefusalError({ type, runState: 'not-run', message });
 }
@@ -38,7 +41,7 @@
 export class ReplicaManager {
   private readonly opts: ReplicaManagerOptions;
   private current: Promise<unknown> = Promise.resolve();
-  /** Monotonic time since which an instance with a voter is unreachable, by instance. */
+  /** Monotonic time since which an instance with a replica is unreachable, by instance. */
   private readonly unreachableSinceMs = new Map<string, number>();
 
   constructor(opts: ReplicaManagerOptions) {
@@ -97,26 +100,42 @@
 
   private async removeUnreachableVoter(): Promise<void> {
     const { log, logger } = this.opts;
-    const { voters } = log.members();
-    const nowMs = performance.now();
+    const { voters, learners } = log.members();
+    this.trackReachability();
+    // A learner that has failed would be listed, and called by gateways, for good.
+    for (const replica of this.listUnreachable(learners, UNREACHABLE_LEARNER_REMOVAL_MS)) {
+      logger.warn('removing an unreachable learner', { replica });
+      await log.removeMember(replica);
+    }
+    const unreachable = this.listUnreachable(voters, UNREACHABLE_VOTER_REMOVAL_MS);
+    if (voters.length % 2 !== 0 || unreachable.length !== 1) return;
+    const [replica] = unreachable as [string];
+    logger.warn('removing an unreachable voter from a group of even size', { replica, voters });
+    await log.removeMember(replica);
+  }
+
+  private trackReachability(): void {
+    const { voters, learners } = this.opts.log.members();
+    const instances = new Set([...voters, ...learners].map(instanceIdOf));
     for (const instance of [...this.unreachableSinceMs.keys()]) {
-      const isVoter = voters.some((id) => instanceIdOf(id) === instance);
-      if (!isVoter || this.isSelfOrReachable(instance)) this.unreachableSinceMs.delete(instance);
+      if (!instances.has(instance) || this.isSelfOrReachable(instance)) {
+        this.unreachableSinceMs.delete(instance);
+      }
     }
-    for (const id of voters) {
-      const instance = instanceIdOf(id);
+    for (const instance of instances) {
       if (!this.isSelfOrReachable(instance) && !this.unreachableSinceMs.has(instance)) {
-        this.unreachableSinceMs.set(instance, nowMs);
+        this.unreachableSinceMs.set(instance, performance.now());
       }
     }
-    const unreachable = voters.filter((id) => {
+  }
+
+  /** Returns the replicas whose instances have been unreachable for at least `durationMs`. */
+  private listUnreachable(replicas: string[], durationMs: number): string[] {
+    const nowMs = performance.now();
+    return replicas.filter((id) => {
       const sinceMs = this.unreachableSinceMs.get(instanceIdOf(id));
-      return sinceMs !== undefined && nowMs - sinceMs >= UNREACHABLE_VOTER_REMOVAL_MS;
+      return sinceMs !== undefined && nowMs - sinceMs >= durationMs;
     });
-    if (voters.length % 2 !== 0 || unreachable.length !== 1) return;
-    const [replica] = unreachable as [string];
-    logger.warn('removing an unreachable voter from a group of even size', { replica, voters });
-    await log.removeMember(replica);
   }
 
   private assertRemovable(instance: string, voters: string[]): void {
@@ -167,8 +186,10 @@
       return { state: 'learner' };
     }
     if (!log.isCaughtUp(replicaId)) return { state: 'learner' };
-    // A new replica replaces an unreachable voter, so that a majority stays reachable.
-    const unreachable = voters.find((id) => !this.isSelfOrReachable(instanceIdOf(id)));
+    // A new replica replaces an unreachable voter, so that a majority stays reachable. A voter that
+    // only restarts, or whose connection was lost, keeps its vote.
+    this.trackReachability();
+    const [unreachable] = this.listUnreachable(voters, UNREACHABLE_VOTER_REMOVAL_MS);
     if (unreachable !== undefined) {
       logger.warn('removing an unreachable voter in favour of a new replica', {
         replica: unreachable,
--- a/packages/tests/features/coordinator/membership.feature
+++ b/packages/tests/features/coordinator/membership.feature
@@ -32,6 +32,7 @@
   Scenario: a new replica replaces an unreachable voter
     Given the voters "a b c"
     When replica instance "a" becomes unreachable
+    And the membership is checked for 1500 ms
     And replica instance "d" joins
     Then the voters are "b c d"
 
@@ -55,6 +56,7 @@
     Then the voters are "a b c"
     And the learners are "d"
     When replica instance "c" becomes unreachable
+    And the membership is checked for 1500 ms
     And replica instance "d" joins
     Then the voters are "a b d"
 
@@ -70,3 +72,24 @@
     And replica instance "e" joins on standby
     Then the voters are "a b c"
     And the learners are "d e"
+
+  # Guards against membership changes for each connection that is lost for a moment.
+  Scenario: a voter that is unreachable for a moment is not replaced by one on standby
+    Given the voters "a b c"
+    When replica instance "d" joins on standby
+    And replica instance "c" becomes unreachable
+    And the membership is checked for 400 ms
+    And replica instance "d" joins on standby
+    And replica instance "c" becomes reachable
+    And the membership is checked for 2000 ms
+    Then the voters are "a b c"
+
+  # Guards against learners that have failed and are listed for good.
+  Scenario: a learner that has failed is removed
+    Given the voters "a b c"
+    When replica instance "d" joins on standby
+    And replica instance "d" becomes unreachable
+    And the membership is checked for 9000 ms
+    Then the learners are "d"
+    When the membership is checked for 2000 ms
+    Then the learners are ""
