Move the choice of the replica for a call into a class of its own

Cause: the client of the leader held the tries of a call and the knowledge about replicas in one loop of sixty lines with nine variables. Change: ReplicaSelector knows the presumed leader and the replicas to skip; replicas with a pending try of the call are excluded instead of picked twice.

--- a/packages/coordinator/src/gatewaySessions.ts
+++ b/packages/coordinator/src/gatewaySessions.ts
@@ -34,8 +34,9 @@
 
   /**
    * Grants validity to a gateway, counted from the time at which a majority last confirmed the
-   * leadership: a leader that is cut off must not extend the validity of its own gateway. The response carries the release notes that the gateway lacks, or
-   * the whole configuration if these notes are no longer kept.
+   * leadership: a leader that is cut off must not extend the validity of its own gateway. The
+   * response carries the release notes that the gateway lacks, or the whole configuration if these
+   * notes are no longer kept.
    */
   poll(params: PollParams): PollResult {
     const { guard, state, timing, instanceId, term } = this.opts;
--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -4,9 +4,9 @@
 import type { CallFailureReason } from '@lagoongap/telemetry/callFailure.js';
 import type { LeaderAbsence } from '@lagoongap/telemetry/leaderAbsence.js';
 
-import { classifyTryFailure } from './classifyTryFailure.js';
-
 import { CallTries } from './callTries.js';
+import { classifyTryFailure } from './classifyTryFailure.js';
+import { ReplicaSelector } from './replicaSelector.js';
 
 /** Options of {@link LeaderClient}. */
 export interface LeaderClientOptions {
@@ -43,12 +43,6 @@
 /** Minimum time before the deadline at which a call is tried again. */
 const MIN_RETRY_MS = 30;
 
-/**
- * Time for which a replica is skipped after a timeout. The other replicas keep naming a frozen
- * leader until they have elected a new one, which takes about this long.
- */
-const UNRESPONSIVE_SKIP_MS = 1000;
-
 /**
  * Time to respond, beyond the time for which the leader holds the call, from which a timeout means
  * that a replica is unresponsive. A try with less time left says nothing about the replica.
@@ -61,6 +55,10 @@
   return data?.refusal;
 }
 
+function readLeaderHint(refusal: Refusal | undefined): string | undefined {
+  return (refusal?.details as { leaderId?: string } | undefined)?.leaderId;
+}
+
 function mayHaveTakenEffect(err: Error, refusal: Refusal | undefined): boolean {
   return refusal ? refusal.runState !== 'not-run' : err.name !== 'PeerUnavailableError';
 }
@@ -71,13 +69,11 @@
  */
 export class LeaderClient {
   private readonly opts: LeaderClientOptions;
-  private leader: string | undefined;
-  private nextIndex = 0;
-  /** End of the time for which a replica is skipped, by replica. */
-  private readonly skippedUntilMs = new Map<string, number>();
+  private readonly selector: ReplicaSelector;
 
   constructor(opts: LeaderClientOptions) {
     this.opts = opts;
+    this.selector = new ReplicaSelector(opts);
   }
 
   /**
@@ -109,11 +105,9 @@
         );
       }
       if (performance.now() >= waitEndMs && !tries.hasOutcome) {
-        if (current !== undefined) this.skip(current);
-        current = isTooLate ? undefined : this.pickTarget();
+        if (current !== undefined) this.selector.skip(current);
         // A slow leader must not get the same call again.
-        if (current !== undefined && tries.isPendingAt(current)) current = this.pickNextReplica();
-        if (current !== undefined && tries.isPendingAt(current)) current = undefined;
+        current = isTooLate ? undefined : this.selector.pick((id) => tries.isPendingAt(id));
         if (current !== undefined) {
           const request = { timeoutMs: remainingMs };
           tries.add(current, this.opts.network.call(current, method, params, request));
@@ -126,9 +120,8 @@
       if (!outcome) continue;
       const { target, sentMs } = outcome;
       if ('result' in outcome) {
-        this.leader = target;
+        this.selector.recordLeader(target);
         this.opts.absence?.recordResponse(target);
-        this.skippedUntilMs.delete(target);
         return outcome.result as Result;
       }
       const refusal = readRefusal(outcome.err);
@@ -139,12 +132,16 @@
       }
       reason = classifyTryFailure(outcome.err, refusal);
       this.opts.absence?.recordFailure(reason, { target, method, sentMs });
-      const conclusiveMs = (opts.heldMs ?? 0) + MIN_RESPONSE_TIME_MS;
-      const minMs = Math.min(conclusiveMs, opts.tryTimeoutMs ?? Infinity);
-      const hadTime = performance.now() - sentMs >= minMs;
-      // A deadline that was too short tells nothing about the replica.
-      if (outcome.err.name === 'PeerTimeoutError' && !hadTime) continue;
-      const hasHint = this.handleFailure(target, outcome.err, refusal);
+      if (outcome.err.name === 'PeerTimeoutError') {
+        const conclusiveMs = (opts.heldMs ?? 0) + MIN_RESPONSE_TIME_MS;
+        const minMs = Math.min(conclusiveMs, opts.tryTimeoutMs ?? Infinity);
+        // A deadline that was too short tells nothing about the replica.
+        if (performance.now() - sentMs < minMs) continue;
+        this.selector.skip(target);
+      } else if (refusal) {
+        this.selector.recordAlive(target);
+      }
+      const hasHint = this.selector.recordFailure(target, readLeaderHint(refusal));
       if (target !== current) continue;
       current = undefined;
       // Replicas that name each other as the leader must not be called in a tight loop.
@@ -155,53 +152,6 @@
     }
   }
 
-  private pickTarget(): string {
-    const leaderId = this.leader ?? this.opts.readLeaderHint();
-    return leaderId !== undefined && !this.isSkipped(leaderId) ? leaderId : this.pickNextReplica();
-  }
-
-  /** Picks replicas in turn; those that are skipped only if there is no other. */
-  private pickNextReplica(): string {
-    const { replicaInstances } = this.opts;
-    for (let i = 0; i < replicaInstances.length; i += 1) {
-      const id = this.takeNextReplica();
-      if (!this.isSkipped(id)) return id;
-    }
-    return this.takeNextReplica();
-  }
-
-  private takeNextReplica(): string {
-    const { replicaInstances } = this.opts;
-    this.nextIndex += 1;
-    return replicaInstances[this.nextIndex % replicaInstances.length]!;
-  }
-
-  private skip(id: string): void {
-    this.skippedUntilMs.set(id, performance.now() + UNRESPONSIVE_SKIP_MS);
-  }
-
-  private isSkipped(id: string): boolean {
-    return performance.now() < (this.skippedUntilMs.get(id) ?? -Infinity);
-  }
-
-  /** Returns whether a failed try has named another replica that can be called. */
-  private handleFailure(target: string, err: Error, refusal: Refusal | undefined): boolean {
-    if (err.name === 'PeerTimeoutError') this.skip(target);
-    else if (refusal) this.skippedUntilMs.delete(target);
-    const hint = (refusal?.details as { leaderId?: string } | undefined)?.leaderId;
-    // A replica that follows the leader hears from it, so the leader is slow rather than gone.
-    if (hint !== undefined && hint !== target) this.skippedUntilMs.delete(hint);
-    const isUsable = hint !== target && hint !== undefined;
-    if (isUsable) this.leader = hint;
-    // Another call may have found the next leader meanwhile.
-    else if (this.leader === target) this.leader = undefined;
-    // The local replica may not have detected yet that its leader has failed.
-    if (!isUsable && this.leader === undefined && this.opts.readLeaderHint() === target) {
-      this.leader = this.pickNextReplica();
-    }
-    return isUsable;
-  }
-
   private createRefusal(
     method: string,
     mayHaveRun: boolean,
