Skip a replica that has not responded when the deadline ends the call

Two reasons, found by tracing its tries: a call that ended by its deadline did not read the outcome of its pending try, so the replica was not skipped; and a skipped leader is used again once another replica names it, which the scenario did not allow for.

Pending tries are judged when the deadline ends a call. The scenario keeps its bound for replicas that name no leader, and a new one checks that a leader that is named is asked second, and at once.

--- a/packages/gateway/src/callTries.ts
+++ b/packages/gateway/src/callTries.ts
@@ -7,11 +7,18 @@
   sentMs: number;
 } & ({ result: unknown } | { err: Error });
 
+/** A try whose outcome has not been returned yet. */
+export interface PendingTry {
+  target: string;
+  /** Monotonic time at which the try was sent. */
+  sentMs: number;
+}
+
 /** The tries of one call. An unanswered try stays pending: its late response still counts. */
 export class CallTries {
   private readonly outcomes: TryOutcome[] = [];
   private added = 0;
-  private readonly pendingTargets: string[] = [];
+  private readonly pending: PendingTry[] = [];
   private wake: (() => void) | undefined;
 
   get count(): number {
@@ -25,18 +32,23 @@
 
   /** Number of tries whose outcome has not been returned yet. */
   get pendingCount(): number {
-    return this.pendingTargets.length;
+    return this.pending.length;
+  }
+
+  /** Returns the tries whose outcome has not been returned yet. */
+  listPending(): readonly PendingTry[] {
+    return this.pending;
   }
 
   /** Returns whether a try at a replica is pending. */
   isPendingAt(target: string): boolean {
-    return this.pendingTargets.includes(target);
+    return this.pending.some((it) => it.target === target);
   }
 
   add(target: string, response: Promise<unknown>): void {
     const sentMs = performance.now();
     this.added += 1;
-    this.pendingTargets.push(target);
+    this.pending.push({ target, sentMs });
     response.then(
       (result) => this.settle({ target, sentMs, result }),
       (reason) => this.settle({ target, sentMs, err: toError(reason) }),
@@ -47,7 +59,8 @@
   async next(timeoutMs: number): Promise<TryOutcome | undefined> {
     if (!this.hasOutcome) await this.waitForOutcome(timeoutMs);
     const outcome = this.outcomes.shift();
-    if (outcome) this.pendingTargets.splice(this.pendingTargets.indexOf(outcome.target), 1);
+    const index = this.pending.findIndex(({ target }) => target === outcome?.target);
+    if (index >= 0) this.pending.splice(index, 1);
     return outcome;
   }
 
--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -4,7 +4,7 @@
 import type { CallFailureReason } from '@lagoongap/telemetry/callFailure.js';
 import type { LeaderAbsence } from '@lagoongap/telemetry/leaderAbsence.js';
 
-import { CallTries } from './callTries.js';
+import { CallTries, type PendingTry } from './callTries.js';
 import { classifyTryFailure } from './classifyTryFailure.js';
 import { ReplicaSelector } from './replicaSelector.js';
 
@@ -98,6 +98,7 @@
       const isOver = remainingMs <= 0 || isFinished || opts.signal?.aborted;
       if (isOver && !tries.hasOutcome) {
         const hasPending = tries.pendingCount > 0;
+        for (const it of tries.listPending()) this.judgeSilence(it, method, opts);
         throw this.createRefusal(
           method,
           mayHaveRun || hasPending,
@@ -133,10 +134,8 @@
       reason = classifyTryFailure(outcome.err, refusal);
       this.opts.absence?.recordFailure(reason, { target, method, sentMs });
       if (outcome.err.name === 'PeerTimeoutError') {
-        const conclusiveMs = (opts.heldMs ?? 0) + MIN_RESPONSE_TIME_MS;
-        const minMs = Math.min(conclusiveMs, opts.tryTimeoutMs ?? Infinity);
         // A deadline that was too short tells nothing about the replica.
-        if (performance.now() - sentMs < minMs) continue;
+        if (!this.hadTime(sentMs, opts)) continue;
         this.selector.skip(target);
       } else if (refusal) {
         this.selector.recordAlive(target);
@@ -152,6 +151,22 @@
     }
   }
 
+  /** Records that a replica has not responded, unless the call had too little time for it. */
+  private judgeSilence(
+    { target, sentMs }: PendingTry,
+    method: string,
+    opts: LeaderCallOptions,
+  ): void {
+    this.opts.absence?.recordFailure('timed-out', { target, method, sentMs });
+    if (this.hadTime(sentMs, opts)) this.selector.skip(target);
+  }
+
+  private hadTime(sentMs: number, opts: LeaderCallOptions): boolean {
+    const conclusiveMs = (opts.heldMs ?? 0) + MIN_RESPONSE_TIME_MS;
+    const minMs = Math.min(conclusiveMs, opts.tryTimeoutMs ?? Infinity);
+    return performance.now() - sentMs >= minMs;
+  }
+
   private createRefusal(
     method: string,
     mayHaveRun: boolean,
--- a/packages/tests/features/gateway/heldCalls.feature
+++ b/packages/tests/features/gateway/heldCalls.feature
@@ -13,4 +13,12 @@
     Given a cell that elects its leader after 0 ms
     When a call that the leader never answers is made with a deadline of 1200 ms
     And it has failed with "timed-out"
+    And the other replicas name no leader
     Then a call that the leader answers at once takes at least 500 ms
+
+  # A leader that is slow, but known to its followers, was avoided by all calls for a second.
+  Scenario: a leader that was too slow for one call is used again once another replica names it
+    Given a cell that elects its leader after 0 ms
+    When a call that the leader never answers is made with a deadline of 1200 ms
+    And it has failed with "timed-out"
+    Then a call that the leader answers at once is sent to another replica first and takes at most 100 ms
--- a/packages/tests/src/steps/gateway/heldCallSteps.ts
+++ b/packages/tests/src/steps/gateway/heldCallSteps.ts
@@ -10,12 +10,14 @@
 interface HeldCallWorld {
   clock?: ReturnType<typeof FakeTimers.install>;
   client: LeaderClient;
+  electing: ElectingNetwork;
   outcome: Promise<RefusalError | undefined>;
 }
 
 const LEADER = 'core-1';
 const REPLICAS = ['core-3', 'core-2', LEADER];
 const TICK_MS = 5;
+const DETOUR = { deadlineMs: 2000 };
 
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => {
@@ -25,6 +27,10 @@
 
 /** Answers calls as replicas whose leader is elected at a monotonic time. */
 class ElectingNetwork {
+  /** The other replicas name the leader in their refusals. */
+  namesLeader = true;
+  /** Targets of all tries, in order. */
+  readonly called: string[] = [];
   private readonly electedMs: number;
 
   constructor(electedMs: number) {
@@ -37,6 +43,7 @@
     params: { heldMs: number },
     { timeoutMs }: PeerCallOptions,
   ): Promise<string> {
+    this.called.push(target);
     await pause(1);
     const hasLeader = performance.now() >= this.electedMs;
     if (target !== LEADER || !hasLeader) {
@@ -44,7 +51,7 @@
         type: 'no-leader',
         runState: 'not-run',
         message: `${target} is not the leader`,
-        details: { leaderId: hasLeader ? LEADER : undefined },
+        details: { leaderId: hasLeader && this.namesLeader ? LEADER : undefined },
       });
     }
     await pause(Math.min(params.heldMs, timeoutMs));
@@ -73,9 +80,9 @@
   'a cell that elects its leader after {int} ms',
   function createCell(this: HeldCallWorld, ms: number) {
     this.clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
-    const network = new ElectingNetwork(performance.now() + ms) as unknown as PeerNetwork;
+    this.electing = new ElectingNetwork(performance.now() + ms);
     this.client = new LeaderClient({
-      network,
+      network: this.electing as unknown as PeerNetwork,
       replicaInstances: REPLICAS,
       readLeaderHint: () => undefined,
     });
@@ -120,3 +127,18 @@
     assert.ok(bound === 'most' ? tookMs <= Number(ms) : tookMs >= Number(ms), `took ${tookMs} ms`);
   },
 );
+
+When('the other replicas name no leader', function hide(this: HeldCallWorld) {
+  this.electing.namesLeader = false;
+});
+
+Then(
+  'a call that the leader answers at once is sent to another replica first and takes at most {int} ms',
+  async function checkDetour(this: HeldCallWorld, maxMs: number) {
+    this.electing.called.splice(0);
+    const tookMs = await settle(this, this.client.call('read', { heldMs: 0 }, DETOUR));
+    assert.notEqual(this.electing.called[0], LEADER);
+    assert.equal(this.electing.called.at(-1), LEADER);
+    assert.ok(tookMs <= maxMs, `took ${tookMs} ms`);
+  },
+);
