--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -40,6 +40,10 @@
   /** Load reported for every run. */
   load = 0;
   bornMs = 1;
+  /** Number of tasks that the worker can hold; it does not enforce the limit. */
+  maxTasks = Infinity;
+  /** Largest number of tasks above `maxTasks` right after a start. */
+  maxExcess = 0;
   observer: WorkerObserver | undefined;
   private readonly supersededRuns = new Map<string, number>();
   private reports: EndReport[] = [];
@@ -62,6 +66,7 @@
     const run: WorkerRun = { order };
     this.runs.set(key, run);
     this.started.push(key);
+    this.maxExcess = Math.max(this.maxExcess, this.runs.size - this.maxTasks);
     this.observer?.onStart(order);
     if (this.behaviour !== 'stalled') {
       const outcome = this.behaviour === 'failing' ? 'failed' : 'done';
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -171,6 +171,22 @@
     await this.advance(TICK_MS);
   }
 
+  /** Changes the capacity that a worker reports, from its next heartbeat on. */
+  setCores(id: string, cores: number): void {
+    const record = this.records.get(id)!;
+    const capacity = { ...record.capacity, cpuMillis: cores * CORE_CPU_MILLIS };
+    this.records.set(id, { ...record, capacity });
+    this.driver.worker(id).maxTasks = cores;
+  }
+
+  /** Delivers a heartbeat of a worker that was sent before its latest one. */
+  async deliverLateHeartbeat(id: string, fields: Partial<EndpointRecord>): Promise<void> {
+    const endpoint = { ...this.records.get(id)!, ...fields };
+    const sequence = this.sequence - 1;
+    this.session.endpoints.heartbeat({ endpoint, sequence }).catch(() => undefined);
+    await this.advance(TICK_MS);
+  }
+
   async submit(
     id: string,
     steps: StepSpec[],
@@ -225,7 +241,7 @@
   }
 
   /** Ends the leadership abruptly and starts the next one after a time without a leader. */
-  async changeLeader(gapMs = 0): Promise<void> {
+  async changeLeader(gapMs = 0, { isHeartbeatLost = false } = {}): Promise<void> {
     this.log.isLeadershipOver = true;
     await this.session[Symbol.asyncDispose]();
     const endMs = performance.now();
@@ -233,7 +249,7 @@
     this.log = new AutoCommitLog(this.state, this.log.term + 1, endMs);
     this.session = this.createSession();
     this.session.start();
-    await this.sendHeartbeats();
+    if (!isHeartbeatLost) await this.sendHeartbeats();
   }
 
   /** Takes an instance down for the duration of its maintenance. */
