Recheck the capacity of endpoints when committed starts are ordered

A start is decided, committed and then ordered. Between the decision and the order an endpoint may report a smaller capacity, and the order was sent all the same: in the scenario 4 runs start on a worker with room for 2.

CapacityCheck compares the runs that an endpoint may have, and the starts admitted before in the same batch, with the capacity in its latest heartbeat.

--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -1,9 +1,11 @@
 import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 
+import { CapacityCheck } from './capacityCheck.js';
 import type { AgentRun, EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { taskName, type TaskRef } from './jobSpec.js';
 import { dueTimeMs } from './readySteps.js';
+import type { RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
 import type { PlannedStart } from './stepScheduler.js';
 import type { WorkflowState } from './workflowState.js';
@@ -13,6 +15,7 @@
   context: SessionContext;
   directory: EndpointDirectory;
   health: HealthPolicy;
+  ledger: RunLedger;
   /** Called for a run that is committed but will not be ordered. */
   onNotSent: (agent: EndpointAgent, run: AgentRun, reason: string) => void;
 }
@@ -47,22 +50,26 @@
 /** Sends start orders for runs that are committed. */
 export class RunDispatcher {
   private readonly opts: RunDispatcherOptions;
+  private readonly capacityCheck: CapacityCheck;
 
   constructor(opts: RunDispatcherOptions) {
     this.opts = opts;
+    this.capacityCheck = new CapacityCheck(opts.context.state, opts.ledger);
   }
 
   /** Sends orders for all starts that are still needed. */
   dispatch(starts: PlannedStart[]): void {
-    this.logOrders(starts.filter((start) => this.order(start)));
+    const oversized = this.capacityCheck.findOversized(starts);
+    this.logOrders(starts.filter((start) => this.order(start, oversized.has(start))));
   }
 
   /**
-   * Sends the order for a committed start, unless its job has ended or its endpoint was removed.
+   * Sends the order for a committed start, unless its job has ended, its endpoint was removed or it
+   * no longer fits.
    *
    * @returns Whether the order was sent.
    */
-  private order(start: PlannedStart): boolean {
+  private order(start: PlannedStart, isOversized: boolean): boolean {
     const { context, directory, health, onNotSent } = this.opts;
     const { state, meter, logger } = context;
     const { task, run, ticket, agent } = start;
@@ -75,6 +82,10 @@
       onNotSent(agent, order, 'the job has ended or the endpoint was removed');
       return false;
     }
+    if (isOversized) {
+      onNotSent(agent, order, 'the capacity of the endpoint has shrunk');
+      return false;
+    }
     if (!context.isValid()) {
       onNotSent(agent, order, 'leadership was not valid when the run was to be ordered');
       return false;
--- a/packages/workflow/src/runLedger.ts
+++ b/packages/workflow/src/runLedger.ts
@@ -1,4 +1,4 @@
-import { NO_RESOURCES, type Resources } from '@lagoongap/model/resources.js';
+import { fitsInto, NO_RESOURCES, type Resources } from '@lagoongap/model/resources.js';
 
 import { stepName, type TaskRef } from './jobSpec.js';
 import { WorkflowError } from './workflowError.js';
@@ -52,6 +52,11 @@
   };
 }
 
+/** Returns the part of a reservation that counts against the capacity of an endpoint. */
+function countedSize({ size, fillsIdleCapacity }: Reservation): Resources {
+  return fillsIdleCapacity ? { ...size, cpuMillis: 0 } : size;
+}
+
 /**
  * Tracks resource usage of runs per endpoint and per organisation. A run counts from the placement
  * decision until its end is committed, including while it is being stopped or its state is unknown.
@@ -151,6 +156,20 @@
     );
   }
 
+  /** Returns whether the given runs on an endpoint, by default all, are within its capacity. */
+  isWithinCapacity(endpoint: string, capacity: Resources, keys?: ReadonlySet<string>): boolean {
+    const usage = this.usageOf(endpoint);
+    let total = usage.used;
+    if (keys) {
+      total = NO_RESOURCES;
+      for (const key of keys) {
+        const reservation = usage.runs.get(key);
+        if (reservation) total = addResources(total, countedSize(reservation), 1);
+      }
+    }
+    return fitsInto(total, capacity);
+  }
+
   /** Returns whether an organisation stays within its limit with another run; 0 means no limit. */
   isWithinLimit(organisation: string, limit: Resources, size: Resources): boolean {
     const total = addResources(this.usedBy(organisation), size, 1);
@@ -174,8 +193,7 @@
 
   private applyUsage(reservation: Reservation, usage: EndpointUsage, sign: 1 | -1): void {
     const { size, fillsIdleCapacity, organisation } = reservation;
-    const counted = fillsIdleCapacity ? { ...size, cpuMillis: 0 } : size;
-    usage.used = addResources(usage.used, counted, sign);
+    usage.used = addResources(usage.used, countedSize(reservation), sign);
     if (fillsIdleCapacity) usage.bestEffortCpuMillis += sign * size.cpuMillis;
     this.organisations.set(organisation, addResources(this.usedBy(organisation), size, sign));
   }
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -113,6 +113,7 @@
       context: this.context,
       directory: this.directory,
       health: this.health,
+      ledger: this.ledger,
       onNotSent: (agent, run, reason) => this.recordLostRuns(agent, [run], reason),
     });
     this.bestEffortThrottle = new BestEffortThrottle(this.context);
@@ -315,10 +316,8 @@
 
   private async recordEnds(ends: EndedRun[], endpoint: string): Promise<void> {
     await this.context.propose({ type: 'end', runs: ends });
-    const jobs = new Set<string>();
     for (const { task, run, outcome } of ends) {
       this.ledger.release(runKey(task, run));
-      jobs.add(task.jobId);
       this.opts.meter.countRunEnded(outcome);
       if (outcome === 'done') this.stopCopies(task);
     }
@@ -326,7 +325,7 @@
       endpoint,
       runs: ends.map(({ task, run, outcome }) => `${runKey(task, run)} ${outcome}`).join(),
     });
-    for (const id of jobs) this.refreshJob(id);
+    for (const id of new Set(ends.map(({ task }) => task.jobId))) this.refreshJob(id);
   }
 
   private recordFailure(agent: EndpointAgent, task: TaskRef): void {
