Keep the sequence of an endpoint's last committed heartbeat for the next leader

A new leader knew no sequence of any endpoint, so that it accepted a heartbeat that was sent before the last committed one and arrived late: in the scenario with the larger capacity of before, until the next heartbeat.

The committed record carries the sequence of the heartbeat that reported it, and the agent of the next leader begins with it. Records without the field accept every sequence, as before.

--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -110,7 +110,7 @@
   lastHeartbeatMs = performance.now();
   /** Monotonic time of the latest response to an inspection. */
   lastResponseMs = -Infinity;
-  lastSequence = -1;
+  lastSequence: number;
   /** The endpoint has announced its shutdown. */
   isLeaving = false;
   readonly runs = new Map<string, AgentRun>();
@@ -126,6 +126,7 @@
   constructor(opts: EndpointAgentOptions) {
     this.opts = opts;
     this.record = opts.record;
+    this.lastSequence = opts.record.sequence ?? -1;
   }
 
   get id(): string {
--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -20,8 +20,10 @@
   onChanged(id: string): void;
 }
 
+/** Returns whether two records are equal except for their sequence. */
 function isSame(a: EndpointRecord, b: EndpointRecord): boolean {
-  return JSON.stringify(a) === JSON.stringify(b);
+  const sequence = undefined;
+  return JSON.stringify({ ...a, sequence }) === JSON.stringify({ ...b, sequence });
 }
 
 /** Maintains the registered endpoints from their heartbeats. */
@@ -48,7 +50,8 @@
    */
   async heartbeat(heartbeat: EndpointHeartbeat): Promise<void> {
     const { id } = heartbeat.endpoint;
-    if (this.observe(heartbeat)) this.register(heartbeat);
+    const endpoint = { ...heartbeat.endpoint, sequence: heartbeat.sequence };
+    if (this.observe({ ...heartbeat, endpoint })) this.register(endpoint, heartbeat.sequence);
     // A repeated heartbeat must not be acknowledged before the change that it reports is durable.
     await this.registrations.get(id);
   }
@@ -105,7 +108,7 @@
   }
 
   /** Commits the record of an endpoint, after an earlier record of it. */
-  private register({ endpoint, sequence }: EndpointHeartbeat): void {
+  private register(endpoint: EndpointRecord, sequence: number): void {
     const { id } = endpoint;
     this.context.logger.info('endpoint has changed', {
       endpoint: id,
--- a/packages/workflow/src/workflowRecords.ts
+++ b/packages/workflow/src/workflowRecords.ts
@@ -88,6 +88,11 @@
   /** All labels, including kind and rack. */
   labels: string[];
   isDraining: boolean;
+  /**
+   * Sequence of the heartbeat that reported this record; earlier heartbeats of the incarnation are
+   * late. Absent in records of earlier versions.
+   */
+  sequence?: number;
 }
 
 /** Maintenance of several instances, a bounded number at a time. */
