Report the events of a task with a soak violation

The history records these events with their times and adds them to the violation; the simulated worker reports the end of its lease.

--- a/packages/tests/src/soak/soakHistory.ts
+++ b/packages/tests/src/soak/soakHistory.ts
@@ -12,6 +12,8 @@
 export type CallOutcome = 'accepted' | 'refused' | 'unknown';
 
 interface TaskHistory {
+  /** What endpoints observed of the task, in order. */
+  events: string[];
   runningOn: Set<string>;
   /** Runs that ended as `done`. */
   doneRuns: Set<number>;
@@ -42,6 +44,7 @@
   private acknowledgedVersion = 0;
   private acknowledgementListeners: (() => void)[] = [];
   private readonly documents = new Map<number, string>();
+  private readonly startMs = performance.now();
 
   constructor(capacityMillis: number) {
     this.capacityMillis = capacityMillis;
@@ -93,9 +96,10 @@
   }
 
   /** Records that an endpoint has started a run. */
-  recordStart(endpoint: string, name: string): void {
+  recordStart(endpoint: string, name: string, run: number): void {
     this.startCount += 1;
     const { history, task, step } = this.findTask(name);
+    if (task) this.recordEvent(task, `run ${run} starts on ${endpoint}`);
     if (!history || !task) {
       this.violations.push(`${name} was started on ${endpoint}, but no caller submitted its job`);
       return;
@@ -106,7 +110,7 @@
     if (history.openCalls === 0 && SoakHistory.isRefused(history)) {
       this.violations.push(`${name} was started on ${endpoint}, but its job had been refused`);
     }
-    for (const run of task.doneRuns) task.doneBeforeStart.add(run);
+    for (const doneRun of task.doneRuns) task.doneBeforeStart.add(doneRun);
     task.runningOn.add(endpoint);
     const usedMillis = (this.usedCpuMillis.get(endpoint) ?? 0) + history.job.cpuMillis;
     this.usedCpuMillis.set(endpoint, usedMillis);
@@ -125,13 +129,26 @@
       endpoint,
       (this.usedCpuMillis.get(endpoint) ?? 0) - history.job.cpuMillis,
     );
+    this.recordEvent(task, `run ${run} ends ${outcome} on ${endpoint}`);
     if (outcome === 'done') task.doneRuns.add(run);
   }
 
   /** Records that the system has acknowledged the end of a run. */
   recordAcknowledgement(name: string, run: number, outcome: RunOutcome): void {
     const { task } = this.findTask(name);
-    if (task && outcome === 'done') task.acknowledgedRuns.add(run);
+    if (!task) return;
+    this.recordEvent(task, `end of run ${run} is acknowledged`);
+    if (outcome === 'done') task.acknowledgedRuns.add(run);
+  }
+
+  /** Records that the lease of an endpoint has expired. */
+  recordLapse(endpoint: string): void {
+    for (const { tasks } of this.jobs.values()) {
+      for (const task of tasks.values()) {
+        const isConcerned = task.events.some((event) => event.endsWith(`on ${endpoint}`));
+        if (isConcerned) this.recordEvent(task, `lease of ${endpoint} expires`);
+      }
+    }
   }
 
   /** Records the state of a job that the system reported to a caller. */
@@ -177,7 +194,10 @@
       for (const [name, task] of tasks) {
         if (isRefused) this.violations.push(`${name} was started, but its job was refused`);
         if ([...task.doneBeforeStart].some((run) => task.acknowledgedRuns.has(run))) {
-          this.violations.push(`${name} was started after its end had been acknowledged`);
+          const events = task.events.join('; ');
+          this.violations.push(
+            `${name} was started after its end had been acknowledged: ${events}`,
+          );
         }
         if (isCancelled && task.runningOn.size > 0) {
           this.violations.push(`${name} still runs, but ${job.id} was cancelled`);
@@ -190,6 +210,10 @@
     return outcomes.length > 0 && outcomes.every((outcome) => outcome === 'refused');
   }
 
+  private recordEvent(task: TaskHistory, event: string): void {
+    task.events.push(`${Math.round(performance.now() - this.startMs)} ms ${event}`);
+  }
+
   private notifyAcknowledgement(): void {
     for (const listener of this.acknowledgementListeners.splice(0)) listener();
   }
@@ -202,6 +226,7 @@
     let task = history.tasks.get(name);
     if (!task) {
       task = {
+        events: [],
         runningOn: new Set(),
         doneRuns: new Set(),
         doneBeforeStart: new Set(),
--- a/packages/tests/src/soak/soakRun.ts
+++ b/packages/tests/src/soak/soakRun.ts
@@ -104,10 +104,11 @@
       const standIn = new EndpointStandIn(id, () => system.controlAddresses);
       standIn.worker.durationMs = TASK_MS;
       standIn.worker.observer = {
-        onStart: ({ task }) => this.history.recordStart(id, task),
+        onStart: ({ task, run }) => this.history.recordStart(id, task, run),
         onEnd: ({ task, run, outcome }) => this.history.recordEnd(id, task, run, outcome),
         onAcknowledged: ({ task, run, outcome }) =>
           this.history.recordAcknowledgement(task, run, outcome),
+        onLeaseExpired: () => this.history.recordLapse(id),
       };
       const relay = new PausableRelay();
       const { host, port } = await relay.start();
--- a/packages/tests/src/steps/soak/checkerSteps.ts
+++ b/packages/tests/src/steps/soak/checkerSteps.ts
@@ -49,14 +49,15 @@
 });
 
 When('soak run {string} starts on {string}', function start(this: CheckerWorld, run: string, id) {
-  this.history.recordStart(id, parseRun(run).name);
+  const { name, number } = parseRun(run);
+  this.history.recordStart(id, name, number);
 });
 
 When(
   'soak run {string} on {string} ends {string}',
   function end(this: CheckerWorld, run: string, id: string, outcome: string) {
     const { name, number } = parseRun(run);
-    this.history.recordStart(id, name);
+    this.history.recordStart(id, name, number);
     this.history.recordEnd(id, name, number, outcome as RunOutcome);
   },
 );
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -19,6 +19,8 @@
   onEnd(report: EndReport): void;
   /** The leader has acknowledged a report. */
   onAcknowledged(report: EndReport): void;
+  /** The lease has expired, after the ends of all runs. */
+  onLeaseExpired?(): void;
 }
 
 interface WorkerRun {
@@ -132,6 +134,7 @@
     clearTimeout(this.leaseTimer);
     this.leaseTimer = setTimeout(() => {
       for (const key of [...this.runs.keys()]) this.end(key, 'lapsed');
+      this.observer?.onLeaseExpired?.();
     }, this.untilMs - this.clockMs());
   }
 
