--- a/packages/tests/features/soak/checker.feature
+++ b/packages/tests/features/soak/checker.feature
@@ -31,6 +31,33 @@
     And the end of soak run "a.0.0.0:2" is acknowledged
     Then the soak history has no violations
 
+  Scenario: a task that starts before its end is acknowledged under an unexpired lease
+    When soak run "a.0.0.0:1" on "w1" ends "done"
+    And soak run "a.0.0.0:2" starts on "w2"
+    And the end of soak run "a.0.0.0:1" is acknowledged
+    Then the soak history has a violation that starts with "a.0.0.0 was started after its end"
+
+  Scenario: a task that starts again because the lease of its endpoint expired before the acknowledgement
+    When soak run "a.0.0.0:1" on "w1" ends "done"
+    And the lease of soak endpoint "w1" expires
+    And soak run "a.0.0.0:2" starts on "w2"
+    And the end of soak run "a.0.0.0:1" is acknowledged
+    Then the soak history has no violations
+
+  Scenario: a task that starts again although its end was acknowledged before the lease expired
+    When soak run "a.0.0.0:1" on "w1" ends "done"
+    And the end of soak run "a.0.0.0:1" is acknowledged
+    And the lease of soak endpoint "w1" expires
+    And soak run "a.0.0.0:2" starts on "w2"
+    Then the soak history has a violation that starts with "a.0.0.0 was started after its end"
+
+  Scenario: a task that starts again after the lease of another endpoint expired
+    When soak run "a.0.0.0:1" on "w1" ends "done"
+    And the lease of soak endpoint "w2" expires
+    And soak run "a.0.0.0:2" starts on "w2"
+    And the end of soak run "a.0.0.0:1" is acknowledged
+    Then the soak history has a violation that starts with "a.0.0.0 was started after its end"
+
   Scenario: an endpoint that runs more than its capacity
     Given soak job "b" with steps of 2 and 1 tasks of 2 cores is submitted
     When soak run "a.0.0.0:1" starts on "w1"
