Count lost runs by reason, and log why a committed run is not ordered

Runs that end without a report were visible in single log lines only, and nothing told why a leader that had just committed a start was not valid, or how long a task of a service had no run.

- lagoongap_runs_lost_total by a bounded set of reasons.
- At a dispatch without validity one line with the time since the decision, the age of the quorum contact, the validity left, the event-loop delay, and whether the process was suspended; the same with "leadership is not valid".

--- /dev/null
+++ b/packages/telemetry/src/runLossReason.ts
@@ -0,0 +1,22 @@
+/** Why a run ended without a report of its endpoint. */
+export type RunLossReason =
+  /** The leadership was not valid when the run was to be ordered. */
+  | 'leader-not-valid'
+  /** The job ended or the endpoint was removed before the run was ordered. */
+  | 'not-needed'
+  /** The start order got no response and had no effect. */
+  | 'order-lost'
+  /** The endpoint no longer lists a run that it had confirmed. */
+  | 'not-reported'
+  /** The endpoint was unresponsive until its lease had expired. */
+  | 'lease-expired'
+  /** The endpoint has left, was replaced, or was removed. */
+  | 'endpoint-gone'
+  | 'no-room'
+  | 'no-ticket'
+  | 'late'
+  | 'superseded'
+  | 'wrong-instance'
+  | 'unhealthy'
+  | 'invalid'
+  | 'other';
--- a/packages/telemetry/src/workflowMetrics.ts
+++ b/packages/telemetry/src/workflowMetrics.ts
@@ -2,6 +2,7 @@
 
 import type { CallFailureReason, FailedCallState, TakeoverPhase } from './callFailure.js';
 import type { LogLevel } from './logger.js';
+import type { RunLossReason } from './runLossReason.js';
 
 /** Bucket bounds of the latency histograms. */
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
@@ -24,6 +25,8 @@
   countCall(operation: string, answer: string, durationMs: number): void;
   countRunOrdered(waitedMs: number): void;
   countRunEnded(outcome: string): void;
+  /** Counts runs that ended without a report of their endpoint. */
+  countLostRuns(reason: RunLossReason, count: number): void;
   countJobEnded(status: string, durationMs: number): void;
   countAdvice(isAnswered: boolean, durationMs: number): void;
   countCommit(durationMs: number): void;
@@ -47,6 +50,8 @@
   observeLeaderCall(method: string, isAnswered: boolean, durationMs: number): void;
   /** Replaces the waiting steps of all priorities. */
   setWaitingSteps(waiting: ReadonlyMap<number, WaitingSteps>): void;
+  /** Sets the number of service tasks without a run, and for how long the first of them has none. */
+  setServiceOutages(tasks: number, longestMs: number): void;
 }
 
 /** Discards all metrics. */
@@ -54,6 +59,7 @@
   countCall() {},
   countRunOrdered() {},
   countRunEnded() {},
+  countLostRuns() {},
   countJobEnded() {},
   countAdvice() {},
   countCommit() {},
@@ -70,6 +76,7 @@
   observeEventLoopDelay() {},
   observeLeaderCall() {},
   setWaitingSteps() {},
+  setServiceOutages() {},
 };
 
 /** Workflow metrics in a separate registry. */
@@ -93,6 +100,12 @@
     ['outcome'],
   );
 
+  private readonly lostRuns = this.createCounter(
+    'lagoongap_runs_lost_total',
+    'Runs that ended without a report of their endpoint, by reason',
+    ['reason'],
+  );
+
   private readonly jobs = this.createHistogram(
     'lagoongap_job_seconds',
     'Time from the acceptance of a job to its end',
@@ -208,6 +221,18 @@
     ['priority'],
   );
 
+  private readonly serviceTasksDown = this.createGauge(
+    'lagoongap_service_tasks_without_run',
+    'Tasks of services that have no confirmed run',
+    [],
+  );
+
+  private readonly longestServiceOutage = this.createGauge(
+    'lagoongap_longest_service_outage_seconds',
+    'Longest time for which a task of a service has had no confirmed run',
+    [],
+  );
+
   countCall(operation: string, answer: string, durationMs: number): void {
     this.calls.observe({ operation, answer }, durationMs / MS_PER_SECOND);
   }
@@ -220,6 +245,10 @@
     this.endedRuns.inc({ outcome });
   }
 
+  countLostRuns(reason: RunLossReason, count: number): void {
+    this.lostRuns.inc({ reason }, count);
+  }
+
   countJobEnded(status: string, durationMs: number): void {
     this.jobs.observe({ status }, Math.max(0, durationMs) / MS_PER_SECOND);
   }
@@ -291,6 +320,11 @@
     }
   }
 
+  setServiceOutages(tasks: number, longestMs: number): void {
+    this.serviceTasksDown.set(tasks);
+    this.longestServiceOutage.set(longestMs / MS_PER_SECOND);
+  }
+
   /** Sets the number of log lines of a level that were left out since the start of the process. */
   setDroppedLogLines(level: LogLevel, count: number): void {
     this.droppedLogLines.set({ level }, count);
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -1,6 +1,5 @@
-import { SILENT_LOG } from '@lagoongap/model/log.js';
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
-import { NOOP_METRICS_RECORDER } from '@lagoongap/telemetry/workflowMetrics.js';
+import { WorkflowMetrics } from '@lagoongap/telemetry/workflowMetrics.js';
 import type { CellConfig } from '@lagoongap/workflow/cellConfig.js';
 import type { InstanceApi } from '@lagoongap/workflow/instanceApi.js';
 import type { JobResponse } from '@lagoongap/workflow/jobCalls.js';
@@ -16,6 +15,7 @@
 
 import { FakeDriver } from './fakeDriver.js';
 import { AutoCommitLog } from './autoCommitLog.js';
+import { RecordingLog } from './recordingLog.js';
 
 /** Functions replaced by the fake clock; the others are left to the test runner. */
 const CLOCK_FUNCTIONS = [
@@ -68,6 +68,8 @@
   readonly clock = FakeTimers.install({ now: START_MS, toFake: [...CLOCK_FUNCTIONS] });
   readonly records = new Map<string, EndpointRecord>();
   readonly responses: JobResponse[] = [];
+  readonly logger = new RecordingLog();
+  readonly meter = new WorkflowMetrics();
   session: WorkflowSession;
   log: AutoCommitLog;
   private config: CellConfig;
@@ -271,8 +273,8 @@
       holder: 'leader',
       parseConfig: () => this.config,
       timing: this.timing,
-      logger: SILENT_LOG,
-      meter: NOOP_METRICS_RECORDER,
+      logger: this.logger,
+      meter: this.meter,
       isValid: () => !log.isLeadershipOver && !log.hasLostMajority,
     });
   }
--- a/packages/workflow/src/leadershipMonitor.ts
+++ b/packages/workflow/src/leadershipMonitor.ts
@@ -1,8 +1,14 @@
+import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
 import type { Log } from '@lagoongap/model/log.js';
 import type { WorkflowMetricsRecorder } from '@lagoongap/telemetry/workflowMetrics.js';
 
 /** Options of a {@link LeadershipMonitor}. */
 export interface LeadershipMonitorOptions {
+  replicatedLog: ReplicatedLog;
+  /** Duration of the leader's validity in milliseconds, if known. */
+  validityMs?: number;
+  /** Returns whether the process has not been suspended recently, if known. */
+  isClockReliable?: () => boolean;
   log: Log;
   meter: WorkflowMetricsRecorder;
   /** Returns whether the leadership of this instance is valid. */
@@ -21,12 +27,33 @@
   private readonly timer: NodeJS.Timeout;
   private expectedMs = performance.now() + INTERVAL_MS;
   private invalidSinceMs: number | undefined;
+  /** Event-loop delay at the latest observation. */
+  private lastDelayMs = 0;
 
   constructor(opts: LeadershipMonitorOptions) {
     this.opts = opts;
     this.timer = setInterval(() => this.observe(), INTERVAL_MS);
   }
 
+  /** Returns log fields that explain whether the leadership is valid at this moment. */
+  describe(): Record<string, unknown> {
+    const { replicatedLog, validityMs, isClockReliable } = this.opts;
+    const nowMs = performance.now();
+    const contactAgoMs = nowMs - replicatedLog.quorumContactMs;
+    const pendingDelayMs = nowMs - this.expectedMs;
+    return {
+      role: replicatedLog.role,
+      term: replicatedLog.term,
+      quorumContactAgoMs: Number.isFinite(contactAgoMs) ? Math.round(contactAgoMs) : undefined,
+      validityLeftMs:
+        validityMs !== undefined && Number.isFinite(contactAgoMs)
+          ? Math.round(validityMs - contactAgoMs)
+          : undefined,
+      isClockReliable: isClockReliable?.(),
+      eventLoopDelayMs: Math.round(Math.max(0, this.lastDelayMs, pendingDelayMs)),
+    };
+  }
+
   [Symbol.dispose](): void {
     clearInterval(this.timer);
     this.endInvalidPeriod();
@@ -36,6 +63,7 @@
     const nowMs = performance.now();
     const delayMs = Math.max(0, nowMs - this.expectedMs);
     this.expectedMs = nowMs + INTERVAL_MS;
+    this.lastDelayMs = delayMs;
     this.opts.meter.observeEventLoopDelay(delayMs);
     if (delayMs >= LOGGED_DELAY_MS) {
       this.opts.log.warn('event loop was blocked', { blockedMs: Math.round(delayMs) });
@@ -44,7 +72,7 @@
       this.endInvalidPeriod();
     } else if (this.invalidSinceMs === undefined) {
       this.invalidSinceMs = nowMs;
-      this.opts.log.warn('leadership is not valid', { eventLoopDelayMs: Math.round(delayMs) });
+      this.opts.log.warn('leadership is not valid', this.describe());
     }
   }
 
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -6,6 +6,7 @@
 import { dueTimeMs } from './readySteps.js';
 import type { SessionContext } from './sessionContext.js';
 import type { PlannedStart } from './stepScheduler.js';
+import { NOT_NEEDED_AT_DISPATCH, NOT_VALID_AT_DISPATCH } from './toRunLossReason.js';
 import type { WorkflowState } from './workflowState.js';
 
 /** Options of a {@link RunDispatcher}. */
@@ -54,6 +55,15 @@
 
   /** Sends orders for all starts that are still needed. */
   dispatch(starts: PlannedStart[]): void {
+    const { context } = this.opts;
+    if (!context.isValid()) {
+      const decidedAgoMs = performance.now() - Math.min(...starts.map((it) => it.decidedMs));
+      context.logger.warn('leadership is not valid after the commit of starts', {
+        runs: starts.length,
+        decidedAgoMs: Math.round(decidedAgoMs),
+        ...context.describeLeadership(),
+      });
+    }
     this.logOrders(starts.filter((start) => this.order(start)));
   }
 
@@ -72,11 +82,11 @@
     const order = createAgentRun(state, task, run, record?.checkpoint ?? '');
     order.phase = 'ordered';
     if (job.status !== 'open' || directory.find(agent.id) !== agent) {
-      onNotSent(agent, order, 'the job has ended or the endpoint was removed');
+      onNotSent(agent, order, NOT_NEEDED_AT_DISPATCH);
       return false;
     }
     if (!context.isValid()) {
-      onNotSent(agent, order, 'leadership was not valid when the run was to be ordered');
+      onNotSent(agent, order, NOT_VALID_AT_DISPATCH);
       return false;
     }
     meter.countRunOrdered(Date.now() - dueTimeMs(job, task.occurrence));
--- a/packages/workflow/src/sessionContext.ts
+++ b/packages/workflow/src/sessionContext.ts
@@ -22,6 +22,8 @@
   predecessorEndMs: number;
   /** Returns whether the leadership of this instance is valid. */
   isValid: () => boolean;
+  /** Returns log fields that explain whether the leadership is valid at this moment. */
+  describeLeadership: () => Record<string, unknown>;
   /** Resolves with the result once the command is durable and applied. */
   propose: (command: WorkflowCommand) => Promise<unknown>;
   /** Returns the configuration in force, or undefined if there is none yet. */
@@ -41,6 +43,10 @@
   logger: Log;
   meter: WorkflowMetricsRecorder;
   isValid: () => boolean;
+  /** Returns whether the process has not been suspended recently; for logs only. */
+  isClockReliable?: () => boolean;
+  /** Duration of the leader's validity in milliseconds; for logs only. */
+  validityMs?: number;
   /** Monotonic time of the election; by default the creation of the session. */
   electedMs?: number;
 }
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -27,6 +27,8 @@
   ticket?: string;
   /** Agent of the endpoint at the time of the decision. */
   agent: EndpointAgent;
+  /** Monotonic time of the decision. */
+  decidedMs: number;
 }
 
 /** Result of a scheduling cycle. */
@@ -282,7 +284,8 @@
     this.reserve(ready, key, endpoint.id);
     this.pending.add(`${name}.${index}`);
     const agent = this.opts.directory.require(endpoint.id);
-    return { key, stepName: name, task, run, endpoint: endpoint.id, agent };
+    const decidedMs = performance.now();
+    return { key, stepName: name, task, run, endpoint: endpoint.id, agent, decidedMs };
   }
 
   private reserve(ready: ReadyStep, key: string, endpoint: string): void {
--- /dev/null
+++ b/packages/workflow/src/toRunLossReason.ts
@@ -0,0 +1,31 @@
+import type { RunLossReason } from '@lagoongap/telemetry/runLossReason.js';
+
+/** Reason of a committed run that is not ordered, as the leadership is not valid. */
+export const NOT_VALID_AT_DISPATCH = 'leadership was not valid when the run was to be ordered';
+
+/** Reason of a committed run that is no longer needed or has no endpoint. */
+export const NOT_NEEDED_AT_DISPATCH = 'the job has ended or the endpoint was removed';
+
+/** Reasons by the text that is logged; outcomes of rejected orders stand for themselves. */
+const REASONS = new Map<string, RunLossReason>([
+  [NOT_VALID_AT_DISPATCH, 'leader-not-valid'],
+  [NOT_NEEDED_AT_DISPATCH, 'not-needed'],
+  ['the order never arrived', 'order-lost'],
+  ['not reported by the endpoint', 'not-reported'],
+  ['the lease expired', 'lease-expired'],
+  ['the endpoint has left', 'endpoint-gone'],
+  ['the endpoint is unresponsive', 'endpoint-gone'],
+  ['replaced by a newer incarnation', 'endpoint-gone'],
+  ['no-room', 'no-room'],
+  ['no-ticket', 'no-ticket'],
+  ['late', 'late'],
+  ['superseded', 'superseded'],
+  ['wrong-instance', 'wrong-instance'],
+  ['unhealthy', 'unhealthy'],
+  ['invalid', 'invalid'],
+]);
+
+/** Returns the reason under which a loss is counted. */
+export function toRunLossReason(text: string): RunLossReason {
+  return REASONS.get(text) ?? 'other';
+}
--- a/packages/workflow/src/workflowCoordinator.ts
+++ b/packages/workflow/src/workflowCoordinator.ts
@@ -81,7 +81,8 @@
     await this.log.whenReadyToLead();
     if (this.log.term !== term || this.log.role !== 'leader') return;
     const isValid = () => this.isValid();
-    const session = new WorkflowSession({ ...this.opts, isValid, electedMs });
+    const isClockReliable = () => this.suspensionDetector.isClockReliable();
+    const session = new WorkflowSession({ ...this.opts, isValid, isClockReliable, electedMs });
     this.session = session;
     session.takeover.recordReached('applied');
     session.start();
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -20,17 +20,20 @@
 import { proposeWhileLeading } from './proposeWhileLeading.js';
 import { createAgentRun, RunDispatcher, runKey } from './runDispatcher.js';
 import { runInSlices } from './runInSlices.js';
+import { RunAdopter } from './runAdopter.js';
 import { createReservation, RunLedger } from './runLedger.js';
 import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
 import { DurationEstimator } from './durationEstimator.js';
+import { ServiceOutages } from './serviceOutages.js';
 import { SessionMetrics } from './sessionMetrics.js';
 import { StragglerDetector } from './stragglerDetector.js';
 import { StepScheduler } from './stepScheduler.js';
+import { toRunLossReason } from './toRunLossReason.js';
 import { TakeoverRecorder } from './takeoverRecorder.js';
 import { WaitLogger } from './waitLogger.js';
 import { WaveRunner } from './waveRunner.js';
 import type { EndedRun } from './workflowCommand.js';
-import type { JobRecord } from './workflowRecords.js';
+import type { JobRecord, RunRecord } from './workflowRecords.js';
 
 /** Interval of housekeeping: ended jobs, unresponsive endpoints, waiting steps. */
 const HOUSEKEEPING_INTERVAL_MS = 250;
@@ -53,6 +56,7 @@
   private readonly ready: ReadySteps;
   private readonly scheduler: StepScheduler;
   private readonly dispatcher: RunDispatcher;
+  private readonly adopter: RunAdopter;
   private readonly bestEffortThrottle: BestEffortThrottle;
   private readonly stragglers: StragglerDetector;
   private readonly advice: AdvicePrefetcher;
@@ -63,6 +67,7 @@
   private readonly waves: WaveRunner;
   private readonly waitLogger: WaitLogger;
   private readonly metrics: SessionMetrics;
+  private readonly outages: ServiceOutages;
   private readonly monitor: LeadershipMonitor;
   private config: CellConfig | undefined;
   private cycleTimer: NodeJS.Timeout | undefined;
@@ -75,7 +80,9 @@
     this.opts = opts;
     const { logger, meter, isValid, electedMs = performance.now() } = opts;
     this.takeover = new TakeoverRecorder(logger, meter, electedMs);
-    this.monitor = new LeadershipMonitor({ log: logger, meter, isValid });
+    const { log: replicatedLog, validityMs, isClockReliable } = opts;
+    const validity = { replicatedLog, validityMs, isClockReliable, isValid };
+    this.monitor = new LeadershipMonitor({ ...validity, log: logger, meter });
     this.context = {
       state: opts.state,
       driver: opts.driver,
@@ -85,6 +92,7 @@
       fencingToken: opts.log.term,
       predecessorEndMs: Math.min(performance.now(), opts.log.predecessorEndMs ?? Infinity),
       isValid: () => !this.isDisposed && opts.isValid(),
+      describeLeadership: () => this.monitor.describe(),
       propose: async (command) => {
         const startMs = performance.now();
         const result = await proposeWhileLeading(opts.log, command, this.context.fencingToken);
@@ -116,6 +124,12 @@
       onNotSent: (agent, run, reason) => this.recordLostRuns(agent, [run], reason),
     });
     this.bestEffortThrottle = new BestEffortThrottle(this.context);
+    this.adopter = new RunAdopter({
+      state: opts.state,
+      ledger: this.ledger,
+      directory: this.directory,
+      onLost: (task, run) => this.recordUnadopted(task, run),
+    });
     this.waves = new WaveRunner({
       context: this.context,
       directory: this.directory,
@@ -124,6 +138,8 @@
     });
     this.waitLogger = new WaitLogger(this.context, this.ready, this.scheduler);
     this.metrics = new SessionMetrics(this.context, this.ready, this.directory);
+    const { context, ready, directory } = this;
+    this.outages = new ServiceOutages({ context, ready, directory });
     this.retention = new JobRetention(this.context);
     this.stragglers = new StragglerDetector(
       this.context,
@@ -166,7 +182,7 @@
     const isActive = () => !this.isDisposed;
     let adopted = 0;
     const adopt = (job: JobRecord): void => {
-      adopted += this.adoptRuns(job);
+      adopted += this.adopter.adopt(job);
     };
     await runInSlices(state.jobs.values(), adopt, isActive);
     if (this.isDisposed) return;
@@ -261,44 +277,22 @@
     clearInterval(this.housekeepingTimer);
     this.monitor[Symbol.dispose]();
     this.opts.meter.setWaitingSteps(new Map());
+    this.opts.meter.setServiceOutages(0, 0);
     this.occurrenceTimers[Symbol.dispose]();
     this.directory[Symbol.dispose]();
     this.broker[Symbol.dispose]();
     this.opts.logger.notice('leadership of workflows ends', { term: this.context.fencingToken });
   }
 
-  private adoptRuns(job: JobRecord): number {
-    let count = 0;
-    for (const { task, record } of listTasks(job)) {
-      for (const { run, endpoint } of record.runs) {
-        this.adoptRun(job, task, run, endpoint, record.checkpoint ?? '');
-        count += 1;
-      }
-    }
-    return count;
-  }
-
-  private adoptRun(
-    job: JobRecord,
-    task: TaskRef,
-    run: number,
-    endpoint: string,
-    checkpoint: string,
-  ): void {
-    const adopted = createAgentRun(this.opts.state, task, run, checkpoint);
-    this.ledger.reserve(createReservation(job, task, adopted.key, endpoint));
-    const agent = this.directory.find(endpoint);
-    if (!agent) {
-      const end = { task, run, outcome: 'lost' as const };
-      this.recordEnds([end], endpoint).catch((err: Error) => this.logFailure('run ends', err));
-      return;
-    }
-    agent.adopt(adopted);
-    if (job.status !== 'open') agent.stop(adopted);
+  private recordUnadopted(task: TaskRef, { run, endpoint }: RunRecord): void {
+    this.opts.meter.countLostRuns('endpoint-gone', 1);
+    const end = { task, run, outcome: 'lost' as const };
+    this.recordEnds([end], endpoint).catch((err: Error) => this.logFailure('run ends', err));
   }
 
   /** Commits the loss of runs that ended without a report; does not affect endpoint health. */
   private recordLostRuns(agent: EndpointAgent, runs: AgentRun[], reason: string): void {
+    this.opts.meter.countLostRuns(toRunLossReason(reason), runs.length);
     this.opts.logger.warn('runs are lost', {
       endpoint: agent.id,
       reason,
@@ -315,6 +309,7 @@
 
   private async recordEnds(ends: EndedRun[], endpoint: string): Promise<void> {
     await this.context.propose({ type: 'end', runs: ends });
+    this.outages.recordEnds(ends);
     const jobs = new Set<string>();
     for (const { task, run, outcome } of ends) {
       this.ledger.release(runKey(task, run));
@@ -424,6 +419,7 @@
     for (const id of this.retention.removeExpired()) this.occurrenceTimers.cancel(id);
     this.endpoints.removeUnresponsive();
     this.metrics.update();
+    this.outages.update();
     this.advice.prefetchAll().catch((err: Error) => this.logFailure('advice', err));
     this.waitLogger.logWaitingSteps();
     this.waves.advance().catch((err: Error) => this.logFailure('maintenance waves', err));
