--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -8,6 +8,11 @@
 import type { RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
 import type { PlannedStart } from './stepScheduler.js';
+import {
+  NOT_NEEDED_AT_DISPATCH,
+  NOT_VALID_AT_DISPATCH,
+  SHRUNK_AT_DISPATCH,
+} from './toRunLossReason.js';
 import type { WorkflowState } from './workflowState.js';
 
 /** Options of a {@link RunDispatcher}. */
@@ -59,6 +64,15 @@
 
   /** Sends orders for all starts that are still needed. */
   dispatch(starts: PlannedStart[]): void {
+    const { context } = this.opts;
+    if (!context.isValid()) {
+      const decidedAgoMs = performance.now() - Math.min(...starts.map((it) => it.decidedMs));
+      context.logger.warn('leadership is not valid after the commit of starts', {
+        runs: starts.length,
+        decidedAgoMs: Math.round(decidedAgoMs),
+        ...context.describeLeadership(),
+      });
+    }
     const oversized = this.capacityCheck.findOversized(starts);
     this.logOrders(starts.filter((start) => this.order(start, oversized.has(start))));
   }
@@ -79,15 +93,15 @@
     const order = createAgentRun(state, task, run, record?.checkpoint ?? '');
     order.phase = 'ordered';
     if (job.status !== 'open' || directory.find(agent.id) !== agent) {
-      onNotSent(agent, order, 'the job has ended or the endpoint was removed');
+      onNotSent(agent, order, NOT_NEEDED_AT_DISPATCH);
       return false;
     }
     if (isOversized) {
-      onNotSent(agent, order, 'the capacity of the endpoint has shrunk');
+      onNotSent(agent, order, SHRUNK_AT_DISPATCH);
       return false;
     }
     if (!context.isValid()) {
-      onNotSent(agent, order, 'leadership was not valid when the run was to be ordered');
+      onNotSent(agent, order, NOT_VALID_AT_DISPATCH);
       return false;
     }
     meter.countRunOrdered(Date.now() - dueTimeMs(job, task.occurrence));
