Add failing scenarios of calls that wait for a connection to an endpoint

Of the orders sent to one endpoint within 10 ms, from second 37 to 48, the first three get no response in 1 to 4 %, the fourth and later ones in 11 to 48 %. An endpoint has four connections, one of which waits for ends. The timeout of a call counts from the call rather than from its sending, and a call that times out before it is sent closes the connection that it would have used.

--- a/packages/tests/features/platform/formats.feature
+++ b/packages/tests/features/platform/formats.feature
@@ -87,3 +87,15 @@
   Scenario: a call without a response times out
     Given a server that never responds
     Then a call to it with a timeout of 50 ms fails with "no response within 50 ms"
+
+  Scenario: a call that waits for a free connection does not time out before it is sent
+    Given a server that responds after 30 ms
+    Then 40 calls to it at once with a timeout of 150 ms get status 200
+
+  Scenario: a call that is not sent in time fails without closing a connection
+    Given a server that responds after 1500 ms
+    When 5 calls to it are sent at once with a timeout of 3000 ms
+    Then 4 calls get status 200
+    And 1 call fails with "not sent within 1000 ms"
+    And 1 call to it at once with a timeout of 3000 ms gets status 200
+    And the server has accepted 4 connections and received 5 requests
--- a/packages/tests/src/steps/platform/clientSteps.ts
+++ b/packages/tests/src/steps/platform/clientSteps.ts
@@ -2,17 +2,28 @@
 import { createServer, type RequestListener, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
-import { After, Given, Then } from '@cucumber/cucumber';
+import { After, Given, Then, When } from '@cucumber/cucumber';
 import { PlatformClient, type PlatformResponse } from '@lagoongap/platform/platformClient.js';
 
 interface ClientWorld {
   server?: Server;
   client: PlatformClient;
+  acceptedConnections: number;
+  receivedRequests: number;
+  outcomes: PromiseSettledResult<PlatformResponse>[];
 }
 
 async function listen(world: ClientWorld, listener: RequestListener): Promise<void> {
   world.client = new PlatformClient();
+  world.acceptedConnections = 0;
+  world.receivedRequests = 0;
   const server = createServer(listener);
+  server.on('connection', () => {
+    world.acceptedConnections += 1;
+  });
+  server.on('request', () => {
+    world.receivedRequests += 1;
+  });
   world.server = server;
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -24,6 +35,21 @@
   return client.call({ method: 'GET', address: `127.0.0.1:${port}`, path: '/', timeoutMs });
 }
 
+async function callAtOnce(world: ClientWorld, count: number, timeoutMs: number): Promise<void> {
+  const calls = Array.from({ length: count }, () => call(world, timeoutMs));
+  world.outcomes = await Promise.allSettled(calls);
+}
+
+/** Counts the calls with each response status or error message. */
+function countOutcomes({ outcomes }: ClientWorld): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const it of outcomes) {
+    const key = it.status === 'fulfilled' ? it.value.status : (it.reason as Error).message;
+    counts[key] = (counts[key] ?? 0) + 1;
+  }
+  return counts;
+}
+
 After(async function close(this: ClientWorld) {
   if (!this.server) return;
   await this.client[Symbol.asyncDispose]();
@@ -46,6 +72,58 @@
   await listen(this, () => undefined);
 });
 
+Given(
+  'a server that responds after {int} ms',
+  async function serveSlowly(this: ClientWorld, ms: number) {
+    await listen(this, (_, res) => {
+      setTimeout(() => res.end('{}'), ms);
+    });
+  },
+);
+
+When(
+  '{int} call(s) to it are sent at once with a timeout of {int} ms',
+  async function sendCalls(this: ClientWorld, count: number, timeoutMs: number) {
+    await callAtOnce(this, count, timeoutMs);
+  },
+);
+
+Then(
+  '{int} call(s) to it at once with a timeout of {int} ms get(s) status {int}',
+  async function checkCalls(this: ClientWorld, count: number, timeoutMs: number, status: number) {
+    await callAtOnce(this, count, timeoutMs);
+    assert.deepEqual(countOutcomes(this), { [status]: count });
+  },
+);
+
+Then(
+  '{int} call(s) get(s) status {int}',
+  function checkStatusCount(this: ClientWorld, count: number, status: number) {
+    assert.equal(countOutcomes(this)[status], count);
+  },
+);
+
+Then(
+  '{int} call(s) fail(s) with {string}',
+  function checkFailureCount(this: ClientWorld, count: number, message: string) {
+    assert.equal(countOutcomes(this)[message], count);
+  },
+);
+
+Then(
+  'the server has accepted {int} connections and received {int} requests',
+  function checkTraffic(this: ClientWorld, connections: number, requests: number) {
+    const { acceptedConnections, receivedRequests } = this;
+    assert.deepEqual(
+      { acceptedConnections, receivedRequests },
+      {
+        acceptedConnections: connections,
+        receivedRequests: requests,
+      },
+    );
+  },
+);
+
 Then(
   'a call to it with a timeout of {int} ms gets status {int}',
   async function checkStatus(this: ClientWorld, timeoutMs: number, status: number) {
