Add scenarios of committed runs whose order has to wait

A leader that has just committed starts may find its validity over by a few milliseconds, because it has not read the acknowledgements that renew it. The runs are then declared lost instead of ordered when validity returns. Scenarios on the paused clock: the wait, its bound, the end of the job, of the endpoint's incarnation, of the session and of the term while a start waits, and an endpoint that stops responding during the commit.

--- a/packages/tests/src/steps/workflow/observationSteps.ts
+++ b/packages/tests/src/steps/workflow/observationSteps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 
-import { Then } from '@cucumber/cucumber';
+import { Given, Then, When } from '@cucumber/cucumber';
 
 import type { WorkflowWorld } from '../../workflow/workflowWorld.js';
 
@@ -29,3 +29,29 @@
     assert.ok(length >= min && length <= max, `${length} lines`);
   },
 );
+
+Then('no run is lost', function checkLost(this: ObservationSteps) {
+  assert.deepEqual(this.world.logger.find('runs are lost'), []);
+});
+
+When(
+  'the workflow leader regains its majority and cancels job {string} at once',
+  async function cancel(this: ObservationSteps, id: string) {
+    this.world.log.hasLostMajority = false;
+    await this.world.call({ operation: 'cancel' }, id);
+  },
+);
+
+Given('starts take {int} ms to commit', function delay(this: ObservationSteps, ms: number) {
+  this.world.log.startCommitMs = ms;
+});
+
+When('the instance is elected again in a later term', function elect(this: ObservationSteps) {
+  this.world.log.term += 1;
+  this.world.log.hasLostMajority = false;
+});
+
+Then('worker {word} has started no first run', function check(this: ObservationSteps, id: string) {
+  const first = this.world.driver.worker(id).started.filter((run) => run.endsWith(':1'));
+  assert.deepEqual(first, []);
+});
--- a/packages/tests/src/workflow/autoCommitLog.ts
+++ b/packages/tests/src/workflow/autoCommitLog.ts
@@ -5,7 +5,7 @@
 
 /** Replicated log of one leadership that commits every proposal immediately. */
 export class AutoCommitLog extends ManualCommitLog {
-  override readonly term: number;
+  override term: number;
   /** The leadership has ended; proposals are no longer committed. */
   isLeadershipOver = false;
   /** The majority is unreachable at present, but no other leader is elected. */
@@ -14,6 +14,8 @@
   refusesRegistrations = false;
   /** The majority is lost once the next starts are committed. */
   losesMajorityAfterStart = false;
+  /** Time until starts are committed. */
+  startCommitMs = 0;
 
   constructor(
     stateMachine: StateMachine,
@@ -29,6 +31,10 @@
     const isRefused = this.refusesRegistrations && type === 'register';
     if (this.hasLostMajority || isRefused) return Promise.reject(new NotLeaderError());
     const result = super.propose(command);
+    if (type === 'start' && this.startCommitMs > 0) {
+      setTimeout(() => this.commitAll(), this.startCommitMs);
+      return result;
+    }
     if (this.isLeadershipOver) this.loseLeadership();
     else this.commitAll();
     if (this.losesMajorityAfterStart && type === 'start') {
