Order committed starts when validity returns, instead of losing them

A saturated leader reads the acknowledgements that renew its validity later than those that commit its starts.

The dispatcher now keeps committed starts until the leadership is valid, for at most one second, and orders nothing unless validity holds directly before the order. While they wait, the run must still be the task's, the job open, the endpoint registered with the same incarnation, and the term the same: a session is valid in its own term only, also if its instance is elected again before the session is disposed of. A start whose endpoint has become unresponsive is lost at once, instead of being ordered into a cut where it would wait for the end of a lease; a gang is ordered as a whole or not at all. A start whose job is gone no longer keeps its reservation.

--- a/packages/telemetry/src/runLossReason.ts
+++ b/packages/telemetry/src/runLossReason.ts
@@ -4,6 +4,8 @@
   | 'leader-not-valid'
   /** The job ended or the endpoint was removed before the run was ordered. */
   | 'not-needed'
+  /** The endpoint stopped responding before the run was ordered. */
+  | 'not-responding'
   /** The start order got no response and had no effect. */
   | 'order-lost'
   /** The endpoint no longer lists a run that it had confirmed. */
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -6,7 +6,11 @@
 import { dueTimeMs } from './readySteps.js';
 import type { SessionContext } from './sessionContext.js';
 import type { PlannedStart } from './stepScheduler.js';
-import { NOT_NEEDED_AT_DISPATCH, NOT_VALID_AT_DISPATCH } from './toRunLossReason.js';
+import {
+  NOT_NEEDED_AT_DISPATCH,
+  NOT_VALID_AT_DISPATCH,
+  UNRESPONSIVE_AT_DISPATCH,
+} from './toRunLossReason.js';
 import type { WorkflowState } from './workflowState.js';
 
 /** Options of a {@link RunDispatcher}. */
@@ -14,8 +18,8 @@
   context: SessionContext;
   directory: EndpointDirectory;
   health: HealthPolicy;
-  /** Called for a run that is committed but will not be ordered. */
-  onNotSent: (agent: EndpointAgent, run: AgentRun, reason: string) => void;
+  /** Called for runs that are committed but will not be ordered. */
+  onNotSent: (agent: EndpointAgent, runs: AgentRun[], reason: string) => void;
 }
 
 /** Returns the unique name of a run. */
@@ -45,15 +49,42 @@
   };
 }
 
-/** Sends start orders for runs that are committed. */
-export class RunDispatcher {
+/** A committed start that is not ordered yet. */
+interface WaitingStart {
+  start: PlannedStart;
+  /** Monotonic time after which it is lost. */
+  deadlineMs: number;
+}
+
+/** Why a start cannot be ordered. */
+interface Obstacle {
+  /** Absent if it may be ordered later. */
+  lostReason?: string;
+}
+
+/**
+ * Time for which a committed start waits for the leadership to be valid. A leader that does not
+ * hear a majority for longer steps down.
+ */
+const MAX_WAIT_MS = 1000;
+
+/** Time between two checks while starts wait. */
+const CHECK_INTERVAL_MS = 5;
+
+/**
+ * Sends start orders for runs that are committed. A leader that has just committed may be without
+ * validity for a moment, until it has read the acknowledgements that renew it; the orders wait.
+ */
+export class RunDispatcher implements Disposable {
   private readonly opts: RunDispatcherOptions;
+  private waiting: WaitingStart[] = [];
+  private timer: NodeJS.Timeout | undefined;
 
   constructor(opts: RunDispatcherOptions) {
     this.opts = opts;
   }
 
-  /** Sends orders for all starts that are still needed. */
+  /** Sends orders for all starts that are still needed, as soon as the leadership is valid. */
   dispatch(starts: PlannedStart[]): void {
     const { context } = this.opts;
     if (!context.isValid()) {
@@ -64,37 +95,94 @@
         ...context.describeLeadership(),
       });
     }
-    this.logOrders(starts.filter((start) => this.order(start)));
+    const deadlineMs = performance.now() + MAX_WAIT_MS;
+    this.waiting.push(...starts.map((start) => ({ start, deadlineMs })));
+    this.orderWaiting();
   }
 
-  /**
-   * Sends the order for a committed start, unless its job has ended or its endpoint was removed.
-   *
-   * @returns Whether the order was sent.
-   */
-  private order(start: PlannedStart): boolean {
-    const { context, directory, health, onNotSent } = this.opts;
-    const { state, meter, logger } = context;
-    const { task, run, ticket, agent } = start;
-    const job = state.jobs.get(task.jobId);
-    if (!job) return false;
-    const record = state.findTask(task);
-    const order = createAgentRun(state, task, run, record?.checkpoint ?? '');
-    order.phase = 'ordered';
-    if (job.status !== 'open' || directory.find(agent.id) !== agent) {
-      onNotSent(agent, order, NOT_NEEDED_AT_DISPATCH);
-      return false;
+  [Symbol.dispose](): void {
+    clearTimeout(this.timer);
+    this.waiting = [];
+  }
+
+  private orderWaiting(): void {
+    clearTimeout(this.timer);
+    const lostGangs = this.findLostGangs();
+    const ordered: PlannedStart[] = [];
+    const lost = new Map<string, PlannedStart[]>();
+    const kept: WaitingStart[] = [];
+    for (const it of this.waiting) {
+      const { start } = it;
+      const gangReason = lostGangs.get(start.stepName);
+      const obstacle = gangReason ? { lostReason: gangReason } : this.findObstacle(it);
+      if (!obstacle) {
+        this.order(start);
+        ordered.push(start);
+      } else if (obstacle.lostReason === undefined) {
+        kept.push(it);
+      } else {
+        lost.set(obstacle.lostReason, [...(lost.get(obstacle.lostReason) ?? []), start]);
+      }
+    }
+    this.waiting = kept;
+    for (const [reason, starts] of lost) this.reportLost(starts, reason);
+    this.logOrders(ordered);
+    if (kept.length > 0) this.timer = setTimeout(() => this.orderWaiting(), CHECK_INTERVAL_MS);
+  }
+
+  /** Returns the steps of gangs of which a member is lost; the others would wait for it. */
+  private findLostGangs(): Map<string, string> {
+    const lost = new Map<string, string>();
+    for (const it of this.waiting) {
+      if (!this.opts.context.state.findSpec(it.start.task)?.isGang) continue;
+      const reason = this.findObstacle(it)?.lostReason;
+      if (reason !== undefined) lost.set(it.start.stepName, reason);
     }
+    return lost;
+  }
+
+  /** Returns why a start cannot be ordered at this moment; undefined if it can. */
+  private findObstacle({ start, deadlineMs }: WaitingStart): Obstacle | undefined {
+    const { context, directory } = this.opts;
+    const { task, run, agent, bornMs } = start;
+    const isOpen = context.state.jobs.get(task.jobId)?.status === 'open';
+    const isCurrent = context.state.findTask(task)?.runs.some((record) => record.run === run);
+    const isSameEndpoint = directory.find(agent.id) === agent && agent.record.bornMs === bornMs;
+    if (!isOpen || !isCurrent || !isSameEndpoint) return { lostReason: NOT_NEEDED_AT_DISPATCH };
     if (!context.isValid()) {
-      onNotSent(agent, order, NOT_VALID_AT_DISPATCH);
-      return false;
+      return performance.now() < deadlineMs ? {} : { lostReason: NOT_VALID_AT_DISPATCH };
     }
+    return directory.isResponsive(agent) ? undefined : { lostReason: UNRESPONSIVE_AT_DISPATCH };
+  }
+
+  private order(start: PlannedStart): void {
+    const { context, health } = this.opts;
+    const { state, meter, logger } = context;
+    const { task, ticket, agent } = start;
+    const job = state.jobs.get(task.jobId)!;
+    const order = this.createRun(start);
     meter.countRunOrdered(Date.now() - dueTimeMs(job, task.occurrence));
     health.recordStart({ attemptId: order.key, unitId: job.id, endpointId: agent.id });
     agent.order(order, job.spec.payload, ticket).catch((err: Error) => {
       logger.error('start order failed', { run: order.key, err: err.message });
     });
-    return true;
+  }
+
+  private createRun({ task, run }: PlannedStart): AgentRun {
+    const { state } = this.opts.context;
+    const order = createAgentRun(state, task, run, state.findTask(task)?.checkpoint ?? '');
+    order.phase = 'ordered';
+    return order;
+  }
+
+  private reportLost(starts: PlannedStart[], reason: string): void {
+    const byAgent = new Map<EndpointAgent, AgentRun[]>();
+    for (const start of starts) {
+      const runs = byAgent.get(start.agent) ?? [];
+      runs.push(this.createRun(start));
+      byAgent.set(start.agent, runs);
+    }
+    for (const [agent, runs] of byAgent) this.opts.onNotSent(agent, runs, reason);
   }
 
   /** Logs one line per step with its runs. */
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -27,6 +27,8 @@
   ticket?: string;
   /** Agent of the endpoint at the time of the decision. */
   agent: EndpointAgent;
+  /** Incarnation of the endpoint at the time of the decision. */
+  bornMs: number;
   /** Monotonic time of the decision. */
   decidedMs: number;
 }
@@ -284,8 +286,9 @@
     this.reserve(ready, key, endpoint.id);
     this.pending.add(`${name}.${index}`);
     const agent = this.opts.directory.require(endpoint.id);
-    const decidedMs = performance.now();
-    return { key, stepName: name, task, run, endpoint: endpoint.id, agent, decidedMs };
+    const { bornMs } = agent.record;
+    const target = { endpoint: endpoint.id, agent, bornMs };
+    return { key, stepName: name, task, run, ...target, decidedMs: performance.now() };
   }
 
   private reserve(ready: ReadyStep, key: string, endpoint: string): void {
--- a/packages/workflow/src/toRunLossReason.ts
+++ b/packages/workflow/src/toRunLossReason.ts
@@ -6,10 +6,14 @@
 /** Reason of a committed run that is no longer needed or has no endpoint. */
 export const NOT_NEEDED_AT_DISPATCH = 'the job has ended or the endpoint was removed';
 
+/** Reason of a committed run whose endpoint has stopped responding before it was ordered. */
+export const UNRESPONSIVE_AT_DISPATCH = 'the endpoint stopped responding before the order';
+
 /** Reasons by the text that is logged; outcomes of rejected orders stand for themselves. */
 const REASONS = new Map<string, RunLossReason>([
   [NOT_VALID_AT_DISPATCH, 'leader-not-valid'],
   [NOT_NEEDED_AT_DISPATCH, 'not-needed'],
+  [UNRESPONSIVE_AT_DISPATCH, 'not-responding'],
   ['the order never arrived', 'order-lost'],
   ['not reported by the endpoint', 'not-reported'],
   ['the lease expired', 'lease-expired'],
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -83,6 +83,7 @@
     const { log: replicatedLog, validityMs, isClockReliable } = opts;
     const validity = { replicatedLog, validityMs, isClockReliable, isValid };
     this.monitor = new LeadershipMonitor({ ...validity, log: logger, meter });
+    const isSameTerm = () => opts.log.term === this.context.fencingToken;
     this.context = {
       state: opts.state,
       driver: opts.driver,
@@ -91,7 +92,8 @@
       meter: opts.meter,
       fencingToken: opts.log.term,
       predecessorEndMs: Math.min(performance.now(), opts.log.predecessorEndMs ?? Infinity),
-      isValid: () => !this.isDisposed && opts.isValid(),
+      // The instance may be elected again before this session is disposed of.
+      isValid: () => !this.isDisposed && isSameTerm() && opts.isValid(),
       describeLeadership: () => this.monitor.describe(),
       propose: async (command) => {
         const startMs = performance.now();
@@ -121,7 +123,7 @@
       context: this.context,
       directory: this.directory,
       health: this.health,
-      onNotSent: (agent, run, reason) => this.recordLostRuns(agent, [run], reason),
+      onNotSent: (agent, runs, reason) => this.recordLostRuns(agent, runs, reason),
     });
     this.bestEffortThrottle = new BestEffortThrottle(this.context);
     this.adopter = new RunAdopter({
@@ -279,6 +281,7 @@
     this.opts.meter.setWaitingSteps(new Map());
     this.opts.meter.setServiceOutages(0, 0);
     this.occurrenceTimers[Symbol.dispose]();
+    this.dispatcher[Symbol.dispose]();
     this.directory[Symbol.dispose]();
     this.broker[Symbol.dispose]();
     this.opts.logger.notice('leadership of workflows ends', { term: this.context.fencingToken });
