Add a scenario of heartbeats in a long turn of the event loop

The leader's validity counts from the time of the tick, but the heartbeat leaves the process after the end of the turn (setImmediate) and of the next one (a second setImmediate in the connection), and its acknowledgement is read in a third. In the trace the quorum contact was 285 to 341 ms old at turns of 57 to 162 ms.

--- a/packages/tests/features/consensus/replica.feature
+++ b/packages/tests/features/consensus/replica.feature
@@ -233,3 +233,9 @@
     And Raft has a valid leader
     Then Raft replica a has the id "a/bootstrap"
     And Raft replica c has the id "c/bootstrap"
+
+  # A saturated event loop takes long turns; each one that a heartbeat waits for costs validity.
+  Scenario: heartbeats are sent in the turn of the event loop in which they are due
+    Given a Raft cluster of "a b c"
+    When the Raft clock advances by 200 ms while no turn of the event loop ends
+    Then Raft replica leader has sent heartbeats to each other replica
--- a/packages/tests/src/steps/consensus/replicaSteps.ts
+++ b/packages/tests/src/steps/consensus/replicaSteps.ts
@@ -13,6 +13,8 @@
   outcome: string;
   proposedCount: number;
   counts: { writes: number; messages: number };
+  /** Messages sent in one turn of the event loop. */
+  sentInTurn: ReplicaCluster['sent'];
 }
 
 /**
@@ -355,3 +357,32 @@
     assert.equal(disk.writes, writes);
   },
 );
+
+When(
+  'the Raft clock advances by {int} ms while no turn of the event loop ends',
+  async function advanceWithinTurn(this: ReplicaWorld, ms: number) {
+    const { setImmediate } = globalThis;
+    const held: (() => void)[] = [];
+    globalThis.setImmediate = ((run: () => void) => held.push(run)) as never;
+    const sentBefore = this.cluster.sent.length;
+    try {
+      await this.cluster.advance(ms);
+    } finally {
+      globalThis.setImmediate = setImmediate;
+    }
+    this.sentInTurn = this.cluster.sent.slice(sentBefore);
+    for (const run of held) run();
+  },
+);
+
+Then(
+  'Raft replica leader has sent heartbeats to each other replica',
+  function checkHeartbeats(this: ReplicaWorld) {
+    const { leader, cluster } = this;
+    const targets = this.sentInTurn
+      .filter(({ from, message }) => from === leader && message.type === 'append')
+      .map(({ to }) => to);
+    const others = cluster.ids.filter((id) => id !== leader);
+    assert.deepEqual([...new Set(targets)].sort(), others.sort());
+  },
+);
