--- a/packages/tests/src/workflow/autoCommitLog.ts
+++ b/packages/tests/src/workflow/autoCommitLog.ts
@@ -5,7 +5,7 @@
 
 /** Replicated log of one leadership that commits every proposal immediately. */
 export class AutoCommitLog extends ManualCommitLog {
-  override readonly term: number;
+  override term: number;
   /** The leadership has ended; proposals are no longer committed. */
   isLeadershipOver = false;
   /** The majority is unreachable at present, but no other leader is elected. */
@@ -17,6 +17,8 @@
   /** Starts are committed only when {@link commitHeldStarts} is called. */
   holdsStarts = false;
   private heldStarts: (() => void)[] = [];
+  /** Time until starts are committed. */
+  startCommitMs = 0;
 
   constructor(
     stateMachine: StateMachine,
@@ -33,6 +35,10 @@
     if (this.holdsStarts && type === 'start') return this.holdStart(command);
     if (this.hasLostMajority || isRefused) return Promise.reject(new NotLeaderError());
     const result = super.propose(command);
+    if (type === 'start' && this.startCommitMs > 0) {
+      setTimeout(() => this.commitAll(), this.startCommitMs);
+      return result;
+    }
     if (this.isLeadershipOver) this.loseLeadership();
     else this.commitAll();
     if (this.losesMajorityAfterStart && type === 'start') {
--- a/packages/workflow/src/toRunLossReason.ts
+++ b/packages/workflow/src/toRunLossReason.ts
@@ -9,11 +9,15 @@
 /** Reason of a committed run that no longer fits on its endpoint. */
 export const SHRUNK_AT_DISPATCH = 'the capacity of the endpoint has shrunk';
 
+/** Reason of a committed run whose endpoint has stopped responding before it was ordered. */
+export const UNRESPONSIVE_AT_DISPATCH = 'the endpoint stopped responding before the order';
+
 /** Reasons by the text that is logged; outcomes of rejected orders stand for themselves. */
 const REASONS = new Map<string, RunLossReason>([
   [NOT_VALID_AT_DISPATCH, 'leader-not-valid'],
   [SHRUNK_AT_DISPATCH, 'no-room'],
   [NOT_NEEDED_AT_DISPATCH, 'not-needed'],
+  [UNRESPONSIVE_AT_DISPATCH, 'not-responding'],
   ['the order never arrived', 'order-lost'],
   ['not reported by the endpoint', 'not-reported'],
   ['the lease expired', 'lease-expired'],
