--- a/packages/tests/src/platform/platformCell.ts
+++ b/packages/tests/src/platform/platformCell.ts
@@ -1,5 +1,4 @@
 import { mkdtemp, rm } from 'node:fs/promises';
-import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
@@ -16,6 +15,7 @@
 import { PlatformClient } from '@lagoongap/platform/platformClient.js';
 import { DEFAULT_WORKFLOW_TIMING } from '@lagoongap/workflow/workflowTiming.js';
 
+import { findFreePort } from '../harness/findFreePort.js';
 import { EndpointStandIn } from './endpointStandIn.js';
 
 const HOST = '127.0.0.1';
@@ -28,18 +28,6 @@
   folder: string;
 }
 
-async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, HOST, resolve);
-  });
-  const { port } = server.address() as { port: number };
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
-}
-
 /** Replicas and a gateway on loopback, with simulated endpoints and advisor. */
 export class PlatformCell implements AsyncDisposable {
   readonly endpoints: EndpointStandIn[] = [];
