--- a/packages/tests/features/scheduling/rejection.feature
+++ b/packages/tests/features/scheduling/rejection.feature
@@ -41,6 +41,22 @@
     Then unit large runs on "w3"
     And no unit was rejected
 
+  Scenario: Work that fitted an endpoint before it shrank waits until it grows again
+    When the scheduler runs cycles for 11000 ms
+    And the scheduler has the endpoints
+      | id | cores | gib | works  |
+      | w1 | 2     | 16  | curves |
+    And the scheduler enqueues the units
+      | id    | team  | cores |
+      | large | ionia | 8     |
+    And the scheduler runs cycles for 11000 ms
+    Then no unit was rejected
+    When the scheduler has the endpoints
+      | id | cores | gib | works  |
+      | w1 | 8     | 16  | curves |
+    And the scheduler runs cycles for 1000 ms
+    Then unit large runs on "w1"
+
   Scenario: Granted work that no endpoint offers waits until its deadline
     When the scheduler enqueues the units
       | id    | team  | work  | cores | deadline |
--- a/packages/tests/features/workflow/capacity.feature
+++ b/packages/tests/features/workflow/capacity.feature
@@ -94,3 +94,16 @@
     And job "k" of 4 tasks is submitted
     And 3000 ms of workflow time pass
     Then no start exceeded the capacity of a worker
+
+  # Guards against queries to the advisor about endpoints that can take no task.
+  Scenario Outline: an endpoint with less than nothing free in any dimension has no slots
+    Then an endpoint with <cores> cores, <memory> MiB and <accelerators> accelerators free has <slots> slots for <tasks> tasks
+
+    Examples:
+      | cores | memory | accelerators | slots | tasks         |
+      | 2     | 100    | 0            | 2     | 4 plain       |
+      | -1    | 100    | 0            | 0     | 4 plain       |
+      | 2     | -1     | 0            | 0     | 4 plain       |
+      | 2     | 100    | -1           | 0     | 4 plain       |
+      | 0     | 100    | 0            | 4     | 4 best-effort |
+      | -1    | 100    | 0            | 0     | 4 best-effort |
--- a/packages/tests/src/steps/coordinator/abandonRequestSteps.ts
+++ b/packages/tests/src/steps/coordinator/abandonRequestSteps.ts
@@ -2,6 +2,7 @@
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { LeaderSession } from '@lagoongap/coordinator/leaderSession.js';
+import type { EndpointAnnouncement } from '@lagoongap/model/endpoint.js';
 import { SILENT_LOG } from '@lagoongap/model/log.js';
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
 import { HttpEndpointClient } from '@lagoongap/routing/httpEndpointClient.js';
@@ -42,12 +43,12 @@
   }
 }
 
-function createRunner(): object {
+function createRunner(slots = 4): EndpointAnnouncement {
   return {
     id: 'runner-1',
     kind: 'runner',
     url: 'http://127.0.0.1:1',
-    size: { ...NO_RESOURCES, slots: 4 },
+    size: { ...NO_RESOURCES, slots },
     rack: 'rack-1',
     dataCentre: 'dc-1',
     works: ['metering'],
@@ -88,22 +89,42 @@
   });
 });
 
+async function acquire({ session }: AbandonRequestWorld, requestId: string): Promise<void> {
+  const params = {
+    requestId,
+    owner: OWNER,
+    keyId: 'laboratories-1',
+    queue: 'certificates',
+    work: 'metering',
+    size: { ...NO_RESOURCES, slots: 1 },
+    noRepeat: false,
+    deadlineMs: 10_000,
+    excluded: [],
+  };
+  session!.requests.acquire(params).catch(() => {});
+  await runEventLoop();
+}
+
+When(
+  'the endpoint of 4 slots announces a size of {int} slot',
+  async function announce(this: AbandonRequestWorld, slots: number) {
+    this.session!.leases.announce(createRunner(slots)).catch(() => {});
+    await runEventLoop();
+  },
+);
+
+When('{int} requests are acquired', async function acquireMany(this: AbandonRequestWorld, count) {
+  for (let i = 1; i <= count; i += 1) await acquire(this, `request-${i}`);
+});
+
+Then('{int} attempt was placed', function checkCount(this: AbandonRequestWorld, count: number) {
+  assert.equal(this.state.attempts.size, count);
+});
+
 Given(
   'a request whose placement is being committed',
   async function acquirePlacement(this: AbandonRequestWorld) {
-    const params = {
-      requestId: REQUEST_ID,
-      owner: OWNER,
-      keyId: 'laboratories-1',
-      queue: 'certificates',
-      work: 'metering',
-      size: { ...NO_RESOURCES, slots: 1 },
-      noRepeat: false,
-      deadlineMs: 10_000,
-      excluded: [],
-    };
-    this.session!.requests.acquire(params).catch(() => {});
-    await runEventLoop();
+    await acquire(this, REQUEST_ID);
     assert.equal(this.log.pendingCount, 1);
   },
 );
--- a/packages/tests/src/steps/workflow/capacitySteps.ts
+++ b/packages/tests/src/steps/workflow/capacitySteps.ts
@@ -2,7 +2,11 @@
 
 import { Given, Then, When } from '@cucumber/cucumber';
 
-import { createStep, type WorkflowWorld } from '../../workflow/workflowWorld.js';
+import { subtractResources, type Resources } from '@lagoongap/model/resources.js';
+import { RunLedger } from '@lagoongap/workflow/runLedger.js';
+import { countSlots } from '@lagoongap/workflow/ticketProvider.js';
+
+import { createReadyStep, createStep, type WorkflowWorld } from '../../workflow/workflowWorld.js';
 
 interface CapacitySteps {
   world: WorkflowWorld;
@@ -57,3 +61,34 @@
     excess.map(([id]) => [id, 0]),
   );
 });
+
+Then(
+  /^an endpoint with (-?\d+) cores, (-?\d+) MiB and (-?\d+) accelerators free has (\d+) slots for (\d+) (plain|best-effort) tasks$/,
+  (cores: string, memory: string, gpus: string, slots: string, count: string, kind: string) => {
+    const fillsIdleCapacity = kind === 'best-effort';
+    const ready = createReadyStep(createStep({ taskCount: Number(count), fillsIdleCapacity }));
+    const capacity = { cpuMillis: 1000, memoryMib: 1000, accelerators: 1, slots: 0 };
+    const free: Resources = {
+      cpuMillis: Number(cores) * 1000,
+      memoryMib: Number(memory),
+      accelerators: Number(gpus),
+      slots: 0,
+    };
+    const usage = {
+      used: subtractResources(capacity, free),
+      bestEffortCpuMillis: 0,
+      runs: new Map(),
+    };
+    const candidate = {
+      id: 'w1',
+      kind: 'a',
+      rack: 'r1',
+      labels: [],
+      capacity,
+      durationFactor: 1,
+      isLatencySensitive: false,
+      usage,
+    };
+    assert.equal(countSlots(ready, candidate, new RunLedger()), Number(slots));
+  },
+);
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -5,9 +5,10 @@
 import type { InstanceApi } from '@lagoongap/workflow/instanceApi.js';
 import type { JobResponse } from '@lagoongap/workflow/jobCalls.js';
 import type { JobSpec, StepSpec } from '@lagoongap/workflow/jobSpec.js';
+import type { ReadyStep } from '@lagoongap/workflow/readySteps.js';
 import type { EndpointRecord, JobRecord } from '@lagoongap/workflow/workflowRecords.js';
 import { WorkflowSession } from '@lagoongap/workflow/workflowSession.js';
-import { WorkflowState } from '@lagoongap/workflow/workflowState.js';
+import { createJob, WorkflowState } from '@lagoongap/workflow/workflowState.js';
 import {
   DEFAULT_WORKFLOW_TIMING,
   type WorkflowTiming,
@@ -61,6 +62,21 @@
   };
 }
 
+/** Creates a step of a newly accepted job whose tasks are all waiting. */
+export function createReadyStep(spec: StepSpec): ReadyStep {
+  const job = createJob({
+    type: 'submit',
+    id: 'j',
+    queue: 'q',
+    organisation: 'o',
+    maxAttempts: 1,
+    acceptedMs: START_MS,
+    spec: { payload: '', steps: [spec] },
+  });
+  const waiting = Array.from({ length: spec.taskCount }, (_, index) => index);
+  return { name: 'j.0.0', job, occurrence: 0, step: 0, spec, waiting, dueMs: START_MS };
+}
+
 /** Workflow leader with workers in the same process, on a fake clock. */
 export class WorkflowWorld implements AsyncDisposable, InstanceApi {
   readonly driver = new FakeDriver();
