Count no slots on an endpoint whose use exceeds its capacity in any dimension

countSlots ignored a dimension that the task does not need, while the placement itself refuses the endpoint. After capacity has shrunk the two differed: the advisor was queried about endpoints that could take nothing, and the wait explanation showed room.

--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -35,10 +35,10 @@
   usage: EndpointUsage;
 }
 
-/** Returns how many times `need` fits into `free`. */
+/** Returns how many times `need` fits into `free`, which is negative after capacity has shrunk. */
 function countFits(free: number, need: number): number {
-  if (need <= 0) return Number.MAX_SAFE_INTEGER;
-  return free < need ? 0 : Math.floor(free / need);
+  if (free < Math.max(0, need)) return 0;
+  return need > 0 ? Math.floor(free / need) : Number.MAX_SAFE_INTEGER;
 }
 
 /** Returns how many more tasks of a step an endpoint can run, given its capacity and the limit. */
@@ -48,9 +48,8 @@
   ledger: RunLedger,
 ): number {
   let slots = maxPerEndpoint > 0 ? maxPerEndpoint : taskCount;
-  if (!fillsIdleCapacity) {
-    slots = Math.min(slots, countFits(capacity.cpuMillis - used.cpuMillis, size.cpuMillis));
-  }
+  const cpuMillis = fillsIdleCapacity ? 0 : size.cpuMillis;
+  slots = Math.min(slots, countFits(capacity.cpuMillis - used.cpuMillis, cpuMillis));
   slots = Math.min(slots, countFits(capacity.memoryMib - used.memoryMib, size.memoryMib));
   slots = Math.min(slots, countFits(capacity.accelerators - used.accelerators, size.accelerators));
   if (slots === 0 || maxPerEndpoint === 0) return slots;
