Reject work as too large only if no endpoint has ever been large enough

Feasibility was judged by the size that endpoints announce now. Work that fitted an endpoint before it shrank was rejected for good, although the endpoint may grow again. It is judged by the largest size since the registration of the endpoint.

--- a/packages/scheduling/src/endpointCatalog.ts
+++ b/packages/scheduling/src/endpointCatalog.ts
@@ -1,7 +1,7 @@
 import { createEmptyConfig } from '@lagoongap/model/clusterConfig.js';
 import type { ClusterConfig } from '@lagoongap/model/clusterConfig.js';
 import { resolveWorks } from '@lagoongap/model/endpointRules.js';
-import { NO_RESOURCES, subtractResources } from '@lagoongap/model/resources.js';
+import { maxResources, NO_RESOURCES, subtractResources } from '@lagoongap/model/resources.js';
 import type { Resources } from '@lagoongap/model/resources.js';
 
 import { BlockedSizes } from './blockedSizes.js';
@@ -74,6 +74,7 @@
     accumulate(this.total, view.size, 1);
     const record: EndpointRecord = earlier ?? {
       view,
+      largestSize: view.size,
       works: new Set(),
       available: { ...NO_RESOURCES },
       held: { ...NO_RESOURCES },
@@ -93,6 +94,7 @@
       [...before].every((work) => record.works.has(work));
     if (!isUnchanged) this.fleetVersion += 1;
     record.view = view;
+    record.largestSize = maxResources(record.largestSize, view.size);
     this.ledger.setCapacity(view.id, view.size);
     this.assignPool(record);
   }
--- a/packages/scheduling/src/endpointRecord.ts
+++ b/packages/scheduling/src/endpointRecord.ts
@@ -6,6 +6,8 @@
 /** An endpoint in the catalog. */
 export interface EndpointRecord {
   view: EndpointView;
+  /** Largest size in each dimension since its registration; the endpoint may grow back to it. */
+  largestSize: Resources;
   /** Kinds of work that it offers and is granted. */
   works: ReadonlySet<string>;
   /** Capacity that is neither reserved nor held; dimensions may be negative. */
--- a/packages/scheduling/src/feasibilityChecker.ts
+++ b/packages/scheduling/src/feasibilityChecker.ts
@@ -15,7 +15,10 @@
   message: string | undefined;
 }
 
-/** Detects waiting work that could not run even on an empty fleet. */
+/**
+ * Detects waiting work that could not run even on an empty fleet in which every endpoint has the
+ * largest size that it had since its registration.
+ */
 export class FeasibilityChecker {
   private config: ClusterConfig | undefined;
   private readonly fleetResults = new Map<string, FleetResult>();
@@ -69,7 +72,7 @@
 
   private fitsSomeEndpoint(work: string, size: Resources): boolean {
     for (const record of this.catalog.list()) {
-      if (record.works.has(work) && fitsInto(size, record.view.size)) return true;
+      if (record.works.has(work) && fitsInto(size, record.largestSize)) return true;
     }
     return false;
   }
@@ -106,7 +109,7 @@
       offering += 1;
       if (excluded.includes(record.view.id)) continue;
       eligible += 1;
-      fits += countFits(size, record.view.size);
+      fits += countFits(size, record.largestSize);
     }
     // Endpoints that take this kind of work may still announce themselves.
     if (offering === 0) return undefined;
