Place nothing beyond an announced smaller size while it is being committed

An announcement reached the scheduler only after its commit, so that work was placed by the former size in the meantime. A smaller size now counts at once, as a leave does; a larger one still counts after its commit.

--- a/packages/coordinator/src/endpointLeases.ts
+++ b/packages/coordinator/src/endpointLeases.ts
@@ -6,6 +6,7 @@
 import { createId } from '@lagoongap/model/idGenerator.js';
 import type { Log } from '@lagoongap/model/log.js';
 import type { AnnounceResult, HeartbeatParams } from '@lagoongap/model/messages.js';
+import { minResources } from '@lagoongap/model/resources.js';
 import type { RefusalType } from '@lagoongap/model/refusal.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 import type { Scheduler } from '@lagoongap/scheduling/scheduler.js';
@@ -74,6 +75,7 @@
     guard.assertValid();
     this.assertNotInUse(announcement);
     const session = createId('session');
+    this.publishSmallerSize(announcement);
     await commits.commit({ type: 'announce-endpoint', announcement, session });
     guard.assertStillValid();
     this.renew(announcement.id);
@@ -161,6 +163,18 @@
     });
   }
 
+  /** Passes a smaller size to the scheduler before its commit; a larger one counts after it. */
+  private publishSmallerSize({ id, size }: EndpointAnnouncement): void {
+    const known = this.opts.state.endpoints.get(id);
+    if (!known) return;
+    this.opts.scheduler.upsertEndpoint({
+      ...known.announcement,
+      size: minResources(known.announcement.size, size),
+      state: this.resolveState(known),
+      ejected: this.opts.isEjected(id),
+    });
+  }
+
   private renew(id: string): void {
     const nowMs = performance.now();
     const expiresAtMs = nowMs + this.opts.timing.endpointLeaseMs * EXPIRY_MARGIN_FACTOR;
--- a/packages/model/src/resources.ts
+++ b/packages/model/src/resources.ts
@@ -64,6 +64,16 @@
   };
 }
 
+/** Returns the element-wise minimum of two resource vectors. */
+export function minResources(a: Resources, b: Resources): Resources {
+  return {
+    cpuMillis: Math.min(a.cpuMillis, b.cpuMillis),
+    memoryMib: Math.min(a.memoryMib, b.memoryMib),
+    accelerators: Math.min(a.accelerators, b.accelerators),
+    slots: Math.min(a.slots, b.slots),
+  };
+}
+
 /**
  * Returns the dominant share of `size`, that is its largest fraction of `total` over all
  * dimensions, as used by dominant resource fairness. Dimensions that are zero in `total` are
