--- a/packages/tests/features/platform/formats.feature
+++ b/packages/tests/features/platform/formats.feature
@@ -36,6 +36,16 @@
       | a count of 0                 | count             |
       | a dependency on a later step | does not precede  |
 
+  # Guards against memory that is exhausted on every replica, and again on each restart.
+  Scenario Outline: a job of an impossible size is rejected with its fault
+    When a job with <fault> is parsed
+    Then parsing fails with "<message>"
+
+    Examples:
+      | fault                  | message      |
+      | a count of 1000000000  | count        |
+      | 1000000000 occurrences | repeat_count |
+
   Scenario Outline: an invalid heartbeat is rejected with its fault
     When a heartbeat with <fault> is parsed
     Then parsing fails with "<message>"
@@ -48,10 +58,84 @@
       | a birth of type string | born        |
       | no capacity            | capacity    |
 
+  # Guards against entries of another writer that become endpoints, or change a sound one.
+  Scenario Outline: an entry that no endpoint can have written is rejected with field and value
+    When a heartbeat whose <field> is <value> is parsed
+    Then parsing fails, naming <field> and <shown>
+
+    Examples:
+      | field        | value              | shown              |
+      | address      | "10.1.1.1:99999"   | "10.1.1.1:99999"   |
+      | address      | "10.1.1.1:0"       | "10.1.1.1:0"       |
+      | address      | "10.1.1.1:080"     | "10.1.1.1:080"     |
+      | address      | "10.1.1:80"        | "10.1.1:80"        |
+      | address      | "a b/../@c:80"     | "a b/../@c:80"     |
+      | address      | "host.example:80"  | "host.example:80"  |
+      | capacity.cpu | 1e300              | 1e+300             |
+      | capacity.cpu | 51200001           | 51200001           |
+      | capacity.gpu | 3301               | 3301               |
+      | capacity.cpu | -1                 | -1                 |
+      | seq          | -1                 | -1                 |
+      | seq          | 1e300              | 1e+300             |
+      | born         | 9007199254740990   | 9007199254740990   |
+      | born         | -1                 | -1                 |
+      | clock_ms     | -1                 | -1                 |
+      | state        | "odd"              | "odd"              |
+      | service      | ["svc"]            | a list             |
+      | labels       | {"a":1}            | an object          |
+
+  Scenario: a clock that is behind the endpoint's by seconds accepts its birth
+    When a heartbeat that was born 30000 ms ahead is parsed
+    Then its endpoint has kind "a", rack "r1-3" and incarnation 30000 ms ahead
+
+  Scenario Outline: deeply nested values of another writer are handled like any other value
+    When a heartbeat whose "<field>" has 100000 nested lists is parsed
+    Then <result>
+
+    Examples:
+      | field  | result                                                               |
+      | extra  | its endpoint has kind "a", rack "r1-3" and incarnation 1700000000123 |
+      | labels | parsing fails with "labels"                                          |
+      | zone   | parsing fails with "zone: is a list"                                 |
+
   Scenario: a valid heartbeat names the kind, rack and incarnation of its endpoint
     When a heartbeat with no fault is parsed
     Then its endpoint has kind "a", rack "r1-3" and incarnation 1700000000123
 
+  # Guards against one invalid row that hides the others, and against log lines without a bound.
+  Scenario: invalid rows in a list of runs are skipped
+    Given an endpoint that responds to inspections with
+      """
+      {"clock_ms": 5, "born": 7, "active_runs": [["a.0.0.0", 1, "", 100], ["b.0.0.0", "x"], {"c": 1}, ["d.0.0.0", 1.5], 7],
+       "finished": [[1, "e.0.0.0", 1, "done", ""], [2, "f.0.0.0", 1, "vanished", ""], [1e300, "g.0.0.0", 1, "done", ""], null]}
+      """
+    Then an inspection lists the active runs "a.0.0.0:1" and the ends "e.0.0.0:1"
+
+  Scenario: a deeply nested row in a list of runs is skipped
+    Given an endpoint that responds to inspections with a row of 100000 nested lists
+    Then an inspection lists the active runs "a.0.0.0:1" and the ends ""
+    And no log line is longer than 1000 characters
+
+  Scenario Outline: a clock that no endpoint can have makes an inspection invalid
+    Given an endpoint that responds to inspections with
+      """
+      {"clock_ms": <clock>, "born": 7, "active_runs": [], "finished": []}
+      """
+    Then an inspection fails
+
+    Examples:
+      | clock            |
+      | 1e300            |
+      | -1               |
+      | "5"              |
+
+  Scenario: invalid rows in a response of the advisor are skipped
+    Given an advisor that responds with
+      """
+      {"good": [["w1", "t1"], ["w2"], 5, ["w3", 7], ["w4", "t4"]], "valid_ms": 2500}
+      """
+    Then a query to the advisor returns tickets for "w1 w4"
+
   Scenario: settings of an instance with a disk
     When settings with no fault are parsed
     Then the instance has a data folder, 3 seeds and leases of 4800 ms
--- a/packages/tests/src/steps/platform/formatSteps.ts
+++ b/packages/tests/src/steps/platform/formatSteps.ts
@@ -51,6 +51,12 @@
     job.steps[0].start_after = [1];
     return JSON.stringify(job);
   },
+  'a count of 1000000000': (job) => {
+    job.steps[0].count = 1_000_000_000;
+    return JSON.stringify(job);
+  },
+  '1000000000 occurrences': (job) =>
+    JSON.stringify({ ...job, first_ms: 1, interval_ms: 1, repeat_count: 1_000_000_000 }),
   'no address': ({ address, ...heartbeat }) => JSON.stringify(heartbeat),
   'an unknown state': (heartbeat) => JSON.stringify({ ...heartbeat, state: 'odd' }),
   'a birth of type string': (heartbeat) => JSON.stringify({ ...heartbeat, born: 'soon' }),
