--- a/packages/tests/features/workflow/policies.feature
+++ b/packages/tests/features/workflow/policies.feature
@@ -126,3 +126,11 @@
     Given a step of 2 tasks that could not be placed, with tickets for "w1"
     When a run on "w1" is withdrawn
     Then it is skipped
+
+  # Guards against a leader that re-evaluates a job without a pause.
+  Scenario: an occurrence that is due later than the longest timer waits until it is due
+    When an occurrence that is due in 60 days is scheduled
+    And 59 days pass for the occurrence
+    Then the occurrence has been due 0 times
+    When 1 days pass for the occurrence
+    Then the occurrence has been due 1 times
--- a/packages/tests/src/workflow/fakeDriver.ts
+++ b/packages/tests/src/workflow/fakeDriver.ts
@@ -20,6 +20,10 @@
   });
 }
 
+function isReachable({ behaviour, address }: FakeWorker, target: EndpointTarget): boolean {
+  return behaviour !== 'silent' && (address === undefined || address === target.address);
+}
+
 /** Delivers orders to {@link FakeWorker}s in the same process. */
 export class FakeDriver implements EndpointDriver {
   readonly workers = new Map<string, FakeWorker>();
@@ -45,7 +49,7 @@
 
   async start(target: EndpointTarget, order: StartOrder): Promise<StartResponse | undefined> {
     const worker = this.worker(target.id);
-    if (worker.behaviour === 'silent') return this.timeOut();
+    if (!isReachable(worker, target)) return this.timeOut();
     if (worker.behaviour === 'starts-late') {
       worker.startLate(order);
       return this.timeOut();
@@ -58,14 +62,14 @@
 
   async stop(target: EndpointTarget, order: RunOrder): Promise<boolean> {
     const worker = this.worker(target.id);
-    if (worker.behaviour !== 'silent') return worker.stop(order);
+    if (isReachable(worker, target)) return worker.stop(order);
     await pause(ORDER_TIMEOUT_MS);
     return false;
   }
 
   async inspect(target: EndpointTarget, order: InspectOrder): Promise<OrderResult<Inspection>> {
     const worker = this.worker(target.id);
-    if (worker.behaviour === 'silent') {
+    if (!isReachable(worker, target)) {
       await pause(ORDER_TIMEOUT_MS);
       return { failure: 'unreachable' };
     }
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -26,6 +26,9 @@
   timer?: NodeJS.Timeout;
 }
 
+/** Longest lease that a worker accepts; longer ones are shortened. */
+const MAX_LEASE_MS = 10_000;
+
 /** Delay after which a late order is executed. */
 const LATE_START_DELAY_MS = 3000;
 
@@ -45,6 +48,12 @@
   /** Largest number of tasks above `maxTasks` right after a start. */
   maxExcess = 0;
   observer: WorkerObserver | undefined;
+  /** Address at which the worker can be reached; any address if absent. */
+  address: string | undefined;
+  /** Rows that the worker lists besides its runs. */
+  otherRuns: ActiveRun[] = [];
+  /** The rows of active runs cannot be read. */
+  hasUnreadableRuns = false;
   private readonly supersededRuns = new Map<string, number>();
   private reports: EndReport[] = [];
   private nextReport = 1;
@@ -107,7 +116,13 @@
       percent: 100,
       load: this.load,
     }));
-    return { clockMs: this.clockMs(), bornMs: this.bornMs, active, ended: [...this.reports] };
+    return {
+      clockMs: this.clockMs(),
+      bornMs: this.bornMs,
+      active: this.hasUnreadableRuns ? [] : [...active, ...this.otherRuns],
+      ended: [...this.reports],
+      hasInvalidRows: this.hasUnreadableRuns,
+    };
   }
 
   /** Ends all runs without a report and starts a new incarnation. */
@@ -133,7 +148,7 @@
   }
 
   private renew(untilMs: number): void {
-    this.untilMs = Math.max(this.untilMs, untilMs);
+    this.untilMs = Math.max(this.untilMs, Math.min(untilMs, this.clockMs() + MAX_LEASE_MS));
     clearTimeout(this.leaseTimer);
     this.leaseTimer = setTimeout(() => {
       for (const key of [...this.runs.keys()]) this.end(key, 'lapsed');
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -195,6 +195,17 @@
     this.driver.worker(id).maxTasks = cores;
   }
 
+  /** Delivers a heartbeat of another writer, which is like that of a worker but for some fields. */
+  async deliverOddHeartbeat(
+    id: string,
+    fields: Partial<EndpointRecord>,
+    { sequence = this.sequence + 1, clockMs }: { sequence?: number; clockMs?: number } = {},
+  ): Promise<void> {
+    const endpoint = { ...this.records.get(id)!, ...fields };
+    this.session.endpoints.heartbeat({ endpoint, sequence, clockMs }).catch(() => undefined);
+    await this.advance(TICK_MS);
+  }
+
   /** Delivers a heartbeat of a worker that was sent before its latest one. */
   async deliverLateHeartbeat(id: string, fields: Partial<EndpointRecord>): Promise<void> {
     const endpoint = { ...this.records.get(id)!, ...fields };
--- a/packages/workflow/src/endpointDriver.ts
+++ b/packages/workflow/src/endpointDriver.ts
@@ -91,6 +91,8 @@
   bornMs: number;
   active: ActiveRun[];
   ended: EndReport[];
+  /** Some rows could not be read, so that a run that is missing may still be active. */
+  hasInvalidRows?: boolean;
 }
 
 /** Reason why an order failed. */
