Lose no runs by a list of which some rows could not be read

A run that is missing from a list of active runs counts as ended. A row that cannot be read may be that run, which started again elsewhere while it ran. Only a list without invalid rows is evidence; a lease that expires still is.

--- a/packages/tests/src/steps/platform/oddEntrySteps.ts
+++ b/packages/tests/src/steps/platform/oddEntrySteps.ts
@@ -141,6 +141,7 @@
     const list = (rows: { task: string; run: number }[]): string =>
       rows.map(({ task, run }) => `${task}:${run}`).join(' ');
     assert.deepEqual([list(result.answer.active), list(result.answer.ended)], [active, ended]);
+    assert.equal(result.answer.hasInvalidRows, true);
   },
 );
 
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -331,7 +331,7 @@
       if (!run) listener.onUnknownRun(this, active);
       else this.confirm(run, active);
     }
-    const isComplete = inspection.ended.length < MAX_REPORTS;
+    const isComplete = !inspection.hasInvalidRows && inspection.ended.length < MAX_REPORTS;
     if (ends.length > 0) {
       for (const { run } of ends) this.runs.delete(run.key);
       await listener.onRunsEnded(this, ends);
