Stop a listed run that its job cannot have, instead of failing each inspection

A row that names a step which the job does not have made the reservation throw, so that every inspection of the endpoint failed: its ends were not recorded and its lease was not renewed. Such a run reserves nothing and is stopped like any other unknown one.

--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -228,7 +228,8 @@
     const key = runKey(task, active.run);
     const job = this.opts.state.jobs.get(task.jobId);
     this.opts.logger.warn('endpoint reported an unknown run', { endpoint: agent.id, run: key });
-    if (job) this.ledger.reserve(createReservation(job, task, key, agent.id));
+    const hasStep = job?.spec.steps[task.step] !== undefined;
+    if (hasStep) this.ledger.reserve(createReservation(job, task, key, agent.id));
     const run = createAgentRun(this.opts.state, task, active.run, active.checkpoint);
     agent.adopt(run);
     agent.stop(run);
