Report the real clock in the heartbeats of the stand-in endpoint

The stand-in endpoint reported clock_ms 10 in each heartbeat, whereas its other responses carry its real clock. The leader computes the end of a lease from the last reading, so that start orders after a heartbeat came with a lease that had long ended, and the endpoint rejected them as late. The soak thus lost most first starts on idle endpoints.

--- a/packages/tests/src/platform/endpointStandIn.ts
+++ b/packages/tests/src/platform/endpointStandIn.ts
@@ -79,7 +79,12 @@
     if (this.worker.behaviour === 'silent') return;
     this.sequence += 1;
     const address = this.reportedAddress ?? this.address;
-    const body = { ...createHeartbeat(address), born: this.worker.bornMs, seq: this.sequence };
+    const body = {
+      ...createHeartbeat(address),
+      born: this.worker.bornMs,
+      seq: this.sequence,
+      clock_ms: Math.floor(performance.now()),
+    };
     for (const control of this.listControlAddresses()) {
       const url = `http://${control}/-/instances/${this.id}`;
       const signal = AbortSignal.timeout(1000);
