Add a scenario of reports that a new incarnation of an endpoint loses

By the logs the leader was waiting for the commit of ends of endpoint i-3 when i-3 registered a new incarnation; six runs were then ordered there, ended, and were acknowledged without having been recorded.

The scenario commits ends late and restarts the worker meanwhile.

--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -193,6 +193,18 @@
     Then job "j" is "completed"
     And worker w1 has started no run
 
+  # Guards against an acknowledgement that a new incarnation takes for its own reports.
+  Scenario: reports of an earlier incarnation do not acknowledge those of the next one
+    Given the ends of runs are committed late
+    When job "j" of 8 tasks is submitted
+    And 600 ms of workflow time pass
+    And worker w1 restarts
+    And the late ends are committed
+    And job "k" of 8 tasks is submitted
+    And 3000 ms of workflow time pass
+    Then job "k" is "completed"
+    And no task of job "k" was started more than once
+
   # Guards against a run that the next leader takes for lost because it does not know the endpoint.
   Scenario: an endpoint gets no work before its registration is durable
     Given registrations of endpoints cannot be committed at first
--- a/packages/tests/src/steps/workflow/capacitySteps.ts
+++ b/packages/tests/src/steps/workflow/capacitySteps.ts
@@ -9,11 +9,11 @@
 }
 
 Given('starts are committed late', function holdStarts(this: CapacitySteps) {
-  this.world.log.holdsStarts = true;
+  this.world.log.heldType = 'start';
 });
 
 When('the late starts are committed', async function commitStarts(this: CapacitySteps) {
-  this.world.log.commitHeldStarts();
+  this.world.log.commitHeld();
   await this.world.advance(50);
 });
 
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -96,6 +96,15 @@
   },
 );
 
+Given('the ends of runs are committed late', function holdEnds(this: Steps) {
+  this.world.log.heldType = 'end';
+});
+
+When('the late ends are committed', async function commitEnds(this: Steps) {
+  this.world.log.commitHeld();
+  await this.world.advance(50);
+});
+
 When('worker {word} restarts', async function restart(this: Steps, id: string) {
   this.world.driver.worker(id).restart();
   await this.world.sendHeartbeats();
@@ -320,6 +329,15 @@
   for (const { runs } of this.world.driver.workers.values()) assert.equal(runs.size, 0);
 });
 
+Then(
+  'no task of job {string} was started more than once',
+  function checkJobOnce(this: Steps, id: string) {
+    const names = this.world.driver.started.map((key) => key.slice(0, key.lastIndexOf(':')));
+    const started = names.filter((name) => name.startsWith(`${id}.`));
+    assert.equal(new Set(started).size, started.length, started.join(' '));
+  },
+);
+
 Then('no task was started more than once', function checkOnce(this: Steps) {
   const tasks = this.world.driver.started.map((run) => run.split(':')[0]);
   assert.equal(new Set(tasks).size, tasks.length, tasks.join(' '));
--- a/packages/tests/src/workflow/autoCommitLog.ts
+++ b/packages/tests/src/workflow/autoCommitLog.ts
@@ -14,9 +14,9 @@
   refusesRegistrations = false;
   /** The majority is lost once the next starts are committed. */
   losesMajorityAfterStart = false;
-  /** Starts are committed only when {@link commitHeldStarts} is called. */
-  holdsStarts = false;
-  private heldStarts: (() => void)[] = [];
+  /** Type of the commands that are committed only when {@link commitHeld} is called. */
+  heldType: 'start' | 'end' | undefined;
+  private held: (() => void)[] = [];
 
   constructor(
     stateMachine: StateMachine,
@@ -30,7 +30,7 @@
   override propose(command: unknown): Promise<ProposeResult> {
     const { type } = command as { type: string };
     const isRefused = this.refusesRegistrations && type === 'register';
-    if (this.holdsStarts && type === 'start') return this.holdStart(command);
+    if (type === this.heldType) return this.hold(command);
     if (this.hasLostMajority || isRefused) return Promise.reject(new NotLeaderError());
     const result = super.propose(command);
     if (this.isLeadershipOver) this.loseLeadership();
@@ -42,15 +42,15 @@
     return result;
   }
 
-  /** Commits the starts that were held back. */
-  commitHeldStarts(): void {
-    this.holdsStarts = false;
-    for (const commit of this.heldStarts.splice(0)) commit();
+  /** Commits the commands that were held back. */
+  commitHeld(): void {
+    this.heldType = undefined;
+    for (const commit of this.held.splice(0)) commit();
   }
 
-  private holdStart(command: unknown): Promise<ProposeResult> {
+  private hold(command: unknown): Promise<ProposeResult> {
     return new Promise((resolve) => {
-      this.heldStarts.push(() => resolve(this.propose(command)));
+      this.held.push(() => resolve(this.propose(command)));
     });
   }
 }
