Discard inspections of an earlier incarnation of an endpoint

An agent that waited for the commit of reported ends went on with the inspection after a new incarnation of the endpoint had been registered. It set the number of acknowledged reports and the synced state of the earlier incarnation again, so that the next inspection acknowledged reports of the new incarnation which the leader had never read, and their tasks were started again. An inspection that waited for an earlier one had the same fault.

An inspection now carries the incarnation for which it was sent and is discarded, as far as it has not been processed, once that is over.

--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -116,6 +116,8 @@
   readonly runs = new Map<string, AgentRun>();
   readonly clock = new LeaseClock();
   private readonly opts: EndpointAgentOptions;
+  /** Increases with each incarnation of the endpoint; state of an earlier one must not be used. */
+  private incarnation = 0;
   private ackedReport = 0;
   private hasUnackedReports = false;
   private isStarted = false;
@@ -244,6 +246,7 @@
   }
 
   private resetIncarnation(): void {
+    this.incarnation += 1;
     this.clock.reset();
     this.ackedReport = 0;
     this.hasUnackedReports = false;
@@ -276,7 +279,7 @@
     const { driver, fencingToken, leaseMs, isValid } = this.opts;
     if (!isValid()) return false;
     const sentMs = performance.now();
-    const { record } = this;
+    const { record, incarnation } = this;
     // An unresponsive endpoint may still receive orders; its lease must be allowed to expire.
     const canRenew = this.clock.hasReading && !this.isSuspect;
     const result = await driver.inspect(record, {
@@ -304,7 +307,7 @@
     const previous = this.processing;
     this.processing = previous
       .catch(() => undefined)
-      .then(() => this.processInspection(answer, sentMs));
+      .then(() => this.processInspection(answer, sentMs, incarnation));
     await this.processing;
     return true;
   }
@@ -315,8 +318,14 @@
     return isShort || this.hasLatencyTarget ? SHORT_TASK_WAIT_MS : MAX_INSPECTION_WAIT_MS;
   }
 
-  private async processInspection(inspection: Inspection, sentMs: number): Promise<void> {
+  private async processInspection(
+    inspection: Inspection,
+    sentMs: number,
+    incarnation: number,
+  ): Promise<void> {
     const { listener } = this.opts;
+    // The endpoint may have restarted while an earlier response was processed.
+    if (incarnation !== this.incarnation) return;
     const wasAvailable = this.isSynced && !this.isSuspect;
     this.isSuspect = false;
     const ends: { run: AgentRun; report: EndReport }[] = [];
@@ -335,7 +344,7 @@
     if (ends.length > 0) {
       for (const { run } of ends) this.runs.delete(run.key);
       await listener.onRunsEnded(this, ends);
-      if (this.isDisposed) return;
+      if (this.isDisposed || incarnation !== this.incarnation) return;
     }
     if (isComplete) this.dropAbsentRuns(inspection.active, sentMs);
     this.hasUnackedReports = lastReport > this.ackedReport;
