Add a scenario of a start response that outlives the incarnation that sent it

The clock of a worker starts anew with each incarnation, as the platform says, also in the stand-in endpoint. The scenario restarts a worker while the response to a start order is on its way. Found by looking for further uses of the state of an earlier incarnation.

--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -205,6 +205,22 @@
     Then job "k" is "completed"
     And no task of job "k" was started more than once
 
+  # Guards against a lease that never ends, as it was computed with the clock of an earlier life.
+  Scenario: the clock of an earlier incarnation is not used for the leases of the next one
+    Given responses of worker w1 to start orders are held up for 300 ms
+    And 60000 ms of workflow time pass
+    When job "j" of 2 tasks is submitted
+    And 200 ms of workflow time pass
+    And worker w1 restarts
+    And 400 ms of workflow time pass
+    And worker w1 stalls the tasks that it starts
+    And job "k" of 8 tasks is submitted
+    And 100 ms of workflow time pass
+    And worker w1 becomes unresponsive
+    And 15000 ms of workflow time pass
+    Then job "j" is "completed"
+    And job "k" is "completed"
+
   # Guards against a run that the next leader takes for lost because it does not know the endpoint.
   Scenario: an endpoint gets no work before its registration is durable
     Given registrations of endpoints cannot be committed at first
--- a/packages/tests/src/platform/endpointStandIn.ts
+++ b/packages/tests/src/platform/endpointStandIn.ts
@@ -83,7 +83,7 @@
       ...createHeartbeat(address),
       born: this.worker.bornMs,
       seq: this.sequence,
-      clock_ms: Math.floor(performance.now()),
+      clock_ms: this.worker.clockMs(),
     };
     for (const control of this.listControlAddresses()) {
       const url = `http://${control}/-/instances/${this.id}`;
@@ -108,7 +108,7 @@
       return;
     }
     res.writeHead(status, { 'content-type': 'application/json' });
-    res.end(JSON.stringify({ clock_ms: Math.floor(performance.now()), ...responseBody }));
+    res.end(JSON.stringify({ clock_ms: this.worker.clockMs(), ...responseBody }));
   }
 
   private async handleCall(path: string, body: any): Promise<[number, Record<string, unknown>]> {
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -105,6 +105,13 @@
   await this.world.advance(50);
 });
 
+Given(
+  'responses of worker {word} to start orders are held up for {int} ms',
+  function delayResponses(this: Steps, id: string, ms: number) {
+    this.world.driver.worker(id).startResponseDelayMs = ms;
+  },
+);
+
 When('worker {word} restarts', async function restart(this: Steps, id: string) {
   this.world.driver.worker(id).restart();
   await this.world.sendHeartbeats();
--- a/packages/tests/src/workflow/fakeDriver.ts
+++ b/packages/tests/src/workflow/fakeDriver.ts
@@ -53,7 +53,9 @@
     const outcome = worker.start(order);
     this.countRuns();
     if (worker.behaviour === 'start-answers-lost') return this.timeOut();
-    return { outcome, clockMs: Math.floor(performance.now()) };
+    const response = { outcome, clockMs: worker.clockMs() };
+    if (worker.startResponseDelayMs > 0) await pause(worker.startResponseDelayMs);
+    return response;
   }
 
   async stop(target: EndpointTarget, order: RunOrder): Promise<boolean> {
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -42,6 +42,8 @@
   /** Load reported for every run. */
   load = 0;
   bornMs = 1;
+  /** Time for which the responses to start orders are held up, in milliseconds. */
+  startResponseDelayMs = 0;
   /** Number of tasks that the worker can hold; it does not enforce the limit. */
   maxTasks = Infinity;
   /** Largest number of tasks above `maxTasks` right after a start. */
@@ -52,11 +54,18 @@
   private nextReport = 1;
   private fence = 0;
   private untilMs = 0;
+  /** Time on the local clock at which the worker's clock was 0. */
+  private bootMs = 0;
   private leaseTimer: NodeJS.Timeout | undefined;
   private waiters: (() => void)[] = [];
   /** Start orders that the current incarnation has received but not executed yet. */
   private readonly lateStarts = new Set<NodeJS.Timeout>();
 
+  /** Time on the worker's clock, which starts anew with each incarnation. */
+  clockMs(): number {
+    return Math.floor(performance.now() - this.bootMs);
+  }
+
   start(order: StartOrder): StartOutcome {
     if (order.fencingToken < this.fence) return 'fenced';
     this.fence = order.fencingToken;
@@ -127,13 +136,10 @@
     this.nextReport = 1;
     this.fence = 0;
     this.untilMs = 0;
+    this.bootMs = performance.now();
     this.bornMs += 1;
   }
 
-  private clockMs(): number {
-    return Math.floor(performance.now());
-  }
-
   private renew(untilMs: number): void {
     this.untilMs = Math.max(this.untilMs, untilMs);
     clearTimeout(this.leaseTimer);
