Ignore start responses of an earlier incarnation of an endpoint

A start response that arrived after the endpoint had registered a new incarnation set the clock of the agent back to that of the earlier one. Leases granted with it ended far in the future, so that the tasks of the endpoint were never declared lost once it was unresponsive.

Such a response now counts as none: the run is settled by an inspection of the new incarnation.

--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -165,9 +165,11 @@
     };
     const sentMs = performance.now();
     run.orderedMs = sentMs;
+    const { incarnation } = this;
     const response = await driver.start(this.record, order);
     if (this.isDisposed) return;
-    if (!response) {
+    // A response that an earlier incarnation may have sent tells nothing about this one.
+    if (!response || incarnation !== this.incarnation) {
       run.phase = 'unsettled';
       await this.resolveUnsettled(run);
       return;
