Soak service tasks, and require that they run again within 10 s

The load submits up to three services at random and one with a task on each endpoint, which needs every endpoint to be in use. When all faults are over, each service task has to run again within 10 s while an endpoint has room for twice its size; then an endpoint restarts and another one is cut off for longer than a lease, and the same holds; then the services are cancelled and have to end within 5 s. What endpoints run and may run moves to EndpointUsage.

--- a/packages/tests/src/platform/endpointStandIn.ts
+++ b/packages/tests/src/platform/endpointStandIn.ts
@@ -34,7 +34,7 @@
   reportedAddress: string | undefined;
   /** Address of the leader from the last heartbeat response. */
   leaderAddress: string | undefined;
-  private readonly id: string;
+  readonly id: string;
   private readonly listControlAddresses: () => string[];
   private readonly server: Server;
   private sequence = 0;
--- a/packages/tests/src/soak/soakHistory.ts
+++ b/packages/tests/src/soak/soakHistory.ts
@@ -1,11 +1,19 @@
 import type { RunOutcome } from '@lagoongap/workflow/workflowRecords.js';
 
+import { EndpointUsage } from './endpointUsage.js';
+
+/** How the tasks of a job behave; those of a service run until the job is cancelled. */
+export type SoakJobKind = 'batch' | 'service';
+
 /** Job that a caller submitted. */
 export interface SoakJob {
   id: string;
+  kind: SoakJobKind;
   /** Number of tasks of each step; a step starts after the previous one has ended. */
   tasksPerStep: number[];
   cpuMillis: number;
+  /** Maximum number of tasks of a step on one endpoint; unlimited by default. */
+  maxPerEndpoint?: number;
 }
 
 /** Outcome of a call for the caller; `unknown` if there was no conclusive response. */
@@ -35,6 +43,9 @@
   outcomes: CallOutcome[];
   /** Number of submissions without an outcome yet. */
   openCalls: number;
+  /** A cancellation has been sent. */
+  isCancelling: boolean;
+  /** A cancellation has been acknowledged. */
   isCancelled: boolean;
   tasks: Map<string, TaskHistory>;
 }
@@ -46,21 +57,20 @@
 export class SoakHistory {
   readonly violations: string[] = [];
   private readonly jobs = new Map<string, JobHistory>();
-  private readonly usedCpuMillis = new Map<string, number>();
-  private readonly capacityMillis: number;
+  private readonly usage: EndpointUsage;
   private acknowledgedVersion = 0;
   private acknowledgementListeners: (() => void)[] = [];
   private readonly documents = new Map<number, string>();
   private readonly startMs = performance.now();
 
   constructor(capacityMillis: number) {
-    this.capacityMillis = capacityMillis;
+    this.usage = new EndpointUsage(capacityMillis);
   }
 
-  /** Ids of the accepted jobs. */
-  get acceptedIds(): string[] {
+  /** Returns the ids of the accepted jobs of a kind. */
+  listAccepted(kind: SoakJobKind): string[] {
     return [...this.jobs.values()]
-      .filter(({ outcomes }) => outcomes.includes('accepted'))
+      .filter(({ job, outcomes }) => job.kind === kind && outcomes.includes('accepted'))
       .map(({ job }) => job.id);
   }
 
@@ -69,7 +79,14 @@
 
   recordSubmission(job: SoakJob): void {
     const tasks = new Map<string, TaskHistory>();
-    this.jobs.set(job.id, { job, outcomes: [], openCalls: 0, isCancelled: false, tasks });
+    this.jobs.set(job.id, {
+      job,
+      outcomes: [],
+      openCalls: 0,
+      isCancelling: false,
+      isCancelled: false,
+      tasks,
+    });
   }
 
   /** Records that a caller sends the submission of a job, for the first time or again. */
@@ -97,6 +114,11 @@
     });
   }
 
+  recordCancellationSent(id: string): void {
+    const history = this.jobs.get(id);
+    if (history) history.isCancelling = true;
+  }
+
   recordCancellation(id: string): void {
     const history = this.jobs.get(id);
     if (history) history.isCancelled = true;
@@ -119,10 +141,11 @@
     }
     for (const doneRun of task.doneRuns.values()) doneRun.isBeforeStart = true;
     task.runningOn.add(endpoint);
-    const usedMillis = (this.usedCpuMillis.get(endpoint) ?? 0) + history.job.cpuMillis;
-    this.usedCpuMillis.set(endpoint, usedMillis);
-    if (usedMillis > this.capacityMillis)
+    this.usage.add(endpoint, name, history.job);
+    const usedMillis = this.usage.getUsedMillis(endpoint);
+    if (usedMillis > this.usage.getLimitMillis(endpoint)) {
       this.violations.push(`${endpoint} is overcommitted: ${usedMillis}`);
+    }
     if (step > 0 && !this.isStepDone(history, step - 1)) {
       this.violations.push(`${name} was started before step ${step - 1} had ended`);
     }
@@ -132,10 +155,7 @@
   recordEnd(endpoint: string, name: string, run: number, outcome: RunOutcome): void {
     const { history, task } = this.findTask(name);
     if (!history || !task?.runningOn.delete(endpoint)) return;
-    this.usedCpuMillis.set(
-      endpoint,
-      (this.usedCpuMillis.get(endpoint) ?? 0) - history.job.cpuMillis,
-    );
+    this.usage.remove(endpoint, name);
     this.recordEvent(task, `run ${run} ends ${outcome} on ${endpoint}`);
     if (outcome !== 'done') return;
     task.doneRuns.set(run, { endpoint, isBeforeStart: false, acknowledgement: 'pending' });
@@ -157,6 +177,31 @@
     }
   }
 
+  /** Returns the names of service tasks that do not run although an endpoint has room for them. */
+  listDownServiceTasks(endpoints: string[]): string[] {
+    return this.listAccepted('service').flatMap((id) => {
+      const { job, tasks, isCancelling } = this.jobs.get(id)!;
+      if (isCancelling || !this.usage.hasRoom(job, endpoints)) return [];
+      const indices = Array.from({ length: job.tasksPerStep[0]! }, (_, index) => index);
+      const names = indices.map((index) => `${id}.0.0.${index}`);
+      return names.filter((name) => !tasks.get(name)?.runningOn.size);
+    });
+  }
+
+  recordServiceDown(name: string, downMs: number): void {
+    const { task } = this.findTask(name);
+    const events = task?.events.join('; ');
+    this.violations.push(`${name} has not run for ${Math.round(downMs)} ms: ${events}`);
+  }
+
+  /** Whether a task of a cancelled job runs. */
+  get hasCancelledRun(): boolean {
+    return [...this.jobs.values()].some(
+      ({ isCancelled, tasks }) =>
+        isCancelled && [...tasks.values()].some(({ runningOn }) => runningOn.size > 0),
+    );
+  }
+
   /** Records the state of a job that the system reported to a caller. */
   recordReportedState(id: string, state: string): void {
     const history = this.jobs.get(id);
--- a/packages/tests/src/soak/soakLoad.ts
+++ b/packages/tests/src/soak/soakLoad.ts
@@ -3,7 +3,7 @@
 import { Agent, request } from 'undici';
 
 import { createConfig } from '../platform/documents.js';
-import type { CallOutcome, SoakHistory, SoakJob } from './soakHistory.js';
+import type { CallOutcome, SoakHistory, SoakJob, SoakJobKind } from './soakHistory.js';
 
 const HOST = 'jobs.example';
 const CALLER_KEY = 'key-1';
@@ -16,6 +16,12 @@
 const CANCELLATION_PROBABILITY = 0.1;
 const MAX_TASKS_PER_STEP = 6;
 const CPU_MILLIS = 2000;
+const ROLL_CALL_CPU_MILLIS = 500;
+
+/** Number of submissions of services, in addition to the one with a task on each endpoint. */
+const MAX_SERVICES = 3;
+const SERVICE_PROBABILITY = 0.1;
+const MAX_SERVICE_TASKS = 3;
 const ID_DIGITS = 16;
 const STATUS_OK = 200;
 const STATUS_GONE = 410;
@@ -41,6 +47,7 @@
 
   private version = 0;
   private jobCount = 0;
+  private serviceCount = 0;
 
   constructor(
     seed: number,
@@ -68,12 +75,23 @@
     this.history.recordConfigAcknowledged(version);
   }
 
+  /** Submits a service with one task on each endpoint, which needs all of them to be in use. */
+  submitRollCall(endpointCount: number): Promise<void> {
+    const job = { tasksPerStep: [endpointCount], cpuMillis: ROLL_CALL_CPU_MILLIS };
+    return this.submit({ id: this.createId(), kind: 'service', ...job, maxPerEndpoint: 1 });
+  }
+
+  /** Cancels jobs; resolves when the cancellations have been acknowledged or have failed. */
+  async cancelAll(ids: string[]): Promise<void> {
+    await Promise.all(ids.map((id) => this.cancel(id)));
+  }
+
   /** Submits jobs and updates the configuration for the given time. */
   async generateLoad(durationMs: number): Promise<void> {
     const endMs = performance.now() + durationMs;
     let nextConfigMs = performance.now() + CONFIG_INTERVAL_MS;
     while (performance.now() < endMs) {
-      this.track(this.submitJob());
+      this.track(this.submit(this.createJob()));
       if (performance.now() >= nextConfigMs) {
         nextConfigMs += CONFIG_INTERVAL_MS;
         this.track(this.updateConfig());
@@ -109,22 +127,37 @@
     this.open.add(done);
   }
 
-  private async submitJob(): Promise<void> {
+  private createId(): string {
     this.jobCount += 1;
-    const id = this.jobCount.toString(16).padStart(ID_DIGITS, '0');
-    const drawTaskCount = (): number => 1 + Math.floor(this.random() * MAX_TASKS_PER_STEP);
-    const tasksPerStep =
-      this.random() < 0.5 ? [drawTaskCount()] : [drawTaskCount(), drawTaskCount()];
-    const job: SoakJob = { id, tasksPerStep, cpuMillis: CPU_MILLIS };
+    return this.jobCount.toString(16).padStart(ID_DIGITS, '0');
+  }
+
+  private createJob(): SoakJob {
+    const id = this.createId();
+    const drawTaskCount = (max: number): number => 1 + Math.floor(this.random() * max);
+    if (this.serviceCount < MAX_SERVICES && this.random() < SERVICE_PROBABILITY) {
+      this.serviceCount += 1;
+      const tasksPerStep = [drawTaskCount(MAX_SERVICE_TASKS)];
+      return { id, kind: 'service', tasksPerStep, cpuMillis: CPU_MILLIS };
+    }
+    const stepCount = this.random() < 0.5 ? 1 : 2;
+    const tasksPerStep = Array.from({ length: stepCount }, () => drawTaskCount(MAX_TASKS_PER_STEP));
+    return { id, kind: 'batch', tasksPerStep, cpuMillis: CPU_MILLIS };
+  }
+
+  private async submit(job: SoakJob): Promise<void> {
+    const { id, kind, tasksPerStep, cpuMillis, maxPerEndpoint } = job;
     this.history.recordSubmission(job);
     const steps = tasksPerStep.map((count, step) => ({
       count,
-      cpu: CPU_MILLIS,
+      cpu: cpuMillis,
       mem_mb: 10,
       estimate_ms: 300,
+      long_running: kind === 'service',
+      anti_affinity: maxPerEndpoint,
       ...(step > 0 ? { start_after: [step - 1] } : {}),
     }));
-    const body = JSON.stringify({ task_spec: 'soak', steps });
+    const body = JSON.stringify({ task_spec: kind satisfies SoakJobKind, steps });
     let outcome: CallOutcome = 'unknown';
     for (let tries = 0; tries < MAX_TRIES && outcome !== 'accepted'; tries += 1) {
       this.history.recordCall(id);
@@ -138,6 +171,7 @@
   }
 
   private async cancel(id: string): Promise<void> {
+    this.history.recordCancellationSent(id);
     for (let tries = 0; tries < MAX_TRIES; tries += 1) {
       const response = await this.callCaller('DELETE', id);
       if (response?.code === STATUS_OK) {
--- a/packages/tests/src/soak/soakRun.ts
+++ b/packages/tests/src/soak/soakRun.ts
@@ -6,6 +6,7 @@
 import { EndpointStandIn } from '../platform/endpointStandIn.js';
 import { planFaults, type PlannedFault } from './faultPlan.js';
 import { SoakHistory } from './soakHistory.js';
+import { ServiceMonitor } from './serviceMonitor.js';
 import { SoakLoad } from './soakLoad.js';
 import { SoakSystem } from './soakSystem.js';
 
@@ -39,6 +40,12 @@
 /** Time for which a power loss waits for an acknowledgement. */
 const MAX_ACKNOWLEDGEMENT_WAIT_MS = 2000;
 
+/** Time for which an endpoint is out of reach after all faults; longer than a lease. */
+const CALM_CUT_MS = 5000;
+
+/** Time within which the tasks of cancelled jobs must end. */
+const CANCEL_BOUND_MS = 5000;
+
 /** Interval at which the states of unfinished jobs are read. */
 const POLL_INTERVAL_MS = 250;
 
@@ -77,6 +84,7 @@
     await load.updateConfig();
     const faults = planFaults(seed, loadMs);
     await Promise.all([
+      load.submitRollCall(this.endpoints.length),
       load.generateLoad(loadMs),
       ...faults.map(async (fault) => {
         await delay(fault.atMs);
@@ -84,9 +92,14 @@
       }),
     ]);
     await load.awaitPendingCalls();
+    await this.checkServices(load);
     await this.checkFinalState(load);
-    const { violations, acceptedIds, startCount } = this.history;
-    return { seed, violations, accepted: acceptedIds.length, starts: startCount, faults };
+    const { violations, startCount } = this.history;
+    const accepted = [
+      ...this.history.listAccepted('batch'),
+      ...this.history.listAccepted('service'),
+    ];
+    return { seed, violations, accepted: accepted.length, starts: startCount, faults };
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -103,6 +116,7 @@
       const id = `i-${i}`;
       const standIn = new EndpointStandIn(id, () => system.controlAddresses);
       standIn.worker.durationMs = TASK_MS;
+      standIn.worker.getCourse = ({ payload }) => (payload === 'service' ? 'lasts' : 'ends');
       standIn.worker.observer = {
         onStart: ({ task, run }) => this.history.recordStart(id, task, run),
         onEnd: ({ task, run, outcome }) => this.history.recordEnd(id, task, run, outcome),
@@ -200,10 +214,39 @@
     return system.damageDisk(target, downMs, 'wipe');
   }
 
+  /**
+   * Waits until all service tasks run, ends the runs of two endpoints, one of them out of reach,
+   * and waits again. Then cancels the services and waits until they have ended.
+   */
+  private async checkServices(load: SoakLoad): Promise<void> {
+    const [crashed, cut] = this.endpoints.slice(this.opts.seed % (this.endpoints.length - 1));
+    let isCut = false;
+    const isUsable = ({ relay }: RelayedEndpoint): boolean => relay !== cut?.relay || !isCut;
+    using monitor = new ServiceMonitor(this.history, () =>
+      this.endpoints.filter(isUsable).map(({ standIn }) => standIn.id),
+    );
+    await SoakRun.waitFor(() => monitor.isSettled, SETTLE_TIMEOUT_MS);
+    isCut = true;
+    cut?.relay.pause('both');
+    crashed?.standIn.worker.restart();
+    await delay(CALM_CUT_MS);
+    await SoakRun.waitFor(() => monitor.isSettled, SETTLE_TIMEOUT_MS);
+    cut?.relay.resume();
+    isCut = false;
+    await SoakRun.waitFor(() => monitor.isSettled, SETTLE_TIMEOUT_MS);
+    await load.cancelAll(this.history.listAccepted('service'));
+    await SoakRun.waitFor(() => !this.history.hasCancelledRun, CANCEL_BOUND_MS);
+  }
+
+  private static async waitFor(condition: () => boolean, maxMs: number): Promise<void> {
+    const endMs = performance.now() + maxMs;
+    while (!condition() && performance.now() < endMs) await delay(POLL_INTERVAL_MS);
+  }
+
   /** Waits until all accepted jobs have ended, then checks the final guarantees. */
   private async checkFinalState(load: SoakLoad): Promise<void> {
     const endMs = performance.now() + SETTLE_TIMEOUT_MS;
-    let unfinished = this.history.acceptedIds;
+    let unfinished = this.history.listAccepted('batch');
     while (unfinished.length > 0 && performance.now() < endMs) {
       const left: string[] = [];
       for (const id of unfinished) {
--- a/packages/tests/src/steps/soak/checkerSteps.ts
+++ b/packages/tests/src/steps/soak/checkerSteps.ts
@@ -31,6 +31,7 @@
   function submit(this: CheckerWorld, id: string, first: number, second: number, cores: number) {
     this.history.recordSubmission({
       id,
+      kind: 'batch',
       tasksPerStep: [first, second],
       cpuMillis: cores * MILLIS_PER_CORE,
     });
@@ -62,6 +63,14 @@
   },
 );
 
+When(
+  'soak run {string} is lost with {string}',
+  function lose(this: CheckerWorld, run: string, id: string) {
+    const { name, number } = parseRun(run);
+    this.history.recordEnd(id, name, number, 'lost');
+  },
+);
+
 When(
   'the end of soak run {string} is acknowledged',
   function acknowledgeRun(this: CheckerWorld, run) {
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -13,6 +13,9 @@
 export type WorkerBehaviour =
   'sound' | 'failing' | 'stalled' | 'silent' | 'start-answers-lost' | 'starts-late';
 
+/** How a run goes on by itself: `ends` after its duration, `lasts` until it is stopped. */
+export type RunCourse = 'ends' | 'lasts';
+
 /** Receives events of a worker. */
 export interface WorkerObserver {
   onStart(order: StartOrder): void;
@@ -48,6 +51,8 @@
   maxTasks = Infinity;
   /** Largest number of tasks above `maxTasks` right after a start. */
   maxExcess = 0;
+  /** Returns the course of a run. */
+  getCourse: (order: StartOrder) => RunCourse = () => 'ends';
   observer: WorkerObserver | undefined;
   private readonly supersededRuns = new Map<string, number>();
   private reports: EndReport[] = [];
@@ -79,7 +84,8 @@
     this.started.push(key);
     this.maxExcess = Math.max(this.maxExcess, this.runs.size - this.maxTasks);
     this.observer?.onStart(order);
-    if (this.behaviour !== 'stalled') {
+    const hasEnd = this.behaviour === 'failing' || this.getCourse(order) === 'ends';
+    if (this.behaviour !== 'stalled' && hasEnd) {
       const outcome = this.behaviour === 'failing' ? 'failed' : 'done';
       run.timer = setTimeout(() => this.end(key, outcome), this.durationMs);
     }
