--- a/packages/tests/src/platform/endpointStandIn.ts
+++ b/packages/tests/src/platform/endpointStandIn.ts
@@ -34,7 +34,7 @@
   reportedAddress: string | undefined;
   /** Address of the leader from the last heartbeat response. */
   leaderAddress: string | undefined;
-  private readonly id: string;
+  readonly id: string;
   private readonly listControlAddresses: () => string[];
   private readonly server: Server;
   private sequence = 0;
@@ -79,7 +79,12 @@
     if (this.worker.behaviour === 'silent') return;
     this.sequence += 1;
     const address = this.reportedAddress ?? this.address;
-    const body = { ...createHeartbeat(address), born: this.worker.bornMs, seq: this.sequence };
+    const body = {
+      ...createHeartbeat(address),
+      born: this.worker.bornMs,
+      seq: this.sequence,
+      clock_ms: this.worker.clockMs(),
+    };
     for (const control of this.listControlAddresses()) {
       const url = `http://${control}/-/instances/${this.id}`;
       const signal = AbortSignal.timeout(1000);
@@ -103,7 +108,7 @@
       return;
     }
     res.writeHead(status, { 'content-type': 'application/json' });
-    res.end(JSON.stringify({ clock_ms: Math.floor(performance.now()), ...responseBody }));
+    res.end(JSON.stringify({ clock_ms: this.worker.clockMs(), ...responseBody }));
   }
 
   private async handleCall(path: string, body: any): Promise<[number, Record<string, unknown>]> {
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -13,6 +13,9 @@
 export type WorkerBehaviour =
   'sound' | 'failing' | 'stalled' | 'silent' | 'start-answers-lost' | 'starts-late';
 
+/** How a run goes on by itself: `ends` after its duration, `lasts` until it is stopped. */
+export type RunCourse = 'ends' | 'lasts';
+
 /** Receives events of a worker. */
 export interface WorkerObserver {
   onStart(order: StartOrder): void;
@@ -45,10 +48,14 @@
   /** Load reported for every run. */
   load = 0;
   bornMs = 1;
+  /** Time for which the responses to start orders are held up, in milliseconds. */
+  startResponseDelayMs = 0;
   /** Number of tasks that the worker can hold; it does not enforce the limit. */
   maxTasks = Infinity;
   /** Largest number of tasks above `maxTasks` right after a start. */
   maxExcess = 0;
+  /** Returns the course of a run. */
+  getCourse: (order: StartOrder) => RunCourse = () => 'ends';
   observer: WorkerObserver | undefined;
   /** Address at which the worker can be reached; any address if absent. */
   address: string | undefined;
@@ -61,11 +68,18 @@
   private nextReport = 1;
   private fence = 0;
   private untilMs = 0;
+  /** Time on the local clock at which the worker's clock was 0. */
+  private bootMs = 0;
   private leaseTimer: NodeJS.Timeout | undefined;
   private waiters: (() => void)[] = [];
   /** Start orders that the current incarnation has received but not executed yet. */
   private readonly lateStarts = new Set<NodeJS.Timeout>();
 
+  /** Time on the worker's clock, which starts anew with each incarnation. */
+  clockMs(): number {
+    return Math.floor(performance.now() - this.bootMs);
+  }
+
   start(order: StartOrder): StartOutcome {
     if (order.fencingToken < this.fence) return 'fenced';
     this.fence = order.fencingToken;
@@ -79,7 +93,8 @@
     this.started.push(key);
     this.maxExcess = Math.max(this.maxExcess, this.runs.size - this.maxTasks);
     this.observer?.onStart(order);
-    if (this.behaviour !== 'stalled') {
+    const hasEnd = this.behaviour === 'failing' || this.getCourse(order) === 'ends';
+    if (this.behaviour !== 'stalled' && hasEnd) {
       const outcome = this.behaviour === 'failing' ? 'failed' : 'done';
       run.timer = setTimeout(() => this.end(key, outcome), this.durationMs);
     }
@@ -142,13 +157,10 @@
     this.nextReport = 1;
     this.fence = 0;
     this.untilMs = 0;
+    this.bootMs = performance.now();
     this.bornMs += 1;
   }
 
-  private clockMs(): number {
-    return Math.floor(performance.now());
-  }
-
   private renew(untilMs: number): void {
     this.untilMs = Math.max(this.untilMs, Math.min(untilMs, this.clockMs() + MAX_LEASE_MS));
     clearTimeout(this.leaseTimer);
