Write frames at the end of the callback that sends them

Cause: frames waited for an immediate. The replica sends its messages from an immediate too, and an immediate that is queued by another one runs an iteration of the event loop later. So each heartbeat and each acknowledgement waited for one iteration more than needed, on both sides. On a busy leader, iterations are long, so that its validity ended although no iteration was near 280 ms. Change: frames are written by a tick at the end of the current callback, after its promises. Frames of one callback are still written together.

--- a/packages/peering/src/framedConnection.ts
+++ b/packages/peering/src/framedConnection.ts
@@ -29,9 +29,9 @@
 const CLOSE_TIMEOUT_MS = 500;
 
 /**
- * Exchanges frames over a socket. Frames that are sent in one event-loop iteration are written
- * together, a connection without incoming frames is reset after an idle timeout, and the send
- * buffer is bounded.
+ * Exchanges frames over a socket. Frames that are sent in one callback are written together, a
+ * connection without incoming frames is reset after an idle timeout, and the send buffer is
+ * bounded.
  */
 export class FramedConnection {
   counters: PeerCounters = createPeerCounters();
@@ -40,7 +40,7 @@
   private readonly decoder: FrameDecoder;
   private queue: Buffer[] = [];
   private queuedBytes = 0;
-  private flushHandle: NodeJS.Immediate | undefined;
+  private isFlushScheduled = false;
   private idleTimer: NodeJS.Timeout | undefined;
   private lastFrameAtMs = performance.now();
   private closed = false;
@@ -87,7 +87,7 @@
     this.queuedBytes += frame.length;
     this.counters.messagesOut += 1;
     this.counters.bytesOut += frame.length;
-    this.flushHandle ??= setImmediate(() => this.flush());
+    this.scheduleFlush();
     return 'queued';
   }
 
@@ -134,13 +134,21 @@
 
   private markClosed(): void {
     this.closed = true;
-    clearImmediate(this.flushHandle);
     clearTimeout(this.idleTimer);
     this.queue = [];
   }
 
+  /** Schedules a flush at the end of the current callback; an immediate may run much later. */
+  private scheduleFlush(): void {
+    if (this.isFlushScheduled) return;
+    this.isFlushScheduled = true;
+    process.nextTick(() => {
+      this.isFlushScheduled = false;
+      this.flush();
+    });
+  }
+
   private flush(): void {
-    this.flushHandle = undefined;
     if (this.queue.length === 0) return;
     const bytes = this.queue.length === 1 ? this.queue[0]! : Buffer.concat(this.queue);
     this.queue = [];
