Send heartbeats in the tick that creates them

Cause: the messages of a tick waited for the immediate at the end of the iteration, so everything that had arrived was processed first. A heartbeat carries the time of its creation, from which validity counts, so a busy leader sent heartbeats whose validity was partly used up. Change: a tick runs the effects of the core at once. Proposals are still appended in batches.

--- a/packages/consensus/src/raftReplica.ts
+++ b/packages/consensus/src/raftReplica.ts
@@ -263,8 +263,10 @@
     return this.core;
   }
 
+  /** Heartbeats leave before the input of this iteration, which may take long to process. */
   private tick(): void {
     this.handleInput((core) => core.tick(performance.now()));
+    this.runEffects();
   }
 
   private receive(message: unknown): void {
