Send heartbeats and consensus messages without a further turn of the loop

Validity counts from the tick of a heartbeat. The heartbeat was sent at the end of that turn of the event loop and written at the end of the next one, so that each renewal took three turns: with turns of 100 ms and more the validity of 280 ms was over at each check in between.

A tick now runs its effects itself, and notifications, which only consensus uses, are written after the callback that sends them, all of a callback together. Commits and replies of followers save a turn each as well.

--- a/packages/consensus/src/raftReplica.ts
+++ b/packages/consensus/src/raftReplica.ts
@@ -265,6 +265,8 @@
 
   private tick(): void {
     this.handleInput((core) => core.tick(performance.now()));
+    // Validity is counted from the tick, so heartbeats must not wait for the end of the iteration.
+    this.runEffects();
   }
 
   private receive(message: unknown): void {
--- a/packages/peering/src/framedConnection.ts
+++ b/packages/peering/src/framedConnection.ts
@@ -30,7 +30,7 @@
 
 /**
  * Exchanges frames over a socket. Frames that are sent in one event-loop iteration are written
- * together, a connection without incoming frames is reset after an idle timeout, and the send
+ * together unless one is urgent, a connection without incoming frames is reset after an idle timeout, and the send
  * buffer is bounded.
  */
 export class FramedConnection {
@@ -77,8 +77,13 @@
     this.decoder.maxFrameBytes = maxFrameBytes;
   }
 
-  /** Queues a message for sending. Throws FrameError if it cannot be encoded. */
-  send(message: unknown, maxFrameBytes: number): SendResult {
+  /**
+   * Queues a message for sending. Throws FrameError if it cannot be encoded.
+   *
+   * @param isUrgent - Writes the queue after the current callback instead of at the end of the
+   * event-loop iteration, which may be far off.
+   */
+  send(message: unknown, maxFrameBytes: number, isUrgent = false): SendResult {
     if (this.closed) return 'closed';
     const frame = encodeFrame(message, maxFrameBytes);
     const pendingBytes = this.queuedBytes + this.opts.socket.writableLength;
@@ -87,7 +92,8 @@
     this.queuedBytes += frame.length;
     this.counters.messagesOut += 1;
     this.counters.bytesOut += frame.length;
-    this.flushHandle ??= setImmediate(() => this.flush());
+    if (isUrgent) process.nextTick(() => this.flush());
+    else this.flushHandle ??= setImmediate(() => this.flush());
     return 'queued';
   }
 
@@ -140,6 +146,7 @@
   }
 
   private flush(): void {
+    clearImmediate(this.flushHandle);
     this.flushHandle = undefined;
     if (this.queue.length === 0) return;
     const bytes = this.queue.length === 1 ? this.queue[0]! : Buffer.concat(this.queue);
--- a/packages/peering/src/peerDialler.ts
+++ b/packages/peering/src/peerDialler.ts
@@ -148,7 +148,8 @@
     const isNotification = (message as { id?: unknown }).id === undefined;
     let result: SendResult | undefined;
     try {
-      result = connection.send(message, this.opts.limits.maxFrameBytes);
+      // Consensus uses notifications; leadership is valid for a time counted from their creation.
+      result = connection.send(message, this.opts.limits.maxFrameBytes, isNotification);
       return result;
     } finally {
       if (isNotification && result !== 'queued') this.opts.counters.dropped += 1;
--- a/packages/tests/features/peering/frames.feature
+++ b/packages/tests/features/peering/frames.feature
@@ -30,3 +30,12 @@
     When a frame arrives while the event loop is blocked for 300 ms
     Then the framed connection is still open
     And the framed connection is reset within 400 ms
+
+  Scenario: urgent messages are written at the end of a callback, with those before them
+    Given a framed connection to a socket that records writes
+    When 3 messages and 2 urgent messages are sent in one callback
+    Then the socket had recorded 1 writes before the end of the iteration
+    And the socket has recorded 5 frames in order
+    When 2 messages and 0 urgent messages are sent in one callback
+    Then the socket had recorded 0 writes before the end of the iteration
+    And the socket has recorded 7 frames in order
--- a/packages/tests/src/steps/peering/framedConnectionSteps.ts
+++ b/packages/tests/src/steps/peering/framedConnectionSteps.ts
@@ -1,10 +1,11 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { connect, createServer, Socket, type AddressInfo, type Server } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { encodeFrame } from '@lagoongap/peering/frameCodec.js';
+import { FrameDecoder } from '@lagoongap/peering/frameDecoder.js';
 import { FramedConnection } from '@lagoongap/peering/framedConnection.js';
 
 import { waitFor } from '../../peering/waitFor.js';
@@ -13,6 +14,10 @@
   framedServer?: Server;
   framedSender: Socket;
   framedCloseReasons: string[];
+  framedConnection: FramedConnection;
+  writes: Buffer[];
+  sentCount: number;
+  writesInCallback: number;
 }
 
 Given(
@@ -66,3 +71,52 @@
   this.framedSender?.destroy();
   this.framedServer?.close();
 });
+
+Given('a framed connection to a socket that records writes', function record(this: FramedWorld) {
+  this.writes = [];
+  this.sentCount = 0;
+  this.framedSender = new Socket();
+  this.framedSender.write = (bytes: Uint8Array | string) => {
+    this.writes.push(Buffer.from(bytes as Uint8Array));
+    return true;
+  };
+  this.framedConnection = new FramedConnection({
+    socket: this.framedSender,
+    maxFrameBytes: 1000,
+    maxSendBufferBytes: 1000,
+    silenceMs: 60_000,
+    onMessage: () => undefined,
+    onClose: () => undefined,
+  });
+});
+
+When(
+  '{int} messages and {int} urgent messages are sent in one callback',
+  async function send(this: FramedWorld, count: number, urgentCount: number) {
+    const writesBefore = this.writes.length;
+    for (let i = 0; i < count + urgentCount; i += 1) {
+      this.sentCount += 1;
+      this.framedConnection.send({ id: this.sentCount }, 1000, i >= count);
+    }
+    await new Promise<void>((resolve) => {
+      process.nextTick(resolve);
+    });
+    this.writesInCallback = this.writes.length - writesBefore;
+    await new Promise((resolve) => {
+      setImmediate(() => setImmediate(resolve));
+    });
+  },
+);
+
+Then(
+  'the socket had recorded {int} writes before the end of the iteration',
+  function checkWrites(this: FramedWorld, count: number) {
+    assert.equal(this.writesInCallback, count);
+  },
+);
+
+Then('the socket has recorded {int} frames in order', function check(this: FramedWorld, count) {
+  const decoder = new FrameDecoder(1000);
+  decoder.push(Buffer.concat(this.writes));
+  for (let id = 1; id <= count; id += 1) assert.deepEqual(decoder.next(), { id });
+});
