--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -37,6 +37,8 @@
   behaviour: WorkerBehaviour = 'sound';
   /** Duration of a task in milliseconds. */
   durationMs = 500;
+  /** Payloads of tasks that run until they are stopped. */
+  readonly lastingPayloads = new Set<string>();
   /** Load reported for every run. */
   load = 0;
   bornMs = 1;
@@ -63,7 +65,7 @@
     this.runs.set(key, run);
     this.started.push(key);
     this.observer?.onStart(order);
-    if (this.behaviour !== 'stalled') {
+    if (this.behaviour !== 'stalled' && !this.lastingPayloads.has(order.payload)) {
       const outcome = this.behaviour === 'failing' ? 'failed' : 'done';
       run.timer = setTimeout(() => this.end(key, outcome), this.durationMs);
     }
