--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -45,6 +45,8 @@
   behaviour: WorkerBehaviour = 'sound';
   /** Duration of a task in milliseconds. */
   durationMs = 500;
+  /** Payloads of tasks that run until they are stopped. */
+  readonly lastingPayloads = new Set<string>();
   /** Load reported for every run. */
   load = 0;
   bornMs = 1;
@@ -93,8 +95,9 @@
     this.started.push(key);
     this.maxExcess = Math.max(this.maxExcess, this.runs.size - this.maxTasks);
     this.observer?.onStart(order);
+    const isLasting = this.lastingPayloads.has(order.payload);
     const hasEnd = this.behaviour === 'failing' || this.getCourse(order) === 'ends';
-    if (this.behaviour !== 'stalled' && hasEnd) {
+    if (this.behaviour !== 'stalled' && hasEnd && !isLasting) {
       const outcome = this.behaviour === 'failing' ? 'failed' : 'done';
       run.timer = setTimeout(() => this.end(key, outcome), this.durationMs);
     }
