Ignore the clock in a heartbeat that is ahead of the endpoint's responses

A start order that followed such a heartbeat granted a lease up to the false time. The endpoint shortens it, but the leader took it for granted: after a failure of the endpoint its lease never ended, and its tasks never started again. A clock in a heartbeat counts only if it is no later than the clock can be by the latest response.

--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -99,10 +99,7 @@
     agent.lastHeartbeatMs = performance.now();
     agent.lastSequence = sequence;
     agent.isLeaving = false;
-    if (clockMs !== undefined) {
-      const receivedMs = performance.now();
-      agent.clock.observe({ clockMs, sentMs: receivedMs, receivedMs });
-    }
+    if (clockMs !== undefined) agent.clock.observeHeartbeat(clockMs, performance.now());
     if (!known) agent.start();
     return isChanged;
   }
--- a/packages/workflow/src/leaseClock.ts
+++ b/packages/workflow/src/leaseClock.ts
@@ -30,6 +30,18 @@
     this.reading = reading;
   }
 
+  /**
+   * Records a reading from a heartbeat, which another writer may have sent: only if it is no later
+   * than the clock can be by the latest reading in a response.
+   */
+  observeHeartbeat(clockMs: number, receivedMs: number): void {
+    const { reading } = this;
+    if (!reading) return;
+    const elapsedMs = Math.max(0, receivedMs - reading.sentMs);
+    const latestMs = reading.clockMs + elapsedMs * (1 + CLOCK_RATE_TOLERANCE);
+    if (clockMs <= latestMs) this.observe({ clockMs, sentMs: receivedMs, receivedMs });
+  }
+
   /** Discards the readings and leases of an earlier incarnation. */
   reset(): void {
     this.reading = undefined;
