Accept the heartbeats of an endpoint again after another writer used a higher sequence

One heartbeat with a huge sequence under the id of a sound endpoint made each later one of that endpoint count as late: it got no work while idle, its changes were ignored, and after 20 intervals it was removed. Delayed heartbeats arrive at once; three that seem late but arrive in order and at the pace of heartbeats are those of the endpoint, whose sequence is then reset and committed.

--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -1,4 +1,5 @@
 import type { EndpointDirectory } from './endpointDirectory.js';
+import { LateHeartbeats } from './lateHeartbeats.js';
 import type { SessionContext } from './sessionContext.js';
 import type { EndpointRecord } from './workflowRecords.js';
 
@@ -33,6 +34,7 @@
   private readonly listener: EndpointServiceListener;
   /** Registrations that are not yet durable, by endpoint id. */
   private readonly registrations = new Map<string, Promise<void>>();
+  private readonly lateHeartbeats: LateHeartbeats;
 
   constructor(
     context: SessionContext,
@@ -42,6 +44,7 @@
     this.context = context;
     this.directory = directory;
     this.listener = listener;
+    this.lateHeartbeats = new LateHeartbeats(context.timing.heartbeatMs);
   }
 
   /**
@@ -69,6 +72,7 @@
   remove(id: string, reason: string): void {
     this.context.logger.info('endpoint is forgotten', { endpoint: id, reason });
     this.directory.remove(id, reason);
+    this.lateHeartbeats.clear(id);
     this.context.propose({ type: 'unregister', id }).catch((err: Error) => {
       this.context.logger.warn('failed to unregister endpoint', { id, err: err.message });
     });
@@ -87,14 +91,25 @@
   /** Updates the agent of an endpoint; returns whether its record has to be committed. */
   private observe({ endpoint, sequence, clockMs }: EndpointHeartbeat): boolean {
     const known = this.directory.find(endpoint.id);
+    let isSequenceReset = false;
     if (known) {
       const isEarlierIncarnation = endpoint.bornMs < known.record.bornMs;
       const isSameIncarnation = endpoint.bornMs === known.record.bornMs;
-      if (isEarlierIncarnation || (isSameIncarnation && sequence <= known.lastSequence)) {
-        return false;
+      if (isEarlierIncarnation) return false;
+      if (isSameIncarnation && sequence <= known.lastSequence) {
+        const { id } = endpoint;
+        isSequenceReset = this.lateHeartbeats.isCurrent(id, sequence, performance.now());
+        if (!isSequenceReset) return false;
+        this.context.logger.warn('sequence of an endpoint was too high', {
+          endpoint: id,
+          sequence,
+          lastSequence: known.lastSequence,
+        });
       }
     }
-    const isChanged = !known || !isSame(known.record, endpoint);
+    this.lateHeartbeats.clear(endpoint.id);
+    // The next leader needs a sequence that was reset as well.
+    const isChanged = !known || isSequenceReset || !isSame(known.record, endpoint);
     const agent = isChanged ? this.directory.add(endpoint) : known;
     agent.lastHeartbeatMs = performance.now();
     agent.lastSequence = sequence;
