Inspect an endpoint before a heartbeat supersedes it

A heartbeat with a later birth under the id, instance or address of a sound endpoint made it an earlier incarnation: its heartbeats were ignored, and its runs were lost and started again while they ran, or never ended. So did another address under the same birth.

The endpoint that would be superseded is inspected first. The same incarnation has one address once it has responded there. A claim is checked only when it is made, at the cost of one inspection for each restart.

--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -1,3 +1,4 @@
+import { EndpointClaims, supersedes, type HeartbeatFault } from './endpointClaims.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { LateHeartbeats } from './lateHeartbeats.js';
 import type { SessionContext } from './sessionContext.js';
@@ -35,6 +36,7 @@
   /** Registrations that are not yet durable, by endpoint id. */
   private readonly registrations = new Map<string, Promise<void>>();
   private readonly lateHeartbeats: LateHeartbeats;
+  private readonly claims: EndpointClaims;
 
   constructor(
     context: SessionContext,
@@ -44,19 +46,26 @@
     this.context = context;
     this.directory = directory;
     this.listener = listener;
+    this.claims = new EndpointClaims(context, directory);
     this.lateHeartbeats = new LateHeartbeats(context.timing.heartbeatMs);
   }
 
   /**
    * Processes a heartbeat. Resolves when the last reported registration of the endpoint is durable;
-   * late heartbeats of earlier incarnations are ignored.
+   * late heartbeats of earlier incarnations are ignored. Resolves with a fault if the heartbeat
+   * cannot come from the endpoint that it names.
    */
-  async heartbeat(heartbeat: EndpointHeartbeat): Promise<void> {
+  async heartbeat(heartbeat: EndpointHeartbeat): Promise<HeartbeatFault | undefined> {
     const { id } = heartbeat.endpoint;
     const endpoint = { ...heartbeat.endpoint, sequence: heartbeat.sequence };
+    if (this.claims.isContested(endpoint)) {
+      const fault = await this.claims.check(endpoint);
+      if (fault) return fault;
+    }
     if (this.observe({ ...heartbeat, endpoint })) this.register(endpoint, heartbeat.sequence);
     // A repeated heartbeat must not be acknowledged before the change that it reports is durable.
     await this.registrations.get(id);
+    return undefined;
   }
 
   /** Handles the shutdown of an endpoint; its runs are lost once it no longer responds. */
@@ -152,9 +161,7 @@
   /** Removes older incarnations on the same instance or address, which must have ended. */
   private async removePredecessors(record: EndpointRecord): Promise<void> {
     for (const other of this.directory.list()) {
-      if (other.id === record.id || other.record.bornMs >= record.bornMs) continue;
-      const isSameInstance = record.instance !== '' && other.record.instance === record.instance;
-      if (!isSameInstance && other.record.address !== record.address) continue;
+      if (other.id === record.id || !supersedes(record, other.record)) continue;
       this.directory.remove(other.id, 'replaced by a newer incarnation');
       await this.context.propose({ type: 'unregister', id: other.id });
     }
--- a/packages/workflow/src/workflowCoordinator.ts
+++ b/packages/workflow/src/workflowCoordinator.ts
@@ -6,6 +6,7 @@
 import type { PeerNetwork } from '@lagoongap/peering/peerNetwork.js';
 
 import type { AdviceReport } from './adviceBroker.js';
+import type { HeartbeatFault } from './endpointClaims.js';
 import type { EndpointHeartbeat } from './endpointService.js';
 import type { JobCall, JobResponse } from './jobCalls.js';
 import type { WorkflowSessionOptions } from './sessionContext.js';
@@ -23,6 +24,14 @@
 /** Response to a change of the configuration. */
 export type ConfigureResponse = { type: 'accepted' } | { type: 'invalid'; reason: string };
 
+/** Response to the heartbeat of an endpoint. */
+export interface HeartbeatResponse {
+  /** Instance id of the leader. */
+  leader: string;
+  /** Present if the heartbeat was rejected. */
+  fault?: HeartbeatFault;
+}
+
 /** Maximum time for which a poll for an advisor query is kept open. */
 const MAX_EXCHANGE_WAIT_MS = 1000;
 
@@ -135,8 +144,8 @@
     this.registerHandler<EndpointHeartbeat>(
       'endpoints.heartbeat',
       async (session, heartbeat) => {
-        await session.endpoints.heartbeat(heartbeat);
-        return { leader: this.opts.instanceId };
+        const fault = await session.endpoints.heartbeat(heartbeat);
+        return { leader: this.opts.instanceId, fault } satisfies HeartbeatResponse;
       },
       // A predecessor of the endpoint may have been removed before.
       'unknown',
