Restore an endpoint that a false incarnation superseded while it was cut off

An endpoint that cannot be reached cannot refute a claim. Once it was back, its heartbeats counted as those of an earlier incarnation for ever. If the known incarnation has never responded, a heartbeat of an earlier one is checked by an inspection, and its record is restored and committed.

--- a/packages/workflow/src/endpointClaims.ts
+++ b/packages/workflow/src/endpointClaims.ts
@@ -33,7 +33,7 @@
   /** Returns whether accepting the record requires a check against known endpoints. */
   isContested(record: EndpointRecord): boolean {
     return (
-      this.hasMoved(record) || this.hasReturned(record) || this.listSuperseded(record).length > 0
+      this.hasMoved(record) || this.isEarlier(record) || this.listSuperseded(record).length > 0
     );
   }
 
@@ -52,9 +52,9 @@
     return { field: 'born', reason };
   }
 
-  /** Resolves with whether a known incarnation that does not respond was a false one. */
-  async isRefuted(record: EndpointRecord): Promise<boolean> {
-    return this.hasReturned(record) && (await this.respondsAs(record));
+  /** Resolves with whether an endpoint responds as this incarnation, not as the later known one. */
+  async hasReturned(record: EndpointRecord): Promise<boolean> {
+    return this.isEarlier(record) && (await this.respondsAs(record)) && this.isEarlier(record);
   }
 
   /** Returns whether the same incarnation has responded at another address. */
@@ -65,7 +65,7 @@
   }
 
   /** Returns whether the record is earlier than the known one, which has not responded. */
-  private hasReturned({ id, bornMs }: EndpointRecord): boolean {
+  private isEarlier({ id, bornMs }: EndpointRecord): boolean {
     const known = this.directory.find(id);
     return known !== undefined && !known.isSynced && bornMs > 0 && bornMs < known.record.bornMs;
   }
--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -61,6 +61,7 @@
     if (this.claims.isContested(endpoint)) {
       const fault = await this.claims.check(endpoint);
       if (fault) return fault;
+      if (await this.claims.hasReturned(endpoint)) this.restore(endpoint);
     }
     if (this.observe({ ...heartbeat, endpoint })) this.register(endpoint, heartbeat.sequence);
     // A repeated heartbeat must not be acknowledged before the change that it reports is durable.
@@ -97,6 +98,17 @@
     }
   }
 
+  /** Replaces the record of a false incarnation, which never responded, by that of the sound one. */
+  private restore(endpoint: EndpointRecord): void {
+    this.context.logger.warn('endpoint was superseded by a false heartbeat', {
+      endpoint: endpoint.id,
+      bornMs: endpoint.bornMs,
+      falseBornMs: this.directory.find(endpoint.id)?.record.bornMs,
+    });
+    this.directory.add(endpoint).lastSequence = -1;
+    this.register(endpoint, endpoint.sequence ?? 0);
+  }
+
   /** Updates the agent of an endpoint; returns whether its record has to be committed. */
   private observe({ endpoint, sequence, clockMs }: EndpointHeartbeat): boolean {
     const known = this.directory.find(endpoint.id);
