--- a/packages/tests/features/workflow/oddEntries.feature
+++ b/packages/tests/features/workflow/oddEntries.feature
@@ -62,6 +62,20 @@
     And 1000 ms of workflow time pass
     Then job "j" is "completed"
 
+  Scenario: a false claim while an endpoint is cut off does not make its runs lost
+    Given 2 workers of 4 cores
+    And 10000 ms of workflow time pass
+    When job "j" of 8 tasks of 4000 ms is submitted
+    And 100 ms of workflow time pass
+    And worker w1 becomes unresponsive
+    And 1000 ms of workflow time pass
+    And an odd heartbeat of worker w1 claims a newer incarnation
+    And 1500 ms of workflow time pass
+    And worker w1 responds again
+    And 8000 ms of workflow time pass
+    Then job "j" is "completed"
+    And no task was started more than once
+
   Scenario: another address of the same incarnation does not make its runs lost
     Given 2 workers of 4 cores
     And 10000 ms of workflow time pass
