Keep the lease of an endpoint until its new incarnation has responded

A new birth or address discarded what the leader knew of the lease. If the endpoint could not be reached then, its runs counted as lost at the next inspection, although they may run until the lease expires. The clock and the leases now belong to the incarnation that has responded.

--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -116,6 +116,8 @@
   readonly runs = new Map<string, AgentRun>();
   readonly clock = new LeaseClock();
   private readonly opts: EndpointAgentOptions;
+  /** Incarnation that the readings and leases of the clock belong to. */
+  private clockIncarnation = '';
   private ackedReport = 0;
   private hasUnackedReports = false;
   private isStarted = false;
@@ -133,6 +135,16 @@
     return this.record.id;
   }
 
+  private get incarnation(): string {
+    return `${this.record.bornMs} ${this.record.address}`;
+  }
+
+  /** Records the clock in a heartbeat of the endpoint. */
+  observeClock(clockMs: number): void {
+    if (this.clockIncarnation !== this.incarnation) return;
+    this.clock.observeHeartbeat(clockMs, performance.now());
+  }
+
   /** Starts the inspection loop; does nothing if it has been started. */
   start(): void {
     if (this.isStarted) return;
@@ -244,7 +256,6 @@
   }
 
   private resetIncarnation(): void {
-    this.clock.reset();
     this.ackedReport = 0;
     this.hasUnackedReports = false;
     this.isSynced = false;
@@ -278,7 +289,8 @@
     const sentMs = performance.now();
     const { record } = this;
     // An unresponsive endpoint may still receive orders; its lease must be allowed to expire.
-    const canRenew = this.clock.hasReading && !this.isSuspect;
+    const isCurrentClock = this.clockIncarnation === this.incarnation;
+    const canRenew = this.clock.hasReading && isCurrentClock && !this.isSuspect;
     const result = await driver.inspect(record, {
       fencingToken,
       ackedReport: this.ackedReport,
@@ -299,6 +311,9 @@
       return false;
     }
     this.lastResponseMs = performance.now();
+    // The leases of an earlier incarnation may run on until the new one has responded.
+    if (!isCurrentClock) this.clock.reset();
+    this.clockIncarnation = this.incarnation;
     this.clock.observe({ clockMs: answer.clockMs, sentMs, receivedMs: this.lastResponseMs });
     // Processed in order, so that no report is acknowledged before its end is durable.
     const previous = this.processing;
--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -135,7 +135,7 @@
     agent.lastHeartbeatMs = performance.now();
     agent.lastSequence = sequence;
     agent.isLeaving = false;
-    if (clockMs !== undefined) agent.clock.observeHeartbeat(clockMs, performance.now());
+    if (clockMs !== undefined) agent.observeClock(clockMs);
     if (!known) agent.start();
     return isChanged;
   }
