--- a/packages/telemetry/src/workflowMetrics.ts
+++ b/packages/telemetry/src/workflowMetrics.ts
@@ -35,6 +35,8 @@
   countCallFailure(reason: CallFailureReason, state: FailedCallState): void;
   /** Counts one failed try at the leader; a call may take several. */
   countTryFailure(reason: CallFailureReason): void;
+  /** Counts a heartbeat that cannot come from an endpoint, by its first invalid field. */
+  countRejectedHeartbeat(field: string): void;
   /** Adds time for which this instance had no valid leader. */
   addLeaderAbsence(durationMs: number): void;
   setLeaderAbsent(isAbsent: boolean): void;
@@ -63,6 +65,7 @@
   setConfigVersion() {},
   countCallFailure() {},
   countTryFailure() {},
+  countRejectedHeartbeat() {},
   addLeaderAbsence() {},
   setLeaderAbsent() {},
   addInvalidLeadership() {},
@@ -153,6 +156,12 @@
     ['reason'],
   );
 
+  private readonly rejectedHeartbeats = this.createCounter(
+    'lagoongap_rejected_heartbeats_total',
+    'Heartbeats that cannot come from an endpoint, by their first invalid field',
+    ['reason'],
+  );
+
   private readonly leaderAbsence = this.createCounter(
     'lagoongap_without_leader_seconds_total',
     'Time for which this instance had no valid leader',
@@ -257,6 +266,10 @@
     this.tryFailures.inc({ reason });
   }
 
+  countRejectedHeartbeat(field: string): void {
+    this.rejectedHeartbeats.inc({ reason: field });
+  }
+
   addLeaderAbsence(durationMs: number): void {
     this.leaderAbsence.inc(durationMs / MS_PER_SECOND);
   }
--- a/packages/tests/features/platform/formats.feature
+++ b/packages/tests/features/platform/formats.feature
@@ -84,6 +84,34 @@
       | service      | ["svc"]            | a list             |
       | labels       | {"a":1}            | an object          |
 
+  Scenario: rejected heartbeats are counted by field and logged in a bounded volume
+    Given a control API with metrics
+    When 500 heartbeats with the address "10.1.1.1:0" and 2 without JSON arrive
+    Then each of them has status 400
+    And its metrics contain 'lagoongap_rejected_heartbeats_total{reason="address"} 500'
+    And its metrics contain 'lagoongap_rejected_heartbeats_total{reason="document"} 2'
+    And it has logged 2 lines
+    When 60 s pass and 1 heartbeat with the address "10.1.1.1:0" arrives
+    Then it has logged 3 lines, the last with 499 suppressed
+
+  Scenario Outline: an id of another writer that names no endpoint is rejected
+    Given a control API with metrics
+    When a heartbeat arrives at the path "/-/instances/<id>"
+    Then each of them has status 400
+
+    Examples:
+      | id      |
+      | %zz     |
+      | a%0Ab   |
+      | a%20b   |
+
+  Scenario: a claim that the leader refutes is rejected with its field
+    Given a control API with metrics
+    And its leader finds that "born" of a heartbeat is false
+    When a heartbeat arrives at the path "/-/instances/i-1"
+    Then each of them has status 400
+    And its metrics contain 'lagoongap_rejected_heartbeats_total{reason="born"} 1'
+
   Scenario: a clock that is behind the endpoint's by seconds accepts its birth
     When a heartbeat that was born 30000 ms ahead is parsed
     Then its endpoint has kind "a", rack "r1-3" and incarnation 30000 ms ahead
@@ -171,3 +199,8 @@
   Scenario: a call without a response times out
     Given a server that never responds
     Then a call to it with a timeout of 50 ms fails with "no response within 50 ms"
+
+  Scenario: errors of a listening socket do not end the process
+    Given an HTTP service of the platform
+    When its listening socket reports 2 errors
+    Then a call to it gets status 200
