--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -117,7 +117,9 @@
   readonly clock = new LeaseClock();
   private readonly opts: EndpointAgentOptions;
   /** Increases with each incarnation of the endpoint; state of an earlier one must not be used. */
-  private incarnation = 0;
+  private incarnationNumber = 0;
+  /** Incarnation that the readings and leases of the clock belong to. */
+  private clockIncarnation = '';
   private ackedReport = 0;
   private hasUnackedReports = false;
   private isStarted = false;
@@ -135,6 +137,16 @@
     return this.record.id;
   }
 
+  private get incarnation(): string {
+    return `${this.record.bornMs} ${this.record.address}`;
+  }
+
+  /** Records the clock in a heartbeat of the endpoint. */
+  observeClock(clockMs: number): void {
+    if (this.clockIncarnation !== this.incarnation) return;
+    this.clock.observeHeartbeat(clockMs, performance.now());
+  }
+
   /** Starts the inspection loop; does nothing if it has been started. */
   start(): void {
     if (this.isStarted) return;
@@ -165,11 +177,11 @@
     };
     const sentMs = performance.now();
     run.orderedMs = sentMs;
-    const { incarnation } = this;
+    const { incarnationNumber } = this;
     const response = await driver.start(this.record, order);
     if (this.isDisposed) return;
     // A response that an earlier incarnation may have sent tells nothing about this one.
-    if (!response || incarnation !== this.incarnation) {
+    if (!response || incarnationNumber !== this.incarnationNumber) {
       run.phase = 'unsettled';
       await this.resolveUnsettled(run);
       return;
@@ -248,8 +260,7 @@
   }
 
   private resetIncarnation(): void {
-    this.incarnation += 1;
-    this.clock.reset();
+    this.incarnationNumber += 1;
     this.ackedReport = 0;
     this.hasUnackedReports = false;
     this.isSynced = false;
@@ -281,9 +292,10 @@
     const { driver, fencingToken, leaseMs, isValid } = this.opts;
     if (!isValid()) return false;
     const sentMs = performance.now();
-    const { record, incarnation } = this;
+    const { record, incarnationNumber } = this;
     // An unresponsive endpoint may still receive orders; its lease must be allowed to expire.
-    const canRenew = this.clock.hasReading && !this.isSuspect;
+    const isCurrentClock = this.clockIncarnation === this.incarnation;
+    const canRenew = this.clock.hasReading && isCurrentClock && !this.isSuspect;
     const result = await driver.inspect(record, {
       fencingToken,
       ackedReport: this.ackedReport,
@@ -304,12 +316,15 @@
       return false;
     }
     this.lastResponseMs = performance.now();
+    // The leases of an earlier incarnation may run on until the new one has responded.
+    if (!isCurrentClock) this.clock.reset();
+    this.clockIncarnation = this.incarnation;
     this.clock.observe({ clockMs: answer.clockMs, sentMs, receivedMs: this.lastResponseMs });
     // Processed in order, so that no report is acknowledged before its end is durable.
     const previous = this.processing;
     this.processing = previous
       .catch(() => undefined)
-      .then(() => this.processInspection(answer, sentMs, incarnation));
+      .then(() => this.processInspection(answer, sentMs, incarnationNumber));
     await this.processing;
     return true;
   }
@@ -323,11 +338,11 @@
   private async processInspection(
     inspection: Inspection,
     sentMs: number,
-    incarnation: number,
+    incarnationNumber: number,
   ): Promise<void> {
     const { listener } = this.opts;
     // The endpoint may have restarted while an earlier response was processed.
-    if (incarnation !== this.incarnation) return;
+    if (incarnationNumber !== this.incarnationNumber) return;
     const wasAvailable = this.isSynced && !this.isSuspect;
     this.isSuspect = false;
     const ends: { run: AgentRun; report: EndReport }[] = [];
@@ -346,7 +361,7 @@
     if (ends.length > 0) {
       for (const { run } of ends) this.runs.delete(run.key);
       await listener.onRunsEnded(this, ends);
-      if (this.isDisposed || incarnation !== this.incarnation) return;
+      if (this.isDisposed || incarnationNumber !== this.incarnationNumber) return;
     }
     if (isComplete) this.dropAbsentRuns(inspection.active, sentMs);
     this.hasUnackedReports = lastReport > this.ackedReport;
