Place restarts of service tasks before other work, in every cycle

A task of a service whose run has ended waited for its place by priority, timeliness and use of its organisation, and a cycle over a long backlog resumed behind it. An accepted service is promised to run and held its capacity before, so a restart takes nothing from others.

Tasks of services that have run before are now evaluated at the start of each cycle, the longest time without a run first, in at most half of the turn; their time counts until a run is confirmed, over any number of lost runs. Their queries to the advisor have a priority of their own. Tasks that have never run keep their place by priority, so a new service does not push in front of others.

--- a/packages/workflow/src/readySteps.ts
+++ b/packages/workflow/src/readySteps.ts
@@ -14,6 +14,8 @@
   waiting: number[];
   /** Due time of the job or its occurrence, Unix milliseconds. */
   dueMs: number;
+  /** The waiting tasks belong to a service and have run before. */
+  isRestart?: boolean;
 }
 
 /** Maximum concurrent runs of a task, the speculative copy included. */
--- a/packages/workflow/src/serviceOutages.ts
+++ b/packages/workflow/src/serviceOutages.ts
@@ -42,6 +42,11 @@
     }
   }
 
+  /** Returns the monotonic time since which a task has had no run; the present if unknown. */
+  sinceMsOf(task: TaskRef): number {
+    return this.outages.get(taskName(task))?.sinceMs ?? performance.now();
+  }
+
   /** Updates the outages and their metrics, and logs the longest one; called periodically. */
   update(): void {
     for (const { job, occurrence, step, spec, waiting } of this.opts.ready.list()) {
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -17,6 +17,8 @@
   type PlacementCandidate,
   type PlacementUsage,
 } from './stepPlacer.js';
+import { ResumableWalk } from './resumableWalk.js';
+import { splitRestarts } from './splitRestarts.js';
 import { orderSteps } from './stepOrder.js';
 import type { StartedRun } from './workflowCommand.js';
 
@@ -48,6 +50,8 @@
   directory: EndpointDirectory;
   durations: DurationEstimator;
   broker: AdviceBroker;
+  /** Returns the monotonic time since which a task of a service has had no run. */
+  readOutageSinceMs: (task: TaskRef) => number;
   /** Called on a response from the advisor, as another cycle may place more tasks. */
   onAdvice: () => void;
 }
@@ -62,13 +66,16 @@
 /** Maximum age of the list of available endpoints. */
 const CANDIDATES_MAX_AGE_MS = 20;
 
+/** Part of a cycle that restarts of service tasks may take, so that other work is not kept waiting. */
+const RESTARTS_TURN_SHARE = 0.5;
+
 /** Places waiting tasks on endpoints, and requests the tickets that this needs. */
 export class StepScheduler {
   private readonly opts: StepSchedulerOptions;
   private readonly ticketProvider: TicketProvider;
   private readonly blocked: BlockedSteps;
-  /** Index in the ordered list of waiting steps at which the next cycle resumes. */
-  private resumeIndex = 0;
+  private readonly restartsWalk = new ResumableWalk();
+  private readonly waitingWalk = new ResumableWalk();
   /** Available endpoints, by pool. */
   private readonly candidates = new Map<string, Map<string, FleetCandidate>>();
   private candidatesListedMs = -Infinity;
@@ -129,25 +136,25 @@
     this.dropOutdatedCandidates();
     const { turnMs } = this.opts.context.timing;
     const weights = new Map(config.organisations.map(({ name, weight }) => [name, weight]));
-    const waiting = orderSteps(this.opts.ready.list(), {
+    const place = (ready: ReadyStep): void => {
+      const queue = queues.get(ready.job.queue);
+      if (queue) planned.push(...this.placeUnlessBlocked(ready, queue, config));
+    };
+    const { context, ready, readOutageSinceMs } = this.opts;
+    const { restarts, others } = splitRestarts(ready.list(), {
+      state: context.state,
+      readOutageSinceMs,
+    });
+    // A long cycle would block leadership renewal, which shares the event loop.
+    const restartsEndMs = startMs + turnMs * RESTARTS_TURN_SHARE;
+    const hasPlacedRestarts = this.restartsWalk.visit(restarts, place, restartsEndMs);
+    const waiting = orderSteps(others, {
       findQueue: (name) => queues.get(name),
       readUsage: (name) => this.opts.ledger.usedBy(name).cpuMillis / (weights.get(name) || 1),
       wallMs: Date.now(),
     });
-    const first = this.resumeIndex < waiting.length ? this.resumeIndex : 0;
-    for (let i = first; i < waiting.length; i += 1) {
-      const ready = waiting[i]!;
-      const queue = queues.get(ready.job.queue);
-      if (queue) planned.push(...this.placeUnlessBlocked(ready, queue, config));
-      // A long cycle would block leadership renewal, which shares the event loop.
-      if (performance.now() - startMs > turnMs && i + 1 < waiting.length) {
-        this.resumeIndex = i + 1;
-        return { planned, isComplete: false };
-      }
-    }
-    this.resumeIndex = 0;
-    // A cycle that resumed midway has not evaluated the steps before its first index.
-    return { planned, isComplete: first === 0 };
+    const hasPlacedOthers = this.waitingWalk.visit(waiting, place, startMs + turnMs);
+    return { planned, isComplete: hasPlacedRestarts && hasPlacedOthers };
   }
 
   /** Requests tickets for a step before it can start. */
--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -30,6 +30,9 @@
 /** Minimum that spreads the large fixed cost of a query over several endpoints. */
 const MIN_ENDPOINTS_PER_QUERY = 8;
 
+/** Priority of queries for restarts of service tasks; lower than that of any queue. */
+const RESTART_PRIORITY = Number.MIN_SAFE_INTEGER;
+
 /** Placement candidate with its usage, which is updated in place. */
 export interface FleetCandidate extends PlacementCandidate {
   usage: EndpointUsage;
@@ -125,7 +128,7 @@
     cache.beginQuery();
     this.countInFlight(endpoints, 1);
     broker
-      .query(ready.name, endpoints, advice, queue.priority)
+      .query(ready.name, endpoints, advice, ready.isRestart ? RESTART_PRIORITY : queue.priority)
       .finally(() => {
         this.pendingSteps.delete(ready.name);
         cache.endQuery();
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -117,6 +117,7 @@
       directory: this.directory,
       durations: this.durations,
       broker: this.broker,
+      readOutageSinceMs: (task) => this.outages.sinceMsOf(task),
       onAdvice: () => this.requestCycle(),
     });
     this.dispatcher = new RunDispatcher({
