Add scenarios of a suspension between the check of validity and a lease

Validity is checked before the clock is read for the lease, so a process that is suspended in between grants a lease that ends later than any that its validity covers. Leases of a former leader are assumed to have ended by then.

--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -204,3 +204,18 @@
     And 2000 ms of workflow time pass
     Then job "j" is "completed"
     And worker w3 has started 4 runs
+
+  # A leader that is deposed while it is suspended must not have granted a lease for later.
+  Scenario: the lease of an inspection is counted from before the check of validity
+    When job "j" of 4 tasks of 60000 ms is submitted
+    And 200 ms of workflow time pass
+    And the process is suspended for 50 ms directly after each check of validity
+    And 3000 ms of workflow time pass
+    Then no lease ended later than 5000 ms after the check of validity
+
+  Scenario: the lease of a start is counted from before the check of validity
+    Given the process is suspended for 50 ms directly after each check of validity
+    When job "j" of 4 tasks of 60000 ms is submitted
+    And 20 ms of workflow time pass
+    Then 4 runs were started
+    And no lease ended later than 5000 ms after the check of validity
--- a/packages/tests/src/steps/workflow/observationSteps.ts
+++ b/packages/tests/src/steps/workflow/observationSteps.ts
@@ -46,6 +46,21 @@
   this.world.log.startCommitMs = ms;
 });
 
+When(
+  'the process is suspended for {int} ms directly after each check of validity',
+  function suspend(this: ObservationSteps, ms: number) {
+    this.world.suspendAfterChecks(ms);
+  },
+);
+
+Then(
+  'no lease ended later than {int} ms after the check of validity',
+  function checkLeases(this: ObservationSteps, ms: number) {
+    const { longestLeaseMs } = this.world.driver;
+    assert.ok(longestLeaseMs > 0 && longestLeaseMs <= ms, `${longestLeaseMs} ms`);
+  },
+);
+
 When('the instance is elected again in a later term', function elect(this: ObservationSteps) {
   this.world.log.term += 1;
   this.world.log.hasLostMajority = false;
--- a/packages/tests/src/workflow/fakeDriver.ts
+++ b/packages/tests/src/workflow/fakeDriver.ts
@@ -27,6 +27,10 @@
   readonly paces: string[] = [];
   /** Maximum number of concurrent runs of one task. */
   maxRunsPerTask = 0;
+  /** Monotonic time of the latest check that found the leadership valid. */
+  validAtMs = -Infinity;
+  /** Longest lease that an order granted, counted from the check before it. */
+  longestLeaseMs = 0;
   private readonly inspectionsLostBefore = new Map<string, number>();
 
   worker(id: string): FakeWorker {
@@ -44,6 +48,7 @@
   }
 
   async start(target: EndpointTarget, order: StartOrder): Promise<StartResponse | undefined> {
+    this.recordLease(order.untilMs);
     const worker = this.worker(target.id);
     if (worker.behaviour === 'silent') return this.timeOut();
     if (worker.behaviour === 'starts-late') {
@@ -64,6 +69,7 @@
   }
 
   async inspect(target: EndpointTarget, order: InspectOrder): Promise<OrderResult<Inspection>> {
+    this.recordLease(order.untilMs ?? -Infinity);
     const worker = this.worker(target.id);
     if (worker.behaviour === 'silent') {
       await pause(ORDER_TIMEOUT_MS);
@@ -94,6 +100,10 @@
     return [...this.workers.values()].flatMap((worker) => worker.started);
   }
 
+  private recordLease(untilMs: number): void {
+    this.longestLeaseMs = Math.max(this.longestLeaseMs, untilMs - this.validAtMs);
+  }
+
   private countRuns(): void {
     const counts = new Map<string, number>();
     for (const worker of this.workers.values()) {
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -82,6 +82,7 @@
   maxDown = 0;
   private readonly down = new Set<string>();
 
+  private onChecked: (() => void) | undefined;
   private readonly timing: WorkflowTiming;
 
   constructor(
@@ -263,6 +264,23 @@
     this.clock.uninstall();
   }
 
+  /** Suspends the process directly after each check of validity. */
+  suspendAfterChecks(ms: number): void {
+    const { now } = performance;
+    let suspendedMs = 0;
+    performance.now = () => now.call(performance) + suspendedMs;
+    this.onChecked = () => {
+      suspendedMs += ms;
+    };
+  }
+
+  private checkValidity(log: AutoCommitLog): boolean {
+    const isValid = !log.isLeadershipOver && !log.hasLostMajority;
+    if (isValid) this.driver.validAtMs = performance.now();
+    this.onChecked?.();
+    return isValid;
+  }
+
   private createSession(): WorkflowSession {
     const { log } = this;
     return new WorkflowSession({
@@ -275,7 +293,7 @@
       timing: this.timing,
       logger: this.logger,
       meter: this.meter,
-      isValid: () => !log.isLeadershipOver && !log.hasLostMajority,
+      isValid: () => this.checkValidity(log),
     });
   }
 }
