Count leases from before the check of validity

EndpointAgent.inspect checked validity and then read the clock for the lease, and the dispatcher did the same for starts; a process that is suspended in between granted a lease that ends later than its validity covers. The clock is read first now, in both. Stops of runs whose order got no response, and orders that change the pace of best-effort tasks, are sent under valid leadership only, as all other orders are.

--- a/packages/workflow/src/bestEffortThrottle.ts
+++ b/packages/workflow/src/bestEffortThrottle.ts
@@ -92,7 +92,7 @@
   private setPace(agent: EndpointAgent, runs: ActiveRun[], percent: number): void {
     const { driver, fencingToken, logger } = this.context;
     for (const run of runs) {
-      if (run.percent === percent) continue;
+      if (run.percent === percent || !this.context.isValid()) continue;
       const order = { task: run.task, run: run.run, percent, fencingToken };
       driver.pace(agent.record, order).then(
         (isAccepted) => {
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -147,15 +147,24 @@
     this.requestInspection();
   }
 
-  /** Sends the start order for a run that is already durable. */
-  async order(run: AgentRun, payload: string, ticket: string | undefined): Promise<void> {
+  /**
+   * Sends the start order for a run that is already durable.
+   *
+   * @param leaseFromMs - Monotonic time, read before the validity of the leadership was checked.
+   */
+  async order(
+    run: AgentRun,
+    payload: string,
+    ticket: string | undefined,
+    leaseFromMs: number,
+  ): Promise<void> {
     const { driver, fencingToken, leaseMs } = this.opts;
     this.runs.set(run.key, run);
     const order: StartOrder = {
       task: run.name,
       run: run.run,
       payload,
-      untilMs: this.clock.grant(leaseMs, performance.now()),
+      untilMs: this.clock.grant(leaseMs, leaseFromMs),
       fencingToken,
       checkpoint: run.checkpoint === '' ? undefined : run.checkpoint,
       ticket,
@@ -189,7 +198,7 @@
    * run, a stop order is sent first, so that the start order has no effect if it arrives later.
    */
   private async resolveUnsettled(run: AgentRun): Promise<void> {
-    const { driver, fencingToken, log } = this.opts;
+    const { driver, fencingToken, isValid, log } = this.opts;
     log.info('start order got no response', { run: run.key, endpoint: this.id });
     while (!this.isDisposed && this.runs.has(run.key) && run.phase === 'unsettled') {
       const hasResponded = await this.inspect(0);
@@ -198,7 +207,7 @@
         await delay(INSPECTION_RETRY_MS);
       } else if (run.isStopped) {
         this.drop([run], 'the order never arrived');
-      } else {
+      } else if (isValid()) {
         const order = { task: run.name, run: run.run, fencingToken };
         run.isStopped = await driver.stop(this.record, order);
       }
@@ -273,8 +282,9 @@
   /** Resolves with whether the current incarnation of the endpoint has responded. */
   private async inspect(waitMs: number): Promise<boolean> {
     const { driver, fencingToken, leaseMs, isValid } = this.opts;
-    if (!isValid()) return false;
+    // The lease is counted from before the check, as the process may be suspended after it.
     const sentMs = performance.now();
+    if (!isValid()) return false;
     const { record } = this;
     // An unresponsive endpoint may still receive orders; its lease must be allowed to expire.
     const canRenew = this.clock.hasReading && !this.isSuspect;
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -114,9 +114,10 @@
     for (const it of this.waiting) {
       const { start } = it;
       const gangReason = lostGangs.get(start.stepName);
+      const leaseFromMs = performance.now();
       const obstacle = gangReason ? { lostReason: gangReason } : this.findObstacle(it);
       if (!obstacle) {
-        this.order(start);
+        this.order(start, leaseFromMs);
         ordered.push(start);
       } else if (obstacle.lostReason === undefined) {
         kept.push(it);
@@ -155,7 +156,7 @@
     return directory.isResponsive(agent) ? undefined : { lostReason: UNRESPONSIVE_AT_DISPATCH };
   }
 
-  private order(start: PlannedStart): void {
+  private order(start: PlannedStart, leaseFromMs: number): void {
     const { context, health } = this.opts;
     const { state, meter, logger } = context;
     const { task, ticket, agent } = start;
@@ -163,7 +164,7 @@
     const order = this.createRun(start);
     meter.countRunOrdered(Date.now() - dueTimeMs(job, task.occurrence));
     health.recordStart({ attemptId: order.key, unitId: job.id, endpointId: agent.id });
-    agent.order(order, job.spec.payload, ticket).catch((err: Error) => {
+    agent.order(order, job.spec.payload, ticket, leaseFromMs).catch((err: Error) => {
       logger.error('start order failed', { run: order.key, err: err.message });
     });
   }
