Count and log the crashes of endpoints with the runs on them

Cause: a run that is lost with its endpoint was logged like any other loss, so that neither logs nor metrics told which tasks were present at a crash. Change: a newer incarnation of an endpoint that neither announced its shutdown nor was taken down for maintenance counts as a crash. Its runs are logged, the newest first, and counted in two metrics.

--- a/packages/client/src/jobTimeline.ts
+++ b/packages/client/src/jobTimeline.ts
@@ -47,6 +47,7 @@
   'endpoint leaves',
   'endpoint is forgotten',
   'endpoint has changed',
+  'endpoint crashed',
 ]);
 
 const ENDPOINT_PATTERN = / on ([^,]+)/g;
--- a/packages/telemetry/src/workflowMetrics.ts
+++ b/packages/telemetry/src/workflowMetrics.ts
@@ -24,6 +24,8 @@
   countCall(operation: string, answer: string, durationMs: number): void;
   countRunOrdered(waitedMs: number): void;
   countRunEnded(outcome: string): void;
+  /** Counts a crash of an endpoint, and the runs that were on it. */
+  countEndpointCrash(runs: number): void;
   countJobEnded(status: string, durationMs: number): void;
   countAdvice(isAnswered: boolean, durationMs: number): void;
   countCommit(durationMs: number): void;
@@ -54,6 +56,7 @@
   countCall() {},
   countRunOrdered() {},
   countRunEnded() {},
+  countEndpointCrash() {},
   countJobEnded() {},
   countAdvice() {},
   countCommit() {},
@@ -93,6 +96,18 @@
     ['outcome'],
   );
 
+  private readonly endpointCrashes = this.createCounter(
+    'lagoongap_endpoint_crashes_total',
+    'Endpoints that came back as a newer incarnation without a planned end, with runs on them',
+    [],
+  );
+
+  private readonly crashedRuns = this.createCounter(
+    'lagoongap_crashed_runs_total',
+    'Runs that were on an endpoint when it crashed',
+    [],
+  );
+
   private readonly jobs = this.createHistogram(
     'lagoongap_job_seconds',
     'Time from the acceptance of a job to its end',
@@ -220,6 +235,11 @@
     this.endedRuns.inc({ outcome });
   }
 
+  countEndpointCrash(runs: number): void {
+    this.endpointCrashes.inc();
+    this.crashedRuns.inc(runs);
+  }
+
   countJobEnded(status: string, durationMs: number): void {
     this.jobs.observe({ status }, Math.max(0, durationMs) / MS_PER_SECOND);
   }
--- a/packages/tests/src/workflow/fakeDriver.ts
+++ b/packages/tests/src/workflow/fakeDriver.ts
@@ -27,6 +27,8 @@
   readonly paces: string[] = [];
   /** Maximum number of concurrent runs of one task. */
   maxRunsPerTask = 0;
+  /** Called for each start order that a worker has executed at once. */
+  onStarted: ((worker: string, order: StartOrder) => void) | undefined;
   private readonly inspectionsLostBefore = new Map<string, number>();
 
   worker(id: string): FakeWorker {
@@ -46,18 +48,21 @@
   async start(target: EndpointTarget, order: StartOrder): Promise<StartResponse | undefined> {
     const worker = this.worker(target.id);
     if (worker.behaviour === 'silent') return this.timeOut();
+    if (worker.behaviour === 'crashed') return undefined;
     if (worker.behaviour === 'starts-late') {
       worker.startLate(order);
       return this.timeOut();
     }
     const outcome = worker.start(order);
     this.countRuns();
+    if (outcome === 'started') this.onStarted?.(target.id, order);
     if (worker.behaviour === 'start-answers-lost') return this.timeOut();
     return { outcome, clockMs: Math.floor(performance.now()) };
   }
 
   async stop(target: EndpointTarget, order: RunOrder): Promise<boolean> {
     const worker = this.worker(target.id);
+    if (worker.behaviour === 'crashed') return false;
     if (worker.behaviour !== 'silent') return worker.stop(order);
     await pause(ORDER_TIMEOUT_MS);
     return false;
@@ -69,8 +74,11 @@
       await pause(ORDER_TIMEOUT_MS);
       return { failure: 'unreachable' };
     }
+    if (worker.behaviour === 'crashed') return { failure: 'unreachable' };
     const sentMs = performance.now();
+    const { bornMs } = worker;
     const answer = await worker.inspect(order);
+    if (worker.bornMs !== bornMs) return { failure: 'unreachable' };
     if (sentMs <= (this.inspectionsLostBefore.get(target.id) ?? -1)) {
       await pause(sentMs + order.waitMs + ORDER_TIMEOUT_MS - performance.now());
       return { failure: 'unreachable' };
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -11,7 +11,7 @@
 
 /** How a worker handles orders. */
 export type WorkerBehaviour =
-  'sound' | 'failing' | 'stalled' | 'silent' | 'start-answers-lost' | 'starts-late';
+  'sound' | 'failing' | 'stalled' | 'silent' | 'crashed' | 'start-answers-lost' | 'starts-late';
 
 /** Receives events of a worker. */
 export interface WorkerObserver {
@@ -105,6 +105,13 @@
     return { clockMs: this.clockMs(), bornMs: this.bornMs, active, ended: [...this.reports] };
   }
 
+  /** Ends all runs without a report and resets all connections. */
+  crash(): void {
+    this.restart();
+    this.behaviour = 'crashed';
+    for (const wake of this.waiters.splice(0)) wake();
+  }
+
   /** Ends all runs without a report and starts a new incarnation. */
   restart(): void {
     for (const timer of this.lateStarts) clearTimeout(timer);
@@ -114,6 +121,7 @@
       const { task, run } = order;
       this.observer?.onEnd({ number: 0, task, run, outcome: 'lost', checkpoint: '' });
     }
+    clearTimeout(this.leaseTimer);
     this.runs.clear();
     this.supersededRuns.clear();
     this.reports = [];
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -1,4 +1,4 @@
-import { SILENT_LOG } from '@lagoongap/model/log.js';
+import { SILENT_LOG, type LogFields } from '@lagoongap/model/log.js';
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
 import { NOOP_METRICS_RECORDER } from '@lagoongap/telemetry/workflowMetrics.js';
 import type { CellConfig } from '@lagoongap/workflow/cellConfig.js';
@@ -74,6 +74,10 @@
   private sequence = 0;
   /** Drops the heartbeats of all workers. */
   losesHeartbeats = false;
+  /** Warnings of all leaderships. */
+  readonly warnings: [string, LogFields | undefined][] = [];
+  /** Number of runs on each endpoint that was counted as crashed, in order. */
+  readonly crashedRuns: number[] = [];
   /** Instances whose maintenance has begun, in order. */
   readonly maintained: string[] = [];
   /** Maximum number of instances that were down at the same time. */
@@ -161,7 +165,8 @@
     }
     this.sequence += 1;
     for (const endpoint of this.records.values()) {
-      if (this.driver.worker(endpoint.id).behaviour === 'silent') continue;
+      const { behaviour } = this.driver.worker(endpoint.id);
+      if (behaviour === 'silent' || behaviour === 'crashed') continue;
       const { bornMs } = this.driver.worker(endpoint.id);
       const record = { ...endpoint, bornMs };
       this.session.endpoints
@@ -224,6 +229,14 @@
     await this.advance(TICK_MS);
   }
 
+  /** Replaces the state by its snapshot in the given form, as a replica does that restarts. */
+  async restoreState(convert: (snapshot: unknown) => unknown): Promise<void> {
+    this.log.isLeadershipOver = true;
+    await this.session[Symbol.asyncDispose]();
+    this.state.restore(convert(structuredClone(this.state.snapshot())));
+    await this.changeLeader();
+  }
+
   /** Ends the leadership abruptly and starts the next one after a time without a leader. */
   async changeLeader(gapMs = 0): Promise<void> {
     this.log.isLeadershipOver = true;
@@ -271,8 +284,14 @@
       holder: 'leader',
       parseConfig: () => this.config,
       timing: this.timing,
-      logger: SILENT_LOG,
-      meter: NOOP_METRICS_RECORDER,
+      logger: {
+        ...SILENT_LOG,
+        warn: (message, fields) => this.warnings.push([message, fields]),
+      },
+      meter: {
+        ...NOOP_METRICS_RECORDER,
+        countEndpointCrash: (runs) => this.crashedRuns.push(runs),
+      },
       isValid: () => !log.isLeadershipOver && !log.hasLostMajority,
     });
   }
--- /dev/null
+++ b/packages/workflow/src/crashDetector.ts
@@ -0,0 +1,73 @@
+import {
+  REPLACED_REASON,
+  type AgentRun,
+  type EndpointAgent,
+  type IncarnationEnd,
+} from './endpointAgent.js';
+import type { SessionContext } from './sessionContext.js';
+
+/** Reasons for the loss of runs that an earlier incarnation with the same id had. */
+const UNREPORTED_REASONS = new Set(['not reported by the endpoint', 'the order never arrived']);
+
+/** Crash of one incarnation of an endpoint. */
+export interface EndpointCrash extends IncarnationEnd {
+  endpoint: string;
+  instance: string;
+  /** Runs that were ordered before the crash was noticed. */
+  runs: AgentRun[];
+}
+
+/** Recognises the loss of runs by a crash of their endpoint. */
+export class CrashDetector {
+  private readonly context: SessionContext;
+  private readonly isUnderMaintenance: (instance: string) => boolean;
+  /** Latest crash counted of each endpoint that kept its id. */
+  private readonly counted = new WeakMap<EndpointAgent, IncarnationEnd>();
+
+  /** @param isUnderMaintenance - Returns whether this cell has ordered the end of an endpoint. */
+  constructor(context: SessionContext, isUnderMaintenance: (instance: string) => boolean) {
+    this.context = context;
+    this.isUnderMaintenance = isUnderMaintenance;
+  }
+
+  /**
+   * Returns the crash that lost runs, or undefined if they were lost otherwise. A newer incarnation
+   * is the evidence; a shutdown that was announced or ordered is no crash, nor is an expired lease.
+   */
+  detect(agent: EndpointAgent, runs: AgentRun[], reason: string): EndpointCrash | undefined {
+    const end = this.findEnd(agent, reason);
+    if (!end || end.wasLeaving || this.isUnderMaintenance(agent.record.instance)) return undefined;
+    const present = runs.filter(({ orderedMs }) => orderedMs < end.noticedMs);
+    if (present.length === 0) return undefined;
+    const crash = {
+      ...end,
+      lastContactMs: Math.max(end.lastContactMs, ...present.map(({ confirmedMs }) => confirmedMs)),
+      endpoint: agent.id,
+      instance: agent.record.instance,
+      runs: present,
+    };
+    const isCounted = this.counted.get(agent) === end;
+    this.counted.set(agent, end);
+    this.report(crash, isCounted);
+    return crash;
+  }
+
+  private findEnd(agent: EndpointAgent, reason: string): IncarnationEnd | undefined {
+    if (reason === REPLACED_REASON) return agent.describeEnd();
+    return UNREPORTED_REASONS.has(reason) ? agent.previousEnd : undefined;
+  }
+
+  private report({ endpoint, instance, runs, noticedMs }: EndpointCrash, isCounted: boolean): void {
+    const { logger, meter } = this.context;
+    if (!isCounted) meter.countEndpointCrash(runs.length);
+    const newestFirst = [...runs].sort((a, b) => b.orderedMs - a.orderedMs);
+    logger.warn('endpoint crashed', {
+      endpoint,
+      instance,
+      silentMs: Math.round(performance.now() - noticedMs),
+      runs: newestFirst
+        .map(({ key, orderedMs }) => `${key} after ${Math.round(noticedMs - orderedMs)} ms`)
+        .join(),
+    });
+  }
+}
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -57,6 +57,18 @@
   onFenced(): void;
 }
 
+/** Last signs of life of an incarnation that has ended; monotonic times. */
+export interface IncarnationEnd {
+  lastContactMs: number;
+  /** Time at which it was first noticed, by a failed inspection or by the next incarnation. */
+  noticedMs: number;
+  /** It had announced its shutdown. */
+  wasLeaving: boolean;
+}
+
+/** Reason for the loss of runs whose endpoint has come back under another id. */
+export const REPLACED_REASON = 'replaced by a newer incarnation';
+
 /** Options of an {@link EndpointAgent}. */
 export interface EndpointAgentOptions {
   record: EndpointRecord;
@@ -105,6 +117,10 @@
   isSynced = false;
   /** The latest inspection failed. */
   isSuspect = false;
+  /** Monotonic time of the first inspection that failed after the latest response. */
+  silentSinceMs = Infinity;
+  /** End of the incarnation before the present one, if the id was kept. */
+  previousEnd: IncarnationEnd | undefined;
   /** A task with a latency target runs on the endpoint. */
   hasLatencyTarget = false;
   lastHeartbeatMs = performance.now();
@@ -219,11 +235,21 @@
   update(record: EndpointRecord): void {
     const isNewIncarnation =
       record.bornMs !== this.record.bornMs || record.address !== this.record.address;
+    if (isNewIncarnation) this.previousEnd = this.describeEnd();
     this.record = record;
     if (isNewIncarnation) this.resetIncarnation();
     this.requestInspection();
   }
 
+  /** Returns the last signs of life of this incarnation, which has ended. */
+  describeEnd(): IncarnationEnd {
+    return {
+      lastContactMs: Math.max(this.lastResponseMs, this.lastHeartbeatMs),
+      noticedMs: Math.min(this.silentSinceMs, performance.now()),
+      wasLeaving: this.isLeaving || this.record.isDraining,
+    };
+  }
+
   /** Stops the agent; all runs of the endpoint are lost. */
   markRemoved(reason: string): void {
     this.isDisposed = true;
@@ -248,6 +274,7 @@
     this.hasUnackedReports = false;
     this.isSynced = false;
     this.isSuspect = false;
+    this.silentSinceMs = Infinity;
   }
 
   private async loop(): Promise<void> {
@@ -294,7 +321,7 @@
       answer.bornMs > 0 && record.bornMs > 0 && answer.bornMs !== record.bornMs;
     if (this.record !== record || isOtherIncarnation) {
       // The heartbeat of the new incarnation describes it; until then the response is ignored.
-      if (isOtherIncarnation && answer.bornMs > this.record.bornMs) this.isSuspect = true;
+      if (isOtherIncarnation && answer.bornMs > this.record.bornMs) this.markSilent();
       return false;
     }
     this.lastResponseMs = performance.now();
@@ -318,6 +345,7 @@
     const { listener } = this.opts;
     const wasAvailable = this.isSynced && !this.isSuspect;
     this.isSuspect = false;
+    this.silentSinceMs = Infinity;
     const ends: { run: AgentRun; report: EndReport }[] = [];
     let lastReport = this.ackedReport;
     for (const report of inspection.ended) {
@@ -369,7 +397,7 @@
       return;
     }
     if (!this.isSuspect) {
-      this.isSuspect = true;
+      this.markSilent();
       log.warn('endpoint does not answer', { endpoint: this.id, failure, runs: this.runs.size });
       listener.onAvailabilityChange(this);
     }
@@ -382,6 +410,11 @@
     }
   }
 
+  private markSilent(): void {
+    this.isSuspect = true;
+    this.silentSinceMs = Math.min(this.silentSinceMs, performance.now());
+  }
+
   private haveLeasesEnded(): boolean {
     const nowMs = performance.now();
     const { maxLeaseMs, predecessorEndMs } = this.opts;
--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -1,3 +1,4 @@
+import { REPLACED_REASON } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { SessionContext } from './sessionContext.js';
 import type { EndpointRecord } from './workflowRecords.js';
@@ -140,7 +141,7 @@
       if (other.id === record.id || other.record.bornMs >= record.bornMs) continue;
       const isSameInstance = record.instance !== '' && other.record.instance === record.instance;
       if (!isSameInstance && other.record.address !== record.address) continue;
-      this.directory.remove(other.id, 'replaced by a newer incarnation');
+      this.directory.remove(other.id, REPLACED_REASON);
       await this.context.propose({ type: 'unregister', id: other.id });
     }
   }
--- /dev/null
+++ b/packages/workflow/src/outcomeRecorder.ts
@@ -0,0 +1,54 @@
+import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
+
+import type { DurationEstimator } from './durationEstimator.js';
+import type { AgentRun, EndpointAgent } from './endpointAgent.js';
+import type { EndReport } from './endpointDriver.js';
+import { stepName, type TaskRef } from './jobSpec.js';
+import type { StepScheduler } from './stepScheduler.js';
+import type { WorkflowState } from './workflowState.js';
+
+/** Options of an {@link OutcomeRecorder}. */
+export interface OutcomeRecorderOptions {
+  state: WorkflowState;
+  health: HealthPolicy;
+  durations: DurationEstimator;
+  scheduler: StepScheduler;
+}
+
+/** Records what the ends of runs tell about endpoints: health, durations, failures of a step. */
+export class OutcomeRecorder {
+  private readonly opts: OutcomeRecorderOptions;
+
+  constructor(opts: OutcomeRecorderOptions) {
+    this.opts = opts;
+  }
+
+  /** Records the end of a run as reported by its endpoint. */
+  recordEnd(agent: EndpointAgent, run: AgentRun, report: EndReport): void {
+    const { state, health, durations } = this.opts;
+    const attempt = { attemptId: run.key, unitId: run.task.jobId, endpointId: agent.id };
+    if (report.outcome === 'done') health.recordSuccess(attempt);
+    else if (report.outcome === 'failed') health.recordFailure(attempt);
+    else health.recordAbandoned(attempt);
+    if (report.outcome === 'failed') this.recordFailure(agent, run.task);
+    const spec = state.findSpec(run.task);
+    const isMeasurable = report.outcome === 'done' && run.confirmedMs > 0 && run.run === 1;
+    if (!spec || !isMeasurable || spec.fillsIdleCapacity || spec.dataRack !== '') return;
+    const actualMs = performance.now() - run.confirmedMs;
+    durations.record(agent.id, agent.record.kind, spec.estimateMs, actualMs);
+  }
+
+  /** Records runs that ended without a report; does not affect the health of the endpoint. */
+  recordLoss(agent: EndpointAgent, runs: AgentRun[]): void {
+    for (const { key, task } of runs) {
+      const attempt = { attemptId: key, unitId: task.jobId, endpointId: agent.id };
+      this.opts.health.recordAbandoned(attempt);
+      this.recordFailure(agent, task);
+    }
+  }
+
+  /** Records a failed or stalled run, so that its step prefers other endpoints. */
+  recordFailure(agent: EndpointAgent, task: TaskRef): void {
+    this.opts.scheduler.recordFailure(stepName(task.jobId, task.occurrence, task.step), agent.id);
+  }
+}
--- a/packages/workflow/src/waveRunner.ts
+++ b/packages/workflow/src/waveRunner.ts
@@ -50,6 +50,17 @@
     }
   }
 
+  /** Returns whether the maintenance of an instance has begun and may not be over yet. */
+  isUnderMaintenance(instance: string): boolean {
+    const { state, timing } = this.opts.context;
+    const downMs = performance.now() - (this.downSince.get(instance) ?? -Infinity);
+    if (downMs < timing.maintenanceMs + RETURN_MARGIN_MS) return true;
+    // An earlier leader may have begun it.
+    return [...state.waves.values()].some(
+      ({ isCompleted, begun }) => !isCompleted && begun.includes(instance),
+    );
+  }
+
   private async advanceWave(wave: WaveRecord): Promise<void> {
     const { context } = this.opts;
     const waiting = wave.instances.filter((instance) => !wave.begun.includes(instance));
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -4,6 +4,7 @@
 import { AdviceBroker } from './adviceBroker.js';
 import { AdvicePrefetcher } from './advicePrefetcher.js';
 import type { CellConfig } from './cellConfig.js';
+import { CrashDetector } from './crashDetector.js';
 import { CyclePacer } from './cyclePacer.js';
 import type { AgentListener, AgentRun, EndpointAgent } from './endpointAgent.js';
 import { EndpointDirectory } from './endpointDirectory.js';
@@ -16,6 +17,7 @@
 import { parseTaskName, stepName, type TaskRef } from './jobSpec.js';
 import { LeadershipMonitor } from './leadershipMonitor.js';
 import { OccurrenceTimers } from './occurrenceTimers.js';
+import { OutcomeRecorder } from './outcomeRecorder.js';
 import { listTasks, ReadySteps } from './readySteps.js';
 import { proposeWhileLeading } from './proposeWhileLeading.js';
 import { createAgentRun, RunDispatcher, runKey } from './runDispatcher.js';
@@ -61,6 +63,8 @@
   private readonly occurrenceTimers = new OccurrenceTimers();
   private readonly retention: JobRetention;
   private readonly waves: WaveRunner;
+  private readonly crashDetector: CrashDetector;
+  private readonly outcomes: OutcomeRecorder;
   private readonly waitLogger: WaitLogger;
   private readonly metrics: SessionMetrics;
   private readonly monitor: LeadershipMonitor;
@@ -122,6 +126,11 @@
       instances: opts.instances,
       holder: opts.holder,
     });
+    const { health, durations, scheduler } = this;
+    this.outcomes = new OutcomeRecorder({ state: opts.state, health, durations, scheduler });
+    this.crashDetector = new CrashDetector(this.context, (instance) =>
+      this.waves.isUnderMaintenance(instance),
+    );
     this.waitLogger = new WaitLogger(this.context, this.ready, this.scheduler);
     this.metrics = new SessionMetrics(this.context, this.ready, this.directory);
     this.retention = new JobRetention(this.context);
@@ -202,7 +211,7 @@
     agent: EndpointAgent,
     reports: { run: AgentRun; report: EndReport }[],
   ): Promise<void> {
-    for (const { run, report } of reports) this.recordOutcome(agent, run, report);
+    for (const { run, report } of reports) this.outcomes.recordEnd(agent, run, report);
     const ends = reports.map(({ run, report }) => ({
       task: run.task,
       run: run.run,
@@ -214,10 +223,8 @@
 
   onRunsLost(agent: EndpointAgent, runs: AgentRun[], reason: string): void {
     if (reason === 'no-ticket') this.scheduler.dropTickets(agent.id);
-    for (const { key, task } of runs) {
-      this.health.recordAbandoned({ attemptId: key, unitId: task.jobId, endpointId: agent.id });
-      this.recordFailure(agent, task);
-    }
+    this.crashDetector.detect(agent, runs, reason);
+    this.outcomes.recordLoss(agent, runs);
     this.recordLostRuns(agent, runs, reason);
   }
 
@@ -329,10 +336,6 @@
     for (const id of jobs) this.refreshJob(id);
   }
 
-  private recordFailure(agent: EndpointAgent, task: TaskRef): void {
-    this.scheduler.recordFailure(stepName(task.jobId, task.occurrence, task.step), agent.id);
-  }
-
   /** Stops the remaining runs of a task that has succeeded. */
   private stopCopies(task: TaskRef): void {
     const record = this.opts.state.findTask(task);
@@ -346,19 +349,6 @@
     if (run) agent?.stop(run);
   }
 
-  private recordOutcome(agent: EndpointAgent, run: AgentRun, report: EndReport): void {
-    const attempt = { attemptId: run.key, unitId: run.task.jobId, endpointId: agent.id };
-    if (report.outcome === 'done') this.health.recordSuccess(attempt);
-    else if (report.outcome === 'failed') this.health.recordFailure(attempt);
-    else this.health.recordAbandoned(attempt);
-    if (report.outcome === 'failed') this.recordFailure(agent, run.task);
-    const spec = this.opts.state.findSpec(run.task);
-    const isMeasurable = report.outcome === 'done' && run.confirmedMs > 0 && run.run === 1;
-    if (!spec || !isMeasurable || spec.fillsIdleCapacity || spec.dataRack !== '') return;
-    const actualMs = performance.now() - run.confirmedMs;
-    this.durations.record(agent.id, agent.record.kind, spec.estimateMs, actualMs);
-  }
-
   /** Re-evaluates a changed job: steps to start, runs to stop, timer for the next occurrence. */
   private refreshJob(id: string): void {
     const job = this.opts.state.jobs.get(id);
@@ -430,7 +420,7 @@
     for (const id of this.stragglers.findSlowJobs()) this.refreshJob(id);
     for (const { agent, run } of this.stragglers.findStalled()) {
       this.opts.logger.warn('run is stalled', { run: run.key, endpoint: agent.id });
-      this.recordFailure(agent, run.task);
+      this.outcomes.recordFailure(agent, run.task);
       agent.stop(run);
     }
     this.requestCycle();
