Add scenarios of tasks that crash the endpoints that start them

Cause: the state counts runs that end as failed only; a run that ends with its endpoint is lost, which counts for nothing. Change: stand-in workers crash when they start certain tasks and come back as another incarnation. The records gain the optional fields that hold the crashes.

--- /dev/null
+++ b/packages/tests/features/workflow/crashingTasks.feature
@@ -0,0 +1,192 @@
+Feature: Tasks that crash the endpoints that start them
+  Guards against a task that takes down one endpoint after the other, and against jobs that fail
+  because they were on the same endpoints.
+
+  Background:
+    Given a workflow leader
+
+  Scenario Outline: a task that crashes its endpoint is bounded, and other jobs complete
+    Given workers that crash are back after 3000 ms under <id> id
+    And 8 workers of 8 cores
+    And task "bad.0.0.1" crashes each worker that starts it
+    When jobs "good" of 4 tasks are submitted 10 times, 50 ms apart
+    And job "bad" of 3 tasks is submitted
+    And jobs "late" of 4 tasks are submitted 20 times, 200 ms apart
+    And 20000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And job "bad" has crashed at most 2 workers
+    And all jobs "good" and "late" are "completed"
+
+    Examples:
+      | id       |
+      | the same |
+      | another  |
+
+  Scenario: a task that crashes its endpoint after some work is bounded
+    Given workers that crash are back after 3000 ms under another id
+    And 8 workers of 8 cores
+    And task "bad.0.0.0" crashes each worker that starts it after 1500 ms
+    When job "bad" of 1 tasks of 4000 ms is submitted
+    And jobs "good" of 4 tasks are submitted 100 times, 300 ms apart
+    And 60000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And job "bad" has crashed at most 5 workers
+    And all jobs "good" and "good" are "completed"
+
+  Scenario: crashes before a change of leader count
+    Given workers that crash are back after 3000 ms under another id
+    And 8 workers of 8 cores
+    And task "bad.0.0.0" crashes each worker that starts it
+    When job "bad" of 1 tasks is submitted
+    And 4000 ms of workflow time pass
+    And the workflow leader changes
+    And 4000 ms of workflow time pass
+    And the workflow leader changes
+    And 15000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And job "bad" has crashed at most 3 workers
+
+  Scenario: a leader that dies while the endpoint is down
+    Given workers that crash are back after 3000 ms under another id
+    And 8 workers of 8 cores
+    And task "bad.0.0.0" crashes each worker that starts it
+    When job "bad" of 1 tasks is submitted
+    And 500 ms of workflow time pass
+    And the workflow leader changes after 300 ms without a leader
+    And 4000 ms of workflow time pass
+    And the workflow leader changes after 300 ms without a leader
+    And 15000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And job "bad" has crashed at most 3 workers
+
+  Scenario: a snapshot without crashes is restored
+    Given workers that crash are back after 3000 ms under another id
+    And 8 workers of 8 cores
+    And task "bad.0.0.0" crashes each worker that starts it
+    When job "bad" of 1 tasks is submitted
+    And 4000 ms of workflow time pass
+    And the state is restored from a snapshot that holds no crashes
+    And 20000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And job "bad" has crashed at most 4 workers
+
+  Scenario: crashes are kept in snapshots
+    Given workers that crash are back after 3000 ms under another id
+    And 8 workers of 8 cores
+    And task "bad.0.0.0" crashes each worker that starts it
+    When job "bad" of 1 tasks is submitted
+    And 4000 ms of workflow time pass
+    And the state is restored from a snapshot
+    And 20000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And job "bad" has crashed at most 3 workers
+
+  Scenario: an endpoint that is back after its lease has expired
+    Given workers that crash are back after 9000 ms under another id
+    And 8 workers of 8 cores
+    And task "bad.0.0.0" crashes each worker that starts it
+    When job "bad" of 1 tasks is submitted
+    And 60000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And job "bad" has crashed at most 4 workers
+
+  Scenario: a start order without a response may have crashed the endpoint
+    Given workers that crash are back after 3000 ms under another id
+    And 3 workers of 8 cores
+    And task "bad.0.0.0" crashes each worker that starts it
+    And worker w1 loses its responses to start orders
+    And worker w2 loses its responses to start orders
+    And worker w3 loses its responses to start orders
+    When job "bad" of 1 tasks is submitted
+    And 30000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And job "bad" has crashed at most 3 workers
+
+  Scenario: a task that may be copied
+    Given workers that crash are back after 3000 ms under another id
+    And 8 workers of 8 cores
+    And task "bad.0.0.0" crashes each worker that starts it
+    When job "bad" of 1 tasks that may be copied is submitted
+    And 20000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And job "bad" has crashed at most 2 workers
+
+  Scenario: a gang is lost as a whole, which counts once
+    Given workers that crash are back after 3000 ms under another id
+    And 8 workers of 2 cores
+    And task "bad.0.0.0" crashes each worker that starts it
+    And task "bad.0.0.3" crashes each worker that starts it
+    When gang job "bad" of 4 tasks of 2000 ms is submitted
+    And 2000 ms of workflow time pass
+    Then job "bad" is "running"
+    When 30000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And job "bad" has crashed at most 6 workers
+
+  Scenario: a service task that crashes its endpoints ends its job
+    Given workers that crash are back after 3000 ms under another id
+    And 8 workers of 8 cores
+    And task "bad.0.0.0" crashes each worker that starts it
+    When service "bad" of 3 tasks on different workers is submitted
+    And service "good" of 3 tasks on different workers is submitted
+    And 30000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And job "bad" has crashed at most 3 workers
+    And job "good" is "running"
+    And 3 tasks are running
+
+  Scenario: an occurrence of a repeated job
+    Given workers that crash are back after 1000 ms under another id
+    And 8 workers of 8 cores
+    And task "j.1.0.0" crashes each worker that starts it
+    When job "j" of 1 task is submitted for 3 times, 2000 ms apart
+    And 20000 ms of workflow time pass
+    Then job "j" is "failed"
+    And job "j" has crashed at most 2 workers
+
+  Scenario: many such tasks leave most of the fleet working
+    Given workers that crash are back after 3000 ms under another id
+    And 20 workers of 8 cores
+    And task 0 of jobs "bad" 1 to 30 crashes each worker that starts it
+    When jobs "bad" of 2 tasks are submitted 30 times, 300 ms apart
+    And jobs "good" of 4 tasks are submitted 50 times, 100 ms apart
+    And 30000 ms of workflow time pass
+    Then all jobs "bad" and "bad" are "failed"
+    And all jobs "good" and "good" are "completed"
+    And at most 16 workers were down at once
+    And no task of jobs "bad" has crashed more than 3 workers
+
+  Scenario: such tasks that all start at once
+    Given workers that crash are back after 3000 ms under another id
+    And 20 workers of 8 cores
+    And task 0 of jobs "bad" 1 to 20 crashes each worker that starts it
+    When jobs "good" of 4 tasks are submitted 10 times, 2 ms apart
+    And jobs "bad" of 1 tasks are submitted 20 times, 2 ms apart
+    And 3500 ms of workflow time pass
+    And the number of workers down is counted from now on
+    And 60000 ms of workflow time pass
+    Then all jobs "bad" and "bad" are "failed"
+    And all jobs "good" and "good" are "completed"
+    And at most 4 workers were down at once
+    And no task of jobs "bad" has crashed more than 4 workers
+
+  Scenario: the loss of a rack convicts nobody
+    Given workers that crash are back after 3000 ms under another id
+    And 12 workers of 8 cores
+    When service "s" of 6 tasks on different workers is submitted
+    And jobs "j" of 6 tasks are submitted 10 times, 20 ms apart
+    And workers 1 to 6 crash 4 times, 5000 ms apart
+    And 10000 ms of workflow time pass
+    Then all jobs "j" and "j" are "completed"
+    And job "s" is "running"
+    And 6 tasks are running
+
+  Scenario: endpoints that crash at random convict nobody
+    Given workers that crash are back after 3000 ms under another id
+    And 6 workers of 8 cores
+    When service "s" of 6 tasks on different workers is submitted
+    And a random worker crashes 60 times, 1000 ms apart, while jobs "j" of 6 tasks are submitted
+    And 20000 ms of workflow time pass
+    Then all jobs "j" and "j" are "completed"
+    And job "s" is "running"
+    And 6 tasks are running
--- a/packages/tests/src/workflow/crashingFleet.ts
+++ b/packages/tests/src/workflow/crashingFleet.ts
@@ -14,6 +14,8 @@
 /** Crashes the workers of a {@link WorkflowWorld}, at once or when they start certain tasks. */
 export class CrashingFleet {
   readonly opts: CrashOptions = { returnMs: 3000, keepsId: false };
+  /** Payloads of gang jobs. */
+  readonly gangs = new Set<string>();
   /** Number of starts of each deadly task. */
   readonly starts = new Map<string, number>();
   /** Workers that are down. */
@@ -38,7 +40,11 @@
     const record = this.world.records.get(id);
     if (!record) return;
     const worker = this.world.driver.worker(id);
+    const payloads = [...worker.runs.values()].map(({ order }) => order.payload);
     worker.crash();
+    for (const payload of payloads.filter((it) => this.gangs.has(it))) {
+      for (const other of this.world.driver.workers.values()) other.breakGang(payload);
+    }
     this.down.add(record.instance);
     this.maxDown = Math.max(this.maxDown, this.down.size);
     setTimeout(() => {
--- a/packages/tests/src/workflow/fakeDriver.ts
+++ b/packages/tests/src/workflow/fakeDriver.ts
@@ -23,6 +23,8 @@
 /** Delivers orders to {@link FakeWorker}s in the same process. */
 export class FakeDriver implements EndpointDriver {
   readonly workers = new Map<string, FakeWorker>();
+  /** Durations of the tasks of certain payloads on all workers. */
+  readonly durationsMs = new Map<string, number>();
   /** Pace orders received, as `<task>:<percent>`. */
   readonly paces: string[] = [];
   /** Maximum number of concurrent runs of one task. */
@@ -34,7 +36,7 @@
   worker(id: string): FakeWorker {
     let worker = this.workers.get(id);
     if (!worker) {
-      worker = new FakeWorker();
+      worker = new FakeWorker(this.durationsMs);
       this.workers.set(id, worker);
     }
     return worker;
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -48,9 +48,15 @@
   private untilMs = 0;
   private leaseTimer: NodeJS.Timeout | undefined;
   private waiters: (() => void)[] = [];
+  /** Durations of the tasks of certain payloads, instead of `durationMs`. */
+  private readonly durationsMs: ReadonlyMap<string, number>;
   /** Start orders that the current incarnation has received but not executed yet. */
   private readonly lateStarts = new Set<NodeJS.Timeout>();
 
+  constructor(durationsMs: ReadonlyMap<string, number> = new Map()) {
+    this.durationsMs = durationsMs;
+  }
+
   start(order: StartOrder): StartOutcome {
     if (order.fencingToken < this.fence) return 'fenced';
     this.fence = order.fencingToken;
@@ -65,7 +71,8 @@
     this.observer?.onStart(order);
     if (this.behaviour !== 'stalled') {
       const outcome = this.behaviour === 'failing' ? 'failed' : 'done';
-      run.timer = setTimeout(() => this.end(key, outcome), this.durationMs);
+      const durationMs = this.durationsMs.get(order.payload) ?? this.durationMs;
+      run.timer = setTimeout(() => this.end(key, outcome), durationMs);
     }
     return 'started';
   }
@@ -105,6 +112,13 @@
     return { clockMs: this.clockMs(), bornMs: this.bornMs, active, ended: [...this.reports] };
   }
 
+  /** Ends the runs of a gang, another member of which has ended. */
+  breakGang(payload: string): void {
+    for (const [key, { order }] of [...this.runs]) {
+      if (order.payload === payload) this.end(key, 'broken');
+    }
+  }
+
   /** Ends all runs without a report and resets all connections. */
   crash(): void {
     this.restart();
--- a/packages/workflow/src/workflowRecords.ts
+++ b/packages/workflow/src/workflowRecords.ts
@@ -25,12 +25,30 @@
   endpoint: string;
 }
 
+/** Crashes of endpoints that a task, or a gang as a whole, was running on. */
+export interface CrashHistory {
+  /** Runs whose crash is recorded, in ascending order. */
+  runs: number[];
+  /** Number of crashes that may have been caused by the task. */
+  count: number;
+  /** Number of these that nothing but the task explains. */
+  soleCount: number;
+  /** Number of these that came promptly after the confirmed start of the run. */
+  promptCount: number;
+  /** Largest estimated probability that the task caused one of the crashes, 0 to 1. */
+  suspicion: number;
+  /** Longest time from the start of a run to its crash in milliseconds. */
+  exposureMs: number;
+}
+
 /** One task of a step. */
 export interface TaskRecord {
   isDone: boolean;
   /** Number of the latest run; 0 before the first. */
   lastRun: number;
   failures: number;
+  /** Absent if there were none, and in snapshots of earlier releases. */
+  crashes?: CrashHistory;
   /** Latest checkpoint, from which the task resumes. */
   checkpoint?: string;
   /** Runs whose end is not committed yet. */
@@ -47,6 +65,8 @@
   /** Number of failed runs of the gang as a whole. */
   gangFailures: number;
   lastFailedGangRun: number;
+  /** Crashes of a gang, instead of those of its tasks. */
+  gangCrashes?: CrashHistory;
   tasks: TaskRecord[];
 }
 
