Bound the runs of tasks that crash the endpoints that start them

Cause: a run that ended with its endpoint was recorded as lost, which counts for nothing, and its task went on to the next endpoint. Change: the end of a run holds the evidence that its endpoint crashed; the state counts it per task, or once for a gang. Of the runs on the endpoint, those that had just started are suspected most. A suspected task runs in quarantine: on an endpoint with no other suspect, and without other starts until the run has proved harmless; the fleet bears a bounded number of such trials. A task fails its job after two prompt crashes, or three crashes, one of which nothing else explains. Crashes of many endpoints at the same moment, and those that are to be expected at the present rate of failures, count for nobody. A suspected task gets no copies, and a crash is no failure of the endpoint.

--- /dev/null
+++ b/packages/workflow/src/crashAttribution.ts
@@ -0,0 +1,335 @@
+import { CrashDetector, type EndpointCrash } from './crashDetector.js';
+import { MIN_SUSPICION, PROMPT_CRASH_MS, type CrashEvidence } from './crashRecord.js';
+import { estimateSuspicion } from './crashSuspicion.js';
+import type { AgentRun, EndpointAgent, IncarnationEnd } from './endpointAgent.js';
+import type { EndpointDirectory } from './endpointDirectory.js';
+import { taskName, type TaskRef } from './jobSpec.js';
+import { isPrompt, Quarantine, suspectUnit } from './quarantine.js';
+import type { SessionContext } from './sessionContext.js';
+import type { EndedRun } from './workflowCommand.js';
+import type { EndpointRecord } from './workflowRecords.js';
+
+/** Options of a {@link CrashAttribution}. */
+export interface CrashAttributionOptions {
+  context: SessionContext;
+  directory: EndpointDirectory;
+  /** Returns whether this cell has ordered the end of an endpoint. */
+  isUnderMaintenance: (instance: string) => boolean;
+  /** Called when an endpoint that was in quarantine accepts other tasks again. */
+  onReleased: () => void;
+  /** Called for a job when crashes of its tasks are committed after the ends of the runs. */
+  onCharged: (jobId: string) => void;
+}
+
+/** Time for which an endpoint failed; the moment of the failure lies in it. Monotonic. */
+interface FailureInterval {
+  endpoint: string;
+  lastContactMs: number;
+  noticedMs: number;
+}
+
+/** A crash that was attributed. */
+interface Failure extends FailureInterval {
+  instance: string;
+  /** A run on trial explains it. */
+  isExplained: boolean;
+}
+
+/** Runs that were lost with their lease on an endpoint that may have crashed. */
+interface ExpiredRuns extends FailureInterval {
+  record: EndpointRecord;
+  runs: AgentRun[];
+  /** Keys of the runs that were on trial. */
+  trials: Set<string>;
+}
+
+/** Number of other endpoints that fail at the same moment from which they have a common cause. */
+const MIN_COMMON_FAILURES = 3;
+
+/** Share of the endpoints from which failures at the same moment have a common cause. */
+const COMMON_FAILURE_SHARE = 0.1;
+
+/** Difference between two failures up to which they come at the same moment. */
+const SAME_MOMENT_MS = 50;
+
+/** Expected number of random failures in the time of a run from which one explains a crash. */
+const MAX_EXPECTED_FAILURES = 0.05;
+
+/** The same for prompt crashes, fewer of which convict. */
+const MAX_EXPECTED_FAILURES_IF_PROMPT = 0.01;
+
+/** Shortest time over which the rate of failures is estimated. */
+const MIN_OBSERVATION_MS = 10_000;
+
+/** Ratio of two exposures up to which the same cause is likely. */
+const MAX_EXPOSURE_RATIO = 1.5;
+
+/** Share of the suspicion that remains if the crash is likely to have another cause. */
+const EXCUSED_FACTOR = 0.1;
+
+/** Time from the start of a run to a crash up to which it stays suspected in any case. */
+const IMMEDIATE_CRASH_MS = 200;
+
+/** Time for which failures and expired runs are remembered. */
+const MEMORY_MS = 60_000;
+
+/** Returns whether an earlier leader has started a run, so that its start time is not known. */
+function isAdopted({ phase, confirmedMs }: AgentRun): boolean {
+  return phase === 'running' && confirmedMs === 0;
+}
+
+function describeSilence(agent: EndpointAgent): IncarnationEnd {
+  const confirmedMs = [...agent.runs.values()].map((run) => run.confirmedMs);
+  const end = agent.describeEnd();
+  return { ...end, lastContactMs: Math.max(end.lastContactMs, ...confirmedMs) };
+}
+
+/** Decides which runs may have caused the crash of their endpoint. */
+export class CrashAttribution implements Disposable {
+  readonly quarantine: Quarantine;
+  private readonly opts: CrashAttributionOptions;
+  private readonly detector: CrashDetector;
+  private failures: Failure[] = [];
+  private expired: ExpiredRuns[] = [];
+  private readonly sinceMs = performance.now();
+
+  constructor(opts: CrashAttributionOptions) {
+    this.opts = opts;
+    const { context, directory, isUnderMaintenance, onReleased } = opts;
+    this.detector = new CrashDetector(context, isUnderMaintenance);
+    const presume = (task: TaskRef) => this.presume(task);
+    this.quarantine = new Quarantine({
+      context,
+      directory,
+      presume,
+      onReleased,
+      countFailures: (instance) => this.countUnexplained(instance),
+    });
+  }
+
+  /** Returns the evidence against the runs that were lost, by key; empty if it was no crash. */
+  handleLoss(agent: EndpointAgent, runs: AgentRun[], reason: string): Map<string, CrashEvidence> {
+    this.forgetOld();
+    if (reason === 'the lease expired') {
+      const { lastContactMs, noticedMs, wasLeaving } = agent.describeEnd();
+      const { id: endpoint, record } = agent;
+      if (!wasLeaving) {
+        const keys = runs.map(({ key }) => key).filter((key) => this.quarantine.isOnTrial(key));
+        const trials = new Set(keys);
+        this.expired.push({ endpoint, record, runs, trials, lastContactMs, noticedMs });
+      }
+      return new Map();
+    }
+    const crash = this.detector.detect(agent, runs, reason);
+    return crash ? this.attribute(crash, (key) => this.quarantine.isOnTrial(key)) : new Map();
+  }
+
+  /** Commits the crashes of runs whose lease had expired before their endpoint was back. */
+  handleRegistration(record: EndpointRecord): void {
+    const isPredecessor = ({ record: other }: ExpiredRuns): boolean =>
+      other.bornMs < record.bornMs &&
+      (other.id === record.id ||
+        other.address === record.address ||
+        (other.instance !== '' && other.instance === record.instance));
+    const matching = this.expired.filter(isPredecessor);
+    if (matching.length === 0) return;
+    this.expired = this.expired.filter((entry) => !matching.includes(entry));
+    const runs = matching.flatMap((entry) => this.describeEnds(entry));
+    if (runs.length === 0) return;
+    const { context, onCharged } = this.opts;
+    context
+      .propose({ type: 'end', runs })
+      .then(() => new Set(runs.map(({ task }) => task.jobId)).forEach(onCharged))
+      .catch((err: Error) => context.logger.warn('failed to record crashes', { err: err.message }));
+  }
+
+  /** Discards the expired runs of an endpoint that did not crash. */
+  handleResponse(agent: EndpointAgent): void {
+    if (agent.isSuspect) return;
+    this.expired = this.expired.filter(
+      ({ record }) => record.id !== agent.id || record.bornMs !== agent.record.bornMs,
+    );
+  }
+
+  [Symbol.dispose](): void {
+    this.quarantine[Symbol.dispose]();
+  }
+
+  private attribute(
+    crash: EndpointCrash,
+    wasOnTrial: (key: string) => boolean,
+  ): Map<string, CrashEvidence> {
+    const { noticedMs, runs } = crash;
+    const hasCommonCause = this.hasCommonCause(crash);
+    const failureRate = this.estimateFailureRate();
+    const culprits = hasCommonCause ? [] : this.findCulprits(crash, wasOnTrial, failureRate);
+    const suspects = culprits.length > 0 ? culprits : runs;
+    const suspicions = this.estimate(suspects, noticedMs);
+    const isExplained = culprits.some((run) => this.isRepeated(run, noticedMs));
+    this.failures.push({ ...crash, isExplained });
+    const evidence = new Map<string, CrashEvidence>();
+    for (const run of suspects) {
+      const elapsedMs = Math.round(noticedMs - run.orderedMs);
+      const isImmediate = !isAdopted(run) && elapsedMs <= IMMEDIATE_CRASH_MS;
+      const isAtOnce = run.confirmedMs > 0 && elapsedMs <= PROMPT_CRASH_MS;
+      const expectedFailures = elapsedMs * failureRate;
+      const isExcused = hasCommonCause || expectedFailures > MAX_EXPECTED_FAILURES;
+      evidence.set(run.key, {
+        suspicion: suspicions.get(run.key)! * (isExcused && !isImmediate ? EXCUSED_FACTOR : 1),
+        exposureMs: isAdopted(run) ? undefined : elapsedMs,
+        isPrompt: isAtOnce && expectedFailures <= MAX_EXPECTED_FAILURES_IF_PROMPT,
+        isSoleCause: culprits.length > 0,
+        isExcused,
+      });
+    }
+    this.report(crash, evidence);
+    return evidence;
+  }
+
+  /**
+   * Returns the runs of the one suspect that explains a crash: it was on trial, or its task crashes
+   * endpoints about as late after each start. Empty if there are none or several of them.
+   */
+  private findCulprits(
+    { runs, noticedMs }: EndpointCrash,
+    wasOnTrial: (key: string) => boolean,
+    failureRate: number,
+  ): AgentRun[] {
+    const onTrial = runs.filter(({ key }) => wasOnTrial(key));
+    const repeated = runs.filter(
+      (run) =>
+        (this.opts.context.state.findCrashes(run.task)?.count ?? 0) > 0 &&
+        (noticedMs - run.orderedMs) * failureRate <= MAX_EXPECTED_FAILURES &&
+        this.isRepeated(run, noticedMs),
+    );
+    const culprits = onTrial.length > 0 ? onTrial : repeated;
+    return new Set(culprits.map((run) => this.unitOf(run))).size === 1 ? culprits : [];
+  }
+
+  /** Returns how often an instance failed recently without a run that explains it. */
+  private countUnexplained(instance: string): number {
+    const oldestMs = performance.now() - MEMORY_MS;
+    return this.failures.filter(
+      (failure) =>
+        !failure.isExplained && failure.instance === instance && failure.noticedMs > oldestMs,
+    ).length;
+  }
+
+  /** Returns the failures that nothing explains, per endpoint and millisecond. */
+  private estimateFailureRate(): number {
+    const nowMs = performance.now();
+    const observedMs = Math.min(MEMORY_MS, Math.max(MIN_OBSERVATION_MS, nowMs - this.sinceMs));
+    const count = this.failures.filter(
+      ({ isExplained, noticedMs }) => !isExplained && noticedMs > nowMs - observedMs,
+    ).length;
+    return count / (observedMs * Math.max(1, this.opts.directory.list().length));
+  }
+
+  /** Returns whether a run on trial crashed its endpoint about as late as its task did before. */
+  private isRepeated({ task, orderedMs }: AgentRun, crashMs: number): boolean {
+    const earlierMs = this.opts.context.state.findCrashes(task)?.exposureMs ?? 0;
+    const elapsedMs = crashMs - orderedMs;
+    return (
+      elapsedMs <= earlierMs * MAX_EXPOSURE_RATIO + IMMEDIATE_CRASH_MS &&
+      elapsedMs >= earlierMs / MAX_EXPOSURE_RATIO - IMMEDIATE_CRASH_MS
+    );
+  }
+
+  private describeEnds(entry: ExpiredRuns): EndedRun[] {
+    const end = { ...entry, wasLeaving: false };
+    const crash = this.detector.describe(entry.record, entry.runs, end);
+    const evidence = crash
+      ? this.attribute(crash, (key) => entry.trials.has(key))
+      : new Map<string, CrashEvidence>();
+    return entry.runs.flatMap(({ key, task, run }) => {
+      const found = evidence.get(key);
+      return found ? [{ task, run, outcome: 'lost' as const, crash: found }] : [];
+    });
+  }
+
+  /** Returns whether so many other endpoints failed at the same moment that one cause is likely. */
+  private hasCommonCause(crash: FailureInterval): boolean {
+    const { directory } = this.opts;
+    const agents = directory.list();
+    const silent = agents
+      .filter(({ isSuspect }) => isSuspect)
+      .map((agent) => ({ endpoint: agent.id, ...describeSilence(agent) }));
+    const others = new Set<string>();
+    for (const { endpoint, lastContactMs, noticedMs } of [...silent, ...this.failures]) {
+      if (endpoint === crash.endpoint) continue;
+      const isSameMoment =
+        lastContactMs - SAME_MOMENT_MS <= crash.noticedMs &&
+        crash.lastContactMs - SAME_MOMENT_MS <= noticedMs;
+      if (isSameMoment) others.add(endpoint);
+    }
+    return others.size >= Math.max(MIN_COMMON_FAILURES, agents.length * COMMON_FAILURE_SHARE);
+  }
+
+  /** Returns the suspicion of a task whose run is, or was, on an endpoint that does not answer. */
+  private presume(task: TaskRef): { suspicion: number; exposureMs: number } | undefined {
+    const { context, directory } = this.opts;
+    const active = context.state.findTask(task)?.runs ?? [];
+    if (active.length === 0 && this.expired.length === 0) return undefined;
+    const name = taskName(task);
+    for (const { run, endpoint } of active) {
+      const agent = directory.find(endpoint);
+      const found = agent?.isSuspect
+        ? this.presumeOn([...agent.runs.values()], `${name}:${run}`, agent.silentSinceMs)
+        : undefined;
+      if (found) return found;
+    }
+    for (const { runs, noticedMs } of this.expired) {
+      const run = runs.find((it) => it.name === name);
+      const found = run && this.presumeOn(runs, run.key, noticedMs);
+      if (found) return found;
+    }
+    return undefined;
+  }
+
+  private presumeOn(
+    runs: AgentRun[],
+    key: string,
+    silentSinceMs: number,
+  ): { suspicion: number; exposureMs: number } | undefined {
+    const run = runs.find((it) => it.key === key);
+    if (!run || isAdopted(run) || !isPrompt(run, silentSinceMs)) return undefined;
+    const present = runs.filter(({ orderedMs }) => orderedMs < silentSinceMs);
+    const suspicion = this.estimate(present, silentSinceMs).get(key) ?? 0;
+    if (suspicion < MIN_SUSPICION) return undefined;
+    return { suspicion, exposureMs: silentSinceMs - run.orderedMs };
+  }
+
+  private estimate(runs: AgentRun[], crashMs: number): Map<string, number> {
+    return estimateSuspicion(
+      runs.map((run) => ({
+        key: run.key,
+        exposureMs: Math.max(crashMs - run.orderedMs, isAdopted(run) ? PROMPT_CRASH_MS : 0),
+        priorCrashes: this.opts.context.state.findCrashes(run.task)?.count ?? 0,
+      })),
+    );
+  }
+
+  private unitOf({ task }: AgentRun): string {
+    return suspectUnit(task, this.opts.context.state.findSpec(task)?.isGang ?? false);
+  }
+
+  private report({ endpoint }: EndpointCrash, evidence: Map<string, CrashEvidence>): void {
+    const suspects = [...evidence]
+      .filter(([, { suspicion }]) => suspicion >= MIN_SUSPICION)
+      .sort(([, a], [, b]) => b.suspicion - a.suspicion)
+      .map(([key, { suspicion, exposureMs }]) => `${key} ${suspicion.toFixed(2)} ${exposureMs} ms`);
+    const [first] = evidence.values();
+    this.opts.context.logger.warn('crash attributed', {
+      endpoint,
+      isExcused: first?.isExcused,
+      isSoleCause: first?.isSoleCause,
+      suspects: suspects.join(),
+    });
+  }
+
+  private forgetOld(): void {
+    const oldestMs = performance.now() - MEMORY_MS;
+    this.failures = this.failures.filter(({ noticedMs }) => noticedMs > oldestMs);
+    this.expired = this.expired.filter(({ noticedMs }) => noticedMs > oldestMs);
+  }
+}
--- a/packages/workflow/src/crashDetector.ts
+++ b/packages/workflow/src/crashDetector.ts
@@ -5,6 +5,7 @@
   type IncarnationEnd,
 } from './endpointAgent.js';
 import type { SessionContext } from './sessionContext.js';
+import type { EndpointRecord } from './workflowRecords.js';
 
 /** Reasons for the loss of runs that an earlier incarnation with the same id had. */
 const UNREPORTED_REASONS = new Set(['not reported by the endpoint', 'the order never arrived']);
@@ -36,22 +37,28 @@
    */
   detect(agent: EndpointAgent, runs: AgentRun[], reason: string): EndpointCrash | undefined {
     const end = this.findEnd(agent, reason);
-    if (!end || end.wasLeaving || this.isUnderMaintenance(agent.record.instance)) return undefined;
-    const present = runs.filter(({ orderedMs }) => orderedMs < end.noticedMs);
-    if (present.length === 0) return undefined;
-    const crash = {
-      ...end,
-      lastContactMs: Math.max(end.lastContactMs, ...present.map(({ confirmedMs }) => confirmedMs)),
-      endpoint: agent.id,
-      instance: agent.record.instance,
-      runs: present,
-    };
+    const crash = end && this.describe(agent.record, runs, end);
+    if (!crash) return undefined;
     const isCounted = this.counted.get(agent) === end;
     this.counted.set(agent, end);
     this.report(crash, isCounted);
     return crash;
   }
 
+  /** Returns a crash with the runs that were present, or undefined if there were none. */
+  describe(
+    { id: endpoint, instance }: EndpointRecord,
+    runs: AgentRun[],
+    end: IncarnationEnd,
+  ): EndpointCrash | undefined {
+    if (end.wasLeaving || this.isUnderMaintenance(instance)) return undefined;
+    const present = runs.filter(({ orderedMs }) => orderedMs <= end.noticedMs);
+    if (present.length === 0) return undefined;
+    const confirmedMs = present.map((run) => run.confirmedMs);
+    const lastContactMs = Math.max(end.lastContactMs, ...confirmedMs);
+    return { ...end, lastContactMs, endpoint, instance, runs: present };
+  }
+
   private findEnd(agent: EndpointAgent, reason: string): IncarnationEnd | undefined {
     if (reason === REPLACED_REASON) return agent.describeEnd();
     return UNREPORTED_REASONS.has(reason) ? agent.previousEnd : undefined;
--- a/packages/workflow/src/outcomeRecorder.ts
+++ b/packages/workflow/src/outcomeRecorder.ts
@@ -38,12 +38,15 @@
     durations.record(agent.id, agent.record.kind, spec.estimateMs, actualMs);
   }
 
-  /** Records runs that ended without a report; does not affect the health of the endpoint. */
-  recordLoss(agent: EndpointAgent, runs: AgentRun[]): void {
+  /**
+   * Records runs that ended without a report; does not affect the health of the endpoint. A crash is
+   * no failure of the endpoint either, so that its step does not move on to the next one.
+   */
+  recordLoss(agent: EndpointAgent, runs: AgentRun[], wasCrash: boolean): void {
     for (const { key, task } of runs) {
       const attempt = { attemptId: key, unitId: task.jobId, endpointId: agent.id };
       this.opts.health.recordAbandoned(attempt);
-      this.recordFailure(agent, task);
+      if (!wasCrash) this.recordFailure(agent, task);
     }
   }
 
--- /dev/null
+++ b/packages/workflow/src/quarantine.ts
@@ -0,0 +1,268 @@
+import { harmlessAfterMs, isSuspected, PROMPT_CRASH_MS } from './crashRecord.js';
+import type { AgentRun } from './endpointAgent.js';
+import type { EndpointDirectory } from './endpointDirectory.js';
+import { stepName, taskName, type TaskRef } from './jobSpec.js';
+import type { ReadyStep } from './readySteps.js';
+import type { SessionContext } from './sessionContext.js';
+
+/** A run of a suspected task, alone with runs that have proved harmless. */
+interface Trial {
+  endpoint: string;
+  stepName: string;
+  suspicion: number;
+  windowMs: number;
+}
+
+/** Suspicion of a task, and how long its next run is watched. */
+interface Suspicion {
+  suspicion: number;
+  exposureMs: number;
+}
+
+/** Options of a {@link Quarantine}. */
+export interface QuarantineOptions {
+  context: SessionContext;
+  directory: EndpointDirectory;
+  /** Returns the suspicion of a task whose run is on an endpoint that does not answer. */
+  presume: (task: TaskRef) => Suspicion | undefined;
+  /** Returns how often an instance failed recently without a run that explains it. */
+  countFailures: (instance: string) => number;
+  /** Called when an endpoint accepts other tasks again. */
+  onReleased: () => void;
+}
+
+/** Time without a start after which the runs of an endpoint have proved harmless. */
+const SETTLE_MS = 200;
+
+/** Number of start times that are kept before those of settled endpoints are deleted. */
+const MAX_START_TIMES = 1000;
+
+/** Longest time for which an endpoint accepts no other tasks. */
+const MAX_TRIAL_MS = 3000;
+
+/** Expected number of endpoints that crash in trials, as a share of those available. */
+const MAX_EXPECTED_CRASH_SHARE = 0.35;
+
+/** Lower bound for tasks that are likely to crash, so that the others are cleared meanwhile. */
+const MAX_LIKELY_CRASH_SHARE = 0.2;
+
+/** Suspicion from which a task is likely to crash its endpoint. */
+const LIKELY_SUSPICION = 0.3;
+
+/** Time between two such trials, so that crashes at the same moment have another cause. */
+const TRIAL_INTERVAL_MS = 100;
+
+/** Cost of a trial beside runs whose loss is worse than that of others. */
+const DAMAGE_LOAD = 100;
+
+/** Cost of a trial on an instance for each recent failure. */
+const FAILURE_LOAD = 10;
+
+/** Time after the trial window at which it is checked whether the endpoint still responds. */
+const RELEASE_MARGIN_MS = 10;
+
+/**
+ * Places tasks that are suspected of crashing endpoints so that the next crash has one explanation:
+ * on an endpoint with no other suspect, and without other starts until the run has proved harmless.
+ * Bounds the number of endpoints that such trials may crash at the same time.
+ */
+export class Quarantine {
+  private readonly opts: QuarantineOptions;
+  private readonly trials = new Map<string, Trial>();
+  private readonly trialsByEndpoint = new Map<string, Set<string>>();
+  /** Monotonic time of the latest decision to start a run, by endpoint. */
+  private readonly lastStartMs = new Map<string, number>();
+  /** Number of trials that ended without a crash, by step. */
+  private readonly clearedCounts = new Map<string, number>();
+  /** Monotonic time of the latest trial that was likely to end with a crash. */
+  private lastTrialMs = -Infinity;
+  private readonly timers = new Set<NodeJS.Timeout>();
+
+  constructor(opts: QuarantineOptions) {
+    this.opts = opts;
+  }
+
+  /** Returns whether a waiting task of a step has to start in quarantine. */
+  isSuspected(step: ReadyStep, index: number): boolean {
+    return this.assess(step, index) !== undefined;
+  }
+
+  /** Returns whether a run is being watched. */
+  isOnTrial(key: string): boolean {
+    return this.trials.has(key) && !this.isOver(key);
+  }
+
+  /** Returns whether an endpoint accepts tasks that are not suspected. */
+  isOpen(endpoint: string): boolean {
+    const keys = this.trialsByEndpoint.get(endpoint);
+    return !keys || [...keys].every((key) => this.isOver(key));
+  }
+
+  /** Returns whether a suspected task of a step may start on an endpoint. */
+  isIsolated(endpoint: string, { name, spec }: ReadyStep): boolean {
+    const agent = this.opts.directory.find(endpoint);
+    if (!agent) return false;
+    const keys = [...(this.trialsByEndpoint.get(endpoint) ?? [])];
+    const others = keys.filter((key) => !this.isOver(key));
+    if (others.length > 0) {
+      // The members of a gang count as one suspect.
+      return spec.isGang && others.every((key) => this.trials.get(key)?.stepName === name);
+    }
+    const settledMs = performance.now() - SETTLE_MS;
+    if ((this.lastStartMs.get(endpoint) ?? -Infinity) > settledMs) return false;
+    return [...agent.runs.values()].every(
+      ({ phase, orderedMs }) => phase === 'running' && orderedMs <= settledMs,
+    );
+  }
+
+  /**
+   * Returns by how much an endpoint is less suitable for a trial than others, in units of its load:
+   * a crash would end services or whole gangs, or might have another cause.
+   */
+  costOfTrial(endpoint: string): number {
+    const { context, directory, countFailures } = this.opts;
+    const agent = directory.find(endpoint);
+    if (!agent) return 0;
+    const endangersMore = [...agent.runs.values()].some(({ task }) => {
+      const spec = context.state.findSpec(task);
+      return spec?.isService || spec?.isGang;
+    });
+    return (endangersMore ? DAMAGE_LOAD : 0) + countFailures(agent.record.instance) * FAILURE_LOAD;
+  }
+
+  /** Returns whether the fleet can bear another trial now, and the step has no unfinished one. */
+  mayBegin(step: ReadyStep, index: number): boolean {
+    const { suspicion } = this.assess(step, index) ?? { suspicion: 0 };
+    const active = [...this.trials].filter(([key]) => !this.isOver(key));
+    const ofStep = active.filter(([, trial]) => trial.stepName === step.name);
+    // The tasks of a step run the same program: the first ones tell about the others.
+    if (ofStep.length > (this.clearedCounts.get(step.name) ?? 0)) return false;
+    if (active.length === 0) return true;
+    const nowMs = performance.now();
+    if (suspicion >= LIKELY_SUSPICION && nowMs - this.lastTrialMs < TRIAL_INTERVAL_MS) return false;
+    const expected = active.reduce((sum, [, trial]) => sum + this.expectedCrashes(trial), 0);
+    const share = suspicion >= LIKELY_SUSPICION ? MAX_LIKELY_CRASH_SHARE : MAX_EXPECTED_CRASH_SHARE;
+    return expected + suspicion <= Math.max(1, share * this.countResponsive());
+  }
+
+  /** Records the decision to start a run, which is watched if its task is suspected. */
+  recordStart(step: ReadyStep, index: number, key: string, endpoint: string): void {
+    const nowMs = performance.now();
+    if (this.lastStartMs.size >= MAX_START_TIMES) this.forgetStarts(nowMs);
+    this.lastStartMs.set(endpoint, nowMs);
+    const known = this.assess(step, index);
+    if (known) this.add(key, step.name, endpoint, known);
+  }
+
+  /** Continues to watch a run that an earlier leader has started. */
+  adopt({ key, task }: AgentRun, endpoint: string): void {
+    const history = this.opts.context.state.findCrashes(task);
+    if (!history || !isSuspected(history)) return;
+    if (harmlessAfterMs(history.exposureMs) > MAX_TRIAL_MS) return;
+    this.add(key, stepName(task.jobId, task.occurrence, task.step), endpoint, history);
+  }
+
+  /** Ends the watch over a run that has ended, successfully or not. */
+  end(key: string, isDone: boolean): void {
+    const trial = this.trials.get(key);
+    if (!trial) return;
+    this.remove(key, trial);
+    if (isDone) this.countCleared(trial.stepName);
+    this.opts.onReleased();
+  }
+
+  /** Discards what is known about a step that has ended. */
+  forgetStep(step: string): void {
+    this.clearedCounts.delete(step);
+  }
+
+  [Symbol.dispose](): void {
+    for (const timer of this.timers) clearTimeout(timer);
+    this.timers.clear();
+  }
+
+  private assess({ job, occurrence, step }: ReadyStep, index: number): Suspicion | undefined {
+    const task = { jobId: job.id, occurrence, step, index };
+    const history = this.opts.context.state.findCrashes(task);
+    const suspicion = isSuspected(history) ? history : this.opts.presume(task);
+    // Later crashes are told by their repetition; no endpoint is kept free for so long.
+    const isWatchable = suspicion && harmlessAfterMs(suspicion.exposureMs) <= MAX_TRIAL_MS;
+    return isWatchable ? suspicion : undefined;
+  }
+
+  private forgetStarts(nowMs: number): void {
+    for (const [endpoint, startMs] of this.lastStartMs) {
+      if (nowMs - startMs > SETTLE_MS) this.lastStartMs.delete(endpoint);
+    }
+  }
+
+  private add(key: string, step: string, endpoint: string, known: Suspicion): void {
+    const windowMs = harmlessAfterMs(known.exposureMs);
+    if (known.suspicion >= LIKELY_SUSPICION) this.lastTrialMs = performance.now();
+    this.trials.set(key, { endpoint, stepName: step, suspicion: known.suspicion, windowMs });
+    const keys = this.trialsByEndpoint.get(endpoint) ?? new Set();
+    this.trialsByEndpoint.set(endpoint, keys.add(key));
+    this.checkAfter(key, windowMs);
+  }
+
+  /** Releases the endpoint of a trial as soon as its window has passed. */
+  private checkAfter(key: string, delayMs: number): void {
+    const timer = setTimeout(() => {
+      this.timers.delete(timer);
+      const trial = this.trials.get(key);
+      if (!trial) return;
+      if (!this.isOver(key)) {
+        this.checkAfter(key, SETTLE_MS);
+        return;
+      }
+      this.remove(key, trial);
+      this.countCleared(trial.stepName);
+      this.opts.onReleased();
+    }, delayMs + RELEASE_MARGIN_MS);
+    this.timers.add(timer);
+  }
+
+  private remove(key: string, { endpoint }: Trial): void {
+    this.trials.delete(key);
+    const keys = this.trialsByEndpoint.get(endpoint);
+    keys?.delete(key);
+    if (keys?.size === 0) this.trialsByEndpoint.delete(endpoint);
+  }
+
+  private countCleared(step: string): void {
+    this.clearedCounts.set(step, (this.clearedCounts.get(step) ?? 0) + 1);
+  }
+
+  /** Returns whether a run has been on a responsive endpoint for its whole trial window. */
+  private isOver(key: string): boolean {
+    const trial = this.trials.get(key);
+    if (!trial) return true;
+    const agent = this.opts.directory.find(trial.endpoint);
+    const run = agent?.runs.get(key);
+    if (!agent || !run || agent.isSuspect || run.phase !== 'running') return false;
+    // The run was on the incarnation that has ended.
+    if (run.orderedMs <= (agent.previousEnd?.noticedMs ?? -Infinity)) return false;
+    const sinceMs = Math.max(run.orderedMs, run.confirmedMs);
+    return performance.now() - sinceMs > trial.windowMs;
+  }
+
+  private expectedCrashes({ endpoint, suspicion }: Trial): number {
+    const agent = this.opts.directory.find(endpoint);
+    return !agent || agent.isSuspect ? 1 : suspicion;
+  }
+
+  private countResponsive(): number {
+    const { directory } = this.opts;
+    return directory.list().filter((agent) => directory.isResponsive(agent)).length;
+  }
+}
+
+/** Returns whether a run had started shortly before its endpoint stopped to answer. */
+export function isPrompt({ orderedMs }: AgentRun, silentSinceMs: number): boolean {
+  return orderedMs <= silentSinceMs && silentSinceMs - orderedMs <= PROMPT_CRASH_MS;
+}
+
+/** Returns the unit that counts as one suspect: a task, or a gang as a whole. */
+export function suspectUnit(task: TaskRef, isGang: boolean): string {
+  return isGang ? stepName(task.jobId, task.occurrence, task.step) : taskName(task);
+}
--- a/packages/workflow/src/readySteps.ts
+++ b/packages/workflow/src/readySteps.ts
@@ -1,3 +1,4 @@
+import { isSuspected } from './crashRecord.js';
 import { stepName, type StepSpec, type TaskRef } from './jobSpec.js';
 import type { JobRecord, RunRecord, TaskRecord } from './workflowRecords.js';
 import type { WorkflowState } from './workflowState.js';
@@ -146,6 +147,7 @@
   private canStart(ref: TaskRef, task: TaskRecord, spec: StepSpec): boolean {
     if (task.runs.length === 0) return true;
     if (!spec.allowsCopies || spec.isGang || task.runs.length >= MAX_CONCURRENT_RUNS) return false;
+    if (isSuspected(task.crashes)) return false;
     return task.runs.every((run) => this.opts.isSuspect(ref, run));
   }
 
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -7,6 +7,7 @@
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { taskName, type TaskRef } from './jobSpec.js';
+import type { Quarantine } from './quarantine.js';
 import type { ReadyStep, ReadySteps } from './readySteps.js';
 import { createReservation, type RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
@@ -44,6 +45,7 @@
   directory: EndpointDirectory;
   durations: DurationEstimator;
   broker: AdviceBroker;
+  quarantine: Quarantine;
   /** Called on a response from the advisor, as another cycle may place more tasks. */
   onAdvice: () => void;
 }
@@ -173,6 +175,7 @@
       withTicket: count(({ id }) => tickets.find(id, nowMs) !== undefined),
       suitable: count(({ id }) => tickets.suitabilityOf(id) === 'suitable'),
       unsuitable: count(({ id }) => tickets.suitabilityOf(id) === 'unsuitable'),
+      suspects: ready.waiting.filter((it) => this.opts.quarantine.isSuspected(ready, it)).length,
       evaluatedAgoMs: evaluation && Math.round(nowMs - evaluation.atMs),
       outcome: evaluation?.outcome,
       ...this.ticketProvider.explain(ready.name),
@@ -223,8 +226,9 @@
     }
     const usage = this.createUsage(ready, config);
     const planned = ready.spec.isGang
-      ? this.placeGang(ready, usable, usage)
+      ? this.placeGang(ready, usable, config)
       : this.placeTasks(ready, usable, usage);
+    if (!ready.spec.isGang) planned.push(...this.placeSuspects(ready, usable, config));
     for (const start of planned) start.ticket = tickets?.find(start.endpoint, nowMs);
     if (planned.length < ready.waiting.length) this.ticketProvider.query(ready, queue, candidates);
     return planned;
@@ -239,6 +243,7 @@
     const { farFactor } = this.opts.context.timing;
     const selector = new EndpointSelector(ready.spec, candidates, usage, farFactor);
     for (const index of ready.waiting) {
+      if (this.opts.quarantine.isSuspected(ready, index)) continue;
       const endpoint = selector.choose();
       if (!endpoint) break;
       planned.push(this.plan(ready, index, endpoint, this.nextRun(ready, index)));
@@ -247,12 +252,35 @@
     return planned;
   }
 
+  /** Places the tasks that may crash their endpoints, in quarantine. */
+  private placeSuspects(
+    ready: ReadyStep,
+    candidates: PlacementCandidate[],
+    config: CellConfig,
+  ): PlannedStart[] {
+    const { quarantine, context } = this.opts;
+    const planned: PlannedStart[] = [];
+    const usage = this.createUsage(ready, config, true);
+    for (const index of ready.waiting) {
+      if (!quarantine.isSuspected(ready, index)) continue;
+      if (!quarantine.mayBegin(ready, index)) continue;
+      const { farFactor } = context.timing;
+      const endpoint = new EndpointSelector(ready.spec, candidates, usage, farFactor).choose();
+      if (!endpoint) break;
+      planned.push(this.plan(ready, index, endpoint, this.nextRun(ready, index)));
+    }
+    return planned;
+  }
+
   private placeGang(
     ready: ReadyStep,
     candidates: PlacementCandidate[],
-    usage: PlacementUsage,
+    config: CellConfig,
   ): PlannedStart[] {
-    const { ledger, context } = this.opts;
+    const { ledger, context, quarantine } = this.opts;
+    const isSuspected = quarantine.isSuspected(ready, 0);
+    if (isSuspected && !quarantine.mayBegin(ready, 0)) return [];
+    const usage = this.createUsage(ready, config, isSuspected);
     const trialKeys: string[] = [];
     const endpoints = chooseGangEndpoints(ready.spec, candidates, usage, context.timing.farFactor, {
       reserve: (endpoint) => {
@@ -281,6 +309,7 @@
     const key = `${taskName(task)}:${run}`;
     this.reserve(ready, key, endpoint.id);
     this.pending.add(`${name}.${index}`);
+    this.opts.quarantine.recordStart(ready, index, key, endpoint.id);
     const agent = this.opts.directory.require(endpoint.id);
     return { key, stepName: name, task, run, endpoint: endpoint.id, agent };
   }
@@ -333,21 +362,23 @@
     return config.organisations.find(({ name }) => name === job.organisation)?.limit;
   }
 
-  private createUsage(ready: ReadyStep, config: CellConfig): PlacementUsage {
-    const { ledger } = this.opts;
+  /** @param isTrial - The tasks are suspected of crashing their endpoints. */
+  private createUsage(ready: ReadyStep, config: CellConfig, isTrial = false): PlacementUsage {
+    const { ledger, quarantine } = this.opts;
     const { organisation } = ready.job;
     const limit = this.findLimit(ready, config);
     return {
       fits: (candidate, { size, fillsIdleCapacity }) =>
         ledger.hasCapacity(candidate.id, candidate.capacity, size, fillsIdleCapacity) &&
-        (!limit || ledger.isWithinLimit(organisation, limit, size)),
+        (!limit || ledger.isWithinLimit(organisation, limit, size)) &&
+        (isTrial ? quarantine.isIsolated(candidate.id, ready) : quarantine.isOpen(candidate.id)),
       failuresOn: ({ id }) => this.failures.get(ready.name)?.get(id) ?? 0,
       countOn: ({ id }) => ledger.countRuns(ready.name, id),
       loadOf: ({ id, capacity }) => {
         const bestEffortCpuMillis = ready.spec.fillsIdleCapacity ? ledger.bestEffortCpuOn(id) : 0;
-        return (
-          (ledger.usedOn(id).cpuMillis + bestEffortCpuMillis) / Math.max(1, capacity.cpuMillis)
-        );
+        const usedCpuMillis = ledger.usedOn(id).cpuMillis + bestEffortCpuMillis;
+        const trialCost = isTrial ? quarantine.costOfTrial(id) : 0;
+        return usedCpuMillis / Math.max(1, capacity.cpuMillis) + trialCost;
       },
     };
   }
--- a/packages/workflow/src/workflowCommand.ts
+++ b/packages/workflow/src/workflowCommand.ts
@@ -1,3 +1,4 @@
+import type { CrashEvidence } from './crashRecord.js';
 import type { JobSpec, TaskRef } from './jobSpec.js';
 import type { EndpointRecord, RunOutcome } from './workflowRecords.js';
 
@@ -14,6 +15,8 @@
   run: number;
   outcome: RunOutcome;
   checkpoint?: string;
+  /** Present if the endpoint crashed; may follow the end of a run whose lease had expired. */
+  crash?: CrashEvidence;
 }
 
 /** Replaces the configuration unless the same or a newer version is in force. */
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -4,7 +4,8 @@
 import { AdviceBroker } from './adviceBroker.js';
 import { AdvicePrefetcher } from './advicePrefetcher.js';
 import type { CellConfig } from './cellConfig.js';
-import { CrashDetector } from './crashDetector.js';
+import { CrashAttribution } from './crashAttribution.js';
+import type { CrashEvidence } from './crashRecord.js';
 import { CyclePacer } from './cyclePacer.js';
 import type { AgentListener, AgentRun, EndpointAgent } from './endpointAgent.js';
 import { EndpointDirectory } from './endpointDirectory.js';
@@ -12,6 +13,7 @@
 import { EndpointService } from './endpointService.js';
 import { BestEffortThrottle } from './bestEffortThrottle.js';
 import { JobRetention } from './jobRetention.js';
+import { describeFailure } from './jobFailure.js';
 import { JobService } from './jobService.js';
 import { EventLoopLag } from './eventLoopLag.js';
 import { parseTaskName, stepName, type TaskRef } from './jobSpec.js';
@@ -21,6 +23,7 @@
 import { listTasks, ReadySteps } from './readySteps.js';
 import { proposeWhileLeading } from './proposeWhileLeading.js';
 import { createAgentRun, RunDispatcher, runKey } from './runDispatcher.js';
+import { RunAdoption } from './runAdoption.js';
 import { runInSlices } from './runInSlices.js';
 import { createReservation, RunLedger } from './runLedger.js';
 import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
@@ -63,7 +66,7 @@
   private readonly occurrenceTimers = new OccurrenceTimers();
   private readonly retention: JobRetention;
   private readonly waves: WaveRunner;
-  private readonly crashDetector: CrashDetector;
+  private readonly crashes: CrashAttribution;
   private readonly outcomes: OutcomeRecorder;
   private readonly waitLogger: WaitLogger;
   private readonly metrics: SessionMetrics;
@@ -104,8 +107,16 @@
       isPending: (step, index) => this.scheduler.isPending(step, index),
       isSuspect: (task, run) => this.stragglers.isSuspect(task, run),
     });
+    this.crashes = new CrashAttribution({
+      context: this.context,
+      directory: this.directory,
+      isUnderMaintenance: (instance) => this.waves.isUnderMaintenance(instance),
+      onReleased: () => this.recheckBlocked(),
+      onCharged: (id) => this.refreshJob(id),
+    });
     this.scheduler = new StepScheduler({
       context: this.context,
+      quarantine: this.crashes.quarantine,
       ready: this.ready,
       ledger: this.ledger,
       directory: this.directory,
@@ -128,9 +139,6 @@
     });
     const { health, durations, scheduler } = this;
     this.outcomes = new OutcomeRecorder({ state: opts.state, health, durations, scheduler });
-    this.crashDetector = new CrashDetector(this.context, (instance) =>
-      this.waves.isUnderMaintenance(instance),
-    );
     this.waitLogger = new WaitLogger(this.context, this.ready, this.scheduler);
     this.metrics = new SessionMetrics(this.context, this.ready, this.directory);
     this.retention = new JobRetention(this.context);
@@ -154,8 +162,9 @@
     this.endpoints = new EndpointService(this.context, this.directory, {
       onChanged: (id) => {
         this.scheduler.dropTickets(id);
-        this.scheduler.recheckBlocked();
-        this.requestCycle();
+        const record = this.directory.find(id)?.record;
+        if (record) this.crashes.handleRegistration(record);
+        this.recheckBlocked();
       },
     });
   }
@@ -174,8 +183,17 @@
     const { state, logger, meter } = this.opts;
     const isActive = () => !this.isDisposed;
     let adopted = 0;
+    const adoption = new RunAdoption({
+      context: this.context,
+      ledger: this.ledger,
+      directory: this.directory,
+      quarantine: this.crashes.quarantine,
+      onLost: (end, endpoint) => {
+        this.recordEnds([end], endpoint).catch((err: Error) => this.logFailure('run ends', err));
+      },
+    });
     const adopt = (job: JobRecord): void => {
-      adopted += this.adoptRuns(job);
+      adopted += adoption.adopt(job);
     };
     await runInSlices(state.jobs.values(), adopt, isActive);
     if (this.isDisposed) return;
@@ -223,9 +241,9 @@
 
   onRunsLost(agent: EndpointAgent, runs: AgentRun[], reason: string): void {
     if (reason === 'no-ticket') this.scheduler.dropTickets(agent.id);
-    this.crashDetector.detect(agent, runs, reason);
-    this.outcomes.recordLoss(agent, runs);
-    this.recordLostRuns(agent, runs, reason);
+    const evidence = this.crashes.handleLoss(agent, runs, reason);
+    this.outcomes.recordLoss(agent, runs, evidence.size > 0);
+    this.recordLostRuns(agent, runs, reason, evidence);
   }
 
   onUnknownRun(agent: EndpointAgent, active: ActiveRun): void {
@@ -245,12 +263,12 @@
   }
 
   onAvailabilityChange(agent: EndpointAgent): void {
+    this.crashes.handleResponse(agent);
     // Only tasks that may be copied can start because the endpoint of their run is unavailable.
     const tasks = [...agent.runs.values()].map(({ task }) => task);
     const copied = tasks.filter((task) => this.opts.state.findSpec(task)?.allowsCopies);
     for (const id of new Set(copied.map(({ jobId }) => jobId))) this.refreshJob(id);
-    this.scheduler.recheckBlocked();
-    this.requestCycle();
+    this.recheckBlocked();
   }
 
   onLeft(agent: EndpointAgent): void {
@@ -271,51 +289,28 @@
     this.occurrenceTimers[Symbol.dispose]();
     this.directory[Symbol.dispose]();
     this.broker[Symbol.dispose]();
+    this.crashes[Symbol.dispose]();
     this.opts.logger.notice('leadership of workflows ends', { term: this.context.fencingToken });
   }
 
-  private adoptRuns(job: JobRecord): number {
-    let count = 0;
-    for (const { task, record } of listTasks(job)) {
-      for (const { run, endpoint } of record.runs) {
-        this.adoptRun(job, task, run, endpoint, record.checkpoint ?? '');
-        count += 1;
-      }
-    }
-    return count;
-  }
-
-  private adoptRun(
-    job: JobRecord,
-    task: TaskRef,
-    run: number,
-    endpoint: string,
-    checkpoint: string,
-  ): void {
-    const adopted = createAgentRun(this.opts.state, task, run, checkpoint);
-    this.ledger.reserve(createReservation(job, task, adopted.key, endpoint));
-    const agent = this.directory.find(endpoint);
-    if (!agent) {
-      const end = { task, run, outcome: 'lost' as const };
-      this.recordEnds([end], endpoint).catch((err: Error) => this.logFailure('run ends', err));
-      return;
-    }
-    agent.adopt(adopted);
-    if (job.status !== 'open') agent.stop(adopted);
-  }
-
   /** Commits the loss of runs that ended without a report; does not affect endpoint health. */
-  private recordLostRuns(agent: EndpointAgent, runs: AgentRun[], reason: string): void {
+  private recordLostRuns(
+    agent: EndpointAgent,
+    runs: AgentRun[],
+    reason: string,
+    evidence?: Map<string, CrashEvidence>,
+  ): void {
     this.opts.logger.warn('runs are lost', {
       endpoint: agent.id,
       reason,
       runs: runs.map(({ key }) => key),
     });
-    const ends = runs.map(({ task, run, checkpoint }) => ({
+    const ends = runs.map(({ key, task, run, checkpoint }) => ({
       task,
       run,
       outcome: 'lost' as const,
       checkpoint: checkpoint || undefined,
+      crash: evidence?.get(key),
     }));
     this.recordEnds(ends, agent.id).catch((err: Error) => this.logFailure('run ends', err));
   }
@@ -325,6 +320,7 @@
     const jobs = new Set<string>();
     for (const { task, run, outcome } of ends) {
       this.ledger.release(runKey(task, run));
+      this.crashes.quarantine.end(runKey(task, run), outcome === 'done');
       jobs.add(task.jobId);
       this.opts.meter.countRunEnded(outcome);
       if (outcome === 'done') this.stopCopies(task);
@@ -361,17 +357,25 @@
   /** Stops the remaining runs of a job that has ended. */
   private closeJob(job: JobRecord): void {
     if (this.retention.recordEnd(job.id)) {
-      this.opts.logger.info('job ended', { job: job.id, status: job.status });
+      const reason = describeFailure(job);
+      this.opts.logger.info('job ended', { job: job.id, status: job.status, reason });
       this.opts.meter.countJobEnded(job.status, Date.now() - job.acceptedMs);
     }
     for (const step of job.steps.values()) {
-      this.scheduler.forgetStep(stepName(job.id, step.occurrence, step.step));
+      const name = stepName(job.id, step.occurrence, step.step);
+      this.scheduler.forgetStep(name);
+      this.crashes.quarantine.forgetStep(name);
     }
     for (const { task, record } of listTasks(job)) {
       for (const { run, endpoint } of record.runs) this.stopRun(endpoint, runKey(task, run));
     }
   }
 
+  private recheckBlocked(): void {
+    this.scheduler.recheckBlocked();
+    this.requestCycle();
+  }
+
   private requestCycle(): void {
     if (this.isDisposed || !this.hasTakenOver || this.cycleTimer) return;
     this.cycleTimer = setTimeout(() => {
--- a/packages/workflow/src/workflowState.ts
+++ b/packages/workflow/src/workflowState.ts
@@ -1,9 +1,11 @@
 import type { CommittedEntry, StateMachine } from '@lagoongap/consensus/replicatedLog.js';
 
+import { addCrash, isConvicted } from './crashRecord.js';
 import { stepKey, type StepSpec, type TaskRef } from './jobSpec.js';
 import type { EndedRun, StartedRun, SubmitCommand, WorkflowCommand } from './workflowCommand.js';
 import { WorkflowError } from './workflowError.js';
 import type {
+  CrashHistory,
   EndpointRecord,
   JobRecord,
   StepRecord,
@@ -111,6 +113,14 @@
     return this.jobs.get(jobId)?.spec.steps[step];
   }
 
+  /** Returns the crashes of a task, or of the gang that it belongs to. */
+  findCrashes({ jobId, occurrence, step, index }: TaskRef): CrashHistory | undefined {
+    const job = this.jobs.get(jobId);
+    const record = job && this.findStep(job, occurrence, step);
+    if (!job || !record) return undefined;
+    return job.spec.steps[step]?.isGang ? record.gangCrashes : record.tasks[index]?.crashes;
+  }
+
   private applyCommand(command: WorkflowCommand): unknown {
     switch (command.type) {
       case 'configure':
@@ -175,12 +185,13 @@
     const job = this.jobs.get(ended.task.jobId);
     const task = this.findTask(ended.task);
     if (!job || !task) return;
+    const step = this.getOrCreateStep(job, ended.task.occurrence, ended.task.step);
+    const spec = job.spec.steps[ended.task.step]!;
+    if (ended.crash) this.countCrash(job, step, spec, ended);
     const position = task.runs.findIndex(({ run }) => run === ended.run);
     if (position < 0) return;
     task.runs.splice(position, 1);
     if (ended.checkpoint) task.checkpoint = ended.checkpoint;
-    const step = this.getOrCreateStep(job, ended.task.occurrence, ended.task.step);
-    const spec = job.spec.steps[ended.task.step]!;
     if (ended.outcome === 'done' && !spec.isService) this.complete(job, step, spec, task);
     if (ended.outcome === 'failed' && !spec.isService) this.countFailure(job, step, spec, ended);
   }
@@ -212,6 +223,16 @@
     if (task.failures >= job.maxAttempts && job.status === 'open') job.status = 'failed';
   }
 
+  private countCrash(job: JobRecord, step: StepRecord, spec: StepSpec, ended: EndedRun): void {
+    const task = step.tasks[ended.task.index]!;
+    if (task.isDone) return;
+    const known = spec.isGang ? step.gangCrashes : task.crashes;
+    const history = addCrash(known, ended.run, ended.crash!);
+    if (spec.isGang) step.gangCrashes = history;
+    else task.crashes = history;
+    if (isConvicted(history) && job.status === 'open') job.status = 'failed';
+  }
+
   private getOrCreateStep(job: JobRecord, occurrence: number, step: number): StepRecord {
     const key = stepKey(occurrence, step);
     const known = job.steps.get(key);
