Watch a suspected task for as long as its likeliest crash suggests

Cause: the time for which a run is watched followed from the longest exposure of its task. Change: the exposure of the crash that is suspected most counts. Scenarios of the record and of the suspicion. Measured: npm test -- packages/tests/features/workflow: 132 passed.

--- a/packages/workflow/src/crashRecord.ts
+++ b/packages/workflow/src/crashRecord.ts
@@ -58,13 +58,14 @@
   const isCleared = history && (exposureMs ?? 0) > harmlessAfterMs(history.exposureMs);
   const known = isCleared ? undefined : history;
   const counts = isExcused ? 0 : 1;
+  const exposure = exposureMs ?? known?.exposureMs ?? DEFAULT_EXPOSURE_MS;
   return {
     runs: [...(history?.runs ?? []), run].sort((a, b) => a - b).slice(-MAX_RUNS),
     count: (known?.count ?? 0) + counts,
     soleCount: (known?.soleCount ?? 0) + (isSoleCause ? counts : 0),
     promptCount: (known?.promptCount ?? 0) + (isPrompt ? counts : 0),
     suspicion: Math.max(known?.suspicion ?? 0, suspicion),
-    exposureMs: Math.max(known?.exposureMs ?? 0, exposureMs ?? DEFAULT_EXPOSURE_MS),
+    exposureMs: known && known.suspicion > suspicion ? known.exposureMs : exposure,
   };
 }
 
--- a/packages/workflow/src/workflowRecords.ts
+++ b/packages/workflow/src/workflowRecords.ts
@@ -37,7 +37,7 @@
   promptCount: number;
   /** Largest estimated probability that the task caused one of the crashes, 0 to 1. */
   suspicion: number;
-  /** Longest time from the start of a run to its crash in milliseconds. */
+  /** Time from the start of a run to the crash that is suspected most, in milliseconds. */
   exposureMs: number;
 }
 
