--- a/packages/telemetry/src/workflowMetrics.ts
+++ b/packages/telemetry/src/workflowMetrics.ts
@@ -27,6 +27,8 @@
   countRunEnded(outcome: string): void;
   /** Counts runs that ended without a report of their endpoint. */
   countLostRuns(reason: RunLossReason, count: number): void;
+  /** Counts a crash of an endpoint, and the runs that were on it. */
+  countEndpointCrash(runs: number): void;
   countJobEnded(status: string, durationMs: number): void;
   countAdvice(isAnswered: boolean, durationMs: number): void;
   countCommit(durationMs: number): void;
@@ -62,6 +64,7 @@
   countRunOrdered() {},
   countRunEnded() {},
   countLostRuns() {},
+  countEndpointCrash() {},
   countJobEnded() {},
   countAdvice() {},
   countCommit() {},
@@ -109,6 +112,18 @@
     ['reason'],
   );
 
+  private readonly endpointCrashes = this.createCounter(
+    'lagoongap_endpoint_crashes_total',
+    'Endpoints that came back as a newer incarnation without a planned end, with runs on them',
+    [],
+  );
+
+  private readonly crashedRuns = this.createCounter(
+    'lagoongap_crashed_runs_total',
+    'Runs that were on an endpoint when it crashed',
+    [],
+  );
+
   private readonly jobs = this.createHistogram(
     'lagoongap_job_seconds',
     'Time from the acceptance of a job to its end',
@@ -258,6 +273,11 @@
     this.lostRuns.inc({ reason }, count);
   }
 
+  countEndpointCrash(runs: number): void {
+    this.endpointCrashes.inc();
+    this.crashedRuns.inc(runs);
+  }
+
   countJobEnded(status: string, durationMs: number): void {
     this.jobs.observe({ status }, Math.max(0, durationMs) / MS_PER_SECOND);
   }
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -57,6 +57,18 @@
   onFenced(): void;
 }
 
+/** Last signs of life of an incarnation that has ended; monotonic times. */
+export interface IncarnationEnd {
+  lastContactMs: number;
+  /** Time at which it was first noticed, by a failed inspection or by the next incarnation. */
+  noticedMs: number;
+  /** It had announced its shutdown. */
+  wasLeaving: boolean;
+}
+
+/** Reason for the loss of runs whose endpoint has come back under another id. */
+export const REPLACED_REASON = 'replaced by a newer incarnation';
+
 /** Options of an {@link EndpointAgent}. */
 export interface EndpointAgentOptions {
   record: EndpointRecord;
@@ -105,6 +117,10 @@
   isSynced = false;
   /** The latest inspection failed. */
   isSuspect = false;
+  /** Monotonic time of the first inspection that failed after the latest response. */
+  silentSinceMs = Infinity;
+  /** End of the incarnation before the present one, if the id was kept. */
+  previousEnd: IncarnationEnd | undefined;
   /** A task with a latency target runs on the endpoint. */
   hasLatencyTarget = false;
   lastHeartbeatMs = performance.now();
@@ -245,11 +261,21 @@
   update(record: EndpointRecord): void {
     const isNewIncarnation =
       record.bornMs !== this.record.bornMs || record.address !== this.record.address;
+    if (isNewIncarnation) this.previousEnd = this.describeEnd();
     this.record = record;
     if (isNewIncarnation) this.resetIncarnation();
     this.requestInspection();
   }
 
+  /** Returns the last signs of life of this incarnation, which has ended. */
+  describeEnd(): IncarnationEnd {
+    return {
+      lastContactMs: Math.max(this.lastResponseMs, this.lastHeartbeatMs),
+      noticedMs: Math.min(this.silentSinceMs, performance.now()),
+      wasLeaving: this.isLeaving || this.record.isDraining,
+    };
+  }
+
   /** Stops the agent; all runs of the endpoint are lost. */
   markRemoved(reason: string): void {
     this.isDisposed = true;
@@ -274,6 +300,7 @@
     this.hasUnackedReports = false;
     this.isSynced = false;
     this.isSuspect = false;
+    this.silentSinceMs = Infinity;
   }
 
   private async loop(): Promise<void> {
@@ -322,7 +349,7 @@
       answer.bornMs > 0 && record.bornMs > 0 && answer.bornMs !== record.bornMs;
     if (this.record !== record || isOtherIncarnation) {
       // The heartbeat of the new incarnation describes it; until then the response is ignored.
-      if (isOtherIncarnation && answer.bornMs > this.record.bornMs) this.isSuspect = true;
+      if (isOtherIncarnation && answer.bornMs > this.record.bornMs) this.markSilent();
       return false;
     }
     this.lastResponseMs = performance.now();
@@ -355,6 +382,7 @@
     if (incarnationNumber !== this.incarnationNumber) return;
     const wasAvailable = this.isSynced && !this.isSuspect;
     this.isSuspect = false;
+    this.silentSinceMs = Infinity;
     const ends: { run: AgentRun; report: EndReport }[] = [];
     let lastReport = this.ackedReport;
     for (const report of inspection.ended) {
@@ -406,7 +434,7 @@
       return;
     }
     if (!this.isSuspect) {
-      this.isSuspect = true;
+      this.markSilent();
       log.warn('endpoint does not answer', { endpoint: this.id, failure, runs: this.runs.size });
       listener.onAvailabilityChange(this);
     }
@@ -419,6 +447,11 @@
     }
   }
 
+  private markSilent(): void {
+    this.isSuspect = true;
+    this.silentSinceMs = Math.min(this.silentSinceMs, performance.now());
+  }
+
   private haveLeasesEnded(): boolean {
     const nowMs = performance.now();
     const { maxLeaseMs, predecessorEndMs } = this.opts;
--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -1,3 +1,4 @@
+import { REPLACED_REASON } from './endpointAgent.js';
 import { EndpointClaims, supersedes, type HeartbeatFault } from './endpointClaims.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { LateHeartbeats } from './lateHeartbeats.js';
@@ -174,7 +175,7 @@
   private async removePredecessors(record: EndpointRecord): Promise<void> {
     for (const other of this.directory.list()) {
       if (other.id === record.id || !supersedes(record, other.record)) continue;
-      this.directory.remove(other.id, 'replaced by a newer incarnation');
+      this.directory.remove(other.id, REPLACED_REASON);
       await this.context.propose({ type: 'unregister', id: other.id });
     }
   }
