Refuse connections to a closed endpoint in test cells

The endpoint client of the test cells took start orders and probes for an endpoint whose process had ended, so that a crash looked like an endpoint that accepts work and does nothing. It refuses the connection now, as a real process that is gone does.

--- a/packages/tests/src/harness/fakeEndpoint.ts
+++ b/packages/tests/src/harness/fakeEndpoint.ts
@@ -46,13 +46,18 @@
   private readonly succeeded = new Set<string>();
   private session: AnnounceResult | undefined;
   private leaseEndMs = -Infinity;
-  private isClosed = false;
+  private closed = false;
 
   constructor(opts: FakeEndpointOptions) {
     this.opts = opts;
     this.announcement = opts.announcement;
   }
 
+  /** Whether the process of the endpoint has ended. */
+  get isClosed(): boolean {
+    return this.closed;
+  }
+
   get runningCount(): number {
     return this.running.size;
   }
@@ -65,7 +70,7 @@
   }
 
   close(): void {
-    this.isClosed = true;
+    this.closed = true;
     this.stopAllAttempts('stopped');
   }
 
@@ -78,7 +83,7 @@
     marker: string,
     runMs?: number,
   ): boolean {
-    if (this.isClosed || this.running.has(order.attempt)) return false;
+    if (this.closed || this.running.has(order.attempt)) return false;
     const task = order.kind === 'request' ? order.attempt : `${order.job}/${order.taskIndex}`;
     const timer = setTimeout(
       () => this.endAttempt(order.attempt, 'succeeded'),
@@ -133,7 +138,7 @@
 
   private scheduleHeartbeat(delayMs: number): void {
     setTimeout(() => {
-      if (this.isClosed) return;
+      if (this.closed) return;
       this.sendHeartbeat().then(
         () => this.scheduleHeartbeat(this.session?.heartbeatMs ?? RETRY_INTERVAL_MS),
         () => this.scheduleHeartbeat(RETRY_INTERVAL_MS),
--- a/packages/tests/src/harness/fakeEndpointClient.ts
+++ b/packages/tests/src/harness/fakeEndpointClient.ts
@@ -154,8 +154,9 @@
   private async connect(url: string): Promise<FakeEndpoint> {
     await wait(LATENCY_MS);
     const endpoint = this.opts.endpoints.get(url);
-    if (endpoint && !this.opts.isUnreachable(endpoint.announcement.id)) return endpoint;
-    if (endpoint) await wait(CONNECT_TIMEOUT_MS);
+    const isUnreachable = endpoint && this.opts.isUnreachable(endpoint.announcement.id);
+    if (endpoint && !isUnreachable && !endpoint.isClosed) return endpoint;
+    if (isUnreachable) await wait(CONNECT_TIMEOUT_MS);
     throw new ExchangeError('refused-connection', 'not-run', `could not connect to ${url}`);
   }
 
