Count attempts lost in crashes of endpoints, and log their suspects

An attempt that is lost with its endpoint looked the same whether the endpoint had crashed, had left as planned, or had been cut off.

A committed attempt records the session of its endpoint. An endpoint has crashed if the first heartbeat of a new session lists none of the attempts of the earlier one, or if its lease expired; not if it was leaving. The leader counts the attempts that are lost in crashes and logs, for each crash, the work that had started less than 30 s before.

--- a/packages/coordinator/src/coordinatorTiming.ts
+++ b/packages/coordinator/src/coordinatorTiming.ts
@@ -13,6 +13,12 @@
  */
 export const MISSING_ATTEMPT_GRACE_MS = 5000;
 
+/**
+ * Time after which a running attempt is no longer taken as the cause of a crash of its endpoint.
+ * Longer than several heartbeats and than the start of ordinary work.
+ */
+export const CRASH_SUSPICION_MS = 30_000;
+
 /** Interval at which leases, validities and deadlines are checked. */
 export const SWEEP_INTERVAL_MS = 250;
 
--- a/packages/coordinator/src/endpointLeases.ts
+++ b/packages/coordinator/src/endpointLeases.ts
@@ -14,6 +14,7 @@
 
 import type { AttemptCloser } from './attemptCloser.js';
 import type { CommitQueue } from './commitQueue.js';
+import type { CrashDetector } from './crashDetector.js';
 import { EXPIRY_MARGIN_FACTOR, type CoordinatorTiming } from './coordinatorTiming.js';
 import type { ValidityGuard } from './validityGuard.js';
 
@@ -42,6 +43,7 @@
   /** Returns whether a lost attempt is the last attempt of its request. */
   isLastAttempt: (attempt: AttemptRecord) => boolean;
   onRunning: (attemptId: string) => void;
+  crashes: CrashDetector;
   /** Called with each endpoint state that is passed to the scheduler. */
   onPublished: (endpoint: EndpointRecord, state: EndpointState) => void;
   onRemoved: (endpointId: string) => void;
@@ -99,6 +101,7 @@
     const wasUnresponsive = this.resolveState(endpoint) === 'silent';
     this.renew(id);
     if (wasUnresponsive) this.publish(endpoint);
+    this.opts.crashes.examineHeartbeat(id, heartbeat);
     this.processRunning(id, heartbeat.running);
     const finished = this.listFinished(id, heartbeat.finished);
     const lost = this.listLost(params);
@@ -244,6 +247,7 @@
     lease.isExpiring = true;
     const { id } = endpoint.announcement;
     this.publish(endpoint);
+    this.opts.crashes.examineExpiry(id);
     const lost = [...state.attempts.listByEndpoint(id)].map((attempt): FinishedAttempt => ({
       attempt,
       outcome: 'lost',
--- a/packages/coordinator/src/leaderSession.ts
+++ b/packages/coordinator/src/leaderSession.ts
@@ -19,6 +19,7 @@
 
 import { AttemptCloser } from './attemptCloser.js';
 import { CommitQueue } from './commitQueue.js';
+import { CrashDetector } from './crashDetector.js';
 import { SWEEP_INTERVAL_MS, type CoordinatorTiming } from './coordinatorTiming.js';
 import { EndpointLeases } from './endpointLeases.js';
 import { GatewaySessions } from './gatewaySessions.js';
@@ -71,6 +72,7 @@
   private readonly guard: ValidityGuard;
   private readonly pipeline: PlacementPipeline;
   private readonly dispatcher: TaskDispatcher;
+  private readonly crashes: CrashDetector;
   private readonly reporter: MetricsReporter;
   private readonly unsubscribe: () => void;
   private readonly sweepTimer: NodeJS.Timeout;
@@ -87,6 +89,7 @@
       commits,
       onClosed: (attempt, finished) => this.handleClosed(attempt, finished),
     });
+    this.crashes = new CrashDetector({ state, metrics: opts.metrics, log: logger });
     this.sessions = new GatewaySessions({
       instanceId: opts.instanceId,
       term: () => log.term,
@@ -140,7 +143,8 @@
       log: logger,
       isEjected: (id) => opts.health.isEjected(id),
       onPublished: (endpoint, availability) => this.handleEndpointPublished(endpoint, availability),
-      onRemoved: (id) => opts.health.removeEndpoint(id),
+      crashes: this.crashes,
+      onRemoved: (id) => this.handleEndpointRemoved(id),
       canDeclareLost: (attempt, nowMs) => this.canDeclareLost(attempt, nowMs),
       isLastAttempt: (attempt) =>
         attempt.kind === 'request' && !this.requests.isDeferred(attempt.unitId),
@@ -193,6 +197,7 @@
 
   handleStarted(attempt: AttemptRecord): void {
     this.opts.health.recordStart(createAttemptRef(attempt));
+    this.crashes.recordStart(attempt.id);
     if (attempt.kind === 'request') {
       this.requests.handleStarted(attempt);
       return;
@@ -249,6 +254,7 @@
 
   private handleClosed(attempt: AttemptRecord, finished: FinishedAttempt): void {
     this.dispatcher.removeOrder(attempt.id);
+    this.crashes.removeAttempt(attempt.id);
     if (attempt.kind === 'request') {
       this.requests.handleAttemptClosed(attempt);
     } else {
@@ -276,6 +282,7 @@
 
   /** Records a running service as a success, because a service may never end. */
   private handleRunning(attemptId: string): void {
+    this.crashes.recordRunning(attemptId);
     if (!this.dispatcher.confirmRunning(attemptId)) return;
     const attempt = this.opts.state.attempts.get(attemptId);
     if (attempt?.kind === 'service') this.opts.health.recordSuccess(createAttemptRef(attempt));
@@ -289,6 +296,11 @@
     this.opts.health.setEndpoint(announcement.id, works);
   }
 
+  private handleEndpointRemoved(endpointId: string): void {
+    this.opts.health.removeEndpoint(endpointId);
+    this.crashes.removeEndpoint(endpointId);
+  }
+
   private handleConfigurationChange(): void {
     const { scheduler, state } = this.opts;
     scheduler.setConfiguration(state.config);
--- a/packages/state/src/attemptTable.ts
+++ b/packages/state/src/attemptTable.ts
@@ -40,6 +40,15 @@
     return attempt;
   }
 
+  /** Removes the session from the attempts on an endpoint, whose end is then no crash. */
+  clearSessions(endpointId: string): void {
+    for (const id of this.listByEndpoint(endpointId)) {
+      const { session, ...attempt } = this.attempts.get(id)!;
+      // A snapshot may share the record, so it is replaced.
+      if (session !== undefined) this.attempts.set(id, attempt);
+    }
+  }
+
   snapshot(): AttemptRecord[] {
     return [...this.attempts.values()];
   }
--- a/packages/state/src/clusterState.ts
+++ b/packages/state/src/clusterState.ts
@@ -121,6 +121,8 @@
   }
 
   private announceEndpoint(command: AnnounceEndpointCommand): void {
+    const { id } = command.announcement;
+    if (this.endpoints.get(id)?.leaving) this.attempts.clearSessions(id);
     this.endpoints.announce(command);
   }
 
@@ -151,7 +153,8 @@
   private startAttempt(started: StartedAttempt, token: number): StartAttemptResult {
     const { idempotencyKey, ...fields } = started;
     if (this.attempts.get(started.id)) return { status: 'obsolete' };
-    const attempt = { ...fields, token };
+    const session = this.endpoints.get(started.endpointId)?.session;
+    const attempt = { ...fields, token, session };
     if (started.kind !== 'request') {
       if (!this.jobs.canStart(started.unitId, started.taskIndex)) return { status: 'obsolete' };
       this.jobs.start(attempt);
--- a/packages/state/src/commands.ts
+++ b/packages/state/src/commands.ts
@@ -56,7 +56,7 @@
 }
 
 /** Attempt to start; its fencing token is the index of the log entry. */
-export interface StartedAttempt extends Omit<AttemptRecord, 'token'> {
+export interface StartedAttempt extends Omit<AttemptRecord, 'token' | 'session'> {
   /** Idempotency key of the request. */
   idempotencyKey?: string;
 }
--- a/packages/state/src/records.ts
+++ b/packages/state/src/records.ts
@@ -54,6 +54,8 @@
 export interface AttemptRecord extends Attempt {
   /** Fencing token: log index of the entry that committed the attempt. */
   token: number;
+  /** Session of the endpoint at the commit; absent if the endpoint has left since. */
+  session?: string;
   noRepeat: boolean;
   /** Gateway process that dispatches the attempt of a request, as `<instance id>:<boot id>`. */
   owner?: string;
--- a/packages/telemetry/src/metricDefinitions.ts
+++ b/packages/telemetry/src/metricDefinitions.ts
@@ -54,6 +54,12 @@
     labels: ['kind'],
     help: 'Attempts placed on an endpoint',
   },
+  crashLosses: {
+    name: 'lagoongap_crash_losses_total',
+    type: 'counter',
+    labels: ['kind'],
+    help: 'Attempts lost because their endpoint crashed',
+  },
   preemptions: {
     name: 'lagoongap_preemptions_total',
     type: 'counter',
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -79,6 +79,10 @@
     this.count('placements', { kind: normalizeLabelValue('kind', kind) }, count);
   }
 
+  countCrashLoss(kind: WorkloadKind): void {
+    this.count('crashLosses', { kind: normalizeLabelValue('kind', kind) });
+  }
+
   countPreemption(action: 'checkpoint' | 'throttle' | 'stop'): void {
     this.count('preemptions', { action: normalizeLabelValue('action', action) });
   }
--- a/packages/tests/src/harness/testCell.ts
+++ b/packages/tests/src/harness/testCell.ts
@@ -43,6 +43,8 @@
   readonly calls: CallRecord[] = [];
   /** Release notes whose acceptance an operator received. */
   readonly acceptedNotes: { number: number; team: string }[] = [];
+  /** Called when an endpoint starts an attempt. */
+  onStart: (event: HistoryEvent) => void = () => {};
   /** Violations detected while the cell ran. */
   readonly violations: string[] = [];
   readonly instanceIds: string[];
@@ -170,6 +172,7 @@
       call: (method, params) => this.call(method, params, 3000),
       record: (event) => {
         this.events.push(event);
+        if (event.type === 'start') this.onStart(event);
         this.checkTeamLimits();
       },
       reportViolation: (violation) => this.violations.push(violation),
--- a/packages/tests/src/harness/testInstance.ts
+++ b/packages/tests/src/harness/testInstance.ts
@@ -71,6 +71,7 @@
   readonly validity: ValidityPoller;
   readonly leader: LeaderClient;
   readonly state = new ClusterState();
+  readonly metrics = new Metrics({ processMetrics: false });
   replica: RaftReplica | undefined;
   isStopped = false;
   private readonly opts: TestInstanceOptions;
@@ -230,7 +231,7 @@
       state: this.state,
       createScheduler: opts.createScheduler,
       createHealth: () => new EjectingHealthPolicy({ random: opts.random }),
-      metrics: new Metrics({ processMetrics: false }),
+      metrics: this.metrics,
       endpointClient: this.endpointClient,
       timing: TIMING,
       maxBatch: 512,
