Add failing scenarios of work that crashes its endpoints

An attempt that is lost with its endpoint counts for nothing, so a batch task, service or gang that crashes each endpoint is started without bound: 20 times in 120 s in a cell of five endpoints, 50 times in 300 s in one of two. A request is bounded by its number of attempts only, three by default.

--- a/packages/tests/features/coordinator/crashes.feature
+++ b/packages/tests/features/coordinator/crashes.feature
@@ -15,6 +15,61 @@
     Then the work "steady" was started 3 times
     And 0 attempts are counted as lost in crashes
 
+  Scenario: a batch task that crashes each endpoint is not started a third time
+    Given a cell with 5 endpoints
+    When a batch job "deadly" with 1 task is submitted
+    And 120 s pass in the cell
+    Then the work "deadly" was started 2 times
+    And the job "deadly" has failed with a message that names its crashed endpoints
+
+  Scenario: a service that crashes each endpoint is not started a third time
+    Given a cell with 5 endpoints
+    When a service job "deadly" with 1 task is submitted
+    And 120 s pass in the cell
+    Then the work "deadly" was started 2 times
+    And the job "deadly" has failed with a message that names its crashed endpoints
+
+  Scenario: a gang that crashes its endpoints counts one crash for each of its runs
+    Given a cell with 5 endpoints
+    When a gang job "deadly" with 2 tasks is submitted
+    And 120 s pass in the cell
+    Then the work "deadly" was started 4 times
+    And the job "deadly" has failed with a message that names its crashed endpoints
+
+  Scenario: a task whose crashed endpoints stay away is started at most three times
+    Given a cell with 5 endpoints
+    And a crashed endpoint is back after 30 s
+    When a batch job "deadly" with 1 task is submitted
+    And 120 s pass in the cell
+    Then the work "deadly" was started at most 3 times
+    And the job "deadly" has failed with a message that names its crashed endpoints
+
+  Scenario: a new leader knows the crashes of a task
+    Given a cell with 5 endpoints and 3 replicas
+    When a batch job "deadly" with 1 task is submitted
+    And 7 s pass in the cell
+    And the leader of the cell fails
+    And 120 s pass in the cell
+    Then the work "deadly" was started at most 3 times
+    And the job "deadly" has failed with a message that names its crashed endpoints
+
+  Scenario: a request whose endpoints crash is refused after two of them
+    Given a cell with 5 endpoints
+    And a crashed endpoint is back after 1 s
+    When a request "deadly" is sent
+    And 60 s pass in the cell
+    Then the work "deadly" was started 2 times
+    And the request is refused with "answer-lost" and run state "unknown"
+
+  Scenario: batch jobs that start beside a task that crashes each endpoint succeed
+    Given a cell with 2 endpoints
+    And 4 batch jobs that run for 8 s
+    When a batch job "deadly" with 1 task is submitted
+    And 300 s pass in the cell
+    Then the work "deadly" was started at most 3 times
+    And the job "deadly" is "failed"
+    And all 4 batch jobs have succeeded
+
   Scenario: a service that had worked for a while is not taken as the cause of a crash
     Given a cell with 3 endpoints
     And a service "steady"
