Stop starting work that crashes its endpoints

A task, gang or request that was lost with its endpoint waited again whatever had happened, so that one task could crash every endpoint in turn without a bound. Only failures that an endpoint reported were counted.

The state records, with each task, gang and request, the crashes of endpoints for which it is a suspect: those less than 30 s after its start. After two crashes as the only suspect, or three in any case, it is not started again; the job is failed with a message that names the endpoints, and the request is refused with answer-lost. A run of a gang counts once. An attempt that ran for 30 s clears its work. An expired lease is weaker evidence, as it may be due to a partition: it never counts as the only suspect, and is withdrawn when the endpoint reports on the attempt. Records and log entries without the new fields count no crashes.

--- a/packages/coordinator/src/attemptCloser.ts
+++ b/packages/coordinator/src/attemptCloser.ts
@@ -3,6 +3,7 @@
 import type { AttemptRecord, FinishedAttempt } from '@lagoongap/state/records.js';
 
 import type { CommitQueue } from './commitQueue.js';
+import type { CrashDetector } from './crashDetector.js';
 
 /** Called for each attempt whose end has been committed. */
 export type ClosedListener = (attempt: AttemptRecord, finished: FinishedAttempt) => void;
@@ -12,6 +13,7 @@
   state: ClusterState;
   scheduler: Scheduler;
   commits: CommitQueue;
+  crashes: CrashDetector;
   onClosed: ClosedListener;
 }
 
@@ -25,8 +27,10 @@
 
   /** Resolves when the end of all attempts is committed; unknown attempts are skipped. */
   async close(finished: FinishedAttempt[]): Promise<void> {
-    const { state, commits } = this.opts;
-    const known = finished.filter(({ attempt }) => state.attempts.get(attempt) !== undefined);
+    const { state, commits, crashes } = this.opts;
+    const known = finished
+      .filter(({ attempt }) => state.attempts.get(attempt) !== undefined)
+      .map((entry) => crashes.describeEnd(entry));
     if (known.length === 0) return;
     const records = known.map(({ attempt }) => state.attempts.get(attempt)!);
     const removed = await commits.commit<boolean[]>({
--- a/packages/coordinator/src/crashDetector.ts
+++ b/packages/coordinator/src/crashDetector.ts
@@ -1,17 +1,23 @@
 import type { EndpointHeartbeat } from '@lagoongap/model/endpoint.js';
 import type { Log } from '@lagoongap/model/log.js';
 import type { ClusterState } from '@lagoongap/state/clusterState.js';
-import type { AttemptRecord } from '@lagoongap/state/records.js';
+import type { AttemptRecord, FinishedAttempt } from '@lagoongap/state/records.js';
 import type { Metrics } from '@lagoongap/telemetry/metrics.js';
 
+import type { CommitQueue } from './commitQueue.js';
 import { CRASH_SUSPICION_MS } from './coordinatorTiming.js';
+import { createUnitId } from './unitId.js';
 
 /** Maximum number of suspects that a log line names. */
 const MAX_LOGGED_SUSPECTS = 20;
 
+/** Maximum number of charges that can be withdrawn; the oldest are dropped. */
+const MAX_WITHDRAWABLE_CHARGES = 10_000;
+
 /** Options of {@link CrashDetector}. */
 export interface CrashDetectorOptions {
   state: ClusterState;
+  commits: CommitQueue;
   metrics: Metrics;
   log: Log;
 }
@@ -22,16 +28,24 @@
   seenAtMs: number;
 }
 
+/** How it was noticed that an endpoint crashed. */
+type CrashEvidence = 'restarted' | 'lease expired';
+
 /**
- * Detects crashes of endpoints. An endpoint has crashed if it announced itself anew and lists none
+ * Detects crashes of endpoints, and charges them to the attempts that had started shortly before. An endpoint has crashed if it announced itself anew and lists none
  * of the attempts of its earlier session, or if its lease expired. An endpoint that was leaving has
- * not crashed.
+ * not crashed. A lease that expired may also be due to a partition, so the charge is withdrawn if
+ * the endpoint reports on the attempt later.
  */
 export class CrashDetector {
   private readonly opts: CrashDetectorOptions;
   private readonly runs = new Map<string, ObservedRun>();
   /** Session whose first heartbeat has been examined, by endpoint id. */
   private readonly examinedSessions = new Map<string, string>();
+  /** Crash for which an attempt is a suspect, by attempt id; known before its end is committed. */
+  private readonly charges = new Map<string, NonNullable<FinishedAttempt['crash']>>();
+  /** Attempts charged with the expiry of a lease, by id. */
+  private readonly withdrawable = new Map<string, AttemptRecord>();
   private readonly electedAtMs = performance.now();
 
   constructor(opts: CrashDetectorOptions) {
@@ -48,17 +62,29 @@
   recordRunning(attemptId: string): void {
     const startedAtMs = this.runs.get(attemptId)?.startedAtMs ?? this.electedAtMs;
     this.runs.set(attemptId, { startedAtMs, seenAtMs: performance.now() });
+    this.charges.delete(attemptId);
   }
 
   /** Forgets an attempt whose end has been committed. */
   removeAttempt(attemptId: string): void {
     this.runs.delete(attemptId);
+    this.charges.delete(attemptId);
   }
 
   removeEndpoint(endpointId: string): void {
     this.examinedSessions.delete(endpointId);
   }
 
+  /** Returns the end of an attempt with what it tells about crashes. */
+  describeEnd(finished: FinishedAttempt): FinishedAttempt {
+    const { attempt, outcome } = finished;
+    const described = { ...finished };
+    const crash = this.charges.get(attempt);
+    if (crash && outcome === 'lost') described.crash = crash;
+    if (this.hasWorked(attempt)) described.hasWorked = true;
+    return described;
+  }
+
   /** Examines the first heartbeat of each session for a crash that ended the earlier session. */
   examineHeartbeat(endpointId: string, heartbeat: EndpointHeartbeat): void {
     const { session, running, finished } = heartbeat;
@@ -67,9 +93,10 @@
     const earlier = this.listAttempts(endpointId).filter(
       (attempt) => attempt.session !== undefined && attempt.session !== session,
     );
+    const reported = [...running, ...finished].map(({ attempt }) => attempt);
+    this.withdrawCharges(reported);
     // An endpoint that reports on an attempt of its earlier session has kept running.
-    const reported = new Set([...running, ...finished].map(({ attempt }) => attempt));
-    if (earlier.some(({ id }) => reported.has(id))) return;
+    if (earlier.some(({ id }) => reported.includes(id))) return;
     this.recordCrash(endpointId, earlier, 'restarted');
   }
 
@@ -79,20 +106,53 @@
     this.recordCrash(endpointId, this.listAttempts(endpointId), 'lease expired');
   }
 
-  private recordCrash(endpointId: string, lost: AttemptRecord[], evidence: string): void {
+  private recordCrash(endpointId: string, lost: AttemptRecord[], evidence: CrashEvidence): void {
     if (lost.length === 0) return;
     const { metrics, log } = this.opts;
     for (const { kind } of lost) metrics.countCrashLoss(kind);
     const suspects = lost.filter(({ id }) => !this.hasWorked(id));
+    const units = new Set(suspects.map((attempt) => createUnitId(attempt)));
+    for (const suspect of suspects) {
+      // An attempt that this leader has not seen may never have been dispatched.
+      const isSole = units.size === 1 && evidence === 'restarted' && this.runs.has(suspect.id);
+      this.charges.set(suspect.id, { endpoint: endpointId, isSole });
+      if (evidence === 'lease expired') this.addWithdrawable(suspect);
+    }
     log.warn('endpoint crashed', {
       endpoint: endpointId,
       evidence,
       attempts: lost.length,
       suspects: suspects.length,
-      units: suspects.slice(0, MAX_LOGGED_SUSPECTS).map(({ unitId }) => unitId),
+      units: [...units].slice(0, MAX_LOGGED_SUSPECTS),
     });
   }
 
+  private addWithdrawable(attempt: AttemptRecord): void {
+    this.withdrawable.set(attempt.id, attempt);
+    if (this.withdrawable.size <= MAX_WITHDRAWABLE_CHARGES) return;
+    this.withdrawable.delete(this.withdrawable.keys().next().value!);
+  }
+
+  private withdrawCharges(reported: string[]): void {
+    const attempts = reported.flatMap((id) => this.withdrawable.get(id) ?? []);
+    if (attempts.length === 0) return;
+    for (const { id } of attempts) this.withdrawable.delete(id);
+    const { commits, log } = this.opts;
+    commits
+      .commit({
+        type: 'withdraw-crashes',
+        attempts: attempts.map(({ id, unitId, kind, taskIndex }) => ({
+          id,
+          unitId,
+          kind,
+          taskIndex,
+        })),
+      })
+      .catch((err: Error) => {
+        log.warn('could not withdraw crashes', { attempts: attempts.length, err: err.message });
+      });
+  }
+
   /** Returns whether an attempt ran long enough not to be taken as the cause of a crash. */
   private hasWorked(attemptId: string): boolean {
     const run = this.runs.get(attemptId);
--- a/packages/coordinator/src/jobService.ts
+++ b/packages/coordinator/src/jobService.ts
@@ -293,11 +293,12 @@
       state: job.state,
       cancelled: job.cancelled,
       message: job.message,
-      tasks: job.tasks.map(({ state, attempt, failures, message }) => ({
+      tasks: job.tasks.map(({ state, attempt, failures, crashes, message }) => ({
         state,
         attempt,
         endpoint: attempt === undefined ? undefined : attempts.get(attempt)?.endpointId,
         failures,
+        crashes: (job.crashes ?? crashes)?.length ?? 0,
         message,
       })),
     };
--- a/packages/coordinator/src/leaderSession.ts
+++ b/packages/coordinator/src/leaderSession.ts
@@ -14,6 +14,7 @@
 import type { ClusterState } from '@lagoongap/state/clusterState.js';
 import type { StartAttemptResult, StartedAttempt } from '@lagoongap/state/commands.js';
 import type { AttemptRecord, EndpointRecord, FinishedAttempt } from '@lagoongap/state/records.js';
+import { hasCrashedTooOften } from '@lagoongap/state/crashHistory.js';
 import { isFinal } from '@lagoongap/state/taskTransitions.js';
 import type { Metrics } from '@lagoongap/telemetry/metrics.js';
 
@@ -83,13 +84,14 @@
     this.guard = new ValidityGuard(log);
     const { guard } = this;
     const commits = new CommitQueue(log, opts.metrics, opts.maxBatch === 1 ? 1 : undefined);
+    this.crashes = new CrashDetector({ state, commits, metrics: opts.metrics, log: logger });
     const closer = new AttemptCloser({
       state,
       scheduler,
       commits,
+      crashes: this.crashes,
       onClosed: (attempt, finished) => this.handleClosed(attempt, finished),
     });
-    this.crashes = new CrashDetector({ state, metrics: opts.metrics, log: logger });
     this.sessions = new GatewaySessions({
       instanceId: opts.instanceId,
       term: () => log.term,
@@ -255,6 +257,7 @@
   private handleClosed(attempt: AttemptRecord, finished: FinishedAttempt): void {
     this.dispatcher.removeOrder(attempt.id);
     this.crashes.removeAttempt(attempt.id);
+    if (finished.crash) this.reportCrashBound(attempt);
     if (attempt.kind === 'request') {
       this.requests.handleAttemptClosed(attempt);
     } else {
@@ -264,6 +267,21 @@
     this.pipeline.scheduleCycle();
   }
 
+  /** Reports work that is not started again because of crashes. */
+  private reportCrashBound({ kind, unitId, taskIndex }: AttemptRecord): void {
+    const { state, metrics, logger } = this.opts;
+    const job = state.jobs.get(unitId);
+    const record = kind === 'request' ? state.requests.get(unitId) : job?.tasks[taskIndex];
+    const crashes = job?.crashes ?? record?.crashes;
+    if (!record || !isFinal(record.state) || !hasCrashedTooOften(crashes)) return;
+    metrics.countCrashBound(kind);
+    logger.warn('work is not started again after crashes', {
+      unit: unitId,
+      taskIndex,
+      endpoints: crashes?.map(({ endpoint }) => endpoint),
+    });
+  }
+
   private handleReleased(attempt: AttemptRecord, release: Release): void {
     const { health } = this.opts;
     const ref = createAttemptRef(attempt);
--- a/packages/coordinator/src/requestService.ts
+++ b/packages/coordinator/src/requestService.ts
@@ -10,7 +10,8 @@
 import type { RejectDecision, Scheduler } from '@lagoongap/scheduling/scheduler.js';
 import type { ClusterState } from '@lagoongap/state/clusterState.js';
 import type { StartAttemptResult, StartedAttempt } from '@lagoongap/state/commands.js';
-import type { AttemptRecord } from '@lagoongap/state/records.js';
+import type { AttemptRecord, RequestRecord } from '@lagoongap/state/records.js';
+import { describeCrashes, hasCrashedTooOften } from '@lagoongap/state/crashHistory.js';
 import { isFinal } from '@lagoongap/state/taskTransitions.js';
 
 import { admit } from './admission.js';
@@ -47,6 +48,12 @@
   onReleased: (attempt: AttemptRecord, release: Release) => void;
 }
 
+function explainLastAttempt({ crashes }: RequestRecord): string {
+  return hasCrashedTooOften(crashes)
+    ? describeCrashes(crashes)
+    : 'the attempt may have run; it is not repeated';
+}
+
 /** Places the requests that gateways hold, and records their outcomes. */
 export class RequestService {
   private readonly opts: RequestServiceOptions;
@@ -99,8 +106,8 @@
   lookup(id: string): RequestView | undefined {
     const record = this.opts.state.requests.get(id);
     if (!record) return undefined;
-    const { team, queue, work, state, attempts } = record;
-    return { id, team, queue, work, state, attempts };
+    const { team, queue, work, state, attempts, crashes = [] } = record;
+    return { id, team, queue, work, state, attempts, crashes: crashes.length };
   }
 
   handleStarted(attempt: AttemptRecord): void {
@@ -140,11 +147,7 @@
     this.deferred.delete(attempt.unitId);
     const record = this.opts.state.requests.get(attempt.unitId);
     if (record && isFinal(record.state)) {
-      this.rejectWaiters(
-        attempt.unitId,
-        'answer-lost',
-        'the attempt may have run; it is not repeated',
-      );
+      this.rejectWaiters(attempt.unitId, 'answer-lost', explainLastAttempt(record));
     } else {
       this.enqueue(params);
     }
@@ -288,6 +291,14 @@
   private assertNotDuplicate(params: AcquireParams): void {
     const { state } = this.opts;
     const record = state.requests.get(params.requestId);
+    if (record && hasCrashedTooOften(record.crashes)) {
+      throw new RefusalError({
+        type: 'answer-lost',
+        runState: 'unknown',
+        message: explainLastAttempt(record),
+        requestId: params.requestId,
+      });
+    }
     if (record && isFinal(record.state)) {
       throw this.createDuplicateError(params.requestId);
     }
--- a/packages/model/src/messages.ts
+++ b/packages/model/src/messages.ts
@@ -111,6 +111,8 @@
     endpoint?: string;
     attempt?: string;
     failures: number;
+    /** Crashes of endpoints since the task, or its gang, last worked for a while. */
+    crashes?: number;
     message?: string;
   }[];
 }
@@ -123,6 +125,8 @@
   work: string;
   state: JobState;
   attempts: number;
+  /** Crashes of endpoints soon after the start of an attempt. */
+  crashes?: number;
 }
 
 /** Cancels jobs. */
--- a/packages/state/src/clusterState.ts
+++ b/packages/state/src/clusterState.ts
@@ -11,6 +11,7 @@
   StartAttemptsCommand,
   StartedAttempt,
   SubmitJobsCommand,
+  WithdrawCrashesCommand,
 } from './commands.js';
 import { ConfigTable } from './configTable.js';
 import { EndpointTable } from './endpointTable.js';
@@ -103,6 +104,8 @@
         return this.startAttempts(command, index);
       case 'finish-attempts':
         return this.finishAttempts(command);
+      case 'withdraw-crashes':
+        return this.withdrawCrashes(command);
       case 'abandon-requests':
         return this.abandonRequests(command);
       case 'announce-endpoint':
@@ -174,6 +177,13 @@
     }
   }
 
+  private withdrawCrashes(command: WithdrawCrashesCommand): void {
+    for (const { id, unitId, kind, taskIndex } of command.attempts) {
+      if (kind === 'request') this.requests.withdrawCrash(unitId, id);
+      else this.jobs.withdrawCrash(unitId, taskIndex, id);
+    }
+  }
+
   /** Returns for each attempt whether it was still running. */
   private finishAttempts(command: FinishAttemptsCommand): boolean[] {
     return command.finished.map((finished) => {
--- a/packages/state/src/commands.ts
+++ b/packages/state/src/commands.ts
@@ -75,6 +75,12 @@
   wallTime: number;
 }
 
+/** Withdraws the crashes of attempts whose endpoints turned out to have kept running. */
+export interface WithdrawCrashesCommand {
+  type: 'withdraw-crashes';
+  attempts: Pick<AttemptRecord, 'id' | 'unitId' | 'kind' | 'taskIndex'>[];
+}
+
 /** Ends requests that will not be attempted again. */
 export interface AbandonRequestsCommand {
   type: 'abandon-requests';
@@ -117,6 +123,7 @@
   | RejectJobsCommand
   | StartAttemptsCommand
   | FinishAttemptsCommand
+  | WithdrawCrashesCommand
   | AbandonRequestsCommand
   | AnnounceEndpointCommand
   | LeaveEndpointCommand
--- a/packages/state/src/jobTable.ts
+++ b/packages/state/src/jobTable.ts
@@ -4,6 +4,7 @@
   SubmittedJob,
   SubmitResult,
 } from './commands.js';
+import { describeCrashes, hasCrashedTooOften, recordCrash, withdrawCrash } from './crashHistory.js';
 import type { IdempotencyIndex } from './idempotencyIndex.js';
 import type { AttemptRecord, FinishedAttempt, JobRecord, TaskRecord } from './records.js';
 import { FINISHED_RETENTION_MS, MAX_FINISHED_JOBS } from './retention.js';
@@ -119,11 +120,21 @@
       task.failures += 1;
       task.failedOn.push(attempt.endpointId);
     }
+    this.recordCrash(job, task, finished);
     task.state = resolveTaskState(job, task, finished);
     if (job.spec.kind === 'gang') this.updateGangStopping(job);
     this.updateJobState(job, wallTime);
   }
 
+  /** Withdraws the crash of an attempt whose endpoint turned out to have kept running. */
+  withdrawCrash(jobId: string, taskIndex: number, attempt: string): void {
+    const job = this.jobs.get(jobId);
+    const task = job?.tasks[taskIndex];
+    if (!job || !task || isFinal(job.state)) return;
+    const owner = job.spec.kind === 'gang' ? job : task;
+    if (owner.crashes) owner.crashes = withdrawCrash(owner.crashes, attempt);
+  }
+
   snapshot(): { jobs: JobRecord[]; finished: string[] } {
     return { jobs: [...this.jobs.values()].map(copyJob), finished: this.finished.snapshot() };
   }
@@ -139,6 +150,17 @@
     this.finished.restore(snapshot.finished);
   }
 
+  private recordCrash(job: JobRecord, task: TaskRecord, finished: FinishedAttempt): void {
+    // Only the first loss of a run of a gang counts; the gang is being stopped after it.
+    if (job.spec.kind === 'gang' && job.stopping) return;
+    const owner = job.spec.kind === 'gang' ? job : task;
+    const crashes = recordCrash(owner.crashes, finished);
+    if (crashes !== owner.crashes) owner.crashes = crashes;
+    if (!finished.crash || job.cancelled || !hasCrashedTooOften(crashes)) return;
+    task.message = describeCrashes(crashes);
+    job.message = task.message;
+  }
+
   /**
    * Marks a gang for stopping when one of its tasks has ended without success. The mark is
    * removed once no task is running, so that the gang can start again.
--- a/packages/state/src/records.ts
+++ b/packages/state/src/records.ts
@@ -1,6 +1,15 @@
 import type { EndpointAnnouncement } from '@lagoongap/model/endpoint.js';
 import type { Attempt, AttemptOutcome, JobSpec, JobState } from '@lagoongap/model/workload.js';
 
+/** Crash of an endpoint for which an attempt is a suspect. */
+export interface EndpointCrash {
+  endpoint: string;
+  /** Lost attempt. */
+  attempt: string;
+  /** Whether nothing else that had recently started was lost in the crash. */
+  isSole: boolean;
+}
+
 /** Task of a job. */
 export interface TaskRecord {
   state: JobState;
@@ -10,6 +19,8 @@
   failures: number;
   /** Endpoints on which an attempt failed, the most recent last. */
   failedOn: string[];
+  /** Crashes since the task last worked for a while; absent for the tasks of a gang. */
+  crashes?: readonly EndpointCrash[];
   /** Opaque reference from which the next attempt resumes. */
   checkpoint?: string;
   /** Message of the last attempt for the caller. */
@@ -28,6 +39,8 @@
   /** Whether the running tasks of a gang are being stopped because another task has ended. */
   stopping: boolean;
   tasks: TaskRecord[];
+  /** Crashes since a gang last worked for a while, at most one for each of its runs. */
+  crashes?: readonly EndpointCrash[];
   idempotencyKey?: string;
   /** Human-readable reason for the end of the job. */
   message?: string;
@@ -46,6 +59,7 @@
   state: JobState;
   attempts: number;
   attempt?: string;
+  crashes?: readonly EndpointCrash[];
   idempotencyKey?: string;
   finishedAt?: number;
 }
@@ -84,4 +98,8 @@
   checkpoint?: string;
   /** Whether the request gets no further attempt. */
   final?: boolean;
+  /** Crash of the endpoint for which the attempt is a suspect. */
+  crash?: Omit<EndpointCrash, 'attempt'>;
+  /** Whether the attempt ran long enough to clear its unit of earlier crashes. */
+  hasWorked?: boolean;
 }
--- a/packages/state/src/requestTable.ts
+++ b/packages/state/src/requestTable.ts
@@ -1,6 +1,7 @@
 import type { JobState } from '@lagoongap/model/workload.js';
 
 import type { StartedAttempt } from './commands.js';
+import { hasCrashedTooOften, recordCrash, withdrawCrash } from './crashHistory.js';
 import type { IdempotencyIndex } from './idempotencyIndex.js';
 import type { AttemptRecord, FinishedAttempt, RequestRecord } from './records.js';
 import {
@@ -19,8 +20,10 @@
 
 function resolveRequestState(request: RequestRecord, finished: FinishedAttempt): JobState {
   if (finished.outcome === 'succeeded') return 'succeeded';
-  if (finished.outcome === 'lost')
-    return finished.final || request.noRepeat ? 'unknown' : 'waiting';
+  if (finished.outcome === 'lost') {
+    const isLast = finished.final || request.noRepeat || hasCrashedTooOften(request.crashes);
+    return isLast ? 'unknown' : 'waiting';
+  }
   if (finished.outcome === 'not-run') return finished.final ? 'cancelled' : 'waiting';
   return finished.final || request.noRepeat ? 'failed' : 'waiting';
 }
@@ -84,10 +87,19 @@
     const request = this.requests.get(attempt.unitId);
     if (!request || request.attempt !== attempt.id) return;
     request.attempt = undefined;
+    const crashes = recordCrash(request.crashes, finished);
+    if (crashes !== request.crashes) request.crashes = crashes;
     request.state = resolveRequestState(request, finished);
     if (isFinal(request.state)) this.markFinished(request, wallTime);
   }
 
+  /** Withdraws the crash of an attempt whose endpoint turned out to have kept running. */
+  withdrawCrash(id: string, attempt: string): void {
+    const request = this.requests.get(id);
+    if (!request?.crashes || isFinal(request.state)) return;
+    request.crashes = withdrawCrash(request.crashes, attempt);
+  }
+
   /** Ends a waiting request that will not be attempted again. */
   abandon(id: string, state: JobState, wallTime: number): void {
     const request = this.requests.get(id);
--- a/packages/state/src/taskTransitions.ts
+++ b/packages/state/src/taskTransitions.ts
@@ -1,5 +1,6 @@
 import type { JobState } from '@lagoongap/model/workload.js';
 
+import { hasCrashedTooOften } from './crashHistory.js';
 import type { FinishedAttempt, JobRecord, TaskRecord } from './records.js';
 import { MAX_TASK_FAILURES } from './retention.js';
 
@@ -22,7 +23,9 @@
   return task.failures >= MAX_TASK_FAILURES ? 'failed' : 'waiting';
 }
 
-/** Returns the state of a task after an attempt; a failure must have been counted already. */
+/**
+ * Returns the state of a task after an attempt; a failure or crash must have been counted already.
+ */
 export function resolveTaskState(
   job: JobRecord,
   task: TaskRecord,
@@ -42,7 +45,8 @@
       return job.spec.noRepeat ? 'failed' : 'waiting';
     default:
       if (job.spec.noRepeat) return 'unknown';
-      return job.cancelled ? 'cancelled' : 'waiting';
+      if (job.cancelled) return 'cancelled';
+      return hasCrashedTooOften(job.crashes ?? task.crashes) ? 'failed' : 'waiting';
   }
 }
 
--- a/packages/telemetry/src/metricDefinitions.ts
+++ b/packages/telemetry/src/metricDefinitions.ts
@@ -60,6 +60,12 @@
     labels: ['kind'],
     help: 'Attempts lost because their endpoint crashed',
   },
+  crashBounds: {
+    name: 'lagoongap_crash_bounds_total',
+    type: 'counter',
+    labels: ['kind'],
+    help: 'Tasks, gangs and requests that are not started again because their endpoints crashed',
+  },
   preemptions: {
     name: 'lagoongap_preemptions_total',
     type: 'counter',
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -83,6 +83,10 @@
     this.count('crashLosses', { kind: normalizeLabelValue('kind', kind) });
   }
 
+  countCrashBound(kind: WorkloadKind): void {
+    this.count('crashBounds', { kind: normalizeLabelValue('kind', kind) });
+  }
+
   countPreemption(action: 'checkpoint' | 'throttle' | 'stop'): void {
     this.count('preemptions', { action: normalizeLabelValue('action', action) });
   }
--- a/packages/tests/features/coordinator/crashes.feature
+++ b/packages/tests/features/coordinator/crashes.feature
@@ -61,6 +61,13 @@
     Then the work "deadly" was started 2 times
     And the request is refused with "answer-lost" and run state "unknown"
 
+  Scenario: a request whose endpoints are back at once has a bounded number of attempts
+    Given a cell with 5 endpoints
+    When a request "deadly" is sent
+    And 60 s pass in the cell
+    Then the work "deadly" was started at most 3 times
+    And the request is refused with "answer-lost" and run state "unknown"
+
   Scenario: batch jobs that start beside a task that crashes each endpoint succeed
     Given a cell with 2 endpoints
     And 4 batch jobs that run for 8 s
--- a/packages/tests/src/state/commandArbitrary.ts
+++ b/packages/tests/src/state/commandArbitrary.ts
@@ -79,12 +79,56 @@
       attempt: attemptId,
       outcome: fc.constantFrom(...OUTCOMES),
       final: fc.boolean(),
+      crash: fc.option(
+        fc.record({ endpoint: fc.constantFrom(...ENDPOINT_IDS), isSole: fc.boolean() }),
+        { nil: undefined },
+      ),
+      hasWorked: fc.boolean(),
     }),
     { minLength: 1, maxLength: 3 },
   ),
   wallTime,
 });
 
+const withdrawCrashes = fc.record({
+  type: fc.constant('withdraw-crashes' as const),
+  attempts: fc.array(
+    fc.record({
+      id: attemptId,
+      unitId: fc.constantFrom(...JOB_IDS, 'request-a', 'request-b'),
+      kind: fc.constantFrom('batch' as const, 'request' as const),
+      taskIndex: fc.integer({ min: 0, max: 2 }),
+    }),
+    { minLength: 1, maxLength: 2 },
+  ),
+});
+
+const announceEndpoint = fc
+  .record({
+    id: fc.constantFrom(...ENDPOINT_IDS),
+    session: fc.constantFrom('session-1', 'session-2'),
+  })
+  .map(({ id, session }) => ({
+    type: 'announce-endpoint' as const,
+    announcement: {
+      id,
+      kind: 'worker' as const,
+      url: 'http://127.0.0.1:1',
+      size: NO_RESOURCES,
+      rack: 'rack-1',
+      dataCentre: 'dc-1',
+      works: ['work-1'],
+      speed: 1,
+      capabilities: [],
+    },
+    session,
+  }));
+
+const leaveEndpoint = fc.record({
+  type: fc.constant('leave-endpoint' as const),
+  id: fc.constantFrom(...ENDPOINT_IDS),
+});
+
 const cancel = fc.record({
   type: fc.constant('cancel-jobs' as const),
   jobs: fc.array(jobId, { minLength: 1, maxLength: 2 }),
@@ -122,6 +166,9 @@
   submit,
   startAttempts,
   finishAttempts,
+  withdrawCrashes,
+  announceEndpoint,
+  leaveEndpoint,
   cancel,
   reject,
   applyNote,
--- a/packages/tests/src/state/stateChecks.ts
+++ b/packages/tests/src/state/stateChecks.ts
@@ -1,5 +1,6 @@
 import type { ClusterState } from '@lagoongap/state/clusterState.js';
 import type { SingleCommand } from '@lagoongap/state/commands.js';
+import { hasCrashedTooOften } from '@lagoongap/state/crashHistory.js';
 import { isFinal } from '@lagoongap/state/taskTransitions.js';
 
 /** Returns violations of the invariants that must hold after each command. */
@@ -18,6 +19,12 @@
   }
   const tasks = new Set<string>();
   for (const attempt of state.attempts.values()) {
+    const job = state.jobs.get(attempt.unitId);
+    const crashes =
+      job?.crashes ??
+      job?.tasks[attempt.taskIndex]?.crashes ??
+      state.requests.get(attempt.unitId)?.crashes;
+    if (hasCrashedTooOften(crashes)) violations.push(`${attempt.unitId} runs after its crashes`);
     const task = `${attempt.unitId}/${attempt.taskIndex}`;
     if (tasks.has(task)) violations.push(`${task} has two attempts`);
     tasks.add(task);
