Start suspects of a crash one after another, apart from other work

All work that was lost with an endpoint was started again at once, and was packed onto the same endpoint as the task that had crashed it. Jobs that had started beside such a task shared its crashes and failed with it after the third one.

The tasks and gangs that are suspects of a crash are held back and started one after another, on at most a fifth of the ready endpoints at a time. The endpoint of a suspect gets no other work until the suspect has run for 30 s or has ended, so that the next crash has one explanation; at most half of the endpoints are reserved in this way. None is held back for more than a minute, so that work which lost its endpoints for a common cause, such as a power loss, is not delayed by more. Requests are not held back.

--- a/packages/coordinator/src/crashDetector.ts
+++ b/packages/coordinator/src/crashDetector.ts
@@ -154,7 +154,7 @@
   }
 
   /** Returns whether an attempt ran long enough not to be taken as the cause of a crash. */
-  private hasWorked(attemptId: string): boolean {
+  hasWorked(attemptId: string): boolean {
     const run = this.runs.get(attemptId);
     return run !== undefined && run.seenAtMs - run.startedAtMs >= CRASH_SUSPICION_MS;
   }
--- a/packages/coordinator/src/endpointLeases.ts
+++ b/packages/coordinator/src/endpointLeases.ts
@@ -152,6 +152,15 @@
     return endpoint.leaving ? 'leaving' : 'ready';
   }
 
+  /** Returns the number of endpoints that accept new work, whether they are ejected or not. */
+  countReady(): number {
+    let count = 0;
+    for (const endpoint of this.opts.state.endpoints.values()) {
+      if (this.resolveState(endpoint) === 'ready') count += 1;
+    }
+    return count;
+  }
+
   /** Passes the current state of an endpoint to the scheduler. */
   publish(endpoint: EndpointRecord): void {
     const { id } = endpoint.announcement;
--- a/packages/coordinator/src/jobService.ts
+++ b/packages/coordinator/src/jobService.ts
@@ -18,6 +18,7 @@
 import type { CommitQueue } from './commitQueue.js';
 import { MAX_LOOKUP_WAIT_MS } from './coordinatorTiming.js';
 import type { PlacementPipeline } from './placementPipeline.js';
+import type { SuspectTrials } from './suspectTrials.js';
 import type { TaskDispatcher } from './taskDispatcher.js';
 
 /** Initial delay before a service that ended is restarted; doubles with each failure. */
@@ -33,6 +34,7 @@
   scheduler: Scheduler;
   pipeline: () => PlacementPipeline;
   dispatcher: () => TaskDispatcher;
+  trials: SuspectTrials;
   commits: CommitQueue;
 }
 
@@ -183,7 +185,22 @@
   }
 
   private enqueueUnit(job: JobRecord, unitId: string, indexes: number[]): void {
-    const nowMs = performance.now();
+    const sinceMs = performance.now();
+    const crashes = job.crashes ?? job.tasks[indexes[0]!]!.crashes ?? [];
+    if (crashes.length === 0) {
+      this.addToQueue(job, unitId, indexes, sinceMs);
+      return;
+    }
+    const isWaiting = (): boolean =>
+      !job.cancelled && indexes.every((i) => job.tasks[i]!.state === 'waiting');
+    this.opts.trials.submit({
+      unitId,
+      isWaiting,
+      enqueue: () => this.addToQueue(job, unitId, indexes, sinceMs),
+    });
+  }
+
+  private addToQueue(job: JobRecord, unitId: string, indexes: number[], sinceMs: number): void {
     const { spec } = job;
     this.opts.pipeline().enqueue(
       {
@@ -195,8 +212,8 @@
         priority: job.priority,
         size: spec.size,
         indexes,
-        enqueuedAtMs: nowMs,
-        deadlineAtMs: spec.deadlineMs === undefined ? undefined : nowMs + spec.deadlineMs,
+        enqueuedAtMs: sinceMs,
+        deadlineAtMs: spec.deadlineMs === undefined ? undefined : sinceMs + spec.deadlineMs,
         excluded: this.listExcluded(job, unitId, indexes),
       },
       { ownerId: job.id, noRepeat: spec.noRepeat },
--- a/packages/coordinator/src/leaderSession.ts
+++ b/packages/coordinator/src/leaderSession.ts
@@ -35,6 +35,7 @@
 } from './placementPipeline.js';
 import { RequestService } from './requestService.js';
 import { StatusReader, type InstanceInfo } from './statusReader.js';
+import { SuspectTrials } from './suspectTrials.js';
 import { TaskDispatcher } from './taskDispatcher.js';
 import { ValidityGuard } from './validityGuard.js';
 
@@ -74,6 +75,7 @@
   private readonly pipeline: PlacementPipeline;
   private readonly dispatcher: TaskDispatcher;
   private readonly crashes: CrashDetector;
+  private readonly trials: SuspectTrials;
   private readonly reporter: MetricsReporter;
   private readonly unsubscribe: () => void;
   private readonly sweepTimer: NodeJS.Timeout;
@@ -85,6 +87,13 @@
     const { guard } = this;
     const commits = new CommitQueue(log, opts.metrics, opts.maxBatch === 1 ? 1 : undefined);
     this.crashes = new CrashDetector({ state, commits, metrics: opts.metrics, log: logger });
+    this.trials = new SuspectTrials({
+      state,
+      crashes: this.crashes,
+      countReadyEndpoints: () => this.leases.countReady(),
+      onReservationChange: (id) => this.publishEndpoint(id),
+      log: logger,
+    });
     const closer = new AttemptCloser({
       state,
       scheduler,
@@ -132,6 +141,7 @@
       scheduler,
       pipeline: () => this.pipeline,
       dispatcher: () => this.dispatcher,
+      trials: this.trials,
       commits,
     });
     scheduler.setConfiguration(state.config);
@@ -143,7 +153,7 @@
       guard,
       timing,
       log: logger,
-      isEjected: (id) => opts.health.isEjected(id),
+      isEjected: (id) => opts.health.isEjected(id) || this.trials.isReserved(id),
       onPublished: (endpoint, availability) => this.handleEndpointPublished(endpoint, availability),
       crashes: this.crashes,
       onRemoved: (id) => this.handleEndpointRemoved(id),
@@ -178,11 +188,9 @@
       metrics: opts.metrics,
     });
     this.unsubscribe = opts.health.onChange(({ endpointId, ejected }) => {
-      const endpoint = state.endpoints.get(endpointId);
       logger.info('endpoint health changed', { endpoint: endpointId, ejected });
       if (ejected) opts.metrics.countEjection();
-      if (endpoint) this.leases.publish(endpoint);
-      this.pipeline.scheduleCycle();
+      this.publishEndpoint(endpointId);
     });
     this.restore();
     this.sweepTimer = setInterval(() => this.sweep(), SWEEP_INTERVAL_MS);
@@ -200,6 +208,7 @@
   handleStarted(attempt: AttemptRecord): void {
     this.opts.health.recordStart(createAttemptRef(attempt));
     this.crashes.recordStart(attempt.id);
+    this.trials.handleStarted(attempt);
     if (attempt.kind === 'request') {
       this.requests.handleStarted(attempt);
       return;
@@ -247,6 +256,7 @@
     const nowMs = performance.now();
     for (const attempt of state.attempts.values()) {
       scheduler.restore({ ...attempt, unitId: createUnitId(attempt) }, nowMs);
+      this.trials.handleStarted(attempt);
     }
     for (const job of state.jobs.values()) {
       if (!isFinal(job.state)) this.jobs.enqueueWaiting(job);
@@ -257,6 +267,7 @@
   private handleClosed(attempt: AttemptRecord, finished: FinishedAttempt): void {
     this.dispatcher.removeOrder(attempt.id);
     this.crashes.removeAttempt(attempt.id);
+    this.trials.handleClosed(attempt);
     if (finished.crash) this.reportCrashBound(attempt);
     if (attempt.kind === 'request') {
       this.requests.handleAttemptClosed(attempt);
@@ -314,6 +325,12 @@
     this.opts.health.setEndpoint(announcement.id, works);
   }
 
+  private publishEndpoint(endpointId: string): void {
+    const endpoint = this.opts.state.endpoints.get(endpointId);
+    if (endpoint) this.leases.publish(endpoint);
+    this.pipeline.scheduleCycle();
+  }
+
   private handleEndpointRemoved(endpointId: string): void {
     this.opts.health.removeEndpoint(endpointId);
     this.crashes.removeEndpoint(endpointId);
@@ -337,6 +354,7 @@
     const nowMs = performance.now();
     this.leases.sweep(nowMs);
     this.requests.sweep(nowMs);
+    this.trials.sweep(nowMs);
     this.reporter.report(nowMs);
     this.pipeline.scheduleCycle();
   }
--- a/packages/tests/features/coordinator/crashes.feature
+++ b/packages/tests/features/coordinator/crashes.feature
@@ -77,6 +77,27 @@
     And the job "deadly" is "failed"
     And all 4 batch jobs have succeeded
 
+  Scenario: an endpoint with a suspect gets no other work until the suspect has worked for a while
+    Given a cell with 2 endpoints
+    And a service "steady"
+    When the endpoint of "steady" crashes soon after its start
+    And 4 batch jobs that run for 8 s
+    And 5 s pass in the cell
+    Then the endpoint of "steady" runs no batch job
+    When 40 s pass in the cell
+    And 12 batch jobs that run for 60 s
+    And 5 s pass in the cell
+    Then the endpoint of "steady" runs batch jobs
+
+  Scenario: work that started just before all endpoints lost power is started again within a minute
+    Given a cell with 5 endpoints
+    And 6 batch jobs that run for 20 s
+    When all endpoints crash at the same moment
+    And 75 s pass in the cell
+    Then each of the 6 batch jobs was started 2 times
+    When 30 s pass in the cell
+    Then all 6 batch jobs have succeeded
+
   Scenario: a service that had worked for a while is not taken as the cause of a crash
     Given a cell with 3 endpoints
     And a service "steady"
--- a/packages/tests/src/harness/crashCell.ts
+++ b/packages/tests/src/harness/crashCell.ts
@@ -112,6 +112,17 @@
       .map(({ endpoint }) => endpoint);
   }
 
+  /** Returns the markers of the work that an endpoint runs. */
+  listRunning(endpoint: string): string[] {
+    const running = new Map<string, string>();
+    for (const event of this.cell.events) {
+      if (event.endpoint !== endpoint) continue;
+      if (event.type === 'end') running.delete(event.attempt);
+      else running.set(event.attempt, event.marker!.split('/')[0]!);
+    }
+    return [...running.values()];
+  }
+
   /** Crashes an endpoint. */
   crash(id: string): void {
     this.cell.killEndpoint(id);
--- a/packages/tests/src/steps/coordinator/crashSteps.ts
+++ b/packages/tests/src/steps/coordinator/crashSteps.ts
@@ -9,6 +9,8 @@
 interface CrashWorld {
   crashCell?: CrashCell;
   request?: Promise<CallRecord>;
+  /** Number of batch jobs that were submitted as innocent work. */
+  batchJobs?: number;
 }
 
 const MS_PER_SECOND = 1000;
@@ -51,9 +53,10 @@
 Given(
   '{int} batch jobs that run for {int} s',
   async function submitInnocent(this: CrashWorld, count: number, seconds: number) {
-    for (let i = 1; i <= count; i += 1) {
-      const runMs = seconds * MS_PER_SECOND;
-      await this.crashCell!.submit({ kind: 'batch', marker: `innocent-${i}`, runMs });
+    const runMs = seconds * MS_PER_SECOND;
+    for (let i = 0; i < count; i += 1) {
+      this.batchJobs = (this.batchJobs ?? 0) + 1;
+      await this.crashCell!.submit({ kind: 'batch', marker: `innocent-${this.batchJobs}`, runMs });
     }
   },
 );
@@ -97,6 +100,22 @@
   },
 );
 
+When(
+  'the endpoint of {string} crashes soon after its start',
+  async function crashEarly(this: CrashWorld, marker: string) {
+    await this.crashCell!.advance(MS_PER_SECOND);
+    this.crashCell!.crash(getLastEndpoint(this, marker));
+    await this.crashCell!.advance(RECOVERY_MS);
+  },
+);
+
+When('all endpoints crash at the same moment', async function crashAll(this: CrashWorld) {
+  await this.crashCell!.advance(MS_PER_SECOND);
+  for (const { announcement } of [...this.crashCell!.cell.endpoints.values()]) {
+    this.crashCell!.crash(announcement.id);
+  }
+});
+
 When(
   'the endpoint of {string} leaves and restarts {int} times soon after its start',
   async function leave(this: CrashWorld, marker: string, times: number) {
@@ -158,6 +177,24 @@
   },
 );
 
+Then(
+  /^the endpoint of "([^"]+)" runs (no batch job|batch jobs)$/,
+  function checkShared(this: CrashWorld, marker: string, expected: string) {
+    const endpoint = getLastEndpoint(this, marker);
+    const others = this.crashCell!.listRunning(endpoint).filter((own) => own !== marker);
+    assert.equal(others.length > 0 ? 'batch jobs' : 'no batch job', expected);
+  },
+);
+
+Then(
+  'each of the {int} batch jobs was started {int} times',
+  function checkEach(this: CrashWorld, count: number, times: number) {
+    for (let i = 1; i <= count; i += 1) {
+      assert.equal(this.crashCell!.listStarts(`innocent-${i}`).length, times, `innocent-${i}`);
+    }
+  },
+);
+
 Then(
   'all {int} batch jobs have succeeded',
   async function checkInnocent(this: CrashWorld, count: number) {
