Add a failing scenario of a job whose tasks all crash their endpoints

Each task of a batch job is bounded for itself, so a job of many tasks that crash their endpoints goes on for a long time although it fails with the first of them.

--- a/packages/tests/features/coordinator/crashes.feature
+++ b/packages/tests/features/coordinator/crashes.feature
@@ -77,6 +77,13 @@
     And the job "deadly" is "failed"
     And all 4 batch jobs have succeeded
 
+  Scenario: a batch job of many tasks that crash their endpoints stops with the first that fails
+    Given a cell with 5 endpoints
+    When a batch job "deadly" with 100 tasks is submitted
+    And 300 s pass in the cell
+    Then the work "deadly" was started at most 30 times
+    And the job "deadly" is "failed"
+
   Scenario: an endpoint with a suspect gets no other work until the suspect has worked for a while
     Given a cell with 2 endpoints
     And a service "steady"
