--- a/packages/tests/src/steps/platform/controlApiSteps.ts
+++ b/packages/tests/src/steps/platform/controlApiSteps.ts
@@ -5,6 +5,7 @@
 import { SILENT_LOG, type Log, type LogFields } from '@lagoongap/model/log.js';
 import { ControlApi } from '@lagoongap/platform/controlApi.js';
 import { HttpService } from '@lagoongap/platform/httpService.js';
+import { findFreePorts } from '@lagoongap/stand-in/freePorts.js';
 import { WorkflowMetrics } from '@lagoongap/telemetry/workflowMetrics.js';
 import FakeTimers from '@sinonjs/fake-timers';
 import { request } from 'undici';
@@ -19,10 +20,9 @@
   response: { leader: string; fault?: { field: string; reason: string } };
   apiClock?: ReturnType<typeof FakeTimers.install>;
   service?: HttpService;
+  serviceAddress: string;
 }
 
-const HOST = '127.0.0.1';
-const SERVICE_PORT = 47_321;
 const MS_PER_SECOND = 1000;
 
 async function send(world: ControlApiWorld, path: string, body: string): Promise<void> {
@@ -104,8 +104,10 @@
 );
 
 Given('an HTTP service of the platform', async function listen(this: ControlApiWorld) {
+  const [port] = await findFreePorts(1);
+  this.serviceAddress = `127.0.0.1:${port}`;
   this.service = new HttpService({
-    address: `${HOST}:${SERVICE_PORT}`,
+    address: this.serviceAddress,
     maxBodyBytes: 1000,
     handle: () => ({ status: 200 }),
     log: SILENT_LOG,
@@ -119,6 +121,6 @@
 });
 
 Then('a call to it gets status {int}', async function check(this: ControlApiWorld, status) {
-  const { statusCode } = await request(`http://${HOST}:${SERVICE_PORT}/`);
+  const { statusCode } = await request(`http://${this.serviceAddress}/`);
   assert.equal(statusCode, status);
 });
