Log errors of listening sockets after the first one

The handler of a failed start stayed registered and took the first error of accepting a connection; the second one had none and ended the process.

--- a/packages/gateway/src/gatewayServer.ts
+++ b/packages/gateway/src/gatewayServer.ts
@@ -60,10 +60,17 @@
   async listen(): Promise<void> {
     const { host, port } = this.opts;
     await new Promise<void>((resolve, reject) => {
-      this.server.once('error', (err) => {
+      const fail = (err: Error): void => {
         reject(new GatewayError(`could not listen on ${host}:${port}`, { cause: err }));
+      };
+      this.server.once('error', fail);
+      this.server.listen(port, host, () => {
+        this.server.off('error', fail);
+        this.server.on('error', (err: Error) => {
+          this.opts.log.warn('failed to accept a connection', { err: err.message });
+        });
+        resolve();
       });
-      this.server.listen(port, host, resolve);
     });
   }
 
