Continue after a stray rejection, and end in order after a stray exception

No program had handlers for errors that reach no other one, so that the runtime ended the process without a log line: one rejected promise was enough. A rejection is logged, at most once a second, and the process continues. After an exception, which may leave a change half done, the process completes accepted work within its grace time and ends with code 1; another one ends it at once.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -4,12 +4,16 @@
 import { cac } from 'cac';
 
 import { Daemon } from './daemon.js';
+import { handleStrayErrors } from './strayErrors.js';
 
 const VERSION = '0.1.0';
 const KNOWN_OPTIONS = ['config', 'check', 'help', 'version', 'h', 'v'];
 const EXIT_FAILURE = 1;
 const EXIT_USAGE = 2;
 
+/** Time for accepted work to complete after an exception that was not handled. */
+const STOP_TIMEOUT_MS = 10_000;
+
 function fail(message: string, code: number): never {
   process.stderr.write(`lagoongapd: ${message}\n`);
   process.exit(code);
@@ -35,6 +39,13 @@
     onDrain: stop,
     onFatal: (err) => fail(err.message, EXIT_FAILURE),
   });
+  handleStrayErrors({
+    source: process,
+    log: logger,
+    stop: async () => daemon?.drain(),
+    exit: (code) => process.exit(code),
+    stopTimeoutMs: STOP_TIMEOUT_MS,
+  });
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
   await daemon.start();
