Compare heartbeats with other endpoints only when they name a new incarnation

Each heartbeat was compared with every endpoint, which grows with the square of the fleet. The incarnation that a record names was checked, and its predecessors were removed, before it was committed; later heartbeats of the same birth, address and instance need neither.

--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -28,6 +28,10 @@
   return JSON.stringify({ ...a, sequence }) === JSON.stringify({ ...b, sequence });
 }
 
+function isSameIncarnation(a: EndpointRecord, b: EndpointRecord): boolean {
+  return a.bornMs === b.bornMs && a.address === b.address && a.instance === b.instance;
+}
+
 /** Maintains the registered endpoints from their heartbeats. */
 export class EndpointService {
   private readonly context: SessionContext;
@@ -58,12 +62,14 @@
   async heartbeat(heartbeat: EndpointHeartbeat): Promise<HeartbeatFault | undefined> {
     const { id } = heartbeat.endpoint;
     const endpoint = { ...heartbeat.endpoint, sequence: heartbeat.sequence };
-    if (this.claims.isContested(endpoint)) {
+    const known = this.directory.find(id)?.record;
+    const isNewIncarnation = !known || !isSameIncarnation(known, endpoint);
+    if (isNewIncarnation && this.claims.isContested(endpoint)) {
       const fault = await this.claims.check(endpoint);
       if (fault) return fault;
       if (await this.claims.hasReturned(endpoint)) this.restore(endpoint);
     }
-    if (this.observe({ ...heartbeat, endpoint })) this.register(endpoint, heartbeat.sequence);
+    if (this.observe({ ...heartbeat, endpoint })) this.register(endpoint, isNewIncarnation);
     // A repeated heartbeat must not be acknowledged before the change that it reports is durable.
     await this.registrations.get(id);
     return undefined;
@@ -106,7 +112,7 @@
       falseBornMs: this.directory.find(endpoint.id)?.record.bornMs,
     });
     this.directory.add(endpoint).lastSequence = -1;
-    this.register(endpoint, endpoint.sequence ?? 0);
+    this.register(endpoint, false);
   }
 
   /** Updates the agent of an endpoint; returns whether its record has to be committed. */
@@ -115,9 +121,9 @@
     let isSequenceReset = false;
     if (known) {
       const isEarlierIncarnation = endpoint.bornMs < known.record.bornMs;
-      const isSameIncarnation = endpoint.bornMs === known.record.bornMs;
+      const isSameBirth = endpoint.bornMs === known.record.bornMs;
       if (isEarlierIncarnation) return false;
-      if (isSameIncarnation && sequence <= known.lastSequence) {
+      if (isSameBirth && sequence <= known.lastSequence) {
         const { id } = endpoint;
         isSequenceReset = this.lateHeartbeats.isCurrent(id, sequence, performance.now());
         if (!isSequenceReset) return false;
@@ -141,8 +147,8 @@
   }
 
   /** Commits the record of an endpoint, after an earlier record of it. */
-  private register(endpoint: EndpointRecord, sequence: number): void {
-    const { id } = endpoint;
+  private register(endpoint: EndpointRecord, isNewIncarnation: boolean): void {
+    const { id, sequence } = endpoint;
     this.context.logger.info('endpoint has changed', {
       endpoint: id,
       address: endpoint.address,
@@ -152,7 +158,7 @@
       sequence,
     });
     const previous = this.registrations.get(id);
-    const registration = this.commitRecord(endpoint, previous);
+    const registration = this.commitRecord(endpoint, isNewIncarnation, previous);
     this.registrations.set(id, registration);
     // A failed registration stays: it fails all later heartbeats, which go to the next leader.
     registration.then(
@@ -163,9 +169,13 @@
     );
   }
 
-  private async commitRecord(record: EndpointRecord, previous?: Promise<void>): Promise<void> {
+  private async commitRecord(
+    record: EndpointRecord,
+    isNewIncarnation: boolean,
+    previous?: Promise<void>,
+  ): Promise<void> {
     await previous;
-    await this.removePredecessors(record);
+    if (isNewIncarnation) await this.removePredecessors(record);
     await this.context.propose({ type: 'register', endpoint: record });
     this.listener.onChanged(record.id);
   }
