Soak changing capacities, crashing jobs and odd heartbeats, and report the size of a run

New faults: the capacity of an endpoint changes to 0, 0.25, 0.5 or 1.5 times for some time; a job whose task crashes each endpoint that starts it, the endpoint coming back after 2 s as a new incarnation; another writer sends heartbeats with unreadable bytes, missing fields and absurd numbers, some of them under the id, the address or the instance of a sound endpoint. A fifth of the faults may last up to 7 s, longer than a lease.

The checker counts a start as overcommitted if it exceeds all capacities that the endpoint has reported within contact time and one heartbeat (4.3 s), the last one before included. A crashing task may be started twice after three crashes; a job may be reported as failed only after as many failed runs (or crashes, for a crashing job) of a task as attempts are allowed, and as cancelled only after a cancellation. Twelve scenarios show what is reported and what is not.

--- a/packages/tests/features/soak/checker.feature
+++ b/packages/tests/features/soak/checker.feature
@@ -65,6 +65,81 @@
     And soak run "b.0.0.0:1" starts on "w1"
     Then the soak history has a violation that starts with "w1 is overcommitted"
 
+  Scenario: an endpoint that runs more than the capacity that it has reported for long
+    Given the clock of the soak is paused
+    When soak endpoint "w1" reports a capacity of 1 cores
+    And 4301 ms of the soak pass
+    And soak run "a.0.0.0:1" starts on "w1"
+    Then the soak history has a violation that starts with "w1 is overcommitted"
+
+  Scenario: a start that is based on the capacity that an endpoint has just reported less of
+    Given the clock of the soak is paused
+    When soak endpoint "w1" reports a capacity of 1 cores
+    And 4000 ms of the soak pass
+    And soak run "a.0.0.0:1" starts on "w1"
+    Then the soak history has no violations
+
+  Scenario: an endpoint that reports less than it runs
+    Given the clock of the soak is paused
+    When soak run "a.0.0.0:1" starts on "w1"
+    And soak endpoint "w1" reports a capacity of 1 cores
+    And 10000 ms of the soak pass
+    Then the soak history has no violations
+
+  Scenario: an endpoint whose capacity has grown
+    Given soak job "b" with steps of 2 and 1 tasks of 2 cores is submitted
+    When soak endpoint "w1" reports a capacity of 6 cores
+    And soak run "a.0.0.0:1" starts on "w1"
+    And soak run "a.0.0.1:1" starts on "w1"
+    And soak run "b.0.0.0:1" starts on "w1"
+    Then the soak history has no violations
+
+  Scenario: a task that is started a third time after it has crashed three endpoints
+    Given crashing soak job "c" is submitted
+    When soak run "c.0.0.0" crashes 5 endpoints in turn
+    And soak run "c.0.0.0:6" starts on "w1"
+    Then the soak history has a violation that starts with "c.0.0.0 was started 3 times more after 3 crashes"
+
+  Scenario: a task that is started twice after it has crashed three endpoints
+    Given crashing soak job "c" is submitted
+    When soak run "c.0.0.0" crashes 5 endpoints in turn
+    And soak job "c" is reported as "failed"
+    Then the soak history has no violations
+
+  Scenario: a crashing job that fails after two crashes
+    Given crashing soak job "c" is submitted
+    When soak run "c.0.0.0" crashes 2 endpoints in turn
+    And soak job "c" is reported as "failed"
+    Then the soak history has a violation that starts with "c is reported as failed without cause"
+
+  Scenario: an innocent job that fails because its endpoints crashed
+    When soak run "a.0.0.0" crashes 4 endpoints in turn
+    And soak job "a" is reported as "failed"
+    Then the soak history has a violation that starts with "a is reported as failed without cause"
+
+  Scenario: an innocent job that goes on although its endpoints crashed
+    When soak run "a.0.0.0" crashes 9 endpoints in turn
+    And soak run "a.0.0.0:10" starts on "w1"
+    Then the soak history has no violations
+
+  Scenario: a job whose task has failed as often as allowed
+    When soak run "a.0.0.0:1" on "w1" ends "failed"
+    And soak run "a.0.0.0:2" on "w1" ends "failed"
+    And soak run "a.0.0.0:3" on "w1" ends "failed"
+    And soak job "a" is reported as "failed"
+    Then the soak history has no violations
+
+  Scenario: a job whose task has failed less often than allowed
+    When soak run "a.0.0.0:1" on "w1" ends "failed"
+    And soak run "a.0.0.0:2" on "w1" ends "failed"
+    And soak run "a.0.0.1:1" on "w1" ends "failed"
+    And soak job "a" is reported as "failed"
+    Then the soak history has a violation that starts with "a is reported as failed without cause"
+
+  Scenario: a job that is reported as cancelled without a cancellation
+    When soak job "a" is reported as "cancelled"
+    Then the soak history has a violation that starts with "a is reported as cancelled, but nobody"
+
   Scenario: a step that starts too early
     When soak run "a.0.0.0:1" on "w1" ends "done"
     And soak run "a.0.1.0:1" starts on "w1"
--- a/packages/tests/src/platform/endpointStandIn.ts
+++ b/packages/tests/src/platform/endpointStandIn.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
+import { delay } from '@lagoongap/model/delay.js';
 import type { EndReport, StartOutcome } from '@lagoongap/workflow/endpointDriver.js';
 
 import { FakeWorker } from '../workflow/fakeWorker.js';
@@ -8,6 +9,7 @@
 
 const TASK_DURATION_MS = 50;
 const HEARTBEAT_INTERVAL_MS = 300;
+const CPU_MILLIS = 16_000;
 const OK = 200;
 const CONFLICT = 409;
 
@@ -35,9 +37,17 @@
   /** Address of the leader from the last heartbeat response. */
   leaderAddress: string | undefined;
   readonly id: string;
+  /** Capacity to report in heartbeats, in thousandths of a core. */
+  cpuMillis = CPU_MILLIS;
+  /** Called when a heartbeat with this capacity has been acknowledged. */
+  onCapacityReported: (cpuMillis: number) => void = () => {};
+  /** Number of crashes from which the endpoint has not come back yet. */
+  private downCount = 0;
   private readonly listControlAddresses: () => string[];
   private readonly server: Server;
   private sequence = 0;
+  private heartbeatCount = 0;
+  private ackedHeartbeat = 0;
   private timer: NodeJS.Timeout | undefined;
 
   /** @param listControlAddresses - Returns the addresses for heartbeats in the order of use. */
@@ -57,6 +67,16 @@
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
 
+  /** Ends the current incarnation; the next one starts after `downMs`. */
+  async crash(downMs: number): Promise<void> {
+    this.downCount += 1;
+    this.worker.restart();
+    this.sequence = 0;
+    this.server.closeAllConnections();
+    await delay(downMs);
+    this.downCount -= 1;
+  }
+
   async start(): Promise<void> {
     await new Promise<void>((resolve) => {
       this.server.listen(0, '127.0.0.1', resolve);
@@ -75,16 +95,24 @@
     });
   }
 
-  private async sendHeartbeat(): Promise<void> {
-    if (this.worker.behaviour === 'silent') return;
-    this.sequence += 1;
-    const address = this.reportedAddress ?? this.address;
-    const body = {
-      ...createHeartbeat(address),
+  /** Returns the document of the current heartbeat. */
+  createHeartbeat(): Record<string, any> {
+    const document = createHeartbeat(this.reportedAddress ?? this.address);
+    return {
+      ...document,
+      capacity: { ...document.capacity, cpu: this.cpuMillis },
       born: this.worker.bornMs,
       seq: this.sequence,
       clock_ms: this.worker.clockMs(),
     };
+  }
+
+  private async sendHeartbeat(): Promise<void> {
+    if (this.worker.behaviour === 'silent' || this.downCount > 0) return;
+    this.sequence += 1;
+    this.heartbeatCount += 1;
+    const { cpuMillis, heartbeatCount } = this;
+    const body = this.createHeartbeat();
     for (const control of this.listControlAddresses()) {
       const url = `http://${control}/-/instances/${this.id}`;
       const signal = AbortSignal.timeout(1000);
@@ -94,6 +122,9 @@
       const result = (await res?.json().catch(() => null)) as { heartbeat_addr?: string } | null;
       if (!res?.ok) continue;
       this.leaderAddress = result?.heartbeat_addr;
+      if (heartbeatCount < this.ackedHeartbeat) return;
+      this.ackedHeartbeat = heartbeatCount;
+      this.onCapacityReported(cpuMillis);
       return;
     }
   }
@@ -101,6 +132,10 @@
   private async handleRequest(path: string, body: any, res: ServerResponse): Promise<void> {
     const { behaviour } = this.worker;
     if (behaviour === 'silent') return;
+    if (this.downCount > 0) {
+      res.destroy();
+      return;
+    }
     const isStart = path === '/-/run-start';
     const [status, responseBody] = await this.handleCall(path, body);
     if (isStart && (behaviour === 'start-answers-lost' || behaviour === 'starts-late')) {
--- a/packages/tests/src/soak/faultPlan.ts
+++ b/packages/tests/src/soak/faultPlan.ts
@@ -23,6 +23,9 @@
   'lose-answers',
   'late-starts',
   'fail-tasks',
+  'change-capacity',
+  'crashing-job',
+  'odd-heartbeats',
 ] as const;
 
 /** Kind of an injected fault. */
@@ -50,6 +53,11 @@
 
 const MIN_DURATION_MS = 200;
 const MAX_DURATION_MS = 3500;
+
+/** Probability and maximum duration of a fault that may outlast a lease. */
+const LONG_PROBABILITY = 0.2;
+const MAX_LONG_DURATION_MS = 7000;
+
 const MAX_TARGET = 1000;
 
 /** Returns the faults of a seed, ordered by start time. Faults come in series and may overlap. */
@@ -62,7 +70,10 @@
     const first: PlannedFault = {
       kind: FAULT_KINDS[drawInteger(0, FAULT_KINDS.length)]!,
       atMs: drawInteger(0, loadMs),
-      durationMs: drawInteger(MIN_DURATION_MS, MAX_DURATION_MS),
+      durationMs: drawInteger(
+        MIN_DURATION_MS,
+        random() < LONG_PROBABILITY ? MAX_LONG_DURATION_MS : MAX_DURATION_MS,
+      ),
       target: drawInteger(0, MAX_TARGET),
     };
     const length = random() < SERIES_PROBABILITY ? drawInteger(2, MAX_SERIES_LENGTH + 1) : 1;
--- a/packages/tests/src/soak/runSoak.ts
+++ b/packages/tests/src/soak/runSoak.ts
@@ -43,14 +43,18 @@
     return await runSeedToCompletion(seed, folder, flags);
   } catch (err) {
     const violations = [`the soak failed with an error: ${(err as Error).stack}`];
-    return { seed, violations, accepted: 0, starts: 0, faults: [] };
+    return { seed, violations, accepted: 0, starts: 0, faults: [], processes: 0, memoryMb: 0 };
   }
 }
 
-function printResult({ seed, accepted, starts, faults, violations }: SoakResult): void {
+function printResult(res: SoakResult): void {
+  const { seed, accepted, starts, faults, violations, processes, memoryMb } = res;
   const plan = faults.map(({ kind, atMs }) => `${kind}@${atMs}`).join(' ');
   const result = violations.length === 0 ? 'kept' : 'BROKEN';
-  process.stdout.write(`seed ${seed}: ${result}, ${accepted} jobs, ${starts} starts; ${plan}\n`);
+  const size = `${processes} processes, ${memoryMb} MB`;
+  process.stdout.write(
+    `seed ${seed}: ${result}, ${accepted} jobs, ${starts} starts, ${size}; ${plan}\n`,
+  );
   for (const text of violations) process.stdout.write(`  ${text}\n`);
 }
 
--- a/packages/tests/src/soak/soakHistory.ts
+++ b/packages/tests/src/soak/soakHistory.ts
@@ -2,8 +2,11 @@
 
 import { EndpointUsage } from './endpointUsage.js';
 
-/** How the tasks of a job behave; those of a service run until the job is cancelled. */
-export type SoakJobKind = 'batch' | 'service';
+/**
+ * How the tasks of a job behave: those of a service run until the job is cancelled, those of a
+ * crashing job crash each endpoint that starts them.
+ */
+export type SoakJobKind = 'batch' | 'service' | 'crashing';
 
 /** Job that a caller submitted. */
 export interface SoakJob {
@@ -31,11 +34,22 @@
   acknowledgement: 'pending' | 'received' | 'lapsed';
 }
 
+/** Number of failed runs, or of crashes, after which a job may be shown as failed. */
+const MAX_ATTEMPTS = 3;
+
+/** Number of starts after as many crashes that is one too many. */
+const MAX_STARTS_AFTER_CRASHES = 3;
+
 interface TaskHistory {
   /** What endpoints observed of the task, in order. */
   events: string[];
   runningOn: Set<string>;
   doneRuns: Map<number, DoneRun>;
+  failedCount: number;
+  /** Number of runs that ended with a crash of their endpoint. */
+  crashCount: number;
+  /** Number of starts after {@link MAX_ATTEMPTS} crashes. */
+  lateStartCount: number;
 }
 
 interface JobHistory {
@@ -140,6 +154,9 @@
       this.violations.push(`${name} was started on ${endpoint}, but its job had been refused`);
     }
     for (const doneRun of task.doneRuns.values()) doneRun.isBeforeStart = true;
+    if (history.job.kind === 'crashing' && task.crashCount >= MAX_ATTEMPTS) {
+      this.recordStartAfterCrashes(name, task);
+    }
     task.runningOn.add(endpoint);
     this.usage.add(endpoint, name, history.job);
     const usedMillis = this.usage.getUsedMillis(endpoint);
@@ -157,6 +174,8 @@
     if (!history || !task?.runningOn.delete(endpoint)) return;
     this.usage.remove(endpoint, name);
     this.recordEvent(task, `run ${run} ends ${outcome} on ${endpoint}`);
+    if (outcome === 'lost') task.crashCount += 1;
+    if (outcome === 'failed') task.failedCount += 1;
     if (outcome !== 'done') return;
     task.doneRuns.set(run, { endpoint, isBeforeStart: false, acknowledgement: 'pending' });
   }
@@ -205,7 +224,14 @@
   /** Records the state of a job that the system reported to a caller. */
   recordReportedState(id: string, state: string): void {
     const history = this.jobs.get(id);
-    if (!history || state !== 'completed') return;
+    if (!history) return;
+    if (state === 'failed' && !SoakHistory.hasFailureCause(history)) {
+      this.violations.push(`${id} is reported as failed without cause`);
+    }
+    if (state === 'cancelled' && !history.isCancelling) {
+      this.violations.push(`${id} is reported as cancelled, but nobody cancelled it`);
+    }
+    if (state !== 'completed') return;
     history.job.tasksPerStep.forEach((_, step) => {
       if (!this.isStepDone(history, step)) {
         this.violations.push(`${id} is reported as completed, but step ${step} has not ended`);
@@ -213,6 +239,11 @@
     });
   }
 
+  /** Records a capacity that an endpoint has reported, and whose report was acknowledged. */
+  recordCapacity(endpoint: string, millis: number): void {
+    this.usage.recordCapacity(endpoint, millis);
+  }
+
   recordConfigSent(version: number, document: string): void {
     this.documents.set(version, document);
   }
@@ -260,10 +291,27 @@
     }
   }
 
+  private static hasFailureCause({ job, tasks }: JobHistory): boolean {
+    if (job.kind === 'service') return false;
+    return [...tasks.values()].some(({ failedCount, crashCount }) => {
+      const counted = job.kind === 'crashing' ? failedCount + crashCount : failedCount;
+      return counted >= MAX_ATTEMPTS;
+    });
+  }
+
   private static isRefused({ outcomes }: JobHistory): boolean {
     return outcomes.length > 0 && outcomes.every((outcome) => outcome === 'refused');
   }
 
+  private recordStartAfterCrashes(name: string, task: TaskHistory): void {
+    task.lateStartCount += 1;
+    if (task.lateStartCount < MAX_STARTS_AFTER_CRASHES) return;
+    const { lateStartCount, crashCount } = task;
+    this.violations.push(
+      `${name} was started ${lateStartCount} times more after ${MAX_ATTEMPTS} crashes, of ${crashCount}`,
+    );
+  }
+
   private recordTaskLapse(task: TaskHistory, endpoint: string): void {
     for (const [run, doneRun] of task.doneRuns) {
       if (doneRun.endpoint !== endpoint || doneRun.acknowledgement !== 'pending') continue;
@@ -287,7 +335,14 @@
     if (!history || Number(index) >= taskCount) return { step: 0 };
     let task = history.tasks.get(name);
     if (!task) {
-      task = { events: [], runningOn: new Set(), doneRuns: new Map() };
+      task = {
+        events: [],
+        runningOn: new Set(),
+        doneRuns: new Map(),
+        failedCount: 0,
+        crashCount: 0,
+        lateStartCount: 0,
+      };
       history.tasks.set(name, task);
     }
     return { history, task, step: Number(step) };
--- a/packages/tests/src/soak/soakLoad.ts
+++ b/packages/tests/src/soak/soakLoad.ts
@@ -81,6 +81,12 @@
     return this.submit({ id: this.createId(), kind: 'service', ...job, maxPerEndpoint: 1 });
   }
 
+  /** Submits a job whose only task crashes each endpoint that starts it. */
+  submitCrashingJob(): Promise<void> {
+    const job = { tasksPerStep: [1], cpuMillis: CPU_MILLIS };
+    return this.submit({ id: this.createId(), kind: 'crashing', ...job });
+  }
+
   /** Cancels jobs; resolves when the cancellations have been acknowledged or have failed. */
   async cancelAll(ids: string[]): Promise<void> {
     await Promise.all(ids.map((id) => this.cancel(id)));
--- a/packages/tests/src/soak/soakRun.ts
+++ b/packages/tests/src/soak/soakRun.ts
@@ -4,8 +4,10 @@
 import { PausableRelay } from '@lagoongap/stand-in/pausableRelay.js';
 
 import { EndpointStandIn } from '../platform/endpointStandIn.js';
+import type { RunCourse } from '../workflow/fakeWorker.js';
 import { planFaults, type PlannedFault } from './faultPlan.js';
-import { SoakHistory } from './soakHistory.js';
+import { createOddHeartbeats } from './oddHeartbeats.js';
+import { SoakHistory, type SoakJobKind } from './soakHistory.js';
 import { ServiceMonitor } from './serviceMonitor.js';
 import { SoakLoad } from './soakLoad.js';
 import { SoakSystem } from './soakSystem.js';
@@ -29,9 +31,28 @@
   accepted: number;
   starts: number;
   faults: PlannedFault[];
+  /** Programs that run at the end of the load, and their memory. */
+  processes: number;
+  memoryMb: number;
 }
 
 const CAPACITY_MILLIS = 16_000;
+
+/** Factors by which the capacity of an endpoint changes for some time. */
+const CAPACITY_FACTORS = [0.25, 0.5, 0, 1.5] as const;
+
+const COURSES: Record<SoakJobKind, RunCourse> = {
+  batch: 'ends',
+  service: 'lasts',
+  crashing: 'crashes',
+};
+
+/** Time from the crash of an endpoint to its next incarnation. */
+const CRASH_DOWN_MS = 2000;
+
+/** Interval at which another writer sends odd heartbeats. */
+const ODD_HEARTBEAT_INTERVAL_MS = 60;
+const ODD_HEARTBEAT_TIMEOUT_MS = 1000;
 const TASK_MS = 300;
 
 /** Time within which all accepted jobs must end after the last fault. */
@@ -88,18 +109,21 @@
       load.generateLoad(loadMs),
       ...faults.map(async (fault) => {
         await delay(fault.atMs);
-        await this.inject(system, fault);
+        await this.inject(system, load, fault);
       }),
     ]);
     await load.awaitPendingCalls();
+    const usage = await system.measure();
     await this.checkServices(load);
     await this.checkFinalState(load);
     const { violations, startCount } = this.history;
-    const accepted = [
-      ...this.history.listAccepted('batch'),
-      ...this.history.listAccepted('service'),
-    ];
-    return { seed, violations, accepted: accepted.length, starts: startCount, faults };
+    const accepted = this.listFiniteJobs().length + this.history.listAccepted('service').length;
+    return { seed, violations, accepted, starts: startCount, faults, ...usage };
+  }
+
+  /** Returns the ids of the accepted jobs that end by themselves. */
+  private listFiniteJobs(): string[] {
+    return [...this.history.listAccepted('batch'), ...this.history.listAccepted('crashing')];
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -116,7 +140,11 @@
       const id = `i-${i}`;
       const standIn = new EndpointStandIn(id, () => system.controlAddresses);
       standIn.worker.durationMs = TASK_MS;
-      standIn.worker.getCourse = ({ payload }) => (payload === 'service' ? 'lasts' : 'ends');
+      standIn.worker.getCourse = ({ payload }) => COURSES[payload as SoakJobKind];
+      standIn.worker.onCrash = () => {
+        standIn.crash(CRASH_DOWN_MS).catch(() => undefined);
+      };
+      standIn.onCapacityReported = (millis) => this.history.recordCapacity(id, millis);
       standIn.worker.observer = {
         onStart: ({ task, run }) => this.history.recordStart(id, task, run),
         onEnd: ({ task, run, outcome }) => this.history.recordEnd(id, task, run, outcome),
@@ -133,7 +161,7 @@
     }
   }
 
-  private async inject(system: SoakSystem, fault: PlannedFault): Promise<void> {
+  private async inject(system: SoakSystem, load: SoakLoad, fault: PlannedFault): Promise<void> {
     const { kind, target, durationMs } = fault;
     const { standIn, relay } = this.endpoints[target % this.endpoints.length]!;
     const { worker } = standIn;
@@ -176,7 +204,16 @@
       case 'reload':
         return system.reload(target);
       case 'crash-endpoint':
-        return worker.restart();
+        return standIn.crash(target % 2 === 0 ? 0 : durationMs);
+      case 'change-capacity':
+        standIn.cpuMillis = CAPACITY_MILLIS * CAPACITY_FACTORS[target % CAPACITY_FACTORS.length]!;
+        await delay(durationMs);
+        standIn.cpuMillis = CAPACITY_MILLIS;
+        return undefined;
+      case 'crashing-job':
+        return load.submitCrashingJob();
+      case 'odd-heartbeats':
+        return SoakRun.sendOddHeartbeats(system, standIn, durationMs);
       case 'silence-endpoint':
         return applyBehaviour('silent');
       case 'cut-endpoint':
@@ -196,6 +233,26 @@
     }
   }
 
+  /** Sends heartbeats of another writer, some of them under the id of an endpoint. */
+  private static async sendOddHeartbeats(
+    system: SoakSystem,
+    standIn: EndpointStandIn,
+    durationMs: number,
+  ): Promise<void> {
+    const endMs = performance.now() + durationMs;
+    for (let count = 0; performance.now() < endMs; count += 1) {
+      const odd = createOddHeartbeats(standIn.createHeartbeat());
+      const { hasKnownId, body } = odd[count % odd.length]!;
+      const id = hasKnownId ? standIn.id : `odd-${standIn.id}`;
+      const control = system.controlAddresses[count % system.controlAddresses.length]!;
+      const signal = AbortSignal.timeout(ODD_HEARTBEAT_TIMEOUT_MS);
+      const url = `http://${control}/-/instances/${id}`;
+      const res = await fetch(url, { method: 'PUT', body, signal }).catch(() => undefined);
+      await res?.text().catch(() => undefined);
+      await delay(ODD_HEARTBEAT_INTERVAL_MS);
+    }
+  }
+
   /** Whether disks have been wiped: no more may be lost than the replicas tolerate at once. */
   private hasWipedDisk = false;
 
@@ -228,7 +285,7 @@
     await SoakRun.waitFor(() => monitor.isSettled, SETTLE_TIMEOUT_MS);
     isCut = true;
     cut?.relay.pause('both');
-    crashed?.standIn.worker.restart();
+    await crashed?.standIn.crash(0);
     await delay(CALM_CUT_MS);
     await SoakRun.waitFor(() => monitor.isSettled, SETTLE_TIMEOUT_MS);
     cut?.relay.resume();
@@ -246,7 +303,7 @@
   /** Waits until all accepted jobs have ended, then checks the final guarantees. */
   private async checkFinalState(load: SoakLoad): Promise<void> {
     const endMs = performance.now() + SETTLE_TIMEOUT_MS;
-    let unfinished = this.history.listAccepted('batch');
+    let unfinished = this.listFiniteJobs();
     while (unfinished.length > 0 && performance.now() < endMs) {
       const left: string[] = [];
       for (const id of unfinished) {
--- a/packages/tests/src/soak/soakSystem.ts
+++ b/packages/tests/src/soak/soakSystem.ts
@@ -1,6 +1,6 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { existsSync } from 'node:fs';
-import { appendFile, mkdir, open, readdir, rm, writeFile } from 'node:fs/promises';
+import { appendFile, mkdir, open, readdir, readFile, rm, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 
 import { delay } from '@lagoongap/model/delay.js';
@@ -25,6 +25,12 @@
 const RESTART_DELAY_MS = 200;
 const GARBAGE_BYTES = 37;
 
+const READY_TIMEOUT_MS = 60_000;
+const READY_CALL_TIMEOUT_MS = 1000;
+const READY_INTERVAL_MS = 200;
+
+const KB_PER_MB = 1024;
+
 const PROGRAM = 'platform/lib/main.js';
 
 /** Range of the second octets of loopback addresses that soaks use. */
@@ -75,6 +81,15 @@
     for (let i = 1; i <= replicas; i += 1) this.processes.push(create('replica', i, i));
     for (let i = 1; i <= gateways; i += 1) this.processes.push(create('gateway', i, 100 + i));
     for (const program of this.processes) await this.startProcess(program);
+    await Promise.all(this.callerAddresses.map((caller) => SoakSystem.waitUntilReady(caller)));
+  }
+
+  /** Returns the number of running programs and their resident memory in MB; 0 if unknown. */
+  async measure(): Promise<{ processes: number; memoryMb: number }> {
+    const pids = this.processes.flatMap(({ child }) => child?.pid ?? []);
+    const sizes = await Promise.all(pids.map((pid) => SoakSystem.readResidentKb(pid)));
+    const totalKb = sizes.reduce((sum, size) => sum + size, 0);
+    return { processes: pids.length, memoryMb: Math.round(totalKb / KB_PER_MB) };
   }
 
   /** Addresses at which replicas serve endpoints and operators. */
@@ -87,11 +102,6 @@
     return this.listByRole('gateway').map(({ host }) => `${host}:${CALLER_PORT}`);
   }
 
-  /** Returns the readiness address of a gateway for its caller address. */
-  static getReadinessAddress(caller: string): string {
-    return caller.replace(`:${CALLER_PORT}`, `:${READY_PORT}`);
-  }
-
   /** Returns the index of the replica with a control address, or 0 if there is none. */
   findReplicaIndex(address: string): number {
     return Math.max(0, this.controlAddresses.indexOf(address));
@@ -181,6 +191,24 @@
     );
   }
 
+  /** Waits until a gateway is ready, or for at most {@link READY_TIMEOUT_MS}. */
+  private static async waitUntilReady(caller: string): Promise<void> {
+    const url = `http://${caller.replace(`:${CALLER_PORT}`, `:${READY_PORT}`)}/-/ready`;
+    const endMs = performance.now() + READY_TIMEOUT_MS;
+    while (performance.now() < endMs) {
+      const signal = AbortSignal.timeout(READY_CALL_TIMEOUT_MS);
+      const res = await fetch(url, { signal }).catch(() => undefined);
+      await res?.text().catch(() => undefined);
+      if (res?.ok) return;
+      await delay(READY_INTERVAL_MS);
+    }
+  }
+
+  private static async readResidentKb(pid: number): Promise<number> {
+    const status = await readFile(`/proc/${pid}/status`, 'utf8').catch(() => '');
+    return Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1] ?? 0);
+  }
+
   private readonly killAll = (): void => {
     for (const { child } of this.processes) child?.kill('SIGKILL');
   };
--- a/packages/tests/src/steps/soak/checkerSteps.ts
+++ b/packages/tests/src/steps/soak/checkerSteps.ts
@@ -38,6 +38,28 @@
   },
 );
 
+Given('crashing soak job {string} is submitted', function submit(this: CheckerWorld, id: string) {
+  const cpuMillis = 2 * MILLIS_PER_CORE;
+  this.history.recordSubmission({ id, kind: 'crashing', tasksPerStep: [1], cpuMillis });
+});
+
+When(
+  'soak endpoint {string} reports a capacity of {int} cores',
+  function report(this: CheckerWorld, id: string, cores: number) {
+    this.history.recordCapacity(id, cores * MILLIS_PER_CORE);
+  },
+);
+
+When(
+  'soak run {string} crashes {int} endpoints in turn',
+  function crash(this: CheckerWorld, name: string, count: number) {
+    for (let run = 1; run <= count; run += 1) {
+      this.history.recordStart(`w${run}`, name, run);
+      this.history.recordEnd(`w${run}`, name, run, 'lost');
+    }
+  },
+);
+
 Given(
   'the response to soak job {string} is {string}',
   function respond(this: CheckerWorld, id, outcome) {
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -13,8 +13,11 @@
 export type WorkerBehaviour =
   'sound' | 'failing' | 'stalled' | 'silent' | 'start-answers-lost' | 'starts-late';
 
-/** How a run goes on by itself: `ends` after its duration, `lasts` until it is stopped. */
-export type RunCourse = 'ends' | 'lasts';
+/**
+ * How a run goes on by itself: `ends` after its duration, `lasts` until it is stopped, or `crashes`
+ * the worker.
+ */
+export type RunCourse = 'ends' | 'lasts' | 'crashes';
 
 /** Receives events of a worker. */
 export interface WorkerObserver {
@@ -34,6 +37,9 @@
 /** Delay after which a late order is executed. */
 const LATE_START_DELAY_MS = 3000;
 
+/** Time from the start of a run to the crash that it causes. */
+const CRASH_DELAY_MS = 10;
+
 /** Simulated worker that executes orders on the fake clock. */
 export class FakeWorker {
   readonly runs = new Map<string, WorkerRun>();
@@ -53,6 +59,8 @@
   maxExcess = 0;
   /** Returns the course of a run. */
   getCourse: (order: StartOrder) => RunCourse = () => 'ends';
+  /** Called when a run crashes the worker. */
+  onCrash: () => void = () => this.restart();
   observer: WorkerObserver | undefined;
   private readonly supersededRuns = new Map<string, number>();
   private reports: EndReport[] = [];
@@ -84,10 +92,13 @@
     this.started.push(key);
     this.maxExcess = Math.max(this.maxExcess, this.runs.size - this.maxTasks);
     this.observer?.onStart(order);
-    const hasEnd = this.behaviour === 'failing' || this.getCourse(order) === 'ends';
-    if (this.behaviour !== 'stalled' && hasEnd) {
+    if (this.behaviour === 'stalled') return 'started';
+    const course = this.behaviour === 'failing' ? 'ends' : this.getCourse(order);
+    if (course === 'ends') {
       const outcome = this.behaviour === 'failing' ? 'failed' : 'done';
       run.timer = setTimeout(() => this.end(key, outcome), this.durationMs);
+    } else if (course === 'crashes') {
+      run.timer = setTimeout(() => this.onCrash(), CRASH_DELAY_MS);
     }
     return 'started';
   }
