--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -1,13 +1,13 @@
-import { SILENT_LOG } from '@lagoongap/model/log.js';
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
-import { NOOP_METRICS_RECORDER } from '@lagoongap/telemetry/workflowMetrics.js';
+import { WorkflowMetrics } from '@lagoongap/telemetry/workflowMetrics.js';
 import type { CellConfig } from '@lagoongap/workflow/cellConfig.js';
 import type { InstanceApi } from '@lagoongap/workflow/instanceApi.js';
 import type { JobResponse } from '@lagoongap/workflow/jobCalls.js';
 import type { JobSpec, StepSpec } from '@lagoongap/workflow/jobSpec.js';
+import type { ReadyStep } from '@lagoongap/workflow/readySteps.js';
 import type { EndpointRecord, JobRecord } from '@lagoongap/workflow/workflowRecords.js';
 import { WorkflowSession } from '@lagoongap/workflow/workflowSession.js';
-import { WorkflowState } from '@lagoongap/workflow/workflowState.js';
+import { createJob, WorkflowState } from '@lagoongap/workflow/workflowState.js';
 import {
   DEFAULT_WORKFLOW_TIMING,
   type WorkflowTiming,
@@ -16,6 +16,7 @@
 
 import { FakeDriver } from './fakeDriver.js';
 import { AutoCommitLog } from './autoCommitLog.js';
+import { RecordingLog } from './recordingLog.js';
 
 /** Functions replaced by the fake clock; the others are left to the test runner. */
 const CLOCK_FUNCTIONS = [
@@ -61,6 +62,21 @@
   };
 }
 
+/** Creates a step of a newly accepted job whose tasks are all waiting. */
+export function createReadyStep(spec: StepSpec): ReadyStep {
+  const job = createJob({
+    type: 'submit',
+    id: 'j',
+    queue: 'q',
+    organisation: 'o',
+    maxAttempts: 1,
+    acceptedMs: START_MS,
+    spec: { payload: '', steps: [spec] },
+  });
+  const waiting = Array.from({ length: spec.taskCount }, (_, index) => index);
+  return { name: 'j.0.0', job, occurrence: 0, step: 0, spec, waiting, dueMs: START_MS };
+}
+
 /** Workflow leader with workers in the same process, on a fake clock. */
 export class WorkflowWorld implements AsyncDisposable, InstanceApi {
   readonly driver = new FakeDriver();
@@ -68,6 +84,8 @@
   readonly clock = FakeTimers.install({ now: START_MS, toFake: [...CLOCK_FUNCTIONS] });
   readonly records = new Map<string, EndpointRecord>();
   readonly responses: JobResponse[] = [];
+  readonly logger = new RecordingLog();
+  readonly meter = new WorkflowMetrics();
   session: WorkflowSession;
   log: AutoCommitLog;
   private config: CellConfig;
@@ -179,6 +197,17 @@
     this.driver.worker(id).maxTasks = cores;
   }
 
+  /** Delivers a heartbeat of another writer, which is like that of a worker but for some fields. */
+  async deliverOddHeartbeat(
+    id: string,
+    fields: Partial<EndpointRecord>,
+    { sequence = this.sequence + 1, clockMs }: { sequence?: number; clockMs?: number } = {},
+  ): Promise<void> {
+    const endpoint = { ...this.records.get(id)!, ...fields };
+    this.session.endpoints.heartbeat({ endpoint, sequence, clockMs }).catch(() => undefined);
+    await this.advance(TICK_MS);
+  }
+
   /** Delivers a heartbeat of a worker that was sent before its latest one. */
   async deliverLateHeartbeat(id: string, fields: Partial<EndpointRecord>): Promise<void> {
     const endpoint = { ...this.records.get(id)!, ...fields };
@@ -287,8 +316,8 @@
       holder: 'leader',
       parseConfig: () => this.config,
       timing: this.timing,
-      logger: SILENT_LOG,
-      meter: NOOP_METRICS_RECORDER,
+      logger: this.logger,
+      meter: this.meter,
       isValid: () => !log.isLeadershipOver && !log.hasLostMajority,
     });
   }
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -27,6 +27,10 @@
   ticket?: string;
   /** Agent of the endpoint at the time of the decision. */
   agent: EndpointAgent;
+  /** Incarnation of the endpoint at the time of the decision. */
+  bornMs: number;
+  /** Monotonic time of the decision. */
+  decidedMs: number;
 }
 
 /** Result of a scheduling cycle. */
@@ -282,7 +286,9 @@
     this.reserve(ready, key, endpoint.id);
     this.pending.add(`${name}.${index}`);
     const agent = this.opts.directory.require(endpoint.id);
-    return { key, stepName: name, task, run, endpoint: endpoint.id, agent };
+    const { bornMs } = agent.record;
+    const target = { endpoint: endpoint.id, agent, bornMs };
+    return { key, stepName: name, task, run, ...target, decidedMs: performance.now() };
   }
 
   private reserve(ready: ReadyStep, key: string, endpoint: string): void {
--- /dev/null
+++ b/packages/workflow/src/toRunLossReason.ts
@@ -0,0 +1,39 @@
+import type { RunLossReason } from '@lagoongap/telemetry/runLossReason.js';
+
+/** Reason of a committed run that is not ordered, as the leadership is not valid. */
+export const NOT_VALID_AT_DISPATCH = 'leadership was not valid when the run was to be ordered';
+
+/** Reason of a committed run that is no longer needed or has no endpoint. */
+export const NOT_NEEDED_AT_DISPATCH = 'the job has ended or the endpoint was removed';
+
+/** Reason of a committed run that no longer fits on its endpoint. */
+export const SHRUNK_AT_DISPATCH = 'the capacity of the endpoint has shrunk';
+
+/** Reason of a committed run whose endpoint has stopped responding before it was ordered. */
+export const UNRESPONSIVE_AT_DISPATCH = 'the endpoint stopped responding before the order';
+
+/** Reasons by the text that is logged; outcomes of rejected orders stand for themselves. */
+const REASONS = new Map<string, RunLossReason>([
+  [NOT_VALID_AT_DISPATCH, 'leader-not-valid'],
+  [SHRUNK_AT_DISPATCH, 'no-room'],
+  [NOT_NEEDED_AT_DISPATCH, 'not-needed'],
+  [UNRESPONSIVE_AT_DISPATCH, 'not-responding'],
+  ['the order never arrived', 'order-lost'],
+  ['not reported by the endpoint', 'not-reported'],
+  ['the lease expired', 'lease-expired'],
+  ['the endpoint has left', 'endpoint-gone'],
+  ['the endpoint is unresponsive', 'endpoint-gone'],
+  ['replaced by a newer incarnation', 'endpoint-gone'],
+  ['no-room', 'no-room'],
+  ['no-ticket', 'no-ticket'],
+  ['late', 'late'],
+  ['superseded', 'superseded'],
+  ['wrong-instance', 'wrong-instance'],
+  ['unhealthy', 'unhealthy'],
+  ['invalid', 'invalid'],
+]);
+
+/** Returns the reason under which a loss is counted. */
+export function toRunLossReason(text: string): RunLossReason {
+  return REASONS.get(text) ?? 'other';
+}
