--- a/packages/tests/features/soak/checker.feature
+++ b/packages/tests/features/soak/checker.feature
@@ -68,6 +68,7 @@
   Scenario: an endpoint that runs more than the capacity that it has reported for long
     Given the clock of the soak is paused
     When soak endpoint "w1" reports a capacity of 1 cores
+    And the report of 1 cores of soak endpoint "w1" is acknowledged
     And 4301 ms of the soak pass
     And soak run "a.0.0.0:1" starts on "w1"
     Then the soak history has a violation that starts with "w1 is overcommitted"
@@ -75,14 +76,25 @@
   Scenario: a start that is based on the capacity that an endpoint has just reported less of
     Given the clock of the soak is paused
     When soak endpoint "w1" reports a capacity of 1 cores
+    And the report of 1 cores of soak endpoint "w1" is acknowledged
     And 4000 ms of the soak pass
     And soak run "a.0.0.0:1" starts on "w1"
     Then the soak history has no violations
 
+  Scenario: a start that is based on a report whose acknowledgement has not arrived yet
+    Given the clock of the soak is paused
+    When soak endpoint "w1" reports a capacity of 1 cores
+    And the report of 1 cores of soak endpoint "w1" is acknowledged
+    And 10000 ms of the soak pass
+    And soak endpoint "w1" reports a capacity of 4 cores
+    And soak run "a.0.0.0:1" starts on "w1"
+    Then the soak history has no violations
+
   Scenario: an endpoint that reports less than it runs
     Given the clock of the soak is paused
     When soak run "a.0.0.0:1" starts on "w1"
     And soak endpoint "w1" reports a capacity of 1 cores
+    And the report of 1 cores of soak endpoint "w1" is acknowledged
     And 10000 ms of the soak pass
     Then the soak history has no violations
 
--- a/packages/tests/src/steps/soak/checkerSteps.ts
+++ b/packages/tests/src/steps/soak/checkerSteps.ts
@@ -50,6 +50,13 @@
   },
 );
 
+When(
+  'the report of {int} cores of soak endpoint {string} is acknowledged',
+  function acknowledgeCapacity(this: CheckerWorld, cores: number, id: string) {
+    this.history.recordCapacityAcknowledged(id, cores * MILLIS_PER_CORE);
+  },
+);
+
 When(
   'soak run {string} crashes {int} endpoints in turn',
   function crash(this: CheckerWorld, name: string, count: number) {
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -54,6 +54,8 @@
   /** Load reported for every run. */
   load = 0;
   bornMs = 1;
+  /** Longest lease; a longer one is shortened to it. */
+  maxLeaseMs = Infinity;
   /** Time for which the responses to start orders are held up, in milliseconds. */
   startResponseDelayMs = 0;
   /** Number of tasks that the worker can hold; it does not enforce the limit. */
