--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -51,6 +51,8 @@
   behaviour: WorkerBehaviour = 'sound';
   /** Duration of a task in milliseconds. */
   durationMs = 500;
+  /** Payloads of tasks that run until they are stopped. */
+  readonly lastingPayloads = new Set<string>();
   /** Load reported for every run. */
   load = 0;
   bornMs = 1;
@@ -104,10 +106,12 @@
     this.maxExcess = Math.max(this.maxExcess, this.runs.size - this.maxTasks);
     this.observer?.onStart(order);
     if (this.behaviour === 'stalled') return 'started';
-    const course = this.behaviour === 'failing' ? 'ends' : this.getCourse(order);
-    if (course === 'ends') {
-      const outcome = this.behaviour === 'failing' ? 'failed' : 'done';
-      run.timer = setTimeout(() => this.end(key, outcome), this.durationMs);
+    const isLasting = this.lastingPayloads.has(order.payload);
+    const course = isLasting ? 'lasts' : this.getCourse(order);
+    if (this.behaviour === 'failing' && !isLasting) {
+      run.timer = setTimeout(() => this.end(key, 'failed'), this.durationMs);
+    } else if (course === 'ends') {
+      run.timer = setTimeout(() => this.end(key, 'done'), this.durationMs);
     } else if (course === 'crashes') {
       run.timer = setTimeout(() => this.onCrash(), CRASH_DELAY_MS);
     }
