--- a/packages/tests/src/workflow/fakeDriver.ts
+++ b/packages/tests/src/workflow/fakeDriver.ts
@@ -31,6 +31,10 @@
   readonly paces: string[] = [];
   /** Maximum number of concurrent runs of one task. */
   maxRunsPerTask = 0;
+  /** Monotonic time of the latest check that found the leadership valid. */
+  validAtMs = -Infinity;
+  /** Longest lease that an order granted, counted from the check before it. */
+  longestLeaseMs = 0;
   private readonly inspectionsLostBefore = new Map<string, number>();
 
   worker(id: string): FakeWorker {
@@ -48,6 +52,7 @@
   }
 
   async start(target: EndpointTarget, order: StartOrder): Promise<StartResponse | undefined> {
+    this.recordLease(order.untilMs);
     const worker = this.worker(target.id);
     if (!isReachable(worker, target)) return this.timeOut();
     if (worker.behaviour === 'starts-late') {
@@ -70,6 +75,7 @@
   }
 
   async inspect(target: EndpointTarget, order: InspectOrder): Promise<OrderResult<Inspection>> {
+    this.recordLease(order.untilMs ?? -Infinity);
     const worker = this.worker(target.id);
     if (!isReachable(worker, target)) {
       await pause(ORDER_TIMEOUT_MS);
@@ -100,6 +106,10 @@
     return [...this.workers.values()].flatMap((worker) => worker.started);
   }
 
+  private recordLease(untilMs: number): void {
+    this.longestLeaseMs = Math.max(this.longestLeaseMs, untilMs - this.validAtMs);
+  }
+
   private countRuns(): void {
     const counts = new Map<string, number>();
     for (const worker of this.workers.values()) {
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -117,7 +117,9 @@
   readonly clock = new LeaseClock();
   private readonly opts: EndpointAgentOptions;
   /** Increases with each incarnation of the endpoint; state of an earlier one must not be used. */
-  private incarnation = 0;
+  private incarnationNumber = 0;
+  /** Incarnation that the readings and leases of the clock belong to. */
+  private clockIncarnation = '';
   private ackedReport = 0;
   private hasUnackedReports = false;
   private isStarted = false;
@@ -135,6 +137,16 @@
     return this.record.id;
   }
 
+  private get incarnation(): string {
+    return `${this.record.bornMs} ${this.record.address}`;
+  }
+
+  /** Records the clock in a heartbeat of the endpoint. */
+  observeClock(clockMs: number): void {
+    if (this.clockIncarnation !== this.incarnation) return;
+    this.clock.observeHeartbeat(clockMs, performance.now());
+  }
+
   /** Starts the inspection loop; does nothing if it has been started. */
   start(): void {
     if (this.isStarted) return;
@@ -150,26 +162,35 @@
     this.requestInspection();
   }
 
-  /** Sends the start order for a run that is already durable. */
-  async order(run: AgentRun, payload: string, ticket: string | undefined): Promise<void> {
+  /**
+   * Sends the start order for a run that is already durable.
+   *
+   * @param leaseFromMs - Monotonic time, read before the validity of the leadership was checked.
+   */
+  async order(
+    run: AgentRun,
+    payload: string,
+    ticket: string | undefined,
+    leaseFromMs: number,
+  ): Promise<void> {
     const { driver, fencingToken, leaseMs } = this.opts;
     this.runs.set(run.key, run);
     const order: StartOrder = {
       task: run.name,
       run: run.run,
       payload,
-      untilMs: this.clock.grant(leaseMs, performance.now()),
+      untilMs: this.clock.grant(leaseMs, leaseFromMs),
       fencingToken,
       checkpoint: run.checkpoint === '' ? undefined : run.checkpoint,
       ticket,
     };
     const sentMs = performance.now();
     run.orderedMs = sentMs;
-    const { incarnation } = this;
+    const { incarnationNumber } = this;
     const response = await driver.start(this.record, order);
     if (this.isDisposed) return;
     // A response that an earlier incarnation may have sent tells nothing about this one.
-    if (!response || incarnation !== this.incarnation) {
+    if (!response || incarnationNumber !== this.incarnationNumber) {
       run.phase = 'unsettled';
       await this.resolveUnsettled(run);
       return;
@@ -194,7 +215,7 @@
    * run, a stop order is sent first, so that the start order has no effect if it arrives later.
    */
   private async resolveUnsettled(run: AgentRun): Promise<void> {
-    const { driver, fencingToken, log } = this.opts;
+    const { driver, fencingToken, isValid, log } = this.opts;
     log.info('start order got no response', { run: run.key, endpoint: this.id });
     while (!this.isDisposed && this.runs.has(run.key) && run.phase === 'unsettled') {
       const hasResponded = await this.inspect(0);
@@ -203,7 +224,7 @@
         await delay(INSPECTION_RETRY_MS);
       } else if (run.isStopped) {
         this.drop([run], 'the order never arrived');
-      } else {
+      } else if (isValid()) {
         const order = { task: run.name, run: run.run, fencingToken };
         run.isStopped = await driver.stop(this.record, order);
       }
@@ -248,8 +269,7 @@
   }
 
   private resetIncarnation(): void {
-    this.incarnation += 1;
-    this.clock.reset();
+    this.incarnationNumber += 1;
     this.ackedReport = 0;
     this.hasUnackedReports = false;
     this.isSynced = false;
@@ -279,11 +299,13 @@
   /** Resolves with whether the current incarnation of the endpoint has responded. */
   private async inspect(waitMs: number): Promise<boolean> {
     const { driver, fencingToken, leaseMs, isValid } = this.opts;
-    if (!isValid()) return false;
+    // The lease is counted from before the check, as the process may be suspended after it.
     const sentMs = performance.now();
-    const { record, incarnation } = this;
+    if (!isValid()) return false;
+    const { record, incarnationNumber } = this;
     // An unresponsive endpoint may still receive orders; its lease must be allowed to expire.
-    const canRenew = this.clock.hasReading && !this.isSuspect;
+    const isCurrentClock = this.clockIncarnation === this.incarnation;
+    const canRenew = this.clock.hasReading && isCurrentClock && !this.isSuspect;
     const result = await driver.inspect(record, {
       fencingToken,
       ackedReport: this.ackedReport,
@@ -304,12 +326,15 @@
       return false;
     }
     this.lastResponseMs = performance.now();
+    // The leases of an earlier incarnation may run on until the new one has responded.
+    if (!isCurrentClock) this.clock.reset();
+    this.clockIncarnation = this.incarnation;
     this.clock.observe({ clockMs: answer.clockMs, sentMs, receivedMs: this.lastResponseMs });
     // Processed in order, so that no report is acknowledged before its end is durable.
     const previous = this.processing;
     this.processing = previous
       .catch(() => undefined)
-      .then(() => this.processInspection(answer, sentMs, incarnation));
+      .then(() => this.processInspection(answer, sentMs, incarnationNumber));
     await this.processing;
     return true;
   }
@@ -323,11 +348,11 @@
   private async processInspection(
     inspection: Inspection,
     sentMs: number,
-    incarnation: number,
+    incarnationNumber: number,
   ): Promise<void> {
     const { listener } = this.opts;
     // The endpoint may have restarted while an earlier response was processed.
-    if (incarnation !== this.incarnation) return;
+    if (incarnationNumber !== this.incarnationNumber) return;
     const wasAvailable = this.isSynced && !this.isSuspect;
     this.isSuspect = false;
     const ends: { run: AgentRun; report: EndReport }[] = [];
@@ -346,7 +371,7 @@
     if (ends.length > 0) {
       for (const { run } of ends) this.runs.delete(run.key);
       await listener.onRunsEnded(this, ends);
-      if (this.isDisposed || incarnation !== this.incarnation) return;
+      if (this.isDisposed || incarnationNumber !== this.incarnationNumber) return;
     }
     if (isComplete) this.dropAbsentRuns(inspection.active, sentMs);
     this.hasUnackedReports = lastReport > this.ackedReport;
--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -1,4 +1,6 @@
+import { EndpointClaims, supersedes, type HeartbeatFault } from './endpointClaims.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
+import { LateHeartbeats } from './lateHeartbeats.js';
 import type { SessionContext } from './sessionContext.js';
 import type { EndpointRecord } from './workflowRecords.js';
 
@@ -33,6 +35,8 @@
   private readonly listener: EndpointServiceListener;
   /** Registrations that are not yet durable, by endpoint id. */
   private readonly registrations = new Map<string, Promise<void>>();
+  private readonly lateHeartbeats: LateHeartbeats;
+  private readonly claims: EndpointClaims;
 
   constructor(
     context: SessionContext,
@@ -42,18 +46,27 @@
     this.context = context;
     this.directory = directory;
     this.listener = listener;
+    this.claims = new EndpointClaims(context, directory);
+    this.lateHeartbeats = new LateHeartbeats(context.timing.heartbeatMs);
   }
 
   /**
    * Processes a heartbeat. Resolves when the last reported registration of the endpoint is durable;
-   * late heartbeats of earlier incarnations are ignored.
+   * late heartbeats of earlier incarnations are ignored. Resolves with a fault if the heartbeat
+   * cannot come from the endpoint that it names.
    */
-  async heartbeat(heartbeat: EndpointHeartbeat): Promise<void> {
+  async heartbeat(heartbeat: EndpointHeartbeat): Promise<HeartbeatFault | undefined> {
     const { id } = heartbeat.endpoint;
     const endpoint = { ...heartbeat.endpoint, sequence: heartbeat.sequence };
+    if (this.claims.isContested(endpoint)) {
+      const fault = await this.claims.check(endpoint);
+      if (fault) return fault;
+      if (await this.claims.hasReturned(endpoint)) this.restore(endpoint);
+    }
     if (this.observe({ ...heartbeat, endpoint })) this.register(endpoint, heartbeat.sequence);
     // A repeated heartbeat must not be acknowledged before the change that it reports is durable.
     await this.registrations.get(id);
+    return undefined;
   }
 
   /** Handles the shutdown of an endpoint; its runs are lost once it no longer responds. */
@@ -69,6 +82,7 @@
   remove(id: string, reason: string): void {
     this.context.logger.info('endpoint is forgotten', { endpoint: id, reason });
     this.directory.remove(id, reason);
+    this.lateHeartbeats.clear(id);
     this.context.propose({ type: 'unregister', id }).catch((err: Error) => {
       this.context.logger.warn('failed to unregister endpoint', { id, err: err.message });
     });
@@ -84,25 +98,44 @@
     }
   }
 
+  /** Replaces the record of a false incarnation, which never responded, by that of the sound one. */
+  private restore(endpoint: EndpointRecord): void {
+    this.context.logger.warn('endpoint was superseded by a false heartbeat', {
+      endpoint: endpoint.id,
+      bornMs: endpoint.bornMs,
+      falseBornMs: this.directory.find(endpoint.id)?.record.bornMs,
+    });
+    this.directory.add(endpoint).lastSequence = -1;
+    this.register(endpoint, endpoint.sequence ?? 0);
+  }
+
   /** Updates the agent of an endpoint; returns whether its record has to be committed. */
   private observe({ endpoint, sequence, clockMs }: EndpointHeartbeat): boolean {
     const known = this.directory.find(endpoint.id);
+    let isSequenceReset = false;
     if (known) {
       const isEarlierIncarnation = endpoint.bornMs < known.record.bornMs;
       const isSameIncarnation = endpoint.bornMs === known.record.bornMs;
-      if (isEarlierIncarnation || (isSameIncarnation && sequence <= known.lastSequence)) {
-        return false;
+      if (isEarlierIncarnation) return false;
+      if (isSameIncarnation && sequence <= known.lastSequence) {
+        const { id } = endpoint;
+        isSequenceReset = this.lateHeartbeats.isCurrent(id, sequence, performance.now());
+        if (!isSequenceReset) return false;
+        this.context.logger.warn('sequence of an endpoint was too high', {
+          endpoint: id,
+          sequence,
+          lastSequence: known.lastSequence,
+        });
       }
     }
-    const isChanged = !known || !isSame(known.record, endpoint);
+    this.lateHeartbeats.clear(endpoint.id);
+    // The next leader needs a sequence that was reset as well.
+    const isChanged = !known || isSequenceReset || !isSame(known.record, endpoint);
     const agent = isChanged ? this.directory.add(endpoint) : known;
     agent.lastHeartbeatMs = performance.now();
     agent.lastSequence = sequence;
     agent.isLeaving = false;
-    if (clockMs !== undefined) {
-      const receivedMs = performance.now();
-      agent.clock.observe({ clockMs, sentMs: receivedMs, receivedMs });
-    }
+    if (clockMs !== undefined) agent.observeClock(clockMs);
     if (!known) agent.start();
     return isChanged;
   }
@@ -140,9 +173,7 @@
   /** Removes older incarnations on the same instance or address, which must have ended. */
   private async removePredecessors(record: EndpointRecord): Promise<void> {
     for (const other of this.directory.list()) {
-      if (other.id === record.id || other.record.bornMs >= record.bornMs) continue;
-      const isSameInstance = record.instance !== '' && other.record.instance === record.instance;
-      if (!isSameInstance && other.record.address !== record.address) continue;
+      if (other.id === record.id || !supersedes(record, other.record)) continue;
       this.directory.remove(other.id, 'replaced by a newer incarnation');
       await this.context.propose({ type: 'unregister', id: other.id });
     }
