Add scenarios of an endpoint that restarts between two heartbeats

Endpoint i-3 had restarted under its id at once; before its heartbeat the leader ordered four runs there, and its next inspection acknowledged the reports of the earlier incarnation up to a number that covered those of the new one. The runs then counted as lost.

The platform says that an endpoint may start again under its id and counts its reports anew.

--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -205,6 +205,27 @@
     Then job "k" is "completed"
     And no task of job "k" was started more than once
 
+  # Guards against an acknowledgement of reports that the leader has not read.
+  Scenario: an endpoint that restarts unnoticed keeps its reports until they are read
+    When job "j" of 8 tasks is submitted
+    And 1600 ms of workflow time pass
+    And worker w1 restarts between two heartbeats
+    And job "k" of 8 tasks is submitted
+    And 4000 ms of workflow time pass
+    Then job "k" is "completed"
+    And no task of job "k" was started more than once
+
+  Scenario: an endpoint that restarts unnoticed and loses a response keeps its reports
+    When job "j" of 8 tasks is submitted
+    And 1600 ms of workflow time pass
+    And worker w1 restarts between two heartbeats
+    And worker w1 loses its responses to start orders
+    And worker w1 completes new tasks after 100 ms
+    And job "k" of 8 tasks is submitted
+    And 4000 ms of workflow time pass
+    Then job "k" is "completed"
+    And no task of job "k" was started more than once
+
   # Guards against a lease that never ends, as it was computed with the clock of an earlier life.
   Scenario: the clock of an earlier incarnation is not used for the leases of the next one
     Given responses of worker w1 to start orders are held up for 300 ms
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -117,6 +117,10 @@
   await this.world.sendHeartbeats();
 });
 
+When('worker {word} restarts between two heartbeats', function restart(this: Steps, id: string) {
+  this.world.driver.worker(id).restart();
+});
+
 When('worker {word} responds again', function restore(this: Steps, id: string) {
   this.world.driver.worker(id).behaviour = 'sound';
 });
