--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -13,8 +13,11 @@
 export type WorkerBehaviour =
   'sound' | 'failing' | 'stalled' | 'silent' | 'crashed' | 'start-answers-lost' | 'starts-late';
 
-/** How a run goes on by itself: `ends` after its duration, `lasts` until it is stopped. */
-export type RunCourse = 'ends' | 'lasts';
+/**
+ * How a run goes on by itself: `ends` after its duration, `lasts` until it is stopped, or `crashes`
+ * the worker.
+ */
+export type RunCourse = 'ends' | 'lasts' | 'crashes';
 
 /** Receives events of a worker. */
 export interface WorkerObserver {
@@ -37,6 +40,9 @@
 /** Delay after which a late order is executed. */
 const LATE_START_DELAY_MS = 3000;
 
+/** Time from the start of a run to the crash that it causes. */
+const CRASH_DELAY_MS = 10;
+
 /** Simulated worker that executes orders on the fake clock. */
 export class FakeWorker {
   readonly runs = new Map<string, WorkerRun>();
@@ -50,6 +56,8 @@
   /** Load reported for every run. */
   load = 0;
   bornMs = 1;
+  /** Longest lease; a longer one is shortened to it. */
+  maxLeaseMs = Infinity;
   /** Time for which the responses to start orders are held up, in milliseconds. */
   startResponseDelayMs = 0;
   /** Number of tasks that the worker can hold; it does not enforce the limit. */
@@ -58,6 +66,8 @@
   maxExcess = 0;
   /** Returns the course of a run. */
   getCourse: (order: StartOrder) => RunCourse = () => 'ends';
+  /** Called when a run crashes the worker. */
+  onCrash: () => void = () => this.restart();
   observer: WorkerObserver | undefined;
   /** Address at which the worker can be reached; any address if absent. */
   address: string | undefined;
@@ -101,12 +111,16 @@
     this.started.push(key);
     this.maxExcess = Math.max(this.maxExcess, this.runs.size - this.maxTasks);
     this.observer?.onStart(order);
+    if (this.behaviour === 'stalled') return 'started';
     const isLasting = this.lastingPayloads.has(order.payload);
-    const hasEnd = this.behaviour === 'failing' || this.getCourse(order) === 'ends';
-    if (this.behaviour !== 'stalled' && hasEnd && !isLasting) {
-      const outcome = this.behaviour === 'failing' ? 'failed' : 'done';
-      const durationMs = this.durationsMs.get(order.payload) ?? this.durationMs;
-      run.timer = setTimeout(() => this.end(key, outcome), durationMs);
+    const durationMs = this.durationsMs.get(order.payload) ?? this.durationMs;
+    const course = isLasting ? 'lasts' : this.getCourse(order);
+    if (this.behaviour === 'failing' && !isLasting) {
+      run.timer = setTimeout(() => this.end(key, 'failed'), durationMs);
+    } else if (course === 'ends') {
+      run.timer = setTimeout(() => this.end(key, 'done'), durationMs);
+    } else if (course === 'crashes') {
+      run.timer = setTimeout(() => this.onCrash(), CRASH_DELAY_MS);
     }
     return 'started';
   }
