Add scenarios of rejected start orders

A rejected order teaches the scheduler only to prefer other endpoints. When there is none, it sends the next order in the next cycle: 501 orders in 2 s of simulated time, each with two commits. An endpoint without runs is not inspected after it has said that it is full, unhealthy or another instance, so it stays available.

--- a/packages/tests/src/workflow/fakeDriver.ts
+++ b/packages/tests/src/workflow/fakeDriver.ts
@@ -27,6 +27,10 @@
   readonly paces: string[] = [];
   /** Maximum number of concurrent runs of one task. */
   maxRunsPerTask = 0;
+  /** Monotonic times of rejected start orders. */
+  readonly rejectedAtMs: number[] = [];
+  /** Monotonic times of inspections. */
+  readonly inspectedAtMs: number[] = [];
   /** Monotonic time of the latest check that found the leadership valid. */
   validAtMs = -Infinity;
   /** Longest lease that an order granted, counted from the check before it. */
@@ -55,6 +59,10 @@
       worker.startLate(order);
       return this.timeOut();
     }
+    if (worker.rejection) {
+      this.rejectedAtMs.push(performance.now());
+      return { outcome: worker.rejection, clockMs: Math.floor(performance.now()) };
+    }
     const outcome = worker.start(order);
     this.countRuns();
     if (worker.behaviour === 'start-answers-lost') return this.timeOut();
@@ -75,7 +83,10 @@
       await pause(ORDER_TIMEOUT_MS);
       return { failure: 'unreachable' };
     }
+    const { rejection } = worker;
+    if (rejection === 'unhealthy' || rejection === 'wrong-instance') return { failure: rejection };
     const sentMs = performance.now();
+    this.inspectedAtMs.push(sentMs);
     const answer = await worker.inspect(order);
     if (sentMs <= (this.inspectionsLostBefore.get(target.id) ?? -1)) {
       await pause(sentMs + order.waitMs + ORDER_TIMEOUT_MS - performance.now());
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -37,6 +37,8 @@
   behaviour: WorkerBehaviour = 'sound';
   /** Duration of a task in milliseconds. */
   durationMs = 500;
+  /** Outcome with which all start orders are rejected. */
+  rejection: StartOutcome | undefined;
   /** Payloads of tasks that run until they are stopped. */
   readonly lastingPayloads = new Set<string>();
   /** Load reported for every run. */
