Let a rejected start order delay the next one at the same endpoint

What a rejection says about the endpoint is used as well. After no-room and superseded its runs differ from the leader's record, so it gets no work until it has been inspected; after unhealthy and wrong-instance it counts as unresponsive until an inspection succeeds. Endpoints without runs were never inspected before.

--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -8,6 +8,7 @@
   Inspection,
   OrderFailure,
   StartOrder,
+  StartOutcome,
 } from './endpointDriver.js';
 import type { TaskRef } from './jobSpec.js';
 import { LeaseClock } from './leaseClock.js';
@@ -189,10 +190,18 @@
     } else if (response.outcome === 'fenced') {
       this.opts.listener.onFenced();
     } else {
+      this.handleRejection(response.outcome);
       this.drop([run], response.outcome);
     }
   }
 
+  /** Gives no further work to an endpoint that differs from its record, until it has been inspected. */
+  private handleRejection(outcome: StartOutcome): void {
+    if (outcome === 'unhealthy' || outcome === 'wrong-instance') this.markSuspect(outcome);
+    else if (outcome === 'no-room' || outcome === 'superseded') this.isSynced = false;
+    this.requestInspection();
+  }
+
   /**
    * Determines whether a start order without a response arrived. If the endpoint does not list the
    * run, a stop order is sent first, so that the start order has no effect if it arrives later.
@@ -373,16 +382,12 @@
   }
 
   private handleFailure(failure: OrderFailure): void {
-    const { listener, log } = this.opts;
+    const { listener } = this.opts;
     if (failure === 'fenced') {
       listener.onFenced();
       return;
     }
-    if (!this.isSuspect) {
-      this.isSuspect = true;
-      log.warn('endpoint does not answer', { endpoint: this.id, failure, runs: this.runs.size });
-      listener.onAvailabilityChange(this);
-    }
+    this.markSuspect(failure);
     if (this.isLeaving && failure === 'unreachable') {
       listener.onLeft(this);
       return;
@@ -392,6 +397,14 @@
     }
   }
 
+  private markSuspect(failure: OrderFailure): void {
+    if (this.isSuspect) return;
+    this.isSuspect = true;
+    const { listener, log } = this.opts;
+    log.warn('endpoint does not answer', { endpoint: this.id, failure, runs: this.runs.size });
+    listener.onAvailabilityChange(this);
+  }
+
   private haveLeasesEnded(): boolean {
     const nowMs = performance.now();
     const { maxLeaseMs, predecessorEndMs } = this.opts;
--- a/packages/workflow/src/serviceOutages.ts
+++ b/packages/workflow/src/serviceOutages.ts
@@ -15,26 +15,23 @@
   sinceMs: number;
 }
 
-/** Dependencies of {@link ServiceOutages}. */
-export interface ServiceOutagesOptions {
-  context: SessionContext;
-  ready: ReadySteps;
-  directory: EndpointDirectory;
-}
-
 /** Tracks the tasks of services that have no confirmed run, and for how long. */
 export class ServiceOutages {
-  private readonly opts: ServiceOutagesOptions;
+  private readonly context: SessionContext;
+  private readonly ready: ReadySteps;
+  private readonly directory: EndpointDirectory;
   private readonly outages = new Map<string, Outage>();
   private nextLogMs = -Infinity;
 
-  constructor(opts: ServiceOutagesOptions) {
-    this.opts = opts;
+  constructor(context: SessionContext, ready: ReadySteps, directory: EndpointDirectory) {
+    this.context = context;
+    this.ready = ready;
+    this.directory = directory;
   }
 
   /** Records ends of runs; the outage of a service task begins with the end of its last run. */
   recordEnds(ends: readonly EndedRun[]): void {
-    const { state } = this.opts.context;
+    const { state } = this.context;
     for (const { task } of ends) {
       if (state.findSpec(task)?.isService && state.findTask(task)?.runs.length === 0) {
         this.begin(task);
@@ -49,7 +46,7 @@
 
   /** Updates the outages and their metrics, and logs the longest one; called periodically. */
   update(): void {
-    for (const { job, occurrence, step, spec, waiting } of this.opts.ready.list()) {
+    for (const { job, occurrence, step, spec, waiting } of this.ready.list()) {
       if (!spec.isService) continue;
       for (const index of waiting) this.begin({ jobId: job.id, occurrence, step, index });
     }
@@ -60,7 +57,7 @@
     }
     const nowMs = performance.now();
     const longestMs = longest ? nowMs - longest.sinceMs : 0;
-    this.opts.context.meter.setServiceOutages(this.outages.size, longestMs);
+    this.context.meter.setServiceOutages(this.outages.size, longestMs);
     if (longest && longestMs >= LOG_INTERVAL_MS && nowMs >= this.nextLogMs) {
       this.nextLogMs = nowMs + LOG_INTERVAL_MS;
       this.log(longest, longestMs);
@@ -73,19 +70,19 @@
   }
 
   private hasEnded({ task }: Outage): boolean {
-    const { state } = this.opts.context;
+    const { state } = this.context;
     if (state.jobs.get(task.jobId)?.status !== 'open') return true;
     const runs = state.findTask(task)?.runs ?? [];
     return runs.some((run) => this.phaseOf(task, run) === 'running');
   }
 
   private phaseOf(task: TaskRef, { run, endpoint }: RunRecord): string {
-    const agent = this.opts.directory.find(endpoint);
+    const agent = this.directory.find(endpoint);
     return agent?.runs.get(`${taskName(task)}:${run}`)?.phase ?? 'not ordered';
   }
 
   private log({ task }: Outage, outageMs: number): void {
-    const { context, ready } = this.opts;
+    const { context, ready } = this;
     const record = context.state.findTask(task);
     const run = record?.runs.at(-1);
     const isWaiting = ready.has(stepName(task.jobId, task.occurrence, task.step));
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -6,7 +6,7 @@
 import type { CellConfig, QueuePolicy } from './cellConfig.js';
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
-import { taskName, type TaskRef } from './jobSpec.js';
+import { stepName, taskName, type TaskRef } from './jobSpec.js';
 import type { ReadyStep, ReadySteps } from './readySteps.js';
 import { createReservation, type RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
@@ -17,6 +17,7 @@
   type PlacementCandidate,
   type PlacementUsage,
 } from './stepPlacer.js';
+import { RejectionBackoff } from './rejectionBackoff.js';
 import { ResumableWalk } from './resumableWalk.js';
 import { splitRestarts } from './splitRestarts.js';
 import { orderSteps } from './stepOrder.js';
@@ -81,6 +82,7 @@
   private candidatesListedMs = -Infinity;
   private candidatesVersion = 0;
   private readonly failures = new Map<string, Map<string, number>>();
+  private readonly rejections = new RejectionBackoff();
   /** Planned starts that are not committed yet, by step and task index. */
   private readonly pending = new Set<string>();
   /** Latest evaluation of each waiting step. */
@@ -99,8 +101,8 @@
   }
 
   /** Marks a planned start as no longer pending, once its commit has succeeded or failed. */
-  clearPending({ stepName, task }: PlannedStart): void {
-    this.pending.delete(`${stepName}.${task.index}`);
+  clearPending(start: PlannedStart): void {
+    this.pending.delete(`${start.stepName}.${start.task.index}`);
   }
 
   /** Records a failed run of a step on an endpoint, so that other endpoints are preferred. */
@@ -110,8 +112,15 @@
     this.failures.set(step, counts);
   }
 
+  /** Records that an endpoint rejected start orders, so that it does not get the next ones at once. */
+  recordRejection(endpoint: string, runs: { task: TaskRef }[]): void {
+    const steps = runs.map(({ task }) => stepName(task.jobId, task.occurrence, task.step));
+    for (const step of new Set(steps)) this.rejections.record(step, endpoint);
+  }
+
   /** Discards the tickets and failure counts of a step that has ended. */
   forgetStep(step: string): void {
+    this.rejections.forgetStep(step);
     this.ticketProvider.forgetStep(step);
     this.failures.delete(step);
     this.evaluations.delete(step);
@@ -227,10 +236,11 @@
     const candidates = this.listCandidates(queue);
     const nowMs = performance.now();
     const tickets = queue.advice ? this.ticketProvider.ticketsOf(ready.name) : undefined;
-    const usable: PlacementCandidate[] = tickets ? [] : [...candidates.values()];
-    for (const id of tickets?.listValid(nowMs) ?? []) {
+    const usable: PlacementCandidate[] = [];
+    for (const id of tickets?.listValid(nowMs) ?? candidates.keys()) {
       const candidate = candidates.get(id);
-      if (candidate && countSlots(ready, candidate, this.opts.ledger) > 0) usable.push(candidate);
+      if (!candidate || this.rejections.isDelayed(ready.name, id, nowMs)) continue;
+      if (!tickets || countSlots(ready, candidate, this.opts.ledger) > 0) usable.push(candidate);
     }
     const usage = this.createUsage(ready, config);
     const planned = ready.spec.isGang
--- a/packages/workflow/src/toRunLossReason.ts
+++ b/packages/workflow/src/toRunLossReason.ts
@@ -9,7 +9,7 @@
 /** Reason of a committed run whose endpoint has stopped responding before it was ordered. */
 export const UNRESPONSIVE_AT_DISPATCH = 'the endpoint stopped responding before the order';
 
-/** Reasons by the text that is logged; outcomes of rejected orders stand for themselves. */
+/** Reasons by the text that is logged. */
 const REASONS = new Map<string, RunLossReason>([
   [NOT_VALID_AT_DISPATCH, 'leader-not-valid'],
   [NOT_NEEDED_AT_DISPATCH, 'not-needed'],
@@ -20,16 +20,25 @@
   ['the endpoint has left', 'endpoint-gone'],
   ['the endpoint is unresponsive', 'endpoint-gone'],
   ['replaced by a newer incarnation', 'endpoint-gone'],
-  ['no-room', 'no-room'],
-  ['no-ticket', 'no-ticket'],
-  ['late', 'late'],
-  ['superseded', 'superseded'],
-  ['wrong-instance', 'wrong-instance'],
-  ['unhealthy', 'unhealthy'],
-  ['invalid', 'invalid'],
 ]);
 
+/** Outcomes of rejected orders, which are logged as they are. */
+const REJECTIONS: ReadonlySet<string> = new Set<RunLossReason>([
+  'no-room',
+  'no-ticket',
+  'late',
+  'superseded',
+  'wrong-instance',
+  'unhealthy',
+  'invalid',
+]);
+
+/** Returns whether a run was lost because its endpoint rejected the start order. */
+export function isRejection(text: string): boolean {
+  return REJECTIONS.has(text);
+}
+
 /** Returns the reason under which a loss is counted. */
 export function toRunLossReason(text: string): RunLossReason {
-  return REASONS.get(text) ?? 'other';
+  return isRejection(text) ? (text as RunLossReason) : (REASONS.get(text) ?? 'other');
 }
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -28,7 +28,7 @@
 import { SessionMetrics } from './sessionMetrics.js';
 import { StragglerDetector } from './stragglerDetector.js';
 import { StepScheduler } from './stepScheduler.js';
-import { toRunLossReason } from './toRunLossReason.js';
+import { isRejection, toRunLossReason } from './toRunLossReason.js';
 import { TakeoverRecorder } from './takeoverRecorder.js';
 import { WaitLogger } from './waitLogger.js';
 import { WaveRunner } from './waveRunner.js';
@@ -141,8 +141,7 @@
     });
     this.waitLogger = new WaitLogger(this.context, this.ready, this.scheduler);
     this.metrics = new SessionMetrics(this.context, this.ready, this.directory);
-    const { context, ready, directory } = this;
-    this.outages = new ServiceOutages({ context, ready, directory });
+    this.outages = new ServiceOutages(this.context, this.ready, this.directory);
     this.retention = new JobRetention(this.context);
     this.stragglers = new StragglerDetector(
       this.context,
@@ -237,6 +236,7 @@
       this.health.recordAbandoned({ attemptId: key, unitId: task.jobId, endpointId: agent.id });
       this.recordFailure(agent, task);
     }
+    if (isRejection(reason)) this.scheduler.recordRejection(agent.id, runs);
     this.recordLostRuns(agent, runs, reason);
   }
 
