--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -32,6 +32,7 @@
 import { SessionMetrics } from './sessionMetrics.js';
 import { StragglerDetector } from './stragglerDetector.js';
 import { StepScheduler } from './stepScheduler.js';
+import { isRejection } from './toRunLossReason.js';
 import { TakeoverRecorder } from './takeoverRecorder.js';
 import { WaitLogger } from './waitLogger.js';
 import { WaveRunner } from './waveRunner.js';
@@ -159,7 +160,7 @@
     this.waitLogger = new WaitLogger(this.context, this.ready, this.scheduler);
     this.metrics = new SessionMetrics(this.context, this.ready, this.directory);
     const { context, ready, directory } = this;
-    this.outages = new ServiceOutages({ context, ready, directory });
+    this.outages = new ServiceOutages(context, ready, directory);
     this.ends = new RunEnds({
       context,
       ledger: this.ledger,
@@ -261,6 +262,7 @@
     if (reason === 'no-ticket') this.scheduler.dropTickets(agent.id);
     const evidence = this.crashes.handleLoss(agent, runs, reason);
     this.outcomes.recordLoss(agent, runs, evidence.size > 0);
+    if (isRejection(reason)) this.scheduler.recordRejection(agent.id, runs);
     this.ends.recordLost(agent, runs, reason, evidence);
   }
 
