Hold back the other tasks of a job that alone is suspected of a crash

Each task of a batch job was bounded for itself, so a job of many tasks that crash their endpoints crashed one endpoint after another with its fresh tasks, and its suspects waited behind them.

If all suspects of a crash are of one job, the other waiting tasks of the job are started one after another like its suspects, until one of its tasks ends by itself, for at most a minute. The waiting tasks of a batch job are cancelled as soon as a task has failed because of crashes, as the job fails in any case. The only suspect is told by job rather than by task.

--- a/packages/coordinator/src/coordinatorTiming.ts
+++ b/packages/coordinator/src/coordinatorTiming.ts
@@ -19,6 +19,9 @@
  */
 export const CRASH_SUSPICION_MS = 30_000;
 
+/** Longest time for which a suspect of a crash, or another task of its job, is held back. */
+export const MAX_SUSPECT_HOLD_MS = 60_000;
+
 /** Interval at which leases, validities and deadlines are checked. */
 export const SWEEP_INTERVAL_MS = 250;
 
--- a/packages/coordinator/src/crashDetector.ts
+++ b/packages/coordinator/src/crashDetector.ts
@@ -6,7 +6,6 @@
 
 import type { CommitQueue } from './commitQueue.js';
 import { CRASH_SUSPICION_MS } from './coordinatorTiming.js';
-import { createUnitId } from './unitId.js';
 
 /** Maximum number of suspects that a log line names. */
 const MAX_LOGGED_SUSPECTS = 20;
@@ -111,7 +110,7 @@
     const { metrics, log } = this.opts;
     for (const { kind } of lost) metrics.countCrashLoss(kind);
     const suspects = lost.filter(({ id }) => !this.hasWorked(id));
-    const units = new Set(suspects.map((attempt) => createUnitId(attempt)));
+    const units = new Set(suspects.map(({ unitId }) => unitId));
     for (const suspect of suspects) {
       // An attempt that this leader has not seen may never have been dispatched.
       const isSole = units.size === 1 && evidence === 'restarted' && this.runs.has(suspect.id);
--- a/packages/coordinator/src/jobService.ts
+++ b/packages/coordinator/src/jobService.ts
@@ -7,7 +7,7 @@
   SubmitJobResult,
 } from '@lagoongap/model/messages.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
-import type { WorkUnit } from '@lagoongap/model/workload.js';
+import type { AttemptOutcome, WorkUnit } from '@lagoongap/model/workload.js';
 import type { RejectDecision, Scheduler } from '@lagoongap/scheduling/scheduler.js';
 import type { ClusterState } from '@lagoongap/state/clusterState.js';
 import type { SubmitResult } from '@lagoongap/state/commands.js';
@@ -16,7 +16,7 @@
 
 import { admit } from './admission.js';
 import type { CommitQueue } from './commitQueue.js';
-import { MAX_LOOKUP_WAIT_MS } from './coordinatorTiming.js';
+import { MAX_LOOKUP_WAIT_MS, MAX_SUSPECT_HOLD_MS } from './coordinatorTiming.js';
 import type { PlacementPipeline } from './placementPipeline.js';
 import type { SuspectTrials } from './suspectTrials.js';
 import type { TaskDispatcher } from './taskDispatcher.js';
@@ -25,6 +25,13 @@
 const SERVICE_RESTART_BASE_MS = 500;
 const SERVICE_RESTART_MAX_MS = 60_000;
 
+/** Outcomes that show that a task runs without crashing its endpoint. */
+const HARMLESS_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
+  'succeeded',
+  'failed',
+  'checkpointed',
+]);
+
 /** Number of recently failed endpoints, per task and kind of failure, that a unit avoids. */
 const MAX_EXCLUDED_ENDPOINTS = 3;
 
@@ -47,6 +54,8 @@
   private readonly restartTimers = new Set<NodeJS.Timeout>();
   /** Endpoints that failed to start a unit, by unit id. */
   private readonly failedStartEndpoints = new Map<string, string[]>();
+  /** Monotonic time until which all tasks of a job are treated as suspects, by job id. */
+  private readonly suspectUntilMs = new Map<string, number>();
 
   constructor(opts: JobServiceOptions) {
     this.opts = opts;
@@ -123,6 +132,8 @@
       this.handleJobEnd(job);
       return;
     }
+    if (HARMLESS_OUTCOMES.has(finished.outcome)) this.suspectUntilMs.delete(job.id);
+    else if (finished.crash?.isSole && job.spec.kind !== 'gang') this.holdWaiting(job);
     if (job.cancelled || job.stopping) {
       this.stopRunning(job);
       return;
@@ -186,8 +197,8 @@
 
   private enqueueUnit(job: JobRecord, unitId: string, indexes: number[]): void {
     const sinceMs = performance.now();
-    const crashes = job.crashes ?? job.tasks[indexes[0]!]!.crashes ?? [];
-    if (crashes.length === 0) {
+    const isSuspect = (): boolean => this.isSuspect(job, indexes[0]!);
+    if (!isSuspect()) {
       this.addToQueue(job, unitId, indexes, sinceMs);
       return;
     }
@@ -196,10 +207,27 @@
     this.opts.trials.submit({
       unitId,
       isWaiting,
+      isSuspect,
       enqueue: () => this.addToQueue(job, unitId, indexes, sinceMs),
     });
   }
 
+  private isSuspect(job: JobRecord, taskIndex: number): boolean {
+    const crashes = job.crashes ?? job.tasks[taskIndex]!.crashes ?? [];
+    return crashes.length > 0 || performance.now() < (this.suspectUntilMs.get(job.id) ?? -Infinity);
+  }
+
+  /** Holds back the other tasks of a job that alone is suspected of a crash. */
+  private holdWaiting(job: JobRecord): void {
+    this.suspectUntilMs.set(job.id, performance.now() + MAX_SUSPECT_HOLD_MS);
+    job.tasks.forEach((task, i) => {
+      const unitId = `${job.id}/${i}`;
+      if (task.state === 'waiting' && this.opts.pipeline().cancel(unitId)) {
+        this.enqueueUnit(job, unitId, [i]);
+      }
+    });
+  }
+
   private addToQueue(job: JobRecord, unitId: string, indexes: number[], sinceMs: number): void {
     const { spec } = job;
     this.opts.pipeline().enqueue(
@@ -269,6 +297,7 @@
 
   private handleJobEnd(job: JobRecord): void {
     this.failedStartEndpoints.delete(job.id);
+    this.suspectUntilMs.delete(job.id);
     job.tasks.forEach((_, i) => this.failedStartEndpoints.delete(`${job.id}/${i}`));
     const waiters = this.waiters.get(job.id);
     this.waiters.delete(job.id);
--- a/packages/coordinator/src/suspectTrials.ts
+++ b/packages/coordinator/src/suspectTrials.ts
@@ -2,6 +2,7 @@
 import type { ClusterState } from '@lagoongap/state/clusterState.js';
 import type { AttemptRecord } from '@lagoongap/state/records.js';
 
+import { MAX_SUSPECT_HOLD_MS } from './coordinatorTiming.js';
 import type { CrashDetector } from './crashDetector.js';
 import { createUnitId } from './unitId.js';
 
@@ -14,16 +15,15 @@
 /** Time for which a suspect that waits for a placement holds up the next suspect. */
 const MAX_PLACEMENT_WAIT_MS = 10_000;
 
-/** Time after which a suspect is started beside other work, so that many suspects do not wait. */
-const MAX_HOLD_MS = 60_000;
-
-/** Unit of a job that was a suspect in a crash of an endpoint and waits to be started again. */
+/** Waiting unit of a job that was a suspect in a crash of an endpoint. */
 export interface Suspect {
   unitId: string;
   /** Adds the unit to its queue. */
   enqueue: () => void;
   /** Returns whether the unit still waits to be started. */
   isWaiting: () => boolean;
+  /** Returns whether the unit still has to be started apart from other work. */
+  isSuspect: () => boolean;
 }
 
 interface TimedSuspect {
@@ -75,8 +75,8 @@
 
   /** Reserves the endpoint of an attempt that was committed if it is that of a suspect. */
   handleStarted(attempt: AttemptRecord): void {
-    if (!this.isSuspect(attempt)) return;
     const unitId = createUnitId(attempt);
+    if (!this.isSuspect(attempt) && this.placing?.suspect.unitId !== unitId) return;
     const attempts = this.running.get(unitId) ?? new Map<string, string>();
     this.running.set(unitId, attempts.set(attempt.id, attempt.endpointId));
     this.reserve(attempt.endpointId, unitId);
@@ -107,7 +107,7 @@
       if (isOverdue || !suspect.isWaiting()) this.placing = undefined;
     }
     for (const [unitId, { suspect, sinceMs }] of this.pending) {
-      if (nowMs - sinceMs < MAX_HOLD_MS) break;
+      if (nowMs - sinceMs < MAX_SUSPECT_HOLD_MS && suspect.isSuspect()) continue;
       this.pending.delete(unitId);
       if (suspect.isWaiting()) suspect.enqueue();
     }
--- a/packages/state/src/jobTable.ts
+++ b/packages/state/src/jobTable.ts
@@ -15,6 +15,12 @@
   return { state: 'waiting', failures: 0, failedOn: [] };
 }
 
+/** Returns whether a task of a batch job has failed because it crashed its endpoints. */
+function hasCrashedTask(job: JobRecord): boolean {
+  if (job.spec.kind !== 'batch') return false;
+  return job.tasks.some(({ state, crashes }) => state === 'failed' && hasCrashedTooOften(crashes));
+}
+
 function copyJob(job: JobRecord): JobRecord {
   const tasks = job.tasks.map((task) => ({ ...task, failedOn: [...task.failedOn] }));
   return { ...job, tasks };
@@ -178,7 +184,7 @@
   private updateJobState(job: JobRecord, wallTime: number): void {
     job.state = resolveJobState(job);
     const hasFailed = job.tasks.some((task) => ['failed', 'unknown'].includes(task.state));
-    if (hasFailed && job.state === 'waiting') {
+    if (hasFailed && (job.state === 'waiting' || hasCrashedTask(job))) {
       // A failed task determines the state of the job, so its waiting tasks are cancelled.
       for (const task of job.tasks) {
         if (task.state === 'waiting') task.state = 'cancelled';
--- a/packages/state/src/records.ts
+++ b/packages/state/src/records.ts
@@ -6,7 +6,7 @@
   endpoint: string;
   /** Lost attempt. */
   attempt: string;
-  /** Whether nothing else that had recently started was lost in the crash. */
+  /** Whether all recently started attempts that were lost in the crash are of one job or request. */
   isSole: boolean;
 }
 
--- a/packages/tests/features/coordinator/crashes.feature
+++ b/packages/tests/features/coordinator/crashes.feature
@@ -84,6 +84,13 @@
     Then the work "deadly" was started at most 30 times
     And the job "deadly" is "failed"
 
+  Scenario: a batch job whose tasks do not crash their endpoints soon runs at full speed again
+    Given a cell with 5 endpoints
+    And a batch job "steady" with 40 tasks that run for 2 s
+    When the endpoint of "steady" crashes soon after its start
+    And 25 s pass in the cell
+    Then the job "steady" is "succeeded"
+
   Scenario: an endpoint with a suspect gets no other work until the suspect has worked for a while
     Given a cell with 2 endpoints
     And a service "steady"
--- a/packages/tests/src/steps/coordinator/crashSteps.ts
+++ b/packages/tests/src/steps/coordinator/crashSteps.ts
@@ -61,6 +61,14 @@
   },
 );
 
+Given(
+  'a batch job {string} with {int} tasks that run for {int} s',
+  async function submitTasks(this: CrashWorld, marker: string, tasks: number, seconds: number) {
+    const runMs = seconds * MS_PER_SECOND;
+    await this.crashCell!.submit({ kind: 'batch', marker, tasks, runMs });
+  },
+);
+
 Given('a service {string}', async function submitService(this: CrashWorld, marker: string) {
   await this.crashCell!.submit({ kind: 'service', marker });
 });
