--- a/packages/tests/features/workflow/oddEntries.feature
+++ b/packages/tests/features/workflow/oddEntries.feature
@@ -105,6 +105,15 @@
     And 3000 ms of workflow time pass
     Then job "j" is "completed"
 
+  Scenario: another spelling of a task name does not stop the task
+    Given 1 workers of 4 cores
+    When job "j" of 1 tasks of 2000 ms is submitted
+    And 100 ms of workflow time pass
+    And worker w1 lists a run of "j" as task "0.0.00"
+    And 5000 ms of workflow time pass
+    Then job "j" is "completed"
+    And no task was started more than once
+
   Scenario: runs are not lost because their rows cannot be read
     Given 2 workers of 4 cores
     When job "j" of 8 tasks of 2000 ms is submitted
--- a/packages/tests/src/steps/workflow/oddHeartbeatSteps.ts
+++ b/packages/tests/src/steps/workflow/oddHeartbeatSteps.ts
@@ -58,11 +58,22 @@
   },
 );
 
+function listOtherRun({ world }: OddHeartbeatSteps, id: string, task: string): void {
+  const row = { run: 1, checkpoint: '', percent: 100, load: 0 };
+  world.driver.worker(id).otherRuns = [{ task, ...row }];
+}
+
 Given(
   'worker {word} lists a run of {string} that this job cannot have',
   function list(this: OddHeartbeatSteps, id: string, job: string) {
-    const row = { run: 1, checkpoint: '', percent: 100, load: 0 };
-    this.world.driver.worker(id).otherRuns = [{ task: `${job}.0.7.0`, ...row }];
+    listOtherRun(this, id, `${job}.0.7.0`);
+  },
+);
+
+When(
+  'worker {word} lists a run of {string} as task {string}',
+  function list(this: OddHeartbeatSteps, id: string, job: string, name: string) {
+    listOtherRun(this, id, `${job}.${name}`);
   },
 );
 
