Read a listed run only under the exact name of its task

A name such as `0.0.00` was read as that of task 0 of step 0. The run of that name replaced the sound one in the agent and was stopped. Such a row names no task and is ignored.

--- a/packages/workflow/src/jobSpec.ts
+++ b/packages/workflow/src/jobSpec.ts
@@ -74,7 +74,7 @@
   return `${jobId}.${occurrence}.${step}.${index}`;
 }
 
-/** Parses a task name; returns undefined if it is malformed. */
+/** Parses a task name; returns undefined unless it is exactly the name of a task. */
 export function parseTaskName(name: string): TaskRef | undefined {
   const parts = name.split('.');
   if (parts.length !== 4) return undefined;
@@ -83,5 +83,6 @@
   if (![occurrence, step, index].every((value) => Number.isInteger(value) && value >= 0)) {
     return undefined;
   }
-  return { jobId, occurrence, step, index };
+  const ref = { jobId, occurrence, step, index };
+  return taskName(ref) === name ? ref : undefined;
 }
