Acknowledge reports only to the incarnation that has listed them

An acknowledgement is the number of a report, and each incarnation of an endpoint counts anew. A leader that did not know yet of a restart acknowledged with the number of the earlier incarnation, so that the new one forgot reports that nobody had read, and their tasks were started again.

The leader now withholds the number while the endpoint may have restarted: after an order or an inspection without a response, after a response of another incarnation, and after a start response whose clock is earlier than it can be. The next inspection with a response ends that. Reports that are listed are inspected until they are acknowledged.

--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -121,6 +121,10 @@
   /** Incarnation that the readings and leases of the clock belong to. */
   private clockIncarnation = '';
   private ackedReport = 0;
+  /** Monotonic time at which the last inspection with a response was sent. */
+  private answeredSentMs = -Infinity;
+  /** Monotonic time at which the endpoint may last have restarted unnoticed. */
+  private doubtedMs = -Infinity;
   private hasUnackedReports = false;
   private isStarted = false;
   private isDisposed = false;
@@ -191,12 +195,14 @@
     if (this.isDisposed) return;
     // A response that an earlier incarnation may have sent tells nothing about this one.
     if (!response || incarnationNumber !== this.incarnationNumber) {
+      this.doubtedMs = performance.now();
       run.phase = 'unsettled';
       await this.resolveUnsettled(run);
       return;
     }
     const receivedMs = performance.now();
     if (response.clockMs !== undefined) {
+      if (this.clock.hasGoneBack(response.clockMs, sentMs)) this.doubtedMs = receivedMs;
       this.clock.observe({ clockMs: response.clockMs, sentMs, receivedMs });
     }
     if (response.outcome === 'started') {
@@ -271,6 +277,7 @@
   private resetIncarnation(): void {
     this.incarnationNumber += 1;
     this.ackedReport = 0;
+    this.answeredSentMs = -Infinity;
     this.hasUnackedReports = false;
     this.isSynced = false;
     this.isSuspect = false;
@@ -308,12 +315,14 @@
     const canRenew = this.clock.hasReading && isCurrentClock && !this.isSuspect;
     const result = await driver.inspect(record, {
       fencingToken,
-      ackedReport: this.ackedReport,
+      // An endpoint that has restarted would take the number for that of reports not yet read.
+      ackedReport: this.answeredSentMs > this.doubtedMs ? this.ackedReport : 0,
       untilMs: canRenew ? this.clock.grant(leaseMs, sentMs) : undefined,
       waitMs,
     });
     if (this.isDisposed) return false;
     if ('failure' in result) {
+      this.doubtedMs = performance.now();
       this.handleFailure(result.failure);
       return false;
     }
@@ -322,10 +331,12 @@
       answer.bornMs > 0 && record.bornMs > 0 && answer.bornMs !== record.bornMs;
     if (this.record !== record || isOtherIncarnation) {
       // The heartbeat of the new incarnation describes it; until then the response is ignored.
+      this.doubtedMs = performance.now();
       if (isOtherIncarnation && answer.bornMs > this.record.bornMs) this.isSuspect = true;
       return false;
     }
     this.lastResponseMs = performance.now();
+    this.answeredSentMs = sentMs;
     // The leases of an earlier incarnation may run on until the new one has responded.
     if (!isCurrentClock) this.clock.reset();
     this.clockIncarnation = this.incarnation;
@@ -374,7 +385,7 @@
       if (this.isDisposed || incarnationNumber !== this.incarnationNumber) return;
     }
     if (isComplete) this.dropAbsentRuns(inspection.active, sentMs);
-    this.hasUnackedReports = lastReport > this.ackedReport;
+    this.hasUnackedReports = inspection.ended.length > 0;
     this.ackedReport = lastReport;
     this.isSynced = true;
     listener.onInspected(this, inspection.active);
--- a/packages/workflow/src/leaseClock.ts
+++ b/packages/workflow/src/leaseClock.ts
@@ -30,6 +30,14 @@
     this.reading = reading;
   }
 
+  /**
+   * Returns whether the endpoint's clock has gone back: a reading from a response to an order sent at
+   * `sentMs` is earlier than it can be, as after a restart of the endpoint.
+   */
+  hasGoneBack(clockMs: number, sentMs: number): boolean {
+    return clockMs < Math.floor(this.earliestMs(sentMs));
+  }
+
   /**
    * Records a reading from a heartbeat, which another writer may have sent: only if it is no later
    * than the clock can be by the latest reading in a response.
