--- a/packages/coordinator/src/endpointLeases.ts
+++ b/packages/coordinator/src/endpointLeases.ts
@@ -15,6 +15,7 @@
 
 import type { AttemptCloser } from './attemptCloser.js';
 import type { CommitQueue } from './commitQueue.js';
+import type { CrashDetector } from './crashDetector.js';
 import { EXPIRY_MARGIN_FACTOR, type CoordinatorTiming } from './coordinatorTiming.js';
 import type { ValidityGuard } from './validityGuard.js';
 
@@ -43,6 +44,7 @@
   /** Returns whether a lost attempt is the last attempt of its request. */
   isLastAttempt: (attempt: AttemptRecord) => boolean;
   onRunning: (attemptId: string) => void;
+  crashes: CrashDetector;
   /** Called with each endpoint state that is passed to the scheduler. */
   onPublished: (endpoint: EndpointRecord, state: EndpointState) => void;
   onRemoved: (endpointId: string) => void;
@@ -101,6 +103,7 @@
     const wasUnresponsive = this.resolveState(endpoint) === 'silent';
     this.renew(id);
     if (wasUnresponsive) this.publish(endpoint);
+    this.opts.crashes.examineHeartbeat(id, heartbeat);
     this.processRunning(id, heartbeat.running);
     const finished = this.listFinished(id, heartbeat.finished);
     const lost = this.listLost(params);
@@ -151,6 +154,15 @@
     return endpoint.leaving ? 'leaving' : 'ready';
   }
 
+  /** Returns the number of endpoints that accept new work, whether they are ejected or not. */
+  countReady(): number {
+    let count = 0;
+    for (const endpoint of this.opts.state.endpoints.values()) {
+      if (this.resolveState(endpoint) === 'ready') count += 1;
+    }
+    return count;
+  }
+
   /** Passes the current state of an endpoint to the scheduler. */
   publish(endpoint: EndpointRecord): void {
     const { id } = endpoint.announcement;
@@ -258,6 +270,7 @@
     lease.isExpiring = true;
     const { id } = endpoint.announcement;
     this.publish(endpoint);
+    this.opts.crashes.examineExpiry(id);
     const lost = [...state.attempts.listByEndpoint(id)].map((attempt): FinishedAttempt => ({
       attempt,
       outcome: 'lost',
--- a/packages/coordinator/src/leaderSession.ts
+++ b/packages/coordinator/src/leaderSession.ts
@@ -14,11 +14,13 @@
 import type { ClusterState } from '@lagoongap/state/clusterState.js';
 import type { StartAttemptResult, StartedAttempt } from '@lagoongap/state/commands.js';
 import type { AttemptRecord, EndpointRecord, FinishedAttempt } from '@lagoongap/state/records.js';
+import { hasCrashedTooOften } from '@lagoongap/state/crashHistory.js';
 import { isFinal } from '@lagoongap/state/taskTransitions.js';
 import type { Metrics } from '@lagoongap/telemetry/metrics.js';
 
 import { AttemptCloser } from './attemptCloser.js';
 import { CommitQueue } from './commitQueue.js';
+import { CrashDetector } from './crashDetector.js';
 import { SWEEP_INTERVAL_MS, type CoordinatorTiming } from './coordinatorTiming.js';
 import { EndpointLeases } from './endpointLeases.js';
 import { GatewaySessions } from './gatewaySessions.js';
@@ -33,6 +35,7 @@
 } from './placementPipeline.js';
 import { RequestService } from './requestService.js';
 import { StatusReader, type InstanceInfo } from './statusReader.js';
+import { SuspectTrials } from './suspectTrials.js';
 import { TaskDispatcher } from './taskDispatcher.js';
 import { ValidityGuard } from './validityGuard.js';
 
@@ -71,6 +74,8 @@
   private readonly guard: ValidityGuard;
   private readonly pipeline: PlacementPipeline;
   private readonly dispatcher: TaskDispatcher;
+  private readonly crashes: CrashDetector;
+  private readonly trials: SuspectTrials;
   private readonly reporter: MetricsReporter;
   private readonly unsubscribe: () => void;
   private readonly sweepTimer: NodeJS.Timeout;
@@ -81,10 +86,19 @@
     this.guard = new ValidityGuard(log);
     const { guard } = this;
     const commits = new CommitQueue(log, opts.metrics, opts.maxBatch === 1 ? 1 : undefined);
+    this.crashes = new CrashDetector({ state, commits, metrics: opts.metrics, log: logger });
+    this.trials = new SuspectTrials({
+      state,
+      crashes: this.crashes,
+      countReadyEndpoints: () => this.leases.countReady(),
+      onReservationChange: (id) => this.publishEndpoint(id),
+      log: logger,
+    });
     const closer = new AttemptCloser({
       state,
       scheduler,
       commits,
+      crashes: this.crashes,
       onClosed: (attempt, finished) => this.handleClosed(attempt, finished),
     });
     this.sessions = new GatewaySessions({
@@ -127,6 +141,7 @@
       scheduler,
       pipeline: () => this.pipeline,
       dispatcher: () => this.dispatcher,
+      trials: this.trials,
       commits,
     });
     scheduler.setConfiguration(state.config);
@@ -138,9 +153,10 @@
       guard,
       timing,
       log: logger,
-      isEjected: (id) => opts.health.isEjected(id),
+      isEjected: (id) => opts.health.isEjected(id) || this.trials.isReserved(id),
       onPublished: (endpoint, availability) => this.handleEndpointPublished(endpoint, availability),
-      onRemoved: (id) => opts.health.removeEndpoint(id),
+      crashes: this.crashes,
+      onRemoved: (id) => this.handleEndpointRemoved(id),
       canDeclareLost: (attempt, nowMs) => this.canDeclareLost(attempt, nowMs),
       isLastAttempt: (attempt) =>
         attempt.kind === 'request' && !this.requests.isDeferred(attempt.unitId),
@@ -172,11 +188,9 @@
       metrics: opts.metrics,
     });
     this.unsubscribe = opts.health.onChange(({ endpointId, ejected }) => {
-      const endpoint = state.endpoints.get(endpointId);
       logger.info('endpoint health changed', { endpoint: endpointId, ejected });
       if (ejected) opts.metrics.countEjection();
-      if (endpoint) this.leases.publish(endpoint);
-      this.pipeline.scheduleCycle();
+      this.publishEndpoint(endpointId);
     });
     this.restore();
     this.sweepTimer = setInterval(() => this.sweep(), SWEEP_INTERVAL_MS);
@@ -193,6 +207,8 @@
 
   handleStarted(attempt: AttemptRecord): void {
     this.opts.health.recordStart(createAttemptRef(attempt));
+    this.crashes.recordStart(attempt.id);
+    this.trials.handleStarted(attempt);
     if (attempt.kind === 'request') {
       this.requests.handleStarted(attempt);
       return;
@@ -240,6 +256,7 @@
     const nowMs = performance.now();
     for (const attempt of state.attempts.values()) {
       scheduler.restore({ ...attempt, unitId: createUnitId(attempt) }, nowMs);
+      this.trials.handleStarted(attempt);
     }
     for (const job of state.jobs.values()) {
       if (!isFinal(job.state)) this.jobs.enqueueWaiting(job);
@@ -249,6 +266,9 @@
 
   private handleClosed(attempt: AttemptRecord, finished: FinishedAttempt): void {
     this.dispatcher.removeOrder(attempt.id);
+    this.crashes.removeAttempt(attempt.id);
+    this.trials.handleClosed(attempt);
+    if (finished.crash) this.reportCrashBound(attempt);
     if (attempt.kind === 'request') {
       this.requests.handleAttemptClosed(attempt);
     } else {
@@ -258,6 +278,21 @@
     this.pipeline.scheduleCycle();
   }
 
+  /** Reports work that is not started again because of crashes. */
+  private reportCrashBound({ kind, unitId, taskIndex }: AttemptRecord): void {
+    const { state, metrics, logger } = this.opts;
+    const job = state.jobs.get(unitId);
+    const record = kind === 'request' ? state.requests.get(unitId) : job?.tasks[taskIndex];
+    const crashes = job?.crashes ?? record?.crashes;
+    if (!record || !isFinal(record.state) || !hasCrashedTooOften(crashes)) return;
+    metrics.countCrashBound(kind);
+    logger.warn('work is not started again after crashes', {
+      unit: unitId,
+      taskIndex,
+      endpoints: crashes?.map(({ endpoint }) => endpoint),
+    });
+  }
+
   private handleReleased(attempt: AttemptRecord, release: Release): void {
     const { health } = this.opts;
     const ref = createAttemptRef(attempt);
@@ -276,6 +311,7 @@
 
   /** Records a running service as a success, because a service may never end. */
   private handleRunning(attemptId: string): void {
+    this.crashes.recordRunning(attemptId);
     if (!this.dispatcher.confirmRunning(attemptId)) return;
     const attempt = this.opts.state.attempts.get(attemptId);
     if (attempt?.kind === 'service') this.opts.health.recordSuccess(createAttemptRef(attempt));
@@ -289,6 +325,17 @@
     this.opts.health.setEndpoint(announcement.id, works);
   }
 
+  private publishEndpoint(endpointId: string): void {
+    const endpoint = this.opts.state.endpoints.get(endpointId);
+    if (endpoint) this.leases.publish(endpoint);
+    this.pipeline.scheduleCycle();
+  }
+
+  private handleEndpointRemoved(endpointId: string): void {
+    this.opts.health.removeEndpoint(endpointId);
+    this.crashes.removeEndpoint(endpointId);
+  }
+
   private handleConfigurationChange(): void {
     const { scheduler, state } = this.opts;
     scheduler.setConfiguration(state.config);
@@ -307,6 +354,7 @@
     const nowMs = performance.now();
     this.leases.sweep(nowMs);
     this.requests.sweep(nowMs);
+    this.trials.sweep(nowMs);
     this.reporter.report(nowMs);
     this.pipeline.scheduleCycle();
   }
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -11,7 +11,7 @@
 
 /** How a worker handles orders. */
 export type WorkerBehaviour =
-  'sound' | 'failing' | 'stalled' | 'silent' | 'start-answers-lost' | 'starts-late';
+  'sound' | 'failing' | 'stalled' | 'silent' | 'crashed' | 'start-answers-lost' | 'starts-late';
 
 /**
  * How a run goes on by itself: `ends` after its duration, `lasts` until it is stopped, or `crashes`
@@ -84,9 +84,15 @@
   private bootMs = 0;
   private leaseTimer: NodeJS.Timeout | undefined;
   private waiters: (() => void)[] = [];
+  /** Durations of the tasks of certain payloads, instead of `durationMs`. */
+  private readonly durationsMs: ReadonlyMap<string, number>;
   /** Start orders that the current incarnation has received but not executed yet. */
   private readonly lateStarts = new Set<NodeJS.Timeout>();
 
+  constructor(durationsMs: ReadonlyMap<string, number> = new Map()) {
+    this.durationsMs = durationsMs;
+  }
+
   /** Time on the worker's clock, which starts anew with each incarnation. */
   clockMs(): number {
     return Math.floor(performance.now() - this.bootMs);
@@ -107,11 +113,12 @@
     this.observer?.onStart(order);
     if (this.behaviour === 'stalled') return 'started';
     const isLasting = this.lastingPayloads.has(order.payload);
+    const durationMs = this.durationsMs.get(order.payload) ?? this.durationMs;
     const course = isLasting ? 'lasts' : this.getCourse(order);
     if (this.behaviour === 'failing' && !isLasting) {
-      run.timer = setTimeout(() => this.end(key, 'failed'), this.durationMs);
+      run.timer = setTimeout(() => this.end(key, 'failed'), durationMs);
     } else if (course === 'ends') {
-      run.timer = setTimeout(() => this.end(key, 'done'), this.durationMs);
+      run.timer = setTimeout(() => this.end(key, 'done'), durationMs);
     } else if (course === 'crashes') {
       run.timer = setTimeout(() => this.onCrash(), CRASH_DELAY_MS);
     }
@@ -159,6 +166,20 @@
     };
   }
 
+  /** Ends the runs of a gang, another member of which has ended. */
+  breakGang(payload: string): void {
+    for (const [key, { order }] of [...this.runs]) {
+      if (order.payload === payload) this.end(key, 'broken');
+    }
+  }
+
+  /** Ends all runs without a report and resets all connections. */
+  crash(): void {
+    this.restart();
+    this.behaviour = 'crashed';
+    for (const wake of this.waiters.splice(0)) wake();
+  }
+
   /** Ends all runs without a report and starts a new incarnation. */
   restart(): void {
     for (const timer of this.lateStarts) clearTimeout(timer);
@@ -168,6 +189,7 @@
       const { task, run } = order;
       this.observer?.onEnd({ number: 0, task, run, outcome: 'lost', checkpoint: '' });
     }
+    clearTimeout(this.leaseTimer);
     this.runs.clear();
     this.supersededRuns.clear();
     this.reports = [];
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -180,7 +180,8 @@
     }
     this.sequence += 1;
     for (const endpoint of this.records.values()) {
-      if (this.driver.worker(endpoint.id).behaviour === 'silent') continue;
+      const { behaviour } = this.driver.worker(endpoint.id);
+      if (behaviour === 'silent' || behaviour === 'crashed') continue;
       const { bornMs } = this.driver.worker(endpoint.id);
       const record = { ...endpoint, bornMs };
       this.session.endpoints
@@ -270,6 +271,14 @@
     await this.advance(TICK_MS);
   }
 
+  /** Replaces the state by its snapshot in the given form, as a replica does that restarts. */
+  async restoreState(convert: (snapshot: unknown) => unknown): Promise<void> {
+    this.log.isLeadershipOver = true;
+    await this.session[Symbol.asyncDispose]();
+    this.state.restore(convert(structuredClone(this.state.snapshot())));
+    await this.changeLeader();
+  }
+
   /** Ends the leadership abruptly and starts the next one after a time without a leader. */
   async changeLeader(gapMs = 0, { isHeartbeatLost = false } = {}): Promise<void> {
     this.log.isLeadershipOver = true;
--- a/packages/workflow/src/endpointDirectory.ts
+++ b/packages/workflow/src/endpointDirectory.ts
@@ -87,6 +87,13 @@
     agent.markRemoved(reason);
   }
 
+  /** Stops a run, unless it has ended or its endpoint was removed. */
+  stopRun(endpoint: string, key: string): void {
+    const agent = this.agents.get(endpoint);
+    const run = agent?.runs.get(key);
+    if (run) agent?.stop(run);
+  }
+
   list(): EndpointAgent[] {
     return [...this.agents.values()];
   }
--- a/packages/workflow/src/runAdopter.ts
+++ b/packages/workflow/src/runAdopter.ts
@@ -1,5 +1,6 @@
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { TaskRef } from './jobSpec.js';
+import type { Quarantine } from './quarantine.js';
 import { listTasks } from './readySteps.js';
 import { createAgentRun } from './runDispatcher.js';
 import { createReservation, type RunLedger } from './runLedger.js';
@@ -11,6 +12,7 @@
   state: WorkflowState;
   ledger: RunLedger;
   directory: EndpointDirectory;
+  quarantine: Quarantine;
   /** Called for a run whose endpoint is not registered. */
   onLost: (task: TaskRef, run: RunRecord) => void;
 }
@@ -36,7 +38,7 @@
   }
 
   private adoptRun(job: JobRecord, task: TaskRef, record: RunRecord, checkpoint: string): void {
-    const { state, ledger, directory, onLost } = this.opts;
+    const { state, ledger, directory, quarantine, onLost } = this.opts;
     const { run, endpoint } = record;
     const adopted = createAgentRun(state, task, run, checkpoint);
     ledger.reserve(createReservation(job, task, adopted.key, endpoint));
@@ -46,6 +48,7 @@
       return;
     }
     agent.adopt(adopted);
+    quarantine.adopt(adopted, endpoint);
     if (job.status !== 'open') agent.stop(adopted);
   }
 }
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -4,6 +4,7 @@
 import { AdviceBroker } from './adviceBroker.js';
 import { AdvicePrefetcher } from './advicePrefetcher.js';
 import type { CellConfig } from './cellConfig.js';
+import { CrashAttribution } from './crashAttribution.js';
 import { CyclePacer } from './cyclePacer.js';
 import type { AgentListener, AgentRun, EndpointAgent } from './endpointAgent.js';
 import { EndpointDirectory } from './endpointDirectory.js';
@@ -11,16 +12,19 @@
 import { EndpointService } from './endpointService.js';
 import { BestEffortThrottle } from './bestEffortThrottle.js';
 import { JobRetention } from './jobRetention.js';
+import { describeFailure } from './jobFailure.js';
 import { JobService } from './jobService.js';
 import { EventLoopLag } from './eventLoopLag.js';
-import { parseTaskName, stepName, type TaskRef } from './jobSpec.js';
+import { parseTaskName, stepName } from './jobSpec.js';
 import { LeadershipMonitor } from './leadershipMonitor.js';
 import { OccurrenceTimers } from './occurrenceTimers.js';
+import { OutcomeRecorder } from './outcomeRecorder.js';
 import { listTasks, ReadySteps } from './readySteps.js';
 import { proposeWhileLeading } from './proposeWhileLeading.js';
 import { createAgentRun, RunDispatcher, runKey } from './runDispatcher.js';
 import { runInSlices } from './runInSlices.js';
 import { RunAdopter } from './runAdopter.js';
+import { RunEnds } from './runEnds.js';
 import { createReservation, RunLedger } from './runLedger.js';
 import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
 import { DurationEstimator } from './durationEstimator.js';
@@ -28,12 +32,10 @@
 import { SessionMetrics } from './sessionMetrics.js';
 import { StragglerDetector } from './stragglerDetector.js';
 import { StepScheduler } from './stepScheduler.js';
-import { toRunLossReason } from './toRunLossReason.js';
 import { TakeoverRecorder } from './takeoverRecorder.js';
 import { WaitLogger } from './waitLogger.js';
 import { WaveRunner } from './waveRunner.js';
-import type { EndedRun } from './workflowCommand.js';
-import type { JobRecord, RunRecord } from './workflowRecords.js';
+import type { JobRecord } from './workflowRecords.js';
 
 /** Interval of housekeeping: ended jobs, unresponsive endpoints, waiting steps. */
 const HOUSEKEEPING_INTERVAL_MS = 250;
@@ -57,6 +59,7 @@
   private readonly scheduler: StepScheduler;
   private readonly dispatcher: RunDispatcher;
   private readonly adopter: RunAdopter;
+  private readonly ends: RunEnds;
   private readonly bestEffortThrottle: BestEffortThrottle;
   private readonly stragglers: StragglerDetector;
   private readonly advice: AdvicePrefetcher;
@@ -65,6 +68,8 @@
   private readonly occurrenceTimers = new OccurrenceTimers();
   private readonly retention: JobRetention;
   private readonly waves: WaveRunner;
+  private readonly crashes: CrashAttribution;
+  private readonly outcomes: OutcomeRecorder;
   private readonly waitLogger: WaitLogger;
   private readonly metrics: SessionMetrics;
   private readonly outages: ServiceOutages;
@@ -110,8 +115,16 @@
       isPending: (step, index) => this.scheduler.isPending(step, index),
       isSuspect: (task, run) => this.stragglers.isSuspect(task, run),
     });
+    this.crashes = new CrashAttribution({
+      context: this.context,
+      directory: this.directory,
+      isUnderMaintenance: (instance) => this.waves.isUnderMaintenance(instance),
+      onReleased: () => this.recheckBlocked(),
+      onCharged: (id) => this.refreshJob(id),
+    });
     this.scheduler = new StepScheduler({
       context: this.context,
+      quarantine: this.crashes.quarantine,
       ready: this.ready,
       ledger: this.ledger,
       directory: this.directory,
@@ -125,14 +138,15 @@
       directory: this.directory,
       health: this.health,
       ledger: this.ledger,
-      onNotSent: (agent, runs, reason) => this.recordLostRuns(agent, runs, reason),
+      onNotSent: (agent, runs, reason) => this.ends.recordLost(agent, runs, reason),
     });
     this.bestEffortThrottle = new BestEffortThrottle(this.context);
     this.adopter = new RunAdopter({
       state: opts.state,
       ledger: this.ledger,
       directory: this.directory,
-      onLost: (task, run) => this.recordUnadopted(task, run),
+      quarantine: this.crashes.quarantine,
+      onLost: (task, run) => this.ends.recordUnadopted(task, run),
     });
     this.waves = new WaveRunner({
       context: this.context,
@@ -140,10 +154,20 @@
       instances: opts.instances,
       holder: opts.holder,
     });
+    const { health, durations, scheduler } = this;
+    this.outcomes = new OutcomeRecorder({ state: opts.state, health, durations, scheduler });
     this.waitLogger = new WaitLogger(this.context, this.ready, this.scheduler);
     this.metrics = new SessionMetrics(this.context, this.ready, this.directory);
     const { context, ready, directory } = this;
     this.outages = new ServiceOutages({ context, ready, directory });
+    this.ends = new RunEnds({
+      context,
+      ledger: this.ledger,
+      directory,
+      quarantine: this.crashes.quarantine,
+      outages: this.outages,
+      onChanged: (id) => this.refreshJob(id),
+    });
     this.retention = new JobRetention(this.context);
     this.stragglers = new StragglerDetector(
       this.context,
@@ -165,8 +189,9 @@
     this.endpoints = new EndpointService(this.context, this.directory, {
       onChanged: (id) => {
         this.scheduler.dropTickets(id);
-        this.scheduler.recheckBlocked();
-        this.requestCycle();
+        const record = this.directory.find(id)?.record;
+        if (record) this.crashes.handleRegistration(record);
+        this.recheckBlocked();
       },
     });
   }
@@ -222,23 +247,21 @@
     agent: EndpointAgent,
     reports: { run: AgentRun; report: EndReport }[],
   ): Promise<void> {
-    for (const { run, report } of reports) this.recordOutcome(agent, run, report);
+    for (const { run, report } of reports) this.outcomes.recordEnd(agent, run, report);
     const ends = reports.map(({ run, report }) => ({
       task: run.task,
       run: run.run,
       outcome: report.outcome,
       checkpoint: report.checkpoint || run.checkpoint || undefined,
     }));
-    await this.recordEnds(ends, agent.id);
+    await this.ends.record(ends, agent.id);
   }
 
   onRunsLost(agent: EndpointAgent, runs: AgentRun[], reason: string): void {
     if (reason === 'no-ticket') this.scheduler.dropTickets(agent.id);
-    for (const { key, task } of runs) {
-      this.health.recordAbandoned({ attemptId: key, unitId: task.jobId, endpointId: agent.id });
-      this.recordFailure(agent, task);
-    }
-    this.recordLostRuns(agent, runs, reason);
+    const evidence = this.crashes.handleLoss(agent, runs, reason);
+    this.outcomes.recordLoss(agent, runs, evidence.size > 0);
+    this.ends.recordLost(agent, runs, reason, evidence);
   }
 
   onUnknownRun(agent: EndpointAgent, active: ActiveRun): void {
@@ -259,12 +282,12 @@
   }
 
   onAvailabilityChange(agent: EndpointAgent): void {
+    this.crashes.handleResponse(agent);
     // Only tasks that may be copied can start because the endpoint of their run is unavailable.
     const tasks = [...agent.runs.values()].map(({ task }) => task);
     const copied = tasks.filter((task) => this.opts.state.findSpec(task)?.allowsCopies);
     for (const id of new Set(copied.map(({ jobId }) => jobId))) this.refreshJob(id);
-    this.scheduler.recheckBlocked();
-    this.requestCycle();
+    this.recheckBlocked();
   }
 
   onLeft(agent: EndpointAgent): void {
@@ -287,77 +310,10 @@
     this.dispatcher[Symbol.dispose]();
     this.directory[Symbol.dispose]();
     this.broker[Symbol.dispose]();
+    this.crashes[Symbol.dispose]();
     this.opts.logger.notice('leadership of workflows ends', { term: this.context.fencingToken });
   }
 
-  private recordUnadopted(task: TaskRef, { run, endpoint }: RunRecord): void {
-    this.opts.meter.countLostRuns('endpoint-gone', 1);
-    const end = { task, run, outcome: 'lost' as const };
-    this.recordEnds([end], endpoint).catch((err: Error) => this.logFailure('run ends', err));
-  }
-
-  /** Commits the loss of runs that ended without a report; does not affect endpoint health. */
-  private recordLostRuns(agent: EndpointAgent, runs: AgentRun[], reason: string): void {
-    this.opts.meter.countLostRuns(toRunLossReason(reason), runs.length);
-    this.opts.logger.warn('runs are lost', {
-      endpoint: agent.id,
-      reason,
-      runs: runs.map(({ key }) => key),
-    });
-    const ends = runs.map(({ task, run, checkpoint }) => ({
-      task,
-      run,
-      outcome: 'lost' as const,
-      checkpoint: checkpoint || undefined,
-    }));
-    this.recordEnds(ends, agent.id).catch((err: Error) => this.logFailure('run ends', err));
-  }
-
-  private async recordEnds(ends: EndedRun[], endpoint: string): Promise<void> {
-    await this.context.propose({ type: 'end', runs: ends });
-    this.outages.recordEnds(ends);
-    for (const { task, run, outcome } of ends) {
-      this.ledger.release(runKey(task, run));
-      this.opts.meter.countRunEnded(outcome);
-      if (outcome === 'done') this.stopCopies(task);
-    }
-    this.opts.logger.info('runs ended', {
-      endpoint,
-      runs: ends.map(({ task, run, outcome }) => `${runKey(task, run)} ${outcome}`).join(),
-    });
-    for (const id of new Set(ends.map(({ task }) => task.jobId))) this.refreshJob(id);
-  }
-
-  private recordFailure(agent: EndpointAgent, task: TaskRef): void {
-    this.scheduler.recordFailure(stepName(task.jobId, task.occurrence, task.step), agent.id);
-  }
-
-  /** Stops the remaining runs of a task that has succeeded. */
-  private stopCopies(task: TaskRef): void {
-    const record = this.opts.state.findTask(task);
-    if (!record?.isDone || this.opts.state.findSpec(task)?.isGang) return;
-    for (const { run, endpoint } of record.runs) this.stopRun(endpoint, runKey(task, run));
-  }
-
-  private stopRun(endpoint: string, key: string): void {
-    const agent = this.directory.find(endpoint);
-    const run = agent?.runs.get(key);
-    if (run) agent?.stop(run);
-  }
-
-  private recordOutcome(agent: EndpointAgent, run: AgentRun, report: EndReport): void {
-    const attempt = { attemptId: run.key, unitId: run.task.jobId, endpointId: agent.id };
-    if (report.outcome === 'done') this.health.recordSuccess(attempt);
-    else if (report.outcome === 'failed') this.health.recordFailure(attempt);
-    else this.health.recordAbandoned(attempt);
-    if (report.outcome === 'failed') this.recordFailure(agent, run.task);
-    const spec = this.opts.state.findSpec(run.task);
-    const isMeasurable = report.outcome === 'done' && run.confirmedMs > 0 && run.run === 1;
-    if (!spec || !isMeasurable || spec.fillsIdleCapacity || spec.dataRack !== '') return;
-    const actualMs = performance.now() - run.confirmedMs;
-    this.durations.record(agent.id, agent.record.kind, spec.estimateMs, actualMs);
-  }
-
   /** Re-evaluates a changed job: steps to start, runs to stop, timer for the next occurrence. */
   private refreshJob(id: string): void {
     const job = this.opts.state.jobs.get(id);
@@ -370,17 +326,26 @@
   /** Stops the remaining runs of a job that has ended. */
   private closeJob(job: JobRecord): void {
     if (this.retention.recordEnd(job.id)) {
-      this.opts.logger.info('job ended', { job: job.id, status: job.status });
+      const reason = describeFailure(job);
+      this.opts.logger.info('job ended', { job: job.id, status: job.status, reason });
       this.opts.meter.countJobEnded(job.status, Date.now() - job.acceptedMs);
     }
     for (const step of job.steps.values()) {
-      this.scheduler.forgetStep(stepName(job.id, step.occurrence, step.step));
+      const name = stepName(job.id, step.occurrence, step.step);
+      this.scheduler.forgetStep(name);
+      this.crashes.quarantine.forgetStep(name);
     }
     for (const { task, record } of listTasks(job)) {
-      for (const { run, endpoint } of record.runs) this.stopRun(endpoint, runKey(task, run));
+      for (const { run, endpoint } of record.runs)
+        this.directory.stopRun(endpoint, runKey(task, run));
     }
   }
 
+  private recheckBlocked(): void {
+    this.scheduler.recheckBlocked();
+    this.requestCycle();
+  }
+
   private requestCycle(): void {
     if (this.isDisposed || !this.hasTakenOver || this.cycleTimer) return;
     this.cycleTimer = setTimeout(() => {
@@ -430,7 +395,7 @@
     for (const id of this.stragglers.findSlowJobs()) this.refreshJob(id);
     for (const { agent, run } of this.stragglers.findStalled()) {
       this.opts.logger.warn('run is stalled', { run: run.key, endpoint: agent.id });
-      this.recordFailure(agent, run.task);
+      this.outcomes.recordFailure(agent, run.task);
       agent.stop(run);
     }
     this.requestCycle();
