--- a/packages/tests/src/soak/soakHistory.ts
+++ b/packages/tests/src/soak/soakHistory.ts
@@ -309,11 +309,9 @@
 
   private recordStartAfterCrashes(name: string, task: TaskHistory): void {
     task.lateStartCount += 1;
-    if (task.lateStartCount < MAX_STARTS_AFTER_CRASHES) return;
-    const { lateStartCount, crashCount } = task;
-    this.violations.push(
-      `${name} was started ${lateStartCount} times more after ${MAX_ATTEMPTS} crashes, of ${crashCount}`,
-    );
+    if (task.lateStartCount !== MAX_STARTS_AFTER_CRASHES) return;
+    const text = `was started ${MAX_STARTS_AFTER_CRASHES} times more after ${MAX_ATTEMPTS} crashes`;
+    this.violations.push(`${name} ${text}: ${task.events.join('; ')}`);
   }
 
   private recordTaskLapse(task: TaskHistory, endpoint: string): void {
