Use the latest ticket at the order, and none that has expired

The ticket of a start was chosen with its endpoint and sent after the commit, however long that took: 153 rejections as no-ticket in the trace, where starts were ordered 318 to 625 ms after the decision. The dispatcher takes the latest ticket that the cache holds for the step and endpoint; a start without one is lost without an order, under a reason of its own.

The scenario failed before and passes now; workflow folder: 126 passed.

--- a/packages/telemetry/src/runLossReason.ts
+++ b/packages/telemetry/src/runLossReason.ts
@@ -6,6 +6,8 @@
   | 'not-needed'
   /** The endpoint stopped responding before the run was ordered. */
   | 'not-responding'
+  /** The ticket expired before the run was ordered. */
+  | 'ticket-expired'
   /** The start order got no response and had no effect. */
   | 'order-lost'
   /** The endpoint no longer lists a run that it had confirmed. */
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -8,6 +8,7 @@
 import type { PlannedStart } from './stepScheduler.js';
 import {
   NOT_NEEDED_AT_DISPATCH,
+  NO_TICKET_AT_DISPATCH,
   NOT_VALID_AT_DISPATCH,
   UNRESPONSIVE_AT_DISPATCH,
 } from './toRunLossReason.js';
@@ -18,6 +19,8 @@
   context: SessionContext;
   directory: EndpointDirectory;
   health: HealthPolicy;
+  /** Returns the latest ticket for a start that needs one, or undefined if it has expired. */
+  findTicket: (start: PlannedStart) => string | undefined;
   /** Called for runs that are committed but will not be ordered. */
   onNotSent: (agent: EndpointAgent, runs: AgentRun[], reason: string) => void;
 }
@@ -144,7 +147,7 @@
 
   /** Returns why a start cannot be ordered at this moment; undefined if it can. */
   private findObstacle({ start, deadlineMs }: WaitingStart): Obstacle | undefined {
-    const { context, directory } = this.opts;
+    const { context, directory, findTicket } = this.opts;
     const { task, run, agent, bornMs } = start;
     const isOpen = context.state.jobs.get(task.jobId)?.status === 'open';
     const isCurrent = context.state.findTask(task)?.runs.some((record) => record.run === run);
@@ -153,13 +156,16 @@
     if (!context.isValid()) {
       return performance.now() < deadlineMs ? {} : { lostReason: NOT_VALID_AT_DISPATCH };
     }
-    return directory.isResponsive(agent) ? undefined : { lostReason: UNRESPONSIVE_AT_DISPATCH };
+    if (!directory.isResponsive(agent)) return { lostReason: UNRESPONSIVE_AT_DISPATCH };
+    const hasTicket = start.ticket === undefined || findTicket(start) !== undefined;
+    return hasTicket ? undefined : { lostReason: NO_TICKET_AT_DISPATCH };
   }
 
   private order(start: PlannedStart, leaseFromMs: number): void {
-    const { context, health } = this.opts;
+    const { context, health, findTicket } = this.opts;
     const { state, meter, logger } = context;
-    const { task, ticket, agent } = start;
+    const { task, agent } = start;
+    const ticket = start.ticket && findTicket(start);
     const job = state.jobs.get(task.jobId)!;
     const order = this.createRun(start);
     meter.countRunOrdered(Date.now() - dueTimeMs(job, task.occurrence));
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -100,6 +100,11 @@
     return this.pending.has(`${step}.${index}`);
   }
 
+  /** Returns the latest ticket for a planned start, or undefined if it has expired. */
+  findTicket({ stepName: step, endpoint }: PlannedStart): string | undefined {
+    return this.ticketProvider.ticketsOf(step).findUnexpired(endpoint, performance.now());
+  }
+
   /** Marks a planned start as no longer pending, once its commit has succeeded or failed. */
   clearPending(start: PlannedStart): void {
     this.pending.delete(`${start.stepName}.${start.task.index}`);
--- a/packages/workflow/src/ticketCache.ts
+++ b/packages/workflow/src/ticketCache.ts
@@ -81,6 +81,12 @@
     return cached && cached.expiresMs > nowMs + DISPATCH_MARGIN_MS ? cached.ticket : undefined;
   }
 
+  /** Returns the ticket of an endpoint if it has not expired, or undefined. */
+  findUnexpired(endpoint: string, nowMs: number): string | undefined {
+    const cached = this.tickets.get(endpoint);
+    return cached && cached.expiresMs > nowMs ? cached.ticket : undefined;
+  }
+
   /**
    * Lists the endpoints whose tickets remain valid until a start order arrives, and deletes the
    * tickets that have expired.
--- a/packages/workflow/src/toRunLossReason.ts
+++ b/packages/workflow/src/toRunLossReason.ts
@@ -9,10 +9,14 @@
 /** Reason of a committed run whose endpoint has stopped responding before it was ordered. */
 export const UNRESPONSIVE_AT_DISPATCH = 'the endpoint stopped responding before the order';
 
+/** Reason of a committed run whose ticket has expired before it was ordered. */
+export const NO_TICKET_AT_DISPATCH = 'the ticket expired before the order';
+
 /** Reasons by the text that is logged. */
 const REASONS = new Map<string, RunLossReason>([
   [NOT_VALID_AT_DISPATCH, 'leader-not-valid'],
   [NOT_NEEDED_AT_DISPATCH, 'not-needed'],
+  [NO_TICKET_AT_DISPATCH, 'ticket-expired'],
   [UNRESPONSIVE_AT_DISPATCH, 'not-responding'],
   ['the order never arrived', 'order-lost'],
   ['not reported by the endpoint', 'not-reported'],
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -78,22 +78,20 @@
 
   constructor(opts: WorkflowSessionOptions) {
     this.opts = opts;
-    const { logger, meter, isValid, electedMs = performance.now() } = opts;
+    const { term } = opts.log;
+    const { logger, meter, electedMs = performance.now() } = opts;
     this.takeover = new TakeoverRecorder(logger, meter, electedMs);
-    const { log: replicatedLog, validityMs, isClockReliable } = opts;
-    const validity = { replicatedLog, validityMs, isClockReliable, isValid };
-    this.monitor = new LeadershipMonitor({ ...validity, log: logger, meter });
-    const isSameTerm = () => opts.log.term === this.context.fencingToken;
+    this.monitor = new LeadershipMonitor({ ...opts, replicatedLog: opts.log, log: logger });
     this.context = {
       state: opts.state,
       driver: opts.driver,
       timing: opts.timing,
       logger: opts.logger,
       meter: opts.meter,
-      fencingToken: opts.log.term,
+      fencingToken: term,
       predecessorEndMs: Math.min(performance.now(), opts.log.predecessorEndMs ?? Infinity),
       // The instance may be elected again before this session is disposed of.
-      isValid: () => !this.isDisposed && isSameTerm() && opts.isValid(),
+      isValid: () => !this.isDisposed && opts.log.term === term && opts.isValid(),
       describeLeadership: () => this.monitor.describe(),
       propose: async (command) => {
         const startMs = performance.now();
@@ -124,6 +122,7 @@
       context: this.context,
       directory: this.directory,
       health: this.health,
+      findTicket: (start) => this.scheduler.findTicket(start),
       onNotSent: (agent, runs, reason) => this.recordLostRuns(agent, runs, reason),
     });
     this.bestEffortThrottle = new BestEffortThrottle(this.context);
@@ -290,8 +289,8 @@
 
   private recordUnadopted(task: TaskRef, { run, endpoint }: RunRecord): void {
     this.opts.meter.countLostRuns('endpoint-gone', 1);
-    const end = { task, run, outcome: 'lost' as const };
-    this.recordEnds([end], endpoint).catch((err: Error) => this.logFailure('run ends', err));
+    const ends: EndedRun[] = [{ task, run, outcome: 'lost' }];
+    this.recordEnds(ends, endpoint).catch((err: Error) => this.logFailure('run ends', err));
   }
 
   /** Commits the loss of runs that ended without a report; does not affect endpoint health. */
