--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -10,6 +10,7 @@
 import type { PlannedStart } from './stepScheduler.js';
 import {
   NOT_NEEDED_AT_DISPATCH,
+  NO_TICKET_AT_DISPATCH,
   NOT_VALID_AT_DISPATCH,
   SHRUNK_AT_DISPATCH,
   UNRESPONSIVE_AT_DISPATCH,
@@ -22,6 +23,8 @@
   directory: EndpointDirectory;
   health: HealthPolicy;
   ledger: RunLedger;
+  /** Returns the latest ticket for a start that needs one, or undefined if it has expired. */
+  findTicket: (start: PlannedStart) => string | undefined;
   /** Called for runs that are committed but will not be ordered. */
   onNotSent: (agent: EndpointAgent, runs: AgentRun[], reason: string) => void;
 }
@@ -153,7 +156,7 @@
 
   /** Returns why a start cannot be ordered at this moment; undefined if it can. */
   private findObstacle({ start, deadlineMs }: WaitingStart): Obstacle | undefined {
-    const { context, directory } = this.opts;
+    const { context, directory, findTicket } = this.opts;
     const { task, run, agent, bornMs } = start;
     const isOpen = context.state.jobs.get(task.jobId)?.status === 'open';
     const isCurrent = context.state.findTask(task)?.runs.some((record) => record.run === run);
@@ -163,13 +166,16 @@
       return performance.now() < deadlineMs ? {} : { lostReason: NOT_VALID_AT_DISPATCH };
     }
     if (!directory.isResponsive(agent)) return { lostReason: UNRESPONSIVE_AT_DISPATCH };
+    const hasTicket = start.ticket === undefined || findTicket(start) !== undefined;
+    if (!hasTicket) return { lostReason: NO_TICKET_AT_DISPATCH };
     return this.oversized.has(start) ? { lostReason: SHRUNK_AT_DISPATCH } : undefined;
   }
 
   private order(start: PlannedStart, leaseFromMs: number): void {
-    const { context, health } = this.opts;
+    const { context, health, findTicket } = this.opts;
     const { state, meter, logger } = context;
-    const { task, ticket, agent } = start;
+    const { task, agent } = start;
+    const ticket = start.ticket && findTicket(start);
     const job = state.jobs.get(task.jobId)!;
     const order = this.createRun(start);
     meter.countRunOrdered(Date.now() - dueTimeMs(job, task.occurrence));
