--- a/packages/coordinator/src/endpointLeases.ts
+++ b/packages/coordinator/src/endpointLeases.ts
@@ -74,7 +74,8 @@
     guard.assertValid();
     this.assertNotInUse(announcement);
     const session = createId('session');
-    await commits.commit({ type: 'announce-endpoint', announcement, session });
+    const wallTime = Date.now();
+    await commits.commit({ type: 'announce-endpoint', announcement, session, wallTime });
     guard.assertStillValid();
     this.renew(announcement.id);
     this.publish(state.endpoints.get(announcement.id)!);
