--- a/packages/coordinator/src/endpointLeases.ts
+++ b/packages/coordinator/src/endpointLeases.ts
@@ -74,8 +74,7 @@
     guard.assertValid();
     this.assertNotInUse(announcement);
     const session = createId('session');
-    const wallTime = Date.now();
-    await commits.commit({ type: 'announce-endpoint', announcement, session, wallTime });
+    await commits.commit({ type: 'announce-endpoint', announcement, session });
     guard.assertStillValid();
     this.renew(announcement.id);
     this.publish(state.endpoints.get(announcement.id)!);
--- a/packages/coordinator/src/jobService.ts
+++ b/packages/coordinator/src/jobService.ts
@@ -23,10 +23,6 @@
 /** Initial delay before a service that ended is restarted; doubles with each failure. */
 const SERVICE_RESTART_BASE_MS = 500;
 const SERVICE_RESTART_MAX_MS = 60_000;
-const MAX_BACKOFF_EXPONENT = 10;
-
-/** Time between the starts of two tasks that are suspected of crashing endpoints. */
-const SUSPECT_INTERVAL_MS = 1000;
 
 /** Number of recently failed endpoints, per task and kind of failure, that a unit avoids. */
 const MAX_EXCLUDED_ENDPOINTS = 3;
@@ -46,8 +42,6 @@
   private readonly waiters = new Map<string, Set<() => void>>();
   /** Submissions that are being committed, by job id. */
   private readonly submitting = new Map<string, Promise<SubmitJobResult>>();
-  /** Monotonic time at which the latest suspected task starts. */
-  private nextSuspectMs = -Infinity;
   private readonly restartTimers = new Set<NodeJS.Timeout>();
   /** Endpoints that failed to start a unit, by unit id. */
   private readonly failedStartEndpoints = new Map<string, string[]>();
@@ -137,7 +131,7 @@
     }
     const task = job.tasks[attempt.taskIndex]!;
     if (task.state !== 'waiting') return;
-    const delayMs = this.computeRestartDelay(job, attempt.taskIndex, finished);
+    const delayMs = this.computeRestartDelay(job, task.failures, finished);
     if (delayMs === 0) this.enqueueUnit(job, `${job.id}/${attempt.taskIndex}`, [attempt.taskIndex]);
     else this.enqueueAfterDelay(job, attempt.taskIndex, delayMs);
   }
@@ -233,23 +227,10 @@
     this.restartTimers.add(timer);
   }
 
-  private computeRestartDelay(
-    job: JobRecord,
-    taskIndex: number,
-    finished: FinishedAttempt,
-  ): number {
-    if (finished.outcome === 'lost' && job.tasks[taskIndex]?.crashes) return this.delaySuspect();
+  private computeRestartDelay(job: JobRecord, failures: number, finished: FinishedAttempt): number {
     if (job.spec.kind !== 'service') return 0;
     if (!['failed', 'succeeded'].includes(finished.outcome)) return 0;
-    const failures = Math.min(job.tasks[taskIndex]!.failures, MAX_BACKOFF_EXPONENT);
-    return Math.min(SERVICE_RESTART_MAX_MS, SERVICE_RESTART_BASE_MS * 2 ** failures);
-  }
-
-  /** Returns a delay that starts tasks suspected of crashing endpoints one after the other. */
-  private delaySuspect(): number {
-    const nowMs = performance.now();
-    this.nextSuspectMs = Math.max(nowMs, this.nextSuspectMs) + SUSPECT_INTERVAL_MS;
-    return this.nextSuspectMs - nowMs;
+    return Math.min(SERVICE_RESTART_MAX_MS, SERVICE_RESTART_BASE_MS * 2 ** Math.min(failures, 10));
   }
 
   private handleCancelled(job: JobRecord): void {
--- a/packages/state/src/attemptTable.ts
+++ b/packages/state/src/attemptTable.ts
@@ -40,21 +40,6 @@
     return attempt;
   }
 
-  /**
-   * Marks the latest attempts on an endpoint that has restarted, unless they started before `since`,
-   * as suspected of having crashed it.
-   */
-  markCrashSuspects(endpointId: string, since: number): void {
-    const attempts = [...this.listByEndpoint(endpointId)].map((id) => this.attempts.get(id)!);
-    const latest = Math.max(...attempts.map(({ token }) => token));
-    for (const attempt of attempts) {
-      const { id, token, startedAt } = attempt;
-      if (token !== latest || startedAt === undefined || startedAt < since) continue;
-      // Snapshots hold the records, so they are replaced rather than changed.
-      this.attempts.set(id, { ...attempt, isCrashSuspect: true });
-    }
-  }
-
   snapshot(): AttemptRecord[] {
     return [...this.attempts.values()];
   }
--- a/packages/state/src/clusterState.ts
+++ b/packages/state/src/clusterState.ts
@@ -17,7 +17,6 @@
 import { IdempotencyIndex } from './idempotencyIndex.js';
 import { JobTable } from './jobTable.js';
 import { RequestTable } from './requestTable.js';
-import { CRASH_WINDOW_MS } from './retention.js';
 import { StateError } from './stateError.js';
 
 /** Version of the snapshot format. */
@@ -122,12 +121,6 @@
   }
 
   private announceEndpoint(command: AnnounceEndpointCommand): void {
-    const { announcement, session, wallTime } = command;
-    const known = this.endpoints.get(announcement.id);
-    const isNewIncarnation = known && known.session !== session && !known.leaving;
-    if (isNewIncarnation && wallTime !== undefined) {
-      this.attempts.markCrashSuspects(announcement.id, wallTime - CRASH_WINDOW_MS);
-    }
     this.endpoints.announce(command);
   }
 
@@ -140,9 +133,7 @@
   private startAttempts(command: StartAttemptsCommand, index: number): StartAttemptResult[] {
     const refusedGangs = this.findRefusedGangs(command.attempts);
     return command.attempts.map((attempt) =>
-      refusedGangs.has(attempt.unitId)
-        ? { status: 'obsolete' }
-        : this.startAttempt({ ...attempt, startedAt: command.wallTime }, index),
+      refusedGangs.has(attempt.unitId) ? { status: 'obsolete' } : this.startAttempt(attempt, index),
     );
   }
 
--- a/packages/state/src/commands.ts
+++ b/packages/state/src/commands.ts
@@ -88,8 +88,6 @@
   type: 'announce-endpoint';
   announcement: EndpointAnnouncement;
   session: string;
-  /** Milliseconds since the epoch, set by the leader; absent in earlier releases. */
-  wallTime?: number;
 }
 
 /** Marks an endpoint as leaving. */
--- a/packages/state/src/jobTable.ts
+++ b/packages/state/src/jobTable.ts
@@ -6,12 +6,7 @@
 } from './commands.js';
 import type { IdempotencyIndex } from './idempotencyIndex.js';
 import type { AttemptRecord, FinishedAttempt, JobRecord, TaskRecord } from './records.js';
-import {
-  CRASH_WINDOW_MS,
-  FINISHED_RETENTION_MS,
-  MAX_FINISHED_JOBS,
-  MAX_TASK_CRASHES,
-} from './retention.js';
+import { FINISHED_RETENTION_MS, MAX_FINISHED_JOBS } from './retention.js';
 import { RetentionQueue } from './retentionQueue.js';
 import { isFinal, resolveJobState, resolveTaskState } from './taskTransitions.js';
 
@@ -124,7 +119,6 @@
       task.failures += 1;
       task.failedOn.push(attempt.endpointId);
     }
-    if (finished.outcome === 'lost') this.countCrash(task, attempt, wallTime);
     task.state = resolveTaskState(job, task, finished);
     if (job.spec.kind === 'gang') this.updateGangStopping(job);
     this.updateJobState(job, wallTime);
@@ -175,19 +169,6 @@
     this.prune(wallTime);
   }
 
-  private countCrash(
-    task: TaskRecord,
-    { isCrashSuspect, startedAt }: AttemptRecord,
-    wallTime: number,
-  ): void {
-    const hasWorked = startedAt !== undefined && wallTime - startedAt > CRASH_WINDOW_MS;
-    if (!isCrashSuspect && hasWorked) task.crashes = undefined;
-    if (!isCrashSuspect) return;
-    task.crashes = (task.crashes ?? 0) + 1;
-    if (task.crashes < MAX_TASK_CRASHES) return;
-    task.message = `${task.crashes} endpoints crashed right after they had started the task`;
-  }
-
   private prune(wallTime: number): void {
     const expiryTime = wallTime - FINISHED_RETENTION_MS;
     this.finished.prune({
--- a/packages/state/src/records.ts
+++ b/packages/state/src/records.ts
@@ -8,8 +8,6 @@
   attempt?: string;
   /** Number of failed attempts. */
   failures: number;
-  /** Crashes in a row of endpoints on which the task had just started; absent if none. */
-  crashes?: number;
   /** Endpoints on which an attempt failed, the most recent last. */
   failedOn: string[];
   /** Opaque reference from which the next attempt resumes. */
@@ -59,10 +57,6 @@
   noRepeat: boolean;
   /** Gateway process that dispatches the attempt of a request, as `<instance id>:<boot id>`. */
   owner?: string;
-  /** Wall time of the commit in milliseconds since the epoch; absent in earlier releases. */
-  startedAt?: number;
-  /** The endpoint announced itself anew shortly after it had started this attempt as its latest. */
-  isCrashSuspect?: boolean;
   /** Deadline of a request, in milliseconds after its admission. */
   deadlineMs?: number;
 }
--- a/packages/state/src/retention.ts
+++ b/packages/state/src/retention.ts
@@ -13,12 +13,6 @@
 /** Number of failed attempts after which a task fails. */
 export const MAX_TASK_FAILURES = 3;
 
-/** Number of crashed endpoints in a row after which a task fails. */
-export const MAX_TASK_CRASHES = 3;
-
-/** Time from the start of an attempt to the next announcement of its endpoint for a crash. */
-export const CRASH_WINDOW_MS = 20_000;
-
 /** Maximum number of audit entries that are retained. */
 export const MAX_AUDIT_ENTRIES = 10_000;
 
--- a/packages/state/src/taskTransitions.ts
+++ b/packages/state/src/taskTransitions.ts
@@ -1,7 +1,7 @@
 import type { JobState } from '@lagoongap/model/workload.js';
 
 import type { FinishedAttempt, JobRecord, TaskRecord } from './records.js';
-import { MAX_TASK_CRASHES, MAX_TASK_FAILURES } from './retention.js';
+import { MAX_TASK_FAILURES } from './retention.js';
 
 const FINAL_STATES: ReadonlySet<JobState> = new Set([
   'succeeded',
@@ -42,7 +42,6 @@
       return job.spec.noRepeat ? 'failed' : 'waiting';
     default:
       if (job.spec.noRepeat) return 'unknown';
-      if ((task.crashes ?? 0) >= MAX_TASK_CRASHES) return 'failed';
       return job.cancelled ? 'cancelled' : 'waiting';
   }
 }
