--- a/packages/coordinator/src/endpointLeases.ts
+++ b/packages/coordinator/src/endpointLeases.ts
@@ -6,6 +6,7 @@
 import { createId } from '@lagoongap/model/idGenerator.js';
 import type { Log } from '@lagoongap/model/log.js';
 import type { AnnounceResult, HeartbeatParams } from '@lagoongap/model/messages.js';
+import { minResources } from '@lagoongap/model/resources.js';
 import type { RefusalType } from '@lagoongap/model/refusal.js';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 import type { Scheduler } from '@lagoongap/scheduling/scheduler.js';
@@ -14,6 +15,7 @@
 
 import type { AttemptCloser } from './attemptCloser.js';
 import type { CommitQueue } from './commitQueue.js';
+import type { CrashDetector } from './crashDetector.js';
 import { EXPIRY_MARGIN_FACTOR, type CoordinatorTiming } from './coordinatorTiming.js';
 import type { ValidityGuard } from './validityGuard.js';
 
@@ -42,6 +44,7 @@
   /** Returns whether a lost attempt is the last attempt of its request. */
   isLastAttempt: (attempt: AttemptRecord) => boolean;
   onRunning: (attemptId: string) => void;
+  crashes: CrashDetector;
   /** Called with each endpoint state that is passed to the scheduler. */
   onPublished: (endpoint: EndpointRecord, state: EndpointState) => void;
   onRemoved: (endpointId: string) => void;
@@ -74,6 +77,7 @@
     guard.assertValid();
     this.assertNotInUse(announcement);
     const session = createId('session');
+    this.publishSmallerSize(announcement);
     await commits.commit({ type: 'announce-endpoint', announcement, session });
     guard.assertStillValid();
     this.renew(announcement.id);
@@ -99,6 +103,7 @@
     const wasUnresponsive = this.resolveState(endpoint) === 'silent';
     this.renew(id);
     if (wasUnresponsive) this.publish(endpoint);
+    this.opts.crashes.examineHeartbeat(id, heartbeat);
     this.processRunning(id, heartbeat.running);
     const finished = this.listFinished(id, heartbeat.finished);
     const lost = this.listLost(params);
@@ -149,6 +154,15 @@
     return endpoint.leaving ? 'leaving' : 'ready';
   }
 
+  /** Returns the number of endpoints that accept new work, whether they are ejected or not. */
+  countReady(): number {
+    let count = 0;
+    for (const endpoint of this.opts.state.endpoints.values()) {
+      if (this.resolveState(endpoint) === 'ready') count += 1;
+    }
+    return count;
+  }
+
   /** Passes the current state of an endpoint to the scheduler. */
   publish(endpoint: EndpointRecord): void {
     const { id } = endpoint.announcement;
@@ -161,6 +175,18 @@
     });
   }
 
+  /** Passes a smaller size to the scheduler before its commit; a larger one counts after it. */
+  private publishSmallerSize({ id, size }: EndpointAnnouncement): void {
+    const known = this.opts.state.endpoints.get(id);
+    if (!known) return;
+    this.opts.scheduler.upsertEndpoint({
+      ...known.announcement,
+      size: minResources(known.announcement.size, size),
+      state: this.resolveState(known),
+      ejected: this.opts.isEjected(id),
+    });
+  }
+
   private renew(id: string): void {
     const nowMs = performance.now();
     const expiresAtMs = nowMs + this.opts.timing.endpointLeaseMs * EXPIRY_MARGIN_FACTOR;
@@ -244,6 +270,7 @@
     lease.isExpiring = true;
     const { id } = endpoint.announcement;
     this.publish(endpoint);
+    this.opts.crashes.examineExpiry(id);
     const lost = [...state.attempts.listByEndpoint(id)].map((attempt): FinishedAttempt => ({
       attempt,
       outcome: 'lost',
--- a/packages/state/src/commands.ts
+++ b/packages/state/src/commands.ts
@@ -56,7 +56,7 @@
 }
 
 /** Attempt to start; its fencing token is the index of the log entry. */
-export interface StartedAttempt extends Omit<AttemptRecord, 'token'> {
+export interface StartedAttempt extends Omit<AttemptRecord, 'token' | 'session'> {
   /** Idempotency key of the request. */
   idempotencyKey?: string;
 }
@@ -75,6 +75,12 @@
   wallTime: number;
 }
 
+/** Withdraws the crashes of attempts whose endpoints turned out to have kept running. */
+export interface WithdrawCrashesCommand {
+  type: 'withdraw-crashes';
+  attempts: Pick<AttemptRecord, 'id' | 'unitId' | 'kind' | 'taskIndex'>[];
+}
+
 /** Ends requests that will not be attempted again. */
 export interface AbandonRequestsCommand {
   type: 'abandon-requests';
@@ -117,6 +123,7 @@
   | RejectJobsCommand
   | StartAttemptsCommand
   | FinishAttemptsCommand
+  | WithdrawCrashesCommand
   | AbandonRequestsCommand
   | AnnounceEndpointCommand
   | LeaveEndpointCommand
--- a/packages/telemetry/src/workflowMetrics.ts
+++ b/packages/telemetry/src/workflowMetrics.ts
@@ -2,6 +2,7 @@
 
 import type { CallFailureReason, FailedCallState, TakeoverPhase } from './callFailure.js';
 import type { LogLevel } from './logger.js';
+import type { RunLossReason } from './runLossReason.js';
 
 /** Bucket bounds of the latency histograms. */
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
@@ -24,6 +25,8 @@
   countCall(operation: string, answer: string, durationMs: number): void;
   countRunOrdered(waitedMs: number): void;
   countRunEnded(outcome: string): void;
+  /** Counts runs that ended without a report of their endpoint. */
+  countLostRuns(reason: RunLossReason, count: number): void;
   /** Counts a crash of an endpoint, and the runs that were on it. */
   countEndpointCrash(runs: number): void;
   countJobEnded(status: string, durationMs: number): void;
@@ -37,6 +40,8 @@
   countCallFailure(reason: CallFailureReason, state: FailedCallState): void;
   /** Counts one failed try at the leader; a call may take several. */
   countTryFailure(reason: CallFailureReason): void;
+  /** Counts a heartbeat that cannot come from an endpoint, by its first invalid field. */
+  countRejectedHeartbeat(field: string): void;
   /** Adds time for which this instance had no valid leader. */
   addLeaderAbsence(durationMs: number): void;
   setLeaderAbsent(isAbsent: boolean): void;
@@ -49,6 +54,8 @@
   observeLeaderCall(method: string, isAnswered: boolean, durationMs: number): void;
   /** Replaces the waiting steps of all priorities. */
   setWaitingSteps(waiting: ReadonlyMap<number, WaitingSteps>): void;
+  /** Sets the number of service tasks without a run, and for how long the first of them has none. */
+  setServiceOutages(tasks: number, longestMs: number): void;
 }
 
 /** Discards all metrics. */
@@ -56,6 +63,7 @@
   countCall() {},
   countRunOrdered() {},
   countRunEnded() {},
+  countLostRuns() {},
   countEndpointCrash() {},
   countJobEnded() {},
   countAdvice() {},
@@ -66,6 +74,7 @@
   setConfigVersion() {},
   countCallFailure() {},
   countTryFailure() {},
+  countRejectedHeartbeat() {},
   addLeaderAbsence() {},
   setLeaderAbsent() {},
   addInvalidLeadership() {},
@@ -73,6 +82,7 @@
   observeEventLoopDelay() {},
   observeLeaderCall() {},
   setWaitingSteps() {},
+  setServiceOutages() {},
 };
 
 /** Workflow metrics in a separate registry. */
@@ -96,6 +106,12 @@
     ['outcome'],
   );
 
+  private readonly lostRuns = this.createCounter(
+    'lagoongap_runs_lost_total',
+    'Runs that ended without a report of their endpoint, by reason',
+    ['reason'],
+  );
+
   private readonly endpointCrashes = this.createCounter(
     'lagoongap_endpoint_crashes_total',
     'Endpoints that came back as a newer incarnation without a planned end, with runs on them',
@@ -168,6 +184,12 @@
     ['reason'],
   );
 
+  private readonly rejectedHeartbeats = this.createCounter(
+    'lagoongap_rejected_heartbeats_total',
+    'Heartbeats that cannot come from an endpoint, by their first invalid field',
+    ['reason'],
+  );
+
   private readonly leaderAbsence = this.createCounter(
     'lagoongap_without_leader_seconds_total',
     'Time for which this instance had no valid leader',
@@ -223,6 +245,18 @@
     ['priority'],
   );
 
+  private readonly serviceTasksDown = this.createGauge(
+    'lagoongap_service_tasks_without_run',
+    'Tasks of services that have no confirmed run',
+    [],
+  );
+
+  private readonly longestServiceOutage = this.createGauge(
+    'lagoongap_longest_service_outage_seconds',
+    'Longest time for which a task of a service has had no confirmed run',
+    [],
+  );
+
   countCall(operation: string, answer: string, durationMs: number): void {
     this.calls.observe({ operation, answer }, durationMs / MS_PER_SECOND);
   }
@@ -235,6 +269,10 @@
     this.endedRuns.inc({ outcome });
   }
 
+  countLostRuns(reason: RunLossReason, count: number): void {
+    this.lostRuns.inc({ reason }, count);
+  }
+
   countEndpointCrash(runs: number): void {
     this.endpointCrashes.inc();
     this.crashedRuns.inc(runs);
@@ -277,6 +315,10 @@
     this.tryFailures.inc({ reason });
   }
 
+  countRejectedHeartbeat(field: string): void {
+    this.rejectedHeartbeats.inc({ reason: field });
+  }
+
   addLeaderAbsence(durationMs: number): void {
     this.leaderAbsence.inc(durationMs / MS_PER_SECOND);
   }
@@ -311,6 +353,11 @@
     }
   }
 
+  setServiceOutages(tasks: number, longestMs: number): void {
+    this.serviceTasksDown.set(tasks);
+    this.longestServiceOutage.set(longestMs / MS_PER_SECOND);
+  }
+
   /** Sets the number of log lines of a level that were left out since the start of the process. */
   setDroppedLogLines(level: LogLevel, count: number): void {
     this.droppedLogLines.set({ level }, count);
--- a/packages/tests/src/soak/soakHistory.ts
+++ b/packages/tests/src/soak/soakHistory.ts
@@ -1,24 +1,41 @@
 import type { RunOutcome } from '@lagoongap/workflow/workflowRecords.js';
 
+import { EndpointUsage } from './endpointUsage.js';
+
+/** How the tasks of a job behave; those of a service run until the job is cancelled. */
+export type SoakJobKind = 'batch' | 'service';
+
 /** Job that a caller submitted. */
 export interface SoakJob {
   id: string;
+  kind: SoakJobKind;
   /** Number of tasks of each step; a step starts after the previous one has ended. */
   tasksPerStep: number[];
   cpuMillis: number;
+  /** Maximum number of tasks of a step on one endpoint; unlimited by default. */
+  maxPerEndpoint?: number;
 }
 
 /** Outcome of a call for the caller; `unknown` if there was no conclusive response. */
 export type CallOutcome = 'accepted' | 'refused' | 'unknown';
 
+/** Run that ended as `done`. */
+interface DoneRun {
+  endpoint: string;
+  /** The task was started again later. */
+  isBeforeStart: boolean;
+  /**
+   * Whether the system has acknowledged the end; `lapsed` if the lease of the endpoint expired
+   * before that, as the run may then count as lost whatever the endpoint reports later.
+   */
+  acknowledgement: 'pending' | 'received' | 'lapsed';
+}
+
 interface TaskHistory {
+  /** What endpoints observed of the task, in order. */
+  events: string[];
   runningOn: Set<string>;
-  /** Runs that ended as `done`. */
-  doneRuns: Set<number>;
-  /** Runs that had ended as `done` before a later start of the task. */
-  doneBeforeStart: Set<number>;
-  /** Runs whose end as `done` the system has acknowledged. */
-  acknowledgedRuns: Set<number>;
+  doneRuns: Map<number, DoneRun>;
 }
 
 interface JobHistory {
@@ -26,6 +43,9 @@
   outcomes: CallOutcome[];
   /** Number of submissions without an outcome yet. */
   openCalls: number;
+  /** A cancellation has been sent. */
+  isCancelling: boolean;
+  /** A cancellation has been acknowledged. */
   isCancelled: boolean;
   tasks: Map<string, TaskHistory>;
 }
@@ -37,20 +57,20 @@
 export class SoakHistory {
   readonly violations: string[] = [];
   private readonly jobs = new Map<string, JobHistory>();
-  private readonly usedCpuMillis = new Map<string, number>();
-  private readonly capacityMillis: number;
+  private readonly usage: EndpointUsage;
   private acknowledgedVersion = 0;
   private acknowledgementListeners: (() => void)[] = [];
   private readonly documents = new Map<number, string>();
+  private readonly startMs = performance.now();
 
   constructor(capacityMillis: number) {
-    this.capacityMillis = capacityMillis;
+    this.usage = new EndpointUsage(capacityMillis);
   }
 
-  /** Ids of the accepted jobs. */
-  get acceptedIds(): string[] {
+  /** Returns the ids of the accepted jobs of a kind. */
+  listAccepted(kind: SoakJobKind): string[] {
     return [...this.jobs.values()]
-      .filter(({ outcomes }) => outcomes.includes('accepted'))
+      .filter(({ job, outcomes }) => job.kind === kind && outcomes.includes('accepted'))
       .map(({ job }) => job.id);
   }
 
@@ -59,7 +79,14 @@
 
   recordSubmission(job: SoakJob): void {
     const tasks = new Map<string, TaskHistory>();
-    this.jobs.set(job.id, { job, outcomes: [], openCalls: 0, isCancelled: false, tasks });
+    this.jobs.set(job.id, {
+      job,
+      outcomes: [],
+      openCalls: 0,
+      isCancelling: false,
+      isCancelled: false,
+      tasks,
+    });
   }
 
   /** Records that a caller sends the submission of a job, for the first time or again. */
@@ -87,15 +114,21 @@
     });
   }
 
+  recordCancellationSent(id: string): void {
+    const history = this.jobs.get(id);
+    if (history) history.isCancelling = true;
+  }
+
   recordCancellation(id: string): void {
     const history = this.jobs.get(id);
     if (history) history.isCancelled = true;
   }
 
   /** Records that an endpoint has started a run. */
-  recordStart(endpoint: string, name: string): void {
+  recordStart(endpoint: string, name: string, run: number): void {
     this.startCount += 1;
     const { history, task, step } = this.findTask(name);
+    if (task) this.recordEvent(task, `run ${run} starts on ${endpoint}`);
     if (!history || !task) {
       this.violations.push(`${name} was started on ${endpoint}, but no caller submitted its job`);
       return;
@@ -106,12 +139,13 @@
     if (history.openCalls === 0 && SoakHistory.isRefused(history)) {
       this.violations.push(`${name} was started on ${endpoint}, but its job had been refused`);
     }
-    for (const run of task.doneRuns) task.doneBeforeStart.add(run);
+    for (const doneRun of task.doneRuns.values()) doneRun.isBeforeStart = true;
     task.runningOn.add(endpoint);
-    const usedMillis = (this.usedCpuMillis.get(endpoint) ?? 0) + history.job.cpuMillis;
-    this.usedCpuMillis.set(endpoint, usedMillis);
-    if (usedMillis > this.capacityMillis)
+    this.usage.add(endpoint, name, history.job);
+    const usedMillis = this.usage.getUsedMillis(endpoint);
+    if (usedMillis > this.usage.getLimitMillis(endpoint)) {
       this.violations.push(`${endpoint} is overcommitted: ${usedMillis}`);
+    }
     if (step > 0 && !this.isStepDone(history, step - 1)) {
       this.violations.push(`${name} was started before step ${step - 1} had ended`);
     }
@@ -121,17 +155,51 @@
   recordEnd(endpoint: string, name: string, run: number, outcome: RunOutcome): void {
     const { history, task } = this.findTask(name);
     if (!history || !task?.runningOn.delete(endpoint)) return;
-    this.usedCpuMillis.set(
-      endpoint,
-      (this.usedCpuMillis.get(endpoint) ?? 0) - history.job.cpuMillis,
-    );
-    if (outcome === 'done') task.doneRuns.add(run);
+    this.usage.remove(endpoint, name);
+    this.recordEvent(task, `run ${run} ends ${outcome} on ${endpoint}`);
+    if (outcome !== 'done') return;
+    task.doneRuns.set(run, { endpoint, isBeforeStart: false, acknowledgement: 'pending' });
   }
 
   /** Records that the system has acknowledged the end of a run. */
-  recordAcknowledgement(name: string, run: number, outcome: RunOutcome): void {
+  recordAcknowledgement(name: string, run: number): void {
     const { task } = this.findTask(name);
-    if (task && outcome === 'done') task.acknowledgedRuns.add(run);
+    if (!task) return;
+    this.recordEvent(task, `end of run ${run} is acknowledged`);
+    const doneRun = task.doneRuns.get(run);
+    if (doneRun?.acknowledgement === 'pending') doneRun.acknowledgement = 'received';
+  }
+
+  /** Records that the lease of an endpoint has expired. */
+  recordLapse(endpoint: string): void {
+    for (const { tasks } of this.jobs.values()) {
+      for (const task of tasks.values()) this.recordTaskLapse(task, endpoint);
+    }
+  }
+
+  /** Returns the names of service tasks that do not run although an endpoint has room for them. */
+  listDownServiceTasks(endpoints: string[]): string[] {
+    return this.listAccepted('service').flatMap((id) => {
+      const { job, tasks, isCancelling } = this.jobs.get(id)!;
+      if (isCancelling || !this.usage.hasRoom(job, endpoints)) return [];
+      const indices = Array.from({ length: job.tasksPerStep[0]! }, (_, index) => index);
+      const names = indices.map((index) => `${id}.0.0.${index}`);
+      return names.filter((name) => !tasks.get(name)?.runningOn.size);
+    });
+  }
+
+  recordServiceDown(name: string, downMs: number): void {
+    const { task } = this.findTask(name);
+    const events = task?.events.join('; ');
+    this.violations.push(`${name} has not run for ${Math.round(downMs)} ms: ${events}`);
+  }
+
+  /** Whether a task of a cancelled job runs. */
+  get hasCancelledRun(): boolean {
+    return [...this.jobs.values()].some(
+      ({ isCancelled, tasks }) =>
+        isCancelled && [...tasks.values()].some(({ runningOn }) => runningOn.size > 0),
+    );
   }
 
   /** Records the state of a job that the system reported to a caller. */
@@ -176,8 +244,14 @@
       const isRefused = SoakHistory.isRefused(history);
       for (const [name, task] of tasks) {
         if (isRefused) this.violations.push(`${name} was started, but its job was refused`);
-        if ([...task.doneBeforeStart].some((run) => task.acknowledgedRuns.has(run))) {
-          this.violations.push(`${name} was started after its end had been acknowledged`);
+        const doneRuns = [...task.doneRuns.values()];
+        const wasAcknowledged = ({ isBeforeStart, acknowledgement }: DoneRun): boolean =>
+          isBeforeStart && acknowledgement === 'received';
+        if (doneRuns.some(wasAcknowledged)) {
+          const events = task.events.join('; ');
+          this.violations.push(
+            `${name} was started after its end had been acknowledged: ${events}`,
+          );
         }
         if (isCancelled && task.runningOn.size > 0) {
           this.violations.push(`${name} still runs, but ${job.id} was cancelled`);
@@ -190,6 +264,18 @@
     return outcomes.length > 0 && outcomes.every((outcome) => outcome === 'refused');
   }
 
+  private recordTaskLapse(task: TaskHistory, endpoint: string): void {
+    for (const [run, doneRun] of task.doneRuns) {
+      if (doneRun.endpoint !== endpoint || doneRun.acknowledgement !== 'pending') continue;
+      doneRun.acknowledgement = 'lapsed';
+      this.recordEvent(task, `lease of ${endpoint} expires before run ${run} is acknowledged`);
+    }
+  }
+
+  private recordEvent(task: TaskHistory, event: string): void {
+    task.events.push(`${Math.round(performance.now() - this.startMs)} ms ${event}`);
+  }
+
   private notifyAcknowledgement(): void {
     for (const listener of this.acknowledgementListeners.splice(0)) listener();
   }
@@ -201,12 +287,7 @@
     if (!history || Number(index) >= taskCount) return { step: 0 };
     let task = history.tasks.get(name);
     if (!task) {
-      task = {
-        runningOn: new Set(),
-        doneRuns: new Set(),
-        doneBeforeStart: new Set(),
-        acknowledgedRuns: new Set(),
-      };
+      task = { events: [], runningOn: new Set(), doneRuns: new Map() };
       history.tasks.set(name, task);
     }
     return { history, task, step: Number(step) };
--- a/packages/tests/src/steps/soak/checkerSteps.ts
+++ b/packages/tests/src/steps/soak/checkerSteps.ts
@@ -31,6 +31,7 @@
   function submit(this: CheckerWorld, id: string, first: number, second: number, cores: number) {
     this.history.recordSubmission({
       id,
+      kind: 'batch',
       tasksPerStep: [first, second],
       cpuMillis: cores * MILLIS_PER_CORE,
     });
@@ -49,23 +50,39 @@
 });
 
 When('soak run {string} starts on {string}', function start(this: CheckerWorld, run: string, id) {
-  this.history.recordStart(id, parseRun(run).name);
+  const { name, number } = parseRun(run);
+  this.history.recordStart(id, name, number);
 });
 
 When(
   'soak run {string} on {string} ends {string}',
   function end(this: CheckerWorld, run: string, id: string, outcome: string) {
     const { name, number } = parseRun(run);
-    this.history.recordStart(id, name);
+    this.history.recordStart(id, name, number);
     this.history.recordEnd(id, name, number, outcome as RunOutcome);
   },
 );
 
+When(
+  'soak run {string} is lost with {string}',
+  function lose(this: CheckerWorld, run: string, id: string) {
+    const { name, number } = parseRun(run);
+    this.history.recordEnd(id, name, number, 'lost');
+  },
+);
+
 When(
   'the end of soak run {string} is acknowledged',
   function acknowledgeRun(this: CheckerWorld, run) {
     const { name, number } = parseRun(run as string);
-    this.history.recordAcknowledgement(name, number, 'done');
+    this.history.recordAcknowledgement(name, number);
+  },
+);
+
+When(
+  'the lease of soak endpoint {string} expires',
+  function expire(this: CheckerWorld, id: string) {
+    this.history.recordLapse(id);
   },
 );
 
--- a/packages/tests/src/steps/workflow/crashSteps.ts
+++ b/packages/tests/src/steps/workflow/crashSteps.ts
@@ -82,23 +82,20 @@
 
 Then(
   '{int} crashes are counted, with {int} runs',
-  function check(this: CrashSteps, crashes: number, runs: number) {
-    const { crashedRuns } = this.world;
-    assert.equal(crashedRuns.length, crashes);
-    assert.equal(
-      crashedRuns.reduce((sum, count) => sum + count, 0),
-      runs,
-    );
+  async function check(this: CrashSteps, crashes: number, runs: number) {
+    const lines = (await this.world.meter.registry.metrics()).split('\n');
+    assert.ok(lines.includes(`lagoongap_endpoint_crashes_total ${crashes}`), lines.join('\n'));
+    assert.ok(lines.includes(`lagoongap_crashed_runs_total ${runs}`), lines.join('\n'));
   },
 );
 
 Then(
   'the crash of {word} is logged with run {string}',
   function check(this: CrashSteps, endpoint: string, run: string) {
-    const lines = this.world.warnings.filter(([message]) => message === 'endpoint crashed');
-    const line = lines.find(([, fields]) => fields?.endpoint === endpoint);
-    assert.ok(line, JSON.stringify(this.world.warnings));
-    assert.match(String(line[1]?.runs), new RegExp(`${run} after \\d+ ms`));
+    const lines = this.world.logger.find('endpoint crashed');
+    const line = lines.find(({ fields }) => fields.endpoint === endpoint);
+    assert.ok(line, JSON.stringify(lines));
+    assert.match(String(line.fields.runs), new RegExp(`${run} after \\d+ ms`));
   },
 );
 
--- a/packages/tests/src/workflow/fakeDriver.ts
+++ b/packages/tests/src/workflow/fakeDriver.ts
@@ -20,6 +20,10 @@
   });
 }
 
+function isReachable({ behaviour, address }: FakeWorker, target: EndpointTarget): boolean {
+  return behaviour !== 'silent' && (address === undefined || address === target.address);
+}
+
 /** Delivers orders to {@link FakeWorker}s in the same process. */
 export class FakeDriver implements EndpointDriver {
   readonly workers = new Map<string, FakeWorker>();
@@ -29,6 +33,10 @@
   readonly paces: string[] = [];
   /** Maximum number of concurrent runs of one task. */
   maxRunsPerTask = 0;
+  /** Monotonic time of the latest check that found the leadership valid. */
+  validAtMs = -Infinity;
+  /** Longest lease that an order granted, counted from the check before it. */
+  longestLeaseMs = 0;
   /** Called for each start order that a worker has executed at once. */
   onStarted: ((worker: string, order: StartOrder) => void) | undefined;
   private readonly inspectionsLostBefore = new Map<string, number>();
@@ -48,8 +56,9 @@
   }
 
   async start(target: EndpointTarget, order: StartOrder): Promise<StartResponse | undefined> {
+    this.recordLease(order.untilMs);
     const worker = this.worker(target.id);
-    if (worker.behaviour === 'silent') return this.timeOut();
+    if (!isReachable(worker, target)) return this.timeOut();
     if (worker.behaviour === 'crashed') return undefined;
     if (worker.behaviour === 'starts-late') {
       worker.startLate(order);
@@ -59,20 +68,23 @@
     this.countRuns();
     if (outcome === 'started') this.onStarted?.(target.id, order);
     if (worker.behaviour === 'start-answers-lost') return this.timeOut();
-    return { outcome, clockMs: Math.floor(performance.now()) };
+    const response = { outcome, clockMs: worker.clockMs() };
+    if (worker.startResponseDelayMs > 0) await pause(worker.startResponseDelayMs);
+    return response;
   }
 
   async stop(target: EndpointTarget, order: RunOrder): Promise<boolean> {
     const worker = this.worker(target.id);
     if (worker.behaviour === 'crashed') return false;
-    if (worker.behaviour !== 'silent') return worker.stop(order);
+    if (isReachable(worker, target)) return worker.stop(order);
     await pause(ORDER_TIMEOUT_MS);
     return false;
   }
 
   async inspect(target: EndpointTarget, order: InspectOrder): Promise<OrderResult<Inspection>> {
+    this.recordLease(order.untilMs ?? -Infinity);
     const worker = this.worker(target.id);
-    if (worker.behaviour === 'silent') {
+    if (!isReachable(worker, target)) {
       await pause(ORDER_TIMEOUT_MS);
       return { failure: 'unreachable' };
     }
@@ -104,6 +116,10 @@
     return [...this.workers.values()].flatMap((worker) => worker.started);
   }
 
+  private recordLease(untilMs: number): void {
+    this.longestLeaseMs = Math.max(this.longestLeaseMs, untilMs - this.validAtMs);
+  }
+
   private countRuns(): void {
     const counts = new Map<string, number>();
     for (const worker of this.workers.values()) {
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -13,12 +13,17 @@
 export type WorkerBehaviour =
   'sound' | 'failing' | 'stalled' | 'silent' | 'crashed' | 'start-answers-lost' | 'starts-late';
 
+/** How a run goes on by itself: `ends` after its duration, `lasts` until it is stopped. */
+export type RunCourse = 'ends' | 'lasts';
+
 /** Receives events of a worker. */
 export interface WorkerObserver {
   onStart(order: StartOrder): void;
   onEnd(report: EndReport): void;
   /** The leader has acknowledged a report. */
   onAcknowledged(report: EndReport): void;
+  /** The lease has expired, after the ends of all runs. */
+  onLeaseExpired?(): void;
 }
 
 interface WorkerRun {
@@ -26,6 +31,9 @@
   timer?: NodeJS.Timeout;
 }
 
+/** Longest lease that a worker accepts; longer ones are shortened. */
+const MAX_LEASE_MS = 10_000;
+
 /** Delay after which a late order is executed. */
 const LATE_START_DELAY_MS = 3000;
 
@@ -37,15 +45,33 @@
   behaviour: WorkerBehaviour = 'sound';
   /** Duration of a task in milliseconds. */
   durationMs = 500;
+  /** Payloads of tasks that run until they are stopped. */
+  readonly lastingPayloads = new Set<string>();
   /** Load reported for every run. */
   load = 0;
   bornMs = 1;
+  /** Time for which the responses to start orders are held up, in milliseconds. */
+  startResponseDelayMs = 0;
+  /** Number of tasks that the worker can hold; it does not enforce the limit. */
+  maxTasks = Infinity;
+  /** Largest number of tasks above `maxTasks` right after a start. */
+  maxExcess = 0;
+  /** Returns the course of a run. */
+  getCourse: (order: StartOrder) => RunCourse = () => 'ends';
   observer: WorkerObserver | undefined;
+  /** Address at which the worker can be reached; any address if absent. */
+  address: string | undefined;
+  /** Rows that the worker lists besides its runs. */
+  otherRuns: ActiveRun[] = [];
+  /** The rows of active runs cannot be read. */
+  hasUnreadableRuns = false;
   private readonly supersededRuns = new Map<string, number>();
   private reports: EndReport[] = [];
   private nextReport = 1;
   private fence = 0;
   private untilMs = 0;
+  /** Time on the local clock at which the worker's clock was 0. */
+  private bootMs = 0;
   private leaseTimer: NodeJS.Timeout | undefined;
   private waiters: (() => void)[] = [];
   /** Durations of the tasks of certain payloads, instead of `durationMs`. */
@@ -57,6 +83,11 @@
     this.durationsMs = durationsMs;
   }
 
+  /** Time on the worker's clock, which starts anew with each incarnation. */
+  clockMs(): number {
+    return Math.floor(performance.now() - this.bootMs);
+  }
+
   start(order: StartOrder): StartOutcome {
     if (order.fencingToken < this.fence) return 'fenced';
     this.fence = order.fencingToken;
@@ -68,8 +99,11 @@
     const run: WorkerRun = { order };
     this.runs.set(key, run);
     this.started.push(key);
+    this.maxExcess = Math.max(this.maxExcess, this.runs.size - this.maxTasks);
     this.observer?.onStart(order);
-    if (this.behaviour !== 'stalled') {
+    const isLasting = this.lastingPayloads.has(order.payload);
+    const hasEnd = this.behaviour === 'failing' || this.getCourse(order) === 'ends';
+    if (this.behaviour !== 'stalled' && hasEnd && !isLasting) {
       const outcome = this.behaviour === 'failing' ? 'failed' : 'done';
       const durationMs = this.durationsMs.get(order.payload) ?? this.durationMs;
       run.timer = setTimeout(() => this.end(key, outcome), durationMs);
@@ -109,7 +143,13 @@
       percent: 100,
       load: this.load,
     }));
-    return { clockMs: this.clockMs(), bornMs: this.bornMs, active, ended: [...this.reports] };
+    return {
+      clockMs: this.clockMs(),
+      bornMs: this.bornMs,
+      active: this.hasUnreadableRuns ? [] : [...active, ...this.otherRuns],
+      ended: [...this.reports],
+      hasInvalidRows: this.hasUnreadableRuns,
+    };
   }
 
   /** Ends the runs of a gang, another member of which has ended. */
@@ -142,18 +182,16 @@
     this.nextReport = 1;
     this.fence = 0;
     this.untilMs = 0;
+    this.bootMs = performance.now();
     this.bornMs += 1;
   }
 
-  private clockMs(): number {
-    return Math.floor(performance.now());
-  }
-
   private renew(untilMs: number): void {
-    this.untilMs = Math.max(this.untilMs, untilMs);
+    this.untilMs = Math.max(this.untilMs, Math.min(untilMs, this.clockMs() + MAX_LEASE_MS));
     clearTimeout(this.leaseTimer);
     this.leaseTimer = setTimeout(() => {
       for (const key of [...this.runs.keys()]) this.end(key, 'lapsed');
+      this.observer?.onLeaseExpired?.();
     }, this.untilMs - this.clockMs());
   }
 
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -1,13 +1,13 @@
-import { SILENT_LOG, type LogFields } from '@lagoongap/model/log.js';
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
-import { NOOP_METRICS_RECORDER } from '@lagoongap/telemetry/workflowMetrics.js';
+import { WorkflowMetrics } from '@lagoongap/telemetry/workflowMetrics.js';
 import type { CellConfig } from '@lagoongap/workflow/cellConfig.js';
 import type { InstanceApi } from '@lagoongap/workflow/instanceApi.js';
 import type { JobResponse } from '@lagoongap/workflow/jobCalls.js';
 import type { JobSpec, StepSpec } from '@lagoongap/workflow/jobSpec.js';
+import type { ReadyStep } from '@lagoongap/workflow/readySteps.js';
 import type { EndpointRecord, JobRecord } from '@lagoongap/workflow/workflowRecords.js';
 import { WorkflowSession } from '@lagoongap/workflow/workflowSession.js';
-import { WorkflowState } from '@lagoongap/workflow/workflowState.js';
+import { createJob, WorkflowState } from '@lagoongap/workflow/workflowState.js';
 import {
   DEFAULT_WORKFLOW_TIMING,
   type WorkflowTiming,
@@ -16,6 +16,7 @@
 
 import { FakeDriver } from './fakeDriver.js';
 import { AutoCommitLog } from './autoCommitLog.js';
+import { RecordingLog } from './recordingLog.js';
 
 /** Functions replaced by the fake clock; the others are left to the test runner. */
 const CLOCK_FUNCTIONS = [
@@ -61,6 +62,21 @@
   };
 }
 
+/** Creates a step of a newly accepted job whose tasks are all waiting. */
+export function createReadyStep(spec: StepSpec): ReadyStep {
+  const job = createJob({
+    type: 'submit',
+    id: 'j',
+    queue: 'q',
+    organisation: 'o',
+    maxAttempts: 1,
+    acceptedMs: START_MS,
+    spec: { payload: '', steps: [spec] },
+  });
+  const waiting = Array.from({ length: spec.taskCount }, (_, index) => index);
+  return { name: 'j.0.0', job, occurrence: 0, step: 0, spec, waiting, dueMs: START_MS };
+}
+
 /** Workflow leader with workers in the same process, on a fake clock. */
 export class WorkflowWorld implements AsyncDisposable, InstanceApi {
   readonly driver = new FakeDriver();
@@ -68,22 +84,21 @@
   readonly clock = FakeTimers.install({ now: START_MS, toFake: [...CLOCK_FUNCTIONS] });
   readonly records = new Map<string, EndpointRecord>();
   readonly responses: JobResponse[] = [];
+  readonly logger = new RecordingLog();
+  readonly meter = new WorkflowMetrics();
   session: WorkflowSession;
   log: AutoCommitLog;
   private config: CellConfig;
   private sequence = 0;
   /** Drops the heartbeats of all workers. */
   losesHeartbeats = false;
-  /** Warnings of all leaderships. */
-  readonly warnings: [string, LogFields | undefined][] = [];
-  /** Number of runs on each endpoint that was counted as crashed, in order. */
-  readonly crashedRuns: number[] = [];
   /** Instances whose maintenance has begun, in order. */
   readonly maintained: string[] = [];
   /** Maximum number of instances that were down at the same time. */
   maxDown = 0;
   private readonly down = new Set<string>();
 
+  private onChecked: (() => void) | undefined;
   private readonly timing: WorkflowTiming;
 
   constructor(
@@ -176,6 +191,33 @@
     await this.advance(TICK_MS);
   }
 
+  /** Changes the capacity that a worker reports, from its next heartbeat on. */
+  setCores(id: string, cores: number): void {
+    const record = this.records.get(id)!;
+    const capacity = { ...record.capacity, cpuMillis: cores * CORE_CPU_MILLIS };
+    this.records.set(id, { ...record, capacity });
+    this.driver.worker(id).maxTasks = cores;
+  }
+
+  /** Delivers a heartbeat of another writer, which is like that of a worker but for some fields. */
+  async deliverOddHeartbeat(
+    id: string,
+    fields: Partial<EndpointRecord>,
+    { sequence = this.sequence + 1, clockMs }: { sequence?: number; clockMs?: number } = {},
+  ): Promise<void> {
+    const endpoint = { ...this.records.get(id)!, ...fields };
+    this.session.endpoints.heartbeat({ endpoint, sequence, clockMs }).catch(() => undefined);
+    await this.advance(TICK_MS);
+  }
+
+  /** Delivers a heartbeat of a worker that was sent before its latest one. */
+  async deliverLateHeartbeat(id: string, fields: Partial<EndpointRecord>): Promise<void> {
+    const endpoint = { ...this.records.get(id)!, ...fields };
+    const sequence = this.sequence - 1;
+    this.session.endpoints.heartbeat({ endpoint, sequence }).catch(() => undefined);
+    await this.advance(TICK_MS);
+  }
+
   async submit(
     id: string,
     steps: StepSpec[],
@@ -238,7 +280,7 @@
   }
 
   /** Ends the leadership abruptly and starts the next one after a time without a leader. */
-  async changeLeader(gapMs = 0): Promise<void> {
+  async changeLeader(gapMs = 0, { isHeartbeatLost = false } = {}): Promise<void> {
     this.log.isLeadershipOver = true;
     await this.session[Symbol.asyncDispose]();
     const endMs = performance.now();
@@ -246,7 +288,7 @@
     this.log = new AutoCommitLog(this.state, this.log.term + 1, endMs);
     this.session = this.createSession();
     this.session.start();
-    await this.sendHeartbeats();
+    if (!isHeartbeatLost) await this.sendHeartbeats();
   }
 
   /** Takes an instance down for the duration of its maintenance. */
@@ -274,6 +316,23 @@
     this.clock.uninstall();
   }
 
+  /** Suspends the process directly after each check of validity. */
+  suspendAfterChecks(ms: number): void {
+    const { now } = performance;
+    let suspendedMs = 0;
+    performance.now = () => now.call(performance) + suspendedMs;
+    this.onChecked = () => {
+      suspendedMs += ms;
+    };
+  }
+
+  private checkValidity(log: AutoCommitLog): boolean {
+    const isValid = !log.isLeadershipOver && !log.hasLostMajority;
+    if (isValid) this.driver.validAtMs = performance.now();
+    this.onChecked?.();
+    return isValid;
+  }
+
   private createSession(): WorkflowSession {
     const { log } = this;
     return new WorkflowSession({
@@ -284,15 +343,9 @@
       holder: 'leader',
       parseConfig: () => this.config,
       timing: this.timing,
-      logger: {
-        ...SILENT_LOG,
-        warn: (message, fields) => this.warnings.push([message, fields]),
-      },
-      meter: {
-        ...NOOP_METRICS_RECORDER,
-        countEndpointCrash: (runs) => this.crashedRuns.push(runs),
-      },
-      isValid: () => !log.isLeadershipOver && !log.hasLostMajority,
+      logger: this.logger,
+      meter: this.meter,
+      isValid: () => this.checkValidity(log),
     });
   }
 }
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -126,12 +126,16 @@
   lastHeartbeatMs = performance.now();
   /** Monotonic time of the latest response to an inspection. */
   lastResponseMs = -Infinity;
-  lastSequence = -1;
+  lastSequence: number;
   /** The endpoint has announced its shutdown. */
   isLeaving = false;
   readonly runs = new Map<string, AgentRun>();
   readonly clock = new LeaseClock();
   private readonly opts: EndpointAgentOptions;
+  /** Increases with each incarnation of the endpoint; state of an earlier one must not be used. */
+  private incarnationNumber = 0;
+  /** Incarnation that the readings and leases of the clock belong to. */
+  private clockIncarnation = '';
   private ackedReport = 0;
   private hasUnackedReports = false;
   private isStarted = false;
@@ -142,12 +146,23 @@
   constructor(opts: EndpointAgentOptions) {
     this.opts = opts;
     this.record = opts.record;
+    this.lastSequence = opts.record.sequence ?? -1;
   }
 
   get id(): string {
     return this.record.id;
   }
 
+  private get incarnation(): string {
+    return `${this.record.bornMs} ${this.record.address}`;
+  }
+
+  /** Records the clock in a heartbeat of the endpoint. */
+  observeClock(clockMs: number): void {
+    if (this.clockIncarnation !== this.incarnation) return;
+    this.clock.observeHeartbeat(clockMs, performance.now());
+  }
+
   /** Starts the inspection loop; does nothing if it has been started. */
   start(): void {
     if (this.isStarted) return;
@@ -163,24 +178,35 @@
     this.requestInspection();
   }
 
-  /** Sends the start order for a run that is already durable. */
-  async order(run: AgentRun, payload: string, ticket: string | undefined): Promise<void> {
+  /**
+   * Sends the start order for a run that is already durable.
+   *
+   * @param leaseFromMs - Monotonic time, read before the validity of the leadership was checked.
+   */
+  async order(
+    run: AgentRun,
+    payload: string,
+    ticket: string | undefined,
+    leaseFromMs: number,
+  ): Promise<void> {
     const { driver, fencingToken, leaseMs } = this.opts;
     this.runs.set(run.key, run);
     const order: StartOrder = {
       task: run.name,
       run: run.run,
       payload,
-      untilMs: this.clock.grant(leaseMs, performance.now()),
+      untilMs: this.clock.grant(leaseMs, leaseFromMs),
       fencingToken,
       checkpoint: run.checkpoint === '' ? undefined : run.checkpoint,
       ticket,
     };
     const sentMs = performance.now();
     run.orderedMs = sentMs;
+    const { incarnationNumber } = this;
     const response = await driver.start(this.record, order);
     if (this.isDisposed) return;
-    if (!response) {
+    // A response that an earlier incarnation may have sent tells nothing about this one.
+    if (!response || incarnationNumber !== this.incarnationNumber) {
       run.phase = 'unsettled';
       await this.resolveUnsettled(run);
       return;
@@ -205,7 +231,7 @@
    * run, a stop order is sent first, so that the start order has no effect if it arrives later.
    */
   private async resolveUnsettled(run: AgentRun): Promise<void> {
-    const { driver, fencingToken, log } = this.opts;
+    const { driver, fencingToken, isValid, log } = this.opts;
     log.info('start order got no response', { run: run.key, endpoint: this.id });
     while (!this.isDisposed && this.runs.has(run.key) && run.phase === 'unsettled') {
       const hasResponded = await this.inspect(0);
@@ -214,7 +240,7 @@
         await delay(INSPECTION_RETRY_MS);
       } else if (run.isStopped) {
         this.drop([run], 'the order never arrived');
-      } else {
+      } else if (isValid()) {
         const order = { task: run.name, run: run.run, fencingToken };
         run.isStopped = await driver.stop(this.record, order);
       }
@@ -269,7 +295,7 @@
   }
 
   private resetIncarnation(): void {
-    this.clock.reset();
+    this.incarnationNumber += 1;
     this.ackedReport = 0;
     this.hasUnackedReports = false;
     this.isSynced = false;
@@ -300,11 +326,13 @@
   /** Resolves with whether the current incarnation of the endpoint has responded. */
   private async inspect(waitMs: number): Promise<boolean> {
     const { driver, fencingToken, leaseMs, isValid } = this.opts;
-    if (!isValid()) return false;
+    // The lease is counted from before the check, as the process may be suspended after it.
     const sentMs = performance.now();
-    const { record } = this;
+    if (!isValid()) return false;
+    const { record, incarnationNumber } = this;
     // An unresponsive endpoint may still receive orders; its lease must be allowed to expire.
-    const canRenew = this.clock.hasReading && !this.isSuspect;
+    const isCurrentClock = this.clockIncarnation === this.incarnation;
+    const canRenew = this.clock.hasReading && isCurrentClock && !this.isSuspect;
     const result = await driver.inspect(record, {
       fencingToken,
       ackedReport: this.ackedReport,
@@ -325,12 +353,15 @@
       return false;
     }
     this.lastResponseMs = performance.now();
+    // The leases of an earlier incarnation may run on until the new one has responded.
+    if (!isCurrentClock) this.clock.reset();
+    this.clockIncarnation = this.incarnation;
     this.clock.observe({ clockMs: answer.clockMs, sentMs, receivedMs: this.lastResponseMs });
     // Processed in order, so that no report is acknowledged before its end is durable.
     const previous = this.processing;
     this.processing = previous
       .catch(() => undefined)
-      .then(() => this.processInspection(answer, sentMs));
+      .then(() => this.processInspection(answer, sentMs, incarnationNumber));
     await this.processing;
     return true;
   }
@@ -341,8 +372,14 @@
     return isShort || this.hasLatencyTarget ? SHORT_TASK_WAIT_MS : MAX_INSPECTION_WAIT_MS;
   }
 
-  private async processInspection(inspection: Inspection, sentMs: number): Promise<void> {
+  private async processInspection(
+    inspection: Inspection,
+    sentMs: number,
+    incarnationNumber: number,
+  ): Promise<void> {
     const { listener } = this.opts;
+    // The endpoint may have restarted while an earlier response was processed.
+    if (incarnationNumber !== this.incarnationNumber) return;
     const wasAvailable = this.isSynced && !this.isSuspect;
     this.isSuspect = false;
     this.silentSinceMs = Infinity;
@@ -358,11 +395,11 @@
       if (!run) listener.onUnknownRun(this, active);
       else this.confirm(run, active);
     }
-    const isComplete = inspection.ended.length < MAX_REPORTS;
+    const isComplete = !inspection.hasInvalidRows && inspection.ended.length < MAX_REPORTS;
     if (ends.length > 0) {
       for (const { run } of ends) this.runs.delete(run.key);
       await listener.onRunsEnded(this, ends);
-      if (this.isDisposed) return;
+      if (this.isDisposed || incarnationNumber !== this.incarnationNumber) return;
     }
     if (isComplete) this.dropAbsentRuns(inspection.active, sentMs);
     this.hasUnackedReports = lastReport > this.ackedReport;
--- a/packages/workflow/src/runAdoption.ts
+++ b/packages/workflow/src/runAdopter.ts
@@ -4,29 +4,28 @@
 import { listTasks } from './readySteps.js';
 import { createAgentRun } from './runDispatcher.js';
 import { createReservation, type RunLedger } from './runLedger.js';
-import type { SessionContext } from './sessionContext.js';
-import type { EndedRun } from './workflowCommand.js';
+import type { WorkflowState } from './workflowState.js';
 import type { JobRecord, RunRecord } from './workflowRecords.js';
 
-/** Options of a {@link RunAdoption}. */
-export interface RunAdoptionOptions {
-  context: SessionContext;
+/** Dependencies of a {@link RunAdopter}. */
+export interface RunAdopterOptions {
+  state: WorkflowState;
   ledger: RunLedger;
   directory: EndpointDirectory;
   quarantine: Quarantine;
-  /** Called for a run whose endpoint is not registered any more. */
-  onLost: (end: EndedRun, endpoint: string) => void;
+  /** Called for a run whose endpoint is not registered. */
+  onLost: (task: TaskRef, run: RunRecord) => void;
 }
 
-/** Takes over the runs that earlier leaders have started. */
-export class RunAdoption {
-  private readonly opts: RunAdoptionOptions;
+/** Assigns the runs of the previous leader to the agents of their endpoints. */
+export class RunAdopter {
+  private readonly opts: RunAdopterOptions;
 
-  constructor(opts: RunAdoptionOptions) {
+  constructor(opts: RunAdopterOptions) {
     this.opts = opts;
   }
 
-  /** Adopts the runs of a job; returns their number. */
+  /** Adopts all runs of a job, and returns their number. */
   adopt(job: JobRecord): number {
     let count = 0;
     for (const { task, record } of listTasks(job)) {
@@ -38,18 +37,14 @@
     return count;
   }
 
-  private adoptRun(
-    job: JobRecord,
-    task: TaskRef,
-    { run, endpoint }: RunRecord,
-    checkpoint: string,
-  ): void {
-    const { context, ledger, directory, quarantine, onLost } = this.opts;
-    const adopted = createAgentRun(context.state, task, run, checkpoint);
+  private adoptRun(job: JobRecord, task: TaskRef, record: RunRecord, checkpoint: string): void {
+    const { state, ledger, directory, quarantine, onLost } = this.opts;
+    const { run, endpoint } = record;
+    const adopted = createAgentRun(state, task, run, checkpoint);
     ledger.reserve(createReservation(job, task, adopted.key, endpoint));
     const agent = directory.find(endpoint);
     if (!agent) {
-      onLost({ task, run, outcome: 'lost' }, endpoint);
+      onLost(task, record);
       return;
     }
     agent.adopt(adopted);
--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -30,15 +30,18 @@
 /** Minimum that spreads the large fixed cost of a query over several endpoints. */
 const MIN_ENDPOINTS_PER_QUERY = 8;
 
+/** Priority of queries for restarts of service tasks; lower than that of any queue. */
+const RESTART_PRIORITY = Number.MIN_SAFE_INTEGER;
+
 /** Placement candidate with its usage, which is updated in place. */
 export interface FleetCandidate extends PlacementCandidate {
   usage: EndpointUsage;
 }
 
-/** Returns how many times `need` fits into `free`. */
+/** Returns how many times `need` fits into `free`, which is negative after capacity has shrunk. */
 function countFits(free: number, need: number): number {
-  if (need <= 0) return Number.MAX_SAFE_INTEGER;
-  return free < need ? 0 : Math.floor(free / need);
+  if (free < Math.max(0, need)) return 0;
+  return need > 0 ? Math.floor(free / need) : Number.MAX_SAFE_INTEGER;
 }
 
 /** Returns how many more tasks of a step an endpoint can run, given its capacity and the limit. */
@@ -48,9 +51,8 @@
   ledger: RunLedger,
 ): number {
   let slots = maxPerEndpoint > 0 ? maxPerEndpoint : taskCount;
-  if (!fillsIdleCapacity) {
-    slots = Math.min(slots, countFits(capacity.cpuMillis - used.cpuMillis, size.cpuMillis));
-  }
+  const cpuMillis = fillsIdleCapacity ? 0 : size.cpuMillis;
+  slots = Math.min(slots, countFits(capacity.cpuMillis - used.cpuMillis, cpuMillis));
   slots = Math.min(slots, countFits(capacity.memoryMib - used.memoryMib, size.memoryMib));
   slots = Math.min(slots, countFits(capacity.accelerators - used.accelerators, size.accelerators));
   if (slots === 0 || maxPerEndpoint === 0) return slots;
@@ -125,7 +127,7 @@
     cache.beginQuery();
     this.countInFlight(endpoints, 1);
     broker
-      .query(ready.name, endpoints, advice, queue.priority)
+      .query(ready.name, endpoints, advice, ready.isRestart ? RESTART_PRIORITY : queue.priority)
       .finally(() => {
         this.pendingSteps.delete(ready.name);
         cache.endQuery();
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -5,7 +5,6 @@
 import { AdvicePrefetcher } from './advicePrefetcher.js';
 import type { CellConfig } from './cellConfig.js';
 import { CrashAttribution } from './crashAttribution.js';
-import type { CrashEvidence } from './crashRecord.js';
 import { CyclePacer } from './cyclePacer.js';
 import type { AgentListener, AgentRun, EndpointAgent } from './endpointAgent.js';
 import { EndpointDirectory } from './endpointDirectory.js';
@@ -16,25 +15,26 @@
 import { describeFailure } from './jobFailure.js';
 import { JobService } from './jobService.js';
 import { EventLoopLag } from './eventLoopLag.js';
-import { parseTaskName, stepName, type TaskRef } from './jobSpec.js';
+import { parseTaskName, stepName } from './jobSpec.js';
 import { LeadershipMonitor } from './leadershipMonitor.js';
 import { OccurrenceTimers } from './occurrenceTimers.js';
 import { OutcomeRecorder } from './outcomeRecorder.js';
 import { listTasks, ReadySteps } from './readySteps.js';
 import { proposeWhileLeading } from './proposeWhileLeading.js';
 import { createAgentRun, RunDispatcher, runKey } from './runDispatcher.js';
-import { RunAdoption } from './runAdoption.js';
 import { runInSlices } from './runInSlices.js';
+import { RunAdopter } from './runAdopter.js';
+import { RunEnds } from './runEnds.js';
 import { createReservation, RunLedger } from './runLedger.js';
 import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
 import { DurationEstimator } from './durationEstimator.js';
+import { ServiceOutages } from './serviceOutages.js';
 import { SessionMetrics } from './sessionMetrics.js';
 import { StragglerDetector } from './stragglerDetector.js';
 import { StepScheduler } from './stepScheduler.js';
 import { TakeoverRecorder } from './takeoverRecorder.js';
 import { WaitLogger } from './waitLogger.js';
 import { WaveRunner } from './waveRunner.js';
-import type { EndedRun } from './workflowCommand.js';
 import type { JobRecord } from './workflowRecords.js';
 
 /** Interval of housekeeping: ended jobs, unresponsive endpoints, waiting steps. */
@@ -58,6 +58,8 @@
   private readonly ready: ReadySteps;
   private readonly scheduler: StepScheduler;
   private readonly dispatcher: RunDispatcher;
+  private readonly adopter: RunAdopter;
+  private readonly ends: RunEnds;
   private readonly bestEffortThrottle: BestEffortThrottle;
   private readonly stragglers: StragglerDetector;
   private readonly advice: AdvicePrefetcher;
@@ -70,6 +72,7 @@
   private readonly outcomes: OutcomeRecorder;
   private readonly waitLogger: WaitLogger;
   private readonly metrics: SessionMetrics;
+  private readonly outages: ServiceOutages;
   private readonly monitor: LeadershipMonitor;
   private config: CellConfig | undefined;
   private cycleTimer: NodeJS.Timeout | undefined;
@@ -82,7 +85,10 @@
     this.opts = opts;
     const { logger, meter, isValid, electedMs = performance.now() } = opts;
     this.takeover = new TakeoverRecorder(logger, meter, electedMs);
-    this.monitor = new LeadershipMonitor({ log: logger, meter, isValid });
+    const { log: replicatedLog, validityMs, isClockReliable } = opts;
+    const validity = { replicatedLog, validityMs, isClockReliable, isValid };
+    this.monitor = new LeadershipMonitor({ ...validity, log: logger, meter });
+    const isSameTerm = () => opts.log.term === this.context.fencingToken;
     this.context = {
       state: opts.state,
       driver: opts.driver,
@@ -91,7 +97,9 @@
       meter: opts.meter,
       fencingToken: opts.log.term,
       predecessorEndMs: Math.min(performance.now(), opts.log.predecessorEndMs ?? Infinity),
-      isValid: () => !this.isDisposed && opts.isValid(),
+      // The instance may be elected again before this session is disposed of.
+      isValid: () => !this.isDisposed && isSameTerm() && opts.isValid(),
+      describeLeadership: () => this.monitor.describe(),
       propose: async (command) => {
         const startMs = performance.now();
         const result = await proposeWhileLeading(opts.log, command, this.context.fencingToken);
@@ -122,15 +130,24 @@
       directory: this.directory,
       durations: this.durations,
       broker: this.broker,
+      readOutageSinceMs: (task) => this.outages.sinceMsOf(task),
       onAdvice: () => this.requestCycle(),
     });
     this.dispatcher = new RunDispatcher({
       context: this.context,
       directory: this.directory,
       health: this.health,
-      onNotSent: (agent, run, reason) => this.recordLostRuns(agent, [run], reason),
+      ledger: this.ledger,
+      onNotSent: (agent, runs, reason) => this.ends.recordLost(agent, runs, reason),
     });
     this.bestEffortThrottle = new BestEffortThrottle(this.context);
+    this.adopter = new RunAdopter({
+      state: opts.state,
+      ledger: this.ledger,
+      directory: this.directory,
+      quarantine: this.crashes.quarantine,
+      onLost: (task, run) => this.ends.recordUnadopted(task, run),
+    });
     this.waves = new WaveRunner({
       context: this.context,
       directory: this.directory,
@@ -141,6 +158,16 @@
     this.outcomes = new OutcomeRecorder({ state: opts.state, health, durations, scheduler });
     this.waitLogger = new WaitLogger(this.context, this.ready, this.scheduler);
     this.metrics = new SessionMetrics(this.context, this.ready, this.directory);
+    const { context, ready, directory } = this;
+    this.outages = new ServiceOutages({ context, ready, directory });
+    this.ends = new RunEnds({
+      context,
+      ledger: this.ledger,
+      directory,
+      quarantine: this.crashes.quarantine,
+      outages: this.outages,
+      onChanged: (id) => this.refreshJob(id),
+    });
     this.retention = new JobRetention(this.context);
     this.stragglers = new StragglerDetector(
       this.context,
@@ -183,17 +210,8 @@
     const { state, logger, meter } = this.opts;
     const isActive = () => !this.isDisposed;
     let adopted = 0;
-    const adoption = new RunAdoption({
-      context: this.context,
-      ledger: this.ledger,
-      directory: this.directory,
-      quarantine: this.crashes.quarantine,
-      onLost: (end, endpoint) => {
-        this.recordEnds([end], endpoint).catch((err: Error) => this.logFailure('run ends', err));
-      },
-    });
     const adopt = (job: JobRecord): void => {
-      adopted += adoption.adopt(job);
+      adopted += this.adopter.adopt(job);
     };
     await runInSlices(state.jobs.values(), adopt, isActive);
     if (this.isDisposed) return;
@@ -236,14 +254,14 @@
       outcome: report.outcome,
       checkpoint: report.checkpoint || run.checkpoint || undefined,
     }));
-    await this.recordEnds(ends, agent.id);
+    await this.ends.record(ends, agent.id);
   }
 
   onRunsLost(agent: EndpointAgent, runs: AgentRun[], reason: string): void {
     if (reason === 'no-ticket') this.scheduler.dropTickets(agent.id);
     const evidence = this.crashes.handleLoss(agent, runs, reason);
     this.outcomes.recordLoss(agent, runs, evidence.size > 0);
-    this.recordLostRuns(agent, runs, reason, evidence);
+    this.ends.recordLost(agent, runs, reason, evidence);
   }
 
   onUnknownRun(agent: EndpointAgent, active: ActiveRun): void {
@@ -252,7 +270,8 @@
     const key = runKey(task, active.run);
     const job = this.opts.state.jobs.get(task.jobId);
     this.opts.logger.warn('endpoint reported an unknown run', { endpoint: agent.id, run: key });
-    if (job) this.ledger.reserve(createReservation(job, task, key, agent.id));
+    const hasStep = job?.spec.steps[task.step] !== undefined;
+    if (hasStep) this.ledger.reserve(createReservation(job, task, key, agent.id));
     const run = createAgentRun(this.opts.state, task, active.run, active.checkpoint);
     agent.adopt(run);
     agent.stop(run);
@@ -286,65 +305,15 @@
     clearInterval(this.housekeepingTimer);
     this.monitor[Symbol.dispose]();
     this.opts.meter.setWaitingSteps(new Map());
+    this.opts.meter.setServiceOutages(0, 0);
     this.occurrenceTimers[Symbol.dispose]();
+    this.dispatcher[Symbol.dispose]();
     this.directory[Symbol.dispose]();
     this.broker[Symbol.dispose]();
     this.crashes[Symbol.dispose]();
     this.opts.logger.notice('leadership of workflows ends', { term: this.context.fencingToken });
   }
 
-  /** Commits the loss of runs that ended without a report; does not affect endpoint health. */
-  private recordLostRuns(
-    agent: EndpointAgent,
-    runs: AgentRun[],
-    reason: string,
-    evidence?: Map<string, CrashEvidence>,
-  ): void {
-    this.opts.logger.warn('runs are lost', {
-      endpoint: agent.id,
-      reason,
-      runs: runs.map(({ key }) => key),
-    });
-    const ends = runs.map(({ key, task, run, checkpoint }) => ({
-      task,
-      run,
-      outcome: 'lost' as const,
-      checkpoint: checkpoint || undefined,
-      crash: evidence?.get(key),
-    }));
-    this.recordEnds(ends, agent.id).catch((err: Error) => this.logFailure('run ends', err));
-  }
-
-  private async recordEnds(ends: EndedRun[], endpoint: string): Promise<void> {
-    await this.context.propose({ type: 'end', runs: ends });
-    const jobs = new Set<string>();
-    for (const { task, run, outcome } of ends) {
-      this.ledger.release(runKey(task, run));
-      this.crashes.quarantine.end(runKey(task, run), outcome === 'done');
-      jobs.add(task.jobId);
-      this.opts.meter.countRunEnded(outcome);
-      if (outcome === 'done') this.stopCopies(task);
-    }
-    this.opts.logger.info('runs ended', {
-      endpoint,
-      runs: ends.map(({ task, run, outcome }) => `${runKey(task, run)} ${outcome}`).join(),
-    });
-    for (const id of jobs) this.refreshJob(id);
-  }
-
-  /** Stops the remaining runs of a task that has succeeded. */
-  private stopCopies(task: TaskRef): void {
-    const record = this.opts.state.findTask(task);
-    if (!record?.isDone || this.opts.state.findSpec(task)?.isGang) return;
-    for (const { run, endpoint } of record.runs) this.stopRun(endpoint, runKey(task, run));
-  }
-
-  private stopRun(endpoint: string, key: string): void {
-    const agent = this.directory.find(endpoint);
-    const run = agent?.runs.get(key);
-    if (run) agent?.stop(run);
-  }
-
   /** Re-evaluates a changed job: steps to start, runs to stop, timer for the next occurrence. */
   private refreshJob(id: string): void {
     const job = this.opts.state.jobs.get(id);
@@ -367,7 +336,8 @@
       this.crashes.quarantine.forgetStep(name);
     }
     for (const { task, record } of listTasks(job)) {
-      for (const { run, endpoint } of record.runs) this.stopRun(endpoint, runKey(task, run));
+      for (const { run, endpoint } of record.runs)
+        this.directory.stopRun(endpoint, runKey(task, run));
     }
   }
 
@@ -418,6 +388,7 @@
     for (const id of this.retention.removeExpired()) this.occurrenceTimers.cancel(id);
     this.endpoints.removeUnresponsive();
     this.metrics.update();
+    this.outages.update();
     this.advice.prefetchAll().catch((err: Error) => this.logFailure('advice', err));
     this.waitLogger.logWaitingSteps();
     this.waves.advance().catch((err: Error) => this.logFailure('maintenance waves', err));
