Keep suspects of a crash from waiting for each other

Cause: a task that ran for a second before its endpoint crashed was isolated for over two seconds, one task of its step at a time, so that the tasks of a service came back one after the other. Suspects with long exposures that started in one cycle went to the same endpoint again and had the same exposure, so that none of them explained the crash. Suspects prefer endpoints without other suspects, and a repeated crash is explained by the task with the most crashes. Steps without crashes are recognised early.

--- a/packages/tests/features/workflow/crashingTasks.feature
+++ b/packages/tests/features/workflow/crashingTasks.feature
@@ -135,6 +135,45 @@
     And job "good" is "running"
     And 3 tasks are running
 
+  Scenario Outline: the tasks of a service do not wait for each other after a crash
+    Given workers that crash are back after 2000 ms under another id
+    And 1 workers of 16 cores
+    When service "s" of 8 tasks that run until they are stopped is submitted
+    And <elapsed> ms of workflow time pass
+    And 4 workers of 4 cores
+    And worker w1 crashes
+    And 6500 ms of workflow time pass
+    Then service "s" runs 8 tasks
+    And job "s" is "running"
+
+    Examples:
+      | elapsed |
+      | 100     |
+      | 1000    |
+      | 5000    |
+
+  Scenario: suspects start beside others where no endpoint is free of starts
+    Given workers that crash are back after 3000 ms under another id
+    And 2 workers of 8 cores
+    And task "bad.0.0.0" crashes each worker that starts it
+    When job "bad" of 3 tasks is submitted
+    And jobs "good" of 1 tasks are submitted 600 times, 50 ms apart
+    And 10000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And job "bad" has crashed at most 3 workers
+    And all jobs "good" and "good" are "completed"
+
+  Scenario: a task that crashes its endpoint too late for a quarantine
+    Given workers that crash are back after 3000 ms under another id
+    And 8 workers of 8 cores
+    And task "bad.0.0.1" crashes each worker that starts it after 600 ms
+    When job "bad" of 3 tasks of 4000 ms is submitted
+    And jobs "good" of 4 tasks are submitted 100 times, 300 ms apart
+    And 60000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And job "bad" has crashed at most 5 workers
+    And all jobs "good" and "good" are "completed"
+
   Scenario: an occurrence of a repeated job
     Given workers that crash are back after 1000 ms under another id
     And 8 workers of 8 cores
--- a/packages/tests/src/steps/workflow/crashSteps.ts
+++ b/packages/tests/src/steps/workflow/crashSteps.ts
@@ -170,6 +170,14 @@
   },
 );
 
+When(
+  'service {string} of {int} tasks that run until they are stopped is submitted',
+  async function submit(this: CrashSteps, id: string, taskCount: number) {
+    this.world.driver.durationsMs.set(id, SERVICE_MS);
+    await this.world.submit(id, [createStep({ taskCount, isService: true, maxUnavailable: 1 })]);
+  },
+);
+
 When(
   'service {string} of {int} tasks on different workers is submitted',
   async function submit(this: CrashSteps, id: string, taskCount: number) {
--- a/packages/workflow/src/crashAttribution.ts
+++ b/packages/workflow/src/crashAttribution.ts
@@ -102,6 +102,7 @@
       context,
       directory,
       presume,
+      hasPresumed: () => this.expired.length > 0,
       onReleased,
       countFailures: (instance) => this.countUnexplained(instance),
     });
@@ -196,14 +197,19 @@
     failureRate: number,
   ): AgentRun[] {
     const onTrial = runs.filter(({ key }) => wasOnTrial(key));
+    if (onTrial.length > 0) return this.countUnits(onTrial) === 1 ? onTrial : [];
+    const crashesOf = ({ task }: AgentRun): number =>
+      this.opts.context.state.findCrashes(task)?.count ?? 0;
     const repeated = runs.filter(
       (run) =>
-        (this.opts.context.state.findCrashes(run.task)?.count ?? 0) > 0 &&
+        crashesOf(run) > 0 &&
         (noticedMs - run.orderedMs) * failureRate <= MAX_EXPECTED_FAILURES &&
         this.isRepeated(run, noticedMs),
     );
-    const culprits = onTrial.length > 0 ? onTrial : repeated;
-    return new Set(culprits.map((run) => this.unitOf(run))).size === 1 ? culprits : [];
+    // Tasks that were lost together may be on the same endpoint again, but rarely several times.
+    const most = Math.max(...repeated.map(crashesOf));
+    const likeliest = repeated.filter((run) => crashesOf(run) === most);
+    return this.countUnits(likeliest) === 1 ? likeliest : [];
   }
 
   /** Returns how often an instance failed recently without a run that explains it. */
@@ -309,8 +315,11 @@
     );
   }
 
-  private unitOf({ task }: AgentRun): string {
-    return suspectUnit(task, this.opts.context.state.findSpec(task)?.isGang ?? false);
+  /** Returns the number of different tasks; a gang counts as one. */
+  private countUnits(runs: AgentRun[]): number {
+    const { state } = this.opts.context;
+    const units = runs.map(({ task }) => suspectUnit(task, state.findSpec(task)?.isGang ?? false));
+    return new Set(units).size;
   }
 
   private report({ endpoint }: EndpointCrash, evidence: Map<string, CrashEvidence>): void {
--- a/packages/workflow/src/crashRecord.ts
+++ b/packages/workflow/src/crashRecord.ts
@@ -24,7 +24,7 @@
 const MAX_RUNS = 8;
 
 /** Exposure that is assumed where it is not known. */
-const DEFAULT_EXPOSURE_MS = 1000;
+const DEFAULT_EXPOSURE_MS = 300;
 
 /** Number of prompt crashes that convict, the last of them in quarantine. */
 const PROMPT_CRASH_LIMIT = 2;
--- a/packages/workflow/src/quarantine.ts
+++ b/packages/workflow/src/quarantine.ts
@@ -19,12 +19,17 @@
   exposureMs: number;
 }
 
+/** How a task is placed: in quarantine, or beside any other. */
+export type PlacementMode = 'trial' | 'open';
+
 /** Options of a {@link Quarantine}. */
 export interface QuarantineOptions {
   context: SessionContext;
   directory: EndpointDirectory;
   /** Returns the suspicion of a task whose run is on an endpoint that does not answer. */
   presume: (task: TaskRef) => Suspicion | undefined;
+  /** Returns whether tasks without a run may be presumed to have caused a failure. */
+  hasPresumed: () => boolean;
   /** Returns how often an instance failed recently without a run that explains it. */
   countFailures: (instance: string) => number;
   /** Called when an endpoint accepts other tasks again. */
@@ -38,7 +43,13 @@
 const MAX_START_TIMES = 1000;
 
 /** Longest time for which an endpoint accepts no other tasks. */
-const MAX_TRIAL_MS = 3000;
+const MAX_TRIAL_MS = 1000;
+
+/** Time for which a suspected task waits for an endpoint that it has to itself. */
+const MAX_WAIT_MS = 1000;
+
+/** Number of simultaneous trials of a step before the first one has proved harmless. */
+const FIRST_TRIALS = 2;
 
 /** Expected number of endpoints that crash in trials, as a share of those available. */
 const MAX_EXPECTED_CRASH_SHARE = 0.35;
@@ -70,10 +81,15 @@
   private readonly opts: QuarantineOptions;
   private readonly trials = new Map<string, Trial>();
   private readonly trialsByEndpoint = new Map<string, Set<string>>();
+  /** Endpoints of the runs whose tasks may have caused a crash before, by key. */
+  private readonly suspects = new Map<string, string>();
+  private readonly suspectsByEndpoint = new Map<string, Set<string>>();
   /** Monotonic time of the latest decision to start a run, by endpoint. */
   private readonly lastStartMs = new Map<string, number>();
   /** Number of trials that ended without a crash, by step. */
   private readonly clearedCounts = new Map<string, number>();
+  /** Monotonic time since which suspected tasks wait, by step and index. */
+  private readonly waitingSinceMs = new Map<string, Map<number, number>>();
   /** Monotonic time of the latest trial that was likely to end with a crash. */
   private lastTrialMs = -Infinity;
   private readonly timers = new Set<NodeJS.Timeout>();
@@ -82,9 +98,34 @@
     this.opts = opts;
   }
 
-  /** Returns whether a waiting task of a step has to start in quarantine. */
-  isSuspected(step: ReadyStep, index: number): boolean {
-    return this.assess(step, index) !== undefined;
+  /** Returns the waiting tasks of a step that have to start in quarantine. */
+  listSuspects(step: ReadyStep): Set<number> {
+    const record = this.opts.context.state.findStep(step.job, step.occurrence, step.step);
+    const mayBePresumed = this.opts.hasPresumed();
+    const suspects = new Set<number>();
+    if (!record) return suspects;
+    for (const index of step.waiting) {
+      const { crashes = record.gangCrashes, runs } = record.tasks[index]!;
+      // Most tasks have no crash behind them, nor a run whose endpoint does not answer.
+      if (!crashes && runs.length === 0 && !mayBePresumed) continue;
+      if (this.assess(step, index)) suspects.add(index);
+    }
+    return suspects;
+  }
+
+  /**
+   * Returns how a suspected task may start now, the preferred way first. Rather than wait for long,
+   * it starts beside others; a crash is then told by its repetition.
+   */
+  listModes(step: ReadyStep, index: number): PlacementMode[] {
+    const nowMs = performance.now();
+    const times = this.waitingSinceMs.get(step.name) ?? new Map<number, number>();
+    const sinceMs = times.get(index) ?? nowMs;
+    this.waitingSinceMs.set(step.name, times.set(index, sinceMs));
+    const { suspicion } = this.assess(step, index) ?? { suspicion: 0 };
+    const hasWaited = nowMs - sinceMs >= MAX_WAIT_MS;
+    if (this.mayBegin(step, suspicion)) return hasWaited ? ['trial', 'open'] : ['trial'];
+    return hasWaited && suspicion < LIKELY_SUSPICION ? ['open'] : [];
   }
 
   /** Returns whether a run is being watched. */
@@ -94,6 +135,7 @@
 
   /** Returns whether an endpoint accepts tasks that are not suspected. */
   isOpen(endpoint: string): boolean {
+    if (this.trials.size === 0) return true;
     const keys = this.trialsByEndpoint.get(endpoint);
     return !keys || [...keys].every((key) => this.isOver(key));
   }
@@ -130,13 +172,27 @@
     return (endangersMore ? DAMAGE_LOAD : 0) + countFailures(agent.record.instance) * FAILURE_LOAD;
   }
 
-  /** Returns whether the fleet can bear another trial now, and the step has no unfinished one. */
-  mayBegin(step: ReadyStep, index: number): boolean {
-    const { suspicion } = this.assess(step, index) ?? { suspicion: 0 };
+  /** Returns whether a waiting task of a step, or the gang, was present at a crash before. */
+  hasCrashed(step: ReadyStep): boolean {
+    const record = this.opts.context.state.findStep(step.job, step.occurrence, step.step);
+    if (!record) return false;
+    if (record.gangCrashes) return true;
+    return step.waiting.some((index) => record.tasks[index]?.crashes !== undefined);
+  }
+
+  /** Returns the number of runs on an endpoint whose tasks may have caused a crash before. */
+  countSuspects(endpoint: string): number {
+    return this.suspectsByEndpoint.get(endpoint)?.size ?? 0;
+  }
+
+  /** Returns whether the fleet can bear another trial now, and the step has few unfinished ones. */
+  private mayBegin(step: ReadyStep, suspicion: number): boolean {
     const active = [...this.trials].filter(([key]) => !this.isOver(key));
     const ofStep = active.filter(([, trial]) => trial.stepName === step.name);
-    // The tasks of a step run the same program: the first ones tell about the others.
-    if (ofStep.length > (this.clearedCounts.get(step.name) ?? 0)) return false;
+    // The tasks of a step run the same program, so that the first ones tell about the others; those
+    // of a service must not wait for each other.
+    const maxTrials = FIRST_TRIALS * (1 + (this.clearedCounts.get(step.name) ?? 0));
+    if (!step.spec.isService && ofStep.length >= maxTrials) return false;
     if (active.length === 0) return true;
     const nowMs = performance.now();
     if (suspicion >= LIKELY_SUSPICION && nowMs - this.lastTrialMs < TRIAL_INTERVAL_MS) return false;
@@ -145,17 +201,26 @@
     return expected + suspicion <= Math.max(1, share * this.countResponsive());
   }
 
-  /** Records the decision to start a run, which is watched if its task is suspected. */
-  recordStart(step: ReadyStep, index: number, key: string, endpoint: string): void {
+  /** Records the decision to start a run, which is watched if it is a trial. */
+  recordStart(
+    step: ReadyStep,
+    index: number,
+    { key, endpoint, isTrial }: { key: string; endpoint: string; isTrial: boolean },
+  ): void {
     const nowMs = performance.now();
     if (this.lastStartMs.size >= MAX_START_TIMES) this.forgetStarts(nowMs);
     this.lastStartMs.set(endpoint, nowMs);
-    const known = this.assess(step, index);
+    const times = this.waitingSinceMs.get(step.name);
+    if (times?.delete(index) && times.size === 0) this.waitingSinceMs.delete(step.name);
+    const task = { jobId: step.job.id, occurrence: step.occurrence, step: step.step, index };
+    this.recordSuspect(task, key, endpoint);
+    const known = isTrial ? this.assess(step, index) : undefined;
     if (known) this.add(key, step.name, endpoint, known);
   }
 
   /** Continues to watch a run that an earlier leader has started. */
   adopt({ key, task }: AgentRun, endpoint: string): void {
+    this.recordSuspect(task, key, endpoint);
     const history = this.opts.context.state.findCrashes(task);
     if (!history || !isSuspected(history)) return;
     if (harmlessAfterMs(history.exposureMs) > MAX_TRIAL_MS) return;
@@ -164,6 +229,7 @@
 
   /** Ends the watch over a run that has ended, successfully or not. */
   end(key: string, isDone: boolean): void {
+    this.forgetSuspect(key);
     const trial = this.trials.get(key);
     if (!trial) return;
     this.remove(key, trial);
@@ -174,6 +240,7 @@
   /** Discards what is known about a step that has ended. */
   forgetStep(step: string): void {
     this.clearedCounts.delete(step);
+    this.waitingSinceMs.delete(step);
   }
 
   [Symbol.dispose](): void {
@@ -190,6 +257,22 @@
     return isWatchable ? suspicion : undefined;
   }
 
+  private recordSuspect(task: TaskRef, key: string, endpoint: string): void {
+    if (!this.opts.context.state.findCrashes(task)?.count) return;
+    this.suspects.set(key, endpoint);
+    const keys = this.suspectsByEndpoint.get(endpoint) ?? new Set();
+    this.suspectsByEndpoint.set(endpoint, keys.add(key));
+  }
+
+  private forgetSuspect(key: string): void {
+    const endpoint = this.suspects.get(key);
+    if (endpoint === undefined) return;
+    this.suspects.delete(key);
+    const keys = this.suspectsByEndpoint.get(endpoint);
+    keys?.delete(key);
+    if (keys?.size === 0) this.suspectsByEndpoint.delete(endpoint);
+  }
+
   private forgetStarts(nowMs: number): void {
     for (const [endpoint, startMs] of this.lastStartMs) {
       if (nowMs - startMs > SETTLE_MS) this.lastStartMs.delete(endpoint);
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -7,7 +7,7 @@
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { taskName, type TaskRef } from './jobSpec.js';
-import type { Quarantine } from './quarantine.js';
+import type { PlacementMode, Quarantine } from './quarantine.js';
 import type { ReadyStep, ReadySteps } from './readySteps.js';
 import { createReservation, type RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
@@ -65,6 +65,9 @@
   outcome: 'blocked' | 'unplaced' | 'placed';
 }
 
+/** Load that a run of a suspected task counts for another one, so that they are kept apart. */
+const SUSPECT_LOAD = 20;
+
 /** Maximum age of the list of available endpoints. */
 const CANDIDATES_MAX_AGE_MS = 20;
 
@@ -186,7 +189,7 @@
       withTicket: count(({ id }) => tickets.find(id, nowMs) !== undefined),
       suitable: count(({ id }) => tickets.suitabilityOf(id) === 'suitable'),
       unsuitable: count(({ id }) => tickets.suitabilityOf(id) === 'unsuitable'),
-      suspects: ready.waiting.filter((it) => this.opts.quarantine.isSuspected(ready, it)).length,
+      suspects: this.opts.quarantine.listSuspects(ready).size,
       evaluatedAgoMs: evaluation && Math.round(nowMs - evaluation.atMs),
       outcome: evaluation?.outcome,
       ...this.ticketProvider.explain(ready.name),
@@ -235,11 +238,9 @@
       const candidate = candidates.get(id);
       if (candidate && countSlots(ready, candidate, this.opts.ledger) > 0) usable.push(candidate);
     }
-    const usage = this.createUsage(ready, config);
     const planned = ready.spec.isGang
       ? this.placeGang(ready, usable, config)
-      : this.placeTasks(ready, usable, usage);
-    if (!ready.spec.isGang) planned.push(...this.placeSuspects(ready, usable, config));
+      : this.placeTasks(ready, usable, config);
     for (const start of planned) start.ticket = tickets?.find(start.endpoint, nowMs);
     if (planned.length < ready.waiting.length) this.ticketProvider.query(ready, queue, candidates);
     return planned;
@@ -248,37 +249,50 @@
   private placeTasks(
     ready: ReadyStep,
     candidates: PlacementCandidate[],
-    usage: PlacementUsage,
+    config: CellConfig,
   ): PlannedStart[] {
     const planned: PlannedStart[] = [];
     const { farFactor } = this.opts.context.timing;
+    const usage = this.createUsage(ready, config);
     const selector = new EndpointSelector(ready.spec, candidates, usage, farFactor);
+    const suspects = this.opts.quarantine.listSuspects(ready);
     for (const index of ready.waiting) {
-      if (this.opts.quarantine.isSuspected(ready, index)) continue;
+      if (suspects.has(index)) continue;
       const endpoint = selector.choose();
       if (!endpoint) break;
       planned.push(this.plan(ready, index, endpoint, this.nextRun(ready, index)));
       selector.refresh(endpoint);
     }
-    return planned;
+    if (suspects.size === 0) return planned;
+    return [...planned, ...this.placeSuspects(ready, suspects, candidates, config)];
   }
 
-  /** Places the tasks that may crash their endpoints, in quarantine. */
+  /** Places the tasks that may crash their endpoints, in quarantine if possible. */
   private placeSuspects(
     ready: ReadyStep,
+    suspects: ReadonlySet<number>,
     candidates: PlacementCandidate[],
     config: CellConfig,
   ): PlannedStart[] {
     const { quarantine, context } = this.opts;
     const planned: PlannedStart[] = [];
-    const usage = this.createUsage(ready, config, true);
-    for (const index of ready.waiting) {
-      if (!quarantine.isSuspected(ready, index)) continue;
-      if (!quarantine.mayBegin(ready, index)) continue;
-      const { farFactor } = context.timing;
-      const endpoint = new EndpointSelector(ready.spec, candidates, usage, farFactor).choose();
-      if (!endpoint) break;
-      planned.push(this.plan(ready, index, endpoint, this.nextRun(ready, index)));
+    const usages = {
+      trial: this.createUsage(ready, config, 'trial'),
+      open: this.createUsage(ready, config),
+    };
+    const full = new Set<PlacementMode>();
+    for (const index of suspects) {
+      for (const mode of quarantine.listModes(ready, index)) {
+        if (full.has(mode)) continue;
+        const { farFactor } = context.timing;
+        const selector = new EndpointSelector(ready.spec, candidates, usages[mode], farFactor);
+        const endpoint = selector.choose();
+        if (endpoint) {
+          planned.push(this.plan(ready, index, endpoint, this.nextRun(ready, index), mode));
+          break;
+        }
+        full.add(mode);
+      }
     }
     return planned;
   }
@@ -289,9 +303,10 @@
     config: CellConfig,
   ): PlannedStart[] {
     const { ledger, context, quarantine } = this.opts;
-    const isSuspected = quarantine.isSuspected(ready, 0);
-    if (isSuspected && !quarantine.mayBegin(ready, 0)) return [];
-    const usage = this.createUsage(ready, config, isSuspected);
+    const isSuspected = quarantine.listSuspects(ready).size > 0;
+    const mode = isSuspected ? quarantine.listModes(ready, 0).at(-1) : 'open';
+    if (!mode) return [];
+    const usage = this.createUsage(ready, config, mode);
     const trialKeys: string[] = [];
     const endpoints = chooseGangEndpoints(ready.spec, candidates, usage, context.timing.farFactor, {
       reserve: (endpoint) => {
@@ -306,7 +321,7 @@
     for (const key of trialKeys) ledger.withdraw(key);
     if (!endpoints) return [];
     const run = Math.max(...ready.waiting.map((index) => this.nextRun(ready, index)));
-    return endpoints.map((endpoint, index) => this.plan(ready, index, endpoint, run));
+    return endpoints.map((endpoint, index) => this.plan(ready, index, endpoint, run, mode));
   }
 
   private plan(
@@ -314,13 +329,15 @@
     index: number,
     endpoint: PlacementCandidate,
     run: number,
+    mode: PlacementMode = 'open',
   ): PlannedStart {
     const { job, occurrence, step, name } = ready;
     const task: TaskRef = { jobId: job.id, occurrence, step, index };
     const key = `${taskName(task)}:${run}`;
     this.reserve(ready, key, endpoint.id);
     this.pending.add(`${name}.${index}`);
-    this.opts.quarantine.recordStart(ready, index, key, endpoint.id);
+    const isTrial = mode === 'trial';
+    this.opts.quarantine.recordStart(ready, index, { key, endpoint: endpoint.id, isTrial });
     const agent = this.opts.directory.require(endpoint.id);
     const { bornMs } = agent.record;
     const target = { endpoint: endpoint.id, agent, bornMs };
@@ -375,9 +392,14 @@
     return config.organisations.find(({ name }) => name === job.organisation)?.limit;
   }
 
-  /** @param isTrial - The tasks are suspected of crashing their endpoints. */
-  private createUsage(ready: ReadyStep, config: CellConfig, isTrial = false): PlacementUsage {
+  private createUsage(
+    ready: ReadyStep,
+    config: CellConfig,
+    mode: PlacementMode = 'open',
+  ): PlacementUsage {
     const { ledger, quarantine } = this.opts;
+    const isTrial = mode === 'trial';
+    const avoidsSuspects = quarantine.hasCrashed(ready);
     const { organisation } = ready.job;
     const limit = this.findLimit(ready, config);
     return {
@@ -390,8 +412,9 @@
       loadOf: ({ id, capacity }) => {
         const bestEffortCpuMillis = ready.spec.fillsIdleCapacity ? ledger.bestEffortCpuOn(id) : 0;
         const usedCpuMillis = ledger.usedOn(id).cpuMillis + bestEffortCpuMillis;
+        const suspects = avoidsSuspects ? quarantine.countSuspects(id) * SUSPECT_LOAD : 0;
         const trialCost = isTrial ? quarantine.costOfTrial(id) : 0;
-        return usedCpuMillis / Math.max(1, capacity.cpuMillis) + trialCost;
+        return usedCpuMillis / Math.max(1, capacity.cpuMillis) + suspects + trialCost;
       },
     };
   }
