List endpoints that are reserved for a suspect of a crash

An endpoint that is reserved gets no work, and nothing but a log line said so. The list of endpoints shows it as reserved.

--- a/packages/coordinator/src/leaderSession.ts
+++ b/packages/coordinator/src/leaderSession.ts
@@ -179,6 +179,7 @@
       sessions: this.sessions,
       isReachable: opts.isReachable,
       isEjected: (id) => opts.health.isEjected(id),
+      isReserved: (id) => this.trials.isReserved(id),
     });
     this.reporter = new MetricsReporter({
       state,
--- a/packages/coordinator/src/statusReader.ts
+++ b/packages/coordinator/src/statusReader.ts
@@ -26,6 +26,8 @@
   sessions: GatewaySessions;
   isReachable: (instance: string) => boolean;
   isEjected: (endpointId: string) => boolean;
+  /** Returns whether an endpoint is reserved for a suspect of a crash. */
+  isReserved: (endpointId: string) => boolean;
 }
 
 /** Collects the cluster status for operators. */
@@ -66,7 +68,7 @@
   }
 
   listEndpoints(): EndpointStatus[] {
-    const { state, leases, isEjected } = this.opts;
+    const { state, leases, isEjected, isReserved } = this.opts;
     return [...state.endpoints.values()].map((endpoint) => {
       const { id, kind, dataCentre, rack, size } = endpoint.announcement;
       return {
@@ -77,6 +79,7 @@
         size,
         state: leases.resolveState(endpoint),
         ejected: isEjected(id),
+        reserved: isReserved(id),
         works: [...resolveWorks(state.config, endpoint.announcement)],
         attempts: state.attempts.listByEndpoint(id).size,
       };
--- a/packages/model/src/messages.ts
+++ b/packages/model/src/messages.ts
@@ -223,6 +223,8 @@
   rack: string;
   state: EndpointState;
   ejected: boolean;
+  /** Whether the endpoint gets no other work while a suspect of a crash runs on it. */
+  reserved?: boolean;
   works: string[];
   size: Resources;
   attempts: number;
--- a/packages/tests/features/coordinator/crashes.feature
+++ b/packages/tests/features/coordinator/crashes.feature
@@ -98,10 +98,12 @@
     And 4 batch jobs that run for 8 s
     And 5 s pass in the cell
     Then the endpoint of "steady" runs no batch job
+    And the endpoint of "steady" is listed as reserved
     When 40 s pass in the cell
     And 12 batch jobs that run for 60 s
     And 5 s pass in the cell
     Then the endpoint of "steady" runs batch jobs
+    And the endpoint of "steady" is listed as not reserved
 
   Scenario: work that started just before all endpoints lost power is started again within a minute
     Given a cell with 5 endpoints
--- a/packages/tests/src/steps/coordinator/crashSteps.ts
+++ b/packages/tests/src/steps/coordinator/crashSteps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import type { EndpointStatus } from '@lagoongap/model/messages.js';
 import type { JobSpec } from '@lagoongap/model/workload.js';
 import type { CallRecord } from '@lagoongap/stand-in/callRecord.js';
 
@@ -194,6 +195,16 @@
   },
 );
 
+Then(
+  /^the endpoint of "([^"]+)" is listed as (reserved|not reserved)$/,
+  async function checkReserved(this: CrashWorld, marker: string, expected: string) {
+    const cell = this.crashCell!;
+    const endpoints = await cell.settle(cell.cell.call<EndpointStatus[]>('endpoints.list', {}));
+    const endpoint = endpoints.find(({ id }) => id === getLastEndpoint(this, marker));
+    assert.equal(endpoint?.reserved ? 'reserved' : 'not reserved', expected);
+  },
+);
+
 Then(
   'each of the {int} batch jobs was started {int} times',
   function checkEach(this: CrashWorld, count: number, times: number) {
