--- a/packages/tests/features/coordinator/crashes.feature
+++ b/packages/tests/features/coordinator/crashes.feature
@@ -114,6 +114,19 @@
     When 30 s pass in the cell
     Then all 6 batch jobs have succeeded
 
+  Scenario: services that lost all endpoints to two power losses are started again
+    Given a cell with 5 endpoints
+    And a service "first"
+    And a service "second"
+    And a service "third"
+    When all endpoints crash at the same moment
+    And 15 s pass in the cell
+    And all endpoints crash at the same moment
+    And 20 s pass in the cell
+    Then the job "first" is "running"
+    And the job "second" is "running"
+    And the job "third" is "running"
+
   Scenario: a service that had worked for a while is not taken as the cause of a crash
     Given a cell with 3 endpoints
     And a service "steady"
