Add a failing schedule of a leader that forgets its own earlier validity

Cause: a replica that was a valid leader, and is elected again without ever becoming valid, replaces the end of its earlier validity by that of the later leadership. When it is elected once more, its own vote hides its validity, and it waits too briefly for the leases that it has granted as the earlier leader: runs that are still alive would count as lost and start a second time.

--- a/packages/tests/features/consensus/schedules.feature
+++ b/packages/tests/features/consensus/schedules.feature
@@ -21,6 +21,12 @@
       | elections          | 1000  |
       | combined           | 800   |
 
+  # Guards against a lease of an earlier leader that is taken for expired, because a replica forgets
+  # its own validity when it is elected again and never becomes valid.
+  Scenario: the validity of an earlier leader is known after elections of leaders that never were valid
+    When 1 consensus schedules with "elections" run from seed 1172
+    Then no rule of consensus is broken
+
   # Guards against an acknowledged entry that is on too few disks when, at the moment of its
   # acknowledgement, all replicas lose power and as many of them as tolerated lose their disks.
   Scenario Outline: acknowledged entries of <voters> voters survive lost disks and power
