Keep the latest validity of a replica that is elected again

Cause: the end of a replica's validity as a leader was replaced at the end of each of its leaderships, also by that of one that had never been valid. Its vote in a later election then hid that it had been valid. Change: the latest end is kept.

--- a/packages/consensus/src/raftCore.ts
+++ b/packages/consensus/src/raftCore.ts
@@ -285,7 +285,7 @@
   private becomeFollower(term: number, leader: string | undefined): void {
     const { state } = this;
     if (term > state.term) state.setTerm(term, undefined);
-    if (this.leader) state.lastValidMs = Math.min(state.nowMs, this.leader.validUntilMs);
+    if (this.leader) state.recordValidity(this.leader.validUntilMs);
     // A leader whose transfer timed out or that lost its quorum lets others campaign first.
     if (this.leader !== undefined) state.resetElectionTimer();
     this.leader = undefined;
--- a/packages/consensus/src/raftState.ts
+++ b/packages/consensus/src/raftState.ts
@@ -27,7 +27,7 @@
   snapshot: Snapshot | undefined;
   nowMs: number;
   electionDeadlineMs = 0;
-  /** End of the validity of this replica's last leadership. */
+  /** Time until which this replica has been a valid leader. */
   lastValidMs = -Infinity;
   /** Rounds without a result since the last full election timeout. */
   private failedRounds = 0;
@@ -88,6 +88,11 @@
     return this.nowMs - Math.max(this.leaderLease.lastContactMs, this.lastValidMs);
   }
 
+  /** Records until when this replica was a valid leader; a later leadership may never be valid. */
+  recordValidity(untilMs: number): void {
+    this.lastValidMs = Math.max(this.lastValidMs, Math.min(this.nowMs, untilMs));
+  }
+
   /** Restarts the election timer with a new random timeout. */
   resetElectionTimer(): void {
     const { electionMinMs, electionMaxMs } = this.options.timing;
