Do not take coincident crashes of endpoints for the fault of their work

A service or job that was alone on its endpoint at two power losses was taken for the only suspect of two crashes and failed.

Crashes of endpoints within 10 s whose suspects are different jobs or requests have a likely common cause: none of their suspects counts as the only one, also those of the earlier crash whose ends are not committed yet. Crashes that share a suspect are judged as before, so a job whose tasks crash several endpoints at once is still told.

The scenario waits 70 s instead of 20 s after the second power loss, as suspects are started one after another within a minute; with 20 s the services were not failed but two of them still waited. It is red without the change, with a service that has failed.

--- a/packages/coordinator/src/coordinatorTiming.ts
+++ b/packages/coordinator/src/coordinatorTiming.ts
@@ -19,6 +19,12 @@
  */
 export const CRASH_SUSPICION_MS = 30_000;
 
+/**
+ * Time within which crashes of endpoints that ran different work are taken to have a common cause,
+ * such as a power loss. Longer than the time in which endpoints restart and announce themselves.
+ */
+export const CRASH_COINCIDENCE_MS = 10_000;
+
 /** Longest time for which a suspect of a crash, or another task of its job, is held back. */
 export const MAX_SUSPECT_HOLD_MS = 60_000;
 
--- a/packages/coordinator/src/crashDetector.ts
+++ b/packages/coordinator/src/crashDetector.ts
@@ -5,7 +5,7 @@
 import type { Metrics } from '@lagoongap/telemetry/metrics.js';
 
 import type { CommitQueue } from './commitQueue.js';
-import { CRASH_SUSPICION_MS } from './coordinatorTiming.js';
+import { CRASH_COINCIDENCE_MS, CRASH_SUSPICION_MS } from './coordinatorTiming.js';
 
 /** Maximum number of suspects that a log line names. */
 const MAX_LOGGED_SUSPECTS = 20;
@@ -27,14 +27,26 @@
   seenAtMs: number;
 }
 
+/** Crash of an endpoint, with the work that had started shortly before. */
+interface RecentCrash {
+  atMs: number;
+  endpointId: string;
+  suspects: AttemptRecord[];
+  /** Jobs and requests of the suspects. */
+  units: Set<string>;
+  /** Whether another endpoint that ran different work crashed at about the same time. */
+  hasCommonCause: boolean;
+}
+
 /** How it was noticed that an endpoint crashed. */
 type CrashEvidence = 'restarted' | 'lease expired';
 
 /**
- * Detects crashes of endpoints, and charges them to the attempts that had started shortly before. An endpoint has crashed if it announced itself anew and lists none
- * of the attempts of its earlier session, or if its lease expired. An endpoint that was leaving has
- * not crashed. A lease that expired may also be due to a partition, so the charge is withdrawn if
- * the endpoint reports on the attempt later.
+ * Detects crashes of endpoints, and charges them to the attempts that had started shortly before.
+ * An endpoint has crashed if it announced itself anew and lists none of the attempts of its earlier
+ * session, or if its lease expired. An endpoint that was leaving has not crashed. A lease that
+ * expired may also be due to a partition, so the charge is withdrawn if the endpoint reports on the
+ * attempt later.
  */
 export class CrashDetector {
   private readonly opts: CrashDetectorOptions;
@@ -45,6 +57,7 @@
   private readonly charges = new Map<string, NonNullable<FinishedAttempt['crash']>>();
   /** Attempts charged with the expiry of a lease, by id. */
   private readonly withdrawable = new Map<string, AttemptRecord>();
+  private recentCrashes: RecentCrash[] = [];
   private readonly electedAtMs = performance.now();
 
   constructor(opts: CrashDetectorOptions) {
@@ -111,9 +124,11 @@
     for (const { kind } of lost) metrics.countCrashLoss(kind);
     const suspects = lost.filter(({ id }) => !this.hasWorked(id));
     const units = new Set(suspects.map(({ unitId }) => unitId));
+    const hasCommonCause = this.addRecentCrash(endpointId, suspects, units);
     for (const suspect of suspects) {
       // An attempt that this leader has not seen may never have been dispatched.
-      const isSole = units.size === 1 && evidence === 'restarted' && this.runs.has(suspect.id);
+      const isKnownRun = evidence === 'restarted' && this.runs.has(suspect.id);
+      const isSole = units.size === 1 && isKnownRun && !hasCommonCause;
       this.charges.set(suspect.id, { endpoint: endpointId, isSole });
       if (evidence === 'lease expired') this.addWithdrawable(suspect);
     }
@@ -122,10 +137,44 @@
       evidence,
       attempts: lost.length,
       suspects: suspects.length,
+      hasCommonCause,
       units: [...units].slice(0, MAX_LOGGED_SUSPECTS),
     });
   }
 
+  /**
+   * Returns whether another endpoint that ran different work crashed at about the same time; no
+   * suspect of either crash is then the only one.
+   */
+  private addRecentCrash(
+    endpointId: string,
+    suspects: AttemptRecord[],
+    units: Set<string>,
+  ): boolean {
+    const atMs = performance.now();
+    this.recentCrashes = this.recentCrashes.filter(
+      (crash) => atMs - crash.atMs < CRASH_COINCIDENCE_MS,
+    );
+    const coincident = this.recentCrashes.filter(
+      (crash) =>
+        crash.endpointId !== endpointId && ![...units].some((unit) => crash.units.has(unit)),
+    );
+    const hasCommonCause = coincident.length > 0;
+    for (const crash of coincident) this.markCommonCause(crash);
+    this.recentCrashes.push({ atMs, endpointId, suspects, units, hasCommonCause });
+    return hasCommonCause;
+  }
+
+  /** Weakens the charges of an earlier crash whose attempts have not been closed yet. */
+  private markCommonCause(crash: RecentCrash): void {
+    if (crash.hasCommonCause) return;
+    crash.hasCommonCause = true;
+    for (const { id } of crash.suspects) {
+      const charge = this.charges.get(id);
+      if (charge) this.charges.set(id, { ...charge, isSole: false });
+    }
+  }
+
   private addWithdrawable(attempt: AttemptRecord): void {
     this.withdrawable.set(attempt.id, attempt);
     if (this.withdrawable.size <= MAX_WITHDRAWABLE_CHARGES) return;
--- a/packages/tests/features/coordinator/crashes.feature
+++ b/packages/tests/features/coordinator/crashes.feature
@@ -122,7 +122,7 @@
     When all endpoints crash at the same moment
     And 15 s pass in the cell
     And all endpoints crash at the same moment
-    And 20 s pass in the cell
+    And 70 s pass in the cell
     Then the job "first" is "running"
     And the job "second" is "running"
     And the job "third" is "running"
