Withdraw the earlier votes after a restart of all replicas

Eight instances that had started before the new leader's instance connected to it only 1.7 s to 3.5 s after its absence began: their first dial met an instance without power and their second a saturated leader.

--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -41,8 +41,6 @@
   parseConfig: ConfigParser;
   timing: WorkflowTiming;
   raftTiming?: RaftTiming;
-  /** Start of this process on the monotonic clock, by default the time of `start`. */
-  processStartMs?: number;
   log: Log;
   meter?: WorkflowMetricsRecorder;
   /** Called when the durable state is no longer reliable. */
@@ -127,7 +125,6 @@
       timing,
       snapshotEntries: SNAPSHOT_ENTRIES,
       batchIntervalMs: PROPOSAL_BATCH_MS,
-      processStartMs: opts.processStartMs,
       onFatal: opts.onFatal,
     });
     this.coordinator = new WorkflowCoordinator({
