Add scenarios of orders that wait for a connection or cannot be sent

The timeout of an order counts from its creation. A leader with long turns of the event loop takes several of them to connect, so the order times out before it is sent or right after, the connection is closed, and the next order has to connect again. An order that was certainly not sent counts as one whose fate is unknown: it is resolved by an inspection and a stop.

--- a/packages/tests/features/platform/formats.feature
+++ b/packages/tests/features/platform/formats.feature
@@ -87,3 +87,18 @@
   Scenario: a call without a response times out
     Given a server that never responds
     Then a call to it with a timeout of 50 ms fails with "no response within 50 ms"
+
+  # A saturated process takes several turns of its event loop to connect; the time must not count
+  # as that of a response, which would close the connection and delay the next call as well.
+  Scenario: the timeout of a call counts from the moment at which it is sent
+    Given a server that responds after 300 ms
+    Then 5 calls to it at once with a timeout of 500 ms get status 200
+
+  Scenario: a call that gets no connection fails without being sent
+    Given a server that never responds
+    When 4 calls to it with a timeout of 5000 ms are in progress
+    Then a call to it with a timeout of 50 ms fails with "no connection within 500 ms"
+
+  Scenario: a start order that cannot be sent is known not to have arrived
+    Given a server that has stopped
+    Then a start order to it has the outcome "not-sent"
--- a/packages/tests/features/workflow/rejectedOrders.feature
+++ b/packages/tests/features/workflow/rejectedOrders.feature
@@ -23,6 +23,7 @@
       | late           |
       | superseded     |
       | invalid        |
+      | not-sent       |
 
   Scenario: an endpoint that rejects an order does not keep the others waiting
     Given worker w1 rejects start orders as "no-room"
