Keep the better clock reading when a delayed heartbeat arrives

The reading of an endpoint's clock in a heartbeat replaced a later one from the endpoint itself. A heartbeat is now used only if it tells that the clock is further on, and the first late order is repeated at once, as its response has corrected the reading.

--- a/packages/tests/features/workflow/policies.feature
+++ b/packages/tests/features/workflow/policies.feature
@@ -61,6 +61,14 @@
     Given an endpoint clock that was read as 1000 ms at 0 ms
     Then a lease of 5000 ms granted at 1000 ms ends at 6980 ms on the endpoint's clock
 
+  # Guards against leases that have ended before they begin, so that each order comes too late.
+  Scenario: the reading in a delayed heartbeat does not replace a better one
+    Given an endpoint clock that was read as 10000 ms at 0 ms
+    When a heartbeat with a reading of 4000 ms arrives at 500 ms
+    Then a lease of 5000 ms granted at 1000 ms ends at 15980 ms on the endpoint's clock
+    When a heartbeat with a reading of 10990 ms arrives at 1000 ms
+    Then a lease of 5000 ms granted at 1000 ms ends at 15990 ms on the endpoint's clock
+
   Scenario: after a suspension, the clock is unreliable until cached state has been renewed
     Given a suspension detector with a recovery time of 300 ms
     Then the clock is reliable
--- a/packages/tests/src/steps/workflow/policySteps.ts
+++ b/packages/tests/src/steps/workflow/policySteps.ts
@@ -163,6 +163,13 @@
   },
 );
 
+When(
+  'a heartbeat with a reading of {int} ms arrives at {int} ms',
+  function observe(this: PolicyWorld, clockMs: number, receivedMs: number) {
+    this.leaseClock.observeHeartbeat(clockMs, receivedMs);
+  },
+);
+
 When(
   'a lease of {int} ms is granted at {int} ms',
   function grant(this: PolicyWorld, leaseMs: number, nowMs: number) {
--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -97,8 +97,7 @@
     agent.lastSequence = sequence;
     agent.isLeaving = false;
     if (clockMs !== undefined) {
-      const receivedMs = performance.now();
-      agent.clock.observe({ clockMs, sentMs: receivedMs, receivedMs });
+      agent.clock.observeHeartbeat(clockMs, performance.now());
     }
     if (!known) agent.start();
     return isChanged;
--- a/packages/workflow/src/leaseClock.ts
+++ b/packages/workflow/src/leaseClock.ts
@@ -30,6 +30,15 @@
     this.reading = reading;
   }
 
+  /**
+   * Records the reading in a heartbeat, which may have taken long; ignored if an earlier reading
+   * tells that the clock is further on.
+   */
+  observeHeartbeat(clockMs: number, receivedMs: number): void {
+    if (this.reading && clockMs <= this.earliestMs(receivedMs)) return;
+    this.observe({ clockMs, sentMs: receivedMs, receivedMs });
+  }
+
   /** Discards the readings and leases of an earlier incarnation. */
   reset(): void {
     this.reading = undefined;
--- a/packages/workflow/src/rejectionBackoff.ts
+++ b/packages/workflow/src/rejectionBackoff.ts
@@ -1,4 +1,4 @@
-/** Time for which an endpoint gets no order of a step after its first rejection. */
+/** Time for which an endpoint gets no order of a step after its first rejection for most reasons. */
 const FIRST_DELAY_MS = 200;
 
 const MAX_DELAY_MS = 2000;
@@ -9,6 +9,7 @@
 interface Rejections {
   count: number;
   lastMs: number;
+  delayMs: number;
 }
 
 /**
@@ -19,12 +20,16 @@
   private readonly steps = new Map<string, Map<string, Rejections>>();
 
   /** Records a rejected start order. */
-  record(step: string, endpoint: string): void {
+  record(step: string, endpoint: string, reason: string): void {
     const nowMs = performance.now();
     const endpoints = this.steps.get(step) ?? new Map<string, Rejections>();
     const known = endpoints.get(endpoint);
     const isRecent = known !== undefined && nowMs - known.lastMs < FORGET_AFTER_MS;
-    endpoints.set(endpoint, { count: isRecent ? known.count + 1 : 1, lastMs: nowMs });
+    const count = isRecent ? known.count + 1 : 1;
+    // The response to a late order tells the endpoint's clock, so that the next one is in time.
+    const isCorrected = reason === 'late' && count === 1;
+    const delayMs = Math.min(MAX_DELAY_MS, FIRST_DELAY_MS * 2 ** (count - 1));
+    endpoints.set(endpoint, { count, lastMs: nowMs, delayMs: isCorrected ? 0 : delayMs });
     this.steps.set(step, endpoints);
   }
 
@@ -32,8 +37,7 @@
   isDelayed(step: string, endpoint: string, nowMs: number): boolean {
     const rejections = this.steps.get(step)?.get(endpoint);
     if (!rejections) return false;
-    const delayMs = FIRST_DELAY_MS * 2 ** (rejections.count - 1);
-    return nowMs - rejections.lastMs < Math.min(MAX_DELAY_MS, delayMs);
+    return nowMs - rejections.lastMs < rejections.delayMs;
   }
 
   /** Discards the rejections of a step that has ended. */
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -118,9 +118,9 @@
   }
 
   /** Records that an endpoint rejected start orders, so that it does not get the next ones at once. */
-  recordRejection(endpoint: string, runs: { task: TaskRef }[]): void {
+  recordRejection(endpoint: string, runs: { task: TaskRef }[], reason: string): void {
     const steps = runs.map(({ task }) => stepName(task.jobId, task.occurrence, task.step));
-    for (const step of new Set(steps)) this.rejections.record(step, endpoint);
+    for (const step of new Set(steps)) this.rejections.record(step, endpoint, reason);
   }
 
   /** Discards the tickets and failure counts of a step that has ended. */
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -235,7 +235,7 @@
       this.health.recordAbandoned({ attemptId: key, unitId: task.jobId, endpointId: agent.id });
       this.recordFailure(agent, task);
     }
-    if (isRejection(reason)) this.scheduler.recordRejection(agent.id, runs);
+    if (isRejection(reason)) this.scheduler.recordRejection(agent.id, runs, reason);
     this.recordLostRuns(agent, runs, reason);
   }
 
