--- a/packages/consensus/src/raftReplica.ts
+++ b/packages/consensus/src/raftReplica.ts
@@ -199,6 +199,7 @@
       snapshot,
       entries,
       nowMs: performance.now(),
+      processStartMs: this.opts.processStartMs,
     });
     if (snapshot !== undefined) {
       this.opts.stateMachine.restore(snapshot.data);
@@ -263,9 +264,9 @@
     return this.core;
   }
 
+  /** Heartbeats leave before the input of this iteration, which may take long to process. */
   private tick(): void {
     this.handleInput((core) => core.tick(performance.now()));
-    // Validity is counted from the tick, so heartbeats must not wait for the end of the iteration.
     this.runEffects();
   }
 
--- a/packages/peering/src/framedConnection.ts
+++ b/packages/peering/src/framedConnection.ts
@@ -29,9 +29,9 @@
 const CLOSE_TIMEOUT_MS = 500;
 
 /**
- * Exchanges frames over a socket. Frames that are sent in one event-loop iteration are written
- * together unless one is urgent, a connection without incoming frames is reset after an idle timeout, and the send
- * buffer is bounded.
+ * Exchanges frames over a socket. Frames that are sent in one callback are written together, a
+ * connection without incoming frames is reset after an idle timeout, and the send buffer is
+ * bounded.
  */
 export class FramedConnection {
   counters: PeerCounters = createPeerCounters();
@@ -40,7 +40,7 @@
   private readonly decoder: FrameDecoder;
   private queue: Buffer[] = [];
   private queuedBytes = 0;
-  private flushHandle: NodeJS.Immediate | undefined;
+  private isFlushScheduled = false;
   private idleTimer: NodeJS.Timeout | undefined;
   private lastFrameAtMs = performance.now();
   private closed = false;
@@ -77,13 +77,8 @@
     this.decoder.maxFrameBytes = maxFrameBytes;
   }
 
-  /**
-   * Queues a message for sending. Throws FrameError if it cannot be encoded.
-   *
-   * @param isUrgent - Writes the queue after the current callback instead of at the end of the
-   * event-loop iteration, which may be far off.
-   */
-  send(message: unknown, maxFrameBytes: number, isUrgent = false): SendResult {
+  /** Queues a message for sending. Throws FrameError if it cannot be encoded. */
+  send(message: unknown, maxFrameBytes: number): SendResult {
     if (this.closed) return 'closed';
     const frame = encodeFrame(message, maxFrameBytes);
     const pendingBytes = this.queuedBytes + this.opts.socket.writableLength;
@@ -92,8 +87,7 @@
     this.queuedBytes += frame.length;
     this.counters.messagesOut += 1;
     this.counters.bytesOut += frame.length;
-    if (isUrgent) process.nextTick(() => this.flush());
-    else this.flushHandle ??= setImmediate(() => this.flush());
+    this.scheduleFlush();
     return 'queued';
   }
 
@@ -140,14 +134,21 @@
 
   private markClosed(): void {
     this.closed = true;
-    clearImmediate(this.flushHandle);
     clearTimeout(this.idleTimer);
     this.queue = [];
   }
 
+  /** Schedules a flush at the end of the current callback; an immediate may run much later. */
+  private scheduleFlush(): void {
+    if (this.isFlushScheduled) return;
+    this.isFlushScheduled = true;
+    process.nextTick(() => {
+      this.isFlushScheduled = false;
+      this.flush();
+    });
+  }
+
   private flush(): void {
-    clearImmediate(this.flushHandle);
-    this.flushHandle = undefined;
     if (this.queue.length === 0) return;
     const bytes = this.queue.length === 1 ? this.queue[0]! : Buffer.concat(this.queue);
     this.queue = [];
--- a/packages/telemetry/src/workflowMetrics.ts
+++ b/packages/telemetry/src/workflowMetrics.ts
@@ -27,6 +27,8 @@
   countRunEnded(outcome: string): void;
   /** Counts runs that ended without a report of their endpoint. */
   countLostRuns(reason: RunLossReason, count: number): void;
+  /** Counts a crash of an endpoint, and the runs that were on it. */
+  countEndpointCrash(runs: number): void;
   countJobEnded(status: string, durationMs: number): void;
   countAdvice(isAnswered: boolean, durationMs: number): void;
   countCommit(durationMs: number): void;
@@ -38,6 +40,8 @@
   countCallFailure(reason: CallFailureReason, state: FailedCallState): void;
   /** Counts one failed try at the leader; a call may take several. */
   countTryFailure(reason: CallFailureReason): void;
+  /** Counts a heartbeat that cannot come from an endpoint, by its first invalid field. */
+  countRejectedHeartbeat(field: string): void;
   /** Adds time for which this instance had no valid leader. */
   addLeaderAbsence(durationMs: number): void;
   setLeaderAbsent(isAbsent: boolean): void;
@@ -60,6 +64,7 @@
   countRunOrdered() {},
   countRunEnded() {},
   countLostRuns() {},
+  countEndpointCrash() {},
   countJobEnded() {},
   countAdvice() {},
   countCommit() {},
@@ -69,6 +74,7 @@
   setConfigVersion() {},
   countCallFailure() {},
   countTryFailure() {},
+  countRejectedHeartbeat() {},
   addLeaderAbsence() {},
   setLeaderAbsent() {},
   addInvalidLeadership() {},
@@ -106,6 +112,18 @@
     ['reason'],
   );
 
+  private readonly endpointCrashes = this.createCounter(
+    'lagoongap_endpoint_crashes_total',
+    'Endpoints that came back as a newer incarnation without a planned end, with runs on them',
+    [],
+  );
+
+  private readonly crashedRuns = this.createCounter(
+    'lagoongap_crashed_runs_total',
+    'Runs that were on an endpoint when it crashed',
+    [],
+  );
+
   private readonly jobs = this.createHistogram(
     'lagoongap_job_seconds',
     'Time from the acceptance of a job to its end',
@@ -166,6 +184,12 @@
     ['reason'],
   );
 
+  private readonly rejectedHeartbeats = this.createCounter(
+    'lagoongap_rejected_heartbeats_total',
+    'Heartbeats that cannot come from an endpoint, by their first invalid field',
+    ['reason'],
+  );
+
   private readonly leaderAbsence = this.createCounter(
     'lagoongap_without_leader_seconds_total',
     'Time for which this instance had no valid leader',
@@ -249,6 +273,11 @@
     this.lostRuns.inc({ reason }, count);
   }
 
+  countEndpointCrash(runs: number): void {
+    this.endpointCrashes.inc();
+    this.crashedRuns.inc(runs);
+  }
+
   countJobEnded(status: string, durationMs: number): void {
     this.jobs.observe({ status }, Math.max(0, durationMs) / MS_PER_SECOND);
   }
@@ -286,6 +315,10 @@
     this.tryFailures.inc({ reason });
   }
 
+  countRejectedHeartbeat(field: string): void {
+    this.rejectedHeartbeats.inc({ reason: field });
+  }
+
   addLeaderAbsence(durationMs: number): void {
     this.leaderAbsence.inc(durationMs / MS_PER_SECOND);
   }
--- a/packages/tests/src/workflow/autoCommitLog.ts
+++ b/packages/tests/src/workflow/autoCommitLog.ts
@@ -16,6 +16,9 @@
   losesMajorityAfterStart = false;
   /** Time until starts are committed. */
   startCommitMs = 0;
+  /** Type of the commands that are committed only when {@link commitHeld} is called. */
+  heldType: 'start' | 'end' | undefined;
+  private held: (() => void)[] = [];
 
   constructor(
     stateMachine: StateMachine,
@@ -29,6 +32,7 @@
   override propose(command: unknown): Promise<ProposeResult> {
     const { type } = command as { type: string };
     const isRefused = this.refusesRegistrations && type === 'register';
+    if (type === this.heldType) return this.hold(command);
     if (this.hasLostMajority || isRefused) return Promise.reject(new NotLeaderError());
     const result = super.propose(command);
     if (type === 'start' && this.startCommitMs > 0) {
@@ -43,4 +47,16 @@
     }
     return result;
   }
+
+  /** Commits the commands that were held back. */
+  commitHeld(): void {
+    this.heldType = undefined;
+    for (const commit of this.held.splice(0)) commit();
+  }
+
+  private hold(command: unknown): Promise<ProposeResult> {
+    return new Promise((resolve) => {
+      this.held.push(() => resolve(this.propose(command)));
+    });
+  }
 }
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -58,6 +58,18 @@
   onFenced(): void;
 }
 
+/** Last signs of life of an incarnation that has ended; monotonic times. */
+export interface IncarnationEnd {
+  lastContactMs: number;
+  /** Time at which it was first noticed, by a failed inspection or by the next incarnation. */
+  noticedMs: number;
+  /** It had announced its shutdown. */
+  wasLeaving: boolean;
+}
+
+/** Reason for the loss of runs whose endpoint has come back under another id. */
+export const REPLACED_REASON = 'replaced by a newer incarnation';
+
 /** Options of an {@link EndpointAgent}. */
 export interface EndpointAgentOptions {
   record: EndpointRecord;
@@ -106,18 +118,30 @@
   isSynced = false;
   /** The latest inspection failed. */
   isSuspect = false;
+  /** Monotonic time of the first inspection that failed after the latest response. */
+  silentSinceMs = Infinity;
+  /** End of the incarnation before the present one, if the id was kept. */
+  previousEnd: IncarnationEnd | undefined;
   /** A task with a latency target runs on the endpoint. */
   hasLatencyTarget = false;
   lastHeartbeatMs = performance.now();
   /** Monotonic time of the latest response to an inspection. */
   lastResponseMs = -Infinity;
-  lastSequence = -1;
+  lastSequence: number;
   /** The endpoint has announced its shutdown. */
   isLeaving = false;
   readonly runs = new Map<string, AgentRun>();
   readonly clock = new LeaseClock();
   private readonly opts: EndpointAgentOptions;
+  /** Increases with each incarnation of the endpoint; state of an earlier one must not be used. */
+  private incarnationNumber = 0;
+  /** Incarnation that the readings and leases of the clock belong to. */
+  private clockIncarnation = '';
   private ackedReport = 0;
+  /** Monotonic time at which the last inspection with a response was sent. */
+  private answeredSentMs = -Infinity;
+  /** Monotonic time at which the endpoint may last have restarted unnoticed. */
+  private doubtedMs = -Infinity;
   private hasUnackedReports = false;
   private isStarted = false;
   private isDisposed = false;
@@ -127,12 +151,23 @@
   constructor(opts: EndpointAgentOptions) {
     this.opts = opts;
     this.record = opts.record;
+    this.lastSequence = opts.record.sequence ?? -1;
   }
 
   get id(): string {
     return this.record.id;
   }
 
+  private get incarnation(): string {
+    return `${this.record.bornMs} ${this.record.address}`;
+  }
+
+  /** Records the clock in a heartbeat of the endpoint. */
+  observeClock(clockMs: number): void {
+    if (this.clockIncarnation !== this.incarnation) return;
+    this.clock.observeHeartbeat(clockMs, performance.now());
+  }
+
   /** Starts the inspection loop; does nothing if it has been started. */
   start(): void {
     if (this.isStarted) return;
@@ -172,15 +207,19 @@
     };
     const sentMs = performance.now();
     run.orderedMs = sentMs;
+    const { incarnationNumber } = this;
     const response = await driver.start(this.record, order);
     if (this.isDisposed) return;
-    if (!response) {
+    // A response that an earlier incarnation may have sent tells nothing about this one.
+    if (!response || incarnationNumber !== this.incarnationNumber) {
+      this.doubtedMs = performance.now();
       run.phase = 'unsettled';
       await this.resolveUnsettled(run);
       return;
     }
     const receivedMs = performance.now();
     if (response.clockMs !== undefined) {
+      if (this.clock.hasGoneBack(response.clockMs, sentMs)) this.doubtedMs = receivedMs;
       this.clock.observe({ clockMs: response.clockMs, sentMs, receivedMs });
     }
     if (response.outcome === 'started') {
@@ -237,11 +276,21 @@
   update(record: EndpointRecord): void {
     const isNewIncarnation =
       record.bornMs !== this.record.bornMs || record.address !== this.record.address;
+    if (isNewIncarnation) this.previousEnd = this.describeEnd();
     this.record = record;
     if (isNewIncarnation) this.resetIncarnation();
     this.requestInspection();
   }
 
+  /** Returns the last signs of life of this incarnation, which has ended. */
+  describeEnd(): IncarnationEnd {
+    return {
+      lastContactMs: Math.max(this.lastResponseMs, this.lastHeartbeatMs),
+      noticedMs: Math.min(this.silentSinceMs, performance.now()),
+      wasLeaving: this.isLeaving || this.record.isDraining,
+    };
+  }
+
   /** Stops the agent; all runs of the endpoint are lost. */
   markRemoved(reason: string): void {
     this.isDisposed = true;
@@ -261,11 +310,13 @@
   }
 
   private resetIncarnation(): void {
-    this.clock.reset();
+    this.incarnationNumber += 1;
     this.ackedReport = 0;
+    this.answeredSentMs = -Infinity;
     this.hasUnackedReports = false;
     this.isSynced = false;
     this.isSuspect = false;
+    this.silentSinceMs = Infinity;
   }
 
   private async loop(): Promise<void> {
@@ -294,17 +345,20 @@
     // The lease is counted from before the check, as the process may be suspended after it.
     const sentMs = performance.now();
     if (!isValid()) return false;
-    const { record } = this;
+    const { record, incarnationNumber } = this;
     // An unresponsive endpoint may still receive orders; its lease must be allowed to expire.
-    const canRenew = this.clock.hasReading && !this.isSuspect;
+    const isCurrentClock = this.clockIncarnation === this.incarnation;
+    const canRenew = this.clock.hasReading && isCurrentClock && !this.isSuspect;
     const result = await driver.inspect(record, {
       fencingToken,
-      ackedReport: this.ackedReport,
+      // An endpoint that has restarted would take the number for that of reports not yet read.
+      ackedReport: this.answeredSentMs > this.doubtedMs ? this.ackedReport : 0,
       untilMs: canRenew ? this.clock.grant(leaseMs, sentMs) : undefined,
       waitMs,
     });
     if (this.isDisposed) return false;
     if ('failure' in result) {
+      this.doubtedMs = performance.now();
       this.handleFailure(result.failure);
       return false;
     }
@@ -313,16 +367,21 @@
       answer.bornMs > 0 && record.bornMs > 0 && answer.bornMs !== record.bornMs;
     if (this.record !== record || isOtherIncarnation) {
       // The heartbeat of the new incarnation describes it; until then the response is ignored.
-      if (isOtherIncarnation && answer.bornMs > this.record.bornMs) this.isSuspect = true;
+      this.doubtedMs = performance.now();
+      if (isOtherIncarnation && answer.bornMs > this.record.bornMs) this.markSilent();
       return false;
     }
     this.lastResponseMs = performance.now();
+    this.answeredSentMs = sentMs;
+    // The leases of an earlier incarnation may run on until the new one has responded.
+    if (!isCurrentClock) this.clock.reset();
+    this.clockIncarnation = this.incarnation;
     this.clock.observe({ clockMs: answer.clockMs, sentMs, receivedMs: this.lastResponseMs });
     // Processed in order, so that no report is acknowledged before its end is durable.
     const previous = this.processing;
     this.processing = previous
       .catch(() => undefined)
-      .then(() => this.processInspection(answer, sentMs));
+      .then(() => this.processInspection(answer, sentMs, incarnationNumber));
     await this.processing;
     return true;
   }
@@ -333,10 +392,17 @@
     return isShort || this.hasLatencyTarget ? SHORT_TASK_WAIT_MS : MAX_INSPECTION_WAIT_MS;
   }
 
-  private async processInspection(inspection: Inspection, sentMs: number): Promise<void> {
+  private async processInspection(
+    inspection: Inspection,
+    sentMs: number,
+    incarnationNumber: number,
+  ): Promise<void> {
     const { listener } = this.opts;
+    // The endpoint may have restarted while an earlier response was processed.
+    if (incarnationNumber !== this.incarnationNumber) return;
     const wasAvailable = this.isSynced && !this.isSuspect;
     this.isSuspect = false;
+    this.silentSinceMs = Infinity;
     const ends: { run: AgentRun; report: EndReport }[] = [];
     let lastReport = this.ackedReport;
     for (const report of inspection.ended) {
@@ -349,14 +415,14 @@
       if (!run) listener.onUnknownRun(this, active);
       else this.confirm(run, active);
     }
-    const isComplete = inspection.ended.length < MAX_REPORTS;
+    const isComplete = !inspection.hasInvalidRows && inspection.ended.length < MAX_REPORTS;
     if (ends.length > 0) {
       for (const { run } of ends) this.runs.delete(run.key);
       await listener.onRunsEnded(this, ends);
-      if (this.isDisposed) return;
+      if (this.isDisposed || incarnationNumber !== this.incarnationNumber) return;
     }
     if (isComplete) this.dropAbsentRuns(inspection.active, sentMs);
-    this.hasUnackedReports = lastReport > this.ackedReport;
+    this.hasUnackedReports = inspection.ended.length > 0;
     this.ackedReport = lastReport;
     this.isSynced = true;
     listener.onInspected(this, inspection.active);
@@ -397,9 +463,14 @@
     }
   }
 
+  private markSilent(): void {
+    this.isSuspect = true;
+    this.silentSinceMs = Math.min(this.silentSinceMs, performance.now());
+  }
+
   private markSuspect(failure: OrderFailure): void {
     if (this.isSuspect) return;
-    this.isSuspect = true;
+    this.markSilent();
     const { listener, log } = this.opts;
     log.warn('endpoint does not answer', { endpoint: this.id, failure, runs: this.runs.size });
     listener.onAvailabilityChange(this);
--- a/packages/workflow/src/leaseClock.ts
+++ b/packages/workflow/src/leaseClock.ts
@@ -31,12 +31,25 @@
   }
 
   /**
-   * Records the reading in a heartbeat, which may have taken long; ignored if an earlier reading
-   * tells that the clock is further on.
+   * Returns whether the endpoint's clock has gone back: a reading from a response to an order sent at
+   * `sentMs` is earlier than it can be, as after a restart of the endpoint.
+   */
+  hasGoneBack(clockMs: number, sentMs: number): boolean {
+    return clockMs < Math.floor(this.earliestMs(sentMs));
+  }
+
+  /**
+   * Records a reading from a heartbeat, which may have taken long, or which another writer may have
+   * sent: only if it is neither earlier nor later than the clock can be by the latest reading in a
+   * response.
    */
   observeHeartbeat(clockMs: number, receivedMs: number): void {
-    if (this.reading && clockMs <= this.earliestMs(receivedMs)) return;
-    this.observe({ clockMs, sentMs: receivedMs, receivedMs });
+    const { reading } = this;
+    if (!reading) return;
+    const elapsedMs = Math.max(0, receivedMs - reading.sentMs);
+    const latestMs = reading.clockMs + elapsedMs * (1 + CLOCK_RATE_TOLERANCE);
+    const isPossible = clockMs > this.earliestMs(receivedMs) && clockMs <= latestMs;
+    if (isPossible) this.observe({ clockMs, sentMs: receivedMs, receivedMs });
   }
 
   /** Discards the readings and leases of an earlier incarnation. */
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -1,15 +1,18 @@
 import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 
+import { CapacityCheck } from './capacityCheck.js';
 import type { AgentRun, EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { taskName, type TaskRef } from './jobSpec.js';
 import { dueTimeMs } from './readySteps.js';
+import type { RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
 import type { PlannedStart } from './stepScheduler.js';
 import {
   NOT_NEEDED_AT_DISPATCH,
   NO_TICKET_AT_DISPATCH,
   NOT_VALID_AT_DISPATCH,
+  SHRUNK_AT_DISPATCH,
   UNRESPONSIVE_AT_DISPATCH,
 } from './toRunLossReason.js';
 import type { WorkflowState } from './workflowState.js';
@@ -19,6 +22,7 @@
   context: SessionContext;
   directory: EndpointDirectory;
   health: HealthPolicy;
+  ledger: RunLedger;
   /** Returns the latest ticket for a start that needs one, or undefined if it has expired. */
   findTicket: (start: PlannedStart) => string | undefined;
   /** Called for runs that are committed but will not be ordered. */
@@ -80,11 +84,15 @@
  */
 export class RunDispatcher implements Disposable {
   private readonly opts: RunDispatcherOptions;
+  private readonly capacityCheck: CapacityCheck;
   private waiting: WaitingStart[] = [];
+  /** Waiting starts that no longer fit on their endpoints. */
+  private oversized: ReadonlySet<PlannedStart> = new Set();
   private timer: NodeJS.Timeout | undefined;
 
   constructor(opts: RunDispatcherOptions) {
     this.opts = opts;
+    this.capacityCheck = new CapacityCheck(opts.context.state, opts.ledger);
   }
 
   /** Sends orders for all starts that are still needed, as soon as the leadership is valid. */
@@ -110,6 +118,7 @@
 
   private orderWaiting(): void {
     clearTimeout(this.timer);
+    this.oversized = this.capacityCheck.findOversized(this.waiting.map(({ start }) => start));
     const lostGangs = this.findLostGangs();
     const ordered: PlannedStart[] = [];
     const lost = new Map<string, PlannedStart[]>();
@@ -158,7 +167,8 @@
     }
     if (!directory.isResponsive(agent)) return { lostReason: UNRESPONSIVE_AT_DISPATCH };
     const hasTicket = start.ticket === undefined || findTicket(start) !== undefined;
-    return hasTicket ? undefined : { lostReason: NO_TICKET_AT_DISPATCH };
+    if (!hasTicket) return { lostReason: NO_TICKET_AT_DISPATCH };
+    return this.oversized.has(start) ? { lostReason: SHRUNK_AT_DISPATCH } : undefined;
   }
 
   private order(start: PlannedStart, leaseFromMs: number): void {
--- a/packages/workflow/src/toRunLossReason.ts
+++ b/packages/workflow/src/toRunLossReason.ts
@@ -6,6 +6,9 @@
 /** Reason of a committed run that is no longer needed or has no endpoint. */
 export const NOT_NEEDED_AT_DISPATCH = 'the job has ended or the endpoint was removed';
 
+/** Reason of a committed run that no longer fits on its endpoint. */
+export const SHRUNK_AT_DISPATCH = 'the capacity of the endpoint has shrunk';
+
 /** Reason of a committed run whose endpoint has stopped responding before it was ordered. */
 export const UNRESPONSIVE_AT_DISPATCH = 'the endpoint stopped responding before the order';
 
@@ -15,6 +18,7 @@
 /** Reasons by the text that is logged. */
 const REASONS = new Map<string, RunLossReason>([
   [NOT_VALID_AT_DISPATCH, 'leader-not-valid'],
+  [SHRUNK_AT_DISPATCH, 'no-room'],
   [NOT_NEEDED_AT_DISPATCH, 'not-needed'],
   [NO_TICKET_AT_DISPATCH, 'ticket-expired'],
   [UNRESPONSIVE_AT_DISPATCH, 'not-responding'],
