Treat a start order that was not sent as one that did not arrive

NotSentError tells that nothing was sent: the outcome is not-sent, the run is lost at once and planned again, and the endpoint counts as unresponsive until an inspection succeeds.

--- a/packages/telemetry/src/runLossReason.ts
+++ b/packages/telemetry/src/runLossReason.ts
@@ -23,4 +23,6 @@
   | 'wrong-instance'
   | 'unhealthy'
   | 'invalid'
+  /** The endpoint could not be connected to; the order was not sent. */
+  | 'not-sent'
   | 'other';
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -236,7 +236,8 @@
 
   /** Gives no further work to an endpoint that differs from its record, until it has been inspected. */
   private handleRejection(outcome: StartOutcome): void {
-    if (outcome === 'unhealthy' || outcome === 'wrong-instance') this.markSuspect(outcome);
+    if (outcome === 'not-sent') this.markSuspect('unreachable');
+    else if (outcome === 'unhealthy' || outcome === 'wrong-instance') this.markSuspect(outcome);
     else if (outcome === 'no-room' || outcome === 'superseded') this.isSynced = false;
     this.requestInspection();
   }
--- a/packages/workflow/src/endpointDriver.ts
+++ b/packages/workflow/src/endpointDriver.ts
@@ -36,7 +36,9 @@
   /** The endpoint is unhealthy and ignored the order. */
   | 'unhealthy'
   /** The order was malformed. */
-  | 'invalid';
+  | 'invalid'
+  /** Nothing was sent, so the order cannot take effect. */
+  | 'not-sent';
 
 /** Response to a start order. */
 export interface StartResponse {
--- a/packages/workflow/src/toRunLossReason.ts
+++ b/packages/workflow/src/toRunLossReason.ts
@@ -39,6 +39,7 @@
   'wrong-instance',
   'unhealthy',
   'invalid',
+  'not-sent',
 ]);
 
 /** Returns whether a run was lost because its endpoint rejected the start order. */
