--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -261,7 +261,7 @@
     if (reason === 'no-ticket') this.scheduler.dropTickets(agent.id);
     const evidence = this.crashes.handleLoss(agent, runs, reason);
     this.outcomes.recordLoss(agent, runs, evidence.size > 0);
-    if (isRejection(reason)) this.scheduler.recordRejection(agent.id, runs);
+    if (isRejection(reason)) this.scheduler.recordRejection(agent.id, runs, reason);
     this.ends.recordLost(agent, runs, reason, evidence);
   }
 
