--- a/packages/tests/features/workflow/crashingTasks.feature
+++ b/packages/tests/features/workflow/crashingTasks.feature
@@ -59,6 +59,24 @@
     Then job "bad" is "failed"
     And job "bad" has crashed at most 3 workers
 
+  Scenario: many such tasks, and leaders that change again and again
+    Given workers that crash are back after 3000 ms under another id
+    And 20 workers of 8 cores
+    And task 0 of jobs "bad" 1 to 10 crashes each worker that starts it
+    When jobs "good" of 4 tasks are submitted 10 times, 20 ms apart
+    And jobs "bad" of 3 tasks are submitted 10 times, 100 ms apart
+    And the workflow leader changes after 300 ms without a leader
+    And 3500 ms of workflow time pass
+    And the workflow leader changes after 300 ms without a leader
+    And 3500 ms of workflow time pass
+    And the workflow leader changes after 300 ms without a leader
+    And 3500 ms of workflow time pass
+    And the workflow leader changes after 300 ms without a leader
+    And 60000 ms of workflow time pass
+    Then all jobs "bad" and "bad" are "failed"
+    And all jobs "good" and "good" are "completed"
+    And no task of jobs "bad" has crashed more than 5 workers
+
   Scenario: a snapshot without crashes is restored
     Given workers that crash are back after 3000 ms under another id
     And 8 workers of 8 cores
--- a/packages/workflow/src/crashAttribution.ts
+++ b/packages/workflow/src/crashAttribution.ts
@@ -25,6 +25,8 @@
 interface FailureInterval {
   endpoint: string;
   lastContactMs: number;
+  /** The endpoint had responded to this leader, so that the interval is known. */
+  wasInContact: boolean;
   noticedMs: number;
 }
 
@@ -112,12 +114,12 @@
   handleLoss(agent: EndpointAgent, runs: AgentRun[], reason: string): Map<string, CrashEvidence> {
     this.forgetOld();
     if (reason === 'the lease expired') {
-      const { lastContactMs, noticedMs, wasLeaving } = agent.describeEnd();
+      const end = agent.describeEnd();
       const { id: endpoint, record } = agent;
-      if (!wasLeaving) {
+      if (!end.wasLeaving) {
         const keys = runs.map(({ key }) => key).filter((key) => this.quarantine.isOnTrial(key));
         const trials = new Set(keys);
-        this.expired.push({ endpoint, record, runs, trials, lastContactMs, noticedMs });
+        this.expired.push({ ...end, endpoint, record, runs, trials });
       }
       return new Map();
     }
@@ -255,14 +257,16 @@
 
   /** Returns whether so many other endpoints failed at the same moment that one cause is likely. */
   private hasCommonCause(crash: FailureInterval): boolean {
-    const { directory } = this.opts;
-    const agents = directory.list();
+    // What had failed before this leader is noticed at one moment, whatever the cause.
+    if (!crash.wasInContact) return false;
+    const agents = this.opts.directory.list();
     const silent = agents
       .filter(({ isSuspect }) => isSuspect)
       .map((agent) => ({ endpoint: agent.id, ...describeSilence(agent) }));
     const others = new Set<string>();
-    for (const { endpoint, lastContactMs, noticedMs } of [...silent, ...this.failures]) {
-      if (endpoint === crash.endpoint) continue;
+    for (const failure of [...silent, ...this.failures]) {
+      const { endpoint, lastContactMs, noticedMs, wasInContact } = failure;
+      if (endpoint === crash.endpoint || !wasInContact) continue;
       const isSameMoment =
         lastContactMs - SAME_MOMENT_MS <= crash.noticedMs &&
         crash.lastContactMs - SAME_MOMENT_MS <= noticedMs;
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -60,6 +60,8 @@
 /** Last signs of life of an incarnation that has ended; monotonic times. */
 export interface IncarnationEnd {
   lastContactMs: number;
+  /** It has responded to this leader; otherwise it may have ended at any time before. */
+  wasInContact: boolean;
   /** Time at which it was first noticed, by a failed inspection or by the next incarnation. */
   noticedMs: number;
   /** It had announced its shutdown. */
@@ -271,6 +273,7 @@
   describeEnd(): IncarnationEnd {
     return {
       lastContactMs: Math.max(this.lastResponseMs, this.lastHeartbeatMs),
+      wasInContact: this.lastResponseMs > -Infinity,
       noticedMs: Math.min(this.silentSinceMs, performance.now()),
       wasLeaving: this.isLeaving || this.record.isDraining,
     };
