Do not explain a crash by repetition where a run had just started

Measured: npm test -- packages/tests/features/workflow/crashingTasks.feature: 24 passed; without the change the new scenario fails its job.

--- a/packages/tests/features/workflow/crashingTasks.feature
+++ b/packages/tests/features/workflow/crashingTasks.feature
@@ -192,6 +192,30 @@
     And job "bad" has crashed at most 5 workers
     And all jobs "good" and "good" are "completed"
 
+  Scenario: a run that had just started explains a crash better than one with a similar crash
+    Given workers that crash are back after 1000 ms under another id
+    And 20 workers of 8 cores
+    When job "j" of 1 task that runs for 60000 ms is submitted
+    And 3600 ms of workflow time pass
+    And job "a" of 20 tasks with at most 1 per worker is submitted
+    And 20 ms of workflow time pass
+    And the worker of job "j" crashes
+    And 5980 ms of workflow time pass
+    And job "b" of 20 tasks with at most 1 per worker is submitted
+    And 20 ms of workflow time pass
+    And the worker of job "j" crashes
+    And 5980 ms of workflow time pass
+    And job "c" of 20 tasks with at most 1 per worker is submitted
+    And 20 ms of workflow time pass
+    And the worker of job "j" crashes
+    And 5980 ms of workflow time pass
+    And job "d" of 20 tasks with at most 1 per worker is submitted
+    And 20 ms of workflow time pass
+    And the worker of job "j" crashes
+    And 3000 ms of workflow time pass
+    Then job "j" is "running"
+    And 4 crashes are counted, with 8 runs
+
   Scenario: an occurrence of a repeated job
     Given workers that crash are back after 1000 ms under another id
     And 8 workers of 8 cores
--- a/packages/tests/src/steps/workflow/crashSteps.ts
+++ b/packages/tests/src/steps/workflow/crashSteps.ts
@@ -64,6 +64,12 @@
   this.fleet.crash(id);
 });
 
+When('the worker of job {string} crashes', function crash(this: CrashSteps, payload: string) {
+  for (const [id, { runs }] of this.world.driver.workers) {
+    if ([...runs.values()].some(({ order }) => order.payload === payload)) this.fleet.crash(id);
+  }
+});
+
 When('worker {word} leaves and comes back', function leave(this: CrashSteps, id: string) {
   this.world.session.endpoints.leave(id);
   this.fleet.crash(id);
@@ -170,6 +176,14 @@
   },
 );
 
+When(
+  'job {string} of 1 task that runs for {int} ms is submitted',
+  async function submit(this: CrashSteps, id: string, ms: number) {
+    this.world.driver.durationsMs.set(id, ms);
+    await this.world.submit(id, [createStep({ estimateMs: ms })]);
+  },
+);
+
 When(
   'service {string} of {int} tasks that run until they are stopped is submitted',
   async function submit(this: CrashSteps, id: string, taskCount: number) {
--- a/packages/workflow/src/crashAttribution.ts
+++ b/packages/workflow/src/crashAttribution.ts
@@ -165,7 +165,8 @@
     const { noticedMs, runs } = crash;
     const hasCommonCause = this.hasCommonCause(crash);
     const failureRate = this.estimateFailureRate();
-    const culprits = hasCommonCause ? [] : this.findCulprits(crash, wasOnTrial, failureRate);
+    const onTrial = hasCommonCause ? [] : runs.filter(({ key }) => wasOnTrial(key));
+    const culprits = hasCommonCause ? [] : this.findCulprits(crash, onTrial, failureRate);
     const suspects = culprits.length > 0 ? culprits : runs;
     const suspicions = this.estimate(suspects, noticedMs);
     const isExplained = culprits.some((run) => this.isRepeated(run, noticedMs));
@@ -180,7 +181,11 @@
       evidence.set(run.key, {
         suspicion: suspicions.get(run.key)! * (isExcused && !isImmediate ? EXCUSED_FACTOR : 1),
         exposureMs: isAdopted(run) ? undefined : elapsedMs,
-        isPrompt: isAtOnce && expectedFailures <= MAX_EXPECTED_FAILURES_IF_PROMPT,
+        isPrompt:
+          isAtOnce &&
+          // Outside of quarantine, repetition is weaker evidence.
+          (culprits.length === 0 || onTrial.length > 0) &&
+          expectedFailures <= MAX_EXPECTED_FAILURES_IF_PROMPT,
         isSoleCause: culprits.length > 0,
         isExcused,
       });
@@ -195,10 +200,9 @@
    */
   private findCulprits(
     { runs, noticedMs }: EndpointCrash,
-    wasOnTrial: (key: string) => boolean,
+    onTrial: AgentRun[],
     failureRate: number,
   ): AgentRun[] {
-    const onTrial = runs.filter(({ key }) => wasOnTrial(key));
     if (onTrial.length > 0) return this.countUnits(onTrial) === 1 ? onTrial : [];
     const crashesOf = ({ task }: AgentRun): number =>
       this.opts.context.state.findCrashes(task)?.count ?? 0;
@@ -211,7 +215,11 @@
     // Tasks that were lost together may be on the same endpoint again, but rarely several times.
     const most = Math.max(...repeated.map(crashesOf));
     const likeliest = repeated.filter((run) => crashesOf(run) === most);
-    return this.countUnits(likeliest) === 1 ? likeliest : [];
+    // A run that had just started explains the crash better.
+    const isFresh = ({ orderedMs }: AgentRun): boolean =>
+      noticedMs - orderedMs <= IMMEDIATE_CRASH_MS;
+    const hasBetter = runs.some((run) => isFresh(run) && !likeliest.includes(run));
+    return this.countUnits(likeliest) === 1 && !hasBetter ? likeliest : [];
   }
 
   /** Returns how often an instance failed recently without a run that explains it. */
