--- a/packages/workflow/src/crashAttribution.ts
+++ b/packages/workflow/src/crashAttribution.ts
@@ -25,6 +25,8 @@
 interface FailureInterval {
   endpoint: string;
   lastContactMs: number;
+  /** The endpoint had responded to this leader, so that the interval is known. */
+  wasInContact: boolean;
   noticedMs: number;
 }
 
@@ -112,12 +114,12 @@
   handleLoss(agent: EndpointAgent, runs: AgentRun[], reason: string): Map<string, CrashEvidence> {
     this.forgetOld();
     if (reason === 'the lease expired') {
-      const { lastContactMs, noticedMs, wasLeaving } = agent.describeEnd();
+      const end = agent.describeEnd();
       const { id: endpoint, record } = agent;
-      if (!wasLeaving) {
+      if (!end.wasLeaving) {
         const keys = runs.map(({ key }) => key).filter((key) => this.quarantine.isOnTrial(key));
         const trials = new Set(keys);
-        this.expired.push({ endpoint, record, runs, trials, lastContactMs, noticedMs });
+        this.expired.push({ ...end, endpoint, record, runs, trials });
       }
       return new Map();
     }
@@ -163,7 +165,8 @@
     const { noticedMs, runs } = crash;
     const hasCommonCause = this.hasCommonCause(crash);
     const failureRate = this.estimateFailureRate();
-    const culprits = hasCommonCause ? [] : this.findCulprits(crash, wasOnTrial, failureRate);
+    const onTrial = hasCommonCause ? [] : runs.filter(({ key }) => wasOnTrial(key));
+    const culprits = hasCommonCause ? [] : this.findCulprits(crash, onTrial, failureRate);
     const suspects = culprits.length > 0 ? culprits : runs;
     const suspicions = this.estimate(suspects, noticedMs);
     const isExplained = culprits.some((run) => this.isRepeated(run, noticedMs));
@@ -178,7 +181,11 @@
       evidence.set(run.key, {
         suspicion: suspicions.get(run.key)! * (isExcused && !isImmediate ? EXCUSED_FACTOR : 1),
         exposureMs: isAdopted(run) ? undefined : elapsedMs,
-        isPrompt: isAtOnce && expectedFailures <= MAX_EXPECTED_FAILURES_IF_PROMPT,
+        isPrompt:
+          isAtOnce &&
+          // Outside of quarantine, repetition is weaker evidence.
+          (culprits.length === 0 || onTrial.length > 0) &&
+          expectedFailures <= MAX_EXPECTED_FAILURES_IF_PROMPT,
         isSoleCause: culprits.length > 0,
         isExcused,
       });
@@ -193,10 +200,9 @@
    */
   private findCulprits(
     { runs, noticedMs }: EndpointCrash,
-    wasOnTrial: (key: string) => boolean,
+    onTrial: AgentRun[],
     failureRate: number,
   ): AgentRun[] {
-    const onTrial = runs.filter(({ key }) => wasOnTrial(key));
     if (onTrial.length > 0) return this.countUnits(onTrial) === 1 ? onTrial : [];
     const crashesOf = ({ task }: AgentRun): number =>
       this.opts.context.state.findCrashes(task)?.count ?? 0;
@@ -209,7 +215,11 @@
     // Tasks that were lost together may be on the same endpoint again, but rarely several times.
     const most = Math.max(...repeated.map(crashesOf));
     const likeliest = repeated.filter((run) => crashesOf(run) === most);
-    return this.countUnits(likeliest) === 1 ? likeliest : [];
+    // A run that had just started explains the crash better.
+    const isFresh = ({ orderedMs }: AgentRun): boolean =>
+      noticedMs - orderedMs <= IMMEDIATE_CRASH_MS;
+    const hasBetter = runs.some((run) => isFresh(run) && !likeliest.includes(run));
+    return this.countUnits(likeliest) === 1 && !hasBetter ? likeliest : [];
   }
 
   /** Returns how often an instance failed recently without a run that explains it. */
@@ -255,14 +265,16 @@
 
   /** Returns whether so many other endpoints failed at the same moment that one cause is likely. */
   private hasCommonCause(crash: FailureInterval): boolean {
-    const { directory } = this.opts;
-    const agents = directory.list();
+    // What had failed before this leader is noticed at one moment, whatever the cause.
+    if (!crash.wasInContact) return false;
+    const agents = this.opts.directory.list();
     const silent = agents
       .filter(({ isSuspect }) => isSuspect)
       .map((agent) => ({ endpoint: agent.id, ...describeSilence(agent) }));
     const others = new Set<string>();
-    for (const { endpoint, lastContactMs, noticedMs } of [...silent, ...this.failures]) {
-      if (endpoint === crash.endpoint) continue;
+    for (const failure of [...silent, ...this.failures]) {
+      const { endpoint, lastContactMs, noticedMs, wasInContact } = failure;
+      if (endpoint === crash.endpoint || !wasInContact) continue;
       const isSameMoment =
         lastContactMs - SAME_MOMENT_MS <= crash.noticedMs &&
         crash.lastContactMs - SAME_MOMENT_MS <= noticedMs;
