--- a/packages/tests/src/workflow/fakeDriver.ts
+++ b/packages/tests/src/workflow/fakeDriver.ts
@@ -33,6 +33,10 @@
   readonly paces: string[] = [];
   /** Maximum number of concurrent runs of one task. */
   maxRunsPerTask = 0;
+  /** Monotonic times of rejected start orders. */
+  readonly rejectedAtMs: number[] = [];
+  /** Monotonic times of inspections. */
+  readonly inspectedAtMs: number[] = [];
   /** Monotonic time of the latest check that found the leadership valid. */
   validAtMs = -Infinity;
   /** Longest lease that an order granted, counted from the check before it. */
@@ -64,6 +68,10 @@
       worker.startLate(order);
       return this.timeOut();
     }
+    if (worker.rejection) {
+      this.rejectedAtMs.push(performance.now());
+      return { outcome: worker.rejection, clockMs: Math.floor(performance.now()) };
+    }
     const outcome = worker.start(order);
     this.countRuns();
     if (outcome === 'started') this.onStarted?.(target.id, order);
@@ -89,8 +97,10 @@
       return { failure: 'unreachable' };
     }
     if (worker.behaviour === 'crashed') return { failure: 'unreachable' };
+    const { bornMs, rejection } = worker;
+    if (rejection === 'unhealthy' || rejection === 'wrong-instance') return { failure: rejection };
     const sentMs = performance.now();
-    const { bornMs } = worker;
+    this.inspectedAtMs.push(sentMs);
     const answer = await worker.inspect(order);
     if (worker.bornMs !== bornMs) return { failure: 'unreachable' };
     if (sentMs <= (this.inspectionsLostBefore.get(target.id) ?? -1)) {
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -6,8 +6,8 @@
 import type { CellConfig, QueuePolicy } from './cellConfig.js';
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
-import { taskName, type TaskRef } from './jobSpec.js';
-import type { Quarantine } from './quarantine.js';
+import { stepName, taskName, type TaskRef } from './jobSpec.js';
+import type { PlacementMode, Quarantine } from './quarantine.js';
 import type { ReadyStep, ReadySteps } from './readySteps.js';
 import { createReservation, type RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
@@ -18,6 +18,7 @@
   type PlacementCandidate,
   type PlacementUsage,
 } from './stepPlacer.js';
+import { RejectionBackoff } from './rejectionBackoff.js';
 import { ResumableWalk } from './resumableWalk.js';
 import { splitRestarts } from './splitRestarts.js';
 import { orderSteps } from './stepOrder.js';
@@ -65,6 +66,9 @@
   outcome: 'blocked' | 'unplaced' | 'placed';
 }
 
+/** Load that a run of a suspected task counts for another one, so that they are kept apart. */
+const SUSPECT_LOAD = 20;
+
 /** Maximum age of the list of available endpoints. */
 const CANDIDATES_MAX_AGE_MS = 20;
 
@@ -83,6 +87,7 @@
   private candidatesListedMs = -Infinity;
   private candidatesVersion = 0;
   private readonly failures = new Map<string, Map<string, number>>();
+  private readonly rejections = new RejectionBackoff();
   /** Planned starts that are not committed yet, by step and task index. */
   private readonly pending = new Set<string>();
   /** Latest evaluation of each waiting step. */
@@ -100,9 +105,14 @@
     return this.pending.has(`${step}.${index}`);
   }
 
+  /** Returns the latest ticket for a planned start, or undefined if it has expired. */
+  findTicket({ stepName: step, endpoint }: PlannedStart): string | undefined {
+    return this.ticketProvider.ticketsOf(step).findUnexpired(endpoint, performance.now());
+  }
+
   /** Marks a planned start as no longer pending, once its commit has succeeded or failed. */
-  clearPending({ stepName, task }: PlannedStart): void {
-    this.pending.delete(`${stepName}.${task.index}`);
+  clearPending(start: PlannedStart): void {
+    this.pending.delete(`${start.stepName}.${start.task.index}`);
   }
 
   /** Records a failed run of a step on an endpoint, so that other endpoints are preferred. */
@@ -112,8 +122,15 @@
     this.failures.set(step, counts);
   }
 
+  /** Records that an endpoint rejected start orders, so that it does not get the next ones at once. */
+  recordRejection(endpoint: string, runs: { task: TaskRef }[]): void {
+    const steps = runs.map(({ task }) => stepName(task.jobId, task.occurrence, task.step));
+    for (const step of new Set(steps)) this.rejections.record(step, endpoint);
+  }
+
   /** Discards the tickets and failure counts of a step that has ended. */
   forgetStep(step: string): void {
+    this.rejections.forgetStep(step);
     this.ticketProvider.forgetStep(step);
     this.failures.delete(step);
     this.evaluations.delete(step);
@@ -186,7 +203,7 @@
       withTicket: count(({ id }) => tickets.find(id, nowMs) !== undefined),
       suitable: count(({ id }) => tickets.suitabilityOf(id) === 'suitable'),
       unsuitable: count(({ id }) => tickets.suitabilityOf(id) === 'unsuitable'),
-      suspects: ready.waiting.filter((it) => this.opts.quarantine.isSuspected(ready, it)).length,
+      suspects: this.opts.quarantine.listSuspects(ready).size,
       evaluatedAgoMs: evaluation && Math.round(nowMs - evaluation.atMs),
       outcome: evaluation?.outcome,
       ...this.ticketProvider.explain(ready.name),
@@ -230,16 +247,15 @@
     const candidates = this.listCandidates(queue);
     const nowMs = performance.now();
     const tickets = queue.advice ? this.ticketProvider.ticketsOf(ready.name) : undefined;
-    const usable: PlacementCandidate[] = tickets ? [] : [...candidates.values()];
-    for (const id of tickets?.listValid(nowMs) ?? []) {
+    const usable: PlacementCandidate[] = [];
+    for (const id of tickets?.listValid(nowMs) ?? candidates.keys()) {
       const candidate = candidates.get(id);
-      if (candidate && countSlots(ready, candidate, this.opts.ledger) > 0) usable.push(candidate);
+      if (!candidate || this.rejections.isDelayed(ready.name, id, nowMs)) continue;
+      if (!tickets || countSlots(ready, candidate, this.opts.ledger) > 0) usable.push(candidate);
     }
-    const usage = this.createUsage(ready, config);
     const planned = ready.spec.isGang
       ? this.placeGang(ready, usable, config)
-      : this.placeTasks(ready, usable, usage);
-    if (!ready.spec.isGang) planned.push(...this.placeSuspects(ready, usable, config));
+      : this.placeTasks(ready, usable, config);
     for (const start of planned) start.ticket = tickets?.find(start.endpoint, nowMs);
     if (planned.length < ready.waiting.length) this.ticketProvider.query(ready, queue, candidates);
     return planned;
@@ -248,37 +264,50 @@
   private placeTasks(
     ready: ReadyStep,
     candidates: PlacementCandidate[],
-    usage: PlacementUsage,
+    config: CellConfig,
   ): PlannedStart[] {
     const planned: PlannedStart[] = [];
     const { farFactor } = this.opts.context.timing;
+    const usage = this.createUsage(ready, config);
     const selector = new EndpointSelector(ready.spec, candidates, usage, farFactor);
+    const suspects = this.opts.quarantine.listSuspects(ready);
     for (const index of ready.waiting) {
-      if (this.opts.quarantine.isSuspected(ready, index)) continue;
+      if (suspects.has(index)) continue;
       const endpoint = selector.choose();
       if (!endpoint) break;
       planned.push(this.plan(ready, index, endpoint, this.nextRun(ready, index)));
       selector.refresh(endpoint);
     }
-    return planned;
+    if (suspects.size === 0) return planned;
+    return [...planned, ...this.placeSuspects(ready, suspects, candidates, config)];
   }
 
-  /** Places the tasks that may crash their endpoints, in quarantine. */
+  /** Places the tasks that may crash their endpoints, in quarantine if possible. */
   private placeSuspects(
     ready: ReadyStep,
+    suspects: ReadonlySet<number>,
     candidates: PlacementCandidate[],
     config: CellConfig,
   ): PlannedStart[] {
     const { quarantine, context } = this.opts;
     const planned: PlannedStart[] = [];
-    const usage = this.createUsage(ready, config, true);
-    for (const index of ready.waiting) {
-      if (!quarantine.isSuspected(ready, index)) continue;
-      if (!quarantine.mayBegin(ready, index)) continue;
-      const { farFactor } = context.timing;
-      const endpoint = new EndpointSelector(ready.spec, candidates, usage, farFactor).choose();
-      if (!endpoint) break;
-      planned.push(this.plan(ready, index, endpoint, this.nextRun(ready, index)));
+    const usages = {
+      trial: this.createUsage(ready, config, 'trial'),
+      open: this.createUsage(ready, config),
+    };
+    const full = new Set<PlacementMode>();
+    for (const index of suspects) {
+      for (const mode of quarantine.listModes(ready, index)) {
+        if (full.has(mode)) continue;
+        const { farFactor } = context.timing;
+        const selector = new EndpointSelector(ready.spec, candidates, usages[mode], farFactor);
+        const endpoint = selector.choose();
+        if (endpoint) {
+          planned.push(this.plan(ready, index, endpoint, this.nextRun(ready, index), mode));
+          break;
+        }
+        full.add(mode);
+      }
     }
     return planned;
   }
@@ -289,9 +318,10 @@
     config: CellConfig,
   ): PlannedStart[] {
     const { ledger, context, quarantine } = this.opts;
-    const isSuspected = quarantine.isSuspected(ready, 0);
-    if (isSuspected && !quarantine.mayBegin(ready, 0)) return [];
-    const usage = this.createUsage(ready, config, isSuspected);
+    const isSuspected = quarantine.listSuspects(ready).size > 0;
+    const mode = isSuspected ? quarantine.listModes(ready, 0).at(-1) : 'open';
+    if (!mode) return [];
+    const usage = this.createUsage(ready, config, mode);
     const trialKeys: string[] = [];
     const endpoints = chooseGangEndpoints(ready.spec, candidates, usage, context.timing.farFactor, {
       reserve: (endpoint) => {
@@ -306,7 +336,7 @@
     for (const key of trialKeys) ledger.withdraw(key);
     if (!endpoints) return [];
     const run = Math.max(...ready.waiting.map((index) => this.nextRun(ready, index)));
-    return endpoints.map((endpoint, index) => this.plan(ready, index, endpoint, run));
+    return endpoints.map((endpoint, index) => this.plan(ready, index, endpoint, run, mode));
   }
 
   private plan(
@@ -314,13 +344,15 @@
     index: number,
     endpoint: PlacementCandidate,
     run: number,
+    mode: PlacementMode = 'open',
   ): PlannedStart {
     const { job, occurrence, step, name } = ready;
     const task: TaskRef = { jobId: job.id, occurrence, step, index };
     const key = `${taskName(task)}:${run}`;
     this.reserve(ready, key, endpoint.id);
     this.pending.add(`${name}.${index}`);
-    this.opts.quarantine.recordStart(ready, index, key, endpoint.id);
+    const isTrial = mode === 'trial';
+    this.opts.quarantine.recordStart(ready, index, { key, endpoint: endpoint.id, isTrial });
     const agent = this.opts.directory.require(endpoint.id);
     const { bornMs } = agent.record;
     const target = { endpoint: endpoint.id, agent, bornMs };
@@ -375,9 +407,14 @@
     return config.organisations.find(({ name }) => name === job.organisation)?.limit;
   }
 
-  /** @param isTrial - The tasks are suspected of crashing their endpoints. */
-  private createUsage(ready: ReadyStep, config: CellConfig, isTrial = false): PlacementUsage {
+  private createUsage(
+    ready: ReadyStep,
+    config: CellConfig,
+    mode: PlacementMode = 'open',
+  ): PlacementUsage {
     const { ledger, quarantine } = this.opts;
+    const isTrial = mode === 'trial';
+    const avoidsSuspects = quarantine.hasCrashed(ready);
     const { organisation } = ready.job;
     const limit = this.findLimit(ready, config);
     return {
@@ -390,8 +427,9 @@
       loadOf: ({ id, capacity }) => {
         const bestEffortCpuMillis = ready.spec.fillsIdleCapacity ? ledger.bestEffortCpuOn(id) : 0;
         const usedCpuMillis = ledger.usedOn(id).cpuMillis + bestEffortCpuMillis;
+        const suspects = avoidsSuspects ? quarantine.countSuspects(id) * SUSPECT_LOAD : 0;
         const trialCost = isTrial ? quarantine.costOfTrial(id) : 0;
-        return usedCpuMillis / Math.max(1, capacity.cpuMillis) + trialCost;
+        return usedCpuMillis / Math.max(1, capacity.cpuMillis) + suspects + trialCost;
       },
     };
   }
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -32,6 +32,7 @@
 import { SessionMetrics } from './sessionMetrics.js';
 import { StragglerDetector } from './stragglerDetector.js';
 import { StepScheduler } from './stepScheduler.js';
+import { isRejection } from './toRunLossReason.js';
 import { TakeoverRecorder } from './takeoverRecorder.js';
 import { WaitLogger } from './waitLogger.js';
 import { WaveRunner } from './waveRunner.js';
@@ -83,22 +84,20 @@
 
   constructor(opts: WorkflowSessionOptions) {
     this.opts = opts;
-    const { logger, meter, isValid, electedMs = performance.now() } = opts;
+    const { term } = opts.log;
+    const { logger, meter, electedMs = performance.now() } = opts;
     this.takeover = new TakeoverRecorder(logger, meter, electedMs);
-    const { log: replicatedLog, validityMs, isClockReliable } = opts;
-    const validity = { replicatedLog, validityMs, isClockReliable, isValid };
-    this.monitor = new LeadershipMonitor({ ...validity, log: logger, meter });
-    const isSameTerm = () => opts.log.term === this.context.fencingToken;
+    this.monitor = new LeadershipMonitor({ ...opts, replicatedLog: opts.log, log: logger });
     this.context = {
       state: opts.state,
       driver: opts.driver,
       timing: opts.timing,
       logger: opts.logger,
       meter: opts.meter,
-      fencingToken: opts.log.term,
+      fencingToken: term,
       predecessorEndMs: Math.min(performance.now(), opts.log.predecessorEndMs ?? Infinity),
       // The instance may be elected again before this session is disposed of.
-      isValid: () => !this.isDisposed && isSameTerm() && opts.isValid(),
+      isValid: () => !this.isDisposed && opts.log.term === term && opts.isValid(),
       describeLeadership: () => this.monitor.describe(),
       propose: async (command) => {
         const startMs = performance.now();
@@ -138,6 +137,7 @@
       directory: this.directory,
       health: this.health,
       ledger: this.ledger,
+      findTicket: (start) => this.scheduler.findTicket(start),
       onNotSent: (agent, runs, reason) => this.ends.recordLost(agent, runs, reason),
     });
     this.bestEffortThrottle = new BestEffortThrottle(this.context);
@@ -159,7 +159,7 @@
     this.waitLogger = new WaitLogger(this.context, this.ready, this.scheduler);
     this.metrics = new SessionMetrics(this.context, this.ready, this.directory);
     const { context, ready, directory } = this;
-    this.outages = new ServiceOutages({ context, ready, directory });
+    this.outages = new ServiceOutages(context, ready, directory);
     this.ends = new RunEnds({
       context,
       ledger: this.ledger,
@@ -261,6 +261,7 @@
     if (reason === 'no-ticket') this.scheduler.dropTickets(agent.id);
     const evidence = this.crashes.handleLoss(agent, runs, reason);
     this.outcomes.recordLoss(agent, runs, evidence.size > 0);
+    if (isRejection(reason)) this.scheduler.recordRejection(agent.id, runs);
     this.ends.recordLost(agent, runs, reason, evidence);
   }
 
