Order no committed start at an endpoint that has begun to drain

A heartbeat may report that an endpoint drains between the decision for a start and its order, which waits for the commit and up to a second for valid leadership. The start was ordered all the same, in the worst case later than an endpoint that leaves may get work.

Such a start is lost before its order, as for an endpoint that has stopped responding, and its task is placed again. The scenario failed before (four first runs on the draining endpoint) and passes now.

--- a/packages/tests/features/workflow/capacity.feature
+++ b/packages/tests/features/workflow/capacity.feature
@@ -107,3 +107,14 @@
       | 2     | 100    | -1           | 0     | 4 plain       |
       | 0     | 100    | 0            | 4     | 4 best-effort |
       | -1    | 100    | 0            | 0     | 4 best-effort |
+
+  Scenario: a committed start is not ordered at an endpoint that has begun to drain
+    Given 2 workers of 4 cores
+    And starts are committed late
+    When job "j" of 8 tasks is submitted
+    And 50 ms of workflow time pass
+    And worker w1 is draining
+    And the late starts are committed
+    And 3000 ms of workflow time pass
+    Then job "j" is "completed"
+    And worker w1 has started no first run
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -9,6 +9,7 @@
 import type { SessionContext } from './sessionContext.js';
 import type { PlannedStart } from './stepScheduler.js';
 import {
+  DRAINING_AT_DISPATCH,
   NOT_NEEDED_AT_DISPATCH,
   NO_TICKET_AT_DISPATCH,
   NOT_VALID_AT_DISPATCH,
@@ -162,6 +163,7 @@
     const isCurrent = context.state.findTask(task)?.runs.some((record) => record.run === run);
     const isSameEndpoint = directory.find(agent.id) === agent && agent.record.bornMs === bornMs;
     if (!isOpen || !isCurrent || !isSameEndpoint) return { lostReason: NOT_NEEDED_AT_DISPATCH };
+    if (agent.record.isDraining) return { lostReason: DRAINING_AT_DISPATCH };
     if (!context.isValid()) {
       return performance.now() < deadlineMs ? {} : { lostReason: NOT_VALID_AT_DISPATCH };
     }
--- a/packages/workflow/src/toRunLossReason.ts
+++ b/packages/workflow/src/toRunLossReason.ts
@@ -15,6 +15,9 @@
 /** Reason of a committed run whose ticket has expired before it was ordered. */
 export const NO_TICKET_AT_DISPATCH = 'the ticket expired before the order';
 
+/** Reason of a committed run whose endpoint has begun to drain before it was ordered. */
+export const DRAINING_AT_DISPATCH = 'the endpoint began to drain before the order';
+
 /** Reasons by the text that is logged. */
 const REASONS = new Map<string, RunLossReason>([
   [NOT_VALID_AT_DISPATCH, 'leader-not-valid'],
@@ -22,6 +25,7 @@
   [NOT_NEEDED_AT_DISPATCH, 'not-needed'],
   [NO_TICKET_AT_DISPATCH, 'ticket-expired'],
   [UNRESPONSIVE_AT_DISPATCH, 'not-responding'],
+  [DRAINING_AT_DISPATCH, 'endpoint-gone'],
   ['the order never arrived', 'order-lost'],
   ['not reported by the endpoint', 'not-reported'],
   ['the lease expired', 'lease-expired'],
