Require a response before another id takes the place of an endpoint

A heartbeat with a newer birth under another id at the address or instance of a known endpoint removes that endpoint, and its runs are lost at once. Only a response of the endpoint prevented that, so while it was cut off, or while the leadership was not valid, a false claim started its runs a second time.

The claimant itself has to respond now, which another writer cannot make it do. A new incarnation that cannot be reached would get no work anyway; the runs of its predecessor are lost when their leases have expired.

--- a/packages/tests/features/workflow/oddEntries.feature
+++ b/packages/tests/features/workflow/oddEntries.feature
@@ -124,3 +124,22 @@
     And 6000 ms of workflow time pass
     Then job "j" is "completed"
     And no task was started more than once
+
+  Scenario Outline: a claim at the <place> of an endpoint that is cut off does not start its runs twice
+    Given 2 workers of 4 cores
+    And 10000 ms of workflow time pass
+    When job "j" of 4 tasks of 4000 ms is submitted
+    And 100 ms of workflow time pass
+    And worker w1 becomes unresponsive
+    And 1000 ms of workflow time pass
+    And an odd heartbeat claims a newer incarnation at the <place> of worker w1
+    And 1500 ms of workflow time pass
+    And worker w1 responds again
+    And 8000 ms of workflow time pass
+    Then job "j" is "completed"
+    And no task was started more than once
+
+    Examples:
+      | place    |
+      | address  |
+      | instance |
--- a/packages/workflow/src/endpointClaims.ts
+++ b/packages/workflow/src/endpointClaims.ts
@@ -45,10 +45,19 @@
       return { field: 'address', reason };
     }
     const others = this.listSuperseded(record);
-    const responds = await Promise.all(others.map((other) => this.respondsAs(other)));
+    // The runs of other ids are lost at once, so the claimant itself has to respond.
+    const needsResponse = others.some(({ id }) => id !== record.id);
+    const [hasResponded, ...responds] = await Promise.all([
+      !needsResponse || this.respondsAs(record),
+      ...others.map((other) => this.respondsAs(other)),
+    ]);
     const alive = others[responds.indexOf(true)];
-    if (!alive) return undefined;
-    const reason = `is ${record.bornMs}; endpoint ${alive.id} born ${alive.bornMs} still responds`;
+    if (alive) {
+      const reason = `is ${record.bornMs}; endpoint ${alive.id} born ${alive.bornMs} still responds`;
+      return { field: 'born', reason };
+    }
+    if (hasResponded) return undefined;
+    const reason = `is ${record.bornMs}; nothing at ${record.address} responds as ${record.id}`;
     return { field: 'born', reason };
   }
 
