Convict no task of crashes that its instance may cause itself

An instance that keeps failing takes down the same service task again and again if the task can only return to it. Each crash came about as late after the start as the one before, so it counted as explained by the task, did not count as a failure of the instance, and the third one failed the job.

A crash of an instance that has failed under the same task before no longer has the task as its only cause, unless it came within 200 ms of the start. A task that has lost a run in a crash prefers instances without recent failures, as suspects in quarantine did already, so that a task that does crash its endpoints shows that on another instance.

The five examples of the scenario failed before and pass now.

--- a/packages/tests/features/workflow/crashingTasks.feature
+++ b/packages/tests/features/workflow/crashingTasks.feature
@@ -271,3 +271,20 @@
     Then all jobs "j" and "j" are "completed"
     And job "s" is "running"
     And 6 tasks are running
+
+  Scenario Outline: an endpoint that keeps crashing convicts no service that must return to it
+    Given workers that crash are back after 1000 ms under <id> id
+    And <workers> workers of 8 cores
+    When service "s" of <workers> tasks on different workers is submitted
+    And workers 1 to 1 crash 10 times, <interval> ms apart
+    And 10000 ms of workflow time pass
+    Then job "s" is "running"
+    And <workers> tasks are running
+
+    Examples:
+      | workers | interval | id       |
+      | 12      | 1500     | the same |
+      | 12      | 4000     | the same |
+      | 12      | 4000     | another  |
+      | 30      | 2000     | the same |
+      | 30      | 12000    | the same |
--- a/packages/workflow/src/crashAttribution.ts
+++ b/packages/workflow/src/crashAttribution.ts
@@ -35,6 +35,8 @@
   instance: string;
   /** A run on trial explains it. */
   isExplained: boolean;
+  /** Names of the tasks that were on the endpoint. */
+  tasks: ReadonlySet<string>;
 }
 
 /** Runs that were lost with their lease on an endpoint that may have crashed. */
@@ -166,11 +168,16 @@
     const hasCommonCause = this.hasCommonCause(crash);
     const failureRate = this.estimateFailureRate();
     const onTrial = hasCommonCause ? [] : runs.filter(({ key }) => wasOnTrial(key));
-    const culprits = hasCommonCause ? [] : this.findCulprits(crash, onTrial, failureRate);
+    const culprits = hasCommonCause
+      ? []
+      : this.findCulprits(crash, onTrial, failureRate).filter(
+          (run) => !this.mayBeOfInstance(crash, run),
+        );
     const suspects = culprits.length > 0 ? culprits : runs;
     const suspicions = this.estimate(suspects, noticedMs);
     const isExplained = culprits.some((run) => this.isRepeated(run, noticedMs));
-    this.failures.push({ ...crash, isExplained });
+    const tasks = new Set(runs.map(({ task }) => taskName(task)));
+    this.failures.push({ ...crash, isExplained, tasks });
     const evidence = new Map<string, CrashEvidence>();
     for (const run of suspects) {
       const elapsedMs = Math.round(noticedMs - run.orderedMs);
@@ -222,6 +229,18 @@
     return this.countUnits(likeliest) === 1 && !hasBetter ? likeliest : [];
   }
 
+  /**
+   * Returns whether the instance may have failed by itself, as it did before under the same task,
+   * unless the crash came at once.
+   */
+  private mayBeOfInstance({ instance, noticedMs }: EndpointCrash, run: AgentRun): boolean {
+    if (noticedMs - run.orderedMs <= IMMEDIATE_CRASH_MS) return false;
+    const name = taskName(run.task);
+    return this.failures.some(
+      (failure) => !failure.isExplained && failure.instance === instance && failure.tasks.has(name),
+    );
+  }
+
   /** Returns how often an instance failed recently without a run that explains it. */
   private countUnexplained(instance: string): number {
     const oldestMs = performance.now() - MEMORY_MS;
--- a/packages/workflow/src/quarantine.ts
+++ b/packages/workflow/src/quarantine.ts
@@ -158,8 +158,8 @@
   }
 
   /**
-   * Returns by how much an endpoint is less suitable for a trial than others, in units of its load:
-   * a crash would end services or whole gangs, or might have another cause.
+   * Returns by how much an endpoint is less suitable than others for a task that has crashed, in
+   * units of its load: a crash would end services or whole gangs, or might have another cause.
    */
   costOfTrial(endpoint: string): number {
     const { context, directory, countFailures } = this.opts;
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -414,9 +414,9 @@
   ): PlacementUsage {
     const { ledger, quarantine } = this.opts;
     const isTrial = mode === 'trial';
-    const avoidsSuspects = quarantine.hasCrashed(ready);
     const { organisation } = ready.job;
     const limit = this.findLimit(ready, config);
+    const hasCrashed = quarantine.hasCrashed(ready);
     return {
       fits: (candidate, { size, fillsIdleCapacity }) =>
         ledger.hasCapacity(candidate.id, candidate.capacity, size, fillsIdleCapacity) &&
@@ -427,8 +427,8 @@
       loadOf: ({ id, capacity }) => {
         const bestEffortCpuMillis = ready.spec.fillsIdleCapacity ? ledger.bestEffortCpuOn(id) : 0;
         const usedCpuMillis = ledger.usedOn(id).cpuMillis + bestEffortCpuMillis;
-        const suspects = avoidsSuspects ? quarantine.countSuspects(id) * SUSPECT_LOAD : 0;
-        const trialCost = isTrial ? quarantine.costOfTrial(id) : 0;
+        const suspects = hasCrashed ? quarantine.countSuspects(id) * SUSPECT_LOAD : 0;
+        const trialCost = isTrial || hasCrashed ? quarantine.costOfTrial(id) : 0;
         return usedCpuMillis / Math.max(1, capacity.cpuMillis) + suspects + trialCost;
       },
     };
