Look up the tasks of expired runs by name

For each waiting task without a run, the scheduler compared its name with every run that was lost with the lease of an endpoint in the last minute.

--- a/packages/workflow/src/crashAttribution.ts
+++ b/packages/workflow/src/crashAttribution.ts
@@ -94,7 +94,9 @@
   private readonly opts: CrashAttributionOptions;
   private readonly detector: CrashDetector;
   private failures: Failure[] = [];
-  private expired: ExpiredRuns[] = [];
+  private expired: readonly ExpiredRuns[] = [];
+  /** Names of the tasks of the expired runs. */
+  private expiredTasks: ReadonlySet<string> = new Set();
   private readonly sinceMs = performance.now();
 
   constructor(opts: CrashAttributionOptions) {
@@ -121,7 +123,7 @@
       if (!end.wasLeaving) {
         const keys = runs.map(({ key }) => key).filter((key) => this.quarantine.isOnTrial(key));
         const trials = new Set(keys);
-        this.expired.push({ ...end, endpoint, record, runs, trials });
+        this.setExpired([...this.expired, { ...end, endpoint, record, runs, trials }]);
       }
       return new Map();
     }
@@ -138,7 +140,7 @@
         (other.instance !== '' && other.instance === record.instance));
     const matching = this.expired.filter(isPredecessor);
     if (matching.length === 0) return;
-    this.expired = this.expired.filter((entry) => !matching.includes(entry));
+    this.setExpired(this.expired.filter((entry) => !matching.includes(entry)));
     const runs = matching.flatMap((entry) => this.describeEnds(entry));
     if (runs.length === 0) return;
     const { context, onCharged } = this.opts;
@@ -151,9 +153,9 @@
   /** Discards the expired runs of an endpoint that did not crash. */
   handleResponse(agent: EndpointAgent): void {
     if (agent.isSuspect) return;
-    this.expired = this.expired.filter(
-      ({ record }) => record.id !== agent.id || record.bornMs !== agent.record.bornMs,
-    );
+    const isOther = ({ record }: ExpiredRuns): boolean =>
+      record.id !== agent.id || record.bornMs !== agent.record.bornMs;
+    this.setExpired(this.expired.filter(isOther));
   }
 
   [Symbol.dispose](): void {
@@ -315,6 +317,7 @@
         : undefined;
       if (found) return found;
     }
+    if (!this.expiredTasks.has(name)) return undefined;
     for (const { runs, noticedMs } of this.expired) {
       const run = runs.find((it) => it.name === name);
       const found = run && this.presumeOn(runs, run.key, noticedMs);
@@ -370,6 +373,11 @@
   private forgetOld(): void {
     const oldestMs = performance.now() - MEMORY_MS;
     this.failures = this.failures.filter(({ noticedMs }) => noticedMs > oldestMs);
-    this.expired = this.expired.filter(({ noticedMs }) => noticedMs > oldestMs);
+    this.setExpired(this.expired.filter(({ noticedMs }) => noticedMs > oldestMs));
+  }
+
+  private setExpired(expired: readonly ExpiredRuns[]): void {
+    this.expired = expired;
+    this.expiredTasks = new Set(expired.flatMap(({ runs }) => runs.map(({ name }) => name)));
   }
 }
