Order no committed copy of a task that has succeeded meanwhile

The first run of a task may succeed between the decision for a copy and the order of the copy, which waits for its commit and up to a second for valid leadership. The end stops the copies that are ordered; a later one was ordered all the same and worked until its end.

Such a start is lost before its order. The scenario failed before (one copy of a task that was done) and passes now.

--- a/packages/tests/features/workflow/capacity.feature
+++ b/packages/tests/features/workflow/capacity.feature
@@ -118,3 +118,17 @@
     And 3000 ms of workflow time pass
     Then job "j" is "completed"
     And worker w1 has started no first run
+
+  Scenario: a committed copy of a task that has succeeded meanwhile is not ordered
+    Given 2 workers of 4 cores
+    And worker w2 completes new tasks after 20000 ms
+    When job "j" of 4 tasks that may be copied is submitted
+    And 20 ms of workflow time pass
+    And starts are committed late
+    And worker w1 becomes unresponsive
+    And 3000 ms of workflow time pass
+    And worker w1 responds again
+    And 1500 ms of workflow time pass
+    And the late starts are committed
+    And 100 ms of workflow time pass
+    Then worker w2 has started no second run
--- a/packages/tests/src/steps/workflow/observationSteps.ts
+++ b/packages/tests/src/steps/workflow/observationSteps.ts
@@ -66,6 +66,11 @@
   this.world.log.hasLostMajority = false;
 });
 
+Then('worker {word} has started no second run', function check(this: ObservationSteps, id: string) {
+  const second = this.world.driver.worker(id).started.filter((run) => run.endsWith(':2'));
+  assert.deepEqual(second, []);
+});
+
 Then('worker {word} has started no first run', function check(this: ObservationSteps, id: string) {
   const first = this.world.driver.worker(id).started.filter((run) => run.endsWith(':1'));
   assert.deepEqual(first, []);
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -160,7 +160,9 @@
     const { context, directory, findTicket } = this.opts;
     const { task, run, agent, bornMs } = start;
     const isOpen = context.state.jobs.get(task.jobId)?.status === 'open';
-    const isCurrent = context.state.findTask(task)?.runs.some((record) => record.run === run);
+    const record = context.state.findTask(task);
+    // Another run of the task may have succeeded since the decision for a copy.
+    const isCurrent = !record?.isDone && record?.runs.some((it) => it.run === run);
     const isSameEndpoint = directory.find(agent.id) === agent && agent.record.bornMs === bornMs;
     if (!isOpen || !isCurrent || !isSameEndpoint) return { lostReason: NOT_NEEDED_AT_DISPATCH };
     if (agent.record.isDraining) return { lostReason: DRAINING_AT_DISPATCH };
