Refuse a call that is not tried again before its deadline, not at its last try

Cause: ended a long pause exactly when there was time for one more try. With replicas that fail at once that try was repeated without a pause, and on a paused clock for ever: the case "accept, process killed" of the fault matrix did not end. Change: a pause that is too long for another try ends 20 ms before the deadline, and the call is refused then.

--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -43,6 +43,9 @@
 /** Minimum time before the deadline at which a call is tried again. */
 const MIN_RETRY_MS = 30;
 
+/** Time before the deadline at which a call is refused that is not tried again. */
+const REFUSAL_MS = 20;
+
 /**
  * Time to respond, beyond the time for which the leader holds the call, from which a timeout means
  * that a replica is unresponsive. A try with less time left says nothing about the replica.
@@ -150,7 +153,8 @@
       const nowMs = performance.now();
       const pauseEndMs = nowMs + (isRedirected ? 0 : Math.random() * pauseMs);
       // A pause past the last useful try would only delay the refusal.
-      waitEndMs = Math.max(nowMs, Math.min(pauseEndMs, endMs - MIN_RETRY_MS));
+      const isTooLong = pauseEndMs > endMs - MIN_RETRY_MS;
+      waitEndMs = isTooLong ? Math.max(nowMs, endMs - REFUSAL_MS) : pauseEndMs;
     }
   }
 
