--- a/packages/tests/src/faults/runFaults.ts
+++ b/packages/tests/src/faults/runFaults.ts
@@ -5,21 +5,12 @@
 import { install } from '@sinonjs/fake-timers';
 
 import { createSeededRandom } from '@lagoongap/model/seededRandom.js';
+import { FAKED_TIMERS } from '../harness/fakedTimers.js';
 import { STEPS, type Step } from '../harness/stepHooks.js';
 import { readKnownRed } from '../knownRed.js';
 import { getInapplicableReason, FAULTS, type Fault } from './faultCatalog.js';
 import { FaultRun, type FaultCase, type FaultResult } from './faultRun.js';
 
-const FAKED_TIMERS = [
-  'setTimeout',
-  'clearTimeout',
-  'setInterval',
-  'clearInterval',
-  'setImmediate',
-  'clearImmediate',
-  'performance',
-  'Date',
-] as const;
 const MAX_WORKERS = 8;
 
 async function runCase(faultCase: FaultCase): Promise<FaultResult> {
--- a/packages/tests/src/harness/crashCell.ts
+++ b/packages/tests/src/harness/crashCell.ts
@@ -7,21 +7,12 @@
 import type { HistoryEvent } from '@lagoongap/stand-in/standInOptions.js';
 import FakeTimers from '@sinonjs/fake-timers';
 
+import { FAKED_TIMERS } from './fakedTimers.js';
 import { createTestNote, TestCell } from './testCell.js';
 
 /** Prefix of the markers of work that crashes its endpoint. */
 export const DEADLY_PREFIX = 'deadly';
 
-const FAKED_TIMERS = [
-  'setTimeout',
-  'clearTimeout',
-  'setInterval',
-  'clearInterval',
-  'setImmediate',
-  'clearImmediate',
-  'performance',
-  'Date',
-] as const;
 const SEED = 20_261_205;
 const STARTUP_MS = 6000;
 /** Time from the start of deadly work to the crash of its endpoint. */
