Assign a query again that never reached its instance

Each instance has one exchange with the leader at a time. After a reset connection its former poll stayed in the queue of the leader for up to a second, and a query that was handed to it waited for its deadline, call time plus 250 ms, which is longer than the objective of an urgent job. The broker now knows the instance of each poll: a new one replaces the former, and a query that is assigned to the instance and not in its reports is assigned again at once. The advisor loop keeps a report that could not be delivered.

Scenarios: 'an instance that polls again gets the query that a reset connection has lost' and 'a report that could not be delivered is sent again'; each fails without its half of the change.

--- a/packages/bench/src/workflowRun.ts
+++ b/packages/bench/src/workflowRun.ts
@@ -145,7 +145,7 @@
   async measure(): Promise<WorkflowResult[]> {
     this.session.start();
     for (let i = 0; i < this.scale.endpoints; i += 1) this.startHeartbeats(i);
-    for (let i = 0; i < this.scale.advisorClients; i += 1) this.pollAdvice([]);
+    for (let i = 0; i < this.scale.advisorClients; i += 1) this.pollAdvice(`instance-${i}`, []);
     await this.advance(2 * HEARTBEAT_MS);
     for (let i = 0; i < this.scale.services; i += 1) {
       const step = createStep({ taskCount: 20, isService: true, estimateMs: 0 }, 4000);
@@ -257,11 +257,11 @@
     setTimeout(send, this.random() * HEARTBEAT_MS);
   }
 
-  private pollAdvice(reports: AdviceReport[]): void {
+  private pollAdvice(instance: string, reports: AdviceReport[]): void {
     const answer = async (): Promise<void> => {
-      const query = await this.session.broker.exchange(reports, MS_PER_SECOND);
+      const query = await this.session.broker.exchange(instance, reports, MS_PER_SECOND);
       if (!query) {
-        setTimeout(() => this.pollAdvice([]), 1);
+        setTimeout(() => this.pollAdvice(instance, []), 1);
         return;
       }
       const { id, step, endpoints } = query;
@@ -271,7 +271,7 @@
         const good = endpoints
           .filter(() => this.random() < SUITABLE_SHARE)
           .map((endpoint) => ({ endpoint, ticket: `ticket-${id}-${endpoint}` }));
-        this.pollAdvice([{ id, good, durationMs, validMs: TICKET_VALIDITY_MS }]);
+        this.pollAdvice(instance, [{ id, good, durationMs, validMs: TICKET_VALIDITY_MS }]);
       }, durationMs);
     };
     answer().catch(() => undefined);
--- a/packages/daemon/src/advisorLoop.ts
+++ b/packages/daemon/src/advisorLoop.ts
@@ -67,7 +67,7 @@
         this.opts.log.debug('advice exchange with the leader failed', {
           err: (err as Error).message,
         });
-        reports = [];
+        // Reports are known by the id of their query, so that they can be sent again.
         await delay(RETRY_DELAY_MS);
         continue;
       }
--- a/packages/tests/features/workflow/advice.feature
+++ b/packages/tests/features/workflow/advice.feature
@@ -55,3 +55,17 @@
     When 10 jobs of 16 tasks of 60000 ms are submitted at once
     And 1000 ms of workflow time pass
     Then at least 150 runs were started
+
+  # Guards against urgent steps that wait for the deadline of a query whose instance never got it.
+  Scenario: an instance that polls again gets the query that a reset connection has lost
+    Given an advisor that takes 100 ms and 1 ms per endpoint, queried by 0 instances
+    And 2 workers of 4 cores
+    And an instance that polls for a query
+    When job "j" of 2 tasks is submitted
+    And the instance polls again, as a reset connection has lost the response
+    Then the instance gets a query at once
+
+  # Guards against answers of the advisor that are dropped because the leader is out of reach for a moment.
+  Scenario: a report that could not be delivered is sent again
+    When an instance has a report, and the leader does not respond to its first 2 calls
+    Then the leader receives the report once
--- a/packages/tests/src/steps/workflow/adviceSteps.ts
+++ b/packages/tests/src/steps/workflow/adviceSteps.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
 
 import { Given, Then, When } from '@cucumber/cucumber';
-import type { AdviceQuery } from '@lagoongap/workflow/adviceBroker.js';
+import { AdvisorLoop } from '@lagoongap/daemon/advisorLoop.js';
+import type { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
+import { SILENT_LOG } from '@lagoongap/model/log.js';
+import type { AdviceQuery, AdviceReport } from '@lagoongap/workflow/adviceBroker.js';
 import { AdviceQueue, type QueuedQuery } from '@lagoongap/workflow/adviceQueue.js';
 
 import { SimulatedAdvisor } from '../../workflow/simulatedAdvisor.js';
@@ -11,6 +14,7 @@
   world: WorkflowWorld;
   advisor: SimulatedAdvisor;
   query: Promise<AdviceQuery | undefined>;
+  reported: AdviceReport[];
   load: QueuedQuery[];
   maxWaitMs: number;
   /** Call time by priority. */
@@ -19,6 +23,9 @@
 
 const TICKET_VALID_MS = 2500;
 
+/** Instance whose polls the scenario makes one by one. */
+const INSTANCE = 'polling';
+
 /** Duration of service tasks; longer than any scenario. */
 const SERVICE_MS = 600_000;
 
@@ -46,7 +53,52 @@
 });
 
 Given('an instance that polls for a query', function poll(this: AdviceSteps) {
-  this.query = this.world.session.broker.exchange([], 1000);
+  this.query = this.world.session.broker.exchange(INSTANCE, [], 1000);
+});
+
+When(
+  'the instance polls again, as a reset connection has lost the response',
+  function poll(this: AdviceSteps) {
+    this.query = this.world.session.broker.exchange(INSTANCE, [], 1000);
+  },
+);
+
+Then('the instance gets a query at once', async function check(this: AdviceSteps) {
+  const late = new Promise<undefined>((resolve) => {
+    setTimeout(() => resolve(undefined), 1);
+  });
+  const [query] = await Promise.all([Promise.race([this.query, late]), this.world.advance(1)]);
+  assert.equal(query?.step, 'j.0.0');
+});
+
+When(
+  'an instance has a report, and the leader does not respond to its first {int} calls',
+  async function report(this: AdviceSteps, failures: number) {
+    const query = { id: 7, step: 'j.0.0', endpoints: ['w1'], timeoutMs: 100 };
+    let calls = 0;
+    this.reported = [];
+    const call = async (_: string, { reports }: { reports: AdviceReport[] }) => {
+      calls += 1;
+      if (calls === 1) return query;
+      if (calls <= 1 + failures) throw new Error('no response');
+      this.reported.push(...reports);
+      return new Promise(() => {});
+    };
+    using loop = new AdvisorLoop({
+      leader: { call } as unknown as LeaderClient,
+      advisor: { query: async () => ({ good: [], validMs: TICKET_VALID_MS }) },
+      log: SILENT_LOG,
+    });
+    loop.start();
+    await this.world.advance(1000);
+  },
+);
+
+Then('the leader receives the report once', function check(this: AdviceSteps) {
+  assert.deepEqual(
+    this.reported.map(({ id }) => id),
+    [7],
+  );
 });
 
 When(
@@ -62,7 +114,7 @@
   async function report(this: AdviceSteps) {
     const { id } = (await this.query)!;
     const none = { id, good: [], durationMs: 20, validMs: TICKET_VALID_MS };
-    this.world.session.broker.exchange([none], 1000).catch(() => undefined);
+    this.world.session.broker.exchange(INSTANCE, [none], 1000).catch(() => undefined);
   },
 );
 
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -61,13 +61,13 @@
 );
 
 Given('an instance that polls for queries and becomes unresponsive', function fail(this: Steps) {
-  this.world.session.broker.exchange([], 60_000).catch(() => undefined);
+  this.world.session.broker.exchange('unresponsive', [], 60_000).catch(() => undefined);
 });
 
 Given('an instance that answers queries', function answerQueries(this: Steps) {
   const { broker } = this.world.session;
   const poll = async (reports: AdviceReport[]): Promise<void> => {
-    const query = await broker.exchange(reports, 1000);
+    const query = await broker.exchange('answering', reports, 1000);
     if (!query) return poll([]);
     await new Promise((resolve) => {
       setTimeout(resolve, 20);
--- a/packages/tests/src/workflow/simulatedAdvisor.ts
+++ b/packages/tests/src/workflow/simulatedAdvisor.ts
@@ -20,12 +20,16 @@
 
   /** Lets instances poll for queries; a broker that is disposed of ends their polls. */
   serve(broker: AdviceBroker, instances: number): void {
-    for (let i = 0; i < instances; i += 1) this.poll(broker, []).catch(() => undefined);
+    for (let i = 0; i < instances; i += 1) this.poll(broker, `i${i}`, []).catch(() => undefined);
   }
 
-  private async poll(broker: AdviceBroker, reports: AdviceReport[]): Promise<void> {
-    const query = await broker.exchange(reports, POLL_MS);
-    return this.poll(broker, query ? [await this.answer(query)] : []);
+  private async poll(
+    broker: AdviceBroker,
+    instance: string,
+    reports: AdviceReport[],
+  ): Promise<void> {
+    const query = await broker.exchange(instance, reports, POLL_MS);
+    return this.poll(broker, instance, query ? [await this.answer(query)] : []);
   }
 
   private async answer({ id, step, endpoints }: AdviceQuery): Promise<AdviceReport> {
--- a/packages/workflow/src/adviceBroker.ts
+++ b/packages/workflow/src/adviceBroker.ts
@@ -25,6 +25,8 @@
 
 interface PendingQuery extends QueuedQuery {
   query: AdviceQuery;
+  /** Instance that the query is assigned to, if any. */
+  instance?: string;
   resolve: (response: AdviceResponse | undefined) => void;
   /** Monotonic time of the call to {@link AdviceBroker.query}. */
   queuedMs: number;
@@ -57,7 +59,8 @@
   private readonly waiting = new AdviceQueue<PendingQuery>();
   /** Queries by the ids of all their assignments. */
   private readonly assigned = new Map<number, PendingQuery>();
-  private readonly waiters: Waiter[] = [];
+  /** Polls that wait for a query, by instance, the longest wait first. */
+  private readonly waiters = new Map<string, Waiter>();
   private nextId: number;
 
   /** @param term - Term of the leadership; reports for queries of another term are ignored. */
@@ -114,27 +117,28 @@
     });
   }
 
-  /** Processes reports; resolves with the next query, or with undefined after `waitMs`. */
-  async exchange(reports: AdviceReport[], waitMs: number): Promise<AdviceQuery | undefined> {
+  /**
+   * Processes reports; resolves with the next query, or with undefined after `waitMs`. An instance
+   * has one call at a time, so a call that it repeats replaces the former one, and a query that it
+   * has been assigned and does not report has never reached it.
+   */
+  async exchange(
+    instance: string,
+    reports: AdviceReport[],
+    waitMs: number,
+  ): Promise<AdviceQuery | undefined> {
     for (const report of reports) this.handleReport(report);
+    this.endWait(instance);
+    this.reassignUnreported(instance);
     return new Promise((resolve) => {
-      const waiter: Waiter = {
-        resolve,
-        timer: setTimeout(() => {
-          this.waiters.splice(this.waiters.indexOf(waiter), 1);
-          resolve(undefined);
-        }, waitMs),
-      };
-      this.waiters.push(waiter);
+      const timer = setTimeout(() => this.endWait(instance), waitMs);
+      this.waiters.set(instance, { resolve, timer });
       this.assignQueries();
     });
   }
 
   [Symbol.dispose](): void {
-    for (const { resolve, timer } of this.waiters.splice(0)) {
-      clearTimeout(timer);
-      resolve(undefined);
-    }
+    for (const instance of [...this.waiters.keys()]) this.endWait(instance);
     for (const { deadline, resolve } of this.assigned.values()) {
       clearTimeout(deadline);
       resolve(undefined);
@@ -143,13 +147,28 @@
     for (const { resolve } of this.waiting.remove(() => true)) resolve(undefined);
   }
 
+  private endWait(instance: string): void {
+    const waiter = this.waiters.get(instance);
+    if (!waiter) return;
+    this.waiters.delete(instance);
+    clearTimeout(waiter.timer);
+    waiter.resolve(undefined);
+  }
+
+  private reassignUnreported(instance: string): void {
+    for (const pending of [...this.assigned.values()]) {
+      if (pending.instance === instance) this.reassign(pending);
+    }
+  }
+
   private assignQueries(): void {
-    while (this.waiters.length > 0) {
+    for (const [instance, waiter] of this.waiters) {
       const pending = this.waiting.take();
       if (!pending) return;
-      const waiter = this.waiters.shift()!;
+      this.waiters.delete(instance);
       clearTimeout(waiter.timer);
       const { query } = pending;
+      pending.instance = instance;
       pending.assignments.set(query.id, performance.now());
       pending.deadline = setTimeout(() => this.handleTimeout(query.id), query.timeoutMs);
       this.assigned.set(query.id, pending);
@@ -157,16 +176,21 @@
     }
   }
 
-  /** Reassigns a query whose instance may have failed; fails it after the last assignment. */
   private handleTimeout(id: number): void {
     const pending = this.assigned.get(id);
-    if (!pending) return;
+    if (pending) this.reassign(pending);
+  }
+
+  /** Reassigns a query whose instance may have failed; fails it after the last assignment. */
+  private reassign(pending: PendingQuery): void {
+    clearTimeout(pending.deadline);
     if (pending.assignments.size >= MAX_ASSIGNMENTS) {
       this.settle(pending, undefined);
       return;
     }
     // With a new id, reports tell which assignment they belong to.
     pending.query = { ...pending.query, id: this.nextId };
+    pending.instance = undefined;
     this.nextId += 1;
     this.waiting.addFirst(pending);
     this.assignQueries();
--- a/packages/workflow/src/workflowCoordinator.ts
+++ b/packages/workflow/src/workflowCoordinator.ts
@@ -160,8 +160,8 @@
     this.registerHandler('config.read', () => this.opts.state.config);
     this.registerHandler<{ reports: AdviceReport[]; waitMs: number }>(
       'advice.exchange',
-      (session, { reports, waitMs }) =>
-        session.broker.exchange(reports, Math.min(waitMs, MAX_EXCHANGE_WAIT_MS)),
+      (session, { reports, waitMs }, from) =>
+        session.broker.exchange(from, reports, Math.min(waitMs, MAX_EXCHANGE_WAIT_MS)),
     );
     this.registerHandler<{
       number: number;
@@ -202,13 +202,14 @@
 
   private registerHandler<Params>(
     method: string,
-    handler: (session: WorkflowSession, params: Params) => unknown,
+    handler: (session: WorkflowSession, params: Params, from: string) => unknown,
     notAppended: RunState = 'not-run',
   ): void {
-    this.opts.network.handle(method, async (params) => {
+    this.opts.network.handle(method, async (params, from) => {
       const session = this.requireSession();
       try {
-        return await session.takeover.measureCall(method, () => handler(session, params as Params));
+        const handle = (): unknown => handler(session, params as Params, from);
+        return await session.takeover.measureCall(method, handle);
       } catch (err) {
         throw this.toRefusal(err, notAppended);
       }
