Count the refusal of votes after a restart from the start of the process

A restarted replica refuses votes for one minimum election timeout, as it does not know when it last heard from a leader, and counted this from the loading of its log.

--- a/packages/consensus/src/leaderLease.ts
+++ b/packages/consensus/src/leaderLease.ts
@@ -1,7 +1,7 @@
 /**
  * Follower side of the leader lease: no vote is granted for one minimum election timeout after the
  * last message from the leader. A restarted replica does not know when it last received one, so the
- * lease also runs from its start.
+ * lease also runs from the start of its process.
  */
 export class LeaderLease {
   private contactMs: number;
--- a/packages/consensus/src/raftCoreOptions.ts
+++ b/packages/consensus/src/raftCoreOptions.ts
@@ -23,4 +23,9 @@
   entries: LogEntry[];
   /** Start time on the monotonic clock. */
   nowMs: number;
+  /**
+   * Start of this process on the monotonic clock, by which every earlier process on the same log
+   * had ended. By default the time at which the log has been loaded.
+   */
+  processStartMs?: number;
 }
--- a/packages/consensus/src/raftReplica.ts
+++ b/packages/consensus/src/raftReplica.ts
@@ -199,6 +199,7 @@
       snapshot,
       entries,
       nowMs: performance.now(),
+      processStartMs: this.opts.processStartMs,
     });
     if (snapshot !== undefined) {
       this.opts.stateMachine.restore(snapshot.data);
--- a/packages/consensus/src/raftReplicaOptions.ts
+++ b/packages/consensus/src/raftReplicaOptions.ts
@@ -23,6 +23,11 @@
   snapshotEntries?: number;
   /** Minimum time between two batches of proposals in milliseconds; 0 disables batching. */
   batchIntervalMs?: number;
+  /**
+   * Start of this process on the monotonic clock, by which every earlier process on the same log
+   * had ended. By default the time at which the log has been loaded.
+   */
+  processStartMs?: number;
   /** Returns numbers in [0, 1). */
   random?: () => number;
   /** Called once if the replica has stopped because of an error. */
--- a/packages/consensus/src/raftState.ts
+++ b/packages/consensus/src/raftState.ts
@@ -54,8 +54,9 @@
     this.memberships = new MembershipHistory({ index: base.index, membership });
     this.memberships.append(entries);
     this.writes = new WriteQueue(this.log.lastIndex);
-    this.leaderLease = new LeaderLease(nowMs, timing.electionMinMs);
-    this.resetElectionTimer();
+    const startedAtMs = Math.min(nowMs, options.processStartMs ?? nowMs);
+    this.leaderLease = new LeaderLease(startedAtMs, timing.electionMinMs);
+    this.startFirstTimer(nowMs - startedAtMs);
   }
 
   get replicaId(): string {
@@ -93,6 +94,19 @@
     this.lastValidMs = Math.max(this.lastValidMs, Math.min(this.nowMs, untilMs));
   }
 
+  /**
+   * Starts the first election timer. The time since the start of the process counts, as no leader
+   * can have reached this replica meanwhile. At least a part of a heartbeat interval remains, which
+   * differs between replicas that start together.
+   */
+  private startFirstTimer(elapsedMs: number): void {
+    this.resetElectionTimer();
+    const { heartbeatMs, electionMaxMs } = this.options.timing;
+    const timeoutMs = this.electionDeadlineMs - this.nowMs;
+    const minMs = heartbeatMs * (timeoutMs / electionMaxMs);
+    this.electionDeadlineMs = this.nowMs + Math.max(timeoutMs - elapsedMs, minMs);
+  }
+
   /** Restarts the election timer with a new random timeout. */
   resetElectionTimer(): void {
     const { electionMinMs, electionMaxMs } = this.options.timing;
--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -41,6 +41,8 @@
   parseConfig: ConfigParser;
   timing: WorkflowTiming;
   raftTiming?: RaftTiming;
+  /** Start of this process on the monotonic clock, by default the time of `start`. */
+  processStartMs?: number;
   log: Log;
   meter?: WorkflowMetricsRecorder;
   /** Called when the durable state is no longer reliable. */
@@ -125,6 +127,7 @@
       timing,
       snapshotEntries: SNAPSHOT_ENTRIES,
       batchIntervalMs: PROPOSAL_BATCH_MS,
+      processStartMs: opts.processStartMs,
       onFatal: opts.onFatal,
     });
     this.coordinator = new WorkflowCoordinator({
--- a/packages/tests/features/consensus/replica.feature
+++ b/packages/tests/features/consensus/replica.feature
@@ -120,6 +120,11 @@
     Then Raft replica leader is a valid leader
     And the Raft term has not changed
 
+  Scenario: replicas that restart together elect a leader soon after they are loaded
+    Given a Raft cluster of "a b c"
+    When all Raft replicas crash and are loaded 1200 ms after the start of their processes
+    Then a Raft leader is valid within 400 ms
+
   Scenario: a cluster restarts from its stored logs and snapshots
     Given Raft snapshots every 10 entries
     And a Raft cluster of "a b c"
--- a/packages/tests/features/consensus/schedules.feature
+++ b/packages/tests/features/consensus/schedules.feature
@@ -19,6 +19,7 @@
       | transfers          | 900   |
       | leases             | 1000  |
       | elections          | 1000  |
+      | slow starts        | 1000  |
       | combined           | 800   |
 
   # Guards against a lease of an earlier leader that is taken for expired, because a replica forgets
--- a/packages/tests/src/consensus/replicaCluster.ts
+++ b/packages/tests/src/consensus/replicaCluster.ts
@@ -37,8 +37,12 @@
     private readonly batchMs = 0,
   ) {}
 
-  /** Starts the replica of an instance with its previous disk or an empty one. */
-  start(id: string, hasEmptyDisk = false): void {
+  /**
+   * Starts the replica of an instance with its previous disk or an empty one.
+   *
+   * @param bootMs - Time since the start of the process.
+   */
+  start(id: string, hasEmptyDisk = false, bootMs = 0): void {
     const before = hasEmptyDisk ? undefined : this.members.get(id);
     const disk: ClusterMember['disk'] = before?.disk ?? {
       writes: 0,
@@ -58,6 +62,7 @@
       stateMachine,
       snapshotEntries: this.snapshotEntries,
       batchIntervalMs: this.batchMs,
+      processStartMs: performance.now() - bootMs,
       transport: {
         send: (to, message) => this.send(id, to, message as RaftMessage),
         onMessage: (handler) => {
--- a/packages/tests/src/consensus/simulatedReplica.ts
+++ b/packages/tests/src/consensus/simulatedReplica.ts
@@ -29,6 +29,8 @@
   private clockOffsetMs = 0;
   /** Counts starts and crashes, so that events of an earlier process are ignored. */
   private incarnation = 0;
+  /** Simulation time at which the latest process ended. */
+  private endedMs = 0;
   private digest: Digest = { index: 0, value: 0 };
   private operations: StoreOperation[] = [];
   private isStoring = false;
@@ -46,7 +48,7 @@
 
   /** Current time on the clock of this replica. */
   get nowMs(): number {
-    return this.clockOffsetMs + this.simulation.nowMs * this.clockRate;
+    return this.toClockMs(this.simulation.nowMs);
   }
 
   /** Whether this replica considers itself a valid leader. */
@@ -74,6 +76,7 @@
       snapshot,
       entries,
       nowMs: this.nowMs - elapsedLeaseMs,
+      processStartMs: options.countsBootTime ? this.toClockMs(this.endedMs) : undefined,
     });
     this.digest = (snapshot?.data as Digest | undefined) ?? { index: 0, value: 0 };
     checker.checkRestored(replicaId, this.digest);
@@ -83,6 +86,7 @@
   /** Ends the process; unsynced data may be lost. */
   crash(): void {
     const { random } = this.simulation;
+    if (this.core) this.endedMs = this.simulation.nowMs;
     const running = this.isStoring ? this.operations[0] : undefined;
     if (running?.write) this.disk.writeTorn(running.write, random);
     this.core = undefined;
@@ -111,6 +115,10 @@
     for (const effect of this.core.takeEffects()) this.runEffect(this.core, effect);
   }
 
+  private toClockMs(simulationMs: number): number {
+    return this.clockOffsetMs + simulationMs * this.clockRate;
+  }
+
   private toSimulationMs(clockMs: number): number {
     return (clockMs - this.clockOffsetMs) / this.clockRate;
   }
--- a/packages/tests/src/consensus/simulationOptions.ts
+++ b/packages/tests/src/consensus/simulationOptions.ts
@@ -34,6 +34,8 @@
   faultLengthMs: readonly [number, number];
   /** Range of the time between a crash and the restart. */
   restartMs: readonly [number, number];
+  /** Whether a process starts directly after the end of the earlier one and loads the log later. */
+  countsBootTime?: boolean;
   faults: FaultRates;
   /** Protocol defect that the checker must detect. */
   mutation?: Mutation;
@@ -81,6 +83,7 @@
   | 'transfers'
   | 'leases'
   | 'elections'
+  | 'slow starts'
   | 'membership races'
   | 'failover'
   | 'combined';
@@ -118,6 +121,14 @@
     maxWriteMs: 60,
     restartMs: [5, 700],
   },
+  // Replicas load their log long after the start of their process.
+  'slow starts': {
+    faults: { crashes: 3, partitions: 0.4, loss: 0.02, appendLoss: 0.3 },
+    proposalsPerSecond: 5,
+    maxWriteMs: 20,
+    restartMs: [5, 900],
+    countsBootTime: true,
+  },
   // Leaders change the membership immediately, and their entries are rarely replicated.
   'membership races': {
     faults: { memberChanges: 15, crashes: 2, partitions: 0.5, loss: 0.05, appendLoss: 0.6 },
--- a/packages/tests/src/steps/consensus/coreSteps.ts
+++ b/packages/tests/src/steps/consensus/coreSteps.ts
@@ -11,17 +11,29 @@
   effects: RaftEffect[];
 }
 
-Given('a Raft core of replica {string} that starts at 0 ms', function create(this: CoreWorld, id) {
-  this.core = new RaftCore({
-    replicaId: id,
+function createCore(replicaId: string, processStartMs?: number): RaftCore {
+  return new RaftCore({
+    replicaId,
     timing: DEFAULT_TIMING,
     random: () => 0.5,
     snapshotEntries: 100,
     ...bootstrapWrite(['a', 'b', 'c']),
     nowMs: 0,
+    processStartMs,
   });
+}
+
+Given('a Raft core of replica {string} that starts at 0 ms', function create(this: CoreWorld, id) {
+  this.core = createCore(id);
 });
 
+Given(
+  'a Raft core of replica {string} that starts at 0 ms, {int} ms after its process',
+  function createLater(this: CoreWorld, id: string, ms: number) {
+    this.core = createCore(id, -ms);
+  },
+);
+
 When(
   'b requests the vote of the Raft core as {string} at {int} ms',
   function requestVote(this: CoreWorld, to: string, nowMs: number) {
--- a/packages/tests/src/steps/consensus/replicaSteps.ts
+++ b/packages/tests/src/steps/consensus/replicaSteps.ts
@@ -95,6 +95,25 @@
   this.cluster.start(resolveInstanceId(this, name));
 });
 
+When(
+  'all Raft replicas crash and are loaded {int} ms after the start of their processes',
+  async function restartAll(this: ReplicaWorld, bootMs: number) {
+    for (const id of this.cluster.ids) await this.cluster.crash(id);
+    await this.cluster.advance(bootMs);
+    for (const id of this.cluster.ids) this.cluster.start(id, false, bootMs);
+  },
+);
+
+Then(
+  'a Raft leader is valid within {int} ms',
+  async function checkElection(this: ReplicaWorld, boundMs: number) {
+    const startMs = performance.now();
+    await this.cluster.waitUntil('leader', () => this.cluster.leader !== undefined);
+    const elapsedMs = performance.now() - startMs;
+    assert.ok(elapsedMs <= boundMs, `${elapsedMs} ms`);
+  },
+);
+
 When('Raft replica {word} crashes', async function crash(this: ReplicaWorld, name: string) {
   await this.cluster.crash(resolveInstanceId(this, name));
 });
