Hold calls while no leader is known, and drop those that have timed out

Refused at once, every call of every instance was repeated up to twenty times a second during an election.

A call to the presumed leader waits for a connection attempt that is under 300 ms old. Requests carry their timeout, so that a replica does not carry out a call whose caller has timed out; a request without one, from an earlier release, has no deadline.

Scenarios: 'a call waits at a replica until the election is over', 'a call that reaches the leader after its deadline is not carried out', 'a call waits for a connection that is being established, if it may'; each fails without its part of the change.

--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -205,7 +205,8 @@
       this.assertLeader();
       return this.manager.join(params as JoinReplicaParams);
     });
-    this.network.handle('cell.members', () => {
+    this.network.handle('cell.members', async (_params, _from, endMs) => {
+      await this.coordinator.whenLeaderDecided(endMs);
       this.assertLeader();
       const { voters, learners } = this.replica.members();
       return [...voters, ...learners].map(instanceIdOf);
--- a/packages/gateway/src/leaderClient.ts
+++ b/packages/gateway/src/leaderClient.ts
@@ -43,6 +43,12 @@
 /** Minimum time before the deadline at which a call is tried again. */
 const MIN_RETRY_MS = 30;
 
+/**
+ * Time in which the leader accepts a connection. A call to a leader that is being dialled waits for
+ * the connection, since the other replicas would only name the same leader again.
+ */
+const CONNECT_MS = 300;
+
 /** Time before the deadline at which a call is refused that is not tried again. */
 const REFUSAL_MS = 20;
 
@@ -113,7 +119,8 @@
         // A slow leader must not get the same call again.
         current = isTooLate ? undefined : this.selector.pick((id) => tries.isPendingAt(id));
         if (current !== undefined) {
-          const request = { timeoutMs: remainingMs };
+          const connectMs = this.selector.isPresumedLeader(current) ? CONNECT_MS : 0;
+          const request = { timeoutMs: remainingMs, connectMs };
           tries.add(current, this.opts.network.call(current, method, params, request));
         }
         const isLocal = current === this.opts.network.selfId;
--- a/packages/gateway/src/replicaSelector.ts
+++ b/packages/gateway/src/replicaSelector.ts
@@ -31,6 +31,11 @@
     return isUsable ? leaderId : this.pickNext(isExcluded);
   }
 
+  /** Returns whether a replica is the leader as far as is known. */
+  isPresumedLeader(id: string): boolean {
+    return id === (this.leader ?? this.opts.readLeaderHint());
+  }
+
   /** Records that a replica has not responded in time. */
   skip(id: string): void {
     this.skippedUntilMs.set(id, performance.now() + UNRESPONSIVE_SKIP_MS);
--- a/packages/peering/src/peerDialler.ts
+++ b/packages/peering/src/peerDialler.ts
@@ -9,6 +9,7 @@
 import { PeerError } from './peerError.js';
 import { HELLO_FRAME_BYTES, type ConnectionLimits, type PeerAddress } from './peeringOptions.js';
 import type { PeerLogger } from './peerLogger.js';
+import type { PeerCallOptions } from './peerNetwork.js';
 import { PeerUnavailableError } from './peerUnavailableError.js';
 import { RpcClient } from './rpcClient.js';
 import type { TlsCredentials } from './tlsCredentials.js';
@@ -25,6 +26,20 @@
   onFrame: () => void;
 }
 
+/** A connection attempt; its promise resolves with the welcome of the peer or with its failure. */
+interface Attempt {
+  promise: Promise<void>;
+  end: () => void;
+}
+
+function createAttempt(): Attempt {
+  let end = (): void => undefined;
+  const promise = new Promise<void>((resolve) => {
+    end = resolve;
+  });
+  return { promise, end };
+}
+
 /**
  * Maintains one outgoing connection to a peer and calls the peer over it. Reconnects with a backoff
  * when the connection fails.
@@ -33,6 +48,9 @@
   private readonly opts: PeerDiallerOptions;
   private readonly backoff = new FullJitterBackoff();
   private connection: FramedConnection | undefined;
+  /** Monotonic time of the latest connection attempt. */
+  private dialledMs = -Infinity;
+  private attempt = createAttempt();
   /** Set from the peer's welcome until the connection is closed. */
   private client: RpcClient | undefined;
   private pingTimer: NodeJS.Timeout | undefined;
@@ -55,8 +73,13 @@
     if (this.retryTimer) this.dial();
   }
 
-  async call(method: string, params: unknown, timeoutMs: number): Promise<unknown> {
-    if (!this.client) throw new PeerUnavailableError(this.opts.peer.id, 'there is no connection');
+  async call(method: string, params: unknown, opts: PeerCallOptions): Promise<unknown> {
+    const startMs = performance.now();
+    if (!this.client) await this.waitForConnection(opts);
+    const timeoutMs = opts.timeoutMs - (performance.now() - startMs);
+    if (!this.client || timeoutMs <= 0) {
+      throw new PeerUnavailableError(this.opts.peer.id, 'there is no connection');
+    }
     return this.client.call(method, params, timeoutMs);
   }
 
@@ -72,7 +95,24 @@
     await this.connection?.close();
   }
 
+  /** Resolves when the connection attempt in progress has ended, or has taken too long. */
+  private async waitForConnection({ timeoutMs, connectMs = 0 }: PeerCallOptions): Promise<void> {
+    const elapsedMs = performance.now() - this.dialledMs;
+    const waitMs = Math.min(timeoutMs, connectMs - elapsedMs);
+    if (!this.connection || waitMs <= 0) return;
+    let timer: NodeJS.Timeout | undefined;
+    await Promise.race([
+      this.attempt.promise,
+      new Promise((resolve) => {
+        timer = setTimeout(resolve, waitMs);
+      }),
+    ]);
+    clearTimeout(timer);
+  }
+
   private dial(): void {
+    this.dialledMs = performance.now();
+    this.attempt = createAttempt();
     clearTimeout(this.retryTimer);
     this.retryTimer = undefined;
     const { limits, credentials, counters } = this.opts;
@@ -142,6 +182,7 @@
     this.pingTimer = setInterval(() => this.ping(connection), limits.pingMs);
     this.opts.onFrame();
     logger.info('connected to instance', { peer: peer.id });
+    this.attempt.end();
   }
 
   private send(connection: FramedConnection, message: unknown): SendResult {
@@ -166,6 +207,7 @@
     const { client } = this;
     this.client = undefined;
     this.connection = undefined;
+    this.attempt.end();
     client?.close(cause);
     const { peer, logger } = this.opts;
     const details = { peer: peer.id, reason: cause.message };
--- a/packages/peering/src/peerNetwork.ts
+++ b/packages/peering/src/peerNetwork.ts
@@ -1,10 +1,19 @@
-/** Handles calls of one method; the result is sent back to the calling instance. */
-export type PeerMethodHandler = (params: unknown, from: string) => unknown;
+/**
+ * Handles calls of one method; the result is sent back to the calling instance.
+ *
+ * @param endMs - Monotonic time after which the caller no longer waits; Infinity if not known.
+ */
+export type PeerMethodHandler = (params: unknown, from: string, endMs: number) => unknown;
 
 /** Options of a call. */
 export interface PeerCallOptions {
   /** Timeout after which the call rejects with PeerTimeoutError. */
   timeoutMs: number;
+  /**
+   * Longest time for which the call waits for a connection that is being established; 0 by default.
+   * Counts from the beginning of the connection attempt.
+   */
+  connectMs?: number;
 }
 
 /** JSON-RPC between the instances of a cluster. */
--- a/packages/peering/src/rpcClient.ts
+++ b/packages/peering/src/rpcClient.ts
@@ -62,7 +62,7 @@
       return this.createFailure(id, new PeerTimeoutError(this.instanceId, method, timeoutMs));
     };
     try {
-      const request = createJSONRPCRequest(id, method, params);
+      const request = { ...createJSONRPCRequest(id, method, params), timeoutMs };
       const requester = this.client.timeout(timeoutMs, failOnTimeout);
       return this.unwrapResponse(id, method, await requester.requestAdvanced(request));
     } finally {
--- a/packages/peering/src/rpcServer.ts
+++ b/packages/peering/src/rpcServer.ts
@@ -16,6 +16,13 @@
 interface CallerInfo {
   /** Id of the calling instance. */
   from: string;
+  /** Monotonic time after which the caller no longer waits. */
+  endMs: number;
+}
+
+/** Returns the time until which the caller waits; earlier releases do not send the timeout. */
+function readEndMs({ timeoutMs }: FrameMessage): number {
+  return typeof timeoutMs === 'number' ? performance.now() + timeoutMs : Infinity;
 }
 
 /** Dispatches JSON-RPC requests of other instances to the handlers of this one. */
@@ -40,25 +47,31 @@
     // instead.
     this.server.addMethod(
       method,
-      async (params: unknown, { from }: CallerInfo) => (await handler(params, from)) ?? null,
+      async (params: unknown, { from, endMs }: CallerInfo) =>
+        (await handler(params, from, endMs)) ?? null,
     );
   }
 
   /** Executes a request; returns its response, or null for a notification. */
   async receive(message: FrameMessage, from: string): Promise<JSONRPCResponse | null> {
     if (!isJSONRPCRequest(message)) throw new PeerError('message is not a JSON-RPC request');
-    return this.server.receive(message, { from });
+    return this.server.receive(message, { from, endMs: readEndMs(message) });
   }
 
   /** Executes a call of this instance to itself, bypassing the network. */
-  async callLocally(method: string, params: unknown, selfId: string): Promise<unknown> {
+  async callLocally(
+    method: string,
+    params: unknown,
+    selfId: string,
+    endMs = Infinity,
+  ): Promise<unknown> {
     const handler = this.handlers.get(method);
     if (!handler) {
       const error = { code: METHOD_NOT_FOUND_CODE, message: 'Method not found' };
       throw new PeerRemoteError(selfId, method, error);
     }
     try {
-      return (await handler(params, selfId)) ?? null;
+      return (await handler(params, selfId, endMs)) ?? null;
     } catch (err) {
       throw new PeerRemoteError(selfId, method, toRpcError(err), toError(err));
     }
--- a/packages/peering/src/tcpPeerNetwork.ts
+++ b/packages/peering/src/tcpPeerNetwork.ts
@@ -79,7 +79,7 @@
     if (instanceId === this.selfId) return this.callSelf(method, params, opts.timeoutMs);
     const dialler = this.findOrStartDialler(instanceId);
     if (!dialler) throw new PeerUnavailableError(instanceId, this.explainNoDialler(instanceId));
-    return dialler.call(method, params, opts.timeoutMs);
+    return dialler.call(method, params, opts);
   }
 
   notify(instanceId: string, method: string, params: unknown): void {
@@ -214,13 +214,14 @@
   }
 
   private async callSelf(method: string, params: unknown, timeoutMs: number): Promise<unknown> {
+    const endMs = performance.now() + timeoutMs;
     let timer: NodeJS.Timeout | undefined;
     const timeout = new Promise<never>((resolve, reject) => {
       const fail = () => reject(new PeerTimeoutError(this.selfId, method, timeoutMs));
       timer = setTimeout(fail, timeoutMs);
     });
     const result = Promise.resolve().then(() =>
-      this.server.callLocally(method, params, this.selfId),
+      this.server.callLocally(method, params, this.selfId, endMs),
     );
     try {
       return await Promise.race([result, timeout]);
--- a/packages/tests/features/peering/peerNetwork.feature
+++ b/packages/tests/features/peering/peerNetwork.feature
@@ -32,6 +32,16 @@
     And later calls receive their own responses while the late one arrives
     And peer a logged that the response to method delay came too late
 
+  # Guards against calls to a leader that is being dialled which are sent to everyone else instead.
+  Scenario Outline: a call waits for a connection that is being established, if it may
+    When peer b is called as soon as it is dialled, with up to <time> ms for the connection
+    Then the early call <outcome>
+
+    Examples:
+      | time | outcome   |
+      | 1000 | succeeded |
+      | 0    | failed    |
+
   Scenario: a call without a connection is reported as not sent
     Given two connected peers
     When peer b has stopped
--- a/packages/tests/features/workflow/leaderCalls.feature
+++ b/packages/tests/features/workflow/leaderCalls.feature
@@ -226,3 +226,23 @@
     And a caller submits job "j" with a deadline of 60 ms
     And 400 ms of the calls pass
     Then the caller got status 503 within 60 ms
+
+  # Guards against instances that repeat all their calls many times a second during an election.
+  Scenario: a call waits at a replica until the election is over
+    When replica "r1" is deposed
+    And a caller submits job "j" with a deadline of 2500 ms
+    And 180 ms of the calls pass
+    Then the last call was tried at most 2 times
+    When replica "r2" leads
+    And replica "r2" commits its proposals every 5 ms for 60 ms
+    Then the caller got status 200
+
+  # Guards against work for callers that have timed out, which delays that of all others.
+  Scenario: a call that reaches the leader after its deadline is not carried out
+    When replica "r1" becomes unresponsive
+    And a caller submits job "j" with a deadline of 100 ms
+    And 300 ms of the calls pass
+    And replica "r1" responds again
+    And replica "r1" commits its proposals every 5 ms for 60 ms
+    Then the caller got status 504
+    And job "j" is not stored
--- a/packages/tests/src/harness/fakeNetwork.ts
+++ b/packages/tests/src/harness/fakeNetwork.ts
@@ -11,6 +11,14 @@
 
 import type { FakeTransport } from './fakeTransport.js';
 
+/** A call or notification on its way. */
+export interface FakeMessage {
+  method: string;
+  body: string;
+  /** Monotonic time after which the caller no longer waits. */
+  endMs: number;
+}
+
 /** Peer network of one instance that sends its messages over a {@link FakeTransport}. */
 export class FakeNetwork implements PeerNetwork {
   readonly selfId: string;
@@ -31,6 +39,7 @@
   call(to: string, method: string, params: unknown, opts: PeerCallOptions): Promise<unknown> {
     if (this.isClosed) return Promise.reject(new PeerUnavailableError(to, 'closed'));
     const body = JSON.stringify(params);
+    const endMs = performance.now() + opts.timeoutMs;
     return new Promise((resolve, reject) => {
       let isSettled = false;
       const settle = (action: () => void): void => {
@@ -53,7 +62,8 @@
         fail(new PeerConnectionLostError(to, method)),
       );
       this.transport.send(this.selfId, to, method, () => {
-        this.transport.deliverCall(this.selfId, to, method, body, (response) => {
+        const message = { method, body, endMs };
+        this.transport.deliverCall(this.selfId, to, message, (response) => {
           this.transport.send(to, this.selfId, `${method} answer`, () => {
             if ('error' in response) fail(new PeerRemoteError(to, method, response.error));
             else settle(() => resolve(response.result));
@@ -68,7 +78,8 @@
     const body = JSON.stringify(params);
     if (method === 'raft.message') this.transport.reportReplicationSteps(this.selfId, to, params);
     this.transport.send(this.selfId, to, method, () => {
-      this.transport.deliverCall(this.selfId, to, method, body, () => {});
+      const message = { method, body, endMs: Infinity };
+      this.transport.deliverCall(this.selfId, to, message, () => {});
     });
   }
 
@@ -83,14 +94,13 @@
   /** Handles a call or notification that arrived from another instance. */
   receive(
     from: string,
-    method: string,
-    body: string,
+    { method, body, endMs }: FakeMessage,
     reply: (response: { result: unknown } | { error: ReturnType<typeof toRpcError> }) => void,
   ): void {
     const handler = this.handlers.get(method);
     if (this.isClosed || !handler) return;
     Promise.resolve()
-      .then(() => handler(JSON.parse(body), from))
+      .then(() => handler(JSON.parse(body), from, endMs))
       .then(
         (result) =>
           reply({ result: result === undefined ? null : JSON.parse(JSON.stringify(result)) }),
--- a/packages/tests/src/harness/fakeTransport.ts
+++ b/packages/tests/src/harness/fakeTransport.ts
@@ -1,10 +1,10 @@
 import type { RaftMessage } from '@lagoongap/consensus/raftMessage.js';
 import type { Membership } from '@lagoongap/consensus/replicatedLog.js';
 
-import type { FakeNetwork } from './fakeNetwork.js';
+import type { FakeMessage, FakeNetwork } from './fakeNetwork.js';
 import type { Step, StepHooks } from './stepHooks.js';
 
-type Reply = Parameters<FakeNetwork['receive']>[3];
+type Reply = Parameters<FakeNetwork['receive']>[2];
 
 /** Options of {@link FakeTransport}. */
 export interface FakeTransportOptions {
@@ -114,8 +114,8 @@
     for (const delayMs of this.drawDelays()) setTimeout(deliverUnlessCut, delayMs);
   }
 
-  deliverCall(from: string, to: string, method: string, body: string, reply: Reply): void {
-    this.networks.get(to)?.receive(from, method, body, reply);
+  deliverCall(from: string, to: string, message: FakeMessage, reply: Reply): void {
+    this.networks.get(to)?.receive(from, message, reply);
   }
 
   /** Reports the steps at which Raft messages bring a replica with a new disk up to date. */
--- a/packages/tests/src/peering/peeringFixture.ts
+++ b/packages/tests/src/peering/peeringFixture.ts
@@ -77,14 +77,29 @@
   }
 
   /** Calls a method of one instance from another. */
-  async call(from: string, to: string, method: string, params: unknown, timeoutMs = 2000) {
-    return this.networks.get(from)!.call(to, method, params, { timeoutMs });
+  async call(
+    from: string,
+    to: string,
+    method: string,
+    params: unknown,
+    timeoutMs = 2000,
+    connectMs = 0,
+  ) {
+    return this.networks.get(from)!.call(to, method, params, { timeoutMs, connectMs });
   }
 
   /** Calls a method from instance `a` and adds the outcome to `settled`. */
-  async record(name: string, to: string, method: string, params: unknown, timeoutMs = 2000) {
+  async record(
+    name: string,
+    to: string,
+    method: string,
+    params: unknown,
+    timeoutMs = 2000,
+    connectMs = 0,
+  ) {
     try {
-      this.settled.push({ name, value: await this.call('a', to, method, params, timeoutMs) });
+      const value = await this.call('a', to, method, params, timeoutMs, connectMs);
+      this.settled.push({ name, value });
     } catch (err) {
       this.settled.push({ name, error: err as Error });
     }
--- a/packages/tests/src/steps/peering/peerNetworkSteps.ts
+++ b/packages/tests/src/steps/peering/peerNetworkSteps.ts
@@ -12,6 +12,12 @@
 } from '../../peering/peeringFixture.js';
 import { waitFor } from '../../peering/waitFor.js';
 
+type Settled = PeeringFixture['settled'][number];
+
+interface EarlyWorld extends PeeringWorld {
+  settled: Settled[];
+}
+
 interface TimedWorld extends PeeringWorld {
   stalledSinceMs: number;
 }
@@ -74,6 +80,22 @@
   },
 );
 
+When(
+  'peer b is called as soon as it is dialled, with up to {int} ms for the connection',
+  async function callAtOnce(this: PeeringWorld, connectMs: number) {
+    await using peering = new PeeringFixture();
+    Object.assign(this, { settled: peering.settled });
+    await peering.start();
+    await peering.record('early', 'b', 'echo', 1, 2000, connectMs);
+  },
+);
+
+Then('the early call {word}', function check(this: EarlyWorld, outcome: string) {
+  const [{ value, error }] = this.settled as [Settled];
+  if (outcome === 'succeeded') assert.equal(value, 1);
+  else assert.equal(error?.name, 'PeerUnavailableError');
+});
+
 Then('the call failed with {word}', function checkError(this: PeeringWorld, name: string) {
   assert.equal(this.peering.lastSettled.error?.name, name);
 });
--- a/packages/workflow/src/workflowCoordinator.ts
+++ b/packages/workflow/src/workflowCoordinator.ts
@@ -9,6 +9,7 @@
 import type { HeartbeatFault } from './endpointClaims.js';
 import type { EndpointHeartbeat } from './endpointService.js';
 import type { JobCall, JobResponse } from './jobCalls.js';
+import { LeaderGate } from './leaderGate.js';
 import type { WorkflowSessionOptions } from './sessionContext.js';
 import { SuspensionDetector } from './suspensionDetector.js';
 import { WorkflowSession } from './workflowSession.js';
@@ -45,6 +46,7 @@
   private readonly opts: WorkflowCoordinatorOptions;
   private readonly suspensionDetector: SuspensionDetector;
   private readonly unsubscribe: () => void;
+  private readonly gate = new LeaderGate(() => this.isLeaderDecided());
   private session: WorkflowSession | undefined;
   private sessionTerm = 0;
 
@@ -58,9 +60,19 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.unsubscribe();
+    this.gate[Symbol.dispose]();
     await this.endSession();
   }
 
+  /**
+   * Resolves when this replica leads or knows the leader, or after a short time without either.
+   *
+   * @param callEndMs - Monotonic time at which the call that waits ends.
+   */
+  whenLeaderDecided(callEndMs: number): Promise<void> {
+    return this.gate.wait(callEndMs);
+  }
+
   private get log(): ReplicatedLog {
     return this.opts.log;
   }
@@ -69,6 +81,12 @@
     return this.suspensionDetector.isClockReliable() && this.log.isLeaderValid();
   }
 
+  private isLeaderDecided(): boolean {
+    const { role, leaderId } = this.log;
+    if (role === 'leader') return this.session !== undefined && this.isValid();
+    return leaderId !== undefined;
+  }
+
   private handleRoleChange(): void {
     const { role, term } = this.log;
     if (role === 'leader' && this.sessionTerm !== term) {
@@ -205,7 +223,10 @@
     handler: (session: WorkflowSession, params: Params, from: string) => unknown,
     notAppended: RunState = 'not-run',
   ): void {
-    this.opts.network.handle(method, async (params, from) => {
+    this.opts.network.handle(method, async (params, from, endMs) => {
+      await this.gate.wait(endMs);
+      // The call has timed out at its caller, who may have repeated it elsewhere.
+      if (performance.now() >= endMs) throw this.createRefusal('not-run');
       const session = this.requireSession();
       try {
         const handle = (): unknown => handler(session, params as Params, from);
