End a process before its grace time is over

A gateway spends up to 85 % of it on draining, and up to 500 ms more on each side on closing connections to peers that do not respond; a replica has no bound at all.

Scenario: 'a process that does not stop in time after a signal ends before it is killed'.

--- a/packages/tests/features/daemon/strayErrors.feature
+++ b/packages/tests/features/daemon/strayErrors.feature
@@ -24,3 +24,16 @@
     When an exception is not caught
     And an exception is not caught
     Then the process has ended with code 1
+
+  Scenario: a process ends once it has stopped after a signal
+    When the process gets the signal to stop
+    And the process gets the signal to stop
+    Then the process stops and has not ended
+    When the process has stopped
+    Then the process has ended with code 0
+
+  # Guards against a planned stop that ends with a kill, as connections to unresponsive peers stay open.
+  Scenario: a process that does not stop in time after a signal ends before it is killed
+    When the process gets the signal to stop
+    And 5500 ms pass while it stops
+    Then the process has ended with code 0
--- a/packages/tests/src/steps/daemon/strayErrorSteps.ts
+++ b/packages/tests/src/steps/daemon/strayErrorSteps.ts
@@ -4,6 +4,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { SILENT_LOG, type Log } from '@lagoongap/model/log.js';
 import { handleStrayErrors } from '@lagoongap/daemon/strayErrors.js';
+import { handleStopSignal } from '@lagoongap/daemon/stopSignal.js';
 import FakeTimers from '@sinonjs/fake-timers';
 
 interface StrayErrorWorld {
@@ -27,20 +28,21 @@
   this.errors = [];
   this.stopCount = 0;
   const log: Log = { ...SILENT_LOG, error: (message) => this.errors.push(message) };
-  handleStrayErrors({
+  const opts = {
     source: this.source,
     log,
     stop: () => {
       this.stopCount += 1;
-      return new Promise((resolve) => {
+      return new Promise<void>((resolve) => {
         this.finishStop = resolve;
       });
     },
-    exit: (code) => {
+    exit: (code: number) => {
       this.exitCode ??= code;
     },
-    stopTimeoutMs: STOP_TIMEOUT_MS,
-  });
+  };
+  handleStrayErrors({ ...opts, stopTimeoutMs: STOP_TIMEOUT_MS });
+  handleStopSignal({ ...opts, graceMs: STOP_TIMEOUT_MS });
 });
 
 When(
@@ -54,6 +56,10 @@
   this.source.emit('uncaughtException', new Error('odd'));
 });
 
+When('the process gets the signal to stop', function signal(this: StrayErrorWorld) {
+  this.source.emit('SIGTERM');
+});
+
 When('the process has stopped', async function finish(this: StrayErrorWorld) {
   this.finishStop();
   await this.strayClock!.tickAsync(0);
