Check the leadership directly before a maintenance request is written

The check was made before the wait for a free connection, which may take a second, so that a former leader could ask for maintenance after its successor had. Start orders and leases are protected by the fencing tokens of endpoints; some platforms do not compare those of maintenance requests.

Scenario: 'a maintenance request is not sent once the leadership has ended'; fails without the check.

--- a/packages/tests/features/platform/formats.feature
+++ b/packages/tests/features/platform/formats.feature
@@ -231,3 +231,10 @@
     Given an HTTP service of the platform
     When its listening socket reports 2 errors
     Then a call to it gets status 200
+
+  # Guards against an order of a former leader that is sent after its successor has given orders.
+  Scenario: a maintenance request is not sent once the leadership has ended
+    Given a server that responds after 100 ms
+    When a maintenance request waits for a connection until the leadership has ended
+    Then the maintenance request has the outcome "not-sent"
+    And the server has accepted 4 connections and received 4 requests
--- a/packages/tests/src/steps/platform/clientSteps.ts
+++ b/packages/tests/src/steps/platform/clientSteps.ts
@@ -7,6 +7,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { SILENT_LOG } from '@lagoongap/model/log.js';
 import { HttpEndpointDriver } from '@lagoongap/platform/httpEndpointDriver.js';
+import { HttpInstanceApi } from '@lagoongap/platform/httpInstanceApi.js';
 import { PlatformClient, type PlatformResponse } from '@lagoongap/platform/platformClient.js';
 
 interface ClientWorld {
@@ -16,6 +17,7 @@
   stoppedAddress: string;
   acceptedConnections: number;
   receivedRequests: number;
+  maintenanceOutcome?: string;
   outcomes: PromiseSettledResult<PlatformResponse>[];
 }
 
@@ -160,6 +162,25 @@
   },
 );
 
+When(
+  'a maintenance request waits for a connection until the leadership has ended',
+  async function order(this: ClientWorld) {
+    const { port } = this.server!.address() as AddressInfo;
+    const api = new HttpInstanceApi(this.client, `127.0.0.1:${port}`, SILENT_LOG);
+    const calls = callAtOnce(this, 4, 2000);
+    let isAllowed = true;
+    const request = { instance: 'm', wave: 1, holder: 'a', fencingToken: 1 };
+    const outcome = api.beginMaintenance({ ...request, isAllowed: () => isAllowed });
+    isAllowed = false;
+    this.maintenanceOutcome = await outcome;
+    await calls;
+  },
+);
+
+Then('the maintenance request has the outcome {string}', function check(this: ClientWorld, it) {
+  assert.equal(this.maintenanceOutcome, it);
+});
+
 Then(
   'a start order to it has the outcome {string}',
   async function check(this: ClientWorld, outcome) {
--- a/packages/workflow/src/instanceApi.ts
+++ b/packages/workflow/src/instanceApi.ts
@@ -8,6 +8,8 @@
   | 'busy'
   /** The instance does not exist or is not part of the wave. */
   | 'refused'
+  /** The leadership ended before the request was written. */
+  | 'not-sent'
   /** No response, or rate limit exceeded; maintenance may have begun. */
   | 'unknown';
 
@@ -18,6 +20,11 @@
     wave: number;
     holder: string;
     fencingToken: number;
+    /**
+     * Returns whether the leadership is still valid. Checked directly before the request is written,
+     * as some platforms do not compare fencing tokens.
+     */
+    isAllowed: () => boolean;
   }): Promise<MaintenanceOutcome>;
 }
 
--- a/packages/workflow/src/waveRunner.ts
+++ b/packages/workflow/src/waveRunner.ts
@@ -84,7 +84,8 @@
     if (!context.isValid()) return;
     this.nextAttemptMs.set(instance, performance.now() + MAINTENANCE_RETRY_MS);
     const order = { instance, wave: wave.number, holder, fencingToken };
-    const outcome = await instances.beginMaintenance(order);
+    const { isValid: isAllowed } = context;
+    const outcome = await instances.beginMaintenance({ ...order, isAllowed });
     logger.info('maintenance requested', { ...order, outcome });
     // An instance that no longer exists needs no maintenance.
     if (outcome !== 'begun' && outcome !== 'refused') return;
