Go on querying the advisor after an unexpected error

The loop of an instance ended for good with the first error that the client of the advisor did not handle, and its queries waited for their deadline.

Scenario: 'an instance goes on after a query that fails unexpectedly'; fails without the handler.

--- a/packages/daemon/src/advisorLoop.ts
+++ b/packages/daemon/src/advisorLoop.ts
@@ -71,23 +71,28 @@
         await delay(RETRY_DELAY_MS);
         continue;
       }
-      if (query) reports = [await this.queryAdvisor(query)];
+      reports = query ? await this.queryAdvisor(query) : [];
     }
   }
 
+  /** Resolves with the report, or with none after an unexpected error, which must not end the loop. */
   private async queryAdvisor({
     id,
     step,
     endpoints,
     timeoutMs,
-  }: AdviceQuery): Promise<AdviceReport> {
+  }: AdviceQuery): Promise<AdviceReport[]> {
     const sentMs = performance.now();
-    const response = await this.opts.advisor.query(step, endpoints, timeoutMs);
-    return {
-      id,
-      good: response?.good,
-      validMs: response?.validMs,
-      durationMs: performance.now() - sentMs,
-    };
+    try {
+      const response = await this.opts.advisor.query(step, endpoints, timeoutMs);
+      const durationMs = performance.now() - sentMs;
+      return [{ id, good: response?.good, validMs: response?.validMs, durationMs }];
+    } catch (err) {
+      this.opts.log.warn('query was not sent to the advisor', {
+        step,
+        err: (err as Error).message,
+      });
+      return [];
+    }
   }
 }
--- a/packages/tests/features/workflow/advice.feature
+++ b/packages/tests/features/workflow/advice.feature
@@ -69,3 +69,8 @@
   Scenario: a report that could not be delivered is sent again
     When an instance has a report, and the leader does not respond to its first 2 calls
     Then the leader receives the report once
+
+  # Guards against an instance that sends no queries any more after one unexpected error.
+  Scenario: an instance goes on after a query that fails unexpectedly
+    When the query of an instance fails unexpectedly
+    Then the instance polls for the next query
--- a/packages/tests/src/steps/workflow/adviceSteps.ts
+++ b/packages/tests/src/steps/workflow/adviceSteps.ts
@@ -15,6 +15,7 @@
   advisor: SimulatedAdvisor;
   query: Promise<AdviceQuery | undefined>;
   reported: AdviceReport[];
+  exchangeCount: number;
   load: QueuedQuery[];
   maxWaitMs: number;
   /** Call time by priority. */
@@ -94,6 +95,30 @@
   },
 );
 
+When('the query of an instance fails unexpectedly', async function fail(this: AdviceSteps) {
+  const query = { id: 7, step: 'j.0.0', endpoints: ['w1'], timeoutMs: 100 };
+  this.exchangeCount = 0;
+  const call = async () => {
+    this.exchangeCount += 1;
+    return this.exchangeCount === 1 ? query : new Promise(() => {});
+  };
+  using loop = new AdvisorLoop({
+    leader: { call } as unknown as LeaderClient,
+    advisor: {
+      query: async () => {
+        throw new Error('unexpected');
+      },
+    },
+    log: SILENT_LOG,
+  });
+  loop.start();
+  await this.world.advance(1000);
+});
+
+Then('the instance polls for the next query', function check(this: AdviceSteps) {
+  assert.equal(this.exchangeCount, 2);
+});
+
 Then('the leader receives the report once', function check(this: AdviceSteps) {
   assert.deepEqual(
     this.reported.map(({ id }) => id),
