--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -184,6 +184,16 @@
     Then job "j" is "completed"
     And worker w1 has started 4 runs
 
+  # Guards against an endpoint that has left and is used again after a restart of the leader.
+  Scenario: a late heartbeat of an endpoint that has left gets it no work from the next leader
+    When worker w1 leaves
+    And 1000 ms of workflow time pass
+    And the workflow leader changes
+    And job "j" of 8 tasks is submitted
+    And 8000 ms of workflow time pass
+    Then job "j" is "completed"
+    And worker w1 has started no run
+
   Scenario: a start that a worker has not executed is lost when it restarts
     Given worker w1 executes start orders late
     When job "j" of 4 tasks is submitted
