--- a/packages/tests/src/steps/workflow/adviceSteps.ts
+++ b/packages/tests/src/steps/workflow/adviceSteps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 
 import { Given, Then, When } from '@cucumber/cucumber';
-import { AdvisorLoop } from '@lagoongap/daemon/advisorLoop.js';
+import { AdvisorLoop, type Advisor } from '@lagoongap/daemon/advisorLoop.js';
 import type { LeaderClient } from '@lagoongap/gateway/leaderClient.js';
 import { SILENT_LOG } from '@lagoongap/model/log.js';
 import type { AdviceQuery, AdviceReport } from '@lagoongap/workflow/adviceBroker.js';
@@ -14,8 +14,8 @@
   world: WorkflowWorld;
   advisor: SimulatedAdvisor;
   query: Promise<AdviceQuery | undefined>;
-  reported: AdviceReport[];
-  exchangeCount: number;
+  /** Reports of each exchange with the leader. */
+  exchanges: AdviceReport[][];
   load: QueuedQuery[];
   maxWaitMs: number;
   /** Call time by priority. */
@@ -72,58 +72,47 @@
   assert.equal(query?.step, 'j.0.0');
 });
 
+/**
+ * Runs the loop of an instance for a second: the leader assigns a query in the first exchange, does
+ * not respond to the next `failures`, and then has no other query.
+ */
+async function runLoop(
+  steps: AdviceSteps,
+  failures: number,
+  query: Advisor['query'] = async () => ({ good: [], validMs: TICKET_VALID_MS }),
+): Promise<void> {
+  const assigned = { id: 7, step: 'j.0.0', endpoints: ['w1'], timeoutMs: 100 };
+  steps.exchanges = [];
+  const call = async (_: string, { reports }: { reports: AdviceReport[] }) => {
+    const count = steps.exchanges.push(reports);
+    if (count === 1) return assigned;
+    if (count <= 1 + failures) throw new Error('no response');
+    return new Promise(() => {});
+  };
+  const leader = { call } as unknown as LeaderClient;
+  using loop = new AdvisorLoop({ leader, advisor: { query }, log: SILENT_LOG });
+  loop.start();
+  await steps.world.advance(1000);
+}
+
 When(
   'an instance has a report, and the leader does not respond to its first {int} calls',
   async function report(this: AdviceSteps, failures: number) {
-    const query = { id: 7, step: 'j.0.0', endpoints: ['w1'], timeoutMs: 100 };
-    let calls = 0;
-    this.reported = [];
-    const call = async (_: string, { reports }: { reports: AdviceReport[] }) => {
-      calls += 1;
-      if (calls === 1) return query;
-      if (calls <= 1 + failures) throw new Error('no response');
-      this.reported.push(...reports);
-      return new Promise(() => {});
-    };
-    using loop = new AdvisorLoop({
-      leader: { call } as unknown as LeaderClient,
-      advisor: { query: async () => ({ good: [], validMs: TICKET_VALID_MS }) },
-      log: SILENT_LOG,
-    });
-    loop.start();
-    await this.world.advance(1000);
+    await runLoop(this, failures);
   },
 );
 
 When('the query of an instance fails unexpectedly', async function fail(this: AdviceSteps) {
-  const query = { id: 7, step: 'j.0.0', endpoints: ['w1'], timeoutMs: 100 };
-  this.exchangeCount = 0;
-  const call = async () => {
-    this.exchangeCount += 1;
-    return this.exchangeCount === 1 ? query : new Promise(() => {});
-  };
-  using loop = new AdvisorLoop({
-    leader: { call } as unknown as LeaderClient,
-    advisor: {
-      query: async () => {
-        throw new Error('unexpected');
-      },
-    },
-    log: SILENT_LOG,
-  });
-  loop.start();
-  await this.world.advance(1000);
+  await runLoop(this, 0, () => Promise.reject(new Error('unexpected')));
 });
 
 Then('the instance polls for the next query', function check(this: AdviceSteps) {
-  assert.equal(this.exchangeCount, 2);
+  assert.equal(this.exchanges.length, 2);
 });
 
 Then('the leader receives the report once', function check(this: AdviceSteps) {
-  assert.deepEqual(
-    this.reported.map(({ id }) => id),
-    [7],
-  );
+  const received = this.exchanges.at(-1)!.map(({ id }) => id);
+  assert.deepEqual(received, [7]);
 });
 
 When(
