Remove a check that could never refuse a call

The check for calls that have timed out at their caller counted from the receipt of the call, as instances share no clock, so that a call that had waited in a connection or a paused process passed it. Its scenario, 'a call that reaches the leader after its deadline is not carried out', was wrong: the fake network counted from the sending, on a clock that both sides shared. What remains of the timeout in a request bounds the time for which a replica holds the call.

--- a/packages/peering/src/peerNetwork.ts
+++ b/packages/peering/src/peerNetwork.ts
@@ -1,7 +1,8 @@
 /**
  * Handles calls of one method; the result is sent back to the calling instance.
  *
- * @param endMs - Monotonic time after which the caller no longer waits; Infinity if not known.
+ * @param endMs - Monotonic time after which the caller no longer waits, if the call was on its way
+ *   for no time; Infinity if not known.
  */
 export type PeerMethodHandler = (params: unknown, from: string, endMs: number) => unknown;
 
--- a/packages/peering/src/rpcServer.ts
+++ b/packages/peering/src/rpcServer.ts
@@ -20,7 +20,10 @@
   endMs: number;
 }
 
-/** Returns the time until which the caller waits; earlier releases do not send the timeout. */
+/**
+ * Returns the time until which the caller waits, counted from the receipt, as instances share no
+ * clock; earlier releases do not send the timeout.
+ */
 function readEndMs({ timeoutMs }: FrameMessage): number {
   return typeof timeoutMs === 'number' ? performance.now() + timeoutMs : Infinity;
 }
--- a/packages/workflow/src/workflowCoordinator.ts
+++ b/packages/workflow/src/workflowCoordinator.ts
@@ -225,8 +225,6 @@
   ): void {
     this.opts.network.handle(method, async (params, from, endMs) => {
       await this.gate.wait(endMs);
-      // The call has timed out at its caller, who may have repeated it elsewhere.
-      if (performance.now() >= endMs) throw this.createRefusal('not-run');
       const session = this.requireSession();
       try {
         const handle = (): unknown => handler(session, params as Params, from);
