Change review case 1 to a gang

Change: the crashes strike under two tasks of a gang, none of which has two. The stand-in runner gets the ends of gangs, kinds, failing runs and an end without resets, which cases 4 and 5 use.

--- a/review/runner.mjs
+++ b/review/runner.mjs
@@ -7,6 +7,11 @@
 import { BOUNDS, delay, HEARTBEAT_MS } from './cell.mjs';
 
 const TICK_MS = 10;
+const RACK = 'r1-1';
+
+/** Time after which a run fails on a runner that fails all. */
+const FAIL_AFTER_MS = 100;
+
 const FULL_PERCENT = 100;
 
 /** Time after its start from which a task that lasts is at work. */
@@ -33,13 +38,13 @@
  * tasks last.
  */
 export class Runner {
-  constructor({ id, machine, host, service, rack = 'r1-1', control, history, capacity }) {
-    Object.assign(this, { id, machine, host, service, rack, control, history });
-    this.capacity = capacity ?? { cpu: 32_000, mem_mb: 131_072, gpu: 0 };
+  constructor({ id, machine, host, service, kind = 'a', control, history }) {
+    Object.assign(this, { id, machine, host, service, kind, control, history });
+    this.capacity = { cpu: 32_000, mem_mb: 131_072, gpu: 0 };
+    /** Whether all runs that it starts fail. */
+    this.failsAll = false;
     this.port = 0;
     this.isUp = false;
-    /** Returns how a call is disturbed: `{ applyMs }` if it gets no answer and is late. */
-    this.disturb = () => undefined;
     /** Address of the advertised listener, if it is not the runner's own. */
     this.advertised = undefined;
     /** Maps an address of the system to the one that is dialled. */
@@ -104,6 +109,24 @@
     this.record.write(`runner ${this.id} is gone: ${how}`);
   }
 
+  /**
+   * Ends the lifetime as a machine that goes down does: nothing is answered any more, and its
+   * connections hang until they are reset after `resetMs`.
+   */
+  goDark(how, resetMs) {
+    this.isUp = false;
+    clearInterval(this.timer);
+    for (const run of this.active.values()) this.history.end(run.entry, how);
+    this.active.clear();
+    this.agent.destroy();
+    this.record.write(`runner ${this.id} is gone: ${how}`);
+    const { server } = this;
+    setTimeout(() => {
+      server.close();
+      server.closeAllConnections();
+    }, resetMs);
+  }
+
   async dispose() {
     this.end('the script ends');
   }
@@ -145,6 +168,14 @@
     for (const wake of this.waiters) wake();
   }
 
+  /** Ends the runs of a gang of which another member has ended. */
+  breakGang(id, run) {
+    if (!this.isUp) return;
+    for (const it of [...this.active.values()]) {
+      if (it.task.startsWith(`${id}.`) && it.run === run) this.finish(it, 'broken');
+    }
+  }
+
   noteHighest(task, run) {
     this.highest.set(task, Math.max(run, this.highest.get(task) ?? 0));
   }
@@ -157,16 +188,9 @@
   async serve(req, res) {
     const body = await readBody(req);
     const { born } = this;
-    const disturbance = this.disturb(req.url, body);
-    if (disturbance) {
-      this.record.write(`runner ${this.id} leaves ${req.url} unanswered`);
-      await delay(disturbance.applyMs);
-      if (!this.isUp || this.born !== born) return;
-      const { status } = await this.handle(req, body);
-      this.record.write(`runner ${this.id} carries out ${req.url} late: ${status}`);
-      return;
-    }
+    if (!this.isUp) return;
     const { status, ...answer } = await this.handle(req, body);
+    if (!this.isUp || this.born !== born) return;
     const text = JSON.stringify({ clock_ms: this.clockMs, born: this.born, ...answer });
     res.writeHead(status, { 'content-type': 'application/json' });
     res.end(text);
@@ -192,7 +216,9 @@
     if (run <= (this.highest.get(task) ?? 0)) return { status: 409, reason: 'old' };
     const { work_ms: workMs } = JSON.parse(text);
     const entry = this.history.begin(this.id, task, run);
-    this.active.set(key, { task, run, workMs, fromMs: this.clockMs, entry });
+    const started = { task, run, workMs, fromMs: this.clockMs, entry };
+    this.active.set(key, started);
+    if (this.failsAll) setTimeout(() => this.finish(started, 'failed'), FAIL_AFTER_MS);
     return { status: 200 };
   }
 
@@ -257,7 +283,7 @@
         machine: this.machine,
         born: this.born,
         capacity: this.capacity,
-        labels: ['a', this.rack],
+        labels: [this.kind, RACK],
         clock_ms: this.clockMs,
         seq: this.seq,
       },
