Show in review case 5 what the second upkeep ends

Change: two tasks of a submission that lasts are on the machines of the wave, and a machine in upkeep answers nothing.

--- a/review/cloudApi.mjs
+++ b/review/cloudApi.mjs
@@ -78,7 +78,6 @@
       history: this.history,
     });
     Object.assign(machine, { runner });
-    this.onRunner?.(runner);
     await runner.start();
   }
 
@@ -121,8 +120,9 @@
     this.onUpkeep(machine);
     machine.doneWaves.add(number);
     machine.isDown = true;
-    machine.runner.end('upkeep');
-    setTimeout(() => this.startRunner(machine), BOUNDS.upkeep_s * MS_PER_SECOND);
+    const upkeepMs = BOUNDS.upkeep_s * MS_PER_SECOND;
+    machine.runner.goDark('upkeep', upkeepMs);
+    setTimeout(() => this.startRunner(machine), upkeepMs);
     return { status: 200 };
   }
 }
