--- a/review/runner.mjs
+++ b/review/runner.mjs
@@ -79,6 +79,7 @@
     this.highest = new Map();
     this.waiters = new Set();
     this.state = 'ready';
+    this.hasSaidGoodbye = false;
     this.agent = new Agent({ keepAlive: true, maxSockets: 1 });
     this.server = createServer((req, res) => {
       this.serve(req, res).catch(() => res.destroy());
@@ -141,6 +142,7 @@
 
   /** Sends its DELETE once; resolves with whether it was confirmed. */
   async sayGoodbye(timeoutMs) {
+    this.hasSaidGoodbye = true;
     this.record.write(`runner ${this.id} sends DELETE`);
     const isConfirmed = await this.callControl('DELETE', undefined, timeoutMs);
     this.record.write(`runner ${this.id}: DELETE is ${isConfirmed ? '' : 'not '}confirmed`);
@@ -261,7 +263,8 @@
   }
 
   async reportLoop(born) {
-    while (this.isUp && this.born === born) {
+    // Its DELETE is the last that a runner says.
+    while (this.isUp && this.born === born && !this.hasSaidGoodbye) {
       const isConfirmed = await this.report();
       await delay(isConfirmed ? HEARTBEAT_MS : 200);
     }
