End the programs of a review script that is terminated

Cause: a script that got SIGTERM left its programs running. Change: SIGTERM and SIGINT end the script by its exit handler.

--- a/review/cell.mjs
+++ b/review/cell.mjs
@@ -102,6 +102,7 @@
     this.programs = [];
     this.isDisposed = false;
     process.once('exit', () => this.killAll());
+    ['SIGINT', 'SIGTERM'].forEach((signal) => process.once(signal, () => process.exit(2)));
   }
 
   async start({ replicas = 3, gateways = 2 } = {}) {
