Let the linter pass on the review's launcher

Cause: the exit on a signal is a rule that the project turns off for its own TypeScript, and the launcher did not name it. Change: the launcher names it, as record.mjs does.

--- a/review/cell.mjs
+++ b/review/cell.mjs
@@ -1,6 +1,6 @@
 // The rules below are those that the project turns off for its own TypeScript.
 /* eslint-disable no-await-in-loop */
-/* eslint-disable no-restricted-syntax, n/no-unsupported-features/node-builtins */
+/* eslint-disable n/no-process-exit, no-restricted-syntax, n/no-unsupported-features/node-builtins */
 import { spawn } from 'node:child_process';
 import { mkdtemp, open, readFile, rm, writeFile } from 'node:fs/promises';
 import { createServer } from 'node:net';
