Keep the runs of a leaving endpoint until nothing can run there

Its endpoint had sent its DELETE while bytes from the system to it were lost, got no confirmation and ran on.

Cause: EndpointAgent took a DELETE and one inspection without a response as proof that the endpoint had ended, and dropped its runs within the same millisecond, with about 5 s of their lease left (log lines 'endpoint does not answer', 'endpoint is forgotten' and 'runs are lost' of the leader). Ruled out by the same lines: an expired lease, a newer incarnation.

The runs are now lost once the address refuses connections, so that no process listens there, or once all leases have expired.

--- a/packages/tests/features/platform/formats.feature
+++ b/packages/tests/features/platform/formats.feature
@@ -214,6 +214,11 @@
   Scenario: a start order that cannot be sent is known not to have arrived
     Given a server that has stopped
     Then a start order to it has the outcome "not-sent"
+    And an inspection of it fails as "refused"
+
+  Scenario: an endpoint that does not respond may be running
+    Given a server that never responds
+    Then an inspection of it fails as "unreachable"
 
   Scenario: a call that waits for a free connection does not time out before it is sent
     Given a server that responds after 30 ms
--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -194,6 +194,45 @@
     Then job "j" is "completed"
     And worker w1 has started no run
 
+  # Guards against a second run of a task whose endpoint is cut off as it announces its shutdown: it
+  # gets no confirmation and runs on.
+  Scenario Outline: tasks of an endpoint that leaves behind a partition wait for the end of its lease
+    When job "j" of 4 tasks of 20000 ms is submitted
+    And 100 ms of workflow time pass
+    And worker w1 leaves
+    And worker w2 completes new tasks after 100 ms
+    And <event>
+    And 3500 ms of workflow time pass
+    Then 4 runs were started
+    When 30000 ms of workflow time pass
+    Then job "j" is "completed"
+    And no task ran twice at the same time
+
+    Examples:
+      | event                       |
+      | 10 ms of workflow time pass |
+      | the workflow leader changes |
+
+  Scenario: tasks of an endpoint that leaves start elsewhere once its address refuses connections
+    When job "j" of 4 tasks of 20000 ms is submitted
+    And 100 ms of workflow time pass
+    And worker w1 leaves and its instance is off 40 ms after the end of its process
+    And worker w2 completes new tasks after 100 ms
+    And 500 ms of workflow time pass
+    Then 6 runs were started
+    And no task ran twice at the same time
+
+  Scenario: an endpoint that leaves is inspected again once the leadership is valid
+    When job "j" of 4 tasks of 20000 ms is submitted
+    And 100 ms of workflow time pass
+    And the workflow leader loses its majority
+    And worker w1 leaves and its instance is off 40 ms after the end of its process
+    And 300 ms of workflow time pass
+    And the workflow leader regains its majority
+    And worker w2 completes new tasks after 100 ms
+    And 30000 ms of workflow time pass
+    Then job "j" is "completed"
+
   Scenario: a start that a worker has not executed is lost when it restarts
     Given worker w1 executes start orders late
     When job "j" of 4 tasks is submitted
--- a/packages/tests/src/steps/platform/clientSteps.ts
+++ b/packages/tests/src/steps/platform/clientSteps.ts
@@ -190,3 +190,11 @@
     assert.equal((await driver.start(target, order))?.outcome, outcome);
   },
 );
+
+Then('an inspection of it fails as {string}', async function check(this: ClientWorld, failure) {
+  const driver = new HttpEndpointDriver(this.client, SILENT_LOG);
+  const { port } = (this.server?.address() ?? {}) as Partial<AddressInfo>;
+  const target = { id: 'e', address: port ? `127.0.0.1:${port}` : this.stoppedAddress };
+  const result = await driver.inspect(target, { fencingToken: 1, ackedReport: 0, waitMs: 0 });
+  assert.deepEqual(result, { failure });
+});
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -130,6 +130,18 @@
   this.world.driver.worker(id).behaviour = 'silent';
 });
 
+When(
+  'worker {word} leaves and its instance is off {int} ms after the end of its process',
+  async function leave(this: Steps, id: string, ms: number) {
+    const worker = this.world.driver.worker(id);
+    this.world.session.endpoints.leave(id);
+    worker.crash();
+    worker.closedConnections = 3;
+    await pass(this, ms);
+    worker.behaviour = 'silent';
+  },
+);
+
 Given('registrations of endpoints cannot be committed at first', function refuse(this: Steps) {
   this.world.log.refusesRegistrations = true;
 });
--- a/packages/tests/src/workflow/fakeDriver.ts
+++ b/packages/tests/src/workflow/fakeDriver.ts
@@ -96,7 +96,10 @@
       await pause(ORDER_TIMEOUT_MS);
       return { failure: 'unreachable' };
     }
-    if (worker.behaviour === 'crashed') return { failure: 'unreachable' };
+    if (worker.behaviour === 'crashed') {
+      worker.closedConnections -= 1;
+      return { failure: worker.closedConnections >= 0 ? 'unreachable' : 'refused' };
+    }
     const { bornMs, rejection } = worker;
     if (rejection === 'unhealthy' || rejection === 'wrong-instance') return { failure: rejection };
     const sentMs = performance.now();
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -73,6 +73,8 @@
   observer: WorkerObserver | undefined;
   /** Address at which the worker can be reached; any address if absent. */
   address: string | undefined;
+  /** Pooled connections that a crash has closed; each fails one inspection. */
+  closedConnections = 0;
   /** Rows that the worker lists besides its runs. */
   otherRuns: ActiveRun[] = [];
   /** The rows of active runs cannot be read. */
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -52,7 +52,7 @@
   /** Called with the active runs after each inspection. */
   onInspected(agent: EndpointAgent, active: ActiveRun[]): void;
   onAvailabilityChange(agent: EndpointAgent): void;
-  /** The endpoint announced its shutdown and no longer responds. */
+  /** The endpoint announced its shutdown and can no longer be running anything. */
   onLeft(agent: EndpointAgent): void;
   /** The endpoint has received orders from a newer leader. */
   onFenced(): void;
@@ -101,6 +101,12 @@
 /** Delay after an inspection without a response. */
 const INSPECTION_RETRY_MS = 100;
 
+/**
+ * Number of failed inspections of a leaving endpoint that are repeated at once: each connection that
+ * it closed fails one. Its instance may refuse new ones only until it is switched off.
+ */
+const MAX_IMMEDIATE_RETRIES = 4;
+
 /** Maximum number of reports in a response; a full response may omit further ends. */
 const MAX_REPORTS = 500;
 
@@ -324,6 +330,7 @@
   }
 
   private async loop(): Promise<void> {
+    let failures = 0;
     while (!this.isDisposed) {
       if (!this.needsInspection()) {
         await this.sleep(undefined);
@@ -334,7 +341,9 @@
         return false;
       });
       if (this.isDisposed) return;
-      if (!hasResponded) await this.sleep(INSPECTION_RETRY_MS);
+      failures = hasResponded || !this.isSuspect ? 0 : failures + 1;
+      const isRetriedAtOnce = this.isLeaving && failures > 0 && failures <= MAX_IMMEDIATE_RETRIES;
+      if (!hasResponded && !isRetriedAtOnce) await this.sleep(INSPECTION_RETRY_MS);
     }
   }
 
@@ -458,11 +467,11 @@
       return;
     }
     this.markSuspect(failure);
-    if (this.isLeaving && failure === 'unreachable') {
-      listener.onLeft(this);
-      return;
-    }
-    if (this.runs.size > 0 && this.haveLeasesEnded()) {
+    const haveRunsEnded = this.runs.size === 0 || this.haveLeasesEnded();
+    if (this.isLeaving) {
+      // An announced shutdown may still be in progress behind a partition.
+      if (failure === 'refused' || haveRunsEnded) listener.onLeft(this);
+    } else if (haveRunsEnded) {
       this.drop([...this.runs.values()], 'the lease expired');
     }
   }
--- a/packages/workflow/src/endpointDriver.ts
+++ b/packages/workflow/src/endpointDriver.ts
@@ -98,7 +98,14 @@
 }
 
 /** Reason why an order failed. */
-export type OrderFailure = 'fenced' | 'wrong-instance' | 'unhealthy' | 'unreachable';
+export type OrderFailure =
+  | 'fenced'
+  | 'wrong-instance'
+  | 'unhealthy'
+  /** Nothing listens at the address, so the endpoint's process does not run. */
+  | 'refused'
+  /** No response, or none that can be read; the endpoint may be running. */
+  | 'unreachable';
 
 /** Result of an order: the response, or the reason why there is none. */
 export type OrderResult<Response> = { answer: Response } | { failure: OrderFailure };
