End a trial that has outlived the failures before it

Cause: after the probation of an ejected endpoint its first attempt is the trial, and the endpoint gets no other work until the trial ends or 60 s have passed. Restarts of services are placed first, and a service does not end. In the record of the case two jobs that were started in the same cycle as the service end 'done' 0.7 s later, and the endpoint still gets nothing. Ruled out: limits and capacity (2.5 of 32 cores in use, no limit), the crash quarantine (no line), the probation (three runs had been started).

A trial now succeeds once it has lasted twice as long as the attempts that failed before it, 2 s at least and 60 s at most, and so does one beside which another attempt that was placed with it succeeds. An attempt from before the trial still does not count. Long batch tasks held an endpoint back in the same way, on both interfaces.

--- a/packages/routing/src/ejectingHealthPolicy.ts
+++ b/packages/routing/src/ejectingHealthPolicy.ts
@@ -14,7 +14,9 @@
   maxEjectedShare: number;
   /** Time without an ejection after which the probation is reset to its first length. */
   resetAfterMs: number;
-  /** Time after which a trial that has not failed counts as successful. */
+  /** Shortest time after which a trial that has not ended counts as successful. */
+  minTrialMs: number;
+  /** Longest time after which a trial that has not ended counts as successful. */
   maxTrialMs: number;
   /** Source of jitter, in [0, 1). */
   random: () => number;
@@ -27,14 +29,19 @@
   maxProbationMs: 300_000,
   maxEjectedShare: 0.3,
   resetAfterMs: 600_000,
+  minTrialMs: 2000,
   maxTrialMs: 60_000,
   random: Math.random,
 });
 
+/** Ratio of the time that a trial has to last to the time after which earlier attempts failed. */
+const TRIAL_LENGTH_RATIO = 2;
+
 /**
  * Ejects endpoints on which different units fail in a row. After the probation, one attempt at a
- * time is placed as a trial. When the maximum share of ejected endpoints is reached, a failing
- * endpoint is penalized instead.
+ * time is placed as a trial. A trial that may last long, such as a service, is successful once it
+ * has clearly outlived the attempts that failed. When the maximum share of ejected endpoints is
+ * reached, a failing endpoint is penalized instead.
  */
 export class EjectingHealthPolicy implements HealthPolicy {
   private readonly opts: EjectionOptions;
@@ -69,10 +76,13 @@
 
   recordStart({ endpointId, attemptId }: AttemptRef): void {
     const endpoint = this.endpoints.get(endpointId);
-    if (endpoint?.state !== 'awaiting-trial') return;
+    if (endpoint === undefined) return;
+    const startedMs = endpoint.beginAttempt(attemptId);
+    if (endpoint.state !== 'awaiting-trial') return;
     endpoint.state = 'on-trial';
     endpoint.trialAttempt = attemptId;
-    endpoint.timer = setTimeout(() => this.reinstate(endpoint), this.opts.maxTrialMs);
+    endpoint.trialStartedMs = startedMs;
+    endpoint.timer = setTimeout(() => this.reinstate(endpoint), this.chooseTrialMs(endpoint));
     this.notifyListeners(endpoint);
   }
 
@@ -80,15 +90,20 @@
     this.attribution.recordSuccess(unitId, endpointId);
     const endpoint = this.endpoints.get(endpointId);
     if (endpoint === undefined) return;
+    const startedMs = endpoint.endAttempt(attemptId) ?? -Infinity;
+    // Others may have been placed in the same scheduling cycle as the trial.
+    const isOfTrial = endpoint.state === 'on-trial' && startedMs >= endpoint.trialStartedMs;
     if (endpoint.state === 'good') {
       endpoint.clearFailures();
       this.notifyListeners(endpoint);
-    } else if (endpoint.trialAttempt === attemptId) this.reinstate(endpoint);
+    } else if (isOfTrial) this.reinstate(endpoint);
   }
 
   recordFailure({ endpointId, attemptId, unitId }: AttemptRef): void {
     const endpoint = this.endpoints.get(endpointId);
     if (endpoint === undefined) return;
+    const nowMs = performance.now();
+    const ranMs = nowMs - (endpoint.endAttempt(attemptId) ?? nowMs);
     const verdict = this.attribution.recordFailure(unitId, endpointId, (id) =>
       this.isSuspect(id, unitId),
     );
@@ -99,10 +114,10 @@
       return;
     }
     if (isTrial) {
-      endpoint.addFailure(unitId);
+      endpoint.addFailure(unitId, ranMs);
       this.eject(endpoint);
     } else if (endpoint.state === 'good') {
-      endpoint.addFailure(unitId);
+      endpoint.addFailure(unitId, ranMs);
       if (endpoint.failureCount >= this.opts.failureThreshold && this.mayEject(endpoint)) {
         this.eject(endpoint);
       }
@@ -112,6 +127,7 @@
 
   recordAbandoned({ endpointId, attemptId }: AttemptRef): void {
     const endpoint = this.endpoints.get(endpointId);
+    endpoint?.endAttempt(attemptId);
     if (endpoint?.trialAttempt === attemptId) this.awaitTrial(endpoint);
   }
 
@@ -150,6 +166,11 @@
     this.notifyListeners(endpoint);
   }
 
+  private chooseTrialMs({ longestFailureMs }: EndpointHealth): number {
+    const { minTrialMs, maxTrialMs } = this.opts;
+    return Math.min(maxTrialMs, Math.max(minTrialMs, longestFailureMs * TRIAL_LENGTH_RATIO));
+  }
+
   private awaitTrial(endpoint: EndpointHealth): void {
     endpoint.stopTimer();
     endpoint.state = 'awaiting-trial';
--- a/packages/routing/src/endpointHealth.ts
+++ b/packages/routing/src/endpointHealth.ts
@@ -15,9 +15,14 @@
   /** Monotonic time at which the probation ends, in milliseconds. */
   probationEndsAtMs = 0;
   trialAttempt: string | undefined;
+  /** Monotonic time of the start of the trial, in milliseconds. */
+  trialStartedMs = Infinity;
   timer: NodeJS.Timeout | undefined;
   /** Units that failed since the last success. */
   private readonly failedUnits = new Set<string>();
+  private longestFailedMs = 0;
+  /** Monotonic times of the starts of attempts that have not ended, in milliseconds. */
+  private readonly startsMs = new Map<string, number>();
 
   constructor(readonly id: string) {}
 
@@ -36,8 +41,29 @@
     return this.failedUnits.size - (this.failedUnits.has(unitId) ? 1 : 0);
   }
 
-  addFailure(unitId: string): void {
+  /** Longest time after which an attempt failed since the last success, in milliseconds. */
+  get longestFailureMs(): number {
+    return this.longestFailedMs;
+  }
+
+  /** Records the start of an attempt and returns its monotonic time. */
+  beginAttempt(attemptId: string): number {
+    const startedMs = performance.now();
+    this.startsMs.set(attemptId, startedMs);
+    return startedMs;
+  }
+
+  /** Records the end of an attempt; returns its monotonic start time if that is known. */
+  endAttempt(attemptId: string): number | undefined {
+    const startedMs = this.startsMs.get(attemptId);
+    this.startsMs.delete(attemptId);
+    return startedMs;
+  }
+
+  /** Adds the failure of a unit, whose attempt had run for `ranMs`. */
+  addFailure(unitId: string, ranMs: number): void {
     if (this.failedUnits.size < MAX_FAILED_UNITS) this.failedUnits.add(unitId);
+    this.longestFailedMs = Math.max(this.longestFailedMs, ranMs);
   }
 
   removeFailure(unitId: string): boolean {
@@ -46,6 +72,7 @@
 
   clearFailures(): void {
     this.failedUnits.clear();
+    this.longestFailedMs = 0;
   }
 
   /** Stops the timer of the current probation or trial. */
--- a/packages/routing/src/healthPolicy.ts
+++ b/packages/routing/src/healthPolicy.ts
@@ -28,7 +28,7 @@
   removeEndpoint(endpointId: string): void;
   /** Records that an attempt was placed; on an endpoint that awaits a trial, it is the trial. */
   recordStart(attempt: AttemptRef): void;
-  /** Records that an attempt succeeded, or that a service has started successfully. */
+  /** Records that an attempt succeeded, or that a service has clearly started successfully. */
   recordSuccess(attempt: AttemptRef): void;
   /** Records that an attempt failed on its endpoint. */
   recordFailure(attempt: AttemptRef): void;
--- a/packages/tests/features/routing/endpointHealth.feature
+++ b/packages/tests/features/routing/endpointHealth.feature
@@ -64,6 +64,31 @@
     And the trial fails
     Then the probation of endpoint 1 lasts between 10 and 20 seconds
 
+  # Guards against a sound endpoint that is kept from all other work by a trial that never ends.
+  Scenario Outline: a trial that outlives the failures before it reinstates the endpoint
+    Given 20 endpoints under the 'ejecting' health policy
+    When jobs 'a,b,c' fail on endpoint 1 after <failed> ms each
+    And 10 seconds of probation pass
+    And a trial starts on endpoint 1
+    And <short> seconds of probation pass
+    Then endpoint 1 is ejected
+    When 1 seconds of probation pass
+    Then endpoint 1 is in use
+
+    Examples:
+      | failed | short |
+      | 100    | 1     |
+      | 3000   | 5     |
+      | 50000  | 59    |
+
+  Scenario: another attempt that was placed with the trial reinstates the endpoint if it succeeds
+    Given 20 endpoints under the 'ejecting' health policy
+    When jobs 'a,b,c' fail on endpoint 1
+    And 10 seconds of probation pass
+    And a trial starts on endpoint 1
+    And job 's' runs on endpoint 1 for 500 ms and succeeds
+    Then endpoint 1 is in use
+
   Scenario: the share of ejected endpoints is limited for each kind of work
     Given 20 endpoints under the 'ejecting' health policy
     When different jobs fail on endpoints 1 to 20
--- a/packages/tests/src/steps/routing/endpointHealthSteps.ts
+++ b/packages/tests/src/steps/routing/endpointHealthSteps.ts
@@ -83,6 +83,28 @@
   for (const job of jobs.split(',')) fail(job, endpoint);
 });
 
+When(
+  'jobs {string} fail on endpoint {int} after {int} ms each',
+  (jobs: string, endpoint: number, ms: number) => {
+    for (const job of jobs.split(',')) {
+      const attempt = createAttempt(job, endpoint);
+      world.policy.recordStart(attempt);
+      world.healthClock!.tick(ms);
+      world.policy.recordFailure(attempt);
+    }
+  },
+);
+
+When(
+  'job {string} runs on endpoint {int} for {int} ms and succeeds',
+  (job: string, endpoint: number, ms: number) => {
+    const attempt = createAttempt(job, endpoint);
+    world.policy.recordStart(attempt);
+    world.healthClock!.tick(ms);
+    world.policy.recordSuccess(attempt);
+  },
+);
+
 When('{int} different jobs fail on endpoint {int}', (jobs: number, endpoint: number) =>
   failDifferent(endpoint, jobs),
 );
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -85,6 +85,12 @@
   await this.world.addWorkers(count, cores);
 });
 
+Given('only worker {word} has the label {string}', async function add(this: Steps, id, label) {
+  const record = this.world.records.get(id)!;
+  this.world.records.set(id, { ...record, labels: [...record.labels, label] });
+  await this.world.sendHeartbeats();
+});
+
 Given('the organisation is limited to {int} cores', function limit(this: Steps, cores: number) {
   this.world.limitCores(cores);
 });
@@ -234,6 +240,22 @@
   },
 );
 
+When(
+  '{int} jobs that need the label {string} are submitted',
+  async function submitLabelled(this: Steps, count: number, requiredLabel: string) {
+    for (let i = 0; i < count; i += 1) {
+      await this.world.submit(`labelled${i}`, [createStep({ requiredLabel })]);
+    }
+  },
+);
+
+When(
+  /^(service|job) "(\w+)" that needs the label "(\w+)" is submitted$/,
+  async function submitLabelled(this: Steps, kind: string, id: string, requiredLabel: string) {
+    await this.world.submit(id, [createStep({ requiredLabel, isService: kind === 'service' })]);
+  },
+);
+
 When('job {string} is cancelled', async function cancel(this: Steps, id: string) {
   const response = await this.world.call({ operation: 'cancel' }, id);
   assert.equal(response.type, 'cancelled');
