Try an ejected endpoint early for work that no other may run

Callers saw accepted work wait up to 20 s for an endpoint that was sound again, and longer after each further failed trial: the probation doubles from 5 s up to 300 s, plus jitter, also if the endpoint is the only one with the label that a service or job needs.

Waiting steps for which no available endpoint has the label, or for which the advisor has excluded all available ones, now request a trial of the ejected endpoints that may run them; it is granted once the shortest probation has passed. Ejected endpoints are listed in each round of housekeeping, and the steps are only looked at if there are any.

--- a/packages/routing/src/ejectingHealthPolicy.ts
+++ b/packages/routing/src/ejectingHealthPolicy.ts
@@ -131,6 +131,13 @@
     if (endpoint?.trialAttempt === attemptId) this.awaitTrial(endpoint);
   }
 
+  requestTrial(endpointId: string): void {
+    const endpoint = this.endpoints.get(endpointId);
+    if (endpoint?.state !== 'ejected') return;
+    const ejectedForMs = performance.now() - endpoint.ejectedAtMs;
+    if (ejectedForMs >= this.opts.firstProbationMs) this.awaitTrial(endpoint);
+  }
+
   isEjected(endpointId: string): boolean {
     return this.endpoints.get(endpointId)?.isEjected ?? false;
   }
@@ -160,7 +167,8 @@
     endpoint.ejections += 1;
     endpoint.state = 'ejected';
     endpoint.trialAttempt = undefined;
-    endpoint.probationEndsAtMs = performance.now() + jitteredMs;
+    endpoint.ejectedAtMs = performance.now();
+    endpoint.probationEndsAtMs = endpoint.ejectedAtMs + jitteredMs;
     endpoint.stopTimer();
     endpoint.timer = setTimeout(() => this.awaitTrial(endpoint), jitteredMs);
     this.notifyListeners(endpoint);
--- a/packages/routing/src/endpointHealth.ts
+++ b/packages/routing/src/endpointHealth.ts
@@ -12,6 +12,8 @@
   ejections = 0;
   /** Monotonic time of the last reinstatement, in milliseconds. */
   goodSinceMs = -Infinity;
+  /** Monotonic time of the last ejection, in milliseconds. */
+  ejectedAtMs = -Infinity;
   /** Monotonic time at which the probation ends, in milliseconds. */
   probationEndsAtMs = 0;
   trialAttempt: string | undefined;
--- a/packages/routing/src/healthPolicy.ts
+++ b/packages/routing/src/healthPolicy.ts
@@ -34,6 +34,11 @@
   recordFailure(attempt: AttemptRef): void;
   /** Records that an attempt ended without evidence about its endpoint. */
   recordAbandoned(attempt: AttemptRef): void;
+  /**
+   * Requests a trial of an endpoint for work that no other endpoint can run. It is granted once the
+   * shortest probation has passed, even if that of the endpoint is longer.
+   */
+  requestTrial(endpointId: string): void;
   /** Returns whether an endpoint currently gets no work. */
   isEjected(endpointId: string): boolean;
   /**
--- a/packages/routing/src/noHealthPolicy.ts
+++ b/packages/routing/src/noHealthPolicy.ts
@@ -14,6 +14,8 @@
 
   recordAbandoned(): void {}
 
+  requestTrial(): void {}
+
   isEjected(): boolean {
     return false;
   }
--- a/packages/routing/src/penalizingHealthPolicy.ts
+++ b/packages/routing/src/penalizingHealthPolicy.ts
@@ -62,6 +62,8 @@
 
   recordAbandoned(): void {}
 
+  requestTrial(): void {}
+
   isEjected(): boolean {
     return false;
   }
--- a/packages/tests/features/routing/endpointHealth.feature
+++ b/packages/tests/features/routing/endpointHealth.feature
@@ -64,6 +64,16 @@
     And the trial fails
     Then the probation of endpoint 1 lasts between 10 and 20 seconds
 
+  Scenario: a trial can be requested once the shortest probation has passed
+    Given 20 endpoints under the 'ejecting' health policy
+    When endpoint 1 is ejected 4 times in a row
+    And 4 seconds of probation pass
+    And a trial of endpoint 1 is requested
+    Then endpoint 1 is ejected
+    When 1 seconds of probation pass
+    And a trial of endpoint 1 is requested
+    Then endpoint 1 is in use
+
   # Guards against a sound endpoint that is kept from all other work by a trial that never ends.
   Scenario Outline: a trial that outlives the failures before it reinstates the endpoint
     Given 20 endpoints under the 'ejecting' health policy
--- a/packages/tests/features/workflow/ejection.feature
+++ b/packages/tests/features/workflow/ejection.feature
@@ -27,3 +27,15 @@
       | lasting |
       | service |
       | job     |
+
+  # Guards against a probation, doubled by a failed trial, that outlasts the failures of an endpoint.
+  Scenario: an endpoint on which work depends is tried soon after it is sound again
+    Given worker w1 fails the tasks that it starts
+    And worker w1 completes new tasks after 100 ms
+    When 3 jobs that need the label "special" are submitted
+    And service "s" that needs the label "special" is submitted
+    And 16000 ms of workflow time pass
+    And worker w1 responds again
+    And tasks of "s" run until they are stopped
+    And 5500 ms of workflow time pass
+    Then service "s" runs 1 tasks
--- a/packages/tests/src/steps/routing/endpointHealthSteps.ts
+++ b/packages/tests/src/steps/routing/endpointHealthSteps.ts
@@ -148,6 +148,10 @@
   world.policy.recordStart(world.trial);
 });
 
+When('a trial of endpoint {int} is requested', (endpoint: number) =>
+  world.policy.requestTrial(`endpoint-${endpoint}`),
+);
+
 When('the trial succeeds', () => world.policy.recordSuccess(world.trial));
 
 When('the trial fails', () => world.policy.recordFailure(world.trial));
--- a/packages/workflow/src/endpointDirectory.ts
+++ b/packages/workflow/src/endpointDirectory.ts
@@ -102,14 +102,19 @@
   listAvailable(pool: string): EndpointAgent[] {
     return this.list().filter(
       (agent) =>
-        agent.record.pool === pool &&
-        this.isResponsive(agent) &&
-        this.isRegistered(agent) &&
-        !agent.record.isDraining &&
-        !this.health.isEjected(agent.id),
+        agent.record.pool === pool && this.isUsable(agent) && !this.health.isEjected(agent.id),
     );
   }
 
+  /** Returns the endpoints that would accept new work if they were not ejected. */
+  listEjected(): EndpointAgent[] {
+    return this.list().filter((agent) => this.health.isEjected(agent.id) && this.isUsable(agent));
+  }
+
+  private isUsable(agent: EndpointAgent): boolean {
+    return this.isResponsive(agent) && this.isRegistered(agent) && !agent.record.isDraining;
+  }
+
   /**
    * Returns whether the registration of an endpoint's incarnation is durable. The next leader would
    * take runs on an endpoint that it does not know for lost.
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -110,6 +110,11 @@
     return this.ticketProvider.ticketsOf(step).findUnexpired(endpoint, performance.now());
   }
 
+  /** Returns whether the advisor has answered that an endpoint may not run a step. */
+  isUnsuitable(step: string, endpoint: string): boolean {
+    return this.ticketProvider.suitabilityOf(step, endpoint) === 'unsuitable';
+  }
+
   /** Marks a planned start as no longer pending, once its commit has succeeded or failed. */
   clearPending(start: PlannedStart): void {
     this.pending.delete(`${start.stepName}.${start.task.index}`);
--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -83,6 +83,11 @@
     return cache;
   }
 
+  /** Returns the cached suitability of an endpoint for a step. */
+  suitabilityOf(step: string, endpoint: string): 'suitable' | 'unsuitable' | 'unknown' {
+    return this.caches.get(step)?.suitabilityOf(endpoint) ?? 'unknown';
+  }
+
   /** Returns log fields about the query for a step and the queries before it. */
   explain(step: string): Record<string, unknown> {
     const { broker } = this.opts;
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -14,6 +14,7 @@
 import { JobRetention } from './jobRetention.js';
 import { describeFailure } from './jobFailure.js';
 import { JobService } from './jobService.js';
+import { EarlyTrials } from './earlyTrials.js';
 import { EventLoopLag } from './eventLoopLag.js';
 import { parseTaskName, stepName } from './jobSpec.js';
 import { LeadershipMonitor } from './leadershipMonitor.js';
@@ -74,6 +75,7 @@
   private readonly waitLogger: WaitLogger;
   private readonly metrics: SessionMetrics;
   private readonly outages: ServiceOutages;
+  private readonly earlyTrials: EarlyTrials;
   private readonly monitor: LeadershipMonitor;
   private config: CellConfig | undefined;
   private cycleTimer: NodeJS.Timeout | undefined;
@@ -160,6 +162,7 @@
     this.metrics = new SessionMetrics(this.context, this.ready, this.directory);
     const { context, ready, directory } = this;
     this.outages = new ServiceOutages(context, ready, directory);
+    this.earlyTrials = new EarlyTrials({ context, directory, health, ready, scheduler });
     this.ends = new RunEnds({
       context,
       ledger: this.ledger,
@@ -385,6 +388,7 @@
   private runHousekeeping(): void {
     this.loopLag.observe();
     if (!this.context.isValid()) return;
+    this.earlyTrials.request();
     this.scheduler.recheckBlocked();
     for (const id of this.retention.removeExpired()) this.occurrenceTimers.cancel(id);
     this.endpoints.removeUnresponsive();
