Refuse an id in use elsewhere while its endpoint may run attempts

A caller's task could run twice: an endpoint of the product's own interface that is cut off as it leaves, or has been silent for 3.75 s, runs its attempts on until its lease expires after 6 s. A process that announced itself under the same id at another URL replaced its session at once, and the attempts that its first heartbeat did not list were declared lost and started again.

The announcement is refused as a conflict while attempts of the old process are open; its lease ends them and removes it. At the same URL nothing changes, as two processes cannot listen there.

--- a/packages/coordinator/src/endpointLeases.ts
+++ b/packages/coordinator/src/endpointLeases.ts
@@ -200,7 +200,9 @@
       refuse('conflict', `the lease of endpoint ${announcement.id} is expiring; try again`);
     }
     if (!known || known.announcement.url === announcement.url) return;
-    if (this.resolveState(known) === 'silent' || known.leaving) return;
+    // A silent or leaving process may run its attempts until its lease expires.
+    const hasAttempts = this.opts.state.attempts.listByEndpoint(announcement.id).size > 0;
+    if (!hasAttempts && (this.resolveState(known) === 'silent' || known.leaving)) return;
     refuse('conflict', `endpoint id ${announcement.id} is in use at ${known.announcement.url}`);
   }
 
--- a/packages/tests/features/coordinator/crashes.feature
+++ b/packages/tests/features/coordinator/crashes.feature
@@ -15,6 +15,21 @@
     Then the work "steady" was started 3 times
     And 0 attempts are counted as lost in crashes
 
+  # Guards against a second run of a task whose endpoint is cut off while another takes its id.
+  Scenario Outline: attempts of a partitioned endpoint whose id is announced elsewhere keep their lease
+    Given a cell with 3 endpoints
+    And a service "steady"
+    When the endpoint of "steady" <event> and its id is announced at another URL
+    And 1 s pass in the cell
+    Then the work "steady" was started 1 times
+    When 30 s pass in the cell
+    Then the work "steady" was started 2 times
+
+    Examples:
+      | event                                |
+      | leaves behind a partition            |
+      | is partitioned until it seems silent |
+
   Scenario: a batch task that crashes each endpoint is not started a third time
     Given a cell with 5 endpoints
     When a batch job "deadly" with 1 task is submitted
--- a/packages/tests/src/steps/coordinator/crashSteps.ts
+++ b/packages/tests/src/steps/coordinator/crashSteps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import type { EndpointStatus } from '@lagoongap/model/messages.js';
+import type { AnnounceResult, EndpointStatus } from '@lagoongap/model/messages.js';
 import type { JobSpec } from '@lagoongap/model/workload.js';
 import type { CallRecord } from '@lagoongap/stand-in/callRecord.js';
 
@@ -18,6 +18,10 @@
 /** Limits the real time in which a step plays minutes on the paused clock. */
 const STEP_TIMEOUT = { timeout: 60_000 };
 const WORK_TIME_MS = 40 * MS_PER_SECOND;
+/** Time after which a start order is certainly settled. */
+const SETTLED_MS = 10 * MS_PER_SECOND;
+/** Time without heartbeats after which an endpoint counts as silent; shorter than its lease. */
+const SILENT_MS = 3800;
 /** Time after which an interrupted endpoint is back at work. */
 const RECOVERY_MS = 15 * MS_PER_SECOND;
 
@@ -163,6 +167,28 @@
   },
 );
 
+When(
+  /^the endpoint of "(\w+)" (leaves behind a partition|is partitioned until it seems silent) and its id is announced at another URL$/,
+  STEP_TIMEOUT,
+  async function move(this: CrashWorld, marker: string, event: string) {
+    const id = getLastEndpoint(this, marker);
+    const crashCell = this.crashCell!;
+    const { cell } = crashCell;
+    await crashCell.advance(SETTLED_MS);
+    const isLeaving = event.startsWith('leaves');
+    if (isLeaving) await crashCell.settle(cell.call('endpoints.leave', { id }));
+    const endpoint = cell.endpoints.get(`http://${id}`)!;
+    endpoint.isPartitioned = true;
+    if (!isLeaving) await crashCell.advance(SILENT_MS);
+    const announcement = { ...endpoint.announcement, url: 'http://moved' };
+    const announce = cell.call<AnnounceResult>('endpoints.announce', { announcement });
+    const result = await crashCell.settle(announce).catch(() => undefined);
+    if (!result) return;
+    const heartbeat = { session: result.session, running: [], finished: [] };
+    await crashCell.settle(cell.call('endpoints.heartbeat', { id, heartbeat }));
+  },
+);
+
 When(
   'the endpoint of {string} is partitioned until its lease expires {int} times',
   STEP_TIMEOUT,
