Log why an endpoint is ejected, on trial or in use again

'endpoint health changed' reports each change of state with the number of failed units, the trial and the longest time until the next change; 'step is waiting' counts the ejected endpoints of the queue's pool. The lines come with ejections, of which there are few, so that their volume is bounded.

--- a/packages/routing/src/ejectingHealthPolicy.ts
+++ b/packages/routing/src/ejectingHealthPolicy.ts
@@ -1,8 +1,20 @@
-import { EndpointHealth } from './endpointHealth.js';
+import { EndpointHealth, type EndpointHealthState } from './endpointHealth.js';
 import { FailureAttribution } from './failureAttribution.js';
 import { HealthListeners } from './healthListeners.js';
 import type { AttemptRef, HealthListener, HealthPolicy } from './healthPolicy.js';
 
+/** Change of the state of an endpoint under an {@link EjectingHealthPolicy}. */
+export interface HealthTransition {
+  endpointId: string;
+  state: EndpointHealthState;
+  /** Number of different units that have failed since the last success. */
+  failures: number;
+  /** Attempt that is the trial. */
+  trial?: string;
+  /** Longest time until the next transition in milliseconds; absent if there need not be one. */
+  withinMs?: number;
+}
+
 /** Settings of an {@link EjectingHealthPolicy}; all times in milliseconds. */
 export interface EjectionOptions {
   /** Number of different units that fail in a row before an endpoint is ejected. */
@@ -20,6 +32,8 @@
   maxTrialMs: number;
   /** Source of jitter, in [0, 1). */
   random: () => number;
+  /** Called with each change of state, for logs. */
+  onTransition: (transition: HealthTransition) => void;
 }
 
 /** Default settings. */
@@ -32,6 +46,7 @@
   minTrialMs: 2000,
   maxTrialMs: 60_000,
   random: Math.random,
+  onTransition: () => undefined,
 });
 
 /** Ratio of the time that a trial has to last to the time after which earlier attempts failed. */
@@ -82,7 +97,9 @@
     endpoint.state = 'on-trial';
     endpoint.trialAttempt = attemptId;
     endpoint.trialStartedMs = startedMs;
-    endpoint.timer = setTimeout(() => this.reinstate(endpoint), this.chooseTrialMs(endpoint));
+    const trialMs = this.chooseTrialMs(endpoint);
+    endpoint.timer = setTimeout(() => this.reinstate(endpoint), trialMs);
+    this.reportTransition(endpoint, trialMs);
     this.notifyListeners(endpoint);
   }
 
@@ -171,6 +188,7 @@
     endpoint.probationEndsAtMs = endpoint.ejectedAtMs + jitteredMs;
     endpoint.stopTimer();
     endpoint.timer = setTimeout(() => this.awaitTrial(endpoint), jitteredMs);
+    this.reportTransition(endpoint, jitteredMs);
     this.notifyListeners(endpoint);
   }
 
@@ -183,6 +201,7 @@
     endpoint.stopTimer();
     endpoint.state = 'awaiting-trial';
     endpoint.trialAttempt = undefined;
+    this.reportTransition(endpoint);
     this.notifyListeners(endpoint);
   }
 
@@ -192,6 +211,7 @@
     endpoint.trialAttempt = undefined;
     endpoint.goodSinceMs = performance.now();
     endpoint.clearFailures();
+    this.reportTransition(endpoint);
     this.notifyListeners(endpoint);
   }
 
@@ -249,6 +269,11 @@
     if (peers?.size === 0) this.endpointsByWork.delete(work);
   }
 
+  private reportTransition(endpoint: EndpointHealth, withinMs?: number): void {
+    const { id: endpointId, state, failureCount: failures, trialAttempt: trial } = endpoint;
+    this.opts.onTransition({ endpointId, state, failures, trial, withinMs });
+  }
+
   private notifyListeners(endpoint: EndpointHealth): void {
     this.listeners.update({
       endpointId: endpoint.id,
--- a/packages/tests/features/workflow/ejection.feature
+++ b/packages/tests/features/workflow/ejection.feature
@@ -39,3 +39,5 @@
     And tasks of "s" run until they are stopped
     And 5500 ms of workflow time pass
     Then service "s" runs 1 tasks
+    And the leader logs "endpoint health changed" with the fields "endpoint, state, failures, withinMs"
+    And the leader logs "step is waiting" with the fields "endpoints, ejected"
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -202,6 +202,8 @@
       candidates.filter(test).length;
     return {
       endpoints: candidates.length,
+      ejected: this.opts.directory.listEjected().filter(({ record }) => record.pool === queue.pool)
+        .length,
       withRoom: count((candidate) => countSlots(ready, candidate, this.opts.ledger) > 0),
       withinLimit: count((candidate) => usage.fits(candidate, ready.spec)),
       atStepLimit: count((it) => maxPerEndpoint > 0 && usage.countOn(it) >= maxPerEndpoint),
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -55,7 +55,7 @@
   private readonly context: SessionContext;
   private readonly ledger = new RunLedger();
   private readonly durations = new DurationEstimator();
-  private readonly health: HealthPolicy = new EjectingHealthPolicy();
+  private readonly health: HealthPolicy;
   private readonly directory: EndpointDirectory;
   private readonly ready: ReadySteps;
   private readonly scheduler: StepScheduler;
@@ -110,6 +110,10 @@
       readConfig: () => this.readConfig(),
     };
     this.broker = new AdviceBroker(opts.log.term);
+    this.health = new EjectingHealthPolicy({
+      onTransition: ({ endpointId: endpoint, ...change }) =>
+        logger.info('endpoint health changed', { endpoint, ...change }),
+    });
     this.directory = new EndpointDirectory(this.context, this, this.health);
     this.ready = new ReadySteps({
       state: opts.state,
