Grant shorter leases to endpoints that drain

If the leader misses the moment at which a drained endpoint refuses connections, as it is saturated or the instance is switched off at once, the tasks there wait for the end of the lease: up to 8.8 s after the endpoint had ended.

An endpoint that drains gets leases of half the length, 4 s on the platform, and its inspections wait 0.7 s at most instead of 2 s, so that 3.3 s of a lease are left when the leadership changes. What a partition of that length costs is work that would soon have been moved anyway.

Scenario: 'tasks of a drained endpoint whose end goes unnoticed restart within half a lease'; fails without the change (4 runs where 6 are expected).

--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -222,6 +222,18 @@
     Then 6 runs were started
     And no task ran twice at the same time
 
+  # Guards against a service that stays down for the whole lease of an endpoint that has drained.
+  Scenario: tasks of a drained endpoint whose end goes unnoticed restart within half a lease
+    When job "j" of 4 tasks of 20000 ms is submitted
+    And 100 ms of workflow time pass
+    And worker w1 is draining
+    And 5000 ms of workflow time pass
+    And worker w1 leaves
+    And worker w2 completes new tasks after 100 ms
+    And 3500 ms of workflow time pass
+    Then 6 runs were started
+    And no task ran twice at the same time
+
   Scenario: an endpoint that leaves is inspected again once the leadership is valid
     When job "j" of 4 tasks of 20000 ms is submitted
     And 100 ms of workflow time pass
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -10,6 +10,7 @@
   StartOrder,
   StartOutcome,
 } from './endpointDriver.js';
+import { chooseInspectionWaitMs, isRetriedWhileLeaving } from './inspectionPacing.js';
 import type { TaskRef } from './jobSpec.js';
 import { LeaseClock } from './leaseClock.js';
 import type { EndpointRecord } from './workflowRecords.js';
@@ -89,23 +90,14 @@
   log: Log;
 }
 
-/** Longest time for which an inspection waits for a run to end. */
-const MAX_INSPECTION_WAIT_MS = 2000;
-
-/** Wait if short tasks run, as a lost inspection delays the reports of their ends this long. */
-const SHORT_TASK_WAIT_MS = 700;
-
-/** Estimated duration up to which a task counts as short. */
-const SHORT_TASK_MS = 2000;
-
 /** Delay after an inspection without a response. */
 const INSPECTION_RETRY_MS = 100;
 
 /**
- * Number of failed inspections of a leaving endpoint that are repeated at once: each connection that
- * it closed fails one. Its instance may refuse new ones only until it is switched off.
+ * Part of the lease that an endpoint gets while it drains. If its end goes unnoticed, its tasks wait
+ * until the lease has expired; work that it loses to a short partition would soon have ended anyway.
  */
-const MAX_IMMEDIATE_RETRIES = 4;
+const DRAINING_LEASE_SHARE = 0.5;
 
 /** Maximum number of reports in a response; a full response may omit further ends. */
 const MAX_REPORTS = 500;
@@ -342,7 +334,7 @@
       });
       if (this.isDisposed) return;
       failures = hasResponded || !this.isSuspect ? 0 : failures + 1;
-      const isRetriedAtOnce = this.isLeaving && failures > 0 && failures <= MAX_IMMEDIATE_RETRIES;
+      const isRetriedAtOnce = this.isLeaving && isRetriedWhileLeaving(failures);
       if (!hasResponded && !isRetriedAtOnce) await this.sleep(INSPECTION_RETRY_MS);
     }
   }
@@ -352,9 +344,14 @@
     return !isSynced || isSuspect || isLeaving || hasUnackedReports || this.runs.size > 0;
   }
 
+  private get renewalMs(): number {
+    const { leaseMs } = this.opts;
+    return this.record.isDraining ? leaseMs * DRAINING_LEASE_SHARE : leaseMs;
+  }
+
   /** Resolves with whether the current incarnation of the endpoint has responded. */
   private async inspect(waitMs: number): Promise<boolean> {
-    const { driver, fencingToken, leaseMs, isValid } = this.opts;
+    const { driver, fencingToken, isValid } = this.opts;
     // The lease is counted from before the check, as the process may be suspended after it.
     const sentMs = performance.now();
     if (!isValid()) return false;
@@ -366,7 +363,7 @@
       fencingToken,
       // An endpoint that has restarted would take the number for that of reports not yet read.
       ackedReport: this.answeredSentMs > this.doubtedMs ? this.ackedReport : 0,
-      untilMs: canRenew ? this.clock.grant(leaseMs, sentMs) : undefined,
+      untilMs: canRenew ? this.clock.grant(this.renewalMs, sentMs) : undefined,
       waitMs,
     });
     if (this.isDisposed) return false;
@@ -400,9 +397,9 @@
   }
 
   private chooseWaitMs(): number {
-    if (!this.isSynced || this.runs.size === 0) return 0;
-    const isShort = [...this.runs.values()].some(({ estimateMs }) => estimateMs <= SHORT_TASK_MS);
-    return isShort || this.hasLatencyTarget ? SHORT_TASK_WAIT_MS : MAX_INSPECTION_WAIT_MS;
+    if (!this.isSynced) return 0;
+    const isUrgent = this.hasLatencyTarget || this.record.isDraining;
+    return chooseInspectionWaitMs(this.runs.values(), isUrgent);
   }
 
   private async processInspection(
