Count crashes of endpoints per member of a gang

Cause: the crashes of all members were one history, and all members of a suspected gang were on trial.

crash attributed i-m-1-1 isSoleCause false, suspects ...0.0.0:1 0.73 314 ms crash attributed i-m-3-1 isSoleCause true, suspects ...0.0.1:2 0.92 309 ms job ended failed, 2 endpoints crashed under task ...0.0.0

The first crash was under member 0, the second under member 1, which was held to be explained by the gang alone. That the attribution chose a wrong run is ruled out: both lines name the only run on the endpoint that crashed.

Each member now has its own history. When one endpoint of a gang crashes, the others live on, so that the members there cannot be the cause; the endpoint that crashed names the member, without trial runs to narrow it down. A gang with a suspected member still starts on endpoints without trials and recent starts; only those of suspected members are watched. Two members on the same crashed endpoint both get the evidence, so that a deadly one cannot hide behind the other.

--- a/packages/tests/features/workflow/crashingTasks.feature
+++ b/packages/tests/features/workflow/crashingTasks.feature
@@ -141,6 +141,42 @@
     Then job "bad" is "failed"
     And job "bad" has crashed at most 6 workers
 
+  # A gang was given up when two of its members had lost one endpoint each, as their crashes were one history.
+  Scenario: a gang is not given up after crashes under different members
+    Given workers that crash are back after 3000 ms under another id
+    And 12 workers of 1 cores
+    And workers crash by chance under these runs:
+      | task    | run | after ms |
+      | g.0.0.0 | 1   | 300      |
+      | g.0.0.1 | 2   | 300      |
+      | g.0.0.2 | 3   | 10       |
+      | g.0.0.3 | 4   | 900      |
+    When gang job "g" of 4 tasks of 6000 ms is submitted
+    And 40000 ms of workflow time pass
+    Then 4 crashes are counted, with 4 runs
+    And job "g" is "completed"
+
+  Scenario Outline: a gang with deadly members is bounded although others lose endpoints by chance
+    Given workers that crash are back after 3000 ms under another id
+    And 12 workers of <cores> cores
+    And <deadly> tasks of gang "bad" from index <first> crash each worker that starts them after <delay> ms
+    And workers crash by chance under these runs:
+      | task      | run | after ms |
+      | bad.0.0.0 | 1   | 5        |
+      | bad.0.0.1 | 2   | 5        |
+    When gang job "bad" of 4 tasks of 6000 ms is submitted
+    And 60000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And each deadly task of gang "bad" has crashed at least 2 and at most 3 workers
+
+    Examples:
+      | cores | deadly | first | delay |
+      | 1     | 1      | 3     | 10    |
+      | 1     | 1      | 3     | 600   |
+      | 1     | 1      | 3     | 1500  |
+      | 2     | 1      | 3     | 10    |
+      | 2     | 2      | 2     | 10    |
+
   Scenario: a service task that crashes its endpoints ends its job
     Given workers that crash are back after 3000 ms under another id
     And 8 workers of 8 cores
--- a/packages/workflow/src/quarantine.ts
+++ b/packages/workflow/src/quarantine.ts
@@ -105,7 +105,7 @@
     const suspects = new Set<number>();
     if (!record) return suspects;
     for (const index of step.waiting) {
-      const { crashes = record.gangCrashes, runs } = record.tasks[index]!;
+      const { crashes, runs } = record.tasks[index]!;
       // Most tasks have no crash behind them, nor a run whose endpoint does not answer.
       if (!crashes && runs.length === 0 && !mayBePresumed) continue;
       if (this.assess(step, index)) suspects.add(index);
@@ -118,11 +118,21 @@
    * it starts beside others; a crash is then told by its repetition.
    */
   listModes(step: ReadyStep, index: number): PlacementMode[] {
+    return this.listModesFor(step, index, this.suspicionOf(step, index));
+  }
+
+  /** Returns the same for a gang, which starts as its most suspected member may. */
+  listGangModes(step: ReadyStep, suspects: ReadonlySet<number>): PlacementMode[] {
+    const suspicions = [...suspects].map((index) => this.suspicionOf(step, index));
+    // The members wait together, so that the first one stands for all of them.
+    return this.listModesFor(step, 0, Math.max(...suspicions));
+  }
+
+  private listModesFor(step: ReadyStep, index: number, suspicion: number): PlacementMode[] {
     const nowMs = performance.now();
     const times = this.waitingSinceMs.get(step.name) ?? new Map<number, number>();
     const sinceMs = times.get(index) ?? nowMs;
     this.waitingSinceMs.set(step.name, times.set(index, sinceMs));
-    const { suspicion } = this.assess(step, index) ?? { suspicion: 0 };
     const hasWaited = nowMs - sinceMs >= MAX_WAIT_MS;
     if (this.mayBegin(step, suspicion)) return hasWaited ? ['trial', 'open'] : ['trial'];
     return hasWaited && suspicion < LIKELY_SUSPICION ? ['open'] : [];
@@ -172,12 +182,10 @@
     return (endangersMore ? DAMAGE_LOAD : 0) + countFailures(agent.record.instance) * FAILURE_LOAD;
   }
 
-  /** Returns whether a waiting task of a step, or the gang, was present at a crash before. */
+  /** Returns whether a waiting task of a step was present at a crash before. */
   hasCrashed(step: ReadyStep): boolean {
     const record = this.opts.context.state.findStep(step.job, step.occurrence, step.step);
-    if (!record) return false;
-    if (record.gangCrashes) return true;
-    return step.waiting.some((index) => record.tasks[index]?.crashes !== undefined);
+    return step.waiting.some((index) => record?.tasks[index]?.crashes !== undefined);
   }
 
   /** Returns the number of runs on an endpoint whose tasks may have caused a crash before. */
@@ -248,6 +256,10 @@
     this.timers.clear();
   }
 
+  private suspicionOf(step: ReadyStep, index: number): number {
+    return this.assess(step, index)?.suspicion ?? 0;
+  }
+
   private assess({ job, occurrence, step }: ReadyStep, index: number): Suspicion | undefined {
     const task = { jobId: job.id, occurrence, step, index };
     const history = this.opts.context.state.findCrashes(task);
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -325,8 +325,8 @@
     config: CellConfig,
   ): PlannedStart[] {
     const { ledger, context, quarantine } = this.opts;
-    const isSuspected = quarantine.listSuspects(ready).size > 0;
-    const mode = isSuspected ? quarantine.listModes(ready, 0).at(-1) : 'open';
+    const suspects = quarantine.listSuspects(ready);
+    const mode = suspects.size > 0 ? quarantine.listGangModes(ready, suspects).at(-1) : 'open';
     if (!mode) return [];
     const usage = this.createUsage(ready, config, mode);
     const trialKeys: string[] = [];
--- a/packages/workflow/src/workflowRecords.ts
+++ b/packages/workflow/src/workflowRecords.ts
@@ -25,7 +25,7 @@
   endpoint: string;
 }
 
-/** Crashes of endpoints that a task, or a gang as a whole, was running on. */
+/** Crashes of endpoints that a task was running on; each member of a gang has its own. */
 export interface CrashHistory {
   /** Runs whose crash is recorded, in ascending order. */
   runs: number[];
@@ -65,8 +65,6 @@
   /** Number of failed runs of the gang as a whole. */
   gangFailures: number;
   lastFailedGangRun: number;
-  /** Crashes of a gang, instead of those of its tasks. */
-  gangCrashes?: CrashHistory;
   tasks: TaskRecord[];
 }
 
--- a/packages/workflow/src/workflowState.ts
+++ b/packages/workflow/src/workflowState.ts
@@ -113,12 +113,9 @@
     return this.jobs.get(jobId)?.spec.steps[step];
   }
 
-  /** Returns the crashes of a task, or of the gang that it belongs to. */
-  findCrashes({ jobId, occurrence, step, index }: TaskRef): CrashHistory | undefined {
-    const job = this.jobs.get(jobId);
-    const record = job && this.findStep(job, occurrence, step);
-    if (!job || !record) return undefined;
-    return job.spec.steps[step]?.isGang ? record.gangCrashes : record.tasks[index]?.crashes;
+  /** Returns the crashes of endpoints that a task was running on. */
+  findCrashes(ref: TaskRef): CrashHistory | undefined {
+    return this.findTask(ref)?.crashes;
   }
 
   private applyCommand(command: WorkflowCommand): unknown {
@@ -187,7 +184,7 @@
     if (!job || !task) return;
     const step = this.getOrCreateStep(job, ended.task.occurrence, ended.task.step);
     const spec = job.spec.steps[ended.task.step]!;
-    if (ended.crash) this.countCrash(job, step, spec, ended);
+    if (ended.crash) this.countCrash(job, task, ended);
     const position = task.runs.findIndex(({ run }) => run === ended.run);
     if (position < 0) return;
     task.runs.splice(position, 1);
@@ -223,14 +220,11 @@
     if (task.failures >= job.maxAttempts && job.status === 'open') job.status = 'failed';
   }
 
-  private countCrash(job: JobRecord, step: StepRecord, spec: StepSpec, ended: EndedRun): void {
-    const task = step.tasks[ended.task.index]!;
+  private countCrash(job: JobRecord, task: TaskRecord, ended: EndedRun): void {
     if (task.isDone) return;
-    const known = spec.isGang ? step.gangCrashes : task.crashes;
-    const history = addCrash(known, ended.run, ended.crash!);
-    if (spec.isGang) step.gangCrashes = history;
-    else task.crashes = history;
-    if (isConvicted(history) && job.status === 'open') job.status = 'failed';
+    // A gang breaks as a whole, but only the members on the crashed endpoint can be the cause.
+    task.crashes = addCrash(task.crashes, ended.run, ended.crash!);
+    if (isConvicted(task.crashes) && job.status === 'open') job.status = 'failed';
   }
 
   private getOrCreateStep(job: JobRecord, occurrence: number, step: number): StepRecord {
