Count crashes per task of a gang on the own interface too

Callers of lagoongap's own interface saw a gang fail after two crashes of endpoints in which it was the only suspect, or three in any case, although each was under another of its tasks.

The list is kept with the task that was on the crashed endpoint. Tasks that were lost in the same crash are all charged, so that a deadly one is bounded whatever is beside it; the rule that only the first loss of a run counts is gone, as the losses are no longer added up. A gang as a whole still starts apart from other work while any of its tasks is a suspect.

--- a/packages/coordinator/src/jobService.ts
+++ b/packages/coordinator/src/jobService.ts
@@ -11,6 +11,7 @@
 import type { RejectDecision, Scheduler } from '@lagoongap/scheduling/scheduler.js';
 import type { ClusterState } from '@lagoongap/state/clusterState.js';
 import type { SubmitResult } from '@lagoongap/state/commands.js';
+import { isSuspectUnit } from '@lagoongap/state/crashHistory.js';
 import type { AttemptRecord, FinishedAttempt, JobRecord } from '@lagoongap/state/records.js';
 import { isFinal } from '@lagoongap/state/taskTransitions.js';
 
@@ -213,8 +214,8 @@
   }
 
   private isSuspect(job: JobRecord, taskIndex: number): boolean {
-    const crashes = job.crashes ?? job.tasks[taskIndex]!.crashes ?? [];
-    return crashes.length > 0 || performance.now() < (this.suspectUntilMs.get(job.id) ?? -Infinity);
+    const heldUntilMs = this.suspectUntilMs.get(job.id) ?? -Infinity;
+    return isSuspectUnit(job, taskIndex) || performance.now() < heldUntilMs;
   }
 
   /** Holds back the other tasks of a job that alone is suspected of a crash. */
@@ -344,7 +345,7 @@
         attempt,
         endpoint: attempt === undefined ? undefined : attempts.get(attempt)?.endpointId,
         failures,
-        crashes: (job.crashes ?? crashes)?.length ?? 0,
+        crashes: crashes?.length ?? 0,
         message,
       })),
     };
--- a/packages/coordinator/src/leaderSession.ts
+++ b/packages/coordinator/src/leaderSession.ts
@@ -282,15 +282,14 @@
   /** Reports work that is not started again because of crashes. */
   private reportCrashBound({ kind, unitId, taskIndex }: AttemptRecord): void {
     const { state, metrics, logger } = this.opts;
-    const job = state.jobs.get(unitId);
-    const record = kind === 'request' ? state.requests.get(unitId) : job?.tasks[taskIndex];
-    const crashes = job?.crashes ?? record?.crashes;
-    if (!record || !isFinal(record.state) || !hasCrashedTooOften(crashes)) return;
+    const record =
+      kind === 'request' ? state.requests.get(unitId) : state.jobs.get(unitId)?.tasks[taskIndex];
+    if (!record || !isFinal(record.state) || !hasCrashedTooOften(record.crashes)) return;
     metrics.countCrashBound(kind);
     logger.warn('work is not started again after crashes', {
       unit: unitId,
       taskIndex,
-      endpoints: crashes?.map(({ endpoint }) => endpoint),
+      endpoints: record.crashes?.map(({ endpoint }) => endpoint),
     });
   }
 
--- a/packages/coordinator/src/suspectTrials.ts
+++ b/packages/coordinator/src/suspectTrials.ts
@@ -1,5 +1,6 @@
 import type { Log } from '@lagoongap/model/log.js';
 import type { ClusterState } from '@lagoongap/state/clusterState.js';
+import { isSuspectUnit } from '@lagoongap/state/crashHistory.js';
 import type { AttemptRecord } from '@lagoongap/state/records.js';
 
 import { MAX_SUSPECT_HOLD_MS } from './coordinatorTiming.js';
@@ -148,7 +149,6 @@
 
   private isSuspect({ unitId, taskIndex }: AttemptRecord): boolean {
     const job = this.opts.state.jobs.get(unitId);
-    const crashes = job?.crashes ?? job?.tasks[taskIndex]?.crashes;
-    return crashes !== undefined && crashes.length > 0;
+    return job !== undefined && isSuspectUnit(job, taskIndex);
   }
 }
--- a/packages/state/src/crashHistory.ts
+++ b/packages/state/src/crashHistory.ts
@@ -1,4 +1,4 @@
-import type { EndpointCrash, FinishedAttempt } from './records.js';
+import type { EndpointCrash, FinishedAttempt, JobRecord } from './records.js';
 
 /** Number of crashes, as the only suspect, after which work is not started again. */
 const MAX_SOLE_CRASHES = 2;
@@ -33,6 +33,12 @@
   return sole.length >= MAX_SOLE_CRASHES || crashes.length >= MAX_CRASHES;
 }
 
+/** Returns whether a unit of a job, a task or a whole gang, was present at a crash. */
+export function isSuspectUnit(job: JobRecord, taskIndex: number): boolean {
+  const tasks = job.spec.kind === 'gang' ? job.tasks : [job.tasks[taskIndex]];
+  return tasks.some((task) => (task?.crashes?.length ?? 0) > 0);
+}
+
 /** Describes the crashes of a unit of work for its caller. */
 export function describeCrashes(crashes: readonly EndpointCrash[] = []): string {
   const endpoints = crashes.map(({ endpoint }) => endpoint).join(', ');
--- a/packages/state/src/jobTable.ts
+++ b/packages/state/src/jobTable.ts
@@ -137,8 +137,7 @@
     const job = this.jobs.get(jobId);
     const task = job?.tasks[taskIndex];
     if (!job || !task || isFinal(job.state)) return;
-    const owner = job.spec.kind === 'gang' ? job : task;
-    if (owner.crashes) owner.crashes = withdrawCrash(owner.crashes, attempt);
+    if (task.crashes) task.crashes = withdrawCrash(task.crashes, attempt);
   }
 
   snapshot(): { jobs: JobRecord[]; finished: string[] } {
@@ -157,11 +156,8 @@
   }
 
   private recordCrash(job: JobRecord, task: TaskRecord, finished: FinishedAttempt): void {
-    // Only the first loss of a run of a gang counts; the gang is being stopped after it.
-    if (job.spec.kind === 'gang' && job.stopping) return;
-    const owner = job.spec.kind === 'gang' ? job : task;
-    const crashes = recordCrash(owner.crashes, finished);
-    if (crashes !== owner.crashes) owner.crashes = crashes;
+    const crashes = recordCrash(task.crashes, finished);
+    if (crashes !== task.crashes) task.crashes = crashes;
     if (!finished.crash || job.cancelled || !hasCrashedTooOften(crashes)) return;
     task.message = describeCrashes(crashes);
     job.message = task.message;
--- a/packages/state/src/records.ts
+++ b/packages/state/src/records.ts
@@ -19,7 +19,7 @@
   failures: number;
   /** Endpoints on which an attempt failed, the most recent last. */
   failedOn: string[];
-  /** Crashes since the task last worked for a while; absent for the tasks of a gang. */
+  /** Crashes since the task last worked for a while; absent if there were none. */
   crashes?: readonly EndpointCrash[];
   /** Opaque reference from which the next attempt resumes. */
   checkpoint?: string;
@@ -39,8 +39,6 @@
   /** Whether the running tasks of a gang are being stopped because another task has ended. */
   stopping: boolean;
   tasks: TaskRecord[];
-  /** Crashes since a gang last worked for a while, at most one for each of its runs. */
-  crashes?: readonly EndpointCrash[];
   idempotencyKey?: string;
   /** Human-readable reason for the end of the job. */
   message?: string;
--- a/packages/state/src/taskTransitions.ts
+++ b/packages/state/src/taskTransitions.ts
@@ -46,7 +46,7 @@
     default:
       if (job.spec.noRepeat) return 'unknown';
       if (job.cancelled) return 'cancelled';
-      return hasCrashedTooOften(job.crashes ?? task.crashes) ? 'failed' : 'waiting';
+      return hasCrashedTooOften(task.crashes) ? 'failed' : 'waiting';
   }
 }
 
--- a/packages/tests/features/state/crashes.feature
+++ b/packages/tests/features/state/crashes.feature
@@ -35,6 +35,20 @@
     When it is lost in 1 crash as the only suspect
     Then the task is "unknown"
 
+  # A gang was failed when its tasks had lost one endpoint each, as their crashes were counted together.
+  Scenario Outline: crashes count for the task of a gang that was on the endpoint
+    Given a gang of 4 tasks in the state
+    When its runs are lost in crashes under tasks <tasks> as <role>
+    Then the gang is "<state>"
+
+    Examples:
+      | tasks         | role                    | state   |
+      | 0, 1, 2, 3    | the only suspect        | waiting |
+      | 0, 1, 2, 3    | one of several suspects | waiting |
+      | 0, 1, 0       | the only suspect        | failed  |
+      | 0, 1, 2, 0, 0 | one of several suspects | failed  |
+      | 0+1, 1+2      | the only suspect        | failed  |
+
   Scenario: a request is not started again after two crashes as the only suspect
     Given a request in the state
     When it is lost in 1 crash as the only suspect
