Charge a gang whose members crash many endpoints at once

Cause: when at least three other endpoints and a tenth of the fleet fail at the same moment, a power loss is assumed and nobody is charged. The members of a gang start at the same moment, so that their crashes excused each other.

The first such crash is still excused. In a later one, endpoints with members of the same gang do not count as independent failures if a member has lost an endpoint before, about as late after its start. Others that fail at that moment still count, so that a gang whose rack loses power again and again is not given up (scenario). A variant that looked at runs on trial alone was tried: it left gangs unbounded that crash their endpoints after 600 ms, which are not watched.

In workflow/crashingTasks, "a gang of which many members crash their endpoints at once is bounded" failed in the examples with 4 and 10 deadly members, and passes now with at most four crashes a member.

--- a/packages/tests/features/workflow/crashingTasks.feature
+++ b/packages/tests/features/workflow/crashingTasks.feature
@@ -298,6 +298,15 @@
     And job "s" is "running"
     And 6 tasks are running
 
+  Scenario: a gang that loses its rack again and again is not given up
+    Given workers that crash are back after 3000 ms under another id
+    And 8 workers of 1 cores
+    When gang job "g" of 6 tasks of 4000 ms is submitted
+    And 2000 ms of workflow time pass
+    And workers 1 to 6 crash 4 times, 5000 ms apart
+    And 10000 ms of workflow time pass
+    Then job "g" is "completed"
+
   Scenario: endpoints that crash at random convict nobody
     Given workers that crash are back after 3000 ms under another id
     And 12 workers of 8 cores
@@ -338,3 +347,22 @@
       | workers | tasks |
       | 2       | 1     |
       | 4       | 3     |
+
+  # Such crashes were taken for a power loss of many endpoints, which charges nobody.
+  Scenario Outline: a gang of which many members crash their endpoints at once is bounded
+    Given workers that crash are back after 3000 ms under another id
+    And <workers> workers of 1 cores
+    And <deadly> tasks of gang "bad" from index 0 crash each worker that starts them after <delay> ms
+    When gang job "bad" of <deadly> tasks of 6000 ms is submitted
+    And 60000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And each deadly task of gang "bad" has crashed at least 2 and at most 4 workers
+
+    Examples:
+      | workers | deadly | delay |
+      | 12      | 3      | 10    |
+      | 12      | 4      | 10    |
+      | 12      | 4      | 600   |
+      | 40      | 10     | 10    |
+      | 40      | 10     | 600   |
+      | 40      | 10     | 1500  |
--- a/packages/workflow/src/crashAttribution.ts
+++ b/packages/workflow/src/crashAttribution.ts
@@ -33,6 +33,8 @@
 /** A crash that was attributed. */
 interface Failure extends FailureInterval {
   instance: string;
+  /** Names of the gangs that had members on the endpoint. */
+  gangs: ReadonlySet<string>;
   /** A run on trial explains it. */
   isExplained: boolean;
   /** Names of the tasks that were on the endpoint. */
@@ -167,7 +169,7 @@
     wasOnTrial: (key: string) => boolean,
   ): Map<string, CrashEvidence> {
     const { noticedMs, runs } = crash;
-    const hasCommonCause = this.hasCommonCause(crash);
+    const hasCommonCause = this.hasCommonCause(crash, this.listRepeatedGangs(crash));
     const failureRate = this.estimateFailureRate();
     const onTrial = hasCommonCause ? [] : runs.filter(({ key }) => wasOnTrial(key));
     const culprits = hasCommonCause
@@ -179,7 +181,7 @@
     const suspicions = this.estimate(suspects, noticedMs);
     const isExplained = culprits.some((run) => this.isRepeated(run, noticedMs));
     const tasks = new Set(runs.map(({ task }) => taskName(task)));
-    this.failures.push({ ...crash, isExplained, tasks });
+    this.failures.push({ ...crash, gangs: this.listGangs(runs), isExplained, tasks });
     const evidence = new Map<string, CrashEvidence>();
     for (const run of suspects) {
       const elapsedMs = Math.round(noticedMs - run.orderedMs);
@@ -284,18 +286,27 @@
     });
   }
 
-  /** Returns whether so many other endpoints failed at the same moment that one cause is likely. */
-  private hasCommonCause(crash: FailureInterval): boolean {
+  /**
+   * Returns whether so many other endpoints failed at the same moment that one cause is likely.
+   *
+   * @param repeatedGangs - Gangs that may have crashed several endpoints at that moment themselves.
+   */
+  private hasCommonCause(crash: FailureInterval, repeatedGangs: ReadonlySet<string>): boolean {
     // What had failed before this leader is noticed at one moment, whatever the cause.
     if (!crash.wasInContact) return false;
     const agents = this.opts.directory.list();
     const silent = agents
       .filter(({ isSuspect }) => isSuspect)
-      .map((agent) => ({ endpoint: agent.id, ...describeSilence(agent) }));
+      .map((agent) => ({
+        endpoint: agent.id,
+        gangs: this.listGangs([...agent.runs.values()]),
+        ...describeSilence(agent),
+      }));
     const others = new Set<string>();
     for (const failure of [...silent, ...this.failures]) {
-      const { endpoint, lastContactMs, noticedMs, wasInContact } = failure;
+      const { endpoint, lastContactMs, noticedMs, wasInContact, gangs } = failure;
       if (endpoint === crash.endpoint || !wasInContact) continue;
+      if ([...gangs].some((gang) => repeatedGangs.has(gang))) continue;
       const isSameMoment =
         lastContactMs - SAME_MOMENT_MS <= crash.noticedMs &&
         crash.lastContactMs - SAME_MOMENT_MS <= noticedMs;
@@ -304,6 +315,19 @@
     return others.size >= Math.max(MIN_COMMON_FAILURES, agents.length * COMMON_FAILURE_SHARE);
   }
 
+  private listGangs(runs: AgentRun[]): Set<string> {
+    const { state } = this.opts.context;
+    const members = runs.filter(({ task }) => state.findSpec(task)?.isGang);
+    return new Set(members.map(({ task }) => suspectUnit(task, true)));
+  }
+
+  /** Returns the gangs with members that have lost an endpoint before, as late after their start. */
+  private listRepeatedGangs({ runs, noticedMs }: EndpointCrash): Set<string> {
+    const { state } = this.opts.context;
+    const repeated = runs.filter((run) => state.findCrashes(run.task));
+    return this.listGangs(repeated.filter((run) => this.isRepeated(run, noticedMs)));
+  }
+
   /** Returns the suspicion of a task whose run is, or was, on an endpoint that does not answer. */
   private presume(task: TaskRef): { suspicion: number; exposureMs: number } | undefined {
     const { context, directory } = this.opts;
