Look up gangs of silent endpoints only where a gang is suspected

At a power loss of the whole fleet each crash listed the gangs of all silent endpoints, which grows with the square of their number, although no gang had lost an endpoint before. The lookup is skipped then.

--- a/packages/workflow/src/crashAttribution.ts
+++ b/packages/workflow/src/crashAttribution.ts
@@ -90,6 +90,10 @@
   return { ...end, lastContactMs: Math.max(end.lastContactMs, ...confirmedMs) };
 }
 
+function intersects(a: ReadonlySet<string>, b: ReadonlySet<string>): boolean {
+  return b.size > 0 && [...a].some((it) => b.has(it));
+}
+
 /** Decides which runs may have caused the crash of their endpoint. */
 export class CrashAttribution implements Disposable {
   readonly quarantine: Quarantine;
@@ -296,17 +300,13 @@
     if (!crash.wasInContact) return false;
     const agents = this.opts.directory.list();
     const silent = agents
-      .filter(({ isSuspect }) => isSuspect)
-      .map((agent) => ({
-        endpoint: agent.id,
-        gangs: this.listGangs([...agent.runs.values()]),
-        ...describeSilence(agent),
-      }));
+      .filter((agent) => agent.isSuspect && !this.hasMemberOf(agent, repeatedGangs))
+      .map((agent) => ({ endpoint: agent.id, ...describeSilence(agent) }));
+    const noticed = this.failures.filter(({ gangs }) => !intersects(gangs, repeatedGangs));
     const others = new Set<string>();
-    for (const failure of [...silent, ...this.failures]) {
-      const { endpoint, lastContactMs, noticedMs, wasInContact, gangs } = failure;
+    for (const failure of [...silent, ...noticed]) {
+      const { endpoint, lastContactMs, noticedMs, wasInContact } = failure;
       if (endpoint === crash.endpoint || !wasInContact) continue;
-      if ([...gangs].some((gang) => repeatedGangs.has(gang))) continue;
       const isSameMoment =
         lastContactMs - SAME_MOMENT_MS <= crash.noticedMs &&
         crash.lastContactMs - SAME_MOMENT_MS <= noticedMs;
@@ -315,6 +315,10 @@
     return others.size >= Math.max(MIN_COMMON_FAILURES, agents.length * COMMON_FAILURE_SHARE);
   }
 
+  private hasMemberOf({ runs }: EndpointAgent, gangs: ReadonlySet<string>): boolean {
+    return gangs.size > 0 && intersects(this.listGangs([...runs.values()]), gangs);
+  }
+
   private listGangs(runs: AgentRun[]): Set<string> {
     const { state } = this.opts.context;
     const members = runs.filter(({ task }) => state.findSpec(task)?.isGang);
