Split the memory of endpoint failures from the attribution of crashes

crashAttribution.ts had grown to 411 lines and held two jobs: which run may have caused a crash, and what is known about failures of the fleet (rate, common cause, repeated failures of an instance). The second is endpointFailures.ts now.

--- a/packages/workflow/src/crashAttribution.ts
+++ b/packages/workflow/src/crashAttribution.ts
@@ -1,8 +1,14 @@
 import { CrashDetector, type EndpointCrash } from './crashDetector.js';
 import { MIN_SUSPICION, PROMPT_CRASH_MS, type CrashEvidence } from './crashRecord.js';
 import { estimateSuspicion } from './crashSuspicion.js';
-import type { AgentRun, EndpointAgent, IncarnationEnd } from './endpointAgent.js';
+import type { AgentRun, EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
+import {
+  EndpointFailures,
+  FAILURE_MEMORY_MS,
+  listGangs,
+  type FailureInterval,
+} from './endpointFailures.js';
 import { taskName, type TaskRef } from './jobSpec.js';
 import { isPrompt, Quarantine, suspectUnit } from './quarantine.js';
 import type { SessionContext } from './sessionContext.js';
@@ -21,26 +27,6 @@
   onCharged: (jobId: string) => void;
 }
 
-/** Time for which an endpoint failed; the moment of the failure lies in it. Monotonic. */
-interface FailureInterval {
-  endpoint: string;
-  lastContactMs: number;
-  /** The endpoint had responded to this leader, so that the interval is known. */
-  wasInContact: boolean;
-  noticedMs: number;
-}
-
-/** A crash that was attributed. */
-interface Failure extends FailureInterval {
-  instance: string;
-  /** Names of the gangs that had members on the endpoint. */
-  gangs: ReadonlySet<string>;
-  /** A run on trial explains it. */
-  isExplained: boolean;
-  /** Names of the tasks that were on the endpoint. */
-  tasks: ReadonlySet<string>;
-}
-
 /** Runs that were lost with their lease on an endpoint that may have crashed. */
 interface ExpiredRuns extends FailureInterval {
   record: EndpointRecord;
@@ -49,24 +35,12 @@
   trials: Set<string>;
 }
 
-/** Number of other endpoints that fail at the same moment from which they have a common cause. */
-const MIN_COMMON_FAILURES = 3;
-
-/** Share of the endpoints from which failures at the same moment have a common cause. */
-const COMMON_FAILURE_SHARE = 0.1;
-
-/** Difference between two failures up to which they come at the same moment. */
-const SAME_MOMENT_MS = 50;
-
 /** Expected number of random failures in the time of a run from which one explains a crash. */
 const MAX_EXPECTED_FAILURES = 0.05;
 
 /** The same for prompt crashes, fewer of which convict. */
 const MAX_EXPECTED_FAILURES_IF_PROMPT = 0.01;
 
-/** Shortest time over which the rate of failures is estimated. */
-const MIN_OBSERVATION_MS = 10_000;
-
 /** Ratio of two exposures up to which the same cause is likely. */
 const MAX_EXPOSURE_RATIO = 1.5;
 
@@ -76,39 +50,26 @@
 /** Time from the start of a run to a crash up to which it stays suspected in any case. */
 const IMMEDIATE_CRASH_MS = 200;
 
-/** Time for which failures and expired runs are remembered. */
-const MEMORY_MS = 60_000;
-
 /** Returns whether an earlier leader has started a run, so that its start time is not known. */
 function isAdopted({ phase, confirmedMs }: AgentRun): boolean {
   return phase === 'running' && confirmedMs === 0;
 }
 
-function describeSilence(agent: EndpointAgent): IncarnationEnd {
-  const confirmedMs = [...agent.runs.values()].map((run) => run.confirmedMs);
-  const end = agent.describeEnd();
-  return { ...end, lastContactMs: Math.max(end.lastContactMs, ...confirmedMs) };
-}
-
-function intersects(a: ReadonlySet<string>, b: ReadonlySet<string>): boolean {
-  return b.size > 0 && [...a].some((it) => b.has(it));
-}
-
 /** Decides which runs may have caused the crash of their endpoint. */
 export class CrashAttribution implements Disposable {
   readonly quarantine: Quarantine;
   private readonly opts: CrashAttributionOptions;
   private readonly detector: CrashDetector;
-  private failures: Failure[] = [];
+  private readonly failures: EndpointFailures;
   private expired: readonly ExpiredRuns[] = [];
   /** Names of the tasks of the expired runs. */
   private expiredTasks: ReadonlySet<string> = new Set();
-  private readonly sinceMs = performance.now();
 
   constructor(opts: CrashAttributionOptions) {
     this.opts = opts;
     const { context, directory, isUnderMaintenance, onReleased } = opts;
     this.detector = new CrashDetector(context, isUnderMaintenance);
+    this.failures = new EndpointFailures(context, directory);
     const presume = (task: TaskRef) => this.presume(task);
     this.quarantine = new Quarantine({
       context,
@@ -116,7 +77,7 @@
       presume,
       hasPresumed: () => this.expired.length > 0,
       onReleased,
-      countFailures: (instance) => this.countUnexplained(instance),
+      countFailures: (instance) => this.failures.countUnexplained(instance),
     });
   }
 
@@ -173,8 +134,8 @@
     wasOnTrial: (key: string) => boolean,
   ): Map<string, CrashEvidence> {
     const { noticedMs, runs } = crash;
-    const hasCommonCause = this.hasCommonCause(crash, this.listRepeatedGangs(crash));
-    const failureRate = this.estimateFailureRate();
+    const hasCommonCause = this.failures.hasCommonCause(crash, this.listRepeatedGangs(crash));
+    const failureRate = this.failures.estimateRate();
     const onTrial = hasCommonCause ? [] : runs.filter(({ key }) => wasOnTrial(key));
     const culprits = hasCommonCause
       ? []
@@ -184,8 +145,7 @@
     const suspects = culprits.length > 0 ? culprits : runs;
     const suspicions = this.estimate(suspects, noticedMs);
     const isExplained = culprits.some((run) => this.isRepeated(run, noticedMs));
-    const tasks = new Set(runs.map(({ task }) => taskName(task)));
-    this.failures.push({ ...crash, gangs: this.listGangs(runs), isExplained, tasks });
+    this.failures.add(crash, isExplained);
     const evidence = new Map<string, CrashEvidence>();
     for (const run of suspects) {
       const elapsedMs = Math.round(noticedMs - run.orderedMs);
@@ -237,37 +197,6 @@
     return this.countUnits(likeliest) === 1 && !hasBetter ? likeliest : [];
   }
 
-  /**
-   * Returns whether the instance may have failed by itself, as it did before under the same task,
-   * unless the crash came at once.
-   */
-  private mayBeOfInstance({ instance, noticedMs }: EndpointCrash, run: AgentRun): boolean {
-    if (noticedMs - run.orderedMs <= IMMEDIATE_CRASH_MS) return false;
-    const name = taskName(run.task);
-    return this.failures.some(
-      (failure) => !failure.isExplained && failure.instance === instance && failure.tasks.has(name),
-    );
-  }
-
-  /** Returns how often an instance failed recently without a run that explains it. */
-  private countUnexplained(instance: string): number {
-    const oldestMs = performance.now() - MEMORY_MS;
-    return this.failures.filter(
-      (failure) =>
-        !failure.isExplained && failure.instance === instance && failure.noticedMs > oldestMs,
-    ).length;
-  }
-
-  /** Returns the failures that nothing explains, per endpoint and millisecond. */
-  private estimateFailureRate(): number {
-    const nowMs = performance.now();
-    const observedMs = Math.min(MEMORY_MS, Math.max(MIN_OBSERVATION_MS, nowMs - this.sinceMs));
-    const count = this.failures.filter(
-      ({ isExplained, noticedMs }) => !isExplained && noticedMs > nowMs - observedMs,
-    ).length;
-    return count / (observedMs * Math.max(1, this.opts.directory.list().length));
-  }
-
   /** Returns whether a run on trial crashed its endpoint about as late as its task did before. */
   private isRepeated({ task, orderedMs }: AgentRun, crashMs: number): boolean {
     const earlierMs = this.opts.context.state.findCrashes(task)?.exposureMs ?? 0;
@@ -278,6 +207,15 @@
     );
   }
 
+  /**
+   * Returns whether the instance may have failed by itself, as it did before under the same task,
+   * unless the crash came at once.
+   */
+  private mayBeOfInstance({ instance, noticedMs }: EndpointCrash, run: AgentRun): boolean {
+    if (noticedMs - run.orderedMs <= IMMEDIATE_CRASH_MS) return false;
+    return this.failures.hasUnexplained(instance, taskName(run.task));
+  }
+
   private describeEnds(entry: ExpiredRuns): EndedRun[] {
     const end = { ...entry, wasLeaving: false };
     const crash = this.detector.describe(entry.record, entry.runs, end);
@@ -290,46 +228,12 @@
     });
   }
 
-  /**
-   * Returns whether so many other endpoints failed at the same moment that one cause is likely.
-   *
-   * @param repeatedGangs - Gangs that may have crashed several endpoints at that moment themselves.
-   */
-  private hasCommonCause(crash: FailureInterval, repeatedGangs: ReadonlySet<string>): boolean {
-    // What had failed before this leader is noticed at one moment, whatever the cause.
-    if (!crash.wasInContact) return false;
-    const agents = this.opts.directory.list();
-    const silent = agents
-      .filter((agent) => agent.isSuspect && !this.hasMemberOf(agent, repeatedGangs))
-      .map((agent) => ({ endpoint: agent.id, ...describeSilence(agent) }));
-    const noticed = this.failures.filter(({ gangs }) => !intersects(gangs, repeatedGangs));
-    const others = new Set<string>();
-    for (const failure of [...silent, ...noticed]) {
-      const { endpoint, lastContactMs, noticedMs, wasInContact } = failure;
-      if (endpoint === crash.endpoint || !wasInContact) continue;
-      const isSameMoment =
-        lastContactMs - SAME_MOMENT_MS <= crash.noticedMs &&
-        crash.lastContactMs - SAME_MOMENT_MS <= noticedMs;
-      if (isSameMoment) others.add(endpoint);
-    }
-    return others.size >= Math.max(MIN_COMMON_FAILURES, agents.length * COMMON_FAILURE_SHARE);
-  }
-
-  private hasMemberOf({ runs }: EndpointAgent, gangs: ReadonlySet<string>): boolean {
-    return gangs.size > 0 && intersects(this.listGangs([...runs.values()]), gangs);
-  }
-
-  private listGangs(runs: AgentRun[]): Set<string> {
-    const { state } = this.opts.context;
-    const members = runs.filter(({ task }) => state.findSpec(task)?.isGang);
-    return new Set(members.map(({ task }) => suspectUnit(task, true)));
-  }
-
   /** Returns the gangs with members that have lost an endpoint before, as late after their start. */
   private listRepeatedGangs({ runs, noticedMs }: EndpointCrash): Set<string> {
     const { state } = this.opts.context;
-    const repeated = runs.filter((run) => state.findCrashes(run.task));
-    return this.listGangs(repeated.filter((run) => this.isRepeated(run, noticedMs)));
+    const known = runs.filter((run) => state.findCrashes(run.task));
+    const repeated = known.filter((run) => this.isRepeated(run, noticedMs));
+    return listGangs(repeated, state);
   }
 
   /** Returns the suspicion of a task whose run is, or was, on an endpoint that does not answer. */
@@ -399,8 +303,7 @@
   }
 
   private forgetOld(): void {
-    const oldestMs = performance.now() - MEMORY_MS;
-    this.failures = this.failures.filter(({ noticedMs }) => noticedMs > oldestMs);
+    const oldestMs = performance.now() - FAILURE_MEMORY_MS;
     this.setExpired(this.expired.filter(({ noticedMs }) => noticedMs > oldestMs));
   }
 
