--- a/packages/tests/features/workflow/leaderCalls.feature
+++ b/packages/tests/features/workflow/leaderCalls.feature
@@ -104,6 +104,25 @@
     And 600 ms of the calls pass
     Then the call was refused with run state "unknown"
 
+  # Guards against a 401 or 404 for a call that the killed leader had appended and its successor commits.
+  Scenario Outline: a refusal in the response of a later try does not hide the effect of an earlier one
+    Given job "old" has been accepted by replica "r1"
+    When a caller <operation> job "<job>" with a deadline of 2500 ms
+    And 10 ms of the calls pass
+    And replica "r1" is disconnected
+    And replica "r1" commits its proposals
+    And a committed configuration <change>
+    And replica "r2" leads
+    And 1000 ms of the calls pass
+    Then the caller was not told that the call had no effect
+
+    Examples:
+      | operation | job | change            |
+      | submits   | j   | closes its queue  |
+      | submits   | j   | removes its queue |
+      | cancels   | old | closes its queue  |
+      | cancels   | old | removes its queue |
+
   # Guards against a heartbeat that is acknowledged while its endpoint is not yet stored.
   Scenario: a repeated heartbeat is acknowledged only when the endpoint is stored
     When an endpoint sends heartbeat 1 with a deadline of 900 ms
--- a/packages/tests/features/workflow/waves.feature
+++ b/packages/tests/features/workflow/waves.feature
@@ -29,3 +29,21 @@
     And 30000 ms of workflow time pass
     Then the wave is completed with 3 instances maintained
     And 3 instances were maintained
+
+  # Guards against a second instance of a wave that goes down while the first may be down already.
+  Scenario Outline: an instance whose maintenance may have begun counts as down
+    Given 4 workers of 4 cores
+    When service "s" of 3 tasks of which 1 may be unavailable is submitted
+    And 3000 ms of workflow time pass
+    And the response to the next maintenance request is lost
+    And a wave over 4 instances with at most 1 down is opened
+    And 300 ms of workflow time pass
+    And <event>
+    And 90000 ms of workflow time pass
+    Then the wave is completed with 4 instances maintained
+    And at most 1 instances were down at once
+
+    Examples:
+      | event                       |
+      | 10 ms of workflow time pass |
+      | the workflow leader changes |
--- a/packages/tests/src/steps/workflow/leaderCallSteps.ts
+++ b/packages/tests/src/steps/workflow/leaderCallSteps.ts
@@ -204,6 +204,13 @@
   },
 );
 
+When(
+  /^a committed configuration (closes its queue|removes its queue)$/,
+  function changeConfig(this: Steps, change: 'closes its queue' | 'removes its queue') {
+    this.callWorld!.changeConfig(change);
+  },
+);
+
 When('replica {string} is deposed', function depose(this: Steps, id: string) {
   this.callWorld!.depose(id);
 });
@@ -246,6 +253,11 @@
   assert.equal(this.call.status, status);
 });
 
+Then('the caller was not told that the call had no effect', function check(this: Steps) {
+  assert.equal(this.call.error, undefined);
+  assert.ok([200, 504].includes(this.call.status!), `status ${this.call.status}`);
+});
+
 Then('the caller got status {int} within {int} ms', function check(this: Steps, status, ms) {
   assert.equal(this.call.status, status);
   const elapsedMs = this.call.answeredMs! - this.call.sentMs;
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -349,6 +349,10 @@
   },
 );
 
+Given('the response to the next maintenance request is lost', function lose(this: Steps) {
+  this.world.lostMaintenanceResponses = 1;
+});
+
 Then('the wave is completed with {int} instances maintained', function check(this: Steps, count) {
   assert.equal(this.world.state.waves.get(1)!.isCompleted, true);
   assert.equal(new Set(this.world.maintained).size, count);
--- a/packages/tests/src/workflow/callWorld.ts
+++ b/packages/tests/src/workflow/callWorld.ts
@@ -100,6 +100,7 @@
   client!: LeaderClient;
   private jobs!: JobCallForwarder;
   private control!: ControlApi;
+  private configChange: Partial<CellConfig> = {};
   private term = 1;
 
   constructor(replicaIds: string[]) {
@@ -172,6 +173,15 @@
     return this.callWith(client, 1, opts);
   }
 
+  /** Commits a change of the configuration on all replicas. */
+  changeConfig(change: 'closes its queue' | 'removes its queue'): void {
+    const [queue] = CONFIG.queues;
+    const isClosed = change === 'closes its queue';
+    this.configChange = { queues: isClosed ? [{ ...queue!, isOpen: false }] : [] };
+    const version = this.state.config.version + 1;
+    this.state.config = { version, document: String(version) };
+  }
+
   /** Sends a configuration of the given version, as an operator does. */
   configure(version: number): ObservedCall {
     const req = { method: 'PUT', path: '/-/config', headers: {}, body: String(version) };
@@ -230,7 +240,11 @@
       driver: new FakeDriver(),
       instances: NO_INSTANCE_API,
       holder: id,
-      parseConfig: (document) => ({ ...CONFIG, version: Number(document) }),
+      parseConfig: (document) => ({
+        ...CONFIG,
+        ...this.configChange,
+        version: Number(document),
+      }),
       timing: DEFAULT_WORKFLOW_TIMING,
       logger: SILENT_LOG,
       meter: NOOP_METRICS_RECORDER,
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -1,7 +1,7 @@
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
 import { WorkflowMetrics } from '@lagoongap/telemetry/workflowMetrics.js';
 import type { CellConfig } from '@lagoongap/workflow/cellConfig.js';
-import type { InstanceApi } from '@lagoongap/workflow/instanceApi.js';
+import type { InstanceApi, MaintenanceOutcome } from '@lagoongap/workflow/instanceApi.js';
 import type { JobResponse } from '@lagoongap/workflow/jobCalls.js';
 import type { JobSpec, StepSpec } from '@lagoongap/workflow/jobSpec.js';
 import type { ReadyStep } from '@lagoongap/workflow/readySteps.js';
@@ -94,6 +94,8 @@
   losesHeartbeats = false;
   /** Instances whose maintenance has begun, in order. */
   readonly maintained: string[] = [];
+  /** Number of maintenance requests whose responses are lost, the next ones first. */
+  lostMaintenanceResponses = 0;
   /** Maximum number of instances that were down at the same time. */
   maxDown = 0;
   private readonly down = new Set<string>();
@@ -291,11 +293,19 @@
     if (!isHeartbeatLost) await this.sendHeartbeats();
   }
 
-  /** Takes an instance down for the duration of its maintenance. */
-  async beginMaintenance({ instance }: { instance: string }): Promise<'begun'> {
+  /** Takes an instance down, once for a wave, for the duration of its maintenance. */
+  async beginMaintenance({ instance }: { instance: string }): Promise<MaintenanceOutcome> {
+    const isRepeated = this.maintained.includes(instance);
+    this.maintained.push(instance);
+    if (!isRepeated) this.takeDown(instance);
+    if (this.lostMaintenanceResponses === 0) return 'begun';
+    this.lostMaintenanceResponses -= 1;
+    return 'unknown';
+  }
+
+  private takeDown(instance: string): void {
     const [id] = [...this.records].find(([, record]) => record.instance === instance)!;
     const worker = this.driver.worker(id);
-    this.maintained.push(instance);
     this.down.add(instance);
     this.maxDown = Math.max(this.maxDown, this.down.size);
     worker.restart();
@@ -304,7 +314,6 @@
       this.down.delete(instance);
       worker.behaviour = 'sound';
     }, MAINTENANCE_MS);
-    return 'begun';
   }
 
   job(id: string): JobRecord {
