--- a/packages/tests/features/workflow/crashingTasks.feature
+++ b/packages/tests/features/workflow/crashingTasks.feature
@@ -159,7 +159,7 @@
   Scenario Outline: a gang with deadly members is bounded although others lose endpoints by chance
     Given workers that crash are back after 3000 ms under another id
     And 12 workers of <cores> cores
-    And <deadly> tasks of gang "bad" from index <first> crash each worker that starts them after <delay> ms
+    And <deadly> tasks of job "bad" from index <first> crash each worker that starts them after <delay> ms
     And workers crash by chance under these runs:
       | task      | run | after ms |
       | bad.0.0.0 | 1   | 5        |
@@ -167,7 +167,7 @@
     When gang job "bad" of 4 tasks of 6000 ms is submitted
     And 60000 ms of workflow time pass
     Then job "bad" is "failed"
-    And each deadly task of gang "bad" has crashed at least 2 and at most 3 workers
+    And each deadly task of job "bad" has crashed at least 2 and at most 3 workers
 
     Examples:
       | cores | deadly | first | delay |
@@ -352,11 +352,11 @@
   Scenario Outline: a gang of which many members crash their endpoints at once is bounded
     Given workers that crash are back after 3000 ms under another id
     And <workers> workers of 1 cores
-    And <deadly> tasks of gang "bad" from index 0 crash each worker that starts them after <delay> ms
+    And <deadly> tasks of job "bad" from index 0 crash each worker that starts them after <delay> ms
     When gang job "bad" of <deadly> tasks of 6000 ms is submitted
     And 60000 ms of workflow time pass
     Then job "bad" is "failed"
-    And each deadly task of gang "bad" has crashed at least 2 and at most 4 workers
+    And each deadly task of job "bad" has crashed at least 2 and at most 4 workers
 
     Examples:
       | workers | deadly | delay |
@@ -366,3 +366,18 @@
       | 40      | 10     | 10    |
       | 40      | 10     | 600   |
       | 40      | 10     | 1500  |
+
+  # Known to fail: the tasks are not kept apart so long after their start, and excuse each other.
+  Scenario Outline: many tasks of a job that crash their endpoints at once are bounded
+    Given workers that crash are back after 3000 ms under another id
+    And <workers> workers of 1 cores
+    And <deadly> tasks of job "bad" from index 0 crash each worker that starts them after 600 ms
+    When job "bad" of <deadly> tasks of 6000 ms is submitted
+    And 60000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And each deadly task of job "bad" has crashed at least 1 and at most 5 workers
+
+    Examples:
+      | workers | deadly |
+      | 12      | 4      |
+      | 40      | 10     |
--- a/packages/tests/src/steps/workflow/crashSteps.ts
+++ b/packages/tests/src/steps/workflow/crashSteps.ts
@@ -61,7 +61,7 @@
 );
 
 Given(
-  '{int} tasks of gang {string} from index {int} crash each worker that starts them after {int} ms',
+  '{int} tasks of job {string} from index {int} crash each worker that starts them after {int} ms',
   function addTasks(this: CrashSteps, count: number, id: string, first: number, delayMs: number) {
     for (let i = first; i < first + count; i += 1) {
       this.fleet.addDeadlyTask(`${id}.0.0.${i}`, delayMs);
@@ -257,7 +257,7 @@
 );
 
 Then(
-  'each deadly task of gang {string} has crashed at least {int} and at most {int} workers',
+  'each deadly task of job {string} has crashed at least {int} and at most {int} workers',
   function check(this: CrashSteps, id: string, min: number, max: number) {
     const counts = [...this.fleet.crashCounts].filter(([task]) => task.startsWith(`${id}.`));
     assert.ok(counts.length > 0);
