Let stand-in runners of the second review crash by their tasks

Cause: case 7 needs tasks that crash their runners, case 10 a configuration that is read back. Change: review/standins-2.

--- a/review/standins-2/cell.mjs
+++ b/review/standins-2/cell.mjs
@@ -281,6 +281,24 @@
     throw new Error(`no response to ${method} ${callPath}`);
   }
 
+  /** Reads the configuration from the nodes in turn; undefined if none has it in time. */
+  async readConfig(timeoutMs) {
+    const endMs = performance.now() + timeoutMs;
+    for (let i = 0; performance.now() < endMs; i += 1) {
+      const control = this.controls[i % this.controls.length];
+      const res = await callHttp('GET', `http://${control}/-/config`);
+      this.record('operator', { method: 'GET', control, status: res?.status });
+      if (res?.status === 200) return JSON.parse(res.text);
+      await sleep(500);
+    }
+    return undefined;
+  }
+
+  /** Sets the version before that of the next configuration. */
+  setLastVersion(version) {
+    this.version = version;
+  }
+
   /** Acts as the operator that sends the next configuration. */
   async configure(overrides = {}) {
     this.version += 1;
--- a/review/standins-2/runner.mjs
+++ b/review/standins-2/runner.mjs
@@ -39,7 +39,7 @@
 
 /**
  * A runner of the platform, as PROTOCOL.md describes it. The text of a task says how long it works:
- * `{"ms":600}`. A crash ends the lifetime; `revive` begins the next one under a new id.
+ * `{"ms":600}`; one with `lasts` has no end, one with `crashAfterMs` crashes its runner. A crash ends the lifetime; `revive` begins the next one under a new id.
  */
 export class Runner {
   constructor({
@@ -59,6 +59,10 @@
     this.slowFactor = 1;
     this.startupMs = DEFAULT_STARTUP_MS;
     this.isUp = false;
+    /** Called for a run whose task crashes the runner at this moment (`crashAfterMs`). */
+    this.onDeadly = () => {};
+    /** Called for each run that starts. */
+    this.onStart = () => {};
     this.waiters = new Set();
     this.server = createServer((req, res) => {
       this.serve(req, res).catch(() => res.destroy());
@@ -221,7 +225,9 @@
       how: spec.how ?? 'done',
       saves: spec.saves === true,
       stopMs: Infinity,
+      crashMs: spec.crashAfterMs === undefined ? Infinity : nowMs + spec.crashAfterMs,
     });
+    this.onStart({ task, run });
     this.record('start', { task, run, runner: this.id, machine: this.machine });
     return [200, {}];
   }
@@ -279,6 +285,10 @@
     const nowMs = performance.now();
     const hasLapsed = this.runs.size > 0 && this.clockMs > this.untilMs;
     for (const run of [...this.runs.values()]) {
+      if (nowMs >= run.crashMs) {
+        this.onDeadly(run);
+        return;
+      }
       if (hasLapsed) this.endRun(run, 'lapsed');
       else if (nowMs >= run.stopMs) this.endRun(run, 'stopped');
       else if (nowMs >= run.endMs) this.endRun(run, run.how);
