--- a/review/6/play.mjs
+++ b/review/6/play.mjs
@@ -7,7 +7,7 @@
 const FOLDER = path.dirname(fileURLToPath(import.meta.url));
 const EARLIER = '00000000000000d1';
 const LARGE = '00000000000000d2';
-/** One task a minute for a year; with `first_ms` left out, all times are due. */
+/** One task a minute for a year, of which the first was due a year ago: all times are due. */
 const REPEATS = 525_600;
 const FEW_REPEATS = 10;
 const INTERVAL_MS = 60_000;
@@ -30,6 +30,7 @@
       task_spec: JSON.stringify({ ms: 300 }),
       steps: [step],
       repeat_count: isTroubled ? REPEATS : FEW_REPEATS,
+      first_ms: Date.now() - REPEATS * INTERVAL_MS,
       interval_ms: INTERVAL_MS,
     });
     cell.record('the traffic has ended');
