Keep a configuration of any version apart from having none

Cause: the state began with version 0 and an empty document, so that 0 stood for none and for a version that may be sent. Negative versions were lost in the same way.

--- a/packages/tests/features/workflow/leaderCalls.feature
+++ b/packages/tests/features/workflow/leaderCalls.feature
@@ -255,3 +255,41 @@
     When replica "r2" leads
     And replica "r2" commits its proposals every 5 ms for 60 ms
     Then the caller got status 200
+
+  # Guards against a first configuration that is acknowledged and never in force.
+  Scenario Outline: a first configuration is in force whatever its version
+    Given no configuration has been accepted
+    When an operator sends configuration <version> to the leader
+    And replica "r1" commits its proposals every 5 ms for 20 ms
+    Then the caller got status 200
+    And the configuration read back is "<version>"
+    When an operator sends configuration <lower> to the leader
+    And replica "r1" commits its proposals every 5 ms for 20 ms
+    Then the caller got status 200
+    And the configuration read back is "<version>"
+    When all replicas restore a snapshot of this release
+    And replica "r2" leads
+    And a caller submits job "j" with a deadline of 2500 ms
+    And replica "r2" commits its proposals every 5 ms for 20 ms
+    Then the caller got status 200
+    And the configuration read back is "<version>"
+
+    Examples:
+      | version | lower |
+      | 0       | -1    |
+      | -3      | -4    |
+      | 7       | 0     |
+
+  # Guards against a snapshot without a configuration that is restored as an empty one.
+  Scenario Outline: a snapshot without a configuration is restored without one
+    Given no configuration has been accepted
+    When all replicas restore a snapshot of <release> release
+    Then no configuration can be read
+    When a caller submits job "j" with a deadline of 2500 ms
+    And 20 ms of the calls pass
+    Then the caller got status 503
+
+    Examples:
+      | release      |
+      | this         |
+      | the previous |
--- a/packages/tests/src/steps/workflow/leaderCallSteps.ts
+++ b/packages/tests/src/steps/workflow/leaderCallSteps.ts
@@ -161,6 +161,37 @@
   this.call = this.callWorld!.configure(version);
 });
 
+Given('no configuration has been accepted', function clear(this: Steps) {
+  this.callWorld!.state.config = undefined;
+});
+
+When(
+  /^all replicas restore a snapshot of (this|the previous) release$/,
+  function restore(this: Steps, release: string) {
+    const { state } = this.callWorld!;
+    const snapshot = state.snapshot() as { config?: unknown };
+    if (release === 'the previous') snapshot.config ??= { version: 0, document: '' };
+    state.restore(JSON.parse(JSON.stringify(snapshot)));
+  },
+);
+
+async function readDocument(steps: Steps, path: string): Promise<unknown> {
+  const documents: unknown[] = [];
+  steps.call = steps.callWorld!.callControl('GET', path, '', documents);
+  await steps.callWorld!.advance(SETTLE_MS);
+  return documents[0];
+}
+
+Then('the configuration read back is {string}', async function check(this: Steps, document) {
+  assert.equal(await readDocument(this, '/-/config'), document);
+  assert.equal(this.call.status, 200);
+});
+
+Then('no configuration can be read', async function check(this: Steps) {
+  await readDocument(this, '/-/config');
+  assert.equal(this.call.status, 503);
+});
+
 When('{int} ms of the calls pass', async function pass(this: Steps, ms: number) {
   await this.callWorld!.advance(ms);
 });
--- a/packages/tests/src/workflow/callWorld.ts
+++ b/packages/tests/src/workflow/callWorld.ts
@@ -178,7 +178,7 @@
     const [queue] = CONFIG.queues;
     const isClosed = change === 'closes its queue';
     this.configChange = { queues: isClosed ? [{ ...queue!, isOpen: false }] : [] };
-    const version = this.state.config.version + 1;
+    const version = this.state.config!.version + 1;
     this.state.config = { version, document: String(version) };
   }
 
@@ -188,6 +188,20 @@
     return this.observe(async () => (await this.control.handle(req)).status);
   }
 
+  /** Sends a call of an operator; `documents` receives the body of the response. */
+  callControl(
+    method: 'GET' | 'POST',
+    path: string,
+    body = '',
+    documents: unknown[] = [],
+  ): ObservedCall {
+    return this.observe(async () => {
+      const res = await this.control.handle({ method, path, headers: {}, body });
+      documents.push(res.body);
+      return res.status;
+    });
+  }
+
   /** Records when a call is answered, and its status or error. */
   observe(action: () => Promise<number>): ObservedCall {
     const call: ObservedCall = { sentMs: performance.now() };
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -224,7 +224,7 @@
         runs: runs.map(({ task, run, endpoint }) => `${task.index}:${run} on ${endpoint}`).join(),
         waitedMs: job && Date.now() - dueTimeMs(job, runs[0]!.task.occurrence),
         oldestHeartbeatMs: Math.round(Math.max(...heartbeatAgesMs)),
-        configVersion: state.config.version,
+        configVersion: state.config?.version,
         term: fencingToken,
       });
     }
--- a/packages/workflow/src/sessionMetrics.ts
+++ b/packages/workflow/src/sessionMetrics.ts
@@ -27,7 +27,7 @@
     const agents = this.directory.list();
     const available = agents.filter((agent) => this.directory.isResponsive(agent)).length;
     meter.setEndpoints(available, agents.length);
-    meter.setConfigVersion(state.config.version);
+    if (state.config) meter.setConfigVersion(state.config.version);
     this.updateWaitingSteps();
   }
 
--- a/packages/workflow/src/workflowCoordinator.ts
+++ b/packages/workflow/src/workflowCoordinator.ts
@@ -175,7 +175,7 @@
     this.registerHandler<{ document: string }>('config.apply', (_, { document }) =>
       this.configure(document),
     );
-    this.registerHandler('config.read', () => this.opts.state.config);
+    this.registerHandler('config.read', () => this.opts.state.config ?? null);
     this.registerHandler<{ reports: AdviceReport[]; waitMs: number }>(
       'advice.exchange',
       (session, { reports, waitMs }, from) =>
@@ -206,15 +206,13 @@
       return { type: 'invalid', reason };
     }
     const { state, logger } = this.opts;
-    if (version <= state.config.version) {
-      logger.info('configuration ignored: version is not newer', {
-        version,
-        current: state.config.version,
-      });
+    const current = state.config?.version;
+    if (current !== undefined && version <= current) {
+      logger.info('configuration ignored: version is not newer', { version, current });
       return { type: 'accepted' };
     }
     await this.log.propose({ type: 'configure', version, document });
-    logger.notice('configuration is in force', { version, current: state.config.version });
+    logger.notice('configuration is in force', { version, current: state.config?.version });
     return { type: 'accepted' };
   }
 
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -237,15 +237,15 @@
       jobs: state.jobs.size,
       endpoints: state.endpoints.size,
       runs: adopted,
-      configVersion: state.config.version,
+      configVersion: state.config?.version,
     });
   }
 
-  /** Returns the configuration in force; parsed again when its version changes. */
+  /** Returns the configuration in force, if there is one; parsed again when its version changes. */
   readConfig(): CellConfig | undefined {
     const { state, parseConfig } = this.opts;
+    if (!state.config) return undefined;
     const { version, document } = state.config;
-    if (version === 0) return undefined;
     if (this.config?.version !== version) this.config = parseConfig(document);
     return this.config;
   }
--- a/packages/workflow/src/workflowState.ts
+++ b/packages/workflow/src/workflowState.ts
@@ -13,15 +13,17 @@
   WaveRecord,
 } from './workflowRecords.js';
 
-/** Configuration document in force; version 0 if there is none yet. */
+/** Configuration document in force. */
 export interface StoredConfig {
+  /** Any whole number; a higher one replaces a lower one. */
   version: number;
   document: string;
 }
 
 /** Serialisable form of the state for snapshots. */
 interface WorkflowSnapshot {
-  config: StoredConfig;
+  /** Absent if there is none yet; earlier releases wrote an empty document in its place. */
+  config?: StoredConfig;
   jobs: (Omit<JobRecord, 'steps'> & { steps: [string, StepRecord][] })[];
   endpoints: EndpointRecord[];
   waves: WaveRecord[];
@@ -65,7 +67,8 @@
   readonly jobs = new Map<string, JobRecord>();
   readonly endpoints = new Map<string, EndpointRecord>();
   readonly waves = new Map<number, WaveRecord>();
-  config: StoredConfig = { version: 0, document: '' };
+  /** Absent until the first configuration is accepted. */
+  config: StoredConfig | undefined;
 
   apply({ command }: CommittedEntry): unknown {
     return this.applyCommand(command as WorkflowCommand);
@@ -73,7 +76,7 @@
 
   snapshot(): WorkflowSnapshot {
     return {
-      config: { ...this.config },
+      config: this.config && { ...this.config },
       jobs: [...this.jobs.values()].map((job) => ({
         ...job,
         steps: [...job.steps].map(([key, step]) => [key, cloneStep(step)]),
@@ -85,7 +88,7 @@
 
   restore(snapshot: unknown): void {
     const { config, jobs, endpoints, waves } = snapshot as WorkflowSnapshot;
-    this.config = { ...config };
+    this.config = config?.document ? { ...config } : undefined;
     this.jobs.clear();
     for (const job of jobs) {
       const steps = new Map(job.steps.map(([key, step]) => [key, cloneStep(step)]));
@@ -121,7 +124,7 @@
   private applyCommand(command: WorkflowCommand): unknown {
     switch (command.type) {
       case 'configure':
-        if (command.version <= this.config.version) return false;
+        if (this.config && command.version <= this.config.version) return false;
         this.config = { version: command.version, document: command.document };
         return true;
       case 'submit':
