--- a/packages/tests/features/workflow/leaderCalls.feature
+++ b/packages/tests/features/workflow/leaderCalls.feature
@@ -293,3 +293,10 @@
       | release      |
       | this         |
       | the previous |
+
+  # Guards against a wave that is accepted and cannot be read.
+  Scenario: a wave is read back whatever its number
+    When an operator opens wave -1 over no instances
+    And replica "r1" commits its proposals every 5 ms for 20 ms
+    Then the caller got status 200
+    And wave -1 is "completed"
--- a/packages/tests/src/steps/workflow/leaderCallSteps.ts
+++ b/packages/tests/src/steps/workflow/leaderCallSteps.ts
@@ -192,6 +192,15 @@
   assert.equal(this.call.status, 503);
 });
 
+When('an operator opens wave {int} over no instances', function open(this: Steps, wave: number) {
+  const body = JSON.stringify({ wave, machines: [], within_s: 1, max_count: 1 });
+  this.call = this.callWorld!.callControl('POST', '/-/wave-start', body);
+});
+
+Then('wave {int} is {string}', async function check(this: Steps, wave: number, state: string) {
+  assert.deepEqual(await readDocument(this, `/-/wave-get/${wave}`), { state });
+});
+
 When('{int} ms of the calls pass', async function pass(this: Steps, ms: number) {
   await this.callWorld!.advance(ms);
 });
