Bound the due occurrences that a recurring job costs

Cause: ReadySteps.refresh made an entry with a list of tasks for every due occurrence, and all of them anew at each change of the job; the state kept a record of each occurrence that had ever started.

More than 100,000 tasks in all steps together and intervals below 0 are refused before anything is stored.

--- a/packages/bench/src/runBench.ts
+++ b/packages/bench/src/runBench.ts
@@ -18,6 +18,7 @@
 const MEASUREMENTS: Record<string, Measure> = {
   decisions: () => measureScript('decisionBench.js', 'Cost of decisions', [], true),
   policies: () => measureScript('policyBench.js', 'Placement policies', [], true),
+  schedules: () => measureScript('scheduleBench.js', 'Schedules', [], true),
   workflow: () => measureScript('workflowBench.js', 'Workflow leader', [], true),
   health: () => measureScript('runHealthBench.js', 'Health policies', ['--seconds', '120'], true),
   storage: () =>
--- a/packages/bench/src/workflowRun.ts
+++ b/packages/bench/src/workflowRun.ts
@@ -4,7 +4,7 @@
 import { WorkflowMetrics } from '@lagoongap/telemetry/workflowMetrics.js';
 import type { AdviceReport } from '@lagoongap/workflow/adviceBroker.js';
 import type { CellConfig, QueuePolicy } from '@lagoongap/workflow/cellConfig.js';
-import type { StepSpec } from '@lagoongap/workflow/jobSpec.js';
+import type { JobSchedule, StepSpec } from '@lagoongap/workflow/jobSpec.js';
 import { WorkflowSession } from '@lagoongap/workflow/workflowSession.js';
 import { WorkflowState } from '@lagoongap/workflow/workflowState.js';
 import { DEFAULT_WORKFLOW_TIMING } from '@lagoongap/workflow/workflowTiming.js';
@@ -51,6 +51,7 @@
 const TICKET_VALIDITY_MS = 2000;
 const SUITABLE_SHARE = 0.7;
 const MS_PER_SECOND = 1000;
+const MS_PER_MINUTE = 60_000;
 const SHORT_TASK_MS = 600;
 const LONG_TASK_MS = 4000;
 const SERVICE_TASK_MS = 3_600_000;
@@ -103,7 +104,7 @@
 }
 
 /** Drives a workflow session on a virtual clock, with endpoints, advisor and log in memory. */
-export class WorkflowRun {
+export class WorkflowRun implements AsyncDisposable {
   private readonly scale: WorkflowScale;
   private readonly clock: VirtualClock;
   private readonly random = createSeededRandom(1);
@@ -113,6 +114,7 @@
   private readonly config: CellConfig;
   private session: WorkflowSession;
   private term = 1;
+  private isDisposed = false;
   private jobCount = 0;
   private heartbeatCount = 0;
   private logLineCount = 0;
@@ -137,16 +139,13 @@
         limit: { ...NO_RESOURCES },
       })),
     };
-    this.state.config = { version: 1, document: '' };
+    this.state.config = { version: 1, document: 'config' };
     this.session = this.createSession();
   }
 
   /** Measures the phases one after the other. */
   async measure(): Promise<WorkflowResult[]> {
-    this.session.start();
-    for (let i = 0; i < this.scale.endpoints; i += 1) this.startHeartbeats(i);
-    for (let i = 0; i < this.scale.advisorClients; i += 1) this.pollAdvice(`instance-${i}`, []);
-    await this.advance(2 * HEARTBEAT_MS);
+    await this.start();
     for (let i = 0; i < this.scale.services; i += 1) {
       const step = createStep({ taskCount: 20, isService: true, estimateMs: 0 }, 4000);
       this.submit('service', SERVICE_TASK_MS, [step]);
@@ -166,6 +165,37 @@
     ];
   }
 
+  /** Measures the usual load beside a job of which all occurrences are due. */
+  async measureSchedule(count: number): Promise<WorkflowResult[]> {
+    await this.start();
+    const schedule = { firstMs: Date.now() - count * MS_PER_MINUTE, intervalMs: MS_PER_MINUTE };
+    return [
+      await this.measurePhase('without it', 4, () => this.submitJobs(4)),
+      await this.measurePhase('beside it', 10, () => {
+        const step = createStep({ taskCount: 1 }, 1000);
+        this.submit('short', SHORT_TASK_MS, [step], { ...schedule, count });
+        this.submitJobs(10);
+      }),
+      await this.measurePhase('after take-over', 3, () => {
+        this.state.restore(structuredClone(this.state.snapshot()));
+        this.replaceLeader();
+        this.submitJobs(3);
+      }),
+    ];
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.isDisposed = true;
+    await this.session[Symbol.asyncDispose]();
+  }
+
+  private async start(): Promise<void> {
+    this.session.start();
+    for (let i = 0; i < this.scale.endpoints; i += 1) this.startHeartbeats(i);
+    for (let i = 0; i < this.scale.advisorClients; i += 1) this.pollAdvice(`instance-${i}`, []);
+    await this.advance(2 * HEARTBEAT_MS);
+  }
+
   private createSession(): WorkflowSession {
     this.term += 1;
     const stream = {
@@ -248,6 +278,7 @@
     };
     let sequence = 0;
     const send = (): void => {
+      if (this.isDisposed) return;
       sequence += 1;
       this.heartbeatCount += 1;
       const record = structuredClone(endpoint);
@@ -259,6 +290,7 @@
 
   private pollAdvice(instance: string, reports: AdviceReport[]): void {
     const answer = async (): Promise<void> => {
+      if (this.isDisposed) return;
       const query = await this.session.broker.exchange(instance, reports, MS_PER_SECOND);
       if (!query) {
         setTimeout(() => this.pollAdvice(instance, []), 1);
@@ -297,12 +329,17 @@
     this.submit('long', LONG_TASK_MS, [createStep(fields, 8000)]);
   }
 
-  private submit(queue: string, durationMs: number, steps: StepSpec[]): void {
+  private submit(
+    queue: string,
+    durationMs: number,
+    steps: StepSpec[],
+    schedule?: JobSchedule,
+  ): void {
     this.jobCount += 1;
     const { organisations } = this.config;
     const [key] = organisations[this.jobCount % organisations.length]!.keys;
     const path = `/${queue}/${queue}-${this.jobCount.toString(16).padStart(12, '0')}`;
-    const spec = { payload: String(durationMs), steps };
+    const spec = { payload: String(durationMs), steps, schedule };
     const startMs = performance.now();
     this.session.jobs.handle({ host: 'h', path, key, operation: 'submit', spec }).then(
       () => this.callTimesMs.push(performance.now() - startMs),
--- a/packages/tests/features/platform/formats.feature
+++ b/packages/tests/features/platform/formats.feature
@@ -45,6 +45,8 @@
       | fault                  | message      |
       | a count of 1000000000  | count        |
       | 1000000000 occurrences | repeat_count |
+      | 2 steps of 60000 tasks | 120000 tasks |
+      | an interval below 0    | interval_ms  |
 
   Scenario Outline: an invalid heartbeat is rejected with its fault
     When a heartbeat with <fault> is parsed
--- a/packages/tests/src/steps/platform/formatSteps.ts
+++ b/packages/tests/src/steps/platform/formatSteps.ts
@@ -57,6 +57,12 @@
   },
   '1000000000 occurrences': (job) =>
     JSON.stringify({ ...job, first_ms: 1, interval_ms: 1, repeat_count: 1_000_000_000 }),
+  '2 steps of 60000 tasks': (job) => {
+    for (const step of job.steps) step.count = 60_000;
+    return JSON.stringify(job);
+  },
+  'an interval below 0': (job) =>
+    JSON.stringify({ ...job, first_ms: 1, interval_ms: -1, repeat_count: 2 }),
   'no address': ({ address, ...heartbeat }) => JSON.stringify(heartbeat),
   'an unknown state': (heartbeat) => JSON.stringify({ ...heartbeat, state: 'odd' }),
   'a birth of type string': (heartbeat) => JSON.stringify({ ...heartbeat, born: 'soon' }),
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -223,7 +223,7 @@
 });
 
 When(
-  'job {string} of 1 task is submitted for {int} times, {int} ms apart',
+  'job {string} of 1 task is submitted for {int} times, {float} ms apart',
   async function repeat(this: Steps, id: string, count: number, intervalMs: number) {
     const schedule = { firstMs: Date.now() + 100, intervalMs, count };
     await this.world.submit(id, [createStep({})], { schedule });
--- a/packages/workflow/src/readySteps.ts
+++ b/packages/workflow/src/readySteps.ts
@@ -1,5 +1,8 @@
 import { isSuspected } from './crashRecord.js';
 import { stepName, type StepSpec, type TaskRef } from './jobSpec.js';
+import { skipOccurrences } from './occurrenceRanges.js';
+import { countDue, dueTimeMs, timeToNextMs } from './occurrenceSchedule.js';
+import { MAX_WAITING_TASKS, ReadyWindow } from './readyWindow.js';
 import type { JobRecord, RunRecord, TaskRecord } from './workflowRecords.js';
 import type { WorkflowState } from './workflowState.js';
 
@@ -11,7 +14,7 @@
   occurrence: number;
   step: number;
   spec: StepSpec;
-  /** Indexes of the waiting tasks. */
+  /** Indexes of the waiting tasks; of a very wide step, those of the first ones. */
   waiting: number[];
   /** Due time of the job or its occurrence, Unix milliseconds. */
   dueMs: number;
@@ -22,10 +25,16 @@
 /** Maximum concurrent runs of a task, the speculative copy included. */
 const MAX_CONCURRENT_RUNS = 2;
 
-/** Returns the due time of an occurrence, Unix milliseconds. */
-export function dueTimeMs(job: JobRecord, occurrence: number): number {
-  const { schedule } = job.spec;
-  return schedule ? schedule.firstMs + occurrence * schedule.intervalMs : job.acceptedMs;
+/**
+ * Maximum number of tasks in the occurrences of a job that have started and are not completed; at
+ * least one occurrence can start.
+ */
+const MAX_TASKS_IN_PROGRESS = 4096;
+
+/** Returns how many waiting tasks of a step are listed at a time. */
+function countListed({ taskCount, isGang, isService }: StepSpec): number {
+  // A gang starts as a whole, and restarts of a service must not be left out.
+  return isGang || isService ? taskCount : Math.min(taskCount, MAX_WAITING_TASKS);
 }
 
 /** Creates a step whose tasks are all waiting. */
@@ -37,7 +46,7 @@
     occurrence,
     step,
     spec,
-    waiting: Array.from({ length: spec.taskCount }, (_, index) => index),
+    waiting: Array.from({ length: countListed(spec) }, (_, index) => index),
     dueMs: dueTimeMs(job, occurrence),
   };
 }
@@ -54,8 +63,8 @@
 /** Options of {@link ReadySteps}. */
 export interface ReadyStepsOptions {
   state: WorkflowState;
-  /** Returns whether a start of the task is planned but not committed yet. */
-  isPending: (step: string, index: number) => boolean;
+  /** Returns the indexes of the tasks whose start is planned but not committed yet. */
+  pendingOf: (step: string) => ReadonlySet<number> | undefined;
   /** Returns whether a speculative copy is likely to end before the run. */
   isSuspect: (task: TaskRef, run: RunRecord) => boolean;
 }
@@ -95,22 +104,22 @@
     this.namesByJob.delete(id);
     if (job?.status !== 'open') return undefined;
     const names = new Set<string>();
-    const count = job.spec.schedule?.count ?? 1;
-    for (let occurrence = 0; occurrence < count; occurrence += 1) {
-      const dueMs = dueTimeMs(job, occurrence);
-      if (job.spec.schedule && dueMs > wallMs) {
-        this.namesByJob.set(id, names);
-        return dueMs - wallMs;
-      }
-      for (let step = 0; step < job.spec.steps.length; step += 1) {
-        const ready = this.findReady(job, occurrence, step, dueMs);
-        if (!ready) continue;
-        this.steps.set(ready.name, ready);
-        names.add(ready.name);
-      }
-    }
     this.namesByJob.set(id, names);
-    return undefined;
+    const window = new ReadyWindow();
+    const consider = (occurrence: number, step: number): void => {
+      const ready = window.hasRoom(step) ? this.findReady(job, occurrence, step) : undefined;
+      if (!ready) return;
+      window.add(step, ready.waiting.length);
+      this.steps.set(ready.name, ready);
+      names.add(ready.name);
+    };
+    const started = this.listStarted(job);
+    for (const occurrence of started) {
+      for (let step = 0; step < job.spec.steps.length; step += 1) consider(occurrence, step);
+    }
+    const haveAllBeenConsidered = this.considerUnstarted(job, wallMs, started, window, consider);
+    // Otherwise the next change of the job makes room.
+    return haveAllBeenConsidered ? timeToNextMs(job, wallMs) : undefined;
   }
 
   /** Returns the steps of a job without dependencies; the job need not be committed. */
@@ -125,7 +134,7 @@
     const { state } = this.opts;
     const upcoming: ReadyStep[] = [];
     if (job.status !== 'open') return upcoming;
-    for (const { occurrence } of job.steps.values()) {
+    for (const occurrence of this.listStarted(job)) {
       job.spec.steps.forEach((spec, step) => {
         const isStarted = state.findStep(job, occurrence, step) !== undefined;
         if (isStarted || this.areDependenciesDone(job, occurrence, spec)) return;
@@ -153,27 +162,63 @@
     return task.runs.every((run) => this.opts.isSuspect(ref, run));
   }
 
-  private findReady(
+  /** Returns the occurrences of which a task has started and that have not completed. */
+  private listStarted(job: JobRecord): Set<number> {
+    const started = new Set<number>();
+    for (const { occurrence } of job.steps.values()) {
+      if (!this.opts.state.isReleased(job, occurrence)) started.add(occurrence);
+    }
+    return started;
+  }
+
+  /**
+   * Considers the due occurrences of which nothing has started, as far as the window and the limit
+   * of tasks in progress allow.
+   *
+   * @returns Whether these are all that are due.
+   */
+  private considerUnstarted(
     job: JobRecord,
-    occurrence: number,
-    step: number,
-    dueMs: number,
-  ): ReadyStep | undefined {
-    const { state, isPending } = this.opts;
+    wallMs: number,
+    started: ReadonlySet<number>,
+    window: ReadyWindow,
+    consider: (occurrence: number, step: number) => void,
+  ): boolean {
+    const { spec, completed = [] } = job;
+    const initial = [...spec.steps.keys()].filter((step) => !spec.steps[step]!.dependsOn.length);
+    const taskCount = spec.steps.reduce((sum, step) => sum + step.taskCount, 0);
+    const maxInProgress = Math.max(1, Math.floor(MAX_TASKS_IN_PROGRESS / taskCount));
+    const due = countDue(job, wallMs);
+    let inProgress = started.size;
+    let occurrence = skipOccurrences(completed, 0);
+    for (; occurrence < due; occurrence = skipOccurrences(completed, occurrence + 1)) {
+      if (started.has(occurrence)) continue;
+      const hasRoom = initial.some((step) => window.hasRoom(step));
+      if (!hasRoom || inProgress >= maxInProgress) return false;
+      inProgress += 1;
+      for (const step of initial) consider(occurrence, step);
+    }
+    return true;
+  }
+
+  private findReady(job: JobRecord, occurrence: number, step: number): ReadyStep | undefined {
+    const { state, pendingOf } = this.opts;
     const spec = job.spec.steps[step]!;
     const record = state.findStep(job, occurrence, step);
     if (record?.isCompleted || !this.areDependenciesDone(job, occurrence, spec)) return undefined;
     const name = stepName(job.id, occurrence, step);
+    const pending = pendingOf(name);
+    const maxListed = countListed(spec);
     const waiting: number[] = [];
-    for (let index = 0; index < spec.taskCount; index += 1) {
+    for (let index = 0; index < spec.taskCount && waiting.length < maxListed; index += 1) {
       const task = record?.tasks[index];
       const ref = { jobId: job.id, occurrence, step, index };
       const isStartable = !task || (!task.isDone && this.canStart(ref, task, spec));
-      if (isStartable && !isPending(name, index)) waiting.push(index);
+      if (isStartable && !pending?.has(index)) waiting.push(index);
     }
     // A gang restarts only when all runs of its previous attempt have ended.
     const isPartial = spec.isGang && waiting.length < spec.taskCount;
     if (waiting.length === 0 || isPartial) return undefined;
-    return { name, job, occurrence, step, spec, waiting, dueMs };
+    return { name, job, occurrence, step, spec, waiting, dueMs: dueTimeMs(job, occurrence) };
   }
 }
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -4,7 +4,7 @@
 import type { AgentRun, EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { taskName, type TaskRef } from './jobSpec.js';
-import { dueTimeMs } from './readySteps.js';
+import { dueTimeMs } from './occurrenceSchedule.js';
 import type { RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
 import type { PlannedStart } from './stepScheduler.js';
--- a/packages/workflow/src/runEnds.ts
+++ b/packages/workflow/src/runEnds.ts
@@ -9,7 +9,7 @@
 import type { SessionContext } from './sessionContext.js';
 import { toRunLossReason } from './toRunLossReason.js';
 import type { EndedRun } from './workflowCommand.js';
-import type { RunRecord } from './workflowRecords.js';
+import type { JobRecord, RunRecord } from './workflowRecords.js';
 
 /** Options of {@link RunEnds}. */
 export interface RunEndsOptions {
@@ -18,6 +18,8 @@
   directory: EndpointDirectory;
   quarantine: Quarantine;
   outages: ServiceOutages;
+  /** Called for an occurrence that has completed and whose runs have all ended. */
+  onReleased: (job: JobRecord, occurrence: number) => void;
   /** Called for each job with a run that has ended. */
   onChanged: (jobId: string) => void;
 }
@@ -62,7 +64,7 @@
 
   /** Resolves when the ends are durable. */
   async record(ends: EndedRun[], endpoint: string): Promise<void> {
-    const { context, ledger, quarantine, outages, onChanged } = this.opts;
+    const { context, ledger, quarantine, outages, onChanged, onReleased } = this.opts;
     await context.propose({ type: 'end', runs: ends });
     outages.recordEnds(ends);
     for (const { task, run, outcome } of ends) {
@@ -70,6 +72,8 @@
       quarantine.end(runKey(task, run), outcome === 'done');
       context.meter.countRunEnded(outcome);
       if (outcome === 'done') this.stopCopies(task);
+      const job = context.state.jobs.get(task.jobId);
+      if (job && context.state.isReleased(job, task.occurrence)) onReleased(job, task.occurrence);
     }
     context.logger.info('runs ended', {
       endpoint,
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -89,7 +89,7 @@
   private readonly failures = new Map<string, Map<string, number>>();
   private readonly rejections = new RejectionBackoff();
   /** Planned starts that are not committed yet, by step and task index. */
-  private readonly pending = new Set<string>();
+  private readonly pending = new Map<string, Set<number>>();
   /** Latest evaluation of each waiting step. */
   private readonly evaluations = new Map<string, Evaluation>();
 
@@ -100,9 +100,9 @@
     this.blocked = new BlockedSteps(ledger);
   }
 
-  /** Returns whether a start of the task is planned but not committed yet. */
-  isPending(step: string, index: number): boolean {
-    return this.pending.has(`${step}.${index}`);
+  /** Returns the indexes of the tasks whose start is planned but not committed yet. */
+  pendingOf(step: string): ReadonlySet<number> | undefined {
+    return this.pending.get(step);
   }
 
   /** Returns the latest ticket for a planned start, or undefined if it has expired. */
@@ -116,8 +116,10 @@
   }
 
   /** Marks a planned start as no longer pending, once its commit has succeeded or failed. */
-  clearPending(start: PlannedStart): void {
-    this.pending.delete(`${start.stepName}.${start.task.index}`);
+  clearPending({ stepName: step, task }: PlannedStart): void {
+    const indexes = this.pending.get(step);
+    indexes?.delete(task.index);
+    if (indexes?.size === 0) this.pending.delete(step);
   }
 
   /** Records a failed run of a step on an endpoint, so that other endpoints are preferred. */
@@ -357,7 +359,8 @@
     const task: TaskRef = { jobId: job.id, occurrence, step, index };
     const key = `${taskName(task)}:${run}`;
     this.reserve(ready, key, endpoint.id);
-    this.pending.add(`${name}.${index}`);
+    const pending = this.pending.get(name) ?? new Set<number>();
+    this.pending.set(name, pending.add(index));
     const isTrial = mode === 'trial';
     this.opts.quarantine.recordStart(ready, index, { key, endpoint: endpoint.id, isTrial });
     const agent = this.opts.directory.require(endpoint.id);
--- a/packages/workflow/src/workflowRecords.ts
+++ b/packages/workflow/src/workflowRecords.ts
@@ -1,6 +1,7 @@
 import type { Resources } from '@lagoongap/model/resources.js';
 
 import type { JobSpec } from './jobSpec.js';
+import type { OccurrenceRanges } from './occurrenceRanges.js';
 
 /** Outcome of a run. */
 export type RunOutcome =
@@ -85,7 +86,10 @@
   hasStarted: boolean;
   /** Number of steps that have not completed, over all occurrences. */
   openSteps: number;
+  /** Steps with a task that has started, but for those of completed occurrences. */
   steps: Map<string, StepRecord>;
+  /** Occurrences that have completed and whose runs have all ended; absent if there are none. */
+  completed?: OccurrenceRanges;
 }
 
 /** An endpoint as described by its heartbeat. */
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -117,7 +117,7 @@
     this.directory = new EndpointDirectory(this.context, this, this.health);
     this.ready = new ReadySteps({
       state: opts.state,
-      isPending: (step, index) => this.scheduler.isPending(step, index),
+      pendingOf: (step) => this.scheduler.pendingOf(step),
       isSuspect: (task, run) => this.stragglers.isSuspect(task, run),
     });
     this.crashes = new CrashAttribution({
@@ -174,6 +174,7 @@
       quarantine: this.crashes.quarantine,
       outages: this.outages,
       onChanged: (id) => this.refreshJob(id),
+      onReleased: (job, occurrence) => this.forgetOccurrence(job, occurrence),
     });
     this.retention = new JobRetention(this.context);
     this.stragglers = new StragglerDetector(
@@ -338,10 +339,8 @@
       this.opts.logger.info('job ended', { job: job.id, status: job.status, reason });
       this.opts.meter.countJobEnded(job.status, Date.now() - job.acceptedMs);
     }
-    for (const step of job.steps.values()) {
-      const name = stepName(job.id, step.occurrence, step.step);
-      this.scheduler.forgetStep(name);
-      this.crashes.quarantine.forgetStep(name);
+    for (const { occurrence, step } of job.steps.values()) {
+      this.forgetStep(stepName(job.id, occurrence, step));
     }
     for (const { task, record } of listTasks(job)) {
       for (const { run, endpoint } of record.runs)
@@ -349,6 +348,15 @@
     }
   }
 
+  private forgetOccurrence(job: JobRecord, occurrence: number): void {
+    for (const step of job.spec.steps.keys()) this.forgetStep(stepName(job.id, occurrence, step));
+  }
+
+  private forgetStep(name: string): void {
+    this.scheduler.forgetStep(name);
+    this.crashes.quarantine.forgetStep(name);
+  }
+
   private recheckBlocked(): void {
     this.scheduler.recheckBlocked();
     this.requestCycle();
--- a/packages/workflow/src/workflowState.ts
+++ b/packages/workflow/src/workflowState.ts
@@ -2,6 +2,7 @@
 
 import { addCrash, isConvicted } from './crashRecord.js';
 import { stepKey, type StepSpec, type TaskRef } from './jobSpec.js';
+import { addOccurrence, includesOccurrence, type OccurrenceRanges } from './occurrenceRanges.js';
 import type { EndedRun, StartedRun, SubmitCommand, WorkflowCommand } from './workflowCommand.js';
 import { WorkflowError } from './workflowError.js';
 import type {
@@ -47,8 +48,12 @@
   };
 }
 
-function createTask(): TaskRecord {
-  return { isDone: false, lastRun: 0, failures: 0, runs: [] };
+function createTask(isDone: boolean): TaskRecord {
+  return { isDone, lastRun: 0, failures: 0, runs: [] };
+}
+
+function hasEnded({ isCompleted, tasks }: StepRecord): boolean {
+  return isCompleted && tasks.every(({ runs }) => runs.length === 0);
 }
 
 function cloneStep(step: StepRecord): StepRecord {
@@ -59,6 +64,10 @@
   return { ...step, tasks };
 }
 
+function cloneRanges(ranges: OccurrenceRanges | undefined): OccurrenceRanges | undefined {
+  return ranges?.map(([from, to]) => [from, to]);
+}
+
 /**
  * Replicated workflow state: configuration, jobs with their runs, endpoints and maintenance waves.
  * Commands are applied deterministically; timestamps in them are set by the leader.
@@ -80,6 +89,7 @@
       jobs: [...this.jobs.values()].map((job) => ({
         ...job,
         steps: [...job.steps].map(([key, step]) => [key, cloneStep(step)]),
+        completed: cloneRanges(job.completed),
       })),
       endpoints: [...this.endpoints.values()],
       waves: [...this.waves.values()].map((wave) => ({ ...wave, begun: [...wave.begun] })),
@@ -92,7 +102,11 @@
     this.jobs.clear();
     for (const job of jobs) {
       const steps = new Map(job.steps.map(([key, step]) => [key, cloneStep(step)]));
-      this.jobs.set(job.id, { ...job, steps });
+      const restored = { ...job, steps, completed: cloneRanges(job.completed) };
+      this.jobs.set(job.id, restored);
+      // Earlier releases kept the records of completed occurrences.
+      const occurrences = new Set(job.steps.map(([, { occurrence }]) => occurrence));
+      for (const occurrence of occurrences) this.releaseOccurrence(restored, occurrence);
     }
     this.endpoints.clear();
     for (const endpoint of endpoints) this.endpoints.set(endpoint.id, endpoint);
@@ -100,7 +114,12 @@
     for (const wave of waves) this.waves.set(wave.number, { ...wave, begun: [...wave.begun] });
   }
 
-  /** Returns the record of a step, or undefined if none of its tasks has started. */
+  /** Returns whether an occurrence has completed and all its runs have ended. */
+  isReleased(job: JobRecord, occurrence: number): boolean {
+    return includesOccurrence(job.completed ?? [], occurrence);
+  }
+
+  /** Returns the record of a step; undefined before its first start and after its release. */
   findStep(job: JobRecord, occurrence: number, step: number): StepRecord | undefined {
     return job.steps.get(stepKey(occurrence, step));
   }
@@ -194,6 +213,7 @@
     if (ended.checkpoint) task.checkpoint = ended.checkpoint;
     if (ended.outcome === 'done' && !spec.isService) this.complete(job, step, spec, task);
     if (ended.outcome === 'failed' && !spec.isService) this.countFailure(job, step, spec, ended);
+    if (step.isCompleted) this.releaseOccurrence(job, ended.task.occurrence);
   }
 
   private complete(job: JobRecord, step: StepRecord, spec: StepSpec, task: TaskRecord): void {
@@ -236,19 +256,39 @@
     if (known) return known;
     const spec = job.spec.steps[step];
     if (!spec) throw new WorkflowError(`job ${job.id} has no step ${step}`);
+    // A copy whose start was decided before the occurrence ended still has to be tracked.
+    const isCompleted = this.isReleased(job, occurrence);
     const created: StepRecord = {
       occurrence,
       step,
-      doneCount: 0,
-      isCompleted: false,
+      doneCount: isCompleted ? spec.taskCount : 0,
+      isCompleted,
       gangFailures: 0,
       lastFailedGangRun: 0,
-      tasks: Array.from({ length: spec.taskCount }, createTask),
+      tasks: Array.from({ length: spec.taskCount }, () => createTask(isCompleted)),
     };
     job.steps.set(key, created);
     return created;
   }
 
+  /**
+   * Removes the records of an occurrence that has completed and whose runs have all ended, so that
+   * the state of a recurring job does not grow with the occurrences that are over.
+   */
+  private releaseOccurrence(job: JobRecord, occurrence: number): void {
+    if (!job.spec.schedule) return;
+    const wasReleased = this.isReleased(job, occurrence);
+    const keys = job.spec.steps.map((_, step) => stepKey(occurrence, step));
+    const isOver = keys.every((key) => {
+      const record = job.steps.get(key);
+      return record ? hasEnded(record) : wasReleased;
+    });
+    if (!isOver) return;
+    for (const key of keys) job.steps.delete(key);
+    job.completed ??= [];
+    addOccurrence(job.completed, occurrence);
+  }
+
   private openWave(command: Extract<WorkflowCommand, { type: 'open-wave' }>): void {
     if (this.waves.has(command.number)) return;
     const { number, instances, withinMs, maxDown } = command;
