Tell tasks that crash at the same moment from a power loss

Cause: failures of several endpoints at one moment were taken for a power loss, which charges nobody, though the endpoints failed by what they ran. Gangs were an exception from that rule. The lines 'crash attributed' show the evidence, excused each time; later crashes were excused as random failures, whose rate these crashes had raised.

An endpoint is a witness of a common cause only if none of its tasks repeats an earlier crash equally late, unless half of all endpoints fail. The first event stays excused, the second one is not; the exception for gangs is gone. A series of five equally late crashes from instance to instance convicts in any case, and from the third on no longer counts as random.

--- a/packages/tests/features/workflow/crashRecord.feature
+++ b/packages/tests/features/workflow/crashRecord.feature
@@ -49,3 +49,15 @@
   Scenario: a run that had just started is suspected most
     Given an endpoint crashes with runs that started 10, 300 and 5000 ms before
     Then the suspicions are about 0.80, 0.14 and 0.01
+
+  # Guards against a task that escapes because each of its crashes has an excuse.
+  Scenario Outline: a series of equally late crashes convicts although each of them is excused
+    When the runs of a task crash <instances> after <exposures> ms, all excused
+    Then the task is <verdict>
+
+    Examples:
+      | instances | exposures            | verdict       |
+      | a b a b c | 600 620 590 640 610  | convicted     |
+      | a b c d   | 600 620 590 640      | not convicted |
+      | a a a a a | 600 620 590 640 610  | not convicted |
+      | a b c d e | 600 600 5000 600 600 | not convicted |
--- a/packages/tests/features/workflow/crashingTasks.feature
+++ b/packages/tests/features/workflow/crashingTasks.feature
@@ -367,17 +367,58 @@
       | 40      | 10     | 600   |
       | 40      | 10     | 1500  |
 
-  # Known to fail: the tasks are not kept apart so long after their start, and excuse each other.
+  # Such crashes excused each other as a power loss, so that the tasks were started again without end.
   Scenario Outline: many tasks of a job that crash their endpoints at once are bounded
     Given workers that crash are back after 3000 ms under another id
     And <workers> workers of 1 cores
-    And <deadly> tasks of job "bad" from index 0 crash each worker that starts them after 600 ms
+    And <deadly> tasks of job "bad" from index 0 crash each worker that starts them after <delay> ms
     When job "bad" of <deadly> tasks of 6000 ms is submitted
     And 60000 ms of workflow time pass
     Then job "bad" is "failed"
     And each deadly task of job "bad" has crashed at least 1 and at most 5 workers
 
     Examples:
-      | workers | deadly |
-      | 12      | 4      |
-      | 40      | 10     |
+      | workers | deadly | delay |
+      | 12      | 4      | 600   |
+      | 40      | 10     | 600   |
+      | 12      | 4      | 1000  |
+      | 12      | 4      | 1500  |
+      | 12      | 6      | 1500  |
+      | 40      | 10     | 1500  |
+      | 40      | 10     | 3000  |
+      | 12      | 10     | 600   |
+
+  # Guards against the same for tasks that belong to different jobs.
+  Scenario Outline: jobs that crash their endpoints at once are bounded, also beside a change of leader
+    Given workers that crash are back after 3000 ms under <id> id
+    And <workers> workers of 1 cores
+    And <deadly> jobs "bad" have one task that crashes each worker that starts it after <delay> ms
+    When jobs "bad" of 1 tasks are submitted <deadly> times, 2 ms apart
+    And 4500 ms of workflow time pass
+    And the workflow leader changes
+    And 70000 ms of workflow time pass
+    Then all jobs "bad" and "bad" are "failed"
+    And no task of jobs "bad" has crashed more than 5 workers
+
+    Examples:
+      | id       | workers | deadly | delay |
+      | another  | 12      | 4      | 600   |
+      | the same | 12      | 4      | 600   |
+      | another  | 40      | 10     | 1200  |
+
+  Scenario Outline: power losses of the whole fleet convict nobody
+    Given workers that crash are back after 3000 ms under another id
+    And 12 workers of 8 cores
+    When service "s" of 12 tasks on different workers is submitted
+    And jobs "j" of 6 tasks are submitted 10 times, 20 ms apart
+    And workers 1 to 12 crash 4 times, <interval> ms apart
+    And 10000 ms of workflow time pass
+    Then all jobs "j" and "j" are "completed"
+    And job "s" is "running"
+    And 12 tasks are running
+
+    Examples:
+      | interval |
+      | 4500     |
+      | 6000     |
+      | 12000    |
--- a/packages/tests/src/steps/workflow/crashRecordSteps.ts
+++ b/packages/tests/src/steps/workflow/crashRecordSteps.ts
@@ -52,6 +52,19 @@
   },
 );
 
+When(
+  /^the runs of a task crash (.+) after (.+) ms, all excused$/,
+  function addAll(this: CrashRecordWorld, instances: string, exposures: string) {
+    this.history = undefined;
+    const excused = { suspicion: 0.1, isPrompt: false, isSoleCause: false, isExcused: true };
+    exposures.split(' ').forEach((exposure, index) => {
+      const instance = instances.split(' ')[index];
+      const evidence = { ...excused, exposureMs: Number(exposure), instance };
+      this.history = addCrash(this.history, index + 1, evidence);
+    });
+  },
+);
+
 Then(
   /^the task is (not )?convicted$/,
   function check(this: CrashRecordWorld, negation: string | null) {
--- a/packages/tests/src/steps/workflow/crashSteps.ts
+++ b/packages/tests/src/steps/workflow/crashSteps.ts
@@ -130,6 +130,16 @@
   },
 );
 
+Given(
+  '{int} jobs {string} have one task that crashes each worker that starts it after {int} ms',
+  function addTasks(this: CrashSteps, count: number, prefix: string, delayMs: number) {
+    for (let i = 1; i <= count; i += 1) {
+      this.fleet.addDeadlyTask(`${prefix}${i}.0.0.0`, delayMs);
+      this.world.driver.durationsMs.set(`${prefix}${i}`, delayMs * 2);
+    }
+  },
+);
+
 When(
   'jobs {string} of {int} tasks are submitted {int} times, {int} ms apart',
   TIMEOUT,
--- a/packages/workflow/src/crashAttribution.ts
+++ b/packages/workflow/src/crashAttribution.ts
@@ -1,14 +1,9 @@
 import { CrashDetector, type EndpointCrash } from './crashDetector.js';
-import { MIN_SUSPICION, PROMPT_CRASH_MS, type CrashEvidence } from './crashRecord.js';
+import { isAsLate, MIN_SUSPICION, PROMPT_CRASH_MS, type CrashEvidence } from './crashRecord.js';
 import { estimateSuspicion } from './crashSuspicion.js';
 import type { AgentRun, EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
-import {
-  EndpointFailures,
-  FAILURE_MEMORY_MS,
-  listGangs,
-  type FailureInterval,
-} from './endpointFailures.js';
+import { EndpointFailures, FAILURE_MEMORY_MS, type FailureInterval } from './endpointFailures.js';
 import { taskName, type TaskRef } from './jobSpec.js';
 import { isPrompt, Quarantine, suspectUnit } from './quarantine.js';
 import type { SessionContext } from './sessionContext.js';
@@ -41,8 +36,11 @@
 /** The same for prompt crashes, fewer of which convict. */
 const MAX_EXPECTED_FAILURES_IF_PROMPT = 0.01;
 
-/** Ratio of two exposures up to which the same cause is likely. */
-const MAX_EXPOSURE_RATIO = 1.5;
+/** The same for a series of crashes on several instances, each of which has to be by chance. */
+const MAX_EXPECTED_FAILURES_IN_SERIES = 0.25;
+
+/** Number of crashes in a series from which the task explains them. */
+const MIN_EXPLAINING_SERIES = 3;
 
 /** Share of the suspicion that remains if the crash is likely to have another cause. */
 const EXCUSED_FACTOR = 0.1;
@@ -134,7 +132,7 @@
     wasOnTrial: (key: string) => boolean,
   ): Map<string, CrashEvidence> {
     const { noticedMs, runs } = crash;
-    const hasCommonCause = this.failures.hasCommonCause(crash, this.listRepeatedGangs(crash));
+    const hasCommonCause = this.failures.hasCommonCause(crash);
     const failureRate = this.failures.estimateRate();
     const onTrial = hasCommonCause ? [] : runs.filter(({ key }) => wasOnTrial(key));
     const culprits = hasCommonCause
@@ -144,7 +142,9 @@
         );
     const suspects = culprits.length > 0 ? culprits : runs;
     const suspicions = this.estimate(suspects, noticedMs);
-    const isExplained = culprits.some((run) => this.isRepeated(run, noticedMs));
+    const isExplained =
+      culprits.some((run) => this.isRepeated(run, noticedMs)) ||
+      runs.some((run) => this.continuesSeries(run, crash));
     this.failures.add(crash, isExplained);
     const evidence = new Map<string, CrashEvidence>();
     for (const run of suspects) {
@@ -163,6 +163,7 @@
           expectedFailures <= MAX_EXPECTED_FAILURES_IF_PROMPT,
         isSoleCause: culprits.length > 0,
         isExcused,
+        instance: expectedFailures > MAX_EXPECTED_FAILURES_IN_SERIES ? undefined : crash.instance,
       });
     }
     this.report(crash, evidence);
@@ -197,14 +198,17 @@
     return this.countUnits(likeliest) === 1 && !hasBetter ? likeliest : [];
   }
 
-  /** Returns whether a run on trial crashed its endpoint about as late as its task did before. */
+  /** Returns whether a run crashed its endpoint about as late as its task did before. */
   private isRepeated({ task, orderedMs }: AgentRun, crashMs: number): boolean {
     const earlierMs = this.opts.context.state.findCrashes(task)?.exposureMs ?? 0;
-    const elapsedMs = crashMs - orderedMs;
-    return (
-      elapsedMs <= earlierMs * MAX_EXPOSURE_RATIO + IMMEDIATE_CRASH_MS &&
-      elapsedMs >= earlierMs / MAX_EXPOSURE_RATIO - IMMEDIATE_CRASH_MS
-    );
+    return isAsLate(crashMs - orderedMs, earlierMs);
+  }
+
+  /** Returns whether the crash belongs to a series of crashes that the task of a run explains. */
+  private continuesSeries(run: AgentRun, { instance, noticedMs }: EndpointCrash): boolean {
+    const series = this.opts.context.state.findCrashes(run.task)?.series;
+    if (!series || !isAsLate(noticedMs - run.orderedMs, series.exposureMs)) return false;
+    return instance !== series.instance && series.count + 1 >= MIN_EXPLAINING_SERIES;
   }
 
   /**
@@ -228,14 +232,6 @@
     });
   }
 
-  /** Returns the gangs with members that have lost an endpoint before, as late after their start. */
-  private listRepeatedGangs({ runs, noticedMs }: EndpointCrash): Set<string> {
-    const { state } = this.opts.context;
-    const known = runs.filter((run) => state.findCrashes(run.task));
-    const repeated = known.filter((run) => this.isRepeated(run, noticedMs));
-    return listGangs(repeated, state);
-  }
-
   /** Returns the suspicion of a task whose run is, or was, on an endpoint that does not answer. */
   private presume(task: TaskRef): { suspicion: number; exposureMs: number } | undefined {
     const { context, directory } = this.opts;
--- a/packages/workflow/src/crashRecord.ts
+++ b/packages/workflow/src/crashRecord.ts
@@ -1,4 +1,4 @@
-import type { CrashHistory } from './workflowRecords.js';
+import type { CrashHistory, CrashSeries } from './workflowRecords.js';
 
 /** Evidence that the endpoint of a run crashed while the run was on it. */
 export interface CrashEvidence {
@@ -15,6 +15,11 @@
    * many fail at random that one is to be expected in the time for which the run was on it.
    */
   isExcused: boolean;
+  /**
+   * Instance that crashed. Absent if random failures alone may well explain the crash, and in logs
+   * of earlier releases.
+   */
+  instance?: string;
 }
 
 /** Time from the start of a run to a crash up to which the crash counts as prompt. */
@@ -32,6 +37,24 @@
 /** Number of crashes that convict, one of them in quarantine. */
 const CRASH_LIMIT = 3;
 
+/**
+ * Number of crashes in a series that convict. It holds whatever excuses the single crashes, as no
+ * other cause follows a task from instance to instance.
+ */
+const SERIES_LIMIT = 5;
+
+/** How much two exposures may differ: by a ratio, and by a time in milliseconds besides. */
+interface ExposureTolerance {
+  ratio: number;
+  marginMs: number;
+}
+
+/** Tolerance within which the same cause is likely; a silent endpoint is noticed late. */
+const SIMILAR: ExposureTolerance = { ratio: 1.5, marginMs: 200 };
+
+/** Tolerance within which the cause of several crashes at one moment is told apart. */
+export const EQUAL: ExposureTolerance = { ratio: 1.2, marginMs: 50 };
+
 /** Suspicion from which a task runs in quarantine after its first crash. */
 export const MIN_SUSPICION = 0.05;
 
@@ -46,6 +69,29 @@
   return exposureMs * TRIAL_FACTOR + TRIAL_MARGIN_MS;
 }
 
+/** Returns whether two crashes came about equally late after the starts of their runs. */
+export function isAsLate(
+  exposureMs: number,
+  earlierMs: number,
+  { ratio, marginMs }: ExposureTolerance = SIMILAR,
+): boolean {
+  return exposureMs <= earlierMs * ratio + marginMs && exposureMs >= earlierMs / ratio - marginMs;
+}
+
+/** Returns a series of crashes with one more, or a new series if that came earlier or later. */
+function extendSeries(
+  series: CrashSeries | undefined,
+  { exposureMs, instance }: CrashEvidence,
+): CrashSeries | undefined {
+  if (exposureMs === undefined || instance === undefined) return series;
+  if (!series || !isAsLate(exposureMs, series.exposureMs)) {
+    return { exposureMs, instance, count: 1 };
+  }
+  // An instance may keep crashing by itself under a task that has to return to it.
+  const count = series.count + (instance === series.instance ? 0 : 1);
+  return { exposureMs, instance, count };
+}
+
 /** Returns the crashes of a task with those of one more run. */
 export function addCrash(
   history: CrashHistory | undefined,
@@ -66,6 +112,7 @@
     promptCount: (known?.promptCount ?? 0) + (isPrompt ? counts : 0),
     suspicion: Math.max(known?.suspicion ?? 0, suspicion),
     exposureMs: known && known.suspicion > suspicion ? known.exposureMs : exposure,
+    series: extendSeries(history?.series, evidence),
   };
 }
 
@@ -75,6 +122,7 @@
 }
 
 /** Returns whether the task itself must be the cause of its crashes, so that its job fails. */
-export function isConvicted({ count, soleCount, promptCount }: CrashHistory): boolean {
+export function isConvicted({ count, soleCount, promptCount, series }: CrashHistory): boolean {
+  if (series && series.count >= SERIES_LIMIT) return true;
   return soleCount > 0 && (promptCount >= PROMPT_CRASH_LIMIT || count >= CRASH_LIMIT);
 }
--- a/packages/workflow/src/endpointFailures.ts
+++ b/packages/workflow/src/endpointFailures.ts
@@ -1,10 +1,9 @@
 import type { EndpointCrash } from './crashDetector.js';
+import { EQUAL, isAsLate } from './crashRecord.js';
 import type { AgentRun, EndpointAgent, IncarnationEnd } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { taskName } from './jobSpec.js';
-import { suspectUnit } from './quarantine.js';
 import type { SessionContext } from './sessionContext.js';
-import type { WorkflowState } from './workflowState.js';
 
 /** Time for which an endpoint failed; the moment of the failure lies in it. Monotonic. */
 export interface FailureInterval {
@@ -20,10 +19,10 @@
   instance: string;
   /** Names of the tasks that were on the endpoint. */
   tasks: ReadonlySet<string>;
-  /** Names of the gangs that had members on the endpoint. */
-  gangs: ReadonlySet<string>;
-  /** A run on trial explains it. */
+  /** A run on the endpoint explains it. */
   isExplained: boolean;
+  /** A task on the endpoint had crashed another one before, about as late after its start. */
+  isRepetition: boolean;
 }
 
 /** Time for which failures are remembered. */
@@ -35,6 +34,9 @@
 /** Share of the endpoints from which failures at the same moment have a common cause. */
 const COMMON_FAILURE_SHARE = 0.1;
 
+/** Share from which they have one whatever the endpoints run. */
+const MAJOR_FAILURE_SHARE = 0.5;
+
 /** Difference between two failures up to which they come at the same moment. */
 const SAME_MOMENT_MS = 50;
 
@@ -47,16 +49,6 @@
   return { ...end, lastContactMs: Math.max(end.lastContactMs, ...confirmedMs) };
 }
 
-function intersects(a: ReadonlySet<string>, b: ReadonlySet<string>): boolean {
-  return [...a].some((it) => b.has(it));
-}
-
-/** Returns the names of the gangs that runs are members of. */
-export function listGangs(runs: AgentRun[], state: WorkflowState): Set<string> {
-  const members = runs.filter(({ task }) => state.findSpec(task)?.isGang);
-  return new Set(members.map(({ task }) => suspectUnit(task, true)));
-}
-
 /** Remembers the latest failures of endpoints, as far as this leader has seen them. */
 export class EndpointFailures {
   private readonly context: SessionContext;
@@ -69,13 +61,13 @@
     this.directory = directory;
   }
 
-  /** @param isExplained - Whether a run on trial explains the crash. */
+  /** @param isExplained - Whether a run on the endpoint explains the crash. */
   add(crash: EndpointCrash, isExplained: boolean): void {
     const oldestMs = performance.now() - FAILURE_MEMORY_MS;
     this.failures = this.failures.filter(({ noticedMs }) => noticedMs > oldestMs);
     const tasks = new Set(crash.runs.map(({ task }) => taskName(task)));
-    const gangs = listGangs(crash.runs, this.context.state);
-    this.failures.push({ ...crash, tasks, gangs, isExplained });
+    const isRepetition = this.isRepetition(crash.runs, crash.noticedMs);
+    this.failures.push({ ...crash, tasks, isExplained, isRepetition });
   }
 
   /** Returns how often an instance failed recently without a run that explains it. */
@@ -99,29 +91,46 @@
     return recent.length / (observedMs * Math.max(1, this.directory.list().length));
   }
 
+  /** Returns whether one of the tasks crashed an endpoint before, as late after its start as now. */
+  isRepetition(runs: AgentRun[], crashMs: number): boolean {
+    return runs.some(({ task, orderedMs }) => {
+      const history = this.context.state.findCrashes(task);
+      return history !== undefined && isAsLate(crashMs - orderedMs, history.exposureMs, EQUAL);
+    });
+  }
+
   /**
-   * Returns whether so many other endpoints failed at the same moment that one cause is likely.
-   *
-   * @param repeatedGangs - Gangs that may have crashed several endpoints at that moment themselves.
+   * Returns whether so many other endpoints failed at the same moment that one cause is likely, as
+   * in a power loss. That would hit endpoints whatever they run; tasks that start together and crash
+   * equally late hit those endpoints only that run them, and do so again. Therefore endpoints count
+   * only if none of their tasks repeats an earlier crash, unless half of all endpoints failed.
    */
-  hasCommonCause(crash: FailureInterval, repeatedGangs: ReadonlySet<string>): boolean {
+  hasCommonCause(crash: FailureInterval): boolean {
     // What had failed before this leader is noticed at one moment, whatever the cause.
     if (!crash.wasInContact) return false;
     const agents = this.directory.list();
     const silent = agents
-      .filter((agent) => agent.isSuspect && !this.hasMemberOf(agent, repeatedGangs))
-      .map((agent) => ({ endpoint: agent.id, ...describeSilence(agent) }));
-    const noticed = this.failures.filter(({ gangs }) => !intersects(gangs, repeatedGangs));
+      .filter(({ isSuspect }) => isSuspect)
+      .map((agent) => ({
+        endpoint: agent.id,
+        ...describeSilence(agent),
+        isRepetition: this.isRepetition([...agent.runs.values()], agent.silentSinceMs),
+      }));
     const others = new Set<string>();
-    for (const failure of [...silent, ...noticed]) {
-      const { endpoint, lastContactMs, noticedMs, wasInContact } = failure;
+    const unexplained = new Set<string>();
+    for (const failure of [...silent, ...this.failures]) {
+      const { endpoint, lastContactMs, noticedMs, wasInContact, isRepetition } = failure;
       if (endpoint === crash.endpoint || !wasInContact) continue;
       const isSameMoment =
         lastContactMs - SAME_MOMENT_MS <= crash.noticedMs &&
         crash.lastContactMs - SAME_MOMENT_MS <= noticedMs;
-      if (isSameMoment) others.add(endpoint);
+      if (!isSameMoment) continue;
+      others.add(endpoint);
+      if (!isRepetition) unexplained.add(endpoint);
     }
-    return others.size >= Math.max(MIN_COMMON_FAILURES, agents.length * COMMON_FAILURE_SHARE);
+    const reaches = ({ size }: Set<string>, share: number): boolean =>
+      size >= Math.max(MIN_COMMON_FAILURES, agents.length * share);
+    return reaches(unexplained, COMMON_FAILURE_SHARE) || reaches(others, MAJOR_FAILURE_SHARE);
   }
 
   private listUnexplained(): Failure[] {
@@ -130,10 +139,4 @@
       ({ isExplained, noticedMs }) => !isExplained && noticedMs > oldestMs,
     );
   }
-
-  private hasMemberOf({ runs }: EndpointAgent, gangs: ReadonlySet<string>): boolean {
-    // Most crashes are under no such gang; then nothing is looked up.
-    if (gangs.size === 0) return false;
-    return intersects(listGangs([...runs.values()], this.context.state), gangs);
-  }
 }
--- a/packages/workflow/src/workflowRecords.ts
+++ b/packages/workflow/src/workflowRecords.ts
@@ -26,6 +26,16 @@
   endpoint: string;
 }
 
+/** Crashes that came one after the other, each about as late after the start of the run. */
+export interface CrashSeries {
+  /** Time from the start to the latest of them in milliseconds. */
+  exposureMs: number;
+  /** Instance that crashed last. */
+  instance: string;
+  /** Number of crashes, but for those of the same instance as the crash before. */
+  count: number;
+}
+
 /** Crashes of endpoints that a task was running on; each member of a gang has its own. */
 export interface CrashHistory {
   /** Runs whose crash is recorded, in ascending order. */
@@ -40,6 +50,8 @@
   suspicion: number;
   /** Time from the start of a run to the crash that is suspected most, in milliseconds. */
   exposureMs: number;
+  /** Absent in snapshots of earlier releases. */
+  series?: CrashSeries;
 }
 
 /** One task of a step. */
