Count tasks of a service as available only while they are at work

Cause: a task counted as available 2 s after its confirmation, whatever its endpoint reported, and at once if it was adopted or not confirmed, as the time of confirmation was 0. The record shows the first upkeep as begun 2.2 s before the second order, so it was not a lost order.

Runs keep what the latest response of their endpoint says about their work; until there is one they are not at work. Tasks on the instance itself count once, so that a task that stands still does not hold up its own maintenance. The time of confirmation is absent where there is none.

--- a/packages/tests/features/workflow/waves.feature
+++ b/packages/tests/features/workflow/waves.feature
@@ -47,3 +47,25 @@
       | event                       |
       | 10 ms of workflow time pass |
       | the workflow leader changes |
+
+  # Guards against an instance that is taken down while the task of the one before is still starting.
+  Scenario Outline: a task is available only while its endpoint reports it as at work
+    Given 4 workers of 4 cores
+    When service "s" of 3 tasks of which 1 may be unavailable is submitted
+    And 3000 ms of workflow time pass
+    And tasks on worker w4 are at work 6000 ms after their start
+    And <trouble>
+    And a wave over <instances> instances with at most 4 down is opened
+    And 1500 ms of workflow time pass
+    And <event>
+    And 60000 ms of workflow time pass
+    Then the wave is completed with <instances> instances maintained
+    And at most 1 task was away at once after maintenance
+
+    Examples:
+      | trouble                                       | instances | event                         |
+      | 10 ms of workflow time pass                   | 3         | 10 ms of workflow time pass   |
+      | 10 ms of workflow time pass                   | 3         | the workflow leader changes   |
+      | worker w4 loses its responses to start orders | 3         | 10 ms of workflow time pass   |
+      | worker w4 stalls the tasks that it starts     | 4         | 1000 ms of workflow time pass |
+      | worker w4 stalls the tasks that it starts     | 4         | the workflow leader changes   |
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -362,6 +362,17 @@
   assert.equal(this.world.maintained.length, count);
 });
 
+Given(
+  'tasks on worker {word} are at work {int} ms after their start',
+  function setStartup(this: Steps, id: string, ms: number) {
+    this.world.driver.worker(id).startupMs = ms;
+  },
+);
+
+Then('at most {int} task was away at once after maintenance', function check(this: Steps, max) {
+  assert.ok(this.world.maxAway <= (max as number), `${this.world.maxAway} were away`);
+});
+
 Then('at most {int} instances were down at once', function checkDown(this: Steps, max: number) {
   assert.ok(this.world.maxDown <= max, `${this.world.maxDown} were down`);
 });
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -31,6 +31,8 @@
 
 interface WorkerRun {
   order: StartOrder;
+  /** Monotonic time from which the run does its full work. */
+  workFromMs: number;
   timer?: NodeJS.Timeout;
 }
 
@@ -53,6 +55,8 @@
   durationMs = 500;
   /** Outcome with which all start orders are rejected. */
   rejection: StartOutcome | undefined;
+  /** Time from the start of a run until it does its full work. */
+  startupMs = 0;
   /** Payloads of tasks that run until they are stopped. */
   readonly lastingPayloads = new Set<string>();
   /** Load reported for every run. */
@@ -110,7 +114,8 @@
     if (order.run <= (this.supersededRuns.get(order.task) ?? 0)) return 'superseded';
     if (order.untilMs <= this.clockMs()) return 'late';
     this.renew(order.untilMs);
-    const run: WorkerRun = { order };
+    const startupMs = this.behaviour === 'stalled' ? Infinity : this.startupMs;
+    const run: WorkerRun = { order, workFromMs: performance.now() + startupMs };
     this.runs.set(key, run);
     this.started.push(key);
     this.maxExcess = Math.max(this.maxExcess, this.runs.size - this.maxTasks);
@@ -159,11 +164,11 @@
     this.reports = this.reports.filter((report) => !isAcknowledged(report));
     if (order.untilMs !== undefined) this.renew(order.untilMs);
     if (this.reports.length === 0 && order.waitMs > 0) await this.waitForEnd(order.waitMs);
-    const active: ActiveRun[] = [...this.runs.values()].map(({ order: { task, run } }) => ({
-      task,
-      run,
+    const active: ActiveRun[] = [...this.runs.values()].map((it) => ({
+      task: it.order.task,
+      run: it.order.run,
       checkpoint: '',
-      percent: 100,
+      percent: FakeWorker.isAtWork(it) ? 100 : 0,
       load: this.load,
     }));
     return {
@@ -175,6 +180,12 @@
     };
   }
 
+  /** Returns the names of the tasks that do their full work. */
+  listAtWork(): string[] {
+    const runs = [...this.runs.values()].filter((run) => FakeWorker.isAtWork(run));
+    return runs.map(({ order }) => order.task);
+  }
+
   /** Ends the runs of a gang, another member of which has ended. */
   breakGang(payload: string): void {
     for (const [key, { order }] of [...this.runs]) {
@@ -211,6 +222,10 @@
     for (const wake of this.waiters.splice(0)) wake();
   }
 
+  private static isAtWork({ workFromMs }: WorkerRun): boolean {
+    return performance.now() >= workFromMs;
+  }
+
   private renew(untilMs: number): void {
     this.untilMs = Math.max(this.untilMs, Math.min(untilMs, this.clockMs() + this.maxLeaseMs));
     clearTimeout(this.leaseTimer);
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -15,6 +15,7 @@
 import FakeTimers from '@sinonjs/fake-timers';
 
 import { FakeDriver } from './fakeDriver.js';
+import type { FakeWorker } from './fakeWorker.js';
 import { AutoCommitLog } from './autoCommitLog.js';
 import { RecordingLog } from './recordingLog.js';
 
@@ -98,6 +99,8 @@
   lostMaintenanceResponses = 0;
   /** Maximum number of instances that were down at the same time. */
   maxDown = 0;
+  /** Maximum number of tasks of a job that were not at work when maintenance ended one that was. */
+  maxAway = 0;
   private readonly down = new Set<string>();
 
   private onChecked: (() => void) | undefined;
@@ -306,6 +309,7 @@
   private takeDown(instance: string): void {
     const [id] = [...this.records].find(([, record]) => record.instance === instance)!;
     const worker = this.driver.worker(id);
+    this.recordAway(worker);
     this.down.add(instance);
     this.maxDown = Math.max(this.maxDown, this.down.size);
     worker.restart();
@@ -316,6 +320,20 @@
     }, MAINTENANCE_MS);
   }
 
+  /** Counts the tasks that are not at work once a worker goes down, for each job that it ends. */
+  private recordAway(worker: FakeWorker): void {
+    const listTasks = (it: FakeWorker): Set<string> =>
+      new Set(it.behaviour === 'silent' ? [] : it.listAtWork());
+    const ended = listTasks(worker);
+    for (const id of new Set([...ended].map((name) => name.split('.')[0]!))) {
+      const [step] = this.job(id).spec.steps;
+      const others = [...this.driver.workers.values()].filter((it) => it !== worker);
+      const atWork = new Set(others.flatMap((it) => [...listTasks(it)]));
+      const count = [...atWork].filter((name) => name.startsWith(`${id}.`)).length;
+      this.maxAway = Math.max(this.maxAway, step!.taskCount - count);
+    }
+  }
+
   job(id: string): JobRecord {
     return this.state.jobs.get(id)!;
   }
--- a/packages/workflow/src/crashAttribution.ts
+++ b/packages/workflow/src/crashAttribution.ts
@@ -1,7 +1,8 @@
 import { CrashDetector, type EndpointCrash } from './crashDetector.js';
 import { isAsLate, MIN_SUSPICION, PROMPT_CRASH_MS, type CrashEvidence } from './crashRecord.js';
 import { estimateSuspicion } from './crashSuspicion.js';
-import type { AgentRun, EndpointAgent } from './endpointAgent.js';
+import type { AgentRun } from './agentRun.js';
+import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { EndpointFailures, FAILURE_MEMORY_MS, type FailureInterval } from './endpointFailures.js';
 import { taskName, type TaskRef } from './jobSpec.js';
@@ -50,7 +51,7 @@
 
 /** Returns whether an earlier leader has started a run, so that its start time is not known. */
 function isAdopted({ phase, confirmedMs }: AgentRun): boolean {
-  return phase === 'running' && confirmedMs === 0;
+  return phase === 'running' && confirmedMs === undefined;
 }
 
 /** Decides which runs may have caused the crash of their endpoint. */
@@ -150,7 +151,7 @@
     for (const run of suspects) {
       const elapsedMs = Math.round(noticedMs - run.orderedMs);
       const isImmediate = !isAdopted(run) && elapsedMs <= IMMEDIATE_CRASH_MS;
-      const isAtOnce = run.confirmedMs > 0 && elapsedMs <= PROMPT_CRASH_MS;
+      const isAtOnce = run.confirmedMs !== undefined && elapsedMs <= PROMPT_CRASH_MS;
       const expectedFailures = elapsedMs * failureRate;
       const isExcused = hasCommonCause || expectedFailures > MAX_EXPECTED_FAILURES;
       evidence.set(run.key, {
--- a/packages/workflow/src/crashDetector.ts
+++ b/packages/workflow/src/crashDetector.ts
@@ -1,9 +1,5 @@
-import {
-  REPLACED_REASON,
-  type AgentRun,
-  type EndpointAgent,
-  type IncarnationEnd,
-} from './endpointAgent.js';
+import type { AgentRun } from './agentRun.js';
+import { REPLACED_REASON, type EndpointAgent, type IncarnationEnd } from './endpointAgent.js';
 import type { SessionContext } from './sessionContext.js';
 import type { EndpointRecord } from './workflowRecords.js';
 
@@ -54,7 +50,7 @@
     if (end.wasLeaving || this.isUnderMaintenance(instance)) return undefined;
     const present = runs.filter(({ orderedMs }) => orderedMs <= end.noticedMs);
     if (present.length === 0) return undefined;
-    const confirmedMs = present.map((run) => run.confirmedMs);
+    const confirmedMs = present.map((run) => run.confirmedMs ?? -Infinity);
     const lastContactMs = Math.max(end.lastContactMs, ...confirmedMs);
     return { ...end, lastContactMs, endpoint, instance, runs: present };
   }
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -1,6 +1,7 @@
 import { delay } from '@lagoongap/model/delay.js';
 import type { Log } from '@lagoongap/model/log.js';
 
+import type { AgentRun } from './agentRun.js';
 import type {
   ActiveRun,
   EndpointDriver,
@@ -11,37 +12,9 @@
   StartOutcome,
 } from './endpointDriver.js';
 import { chooseInspectionWaitMs, isRetriedWhileLeaving } from './inspectionPacing.js';
-import type { TaskRef } from './jobSpec.js';
 import { LeaseClock } from './leaseClock.js';
 import type { EndpointRecord } from './workflowRecords.js';
 
-/**
- * Phase of a run on an endpoint: `ordered` while the start order is in flight, `unsettled` if the
- * order may or may not have arrived, `running` once the run is confirmed or adopted.
- */
-export type RunPhase = 'ordered' | 'unsettled' | 'running';
-
-/** A run that is assigned to an endpoint. */
-export interface AgentRun {
-  /** Unique name of the run: `<task name>:<run number>`. */
-  key: string;
-  name: string;
-  task: TaskRef;
-  run: number;
-  phase: RunPhase;
-  /** Monotonic time of confirmation; later inspections must list the run. */
-  confirmedMs: number;
-  /** Monotonic time of the start order. */
-  orderedMs: number;
-  isStopping: boolean;
-  /** A stop order was accepted, so the run cannot start any more. */
-  isStopped: boolean;
-  /** Rough estimate of the duration in milliseconds. */
-  estimateMs: number;
-  /** Latest checkpoint. */
-  checkpoint: string;
-}
-
 /** Receives events of an agent. */
 export interface AgentListener {
   /** Resolves when the ends are durable. */
@@ -102,6 +75,9 @@
 /** Maximum number of reports in a response; a full response may omit further ends. */
 const MAX_REPORTS = 500;
 
+/** Percent that an endpoint reports for a run that does its full work. */
+const FULL_WORK_PERCENT = 100;
+
 /** Delay between two stop orders for the same run. */
 const STOP_RETRY_MS = 300;
 
@@ -441,6 +417,7 @@
 
   private confirm(run: AgentRun, active: ActiveRun): void {
     if (active.checkpoint !== '') run.checkpoint = active.checkpoint;
+    run.isAtWork = active.percent >= FULL_WORK_PERCENT;
     if (run.phase !== 'unsettled') return;
     run.phase = 'running';
     run.confirmedMs = performance.now();
@@ -452,7 +429,7 @@
     const lost: AgentRun[] = [];
     for (const run of this.runs.values()) {
       if (listed.has(run.key)) continue;
-      if (run.phase === 'running' && run.confirmedMs < sentMs) lost.push(run);
+      if (run.phase === 'running' && (run.confirmedMs ?? -Infinity) < sentMs) lost.push(run);
     }
     if (lost.length > 0) this.drop(lost, 'not reported by the endpoint');
   }
--- a/packages/workflow/src/endpointDriver.ts
+++ b/packages/workflow/src/endpointDriver.ts
@@ -70,7 +70,7 @@
   task: string;
   run: number;
   checkpoint: string;
-  /** Current pace, 0 to 100. */
+  /** Share of its full work that the run does, 0 to 100: 0 while it starts, its pace later. */
   percent: number;
   /** Tail response time in milliseconds of a latency-sensitive task, else used processor time. */
   load: number;
--- a/packages/workflow/src/endpointFailures.ts
+++ b/packages/workflow/src/endpointFailures.ts
@@ -1,6 +1,7 @@
 import type { EndpointCrash } from './crashDetector.js';
 import { EQUAL, isAsLate } from './crashRecord.js';
-import type { AgentRun, EndpointAgent, IncarnationEnd } from './endpointAgent.js';
+import type { AgentRun } from './agentRun.js';
+import type { EndpointAgent, IncarnationEnd } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { taskName } from './jobSpec.js';
 import type { SessionContext } from './sessionContext.js';
@@ -44,7 +45,7 @@
 const MIN_OBSERVATION_MS = 10_000;
 
 function describeSilence(agent: EndpointAgent): IncarnationEnd {
-  const confirmedMs = [...agent.runs.values()].map((run) => run.confirmedMs);
+  const confirmedMs = [...agent.runs.values()].map((run) => run.confirmedMs ?? -Infinity);
   const end = agent.describeEnd();
   return { ...end, lastContactMs: Math.max(end.lastContactMs, ...confirmedMs) };
 }
--- a/packages/workflow/src/outcomeRecorder.ts
+++ b/packages/workflow/src/outcomeRecorder.ts
@@ -1,7 +1,8 @@
 import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 
 import type { DurationEstimator } from './durationEstimator.js';
-import type { AgentRun, EndpointAgent } from './endpointAgent.js';
+import type { AgentRun } from './agentRun.js';
+import type { EndpointAgent } from './endpointAgent.js';
 import type { EndReport } from './endpointDriver.js';
 import { stepName, type TaskRef } from './jobSpec.js';
 import type { StepScheduler } from './stepScheduler.js';
@@ -32,9 +33,11 @@
     else health.recordAbandoned(attempt);
     if (report.outcome === 'failed') this.recordFailure(agent, run.task);
     const spec = state.findSpec(run.task);
-    const isMeasurable = report.outcome === 'done' && run.confirmedMs > 0 && run.run === 1;
-    if (!spec || !isMeasurable || spec.fillsIdleCapacity || spec.dataRack !== '') return;
-    const actualMs = performance.now() - run.confirmedMs;
+    const { confirmedMs } = run;
+    const isMeasurable = report.outcome === 'done' && run.run === 1;
+    if (!spec || !isMeasurable || confirmedMs === undefined) return;
+    if (spec.fillsIdleCapacity || spec.dataRack !== '') return;
+    const actualMs = performance.now() - confirmedMs;
     durations.record(agent.id, agent.record.kind, spec.estimateMs, actualMs);
   }
 
--- a/packages/workflow/src/quarantine.ts
+++ b/packages/workflow/src/quarantine.ts
@@ -1,5 +1,5 @@
 import { harmlessAfterMs, isSuspected, PROMPT_CRASH_MS } from './crashRecord.js';
-import type { AgentRun } from './endpointAgent.js';
+import type { AgentRun } from './agentRun.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { stepName, taskName, type TaskRef } from './jobSpec.js';
 import type { ReadyStep } from './readySteps.js';
@@ -337,7 +337,7 @@
     if (!agent || !run || agent.isSuspect || run.phase !== 'running') return false;
     // The run was on the incarnation that has ended.
     if (run.orderedMs <= (agent.previousEnd?.noticedMs ?? -Infinity)) return false;
-    const sinceMs = Math.max(run.orderedMs, run.confirmedMs);
+    const sinceMs = Math.max(run.orderedMs, run.confirmedMs ?? -Infinity);
     return performance.now() - sinceMs > trial.windowMs;
   }
 
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -1,7 +1,8 @@
 import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 
 import { CapacityCheck } from './capacityCheck.js';
-import type { AgentRun, EndpointAgent } from './endpointAgent.js';
+import type { AgentRun } from './agentRun.js';
+import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { taskName, type TaskRef } from './jobSpec.js';
 import { dueTimeMs } from './occurrenceSchedule.js';
@@ -48,7 +49,7 @@
     task,
     run,
     phase: 'running',
-    confirmedMs: 0,
+    isAtWork: false,
     orderedMs: performance.now(),
     isStopping: false,
     isStopped: false,
--- a/packages/workflow/src/runEnds.ts
+++ b/packages/workflow/src/runEnds.ts
@@ -1,5 +1,6 @@
 import type { CrashEvidence } from './crashRecord.js';
-import type { AgentRun, EndpointAgent } from './endpointAgent.js';
+import type { AgentRun } from './agentRun.js';
+import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { TaskRef } from './jobSpec.js';
 import type { Quarantine } from './quarantine.js';
--- a/packages/workflow/src/stragglerDetector.ts
+++ b/packages/workflow/src/stragglerDetector.ts
@@ -1,4 +1,5 @@
-import type { AgentRun, EndpointAgent } from './endpointAgent.js';
+import type { AgentRun } from './agentRun.js';
+import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { taskName, type StepSpec, type TaskRef } from './jobSpec.js';
 import type { EventLoopLag } from './eventLoopLag.js';
--- a/packages/workflow/src/waveRunner.ts
+++ b/packages/workflow/src/waveRunner.ts
@@ -1,7 +1,7 @@
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import type { InstanceApi } from './instanceApi.js';
-import { taskName } from './jobSpec.js';
+import { taskName, type TaskRef } from './jobSpec.js';
 import type { SessionContext } from './sessionContext.js';
 import type { WaveRecord } from './workflowRecords.js';
 
@@ -17,9 +17,6 @@
 /** Delay before maintenance of the same instance is requested again. */
 const MAINTENANCE_RETRY_MS = 1000;
 
-/** Time after its start during which a task counts as unavailable. */
-const TASK_STARTUP_MS = 2000;
-
 /** Time after the maintenance within which the endpoint is expected to report again. */
 const RETURN_MARGIN_MS = 2000;
 
@@ -120,12 +117,13 @@
       const key = `${task.jobId}.${task.step}`;
       const loss = (lossByStep.get(key) ?? 0) + 1;
       lossByStep.set(key, loss);
-      if (loss + this.countUnavailable(task.jobId, task.step) > spec.maxUnavailable) return false;
+      if (loss + this.countUnavailable(task, agent.id) > spec.maxUnavailable) return false;
     }
     return true;
   }
 
-  private countUnavailable(jobId: string, step: number): number {
+  /** Returns how many tasks of a step are not known to be at work, but for those on an endpoint. */
+  private countUnavailable({ jobId, step }: TaskRef, except: string): number {
     const { context } = this.opts;
     const job = context.state.jobs.get(jobId);
     if (job?.status !== 'open') return 0;
@@ -133,6 +131,7 @@
     for (const record of job.steps.values()) {
       if (record.step !== step) continue;
       for (const [index, { runs }] of record.tasks.entries()) {
+        if (runs.some(({ endpoint }) => endpoint === except)) continue;
         const name = taskName({ jobId, occurrence: record.occurrence, step, index });
         if (!runs.some(({ run, endpoint }) => this.isRunAvailable(endpoint, `${name}:${run}`))) {
           count += 1;
@@ -149,6 +148,6 @@
     if (!agent || !run || !directory.isResponsive(agent)) return false;
     const downMs = performance.now() - (this.downSince.get(agent.record.instance) ?? -Infinity);
     if (downMs < context.timing.maintenanceMs) return false;
-    return performance.now() - run.confirmedMs > TASK_STARTUP_MS;
+    return run.isAtWork;
   }
 }
