Send numbers of an endpoint's incarnation only where it has responded

The next incarnation takes the acknowledged number for its own reports, which nobody has read, and the time for a lease that the leader does not know of.

A connection does not outlive the process that it leads to. Inspections with an acknowledgement or a lease, and starts, are now written only on a connection on which the incarnation that is meant has responded. Weighed: no work for a new incarnation until every call to its predecessor has ended, which costs each restart a second or more and does not cover restarts that are not known yet.

--- a/packages/tests/src/steps/platform/clientSteps.ts
+++ b/packages/tests/src/steps/platform/clientSteps.ts
@@ -185,7 +185,7 @@
   'a start order to it has the outcome {string}',
   async function check(this: ClientWorld, outcome) {
     const driver = new HttpEndpointDriver(this.client, SILENT_LOG);
-    const target = { id: 'e', address: this.stoppedAddress };
+    const target = { id: 'e', address: this.stoppedAddress, bornMs: 1 };
     const order = { task: 't', run: 1, payload: '', untilMs: 1, fencingToken: 1 };
     assert.equal((await driver.start(target, order))?.outcome, outcome);
   },
@@ -194,7 +194,8 @@
 Then('an inspection of it fails as {string}', async function check(this: ClientWorld, failure) {
   const driver = new HttpEndpointDriver(this.client, SILENT_LOG);
   const { port } = (this.server?.address() ?? {}) as Partial<AddressInfo>;
-  const target = { id: 'e', address: port ? `127.0.0.1:${port}` : this.stoppedAddress };
+  const address = port ? `127.0.0.1:${port}` : this.stoppedAddress;
+  const target = { id: 'e', address, bornMs: 1 };
   const result = await driver.inspect(target, { fencingToken: 1, ackedReport: 0, waitMs: 0 });
   assert.deepEqual(result, { failure });
 });
--- a/packages/tests/src/steps/platform/oddEntrySteps.ts
+++ b/packages/tests/src/steps/platform/oddEntrySteps.ts
@@ -60,7 +60,7 @@
 
 function inspect(world: OddEntryWorld): Promise<OrderResult<Inspection>> {
   const driver = new HttpEndpointDriver(world.bodyClient!, createLog(world.logLines));
-  const target = { id: 'w1', address: readAddress(world) };
+  const target = { id: 'w1', address: readAddress(world), bornMs: 1 };
   return driver.inspect(target, { fencingToken: 1, ackedReport: 0, waitMs: 0 });
 }
 
--- a/packages/workflow/src/endpointDriver.ts
+++ b/packages/workflow/src/endpointDriver.ts
@@ -5,6 +5,8 @@
   id: string;
   /** `host:port`. */
   address: string;
+  /** Start time of the incarnation that is meant, Unix milliseconds; 0 if not reported. */
+  bornMs: number;
 }
 
 /** Order to start a task. */
@@ -110,7 +112,11 @@
 /** Result of an order: the response, or the reason why there is none. */
 export type OrderResult<Response> = { answer: Response } | { failure: OrderFailure };
 
-/** Sends orders to endpoints; implemented per endpoint protocol. */
+/**
+ * Sends orders to endpoints; implemented per endpoint protocol. Times on the endpoint's clock and
+ * numbers of reports mean something else to the next incarnation under the same id; orders that
+ * contain them are sent only where the incarnation that is meant has responded.
+ */
 export interface EndpointDriver extends AsyncDisposable {
   /** Resolves with undefined if there was no response; the order may still take effect later. */
   start(target: EndpointTarget, order: StartOrder): Promise<StartResponse | undefined>;
