Take no clock of another incarnation from responses to starts

Cause: the clock of a new incarnation begins anywhere, not at 0. A start order that the next incarnation had rejected as late carried a clock that was ahead by an hour; only clocks that had gone back were recognised, so that it became the reading by which the leases of the former incarnation had expired.

A clock in a response to a start counts only if it agrees with the latest reading in both directions; otherwise the endpoint is inspected before it is ordered anything further, and a start is not taken for confirmed. Runs whose order is in flight are not given up with a lease, and a stop that the former incarnation accepted does not count for the next one.

--- a/packages/tests/features/workflow/orders.feature
+++ b/packages/tests/features/workflow/orders.feature
@@ -329,3 +329,21 @@
     And 20 ms of workflow time pass
     Then 4 runs were started
     And no lease ended later than 5000 ms after the check of validity
+
+  # Guards against a lease that counts as expired by the clock of the next incarnation.
+  Scenario Outline: the clock of the next incarnation ends no lease
+    When 7000 ms of workflow time pass
+    And the heartbeats of all workers are lost
+    And job "a" of 2 tasks of 20000 ms is submitted
+    And 100 ms of workflow time pass
+    And worker w1 restarts silently with a clock of <clock> ms
+    And job "b" of 6 tasks of 100 ms is submitted
+    And 4 ms of workflow time pass
+    And job "b" is cancelled
+    And 3000 ms of workflow time pass
+    Then no task of job "a" was started more than once
+
+    Examples:
+      | clock   |
+      | 0       |
+      | 1000000 |
--- a/packages/tests/src/steps/workflow/workflowSteps.ts
+++ b/packages/tests/src/steps/workflow/workflowSteps.ts
@@ -127,6 +127,13 @@
   this.world.driver.worker(id).restart();
 });
 
+When(
+  'worker {word} restarts silently with a clock of {int} ms',
+  function restart(this: Steps, id: string, clockMs: number) {
+    this.world.driver.worker(id).restart({ clockMs, isSilent: true });
+  },
+);
+
 When('worker {word} responds again', function restore(this: Steps, id: string) {
   this.world.driver.worker(id).behaviour = 'sound';
 });
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -199,8 +199,11 @@
     this.behaviour = 'crashed';
   }
 
-  /** Ends all runs without a report, closes all connections and starts a new incarnation. */
-  restart(): void {
+  /**
+   * Ends all runs without a report, and starts a new incarnation, whose clock shows `clockMs`. Unless
+   * it is silent, all connections are closed.
+   */
+  restart({ clockMs = 0, isSilent = false } = {}): void {
     for (const timer of this.lateStarts) clearTimeout(timer);
     this.lateStarts.clear();
     for (const { order, timer } of this.runs.values()) {
@@ -217,8 +220,9 @@
     this.untilMs = 0;
     clearTimeout(this.leaseTimer);
     this.leaseTimer = undefined;
-    this.bootMs = performance.now();
+    this.bootMs = performance.now() - clockMs;
     this.bornMs += 1;
+    if (isSilent) return;
     for (const wake of this.waiters.splice(0)) wake();
   }
 
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -10,9 +10,11 @@
   OrderFailure,
   StartOrder,
   StartOutcome,
+  StartResponse,
 } from './endpointDriver.js';
 import { chooseInspectionWaitMs, isRetriedWhileLeaving } from './inspectionPacing.js';
 import { LeaseClock } from './leaseClock.js';
+import { ReportCursor } from './reportCursor.js';
 import type { EndpointRecord } from './workflowRecords.js';
 
 /** Receives events of an agent. */
@@ -113,12 +115,7 @@
   private incarnationNumber = 0;
   /** Incarnation that the readings and leases of the clock belong to. */
   private clockIncarnation = '';
-  private ackedReport = 0;
-  /** Monotonic time at which the last inspection with a response was sent. */
-  private answeredSentMs = -Infinity;
-  /** Monotonic time at which the endpoint may last have restarted unnoticed. */
-  private doubtedMs = -Infinity;
-  private hasUnackedReports = false;
+  private readonly reports = new ReportCursor();
   private isStarted = false;
   private isDisposed = false;
   private wake: (() => void) | undefined;
@@ -186,18 +183,19 @@
     const { incarnationNumber } = this;
     const response = await driver.start(this.record, order);
     if (this.isDisposed) return;
-    // A response that an earlier incarnation may have sent tells nothing about this one.
-    if (!response || incarnationNumber !== this.incarnationNumber) {
-      this.doubtedMs = performance.now();
+    const receivedMs = performance.now();
+    const isOfIncarnation =
+      incarnationNumber === this.incarnationNumber &&
+      this.observeResponse(response, sentMs, receivedMs);
+    if (!isOfIncarnation) this.reports.doubt();
+    // The endpoint is inspected before it is ordered anything further.
+    if (response && !isOfIncarnation) this.isSynced = false;
+    // A start by another incarnation tells nothing about this one.
+    if (!response || (response.outcome === 'started' && !isOfIncarnation)) {
       run.phase = 'unsettled';
       await this.resolveUnsettled(run);
       return;
     }
-    const receivedMs = performance.now();
-    if (response.clockMs !== undefined) {
-      if (this.clock.hasGoneBack(response.clockMs, sentMs)) this.doubtedMs = receivedMs;
-      this.clock.observe({ clockMs: response.clockMs, sentMs, receivedMs });
-    }
     if (response.outcome === 'started') {
       run.phase = 'running';
       run.confirmedMs = receivedMs;
@@ -210,6 +208,19 @@
     }
   }
 
+  /** Takes the clock from the response to an order; returns whether it is of this incarnation. */
+  private observeResponse(
+    response: StartResponse | undefined,
+    sentMs: number,
+    receivedMs: number,
+  ): boolean {
+    if (response?.clockMs === undefined) return response !== undefined;
+    const reading = { clockMs: response.clockMs, sentMs, receivedMs };
+    if (!this.clock.isPossible(reading)) return false;
+    this.clock.observe(reading);
+    return true;
+  }
+
   /** Gives no further work to an endpoint that differs from its record, until it has been inspected. */
   private handleRejection(outcome: StartOutcome): void {
     if (outcome === 'not-sent') this.markSuspect('unreachable');
@@ -289,12 +300,12 @@
 
   private resetIncarnation(): void {
     this.incarnationNumber += 1;
-    this.ackedReport = 0;
-    this.answeredSentMs = -Infinity;
-    this.hasUnackedReports = false;
+    this.reports.reset();
     this.isSynced = false;
     this.isSuspect = false;
     this.silentSinceMs = Infinity;
+    // The stop orders were accepted by the incarnation that has ended.
+    for (const run of this.runs.values()) run.isStopped = false;
   }
 
   private async loop(): Promise<void> {
@@ -316,8 +327,8 @@
   }
 
   private needsInspection(): boolean {
-    const { isSynced, isSuspect, isLeaving, hasUnackedReports } = this;
-    return !isSynced || isSuspect || isLeaving || hasUnackedReports || this.runs.size > 0;
+    const { isSynced, isSuspect, isLeaving, reports } = this;
+    return !isSynced || isSuspect || isLeaving || reports.hasUnacknowledged || this.runs.size > 0;
   }
 
   private get renewalMs(): number {
@@ -337,14 +348,13 @@
     const canRenew = this.clock.hasReading && isCurrentClock && !this.isSuspect;
     const result = await driver.inspect(record, {
       fencingToken,
-      // An endpoint that has restarted would take the number for that of reports not yet read.
-      ackedReport: this.answeredSentMs > this.doubtedMs ? this.ackedReport : 0,
+      ackedReport: this.reports.acknowledgeable,
       untilMs: canRenew ? this.clock.grant(this.renewalMs, sentMs) : undefined,
       waitMs,
     });
     if (this.isDisposed) return false;
     if ('failure' in result) {
-      this.doubtedMs = performance.now();
+      this.reports.doubt();
       this.handleFailure(result.failure);
       return false;
     }
@@ -353,12 +363,12 @@
       answer.bornMs > 0 && record.bornMs > 0 && answer.bornMs !== record.bornMs;
     if (this.record !== record || isOtherIncarnation) {
       // The heartbeat of the new incarnation describes it; until then the response is ignored.
-      this.doubtedMs = performance.now();
+      this.reports.doubt();
       if (isOtherIncarnation && answer.bornMs > this.record.bornMs) this.markSilent();
       return false;
     }
     this.lastResponseMs = performance.now();
-    this.answeredSentMs = sentMs;
+    this.reports.recordResponse(sentMs);
     // The leases of an earlier incarnation may run on until the new one has responded.
     if (!isCurrentClock) this.clock.reset();
     this.clockIncarnation = this.incarnation;
@@ -390,11 +400,9 @@
     this.isSuspect = false;
     this.silentSinceMs = Infinity;
     const ends: { run: AgentRun; report: EndReport }[] = [];
-    let lastReport = this.ackedReport;
-    for (const report of inspection.ended) {
-      lastReport = Math.max(lastReport, report.number);
+    for (const report of this.reports.listNew(inspection.ended)) {
       const run = this.runs.get(`${report.task}:${report.run}`);
-      if (run && report.number > this.ackedReport) ends.push({ run, report });
+      if (run) ends.push({ run, report });
     }
     for (const active of inspection.active) {
       const run = this.runs.get(`${active.task}:${active.run}`);
@@ -408,8 +416,7 @@
       if (this.isDisposed || incarnationNumber !== this.incarnationNumber) return;
     }
     if (isComplete) this.dropAbsentRuns(inspection.active, sentMs);
-    this.hasUnackedReports = inspection.ended.length > 0;
-    this.ackedReport = lastReport;
+    this.reports.recordProcessed(inspection.ended);
     this.isSynced = true;
     listener.onInspected(this, inspection.active);
     if (!wasAvailable) listener.onAvailabilityChange(this);
@@ -446,7 +453,9 @@
       // An announced shutdown may still be in progress behind a partition.
       if (failure === 'refused' || haveRunsEnded) listener.onLeft(this);
     } else if (haveRunsEnded) {
-      this.drop([...this.runs.values()], 'the lease expired');
+      // An order in flight may still start its run.
+      const settled = [...this.runs.values()].filter(({ phase }) => phase !== 'ordered');
+      this.drop(settled, 'the lease expired');
     }
   }
 
--- a/packages/workflow/src/leaseClock.ts
+++ b/packages/workflow/src/leaseClock.ts
@@ -2,7 +2,7 @@
 const CLOCK_RATE_TOLERANCE = 0.02;
 
 /** Reading of an endpoint's clock with the local times of request and response. */
-interface ClockReading {
+export interface ClockReading {
   clockMs: number;
   sentMs: number;
   receivedMs: number;
@@ -31,11 +31,14 @@
   }
 
   /**
-   * Returns whether the endpoint's clock has gone back: a reading from a response to an order sent at
-   * `sentMs` is earlier than it can be, as after a restart of the endpoint.
+   * Returns whether a reading from a response agrees with the latest one. The clock of another
+   * incarnation may be ahead or behind by any time.
    */
-  hasGoneBack(clockMs: number, sentMs: number): boolean {
-    return clockMs < Math.floor(this.earliestMs(sentMs));
+  isPossible({ clockMs, sentMs, receivedMs }: ClockReading): boolean {
+    return (
+      clockMs >= Math.floor(this.earliestMs(sentMs)) &&
+      clockMs <= Math.ceil(this.latestMs(receivedMs))
+    );
   }
 
   /**
@@ -44,11 +47,9 @@
    * response.
    */
   observeHeartbeat(clockMs: number, receivedMs: number): void {
-    const { reading } = this;
-    if (!reading) return;
-    const elapsedMs = Math.max(0, receivedMs - reading.sentMs);
-    const latestMs = reading.clockMs + elapsedMs * (1 + CLOCK_RATE_TOLERANCE);
-    const isPossible = clockMs > this.earliestMs(receivedMs) && clockMs <= latestMs;
+    if (!this.reading) return;
+    const isPossible =
+      clockMs > this.earliestMs(receivedMs) && clockMs <= this.latestMs(receivedMs);
     if (isPossible) this.observe({ clockMs, sentMs: receivedMs, receivedMs });
   }
 
@@ -70,6 +71,13 @@
     return this.earliestMs(nowMs) >= this.grantedUntilMs;
   }
 
+  /** Returns an upper bound of the current time on the endpoint's clock. */
+  private latestMs(nowMs: number): number {
+    if (!this.reading) return Infinity;
+    const elapsedMs = Math.max(0, nowMs - this.reading.sentMs);
+    return this.reading.clockMs + elapsedMs * (1 + CLOCK_RATE_TOLERANCE);
+  }
+
   /** Returns a lower bound of the current time on the endpoint's clock. */
   private earliestMs(nowMs: number): number {
     if (!this.reading) return 0;
