Accept the clock of a response that another one has overtaken

Their responses had arrived, but carried clocks read before the one of a response that had overtaken them, so that they counted as those of another incarnation since 'Take no clock of another incarnation from responses to starts'.

A reading may be earlier than the latest one by as much as its order was sent before that one arrived.

--- a/packages/tests/features/workflow/policies.feature
+++ b/packages/tests/features/workflow/policies.feature
@@ -142,3 +142,18 @@
     Then the occurrence has been due 0 times
     When 1 days pass for the occurrence
     Then the occurrence has been due 1 times
+
+  # Guards against runs that count as unsettled because responses overtook each other.
+  Scenario Outline: the clock in a response tells whether it is of the same incarnation
+    Given an endpoint clock that was read as 10000 ms at 500 ms
+    Then a reading of <reading> ms in a response from <sent> to <received> ms is <verdict>
+
+    Examples:
+      | reading | sent | received | verdict                 |
+      | 10100   | 595  | 605      | of this incarnation     |
+      | 9990    | 485  | 505      | of this incarnation     |
+      | 9980    | 485  | 505      | not of this incarnation |
+      | 10300   | 595  | 605      | not of this incarnation |
+      | 9990    | 500  | 505      | not of this incarnation |
+      | 3000    | 595  | 605      | not of this incarnation |
+      | 5000000 | 595  | 605      | not of this incarnation |
--- a/packages/tests/src/steps/workflow/policySteps.ts
+++ b/packages/tests/src/steps/workflow/policySteps.ts
@@ -177,6 +177,15 @@
   },
 );
 
+Then(
+  /^a reading of (\d+) ms in a response from (\d+) to (\d+) ms is (not )?of this incarnation$/,
+  function check(this: PolicyWorld, clockMs: string, sentMs: string, receivedMs: string, negation) {
+    const reading = { clockMs: Number(clockMs), sentMs: Number(sentMs) };
+    const isPossible = this.leaseClock.isPossible({ ...reading, receivedMs: Number(receivedMs) });
+    assert.equal(isPossible, negation === null);
+  },
+);
+
 Then('the lease may be valid at {int} ms', function checkHeld(this: PolicyWorld, nowMs: number) {
   assert.equal(this.leaseClock.hasExpired(nowMs), false);
 });
--- a/packages/workflow/src/leaseClock.ts
+++ b/packages/workflow/src/leaseClock.ts
@@ -35,10 +35,10 @@
    * incarnation may be ahead or behind by any time.
    */
   isPossible({ clockMs, sentMs, receivedMs }: ClockReading): boolean {
-    return (
-      clockMs >= Math.floor(this.earliestMs(sentMs)) &&
-      clockMs <= Math.ceil(this.latestMs(receivedMs))
-    );
+    // A response may have been overtaken by the one with the latest reading.
+    const overtakenMs = Math.max(0, (this.reading?.receivedMs ?? 0) - sentMs);
+    const earliestMs = this.earliestMs(sentMs) - overtakenMs * (1 + CLOCK_RATE_TOLERANCE);
+    return clockMs >= Math.floor(earliestMs) && clockMs <= Math.ceil(this.latestMs(receivedMs));
   }
 
   /**
