Allow for the delay of heartbeats in the bounds of an endpoint's clock

Cause, by reading: the clock in a heartbeat counted as read when the heartbeat arrived. After a delayed one, the clock of the next response was later than the bound, and the response counted as that of another incarnation.

The clock in a heartbeat counts as read when it can have shown that time first, by the reading before it.

Scenario: 'a delayed heartbeat does not make later responses those of another incarnation'; by the former bound, 10992 ms, it fails. policies and orders: 80 passed.

--- a/packages/tests/features/workflow/policies.feature
+++ b/packages/tests/features/workflow/policies.feature
@@ -157,3 +157,10 @@
       | 9990    | 500  | 505      | not of this incarnation |
       | 3000    | 595  | 605      | not of this incarnation |
       | 5000000 | 595  | 605      | not of this incarnation |
+
+  # Guards against the same after a heartbeat that took long.
+  Scenario: a delayed heartbeat does not make later responses those of another incarnation
+    Given an endpoint clock that was read as 10000 ms at 500 ms
+    When a heartbeat with a reading of 10990 ms arrives at 1500 ms
+    Then a reading of 11001 ms in a response from 1500 to 1502 ms is of this incarnation
+    And a reading of 11100 ms in a response from 1500 to 1502 ms is not of this incarnation
--- a/packages/workflow/src/leaseClock.ts
+++ b/packages/workflow/src/leaseClock.ts
@@ -47,10 +47,14 @@
    * response.
    */
   observeHeartbeat(clockMs: number, receivedMs: number): void {
-    if (!this.reading) return;
+    const { reading } = this;
+    if (!reading) return;
     const isPossible =
       clockMs > this.earliestMs(receivedMs) && clockMs <= this.latestMs(receivedMs);
-    if (isPossible) this.observe({ clockMs, sentMs: receivedMs, receivedMs });
+    if (!isPossible) return;
+    // It is not known when the clock was read, only since when it can show that time.
+    const sinceMs = (clockMs - reading.clockMs) / (1 + CLOCK_RATE_TOLERANCE);
+    this.observe({ clockMs, sentMs: reading.sentMs + sinceMs, receivedMs });
   }
 
   /** Discards the readings and leases of an earlier incarnation. */
