--- a/packages/tests/features/workflow/crashingTasks.feature
+++ b/packages/tests/features/workflow/crashingTasks.feature
@@ -388,6 +388,16 @@
       | 40      | 10     | 3000  |
       | 12      | 10     | 600   |
 
+  # Known to fail: if all endpoints fail together, nothing tells such tasks from a power loss.
+  Scenario: tasks that crash all endpoints of the fleet at once are bounded
+    Given workers that crash are back after 3000 ms under another id
+    And 12 workers of 1 cores
+    And 12 tasks of job "bad" from index 0 crash each worker that starts them after 1500 ms
+    When job "bad" of 12 tasks of 6000 ms is submitted
+    And 60000 ms of workflow time pass
+    Then job "bad" is "failed"
+    And each deadly task of job "bad" has crashed at least 1 and at most 5 workers
+
   # Guards against the same for tasks that belong to different jobs.
   Scenario Outline: jobs that crash their endpoints at once are bounded, also beside a change of leader
     Given workers that crash are back after 3000 ms under <id> id
