Prepare features, slack and kept room for the work on hard load

Cause: several parts of the workflow layer will be built side by side, and need shared interfaces: which optional parts are in use, how long a step can wait, and which room is kept for whom.

--- a/packages/workflow/src/sessionContext.ts
+++ b/packages/workflow/src/sessionContext.ts
@@ -6,6 +6,7 @@
 import type { EndpointDriver } from './endpointDriver.js';
 import type { InstanceApi } from './instanceApi.js';
 import type { WorkflowCommand } from './workflowCommand.js';
+import type { WorkflowFeatures } from './workflowFeatures.js';
 import type { WorkflowState } from './workflowState.js';
 import type { WorkflowTiming } from './workflowTiming.js';
 
@@ -14,6 +15,7 @@
   state: WorkflowState;
   driver: EndpointDriver;
   timing: WorkflowTiming;
+  features: WorkflowFeatures;
   logger: Log;
   meter: WorkflowMetricsRecorder;
   /** Fencing token of this leadership; higher than that of every earlier one. */
@@ -40,6 +42,8 @@
   holder: string;
   parseConfig: ConfigParser;
   timing: WorkflowTiming;
+  /** By default all. */
+  features?: WorkflowFeatures;
   logger: Log;
   meter: WorkflowMetricsRecorder;
   isValid: () => boolean;
--- a/packages/workflow/src/stepOrder.ts
+++ b/packages/workflow/src/stepOrder.ts
@@ -1,4 +1,5 @@
 import type { QueuePolicy } from './cellConfig.js';
+import { criticalPathMs, targetDurationMs } from './jobSlack.js';
 import type { ReadyStep } from './readySteps.js';
 
 /** Multiple of the target duration up to which a late job is still useful. */
@@ -33,21 +34,10 @@
   return usage < 1 ? 0 : Math.floor(Math.log(usage) / Math.log(EQUAL_USAGE_FACTOR));
 }
 
-/** Returns the estimated length of the critical path from `firstStep` to the end of the job. */
-export function criticalPathMs({ job: { spec } }: ReadyStep, firstStep: number): number {
-  const ends: number[] = [];
-  spec.steps.forEach(({ dependsOn, estimateMs }, step) => {
-    const startMs = Math.max(0, ...dependsOn.map((earlier) => ends[earlier] ?? 0));
-    // Earlier steps have ended or run in parallel.
-    ends.push(step < firstStep ? 0 : startMs + estimateMs);
-  });
-  return Math.max(0, ...ends);
-}
-
 /** Returns the timeliness of the job of a step if the step starts now. */
 export function assessTimeliness(step: ReadyStep, queue: QueuePolicy, wallMs: number): Timeliness {
   if (step.spec.isService) return 'in-time';
-  const targetMs = criticalPathMs(step, 0) * queue.stretch + queue.targetMs;
+  const targetMs = targetDurationMs(step, queue);
   const expectedMs = wallMs - step.dueMs + criticalPathMs(step, step.step);
   if (expectedMs <= targetMs) return 'in-time';
   return expectedMs <= targetMs * LATE_FACTOR ? 'late' : 'overdue';
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -4,6 +4,7 @@
 import { AdviceBroker } from './adviceBroker.js';
 import { AdvicePrefetcher } from './advicePrefetcher.js';
 import type { CellConfig } from './cellConfig.js';
+import { createSessionContext } from './createSessionContext.js';
 import { CrashAttribution } from './crashAttribution.js';
 import { CyclePacer } from './cyclePacer.js';
 import type { AgentRun } from './agentRun.js';
@@ -22,7 +23,6 @@
 import { OccurrenceTimers } from './occurrenceTimers.js';
 import { OutcomeRecorder } from './outcomeRecorder.js';
 import { listTasks, ReadySteps } from './readySteps.js';
-import { proposeWhileLeading } from './proposeWhileLeading.js';
 import { createAgentRun, RunDispatcher, runKey } from './runDispatcher.js';
 import { runInSlices } from './runInSlices.js';
 import { RunAdopter } from './runAdopter.js';
@@ -87,29 +87,14 @@
 
   constructor(opts: WorkflowSessionOptions) {
     this.opts = opts;
-    const { term } = opts.log;
     const { logger, meter, electedMs = performance.now() } = opts;
     this.takeover = new TakeoverRecorder(logger, meter, electedMs);
     this.monitor = new LeadershipMonitor({ ...opts, replicatedLog: opts.log, log: logger });
-    this.context = {
-      state: opts.state,
-      driver: opts.driver,
-      timing: opts.timing,
-      logger: opts.logger,
-      meter: opts.meter,
-      fencingToken: term,
-      predecessorEndMs: Math.min(performance.now(), opts.log.predecessorEndMs ?? Infinity),
-      // The instance may be elected again before this session is disposed of.
-      isValid: () => !this.isDisposed && opts.log.term === term && opts.isValid(),
-      describeLeadership: () => this.monitor.describe(),
-      propose: async (command) => {
-        const startMs = performance.now();
-        const result = await proposeWhileLeading(opts.log, command, this.context.fencingToken);
-        opts.meter.countCommit(performance.now() - startMs);
-        return result;
-      },
+    this.context = createSessionContext(opts, {
+      monitor: this.monitor,
+      isDisposed: () => this.isDisposed,
       readConfig: () => this.readConfig(),
-    };
+    });
     this.broker = new AdviceBroker(opts.log.term);
     this.health = new EjectingHealthPolicy({
       onTransition: ({ endpointId: endpoint, ...change }) =>
--- a/packages/workflow/src/workflowTiming.ts
+++ b/packages/workflow/src/workflowTiming.ts
@@ -14,6 +14,12 @@
   farFactor: number;
   /** Duration of the maintenance of an instance. */
   maintenanceMs: number;
+  /** Longest time from a stop order to the end of the run. */
+  stopMs: number;
+  /** Work after which a checkpointing task writes a new checkpoint; it also does so at a stop. */
+  checkpointMs: number;
+  /** Time that a task needs to resume from a checkpoint. */
+  restoreMs: number;
 }
 
 /** Defaults for settings that the operator leaves out. */
@@ -25,4 +31,7 @@
   turnMs: 20,
   farFactor: 1,
   maintenanceMs: 2000,
+  stopMs: 200,
+  checkpointMs: 1000,
+  restoreMs: 500,
 };
