Add evacuations of data centres

Cause: an operator of the platform can ask that nothing more be sent to the endpoints of a data centre (POST and DELETE /-/evacuations/ZONE), and the replicas responded with 404.

Change: evacuations are part of the replicated state, with a version that keeps a delayed repetition from undoing a later call. The endpoint directory lists no endpoint of an evacuated data centre as available, and the dispatcher drops starts that were decided before the commit, with all members of their gang, as lost with the reason 'evacuated'. Running work and maintenance are not affected. A metric, the state 'evacuated' of lagoongap_workflow_endpoints, log lines and the field 'evacuated' of 'step is waiting' tell what is evacuated.

--- a/packages/telemetry/src/runLossReason.ts
+++ b/packages/telemetry/src/runLossReason.ts
@@ -8,6 +8,8 @@
   | 'not-responding'
   /** The ticket expired before the run was ordered. */
   | 'ticket-expired'
+  /** The data centre was evacuated before the run was ordered. */
+  | 'evacuated'
   /** The start order got no response and had no effect. */
   | 'order-lost'
   /** The endpoint no longer lists a run that it had confirmed. */
--- a/packages/telemetry/src/workflowMetrics.ts
+++ b/packages/telemetry/src/workflowMetrics.ts
@@ -35,6 +35,8 @@
   countOrder(order: string, outcome: string, durationMs: number): void;
   countLeadership(): void;
   setEndpoints(available: number, known: number): void;
+  /** Sets the number of evacuated data centres, and of the endpoints there that accept work. */
+  setEvacuations(dataCentres: number, endpoints: number): void;
   setConfigVersion(version: number): void;
   /** Counts a call of a caller that was refused or got no response. */
   countCallFailure(reason: CallFailureReason, state: FailedCallState): void;
@@ -71,6 +73,7 @@
   countOrder() {},
   countLeadership() {},
   setEndpoints() {},
+  setEvacuations() {},
   setConfigVersion() {},
   countCallFailure() {},
   countTryFailure() {},
@@ -160,6 +163,12 @@
     ['state'],
   );
 
+  private readonly evacuations = this.createGauge(
+    'lagoongap_evacuations',
+    'Data centres that are evacuated',
+    [],
+  );
+
   private readonly configVersion = this.createGauge(
     'lagoongap_config_version',
     'Version of the configuration in force',
@@ -303,6 +312,11 @@
     this.endpoints.set({ state: 'known' }, known);
   }
 
+  setEvacuations(dataCentres: number, endpoints: number): void {
+    this.evacuations.set(dataCentres);
+    this.endpoints.set({ state: 'evacuated' }, endpoints);
+  }
+
   setConfigVersion(version: number): void {
     this.configVersion.set(version);
   }
--- a/packages/tests/features/platform/endToEnd.feature
+++ b/packages/tests/features/platform/endToEnd.feature
@@ -23,3 +23,18 @@
     And the leading replica stops
     Then the job "00000000000000ab" becomes "completed" within 15 s
     And the endpoints started 3 tasks, each with a ticket
+
+  # Guards against an evacuation that is acknowledged and lost with a process.
+  Scenario: an evacuation survives the restart of all replicas
+    Given a cell of the platform with 3 replicas and a gateway
+    And 2 endpoints of the platform
+    When the operator sends configuration 7
+    And the operator begins the evacuation of "z-a" at replica 1
+    And the operator begins the evacuation of "z-a" at replica 2
+    And all replicas restart
+    And a caller submits job "00000000000000ac" of 3 tasks with key "key-1"
+    And 3 s pass
+    Then the endpoints started no task
+    When the operator ends the evacuation of "z-a" at replica 3
+    Then the job "00000000000000ac" becomes "completed" within 10 s
+    When the operator ends the evacuation of "z-a" at replica 1
--- a/packages/tests/src/platform/platformCell.ts
+++ b/packages/tests/src/platform/platformCell.ts
@@ -25,6 +25,7 @@
   replica: WorkflowReplica;
   control: HttpService;
   address: string;
+  peerPort: number;
   folder: string;
 }
 
@@ -34,7 +35,8 @@
   callers = '';
   private readonly client = new PlatformClient();
   private readonly advisor = new EndpointStandIn('advisor', () => []);
-  private readonly replicas: RunningReplica[] = [];
+  private replicas: RunningReplica[] = [];
+  private seeds: string[] = [];
   private gateway: WorkflowGateway | undefined;
   private callerService: HttpService | undefined;
 
@@ -48,7 +50,10 @@
     const ports: number[] = [];
     while (ports.length < replicaCount) ports.push(await findFreePort());
     const seeds = ports.map((port) => replicaInstanceId(HOST, port));
-    for (const port of ports) await this.addReplica(port, seeds);
+    this.seeds = seeds;
+    for (const port of ports) {
+      this.replicas.push(await this.createReplica(port, await PlatformCell.createFolder()));
+    }
     await Promise.all(this.replicas.map(({ replica }) => replica.start()));
     const gateway = new WorkflowGateway({
       host: HOST,
@@ -78,24 +83,45 @@
     const index = this.replicas.findIndex(({ replica }) => replica.isLeader);
     const [leader] = this.replicas.splice(index, 1);
     await PlatformCell.stopReplica(leader!);
+    await rm(leader!.folder, { recursive: true, force: true });
+  }
+
+  /** Stops all replicas and starts them again on their data folders. */
+  async restartReplicas(): Promise<void> {
+    const stopped = this.replicas.splice(0);
+    for (const running of stopped) await PlatformCell.stopReplica(running);
+    for (const { peerPort, folder, address } of stopped) {
+      this.replicas.push(await this.createReplica(peerPort, folder, address));
+    }
+    await Promise.all(this.replicas.map(({ replica }) => replica.start()));
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     for (const endpoint of [...this.endpoints, this.advisor]) await endpoint[Symbol.asyncDispose]();
     await this.callerService?.[Symbol.asyncDispose]();
     await this.gateway?.[Symbol.asyncDispose]();
-    for (const running of this.replicas) await PlatformCell.stopReplica(running);
+    for (const running of this.replicas) {
+      await PlatformCell.stopReplica(running);
+      await rm(running.folder, { recursive: true, force: true });
+    }
     await this.client[Symbol.asyncDispose]();
   }
 
-  private async addReplica(peerPort: number, seeds: string[]): Promise<void> {
-    const folder = await mkdtemp(join(tmpdir(), 'lagoongap-platform-'));
+  private static createFolder(): Promise<string> {
+    return mkdtemp(join(tmpdir(), 'lagoongap-platform-'));
+  }
+
+  private async createReplica(
+    peerPort: number,
+    folder: string,
+    formerAddress?: string,
+  ): Promise<RunningReplica> {
     const replica = new WorkflowReplica({
       host: HOST,
       peerPort,
       dataFolder: join(folder, 'data'),
       bootstrap: true,
-      seeds,
+      seeds: this.seeds,
       driver: new HttpEndpointDriver(this.client, SILENT_LOG),
       parseConfig: parseConfigDocument,
       timing: DEFAULT_WORKFLOW_TIMING,
@@ -104,12 +130,12 @@
         throw err;
       },
     });
-    const port = await findFreePort();
-    const address = `${HOST}:${port}`;
+    const address = formerAddress ?? `${HOST}:${await findFreePort()}`;
+    const port = Number(address.slice(HOST.length + 1));
     const api = new ControlApi({ leader: replica.leader, controlPort: port, log: SILENT_LOG });
     const control = this.createService(address, api);
     await control.listen();
-    this.replicas.push({ replica, control, address, folder });
+    return { replica, control, address, peerPort, folder };
   }
 
   private createService(address: string, api: CallerApi | ControlApi): HttpService {
@@ -121,9 +147,8 @@
     });
   }
 
-  private static async stopReplica({ replica, control, folder }: RunningReplica): Promise<void> {
+  private static async stopReplica({ replica, control }: RunningReplica): Promise<void> {
     await control[Symbol.asyncDispose]();
     await replica[Symbol.asyncDispose]();
-    await rm(folder, { recursive: true, force: true });
   }
 }
--- a/packages/tests/src/steps/platform/endToEndSteps.ts
+++ b/packages/tests/src/steps/platform/endToEndSteps.ts
@@ -89,6 +89,37 @@
   await this.cell.stopLeader();
 });
 
+When(
+  /^the operator (begins|ends) the evacuation of "(.*)" at replica (\d)$/,
+  STEP_OPTIONS,
+  async function evacuate(this: CellWorld, operation: string, name: string, replica: string) {
+    const method = operation === 'begins' ? 'POST' : 'DELETE';
+    for (let tries = 0; tries < MAX_TRIES; tries += 1) {
+      const control = this.cell.controlAddresses[Number(replica) - 1];
+      const res = await request(`http://${control}/-/evacuations/${name}`, { method });
+      await res.body.dump();
+      if (res.statusCode === 200) return;
+      await pause(RETRY_MS);
+    }
+    assert.fail('the call was not acknowledged');
+  },
+);
+
+When('all replicas restart', STEP_OPTIONS, async function restart(this: CellWorld) {
+  await this.cell.restartReplicas();
+});
+
+When('{int} s pass', STEP_OPTIONS, async (seconds: number) => {
+  await pause(seconds * 1000);
+});
+
+Then('the endpoints started no task', function checkNoStart(this: CellWorld) {
+  assert.deepEqual(
+    this.cell.endpoints.flatMap((endpoint) => endpoint.starts),
+    [],
+  );
+});
+
 Then(
   'the job {string} becomes {string} within {int} s',
   STEP_OPTIONS,
--- a/packages/tests/src/workflow/callWorld.ts
+++ b/packages/tests/src/workflow/callWorld.ts
@@ -190,7 +190,7 @@
 
   /** Sends a call of an operator; `documents` receives the body of the response. */
   callControl(
-    method: 'GET' | 'POST',
+    method: 'GET' | 'POST' | 'DELETE',
     path: string,
     body = '',
     documents: unknown[] = [],
--- a/packages/workflow/src/endpointDirectory.ts
+++ b/packages/workflow/src/endpointDirectory.ts
@@ -27,9 +27,9 @@
     this.health = health;
   }
 
-  /** Version of the set of endpoints and of their records. */
+  /** Version of the set of endpoints, of their records and of the evacuations. */
   get version(): number {
-    return this.changeCount;
+    return this.changeCount + this.context.state.evacuations.version;
   }
 
   /** Returns the agent of an endpoint after an update of its record; created if new. */
@@ -111,7 +111,21 @@
     return this.list().filter((agent) => this.health.isEjected(agent.id) && this.isUsable(agent));
   }
 
+  /** Returns the endpoints that would accept new work if their data centre were not evacuated. */
+  listEvacuated(): EndpointAgent[] {
+    return this.list().filter((agent) => this.isEvacuated(agent) && this.acceptsWork(agent));
+  }
+
+  /** Returns whether the data centre of an endpoint is evacuated, so that nothing may start there. */
+  isEvacuated({ record }: EndpointAgent): boolean {
+    return this.context.state.evacuations.has(record.dataCentre);
+  }
+
   private isUsable(agent: EndpointAgent): boolean {
+    return this.acceptsWork(agent) && !this.isEvacuated(agent);
+  }
+
+  private acceptsWork(agent: EndpointAgent): boolean {
     return this.isResponsive(agent) && this.isRegistered(agent) && !agent.record.isDraining;
   }
 
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -11,6 +11,7 @@
 import type { PlannedStart } from './stepScheduler.js';
 import {
   DRAINING_AT_DISPATCH,
+  EVACUATED_AT_DISPATCH,
   NOT_NEEDED_AT_DISPATCH,
   NO_TICKET_AT_DISPATCH,
   NOT_VALID_AT_DISPATCH,
@@ -167,6 +168,7 @@
     const isSameEndpoint = directory.find(agent.id) === agent && agent.record.bornMs === bornMs;
     if (!isOpen || !isCurrent || !isSameEndpoint) return { lostReason: NOT_NEEDED_AT_DISPATCH };
     if (agent.record.isDraining) return { lostReason: DRAINING_AT_DISPATCH };
+    if (directory.isEvacuated(agent)) return { lostReason: EVACUATED_AT_DISPATCH };
     if (!context.isValid()) {
       return performance.now() < deadlineMs ? {} : { lostReason: NOT_VALID_AT_DISPATCH };
     }
--- a/packages/workflow/src/sessionMetrics.ts
+++ b/packages/workflow/src/sessionMetrics.ts
@@ -27,6 +27,7 @@
     const agents = this.directory.list();
     const available = agents.filter((agent) => this.directory.isResponsive(agent)).length;
     meter.setEndpoints(available, agents.length);
+    meter.setEvacuations(state.evacuations.list().length, this.directory.listEvacuated().length);
     if (state.config) meter.setConfigVersion(state.config.version);
     this.updateWaitingSteps();
   }
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -206,6 +206,9 @@
       endpoints: candidates.length,
       ejected: this.opts.directory.listEjected().filter(({ record }) => record.pool === queue.pool)
         .length,
+      evacuated: this.opts.directory
+        .listEvacuated()
+        .filter(({ record }) => record.pool === queue.pool).length,
       withRoom: count((candidate) => countSlots(ready, candidate, this.opts.ledger) > 0),
       withinLimit: count((candidate) => usage.fits(candidate, ready.spec)),
       atStepLimit: count((it) => maxPerEndpoint > 0 && usage.countOn(it) >= maxPerEndpoint),
--- a/packages/workflow/src/toRunLossReason.ts
+++ b/packages/workflow/src/toRunLossReason.ts
@@ -18,6 +18,9 @@
 /** Reason of a committed run whose endpoint has begun to drain before it was ordered. */
 export const DRAINING_AT_DISPATCH = 'the endpoint began to drain before the order';
 
+/** Reason of a committed run whose data centre has been evacuated before it was ordered. */
+export const EVACUATED_AT_DISPATCH = 'the data centre was evacuated before the order';
+
 /** Reasons by the text that is logged. */
 const REASONS = new Map<string, RunLossReason>([
   [NOT_VALID_AT_DISPATCH, 'leader-not-valid'],
@@ -26,6 +29,7 @@
   [NO_TICKET_AT_DISPATCH, 'ticket-expired'],
   [UNRESPONSIVE_AT_DISPATCH, 'not-responding'],
   [DRAINING_AT_DISPATCH, 'endpoint-gone'],
+  [EVACUATED_AT_DISPATCH, 'evacuated'],
   ['the order never arrived', 'order-lost'],
   ['not reported by the endpoint', 'not-reported'],
   ['the lease expired', 'lease-expired'],
--- a/packages/workflow/src/workflowCommand.ts
+++ b/packages/workflow/src/workflowCommand.ts
@@ -1,4 +1,5 @@
 import type { CrashEvidence } from './crashRecord.js';
+import type { EvacuationCommand } from './evacuationState.js';
 import type { JobSpec, TaskRef } from './jobSpec.js';
 import type { EndpointRecord, RunOutcome } from './workflowRecords.js';
 
@@ -55,4 +56,5 @@
       maxDown: number;
     }
   | { type: 'begin-maintenance'; number: number; instance: string }
-  | { type: 'close-wave'; number: number };
+  | { type: 'close-wave'; number: number }
+  | EvacuationCommand;
--- a/packages/workflow/src/workflowCoordinator.ts
+++ b/packages/workflow/src/workflowCoordinator.ts
@@ -8,6 +8,7 @@
 import type { AdviceReport } from './adviceBroker.js';
 import type { HeartbeatFault } from './endpointClaims.js';
 import type { EndpointHeartbeat } from './endpointService.js';
+import type { EvacuationCall } from './evacuationService.js';
 import type { JobCall, JobResponse } from './jobCalls.js';
 import { LeaderGate } from './leaderGate.js';
 import type { WorkflowSessionOptions } from './sessionContext.js';
@@ -194,6 +195,13 @@
       'waves.read',
       (_, { number }) => this.opts.state.waves.get(number) ?? null,
     );
+    this.registerHandler<EvacuationCall>('evacuations.begin', (session, call) =>
+      session.evacuations.begin(call),
+    );
+    this.registerHandler<EvacuationCall>('evacuations.end', (session, call) =>
+      session.evacuations.end(call),
+    );
+    this.registerHandler('evacuations.read', (session) => session.evacuations.read());
   }
 
   private async configure(document: string): Promise<ConfigureResponse> {
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -12,6 +12,7 @@
 import { EndpointDirectory } from './endpointDirectory.js';
 import type { ActiveRun, EndReport } from './endpointDriver.js';
 import { EndpointService } from './endpointService.js';
+import { EvacuationService } from './evacuationService.js';
 import { BestEffortThrottle } from './bestEffortThrottle.js';
 import { JobRetention } from './jobRetention.js';
 import { describeFailure } from './jobFailure.js';
@@ -51,6 +52,7 @@
   readonly broker: AdviceBroker;
   readonly jobs: JobService;
   readonly endpoints: EndpointService;
+  readonly evacuations: EvacuationService;
   readonly takeover: TakeoverRecorder;
   private readonly opts: WorkflowSessionOptions;
   private readonly context: SessionContext;
@@ -188,6 +190,11 @@
         this.recheckBlocked();
       },
     });
+    this.evacuations = new EvacuationService({
+      context,
+      directory,
+      onChanged: () => this.recheckBlocked(),
+    });
   }
 
   /** Begins to adopt the runs of the previous leader; scheduling starts when all are adopted. */
--- a/packages/workflow/src/workflowState.ts
+++ b/packages/workflow/src/workflowState.ts
@@ -1,6 +1,7 @@
 import type { CommittedEntry, StateMachine } from '@lagoongap/consensus/replicatedLog.js';
 
 import { addCrash, isConvicted } from './crashRecord.js';
+import { EvacuationState, type EvacuationSnapshot } from './evacuationState.js';
 import { stepKey, type StepSpec, type TaskRef } from './jobSpec.js';
 import { addOccurrence, includesOccurrence, type OccurrenceRanges } from './occurrenceRanges.js';
 import type { EndedRun, StartedRun, SubmitCommand, WorkflowCommand } from './workflowCommand.js';
@@ -28,6 +29,8 @@
   jobs: (Omit<JobRecord, 'steps'> & { steps: [string, StepRecord][] })[];
   endpoints: EndpointRecord[];
   waves: WaveRecord[];
+  /** Absent in snapshots of earlier releases. */
+  evacuations?: EvacuationSnapshot;
 }
 
 /** Creates the record of a newly accepted job. */
@@ -72,13 +75,15 @@
 }
 
 /**
- * Replicated workflow state: configuration, jobs with their runs, endpoints and maintenance waves.
+ * Replicated workflow state: configuration, jobs with their runs, endpoints, maintenance waves and
+ * evacuations.
  * Commands are applied deterministically; timestamps in them are set by the leader.
  */
 export class WorkflowState implements StateMachine {
   readonly jobs = new Map<string, JobRecord>();
   readonly endpoints = new Map<string, EndpointRecord>();
   readonly waves = new Map<number, WaveRecord>();
+  readonly evacuations = new EvacuationState();
   /** Absent until the first configuration is accepted. */
   config: StoredConfig | undefined;
 
@@ -96,11 +101,12 @@
       })),
       endpoints: [...this.endpoints.values()],
       waves: [...this.waves.values()].map((wave) => ({ ...wave, begun: [...wave.begun] })),
+      evacuations: this.evacuations.snapshot(),
     };
   }
 
   restore(snapshot: unknown): void {
-    const { config, jobs, endpoints, waves } = snapshot as WorkflowSnapshot;
+    const { config, jobs, endpoints, waves, evacuations } = snapshot as WorkflowSnapshot;
     this.config = config?.document ? { ...config } : undefined;
     this.jobs.clear();
     for (const job of jobs) {
@@ -115,6 +121,7 @@
     for (const endpoint of endpoints) this.endpoints.set(endpoint.id, endpoint);
     this.waves.clear();
     for (const wave of waves) this.waves.set(wave.number, { ...wave, begun: [...wave.begun] });
+    this.evacuations.restore(evacuations);
   }
 
   /** Returns whether an occurrence has completed and all its runs have ended. */
@@ -182,6 +189,9 @@
       case 'close-wave':
         this.closeWave(command.number);
         return undefined;
+      case 'begin-evacuation':
+      case 'end-evacuation':
+        return this.evacuations.apply(command);
       default:
         throw new WorkflowError(`unknown command ${JSON.stringify(command)}`);
     }
