Give cold endpoints work gradually

Cause: endpoints may report that they are slow for a time (cold_left_ms), for example after an evacuation, and services may bound the starts on such endpoints (cold_per_s). They got work like warm ones, and their runs spoiled the learned durations.

Change: endpointWarmup decides which share of its capacity and how many starts a cold endpoint takes, and how much placement avoids it; urgent work takes it only if no warm one has room. The record of an endpoint holds about when its warm-up ends, for the next leader; it is committed again only if it differs much from the report, not because the time counts down. Feature 'warm-up'; endpoints that report nothing are warm.

Not measured under load.

--- a/packages/telemetry/src/workflowMetrics.ts
+++ b/packages/telemetry/src/workflowMetrics.ts
@@ -37,6 +37,8 @@
   setEndpoints(available: number, known: number): void;
   /** Sets the number of evacuated data centres, and of the endpoints there that accept work. */
   setEvacuations(dataCentres: number, endpoints: number): void;
+  /** Sets the number of endpoints that have reported a warm-up that is not over. */
+  setColdEndpoints(count: number): void;
   setConfigVersion(version: number): void;
   /** Counts a call of a caller that was refused or got no response. */
   countCallFailure(reason: CallFailureReason, state: FailedCallState): void;
@@ -74,6 +76,7 @@
   countLeadership() {},
   setEndpoints() {},
   setEvacuations() {},
+  setColdEndpoints() {},
   setConfigVersion() {},
   countCallFailure() {},
   countTryFailure() {},
@@ -312,6 +315,10 @@
     this.endpoints.set({ state: 'known' }, known);
   }
 
+  setColdEndpoints(count: number): void {
+    this.endpoints.set({ state: 'cold' }, count);
+  }
+
   setEvacuations(dataCentres: number, endpoints: number): void {
     this.evacuations.set(dataCentres);
     this.endpoints.set({ state: 'evacuated' }, endpoints);
--- a/packages/tests/features/platform/formats.feature
+++ b/packages/tests/features/platform/formats.feature
@@ -20,6 +20,27 @@
     Then it has 2 queues and 1 organisation
     And queue 1 has priority 2, 4 attempts and advice that is valid for 2500 ms
 
+  Scenario Outline: the warm-up of a service is converted, and absent if it is not given
+    When a configuration with <given> is parsed
+    Then its pool is cold for <cold> ms and tolerates <starts> starts per second meanwhile
+
+    Examples:
+      | given     | cold  | starts |
+      | a warm-up | 20000 | 2.5    |
+      | no fault  | 0     | 0      |
+
+  # Guards against endpoints that count as cold, or are rejected, because they report no warm-up.
+  Scenario Outline: a heartbeat reports a warm-up or none
+    When a heartbeat whose <field> is <value> is parsed
+    Then it reports a warm-up of "<cold>" ms
+
+    Examples:
+      | field        | value | cold |
+      | cold_left_ms | 1500  | 1500 |
+      | cold_left_ms | 0     | 0    |
+      | cold_left_ms | null  |      |
+      | clock_ms     | 7     |      |
+
   Scenario: a valid job is converted
     When a job of the platform is parsed
     Then it has 2 steps of which the second depends on the first
@@ -82,6 +103,9 @@
       | born         | 9007199254740990   | 9007199254740990   |
       | born         | -1                 | -1                 |
       | clock_ms     | -1                 | -1                 |
+      | cold_left_ms | -1                 | -1                 |
+      | cold_left_ms | 86400001           | 86400001           |
+      | cold_left_ms | "soon"             | "soon"             |
       | state        | "odd"              | "odd"              |
       | service      | ["svc"]            | a list             |
       | labels       | {"a":1}            | an object          |
--- a/packages/tests/src/steps/platform/formatSteps.ts
+++ b/packages/tests/src/steps/platform/formatSteps.ts
@@ -63,6 +63,10 @@
   },
   'an interval below 0': (job) =>
     JSON.stringify({ ...job, first_ms: 1, interval_ms: -1, repeat_count: 2 }),
+  'a warm-up': (config) => {
+    Object.assign(config.services[0], { cold_start_s: 20, cold_per_s: 2.5 });
+    return JSON.stringify(config);
+  },
   'no address': ({ address, ...heartbeat }) => JSON.stringify(heartbeat),
   'an unknown state': (heartbeat) => JSON.stringify({ ...heartbeat, state: 'odd' }),
   'a birth of type string': (heartbeat) => JSON.stringify({ ...heartbeat, born: 'soon' }),
@@ -117,6 +121,19 @@
   assert.equal(config.organisations.length, count);
 });
 
+Then(
+  'its pool is cold for {int} ms and tolerates {float} starts per second meanwhile',
+  function checkPool(this: ParseWorld, coldMs: number, coldStartsPerSecond: number) {
+    const { pools } = this.value as CellConfig;
+    assert.deepEqual(pools, [{ name: 'svc', coldMs, coldStartsPerSecond }]);
+  },
+);
+
+Then('it reports a warm-up of {string} ms', function check(this: ParseWorld, coldMs: string) {
+  const { coldLeftMs } = this.value as EndpointHeartbeat;
+  assert.equal(coldLeftMs === undefined ? '' : String(coldLeftMs), coldMs);
+});
+
 Then(
   'queue {int} has priority {int}, {int} attempts and advice that is valid for {int} ms',
   function checkQueue(this: ParseWorld, index: number, priority: number, attempts: number, ms) {
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -6,6 +6,7 @@
 import type { JobSpec, StepSpec } from '@lagoongap/workflow/jobSpec.js';
 import type { ReadyStep } from '@lagoongap/workflow/readySteps.js';
 import type { EndpointRecord, JobRecord } from '@lagoongap/workflow/workflowRecords.js';
+import type { WorkflowFeatures } from '@lagoongap/workflow/workflowFeatures.js';
 import { WorkflowSession } from '@lagoongap/workflow/workflowSession.js';
 import { createJob, WorkflowState } from '@lagoongap/workflow/workflowState.js';
 import {
@@ -105,6 +106,10 @@
 
   private onChecked: (() => void) | undefined;
   private readonly timing: WorkflowTiming;
+  /** Features of the next session; by default all. */
+  features: WorkflowFeatures | undefined;
+  /** Monotonic times at which the warm-ups of workers end. */
+  readonly coldUntilMs = new Map<string, number>();
 
   constructor(
     config: Partial<CellConfig['queues'][number]> = {},
@@ -145,6 +150,11 @@
     });
   }
 
+  /** Sets the warm-up of the endpoints of the pool. */
+  setWarmup(coldMs: number, coldStartsPerSecond: number): void {
+    this.config.pools = [{ name: 'p', coldMs, coldStartsPerSecond }];
+  }
+
   /** Limits the processor time of the organisation, in cores. */
   limitCores(cores: number): void {
     this.config.organisations[0]!.limit = { ...NO_RESOURCES, cpuMillis: cores * CORE_CPU_MILLIS };
@@ -189,8 +199,10 @@
       if (behaviour === 'silent' || behaviour === 'crashed') continue;
       const { bornMs } = this.driver.worker(endpoint.id);
       const record = { ...endpoint, bornMs };
+      const coldUntilMs = this.coldUntilMs.get(endpoint.id);
+      const coldLeftMs = coldUntilMs && Math.max(0, coldUntilMs - performance.now());
       this.session.endpoints
-        .heartbeat({ endpoint: record, sequence: this.sequence })
+        .heartbeat({ endpoint: record, sequence: this.sequence, coldLeftMs })
         .catch(() => undefined);
     }
     await this.advance(TICK_MS);
@@ -370,6 +382,7 @@
       holder: 'leader',
       parseConfig: () => this.config,
       timing: this.timing,
+      features: this.features,
       logger: this.logger,
       meter: this.meter,
       isValid: () => this.checkValidity(log),
--- a/packages/workflow/src/cellConfig.ts
+++ b/packages/workflow/src/cellConfig.ts
@@ -41,10 +41,21 @@
   limit: Resources;
 }
 
+/** Properties of the endpoints of a pool. */
+export interface PoolPolicy {
+  name: string;
+  /** Time for which an endpoint is slow after its start in milliseconds; 0 if not known. */
+  coldMs: number;
+  /** Starts per second that a cold endpoint tolerates; 0 means no limit. */
+  coldStartsPerSecond: number;
+}
+
 /** Configuration in force. */
 export interface CellConfig {
   version: number;
   queues: QueuePolicy[];
+  /** Pools without an entry have no known properties. */
+  pools?: PoolPolicy[];
   organisations: OrganisationPolicy[];
 }
 
--- a/packages/workflow/src/endpointAgent.ts
+++ b/packages/workflow/src/endpointAgent.ts
@@ -15,6 +15,7 @@
 import { chooseInspectionWaitMs, isRetriedWhileLeaving } from './inspectionPacing.js';
 import { LeaseClock } from './leaseClock.js';
 import { ReportCursor } from './reportCursor.js';
+import { EndpointWarmup } from './endpointWarmup.js';
 import type { EndpointRecord } from './workflowRecords.js';
 
 /** Receives events of an agent. */
@@ -112,6 +113,7 @@
   isLeaving = false;
   readonly runs = new Map<string, AgentRun>();
   readonly clock = new LeaseClock();
+  readonly warmup: EndpointWarmup;
   private readonly opts: EndpointAgentOptions;
   /** Increases with each incarnation of the endpoint; state of an earlier one must not be used. */
   private incarnationNumber = 0;
@@ -127,6 +129,7 @@
     this.opts = opts;
     this.record = opts.record;
     this.lastSequence = opts.record.sequence ?? -1;
+    this.warmup = new EndpointWarmup(opts.predecessorEndMs);
   }
 
   get id(): string {
--- a/packages/workflow/src/endpointDirectory.ts
+++ b/packages/workflow/src/endpointDirectory.ts
@@ -2,6 +2,7 @@
 import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 
 import { EndpointAgent, type AgentListener } from './endpointAgent.js';
+import { readStoredColdMs } from './endpointWarmup.js';
 import type { SessionContext } from './sessionContext.js';
 import { WorkflowError } from './workflowError.js';
 import type { EndpointRecord } from './workflowRecords.js';
@@ -53,6 +54,9 @@
       isValid,
       log: logger,
     });
+    // What an earlier leader has stored counts until the next heartbeat.
+    const coldLeftMs = readStoredColdMs(record.coldUntilMs, Date.now());
+    if (this.context.features.has('warm-up')) agent.warmup.observe(coldLeftMs, performance.now());
     this.agents.set(record.id, agent);
     return agent;
   }
--- a/packages/workflow/src/endpointService.ts
+++ b/packages/workflow/src/endpointService.ts
@@ -1,5 +1,6 @@
 import { REPLACED_REASON } from './endpointAgent.js';
 import { EndpointClaims, supersedes, type HeartbeatFault } from './endpointClaims.js';
+import { isStoredColdKept, readStoredColdMs } from './endpointWarmup.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { LateHeartbeats } from './lateHeartbeats.js';
 import type { SessionContext } from './sessionContext.js';
@@ -12,6 +13,8 @@
   sequence: number;
   /** Time on the endpoint's clock in milliseconds, if reported. */
   clockMs?: number;
+  /** Time for which the endpoint remains slow in milliseconds; warm if absent. */
+  coldLeftMs?: number;
 }
 
 /** Heartbeat intervals without contact after which an endpoint without runs is removed. */
@@ -24,15 +27,20 @@
 }
 
 /** Returns whether a heartbeat reports the known record, whatever its sequence. */
-function isSame(known: EndpointRecord, endpoint: EndpointRecord): boolean {
-  return JSON.stringify(known) === JSON.stringify({ ...endpoint, sequence: known.sequence });
+function isSame(known: EndpointRecord, endpoint: EndpointRecord, coldLeftMs: number): boolean {
+  const { sequence, coldUntilMs } = known;
+  if (!isStoredColdKept(readStoredColdMs(coldUntilMs, Date.now()), coldLeftMs)) return false;
+  return JSON.stringify(known) === JSON.stringify({ ...endpoint, sequence, coldUntilMs });
 }
 
 /**
  * Returns the record that a heartbeat reports. Scheduling reads the records of all endpoints in each
  * cycle; a literal gives them one shape, which a spread does not.
  */
-function createRecord({ endpoint, sequence }: EndpointHeartbeat): EndpointRecord {
+function createRecord(
+  { endpoint, sequence }: EndpointHeartbeat,
+  coldLeftMs: number,
+): EndpointRecord {
   return {
     id: endpoint.id,
     address: endpoint.address,
@@ -46,6 +54,7 @@
     labels: endpoint.labels,
     isDraining: endpoint.isDraining,
     sequence,
+    coldUntilMs: coldLeftMs > 0 ? Math.round(Date.now() + coldLeftMs) : 0,
   };
 }
 
@@ -134,11 +143,15 @@
       bornMs: endpoint.bornMs,
       falseBornMs: this.directory.find(endpoint.id)?.record.bornMs,
     });
-    const record = createRecord(heartbeat);
+    const record = createRecord(heartbeat, this.readColdMs(heartbeat));
     this.directory.add(record).lastSequence = -1;
     this.register(record, false);
   }
 
+  private readColdMs({ coldLeftMs = 0 }: EndpointHeartbeat): number {
+    return this.context.features.has('warm-up') ? coldLeftMs : 0;
+  }
+
   /** Updates the agent of an endpoint; returns its record if that has to be committed. */
   private observe(heartbeat: EndpointHeartbeat): EndpointRecord | undefined {
     const { endpoint, sequence, clockMs } = heartbeat;
@@ -161,12 +174,14 @@
     }
     this.lateHeartbeats.clear(endpoint.id);
     // The next leader needs a sequence that was reset as well.
-    const isChanged = !known || isSequenceReset || !isSame(known.record, endpoint);
-    const changed = isChanged ? createRecord(heartbeat) : undefined;
+    const coldLeftMs = this.readColdMs(heartbeat);
+    const isChanged = !known || isSequenceReset || !isSame(known.record, endpoint, coldLeftMs);
+    const changed = isChanged ? createRecord(heartbeat, coldLeftMs) : undefined;
     const agent = changed ? this.directory.add(changed) : known!;
     agent.lastHeartbeatMs = performance.now();
     agent.lastSequence = sequence;
     agent.isLeaving = false;
+    agent.warmup.observe(coldLeftMs, agent.lastHeartbeatMs);
     if (clockMs !== undefined) agent.observeClock(clockMs);
     if (!known) agent.start();
     return changed;
@@ -182,6 +197,7 @@
       bornMs: endpoint.bornMs,
       isDraining: endpoint.isDraining,
       sequence,
+      coldLeftMs: readStoredColdMs(endpoint.coldUntilMs, Date.now()),
     });
     const previous = this.registrations.get(id);
     const registration = this.commitRecord(endpoint, isNewIncarnation, previous);
--- a/packages/workflow/src/outcomeRecorder.ts
+++ b/packages/workflow/src/outcomeRecorder.ts
@@ -37,6 +37,7 @@
     const isMeasurable = report.outcome === 'done' && run.run === 1;
     if (!spec || !isMeasurable || confirmedMs === undefined) return;
     if (spec.fillsIdleCapacity || spec.dataRack !== '') return;
+    if (agent.warmup.wasColdAfter(confirmedMs)) return;
     const actualMs = performance.now() - confirmedMs;
     durations.record(agent.id, agent.record.kind, spec.estimateMs, actualMs);
   }
--- a/packages/workflow/src/sessionMetrics.ts
+++ b/packages/workflow/src/sessionMetrics.ts
@@ -28,6 +28,8 @@
     const available = agents.filter((agent) => this.directory.isResponsive(agent)).length;
     meter.setEndpoints(available, agents.length);
     meter.setEvacuations(state.evacuations.list().length, this.directory.listEvacuated().length);
+    const nowMs = performance.now();
+    meter.setColdEndpoints(agents.filter(({ warmup }) => warmup.isCold(nowMs)).length);
     if (state.config) meter.setConfigVersion(state.config.version);
     this.updateWaitingSteps();
   }
--- a/packages/workflow/src/stepPlacer.ts
+++ b/packages/workflow/src/stepPlacer.ts
@@ -1,5 +1,6 @@
 import type { Resources } from '@lagoongap/model/resources.js';
 
+import type { ColdLimits } from './endpointWarmup.js';
 import type { StepSpec } from './jobSpec.js';
 
 /** An endpoint considered for the placement of tasks. */
@@ -8,7 +9,10 @@
   kind: string;
   rack: string;
   labels: string[];
+  /** Part that it takes at present; all of it unless the endpoint is cold. */
   capacity: Resources;
+  /** Present while the endpoint is cold. */
+  cold?: ColdLimits;
   /** Expected duration of a task as a multiple of its estimate. */
   durationFactor: number;
   /** Runs tasks with a latency target. */
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -6,7 +6,8 @@
 import type { CellConfig, QueuePolicy } from './cellConfig.js';
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
-import { stepName, taskName, type TaskRef } from './jobSpec.js';
+import { capacityFor, coldLoadOf, limitCapacity } from './endpointWarmup.js';
+import { stepName, taskName, type StepSpec, type TaskRef } from './jobSpec.js';
 import type { PlacementMode, Quarantine } from './quarantine.js';
 import type { ReadyStep, ReadySteps } from './readySteps.js';
 import { createReservation, type RunLedger } from './runLedger.js';
@@ -209,6 +210,7 @@
       evacuated: this.opts.directory
         .listEvacuated()
         .filter(({ record }) => record.pool === queue.pool).length,
+      cold: count(({ cold }) => cold !== undefined),
       withRoom: count((candidate) => countSlots(ready, candidate, this.opts.ledger) > 0),
       withinLimit: count((candidate) => usage.fits(candidate, ready.spec)),
       atStepLimit: count((it) => maxPerEndpoint > 0 && usage.countOn(it) >= maxPerEndpoint),
@@ -236,11 +238,8 @@
       tickets: queue.advice ? this.ticketProvider.ticketsOf(ready.name) : undefined,
       isWithinLimit: !limit || ledger.isWithinLimit(job.organisation, limit, spec.size),
       hasCapacity: (id) => {
-        const capacity = candidates.get(id)?.capacity;
-        return (
-          capacity !== undefined &&
-          ledger.hasCapacity(id, capacity, spec.size, spec.fillsIdleCapacity)
-        );
+        const candidate = candidates.get(id);
+        return candidate !== undefined && this.hasCapacity(candidate, spec);
       },
     };
     const atMs = performance.now();
@@ -334,18 +333,22 @@
     const mode = suspects.size > 0 ? quarantine.listGangModes(ready, suspects).at(-1) : 'open';
     if (!mode) return [];
     const usage = this.createUsage(ready, config, mode);
-    const trialKeys: string[] = [];
+    const trials: { key: string; endpoint: PlacementCandidate }[] = [];
+    const release = (): void => {
+      for (const { key, endpoint } of trials.splice(0)) {
+        ledger.withdraw(key);
+        endpoint.cold?.withdrawStart(key);
+      }
+    };
     const endpoints = chooseGangEndpoints(ready.spec, candidates, usage, context.timing.farFactor, {
       reserve: (endpoint) => {
-        const key = `${ready.name}:trial:${trialKeys.length}`;
-        trialKeys.push(key);
-        this.reserve(ready, key, endpoint.id);
-      },
-      release: () => {
-        for (const key of trialKeys.splice(0)) ledger.withdraw(key);
+        const key = `${ready.name}:trial:${trials.length}`;
+        trials.push({ key, endpoint });
+        this.reserve(ready, key, endpoint);
       },
+      release,
     });
-    for (const key of trialKeys) ledger.withdraw(key);
+    release();
     if (!endpoints) return [];
     const run = Math.max(...ready.waiting.map((index) => this.nextRun(ready, index)));
     return endpoints.map((endpoint, index) => this.plan(ready, index, endpoint, run, mode));
@@ -361,7 +364,7 @@
     const { job, occurrence, step, name } = ready;
     const task: TaskRef = { jobId: job.id, occurrence, step, index };
     const key = `${taskName(task)}:${run}`;
-    this.reserve(ready, key, endpoint.id);
+    this.reserve(ready, key, endpoint);
     const pending = this.pending.get(name) ?? new Set<number>();
     this.pending.set(name, pending.add(index));
     const isTrial = mode === 'trial';
@@ -372,9 +375,17 @@
     return { key, stepName: name, task, run, ...target, decidedMs: performance.now() };
   }
 
-  private reserve(ready: ReadyStep, key: string, endpoint: string): void {
+  private reserve(ready: ReadyStep, key: string, endpoint: PlacementCandidate): void {
     const task = { jobId: ready.job.id, occurrence: ready.occurrence, step: ready.step, index: 0 };
-    this.opts.ledger.reserve(createReservation(ready.job, task, key, endpoint));
+    this.opts.ledger.reserve(createReservation(ready.job, task, key, endpoint.id));
+    endpoint.cold?.recordStart(key);
+  }
+
+  private hasCapacity(candidate: PlacementCandidate, spec: StepSpec): boolean {
+    const { ledger } = this.opts;
+    const { id } = candidate;
+    const capacity = capacityFor(spec.size, candidate, ledger.runsOn(id).size);
+    return ledger.hasCapacity(id, capacity, spec.size, spec.fillsIdleCapacity);
   }
 
   private nextRun({ job, occurrence, step }: ReadyStep, index: number): number {
@@ -388,15 +399,19 @@
     const known = this.candidates.get(pool);
     if (known) return known;
     const candidates = new Map<string, FleetCandidate>();
-    for (const { id, record, hasLatencyTarget } of directory.listAvailable(pool)) {
+    const policy = this.opts.context.readConfig()?.pools?.find(({ name }) => name === pool);
+    const nowMs = performance.now();
+    for (const { id, record, hasLatencyTarget, warmup } of directory.listAvailable(pool)) {
       const { kind, rack, labels, capacity } = record;
+      const cold = warmup.findLimits(capacity, policy, nowMs);
       const durationFactor = durations.durationFactor(id, kind);
       candidates.set(id, {
         id,
         kind,
         rack,
         labels,
-        capacity,
+        capacity: cold ? limitCapacity(capacity, cold) : capacity,
+        cold,
         durationFactor,
         isLatencySensitive: hasLatencyTarget,
         usage: ledger.usageOf(id),
@@ -430,19 +445,22 @@
     const { organisation } = ready.job;
     const limit = this.findLimit(ready, config);
     const hasCrashed = quarantine.hasCrashed(ready);
+    const isUrgent = config.queues.find(({ name }) => name === ready.job.queue)?.priority === 0;
     return {
-      fits: (candidate, { size, fillsIdleCapacity }) =>
-        ledger.hasCapacity(candidate.id, candidate.capacity, size, fillsIdleCapacity) &&
-        (!limit || ledger.isWithinLimit(organisation, limit, size)) &&
+      fits: (candidate, spec) =>
+        this.hasCapacity(candidate, spec) &&
+        (!candidate.cold || candidate.cold.countStartsLeft() > 0) &&
+        (!limit || ledger.isWithinLimit(organisation, limit, spec.size)) &&
         (isTrial ? quarantine.isIsolated(candidate.id, ready) : quarantine.isOpen(candidate.id)),
       failuresOn: ({ id }) => this.failures.get(ready.name)?.get(id) ?? 0,
       countOn: ({ id }) => ledger.countRuns(ready.name, id),
-      loadOf: ({ id, capacity }) => {
+      loadOf: ({ id, capacity, cold }) => {
         const bestEffortCpuMillis = ready.spec.fillsIdleCapacity ? ledger.bestEffortCpuOn(id) : 0;
         const usedCpuMillis = ledger.usedOn(id).cpuMillis + bestEffortCpuMillis;
         const suspects = hasCrashed ? quarantine.countSuspects(id) * SUSPECT_LOAD : 0;
         const trialCost = isTrial || hasCrashed ? quarantine.costOfTrial(id) : 0;
-        return usedCpuMillis / Math.max(1, capacity.cpuMillis) + suspects + trialCost;
+        const load = usedCpuMillis / Math.max(1, capacity.cpuMillis);
+        return load + suspects + trialCost + coldLoadOf(cold, isUrgent);
       },
     };
   }
--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -1,5 +1,6 @@
 import type { AdviceBroker } from './adviceBroker.js';
 import type { QueuePolicy } from './cellConfig.js';
+import { capacityFor } from './endpointWarmup.js';
 import { MovingAverage } from './movingAverage.js';
 import type { ReadyStep } from './readySteps.js';
 import type { EndpointUsage, RunLedger } from './runLedger.js';
@@ -47,14 +48,18 @@
 /** Returns how many more tasks of a step an endpoint can run, given its capacity and the limit. */
 export function countSlots(
   { name, spec: { taskCount, maxPerEndpoint, size, fillsIdleCapacity } }: ReadyStep,
-  { id, capacity, usage: { used } }: FleetCandidate,
+  candidate: FleetCandidate,
   ledger: RunLedger,
 ): number {
+  const { id, usage } = candidate;
+  const { used } = usage;
+  const capacity = capacityFor(size, candidate, usage.runs.size);
   let slots = maxPerEndpoint > 0 ? maxPerEndpoint : taskCount;
   const cpuMillis = fillsIdleCapacity ? 0 : size.cpuMillis;
   slots = Math.min(slots, countFits(capacity.cpuMillis - used.cpuMillis, cpuMillis));
   slots = Math.min(slots, countFits(capacity.memoryMib - used.memoryMib, size.memoryMib));
   slots = Math.min(slots, countFits(capacity.accelerators - used.accelerators, size.accelerators));
+  if (candidate.cold) slots = Math.min(slots, candidate.cold.countStartsLeft());
   if (slots === 0 || maxPerEndpoint === 0) return slots;
   return Math.min(slots, Math.max(0, maxPerEndpoint - ledger.countRuns(name, id)));
 }
--- a/packages/workflow/src/workflowRecords.ts
+++ b/packages/workflow/src/workflowRecords.ts
@@ -132,6 +132,11 @@
    * late. Absent in records of earlier versions.
    */
   sequence?: number;
+  /**
+   * About the end of the warm-up, Unix milliseconds; 0 or past if the endpoint is warm. Changed only
+   * if a report differs much. Absent in records of earlier releases.
+   */
+  coldUntilMs?: number;
 }
 
 /** Latest change of the evacuation of a data centre; while evacuated, it gets no new work. */
