Bind queues to regions

Cause: a route may hold allowed_regions, and its work ran on all endpoints of its service.

Change: the settings' table 'zones' gives the region of each data centre; the parser of the configuration converts the regions of a queue to data centres. The scheduler lists only endpoints there as candidates, early trials are judged by these, and a start is checked once more directly before its order.

--- a/packages/telemetry/src/runLossReason.ts
+++ b/packages/telemetry/src/runLossReason.ts
@@ -10,6 +10,8 @@
   | 'ticket-expired'
   /** The data centre was evacuated before the run was ordered. */
   | 'evacuated'
+  /** The queue was bound to other regions before the run was ordered. */
+  | 'other-region'
   /** The start order got no response and had no effect. */
   | 'order-lost'
   /** The endpoint no longer lists a run that it had confirmed. */
--- a/packages/tests/features/platform/formats.feature
+++ b/packages/tests/features/platform/formats.feature
@@ -29,6 +29,19 @@
       | a warm-up | 20000 | 2.5    |
       | no fault  | 0     | 0      |
 
+  Scenario Outline: regions of a queue are converted to data centres by the settings
+    When a configuration with the allowed regions "<regions>" is parsed for the settings
+    Then its first queue is bound to the data centres "<data centres>"
+
+    Examples:
+      | regions   | data centres |
+      | none      | any          |
+      |           | any          |
+      | east      | z-a z-b      |
+      | west      | z.c          |
+      | west east | z-a z-b z.c  |
+      | north     |              |
+
   # Guards against endpoints that count as cold, or are rejected, because they report no warm-up.
   Scenario Outline: a heartbeat reports a warm-up or none
     When a heartbeat whose <field> is <value> is parsed
--- a/packages/tests/src/platform/documents.ts
+++ b/packages/tests/src/platform/documents.ts
@@ -12,6 +12,10 @@
 something_new = 3
 [listen]
 control = "10.1.0.20:8180"
+[zones]
+z-a = "east"
+z-b = "east"
+"z.c" = "west"
 [bounds]
 grace_s = 6
 max_hold_ms = 6000
--- a/packages/tests/src/steps/platform/formatSteps.ts
+++ b/packages/tests/src/steps/platform/formatSteps.ts
@@ -129,6 +129,24 @@
   },
 );
 
+When(
+  'a configuration with the allowed regions {string} is parsed for the settings',
+  function parseRegions(this: ParseWorld, names: string) {
+    const { regions } = parsePlatformSettings(SETTINGS);
+    const config = createConfig(7);
+    if (names !== 'none') config.routes[0].allowed_regions = names === '' ? [] : names.split(' ');
+    tryParse(this, () => parseConfigDocument(JSON.stringify(config), regions));
+  },
+);
+
+Then(
+  'its first queue is bound to the data centres {string}',
+  function check(this: ParseWorld, names: string) {
+    const { regions } = (this.value as CellConfig).queues[0]!;
+    assert.equal(regions ? [...regions.dataCentres].join(' ') : 'any', names);
+  },
+);
+
 Then('it reports a warm-up of {string} ms', function check(this: ParseWorld, coldMs: string) {
   const { coldLeftMs } = this.value as EndpointHeartbeat;
   assert.equal(coldLeftMs === undefined ? '' : String(coldLeftMs), coldMs);
--- a/packages/tests/src/steps/workflow/evacuationSteps.ts
+++ b/packages/tests/src/steps/workflow/evacuationSteps.ts
@@ -124,9 +124,9 @@
 Then(
   'the log explains a wait with {int} evacuated endpoints',
   function check(this: Steps, count: number) {
-    const lines = this.world.logger.lines.filter(({ message }) => message === 'step is waiting');
+    const lines = this.world.logger.find('step is waiting');
     assert.ok(lines.length > 0);
-    assert.deepEqual([...new Set(lines.map(({ fields }) => fields?.evacuated))], [count]);
+    assert.deepEqual([...new Set(lines.map(({ fields }) => fields.evacuated))], [count]);
   },
 );
 
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -150,6 +150,17 @@
     });
   }
 
+  /** Changes the configuration of the first queue. */
+  changeQueue(fields: Partial<CellConfig['queues'][number]>): void {
+    const [queue, ...others] = this.config.queues;
+    this.config = {
+      ...this.config,
+      version: this.config.version + 1,
+      queues: [{ ...queue!, ...fields }, ...others],
+    };
+    this.state.config = { version: this.config.version, document: 'config' };
+  }
+
   /** Sets the warm-up of the endpoints of the pool. */
   setWarmup(coldMs: number, coldStartsPerSecond: number): void {
     this.config.pools = [{ name: 'p', coldMs, coldStartsPerSecond }];
--- a/packages/workflow/src/cellConfig.ts
+++ b/packages/workflow/src/cellConfig.ts
@@ -10,6 +10,14 @@
   validMs: number;
 }
 
+/** Regions to which the tasks of a queue are bound. */
+export interface RegionLimits {
+  /** Sorted. */
+  names: string[];
+  /** All data centres in these regions. */
+  dataCentres: ReadonlySet<string>;
+}
+
 /** Queue to which callers submit jobs. */
 export interface QueuePolicy {
   name: string;
@@ -29,6 +37,8 @@
   isOpen: boolean;
   /** Present if an advisor decides which endpoints may run a step. */
   advice?: AdvicePolicy;
+  /** Present if its tasks run only on endpoints in certain regions. */
+  regions?: RegionLimits;
 }
 
 /** Organisation that submits jobs. */
--- a/packages/workflow/src/earlyTrials.ts
+++ b/packages/workflow/src/earlyTrials.ts
@@ -1,7 +1,9 @@
 import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 
+import type { QueuePolicy } from './cellConfig.js';
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
+import { allowsDataCentre } from './queueRegions.js';
 import type { ReadyStep, ReadySteps } from './readySteps.js';
 import type { SessionContext } from './sessionContext.js';
 import type { StepScheduler } from './stepScheduler.js';
@@ -32,22 +34,29 @@
     const ejected = directory.listEjected();
     const config = context.readConfig();
     if (ejected.length === 0 || !config) return;
-    const pools = new Map(config.queues.map(({ name, pool }) => [name, pool]));
+    const queues = new Map(config.queues.map((queue) => [queue.name, queue]));
     const available = new Map<string, EndpointAgent[]>();
     for (const step of ready.list()) {
-      const pool = pools.get(step.job.queue);
-      if (pool === undefined) continue;
+      const queue = queues.get(step.job.queue);
+      if (queue === undefined) continue;
+      const { pool } = queue;
       const others = available.get(pool) ?? directory.listAvailable(pool);
       available.set(pool, others);
-      if (others.some((agent) => this.mayRun(step, agent))) continue;
+      if (others.some((agent) => this.mayRun(step, agent, queue))) continue;
       for (const agent of ejected) {
-        if (agent.record.pool === pool && this.mayRun(step, agent)) health.requestTrial(agent.id);
+        const mayRun = agent.record.pool === pool && this.mayRun(step, agent, queue);
+        if (mayRun) health.requestTrial(agent.id);
       }
     }
   }
 
-  private mayRun({ name, spec }: ReadyStep, { id, record }: EndpointAgent): boolean {
+  private mayRun(
+    { name, spec }: ReadyStep,
+    { id, record }: EndpointAgent,
+    queue: QueuePolicy,
+  ): boolean {
     const hasLabel = spec.requiredLabel === '' || record.labels.includes(spec.requiredLabel);
-    return hasLabel && !this.opts.scheduler.isUnsuitable(name, id);
+    const isAllowed = hasLabel && allowsDataCentre(queue, record.dataCentre);
+    return isAllowed && !this.opts.scheduler.isUnsuitable(name, id);
   }
 }
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -6,6 +6,7 @@
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { taskName, type TaskRef } from './jobSpec.js';
 import { dueTimeMs } from './occurrenceSchedule.js';
+import { allowsDataCentre } from './queueRegions.js';
 import type { RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
 import type { PlannedStart } from './stepScheduler.js';
@@ -15,6 +16,7 @@
   NOT_NEEDED_AT_DISPATCH,
   NO_TICKET_AT_DISPATCH,
   NOT_VALID_AT_DISPATCH,
+  REGION_AT_DISPATCH,
   SHRUNK_AT_DISPATCH,
   UNRESPONSIVE_AT_DISPATCH,
 } from './toRunLossReason.js';
@@ -169,6 +171,7 @@
     if (!isOpen || !isCurrent || !isSameEndpoint) return { lostReason: NOT_NEEDED_AT_DISPATCH };
     if (agent.record.isDraining) return { lostReason: DRAINING_AT_DISPATCH };
     if (directory.isEvacuated(agent)) return { lostReason: EVACUATED_AT_DISPATCH };
+    if (!this.isInAllowedRegion(start)) return { lostReason: REGION_AT_DISPATCH };
     if (!context.isValid()) {
       return performance.now() < deadlineMs ? {} : { lostReason: NOT_VALID_AT_DISPATCH };
     }
@@ -178,6 +181,14 @@
     return this.oversized.has(start) ? { lostReason: SHRUNK_AT_DISPATCH } : undefined;
   }
 
+  /** Returns whether the configuration in force, which may be newer, allows the data centre. */
+  private isInAllowedRegion({ task, agent }: PlannedStart): boolean {
+    const { state, readConfig } = this.opts.context;
+    const name = state.jobs.get(task.jobId)?.queue;
+    const queue = readConfig()?.queues.find((it) => it.name === name);
+    return !queue || allowsDataCentre(queue, agent.record.dataCentre);
+  }
+
   private order(start: PlannedStart, leaseFromMs: number): void {
     const { context, health, findTicket } = this.opts;
     const { state, meter, logger } = context;
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -11,6 +11,7 @@
 import type { PlacementMode, Quarantine } from './quarantine.js';
 import type { ReadyStep, ReadySteps } from './readySteps.js';
 import { createReservation, type RunLedger } from './runLedger.js';
+import { explainWait } from './explainWait.js';
 import type { SessionContext } from './sessionContext.js';
 import type { DurationEstimator } from './durationEstimator.js';
 import {
@@ -19,6 +20,7 @@
   type PlacementCandidate,
   type PlacementUsage,
 } from './stepPlacer.js';
+import { allowsDataCentre, toEndpointSetKey } from './queueRegions.js';
 import { RejectionBackoff } from './rejectionBackoff.js';
 import { ResumableWalk } from './resumableWalk.js';
 import { splitRestarts } from './splitRestarts.js';
@@ -83,7 +85,7 @@
   private readonly blocked: BlockedSteps;
   private readonly restartsWalk = new ResumableWalk();
   private readonly waitingWalk = new ResumableWalk();
-  /** Available endpoints, by pool. */
+  /** Available endpoints, by pool and regions. */
   private readonly candidates = new Map<string, Map<string, FleetCandidate>>();
   private candidatesListedMs = -Infinity;
   private candidatesVersion = 0;
@@ -195,30 +197,15 @@
   explain(ready: ReadyStep, config: CellConfig): Record<string, unknown> {
     const queue = config.queues.find(({ name }) => name === ready.job.queue);
     if (!queue) return { reason: 'the queue is no longer configured' };
+    const { directory, ledger } = this.opts;
     const candidates = [...this.listCandidates(queue).values()];
     const usage = this.createUsage(ready, config);
-    const nowMs = performance.now();
     const tickets = this.ticketProvider.ticketsOf(ready.name);
     const evaluation = this.evaluations.get(ready.name);
-    const { maxPerEndpoint } = ready.spec;
-    const count = (test: (candidate: FleetCandidate) => boolean): number =>
-      candidates.filter(test).length;
     return {
-      endpoints: candidates.length,
-      ejected: this.opts.directory.listEjected().filter(({ record }) => record.pool === queue.pool)
-        .length,
-      evacuated: this.opts.directory
-        .listEvacuated()
-        .filter(({ record }) => record.pool === queue.pool).length,
-      cold: count(({ cold }) => cold !== undefined),
-      withRoom: count((candidate) => countSlots(ready, candidate, this.opts.ledger) > 0),
-      withinLimit: count((candidate) => usage.fits(candidate, ready.spec)),
-      atStepLimit: count((it) => maxPerEndpoint > 0 && usage.countOn(it) >= maxPerEndpoint),
-      withTicket: count(({ id }) => tickets.find(id, nowMs) !== undefined),
-      suitable: count(({ id }) => tickets.suitabilityOf(id) === 'suitable'),
-      unsuitable: count(({ id }) => tickets.suitabilityOf(id) === 'unsuitable'),
+      ...explainWait({ ready, queue, candidates, usage, tickets, directory, ledger }),
       suspects: this.opts.quarantine.listSuspects(ready).size,
-      evaluatedAgoMs: evaluation && Math.round(nowMs - evaluation.atMs),
+      evaluatedAgoMs: evaluation && Math.round(performance.now() - evaluation.atMs),
       outcome: evaluation?.outcome,
       ...this.ticketProvider.explain(ready.name),
     };
@@ -393,16 +380,19 @@
     return (record?.lastRun ?? 0) + 1;
   }
 
-  /** Returns the available endpoints of a queue's pool; constant during a cycle. */
-  private listCandidates({ pool }: QueuePolicy): Map<string, FleetCandidate> {
+  /** Returns the available endpoints that a queue may use; constant during a cycle. */
+  private listCandidates(queue: QueuePolicy): Map<string, FleetCandidate> {
     const { directory, durations, ledger } = this.opts;
-    const known = this.candidates.get(pool);
+    const { pool } = queue;
+    const key = toEndpointSetKey(queue);
+    const known = this.candidates.get(key);
     if (known) return known;
     const candidates = new Map<string, FleetCandidate>();
     const policy = this.opts.context.readConfig()?.pools?.find(({ name }) => name === pool);
     const nowMs = performance.now();
     for (const { id, record, hasLatencyTarget, warmup } of directory.listAvailable(pool)) {
       const { kind, rack, labels, capacity } = record;
+      if (!allowsDataCentre(queue, record.dataCentre)) continue;
       const cold = warmup.findLimits(capacity, policy, nowMs);
       const durationFactor = durations.durationFactor(id, kind);
       candidates.set(id, {
@@ -417,7 +407,7 @@
         usage: ledger.usageOf(id),
       });
     }
-    this.candidates.set(pool, candidates);
+    this.candidates.set(key, candidates);
     return candidates;
   }
 
--- a/packages/workflow/src/toRunLossReason.ts
+++ b/packages/workflow/src/toRunLossReason.ts
@@ -21,6 +21,9 @@
 /** Reason of a committed run whose data centre has been evacuated before it was ordered. */
 export const EVACUATED_AT_DISPATCH = 'the data centre was evacuated before the order';
 
+/** Reason of a committed run whose queue may no longer use the region of its endpoint. */
+export const REGION_AT_DISPATCH = 'the queue was bound to other regions before the order';
+
 /** Reasons by the text that is logged. */
 const REASONS = new Map<string, RunLossReason>([
   [NOT_VALID_AT_DISPATCH, 'leader-not-valid'],
@@ -30,6 +33,7 @@
   [UNRESPONSIVE_AT_DISPATCH, 'not-responding'],
   [DRAINING_AT_DISPATCH, 'endpoint-gone'],
   [EVACUATED_AT_DISPATCH, 'evacuated'],
+  [REGION_AT_DISPATCH, 'other-region'],
   ['the order never arrived', 'order-lost'],
   ['not reported by the endpoint', 'not-reported'],
   ['the lease expired', 'lease-expired'],
