Add evacuations to the product's own API

Cause: cells with endpoints of their own had no way to keep new work away from a data centre.

Change: operator calls (GET /v1/evacuations, POST and DELETE /v1/evacuations/{name}) and the client commands 'evacuate' and 'evacuations'. An evacuated endpoint counts for the scheduler like an ejected one; start orders are checked directly before they are sent, a gang as a whole, and a request placed before the commit is placed again. The audit trail records who did it.

--- a/packages/client/src/api.ts
+++ b/packages/client/src/api.ts
@@ -6,6 +6,15 @@
   entries: AuditEntry[];
 }
 
+/** Response to `GET /v1/evacuations`. */
+export interface EvacuationsResponse {
+  evacuations: {
+    dataCentre: string;
+    /** ISO 8601. */
+    since: string;
+  }[];
+}
+
 /** States that a job does not leave. */
 export const TERMINAL_JOB_STATES: readonly JobState[] = [
   'succeeded',
--- a/packages/client/src/commandTable.ts
+++ b/packages/client/src/commandTable.ts
@@ -1,4 +1,5 @@
 import type { CommandContext } from './commandContext.js';
+import { evacuate, listEvacuations } from './commands/evacuationCommands.js';
 import { explainJob } from './commands/explainCommand.js';
 import { drainInstance, replaceReplica } from './commands/instanceCommands.js';
 import { cancelJobs, showJob, submitJob, waitForJob } from './commands/jobCommands.js';
@@ -102,6 +103,13 @@
     ],
     run: replaceReplica,
   },
+  {
+    usage: 'evacuate <name>',
+    description: 'Keep new work away from a data centre',
+    options: [{ usage: '--end', description: 'End the evacuation' }],
+    run: evacuate,
+  },
+  { usage: 'evacuations', description: 'List evacuated data centres', run: listEvacuations },
   {
     usage: 'audit',
     description: 'Show the audit trail',
--- a/packages/client/src/commands/readCommands.ts
+++ b/packages/client/src/commands/readCommands.ts
@@ -40,6 +40,10 @@
   context.output.result(status, `${head}\n\n${formatTable(headings, rows)}`);
 }
 
+function describeState({ state, ejected, evacuated }: EndpointStatus): string {
+  return [state, ejected && 'ejected', evacuated && 'evacuated'].filter(Boolean).join(', ');
+}
+
 /** `endpoints`: lists workers and runners. */
 export async function listEndpoints(context: CommandContext): Promise<void> {
   const received = await getJson<EndpointStatus[]>(context, '/v1/endpoints');
@@ -47,7 +51,7 @@
   const rows = endpoints.map((endpoint) => [
     endpoint.id,
     endpoint.kind,
-    endpoint.ejected ? `${endpoint.state}, ejected` : endpoint.state,
+    describeState(endpoint),
     endpoint.dataCentre,
     endpoint.rack,
     endpoint.attempts,
--- a/packages/coordinator/src/coordinator.ts
+++ b/packages/coordinator/src/coordinator.ts
@@ -3,6 +3,7 @@
   AnnounceParams,
   ApplyNoteParams,
   CancelParams,
+  EvacuationParams,
   HeartbeatParams,
   JoinReplicaParams,
   LeaveParams,
@@ -138,6 +139,13 @@
     this.registerMethod<{ number: number }>('notes.force', (s, params) =>
       s.notes.readNoteStates(params.number),
     );
+    this.registerMethod('evacuations.read', (s) => s.evacuations.read());
+    this.registerMethod<EvacuationParams>('evacuations.begin', (s, params) =>
+      s.evacuations.begin(params),
+    );
+    this.registerMethod<EvacuationParams>('evacuations.end', (s, params) =>
+      s.evacuations.end(params),
+    );
     this.registerMethod('status.read', (s) => s.status.readStatus());
     this.registerMethod('endpoints.list', (s) => s.status.listEndpoints());
     this.registerMethod('config.read', () => this.opts.state.config);
--- a/packages/coordinator/src/leaderSession.ts
+++ b/packages/coordinator/src/leaderSession.ts
@@ -23,6 +23,7 @@
 import { CrashDetector } from './crashDetector.js';
 import { SWEEP_INTERVAL_MS, type CoordinatorTiming } from './coordinatorTiming.js';
 import { EndpointLeases } from './endpointLeases.js';
+import { EvacuationService } from './evacuationService.js';
 import { GatewaySessions } from './gatewaySessions.js';
 import { JobService } from './jobService.js';
 import { createUnitId } from './unitId.js';
@@ -69,6 +70,7 @@
   readonly leases: EndpointLeases;
   readonly sessions: GatewaySessions;
   readonly notes: NoteService;
+  readonly evacuations: EvacuationService;
   readonly status: StatusReader;
   private readonly opts: LeaderSessionOptions;
   private readonly guard: ValidityGuard;
@@ -153,7 +155,8 @@
       guard,
       timing,
       log: logger,
-      isEjected: (id) => opts.health.isEjected(id) || this.trials.isReserved(id),
+      isEjected: (id) =>
+        opts.health.isEjected(id) || this.trials.isReserved(id) || state.isEvacuated(id),
       onPublished: (endpoint, availability) => this.handleEndpointPublished(endpoint, availability),
       crashes: this.crashes,
       onRemoved: (id) => this.handleEndpointRemoved(id),
@@ -169,6 +172,12 @@
       sessions: this.sessions,
       onApplied: () => this.handleConfigurationChange(),
     });
+    this.evacuations = new EvacuationService({
+      state,
+      commits,
+      log: logger,
+      onChanged: (dataCentre) => this.handleEvacuationChange(dataCentre),
+    });
     this.status = new StatusReader({
       instanceId: opts.instanceId,
       instances: opts.instances,
@@ -266,14 +275,15 @@
   }
 
   private handleClosed(attempt: AttemptRecord, finished: FinishedAttempt): void {
-    this.dispatcher.removeOrder(attempt.id);
+    const wasWithheld = this.dispatcher.removeOrder(attempt.id);
     this.crashes.removeAttempt(attempt.id);
     this.trials.handleClosed(attempt);
     if (finished.crash) this.reportCrashBound(attempt);
     if (attempt.kind === 'request') {
       this.requests.handleAttemptClosed(attempt);
     } else {
-      this.recordHealth(attempt, finished);
+      if (wasWithheld) this.opts.health.recordAbandoned(createAttemptRef(attempt));
+      else this.recordHealth(attempt, finished);
       this.jobs.handleAttemptClosed(attempt, finished);
     }
     this.pipeline.scheduleCycle();
@@ -343,6 +353,13 @@
     this.pipeline.scheduleCycle();
   }
 
+  private handleEvacuationChange(dataCentre: string): void {
+    for (const endpoint of this.opts.state.endpoints.values()) {
+      if (endpoint.announcement.dataCentre === dataCentre) this.leases.publish(endpoint);
+    }
+    this.pipeline.scheduleCycle();
+  }
+
   private canDeclareLost(attempt: AttemptRecord, nowMs: number): boolean {
     return attempt.kind === 'request'
       ? this.requests.canDeclareLost(attempt, nowMs)
--- a/packages/coordinator/src/requestService.ts
+++ b/packages/coordinator/src/requestService.ts
@@ -62,6 +62,8 @@
   private readonly deferred = new Map<string, AcquireParams>();
   /** Monotonic time at which a gateway reported an attempt as unconfirmed, by attempt id. */
   private readonly unconfirmedAtMs = new Map<string, number>();
+  /** Calls of `acquire` whose placement is not settled yet, by request id. */
+  private readonly enqueued = new Map<string, AcquireParams>();
   private readonly deadlinesAtMs = new Map<string, number>();
   /** Monotonic time since which a request is between two attempts, by request id. */
   private readonly idleSinceMs = new Map<string, number>();
@@ -118,6 +120,15 @@
         .catch(() => {});
       return;
     }
+    const params = this.enqueued.get(requestId);
+    if (params && this.opts.state.isEvacuated(attempt.endpointId)) {
+      // Decided before the commit of the evacuation; placed again once this attempt is closed.
+      this.deferred.set(requestId, params);
+      const release = { requestId, attempt: attempt.id, outcome: 'not-run', final: false } as const;
+      this.opts.onReleased(attempt, release);
+      this.opts.closer.close([{ attempt: attempt.id, outcome: 'not-run' }]).catch(() => {});
+      return;
+    }
     this.settleWaiters(requestId, (waiter) => waiter.resolve(this.createResult(attempt)));
   }
 
@@ -206,6 +217,7 @@
       const nowMs = performance.now();
       const deadlineAtMs = nowMs + params.deadlineMs;
       this.deadlinesAtMs.set(params.requestId, deadlineAtMs);
+      this.enqueued.set(params.requestId, params);
       const { requestId, queue, work, size, excluded, noRepeat, owner, idempotencyKey } = params;
       this.opts.pipeline().enqueue(
         {
@@ -352,6 +364,7 @@
   }
 
   private settleWaiters(requestId: string, settle: (waiter: Waiter) => void): void {
+    this.enqueued.delete(requestId);
     const waiters = this.waiters.get(requestId) ?? [];
     this.waiters.delete(requestId);
     waiters.forEach(settle);
--- a/packages/coordinator/src/statusReader.ts
+++ b/packages/coordinator/src/statusReader.ts
@@ -80,6 +80,7 @@
         state: leases.resolveState(endpoint),
         ejected: isEjected(id),
         reserved: isReserved(id),
+        evacuated: state.isEvacuated(id),
         works: [...resolveWorks(state.config, endpoint.announcement)],
         attempts: state.attempts.listByEndpoint(id).size,
       };
--- a/packages/coordinator/src/taskDispatcher.ts
+++ b/packages/coordinator/src/taskDispatcher.ts
@@ -5,6 +5,7 @@
 import type { AttemptRecord } from '@lagoongap/state/records.js';
 
 import type { AttemptCloser } from './attemptCloser.js';
+import { CoordinatorError } from './coordinatorError.js';
 import { MISSING_ATTEMPT_GRACE_MS, ORDER_TIMEOUT_MS } from './coordinatorTiming.js';
 import type { ValidityGuard } from './validityGuard.js';
 
@@ -23,8 +24,12 @@
 interface Order {
   sentAtMs: number;
   isConfirmed: boolean;
+  /** Not sent, as a data centre was evacuated. */
+  isWithheld?: boolean;
 }
 
+const EVACUATED_MESSAGE = 'the data centre was evacuated before the order';
+
 function readRunState(err: unknown): string | undefined {
   return (err as { runState?: string }).runState;
 }
@@ -56,11 +61,19 @@
       const result = await endpointClient.startTask(
         endpoint.announcement.url,
         this.createOrder(attempt),
-        { timeoutMs: ORDER_TIMEOUT_MS, beforeSend: () => guard.assertValid() },
+        {
+          timeoutMs: ORDER_TIMEOUT_MS,
+          beforeSend: () => {
+            guard.assertValid();
+            order.isWithheld = this.isEvacuated(attempt);
+            if (order.isWithheld) throw new CoordinatorError(EVACUATED_MESSAGE);
+          },
+        },
       );
       if (result !== 'started') await this.closeNotRun(attempt, `the endpoint answered ${result}`);
     } catch (err) {
-      await this.handleFailure(attempt, err as Error);
+      if (order.isWithheld) await this.closeUnsent(attempt, EVACUATED_MESSAGE);
+      else await this.handleFailure(attempt, err as Error);
     }
   }
 
@@ -96,8 +109,11 @@
     return true;
   }
 
-  removeOrder(attemptId: string): void {
+  /** Returns whether the order was not sent, as a data centre was evacuated. */
+  removeOrder(attemptId: string): boolean {
+    const isWithheld = this.orders.get(attemptId)?.isWithheld ?? false;
     this.orders.delete(attemptId);
+    return isWithheld;
   }
 
   /**
@@ -109,6 +125,16 @@
     return nowMs - (order?.sentAtMs ?? this.electedAtMs) > MISSING_ATTEMPT_GRACE_MS;
   }
 
+  /** Returns whether the data centre of an attempt, or of another member of its gang, is evacuated. */
+  private isEvacuated({ unitId, kind, endpointId }: AttemptRecord): boolean {
+    const { state } = this.opts;
+    if (kind !== 'gang') return state.isEvacuated(endpointId);
+    for (const attempt of state.attempts.values()) {
+      if (attempt.unitId === unitId && state.isEvacuated(attempt.endpointId)) return true;
+    }
+    return false;
+  }
+
   private createOrder(attempt: AttemptRecord): StartOrder {
     const job = this.opts.state.jobs.get(attempt.unitId);
     return {
@@ -139,6 +165,10 @@
 
   private async closeNotRun(attempt: AttemptRecord, message: string): Promise<void> {
     this.opts.onNotRun(attempt);
+    await this.closeUnsent(attempt, message);
+  }
+
+  private async closeUnsent(attempt: AttemptRecord, message: string): Promise<void> {
     try {
       await this.opts.closer.close([{ attempt: attempt.id, outcome: 'not-run', message }]);
     } catch (err) {
--- a/packages/gateway/src/operatorApi.ts
+++ b/packages/gateway/src/operatorApi.ts
@@ -1,14 +1,22 @@
+import {
+  isDataCentreName,
+  type EvacuationResult,
+  type EvacuationSnapshot,
+} from '@lagoongap/model/evacuationState.js';
 import type {
   ApplyNoteParams,
   ApplyNoteResult,
   ClusterStatus,
   EndpointStatus,
+  EvacuationParams,
   NoteStatusResult,
   RemoveReplicaParams,
   RemoveReplicaResult,
 } from '@lagoongap/model/messages.js';
 import type { ClusterConfig } from '@lagoongap/model/clusterConfig.js';
 
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+
 import type { Authenticator } from './authenticator.js';
 import { MAX_CONTROL_BODY_BYTES, readBody } from './bodyReader.js';
 import { refuse, sendJson } from './httpResponse.js';
@@ -55,6 +63,13 @@
       this.sendReadResult<EndpointStatus[]>(call, 'endpoints.list'),
     );
     router.add('GET', '/v1/audit', (call) => this.sendAuditEntries(call));
+    router.add('GET', '/v1/evacuations', (call) => this.listEvacuations(call));
+    router.add('POST', '/v1/evacuations/{name}', (call) =>
+      this.changeEvacuation(call, 'evacuations.begin'),
+    );
+    router.add('DELETE', '/v1/evacuations/{name}', (call) =>
+      this.changeEvacuation(call, 'evacuations.end'),
+    );
     router.add('POST', '/v1/instances/{id}/drain', (call) => this.drainInstance(call));
     router.add('POST', '/v1/replicas/{id}/remove', (call) => this.removeReplica(call));
   }
@@ -78,6 +93,43 @@
     sendJson(res, 200, { entries: await this.call('audit.read', { after }) });
   }
 
+  private async listEvacuations({ req, res }: RoutedCall): Promise<void> {
+    this.opts.authenticator.requireRole(req, ['operator']);
+    const { records } = await this.call<EvacuationSnapshot>('evacuations.read', {});
+    const evacuations = records
+      .filter(({ isEvacuated }) => isEvacuated)
+      .map(({ dataCentre, acceptedMs }) => ({
+        dataCentre,
+        since: new Date(acceptedMs).toISOString(),
+      }));
+    sendJson(res, 200, { evacuations });
+  }
+
+  /** Responds when the change is committed; a repetition gets the same response. */
+  private async changeEvacuation({ req, res, params }: RoutedCall, method: string): Promise<void> {
+    const key = this.opts.authenticator.requireRole(req, ['operator']);
+    const dataCentre = params.name!;
+    if (!isDataCentreName(dataCentre)) {
+      refuse('invalid-input', 'data centre: expected up to 256 characters');
+    }
+    const { version } = await this.call<EvacuationSnapshot>('evacuations.read', {});
+    const change: EvacuationParams = { dataCentre, version, by: key.id };
+    const { type } = await this.call<{ type: EvacuationResult }>(method, change);
+    if (type === 'accepted') {
+      sendJson(res, 200, { dataCentre, isEvacuated: method === 'evacuations.begin' });
+      return;
+    }
+    throw new RefusalError({
+      type: 'conflict',
+      // An earlier try of the same call may have been overtaken after its effect.
+      runState: type === 'full' ? 'not-run' : 'unknown',
+      message:
+        type === 'full'
+          ? 'too many data centres are evacuated'
+          : `another call has changed the evacuation of ${dataCentre} meanwhile`,
+    });
+  }
+
   private async drainInstance({ req, res, params }: RoutedCall): Promise<void> {
     this.opts.authenticator.requireRole(req, ['operator']);
     const instance = params.id!;
--- a/packages/workflow/src/evacuationState.ts
+++ b/packages/model/src/evacuationState.ts
@@ -1,8 +1,24 @@
-import type { EvacuationRecord } from './workflowRecords.js';
-
 /** Most data centres that are kept track of; the state must not grow with wrong names. */
 const MAX_RECORDS = 256;
 
+/** Any text that heartbeats carry, but for control characters. */
+const DATA_CENTRE_PATTERN = /^[^\p{C}\p{Zl}\p{Zp}]{1,256}$/u;
+
+/** Returns whether a text can be the name of a data centre. */
+export function isDataCentreName(text: string): boolean {
+  return DATA_CENTRE_PATTERN.test(text);
+}
+
+/** Latest change of the evacuation of a data centre; while evacuated, it gets no new work. */
+export interface EvacuationRecord {
+  dataCentre: string;
+  isEvacuated: boolean;
+  /** Time at which the latest evacuation was accepted, Unix milliseconds; 0 if there was none. */
+  acceptedMs: number;
+  /** Number of the change among those of all data centres. */
+  version: number;
+}
+
 /** Command that changes the evacuation of a data centre. */
 export type EvacuationCommand =
   | {
--- a/packages/model/src/messages.ts
+++ b/packages/model/src/messages.ts
@@ -225,6 +225,8 @@
   ejected: boolean;
   /** Whether the endpoint gets no other work while a suspect of a crash runs on it. */
   reserved?: boolean;
+  /** Whether its data centre is evacuated; absent in responses of earlier releases. */
+  evacuated?: boolean;
   works: string[];
   size: Resources;
   attempts: number;
@@ -283,3 +285,12 @@
   voters: string[];
   learners: string[];
 }
+
+/** Begins or ends the evacuation of a data centre. */
+export interface EvacuationParams {
+  dataCentre: string;
+  /** Version of the evacuations that the caller has read. */
+  version: number;
+  /** Identifier of the operator's key. */
+  by: string;
+}
--- a/packages/release-notes/src/auditTrail.ts
+++ b/packages/release-notes/src/auditTrail.ts
@@ -6,18 +6,21 @@
 /** Index of the first entry of a trail. */
 export const FIRST_AUDIT_INDEX = 1;
 
-/** One submission of a release note, linked to the previous entry by its hash. */
+/**
+ * One submission of a release note, or change of an evacuation, linked to the previous entry by its
+ * hash.
+ */
 export interface AuditEntry {
   /** Position in the trail; starts at 1 and has no gaps. */
   index: number;
-  /** Number of the release note. */
+  /** Number of the release note; for an evacuation, that of the latest accepted one. */
   number: number;
   /** Identifier of the operator's key. */
   by: string;
   /** Wall-clock time of the leader in ISO 8601. */
   wallTime: string;
   accepted: boolean;
-  /** Hash of the note's content. */
+  /** Hash of the note's content; empty for an evacuation. */
   contentHash: string;
   /** Human-readable summary in one line. */
   summary: string;
--- a/packages/state/src/clusterState.ts
+++ b/packages/state/src/clusterState.ts
@@ -1,9 +1,15 @@
 import type { ClusterConfig } from '@lagoongap/model/clusterConfig.js';
+import {
+  EvacuationState,
+  type EvacuationResult,
+  type EvacuationSnapshot,
+} from '@lagoongap/model/evacuationState.js';
 
 import { AttemptTable } from './attemptTable.js';
 import type {
   AbandonRequestsCommand,
   AnnounceEndpointCommand,
+  ChangeEvacuationCommand,
   Command,
   FinishAttemptsCommand,
   SingleCommand,
@@ -30,6 +36,8 @@
   attempts: ReturnType<AttemptTable['snapshot']>;
   jobs: ReturnType<JobTable['snapshot']>;
   requests: ReturnType<RequestTable['snapshot']>;
+  /** Absent in snapshots of earlier releases. */
+  evacuations?: EvacuationSnapshot;
 }
 
 /**
@@ -43,6 +51,7 @@
   readonly attempts = new AttemptTable();
   readonly jobs = new JobTable(this.idempotency);
   readonly requests = new RequestTable(this.idempotency);
+  readonly evacuations = new EvacuationState();
 
   get config(): ClusterConfig {
     return this.configTable.config;
@@ -68,6 +77,7 @@
       attempts: this.attempts.snapshot(),
       jobs: this.jobs.snapshot(),
       requests: this.requests.snapshot(),
+      evacuations: this.evacuations.snapshot(),
     };
     return snapshot;
   }
@@ -86,6 +96,7 @@
     this.attempts.restore(snapshot.attempts);
     this.jobs.restore(snapshot.jobs);
     this.requests.restore(snapshot.requests);
+    this.evacuations.restore(snapshot.evacuations);
   }
 
   private applySingle(command: SingleCommand, index: number): unknown {
@@ -114,11 +125,28 @@
         return this.endpoints.markLeaving(command.id);
       case 'remove-endpoint':
         return this.removeEndpoint(command.id);
+      case 'change-evacuation':
+        return this.changeEvacuation(command);
       default:
         throw new StateError(`unknown command type ${(command as { type: string }).type}`);
     }
   }
 
+  /** Returns whether nothing may start on an endpoint, as its data centre is evacuated. */
+  isEvacuated(endpointId: string): boolean {
+    const announcement = this.endpoints.get(endpointId)?.announcement;
+    return announcement !== undefined && this.evacuations.has(announcement.dataCentre);
+  }
+
+  private changeEvacuation(command: ChangeEvacuationCommand): EvacuationResult {
+    const { dataCentre } = command.change;
+    const wasEvacuated = this.evacuations.has(dataCentre);
+    const result = this.evacuations.apply(command.change);
+    const isEvacuated = this.evacuations.has(dataCentre);
+    if (wasEvacuated !== isEvacuated) this.configTable.auditEvacuation(command, isEvacuated);
+    return result;
+  }
+
   private submitJobs(command: SubmitJobsCommand): unknown {
     return command.jobs.map((job) => this.jobs.submit(job, command.wallTime));
   }
--- a/packages/state/src/commands.ts
+++ b/packages/state/src/commands.ts
@@ -1,3 +1,4 @@
+import type { EvacuationCommand } from '@lagoongap/model/evacuationState.js';
 import type { EndpointAnnouncement } from '@lagoongap/model/endpoint.js';
 import type { ReleaseNote } from '@lagoongap/model/releaseNote.js';
 import type { JobSpec } from '@lagoongap/model/workload.js';
@@ -108,6 +109,15 @@
   id: string;
 }
 
+/** Begins or ends the evacuation of a data centre. */
+export interface ChangeEvacuationCommand {
+  type: 'change-evacuation';
+  change: EvacuationCommand;
+  /** Identifier of the operator's key. */
+  by: string;
+  wallTime: number;
+}
+
 /** Commands of one scheduling cycle, committed together. */
 export interface BatchCommand {
   type: 'batch';
@@ -127,7 +137,8 @@
   | AbandonRequestsCommand
   | AnnounceEndpointCommand
   | LeaveEndpointCommand
-  | RemoveEndpointCommand;
+  | RemoveEndpointCommand
+  | ChangeEvacuationCommand;
 
 /** Command of the replicated log. */
 export type Command = SingleCommand | BatchCommand;
--- a/packages/state/src/configTable.ts
+++ b/packages/state/src/configTable.ts
@@ -10,7 +10,12 @@
 import { checkReleaseNote } from '@lagoongap/release-notes/checkReleaseNote.js';
 import { diffConfigs, type EntryDiff } from '@lagoongap/release-notes/diffConfigs.js';
 
-import type { ApplyNoteCommand, NoteResult, RefuseNoteCommand } from './commands.js';
+import type {
+  ApplyNoteCommand,
+  ChangeEvacuationCommand,
+  NoteResult,
+  RefuseNoteCommand,
+} from './commands.js';
 import { MAX_AUDIT_ENTRIES, MAX_RECENT_NOTES } from './retention.js';
 
 interface ConfigTableSnapshot {
@@ -102,6 +107,23 @@
     });
   }
 
+  /** Records who began or ended the evacuation of a data centre; not a release note. */
+  auditEvacuation({ change, by, wallTime }: ChangeEvacuationCommand, isEvacuated: boolean): void {
+    const describe = (value: boolean): unknown => [
+      { kind: 'evacuation', name: change.dataCentre, fields: { isEvacuated: value } },
+    ];
+    this.appendAudit({
+      number: this.current.number,
+      by,
+      wallTime: new Date(wallTime).toISOString(),
+      accepted: true,
+      contentHash: '',
+      summary: `evacuation of ${change.dataCentre} ${isEvacuated ? 'begins' : 'ends'}`,
+      before: describe(!isEvacuated),
+      after: describe(isEvacuated),
+    });
+  }
+
   snapshot(): ConfigTableSnapshot {
     return {
       config: this.current,
--- a/packages/tests/features/client/client.feature
+++ b/packages/tests/features/client/client.feature
@@ -26,6 +26,7 @@
       | request                                   | expected --queue <name>              |
       | key creat                                 | did you mean "create"?               |
       | key create                                | needs --team <name>                  |
+      | evacuate                                  | expected: lagoongap evacuate <name>  |
 
   Scenario: the next gateway is tried
     Given a closed gateway before the stub gateway
--- a/packages/tests/features/client/realDaemon.feature
+++ b/packages/tests/features/client/realDaemon.feature
@@ -97,6 +97,22 @@
       | cancel {job} none                                                        | 1    | none: not found                       |
       | wait {job}                                                               | 7    | ended as cancelled                    |
       | cancel {job} --json                                                      | 0    | "state":"cancelled"                   |
+    And the client binary, run by the operator, gives:
+      | arguments                | code | output                              |
+      | evacuate dc-1            | 0    | data centre dc-1 is evacuated       |
+      | evacuate dc-1 --json     | 0    | "isEvacuated":true                  |
+      | evacuations              | 0    | dc-1                                |
+      | evacuations --json       | 0    | {"evacuations":[{"dataCentre":"dc-1" |
+      | endpoints                | 0    | ready, evacuated                    |
+      | audit                    | 0    | evacuation of dc-1 begins           |
+      | audit --verify           | 0    | audit entries are intact            |
+      | evacuate dc-1 --end      | 0    | dc-1 is no longer evacuated         |
+      | evacuate dc-1 --end      | 0    | dc-1 is no longer evacuated         |
+      | evacuations --json       | 0    | {"evacuations":[]}                  |
+    And the client binary, run by the utilities, gives:
+      | arguments                                                    | code | output                  |
+      | evacuate dc-1                                                | 1    | [forbidden, not-run]    |
+      | request --queue certificates --work metering --body body.txt | 0    | meter 4711              |
     And the client binary, run by the operator, gives:
       | arguments                            | code | output                                      |
       | replace instance-4                   | 1    | is configured without a replica             |
--- a/packages/tests/src/steps/workflow/evacuationSteps.ts
+++ b/packages/tests/src/steps/workflow/evacuationSteps.ts
@@ -6,7 +6,7 @@
   EvacuationState,
   type EvacuationCommand,
   type EvacuationResult,
-} from '@lagoongap/workflow/evacuationState.js';
+} from '@lagoongap/model/evacuationState.js';
 
 import type { CallWorld, ObservedCall } from '../../workflow/callWorld.js';
 import type { WorkflowWorld } from '../../workflow/workflowWorld.js';
--- a/packages/workflow/src/evacuationService.ts
+++ b/packages/workflow/src/evacuationService.ts
@@ -1,5 +1,9 @@
+import type {
+  EvacuationCommand,
+  EvacuationResult,
+  EvacuationSnapshot,
+} from '@lagoongap/model/evacuationState.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
-import type { EvacuationCommand, EvacuationResult, EvacuationSnapshot } from './evacuationState.js';
 import type { SessionContext } from './sessionContext.js';
 
 /** Change of the evacuation of a data centre. */
--- a/packages/workflow/src/workflowCommand.ts
+++ b/packages/workflow/src/workflowCommand.ts
@@ -1,5 +1,5 @@
+import type { EvacuationCommand } from '@lagoongap/model/evacuationState.js';
 import type { CrashEvidence } from './crashRecord.js';
-import type { EvacuationCommand } from './evacuationState.js';
 import type { JobSpec, TaskRef } from './jobSpec.js';
 import type { EndpointRecord, RunOutcome } from './workflowRecords.js';
 
--- a/packages/workflow/src/workflowRecords.ts
+++ b/packages/workflow/src/workflowRecords.ts
@@ -139,16 +139,6 @@
   coldUntilMs?: number;
 }
 
-/** Latest change of the evacuation of a data centre; while evacuated, it gets no new work. */
-export interface EvacuationRecord {
-  dataCentre: string;
-  isEvacuated: boolean;
-  /** Time at which the latest evacuation was accepted, Unix milliseconds; 0 if there was none. */
-  acceptedMs: number;
-  /** Number of the change among those of all data centres. */
-  version: number;
-}
-
 /** Maintenance of several instances, a bounded number at a time. */
 export interface WaveRecord {
   number: number;
--- a/packages/workflow/src/workflowState.ts
+++ b/packages/workflow/src/workflowState.ts
@@ -1,7 +1,7 @@
 import type { CommittedEntry, StateMachine } from '@lagoongap/consensus/replicatedLog.js';
 
+import { EvacuationState, type EvacuationSnapshot } from '@lagoongap/model/evacuationState.js';
 import { addCrash, isConvicted } from './crashRecord.js';
-import { EvacuationState, type EvacuationSnapshot } from './evacuationState.js';
 import { stepKey, type StepSpec, type TaskRef } from './jobSpec.js';
 import { addOccurrence, includesOccurrence, type OccurrenceRanges } from './occurrenceRanges.js';
 import type { EndedRun, StartedRun, SubmitCommand, WorkflowCommand } from './workflowCommand.js';
