Count starts on cold endpoints from their order

Cause: the bound on starts (cold_per_s) counted from the decision. If a slow commit held up the starts of one window, those of the next were ordered together with them.

Change: a start counts from its decision until a window after its order, and no longer if it is dropped before. Warm endpoints skip the search for their number of runs.

--- a/packages/tests/features/workflow/warmup.feature
+++ b/packages/tests/features/workflow/warmup.feature
@@ -100,6 +100,22 @@
     Then job "j" is "completed"
     And job "k" is "completed"
 
+  # Guards against the starts of two windows that are ordered together after a slow commit.
+  Scenario: starts on a cold endpoint count from their order
+    Given a workflow leader
+    And 1 workers of 8 cores
+    And the pool is cold for 1000000 ms and tolerates 2 starts per second
+    And worker w1 is cold for 20000 ms
+    And 2000 ms of workflow time pass
+    And starts are committed late
+    When job "j" of 4 tasks of 60000 ms is submitted
+    And 1500 ms of workflow time pass
+    And the late starts are committed
+    And 900 ms of workflow time pass
+    Then worker w1 has started 2 runs
+    When 400 ms of workflow time pass
+    Then worker w1 has started 4 runs
+
   Scenario: a gang takes the bound on starts into account as a whole
     Given a workflow leader
     And 2 workers of 8 cores
--- a/packages/tests/src/steps/workflow/warmupSteps.ts
+++ b/packages/tests/src/steps/workflow/warmupSteps.ts
@@ -106,6 +106,7 @@
     assert.ok(limits.countStartsLeft() > 0, `start ${i}`);
     this.startCount += 1;
     limits.recordStart(`run-${this.startCount}`);
+    this.warmup.recordOrder(`run-${this.startCount}`, performance.now());
   }
   if (this.pool.coldStartsPerSecond > 0) assert.equal(limits.countStartsLeft(), 0);
 });
--- a/packages/workflow/src/endpointWarmup.ts
+++ b/packages/workflow/src/endpointWarmup.ts
@@ -15,8 +15,18 @@
 /** Orders that are sent a window apart may arrive closer together. */
 const WINDOW_MARGIN_FACTOR = 1.1;
 
+/** Time after its decision in which a start is ordered or dropped, beyond its window. */
+const MAX_ORDER_DELAY_MS = 3000;
+
 const MS_PER_SECOND = 1000;
 
+/** A start that counts against the bound of an endpoint. */
+interface ColdStart {
+  /** Monotonic time of the order, or of the decision while it is not ordered. */
+  atMs: number;
+  isOrdered: boolean;
+}
+
 /** What a cold endpoint takes at a moment. */
 export interface ColdLimits {
   /** Part of the warm-up that remains, above 0 to 1. */
@@ -25,8 +35,8 @@
   fullCapacity: Resources;
   /** Returns how many more runs may start there now. */
   countStartsLeft: () => number;
+  /** Records a decided start; it counts from its order on, or until it is withdrawn. */
   recordStart: (key: string) => void;
-  withdrawStart: (key: string) => void;
 }
 
 /** Returns the part of a capacity that an endpoint takes while it is cold. */
@@ -85,8 +95,8 @@
   private endMs = -Infinity;
   /** Longest remaining time that was reported in this warm-up. */
   private spanMs = 0;
-  /** Starts by key of the run, in order. */
-  private readonly starts = new Map<string, number>();
+  /** Starts by key of the run. */
+  private readonly starts = new Map<string, ColdStart>();
   private readonly startsKnownFromMs: number;
 
   /** @param startsKnownFromMs - Time before which earlier leaders may have ordered starts. */
@@ -127,16 +137,29 @@
       fullCapacity,
       countStartsLeft: () => this.countStartsLeft(startsPerSecond, performance.now()),
       recordStart: (key) => {
-        if (startsPerSecond > 0) this.starts.set(key, performance.now());
+        if (startsPerSecond <= 0) return;
+        this.starts.set(key, { atMs: performance.now(), isOrdered: false });
       },
-      withdrawStart: (key) => this.starts.delete(key),
     };
   }
 
+  /** Records the order of a start, which a commit or a wait for validity may have delayed. */
+  recordOrder(key: string, nowMs: number): void {
+    if (this.starts.has(key)) this.starts.set(key, { atMs: nowMs, isOrdered: true });
+  }
+
+  /** Removes a start that will not be ordered. */
+  withdrawStart(key: string): void {
+    this.starts.delete(key);
+  }
+
   private countStartsLeft(startsPerSecond: number, nowMs: number): number {
     if (startsPerSecond <= 0) return Infinity;
     const windowMs = (MS_PER_SECOND / Math.min(1, startsPerSecond)) * WINDOW_MARGIN_FACTOR;
-    for (const [key, atMs] of this.starts) if (nowMs - atMs >= windowMs) this.starts.delete(key);
+    for (const [key, { atMs, isOrdered }] of this.starts) {
+      const maxAgeMs = isOrdered ? windowMs : windowMs + MAX_ORDER_DELAY_MS;
+      if (nowMs - atMs >= maxAgeMs) this.starts.delete(key);
+    }
     // The predecessor may have used up the window.
     if (nowMs - this.startsKnownFromMs < windowMs) return 0;
     return Math.max(0, Math.max(1, Math.floor(startsPerSecond)) - this.starts.size);
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -197,6 +197,7 @@
     const job = state.jobs.get(task.jobId)!;
     const order = this.createRun(start);
     meter.countRunOrdered(Date.now() - dueTimeMs(job, task.occurrence));
+    agent.warmup.recordOrder(order.key, performance.now());
     health.recordStart({ attemptId: order.key, unitId: job.id, endpointId: agent.id });
     agent.order(order, job.spec.payload, ticket, leaseFromMs).catch((err: Error) => {
       logger.error('start order failed', { run: order.key, err: err.message });
@@ -213,6 +214,7 @@
   private reportLost(starts: PlannedStart[], reason: string): void {
     const byAgent = new Map<EndpointAgent, AgentRun[]>();
     for (const start of starts) {
+      start.agent.warmup.withdrawStart(start.key);
       const runs = byAgent.get(start.agent) ?? [];
       runs.push(this.createRun(start));
       byAgent.set(start.agent, runs);
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -324,7 +324,7 @@
     const release = (): void => {
       for (const { key, endpoint } of trials.splice(0)) {
         ledger.withdraw(key);
-        endpoint.cold?.withdrawStart(key);
+        if (endpoint.cold) this.opts.directory.find(endpoint.id)?.warmup.withdrawStart(key);
       }
     };
     const endpoints = chooseGangEndpoints(ready.spec, candidates, usage, context.timing.farFactor, {
@@ -370,8 +370,10 @@
 
   private hasCapacity(candidate: PlacementCandidate, spec: StepSpec): boolean {
     const { ledger } = this.opts;
-    const { id } = candidate;
-    const capacity = capacityFor(spec.size, candidate, ledger.runsOn(id).size);
+    const { id, cold } = candidate;
+    const capacity = cold
+      ? capacityFor(spec.size, candidate, ledger.runsOn(id).size)
+      : candidate.capacity;
     return ledger.hasCapacity(id, capacity, spec.size, spec.fillsIdleCapacity);
   }
 
