Merge evacuations, warm-up and regions of queues

Cause: operators empty a data centre and take it back, and the product had no notion of it.

Change: evacuations as replicated state on both job paths, gradual work for cold endpoints, and queues bound to regions.

--- a/packages/telemetry/src/workflowMetrics.ts
+++ b/packages/telemetry/src/workflowMetrics.ts
@@ -35,6 +35,10 @@
   countOrder(order: string, outcome: string, durationMs: number): void;
   countLeadership(): void;
   setEndpoints(available: number, known: number): void;
+  /** Sets the number of evacuated data centres, and of the endpoints there that accept work. */
+  setEvacuations(dataCentres: number, endpoints: number): void;
+  /** Sets the number of endpoints that have reported a warm-up that is not over. */
+  setColdEndpoints(count: number): void;
   setConfigVersion(version: number): void;
   /** Counts a call of a caller that was refused or got no response. */
   countCallFailure(reason: CallFailureReason, state: FailedCallState): void;
@@ -71,6 +75,8 @@
   countOrder() {},
   countLeadership() {},
   setEndpoints() {},
+  setEvacuations() {},
+  setColdEndpoints() {},
   setConfigVersion() {},
   countCallFailure() {},
   countTryFailure() {},
@@ -160,6 +166,12 @@
     ['state'],
   );
 
+  private readonly evacuations = this.createGauge(
+    'lagoongap_evacuations',
+    'Data centres that are evacuated',
+    [],
+  );
+
   private readonly configVersion = this.createGauge(
     'lagoongap_config_version',
     'Version of the configuration in force',
@@ -303,6 +315,15 @@
     this.endpoints.set({ state: 'known' }, known);
   }
 
+  setColdEndpoints(count: number): void {
+    this.endpoints.set({ state: 'cold' }, count);
+  }
+
+  setEvacuations(dataCentres: number, endpoints: number): void {
+    this.evacuations.set(dataCentres);
+    this.endpoints.set({ state: 'evacuated' }, endpoints);
+  }
+
   setConfigVersion(version: number): void {
     this.configVersion.set(version);
   }
--- a/packages/workflow/src/cellConfig.ts
+++ b/packages/workflow/src/cellConfig.ts
@@ -10,6 +10,14 @@
   validMs: number;
 }
 
+/** Regions to which the tasks of a queue are bound. */
+export interface RegionLimits {
+  /** Sorted. */
+  names: string[];
+  /** All data centres in these regions. */
+  dataCentres: ReadonlySet<string>;
+}
+
 /** Queue to which callers submit jobs. */
 export interface QueuePolicy {
   name: string;
@@ -29,6 +37,8 @@
   isOpen: boolean;
   /** Present if an advisor decides which endpoints may run a step. */
   advice?: AdvicePolicy;
+  /** Present if its tasks run only on endpoints in certain regions. */
+  regions?: RegionLimits;
 }
 
 /** Organisation that submits jobs. */
@@ -41,10 +51,21 @@
   limit: Resources;
 }
 
+/** Properties of the endpoints of a pool. */
+export interface PoolPolicy {
+  name: string;
+  /** Time for which an endpoint is slow after its start in milliseconds; 0 if not known. */
+  coldMs: number;
+  /** Starts per second that a cold endpoint tolerates; 0 means no limit. */
+  coldStartsPerSecond: number;
+}
+
 /** Configuration in force. */
 export interface CellConfig {
   version: number;
   queues: QueuePolicy[];
+  /** Pools without an entry have no known properties. */
+  pools?: PoolPolicy[];
   organisations: OrganisationPolicy[];
 }
 
--- a/packages/workflow/src/runDispatcher.ts
+++ b/packages/workflow/src/runDispatcher.ts
@@ -6,14 +6,17 @@
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { taskName, type TaskRef } from './jobSpec.js';
 import { dueTimeMs } from './occurrenceSchedule.js';
+import { allowsDataCentre } from './queueRegions.js';
 import type { RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
 import type { PlannedStart } from './stepScheduler.js';
 import {
   DRAINING_AT_DISPATCH,
+  EVACUATED_AT_DISPATCH,
   NOT_NEEDED_AT_DISPATCH,
   NO_TICKET_AT_DISPATCH,
   NOT_VALID_AT_DISPATCH,
+  REGION_AT_DISPATCH,
   SHRUNK_AT_DISPATCH,
   UNRESPONSIVE_AT_DISPATCH,
 } from './toRunLossReason.js';
@@ -167,6 +170,8 @@
     const isSameEndpoint = directory.find(agent.id) === agent && agent.record.bornMs === bornMs;
     if (!isOpen || !isCurrent || !isSameEndpoint) return { lostReason: NOT_NEEDED_AT_DISPATCH };
     if (agent.record.isDraining) return { lostReason: DRAINING_AT_DISPATCH };
+    if (directory.isEvacuated(agent)) return { lostReason: EVACUATED_AT_DISPATCH };
+    if (!this.isInAllowedRegion(start)) return { lostReason: REGION_AT_DISPATCH };
     if (!context.isValid()) {
       return performance.now() < deadlineMs ? {} : { lostReason: NOT_VALID_AT_DISPATCH };
     }
@@ -176,6 +181,14 @@
     return this.oversized.has(start) ? { lostReason: SHRUNK_AT_DISPATCH } : undefined;
   }
 
+  /** Returns whether the configuration in force, which may be newer, allows the data centre. */
+  private isInAllowedRegion({ task, agent }: PlannedStart): boolean {
+    const { state, readConfig } = this.opts.context;
+    const name = state.jobs.get(task.jobId)?.queue;
+    const queue = readConfig()?.queues.find((it) => it.name === name);
+    return !queue || allowsDataCentre(queue, agent.record.dataCentre);
+  }
+
   private order(start: PlannedStart, leaseFromMs: number): void {
     const { context, health, findTicket } = this.opts;
     const { state, meter, logger } = context;
@@ -184,6 +197,7 @@
     const job = state.jobs.get(task.jobId)!;
     const order = this.createRun(start);
     meter.countRunOrdered(Date.now() - dueTimeMs(job, task.occurrence));
+    agent.warmup.recordOrder(order.key, performance.now());
     health.recordStart({ attemptId: order.key, unitId: job.id, endpointId: agent.id });
     agent.order(order, job.spec.payload, ticket, leaseFromMs).catch((err: Error) => {
       logger.error('start order failed', { run: order.key, err: err.message });
@@ -200,6 +214,7 @@
   private reportLost(starts: PlannedStart[], reason: string): void {
     const byAgent = new Map<EndpointAgent, AgentRun[]>();
     for (const start of starts) {
+      start.agent.warmup.withdrawStart(start.key);
       const runs = byAgent.get(start.agent) ?? [];
       runs.push(this.createRun(start));
       byAgent.set(start.agent, runs);
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -6,10 +6,12 @@
 import type { CellConfig, QueuePolicy } from './cellConfig.js';
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
-import { stepName, taskName, type TaskRef } from './jobSpec.js';
+import { capacityFor, coldLoadOf, limitCapacity } from './endpointWarmup.js';
+import { stepName, taskName, type StepSpec, type TaskRef } from './jobSpec.js';
 import type { PlacementMode, Quarantine } from './quarantine.js';
 import type { ReadyStep, ReadySteps } from './readySteps.js';
 import { createReservation, type RunLedger } from './runLedger.js';
+import { explainWait } from './explainWait.js';
 import type { SessionContext } from './sessionContext.js';
 import type { DurationEstimator } from './durationEstimator.js';
 import {
@@ -18,6 +20,7 @@
   type PlacementCandidate,
   type PlacementUsage,
 } from './stepPlacer.js';
+import { allowsDataCentre, toEndpointSetKey } from './queueRegions.js';
 import { RejectionBackoff } from './rejectionBackoff.js';
 import { ResumableWalk } from './resumableWalk.js';
 import { splitRestarts } from './splitRestarts.js';
@@ -82,7 +85,7 @@
   private readonly blocked: BlockedSteps;
   private readonly restartsWalk = new ResumableWalk();
   private readonly waitingWalk = new ResumableWalk();
-  /** Available endpoints, by pool. */
+  /** Available endpoints, by pool and regions. */
   private readonly candidates = new Map<string, Map<string, FleetCandidate>>();
   private candidatesListedMs = -Infinity;
   private candidatesVersion = 0;
@@ -194,26 +197,15 @@
   explain(ready: ReadyStep, config: CellConfig): Record<string, unknown> {
     const queue = config.queues.find(({ name }) => name === ready.job.queue);
     if (!queue) return { reason: 'the queue is no longer configured' };
+    const { directory, ledger } = this.opts;
     const candidates = [...this.listCandidates(queue).values()];
     const usage = this.createUsage(ready, config);
-    const nowMs = performance.now();
     const tickets = this.ticketProvider.ticketsOf(ready.name);
     const evaluation = this.evaluations.get(ready.name);
-    const { maxPerEndpoint } = ready.spec;
-    const count = (test: (candidate: FleetCandidate) => boolean): number =>
-      candidates.filter(test).length;
     return {
-      endpoints: candidates.length,
-      ejected: this.opts.directory.listEjected().filter(({ record }) => record.pool === queue.pool)
-        .length,
-      withRoom: count((candidate) => countSlots(ready, candidate, this.opts.ledger) > 0),
-      withinLimit: count((candidate) => usage.fits(candidate, ready.spec)),
-      atStepLimit: count((it) => maxPerEndpoint > 0 && usage.countOn(it) >= maxPerEndpoint),
-      withTicket: count(({ id }) => tickets.find(id, nowMs) !== undefined),
-      suitable: count(({ id }) => tickets.suitabilityOf(id) === 'suitable'),
-      unsuitable: count(({ id }) => tickets.suitabilityOf(id) === 'unsuitable'),
+      ...explainWait({ ready, queue, candidates, usage, tickets, directory, ledger }),
       suspects: this.opts.quarantine.listSuspects(ready).size,
-      evaluatedAgoMs: evaluation && Math.round(nowMs - evaluation.atMs),
+      evaluatedAgoMs: evaluation && Math.round(performance.now() - evaluation.atMs),
       outcome: evaluation?.outcome,
       ...this.ticketProvider.explain(ready.name),
     };
@@ -233,11 +225,8 @@
       tickets: queue.advice ? this.ticketProvider.ticketsOf(ready.name) : undefined,
       isWithinLimit: !limit || ledger.isWithinLimit(job.organisation, limit, spec.size),
       hasCapacity: (id) => {
-        const capacity = candidates.get(id)?.capacity;
-        return (
-          capacity !== undefined &&
-          ledger.hasCapacity(id, capacity, spec.size, spec.fillsIdleCapacity)
-        );
+        const candidate = candidates.get(id);
+        return candidate !== undefined && this.hasCapacity(candidate, spec);
       },
     };
     const atMs = performance.now();
@@ -331,18 +320,22 @@
     const mode = suspects.size > 0 ? quarantine.listGangModes(ready, suspects).at(-1) : 'open';
     if (!mode) return [];
     const usage = this.createUsage(ready, config, mode);
-    const trialKeys: string[] = [];
+    const trials: { key: string; endpoint: PlacementCandidate }[] = [];
+    const release = (): void => {
+      for (const { key, endpoint } of trials.splice(0)) {
+        ledger.withdraw(key);
+        if (endpoint.cold) this.opts.directory.find(endpoint.id)?.warmup.withdrawStart(key);
+      }
+    };
     const endpoints = chooseGangEndpoints(ready.spec, candidates, usage, context.timing.farFactor, {
       reserve: (endpoint) => {
-        const key = `${ready.name}:trial:${trialKeys.length}`;
-        trialKeys.push(key);
-        this.reserve(ready, key, endpoint.id);
-      },
-      release: () => {
-        for (const key of trialKeys.splice(0)) ledger.withdraw(key);
+        const key = `${ready.name}:trial:${trials.length}`;
+        trials.push({ key, endpoint });
+        this.reserve(ready, key, endpoint);
       },
+      release,
     });
-    for (const key of trialKeys) ledger.withdraw(key);
+    release();
     if (!endpoints) return [];
     const run = Math.max(...ready.waiting.map((index) => this.nextRun(ready, index)));
     return endpoints.map((endpoint, index) => this.plan(ready, index, endpoint, run, mode));
@@ -358,7 +351,7 @@
     const { job, occurrence, step, name } = ready;
     const task: TaskRef = { jobId: job.id, occurrence, step, index };
     const key = `${taskName(task)}:${run}`;
-    this.reserve(ready, key, endpoint.id);
+    this.reserve(ready, key, endpoint);
     const pending = this.pending.get(name) ?? new Set<number>();
     this.pending.set(name, pending.add(index));
     const isTrial = mode === 'trial';
@@ -369,9 +362,19 @@
     return { key, stepName: name, task, run, ...target, decidedMs: performance.now() };
   }
 
-  private reserve(ready: ReadyStep, key: string, endpoint: string): void {
+  private reserve(ready: ReadyStep, key: string, endpoint: PlacementCandidate): void {
     const task = { jobId: ready.job.id, occurrence: ready.occurrence, step: ready.step, index: 0 };
-    this.opts.ledger.reserve(createReservation(ready.job, task, key, endpoint));
+    this.opts.ledger.reserve(createReservation(ready.job, task, key, endpoint.id));
+    endpoint.cold?.recordStart(key);
+  }
+
+  private hasCapacity(candidate: PlacementCandidate, spec: StepSpec): boolean {
+    const { ledger } = this.opts;
+    const { id, cold } = candidate;
+    const capacity = cold
+      ? capacityFor(spec.size, candidate, ledger.runsOn(id).size)
+      : candidate.capacity;
+    return ledger.hasCapacity(id, capacity, spec.size, spec.fillsIdleCapacity);
   }
 
   private nextRun({ job, occurrence, step }: ReadyStep, index: number): number {
@@ -379,27 +382,34 @@
     return (record?.lastRun ?? 0) + 1;
   }
 
-  /** Returns the available endpoints of a queue's pool; constant during a cycle. */
-  private listCandidates({ pool }: QueuePolicy): Map<string, FleetCandidate> {
+  /** Returns the available endpoints that a queue may use; constant during a cycle. */
+  private listCandidates(queue: QueuePolicy): Map<string, FleetCandidate> {
     const { directory, durations, ledger } = this.opts;
-    const known = this.candidates.get(pool);
+    const { pool } = queue;
+    const key = toEndpointSetKey(queue);
+    const known = this.candidates.get(key);
     if (known) return known;
     const candidates = new Map<string, FleetCandidate>();
-    for (const { id, record, hasLatencyTarget } of directory.listAvailable(pool)) {
+    const policy = this.opts.context.readConfig()?.pools?.find(({ name }) => name === pool);
+    const nowMs = performance.now();
+    for (const { id, record, hasLatencyTarget, warmup } of directory.listAvailable(pool)) {
       const { kind, rack, labels, capacity } = record;
+      if (!allowsDataCentre(queue, record.dataCentre)) continue;
+      const cold = warmup.findLimits(capacity, policy, nowMs);
       const durationFactor = durations.durationFactor(id, kind);
       candidates.set(id, {
         id,
         kind,
         rack,
         labels,
-        capacity,
+        capacity: cold ? limitCapacity(capacity, cold) : capacity,
+        cold,
         durationFactor,
         isLatencySensitive: hasLatencyTarget,
         usage: ledger.usageOf(id),
       });
     }
-    this.candidates.set(pool, candidates);
+    this.candidates.set(key, candidates);
     return candidates;
   }
 
@@ -427,19 +437,22 @@
     const { organisation } = ready.job;
     const limit = this.findLimit(ready, config);
     const hasCrashed = quarantine.hasCrashed(ready);
+    const isUrgent = config.queues.find(({ name }) => name === ready.job.queue)?.priority === 0;
     return {
-      fits: (candidate, { size, fillsIdleCapacity }) =>
-        ledger.hasCapacity(candidate.id, candidate.capacity, size, fillsIdleCapacity) &&
-        (!limit || ledger.isWithinLimit(organisation, limit, size)) &&
+      fits: (candidate, spec) =>
+        this.hasCapacity(candidate, spec) &&
+        (!candidate.cold || candidate.cold.countStartsLeft() > 0) &&
+        (!limit || ledger.isWithinLimit(organisation, limit, spec.size)) &&
         (isTrial ? quarantine.isIsolated(candidate.id, ready) : quarantine.isOpen(candidate.id)),
       failuresOn: ({ id }) => this.failures.get(ready.name)?.get(id) ?? 0,
       countOn: ({ id }) => ledger.countRuns(ready.name, id),
-      loadOf: ({ id, capacity }) => {
+      loadOf: ({ id, capacity, cold }) => {
         const bestEffortCpuMillis = ready.spec.fillsIdleCapacity ? ledger.bestEffortCpuOn(id) : 0;
         const usedCpuMillis = ledger.usedOn(id).cpuMillis + bestEffortCpuMillis;
         const suspects = hasCrashed ? quarantine.countSuspects(id) * SUSPECT_LOAD : 0;
         const trialCost = isTrial || hasCrashed ? quarantine.costOfTrial(id) : 0;
-        return usedCpuMillis / Math.max(1, capacity.cpuMillis) + suspects + trialCost;
+        const load = usedCpuMillis / Math.max(1, capacity.cpuMillis);
+        return load + suspects + trialCost + coldLoadOf(cold, isUrgent);
       },
     };
   }
