--- /dev/null
+++ b/packages/tests/src/platform/systemCell.ts
@@ -0,0 +1,264 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { request } from 'undici';
+
+import { createConfig } from './documents.js';
+import { SystemProcess } from './systemProcess.js';
+
+/** Listeners of the system's processes. */
+export const LISTENERS = [
+  'callers',
+  'readiness',
+  'gateway metrics',
+  'control',
+  'replica metrics',
+  'daemon',
+] as const;
+
+export type Listener = (typeof LISTENERS)[number];
+
+/** Limits of one instance in the platform's settings. */
+export interface InstanceLimits {
+  memoryMb: number;
+  maxDescriptors: number;
+}
+
+/** Options of a {@link SystemCell}. */
+export interface SystemCellOptions extends InstanceLimits {
+  /** Heap limit of each process in MiB. */
+  heapMb: number;
+  /** Whether the limit on descriptors is enforced by the operating system. */
+  enforceDescriptors: boolean;
+}
+
+const MAIN = 'platform/lib/main.js';
+const DAEMON = 'packages/daemon/bin/lagoongapd.js';
+const CONTROL_PORT = 8180;
+const CALLERS_PORT = 8080;
+const READINESS_PORT = 8081;
+const METRICS_PORT = 9464;
+const DAEMON_PORT = 7080;
+
+const START_TIMEOUT_MS = 25_000;
+const RETRY_MS = 100;
+const REQUEST_TIMEOUT_MS = 5000;
+
+/** Answers to a request that mean that the process serves the listener. */
+const ANSWERED: Record<Listener, number[]> = {
+  callers: [410],
+  readiness: [200],
+  'gateway metrics': [200],
+  control: [200],
+  'replica metrics': [200],
+  daemon: [200],
+};
+
+const PATHS: Record<Listener, string> = {
+  callers: '/first/unknown-job',
+  readiness: '/-/ready',
+  'gateway metrics': '/metrics',
+  control: '/-/config',
+  'replica metrics': '/metrics',
+  daemon: '/readyz',
+};
+
+const HEADERS: Partial<Record<Listener, Record<string, string>>> = {
+  callers: { host: 'jobs.example', authorization: 'Bearer key-1' },
+};
+
+function randomOctet(): number {
+  return 1 + Math.floor(Math.random() * 250);
+}
+
+/**
+ * A gateway, a replica and a daemon of the product as processes of their own, on loopback addresses
+ * that no other test uses.
+ */
+export class SystemCell implements AsyncDisposable {
+  private readonly opts: SystemCellOptions;
+  private readonly net = `127.${randomOctet()}.${randomOctet()}`;
+  private readonly processes: Partial<Record<'gateway' | 'replica' | 'daemon', SystemProcess>> = {};
+  private folder = '';
+
+  constructor(opts: SystemCellOptions) {
+    this.opts = opts;
+  }
+
+  /** `host:port` of a listener. */
+  addressOf(listener: Listener): string {
+    const gateway = `${this.net}.2`;
+    const replica = `${this.net}.3`;
+    const addresses: Record<Listener, string> = {
+      callers: `${gateway}:${CALLERS_PORT}`,
+      readiness: `${gateway}:${READINESS_PORT}`,
+      'gateway metrics': `${gateway}:${METRICS_PORT}`,
+      control: `${replica}:${CONTROL_PORT}`,
+      'replica metrics': `${replica}:${METRICS_PORT}`,
+      daemon: `${this.net}.4:${DAEMON_PORT}`,
+    };
+    return addresses[listener];
+  }
+
+  /** Path of an ordinary request to a listener. */
+  pathOf(listener: Listener): string {
+    return PATHS[listener];
+  }
+
+  /** Process that serves a listener. */
+  processOf(listener: Listener): SystemProcess {
+    if (listener === 'daemon') return this.processes.daemon!;
+    const isReplica = listener === 'control' || listener === 'replica metrics';
+    return isReplica ? this.processes.replica! : this.processes.gateway!;
+  }
+
+  /** Starts the processes that a listener needs, and resolves when it answers. */
+  async start(listener: Listener): Promise<void> {
+    this.folder = await mkdtemp(join(tmpdir(), 'lagoongap-system-'));
+    if (listener === 'daemon') {
+      await this.startDaemon();
+    } else {
+      await this.startReplica();
+      await this.startGateway();
+      await this.configure();
+    }
+    await this.requestUntilAnswered(listener, START_TIMEOUT_MS);
+  }
+
+  /** Repeats an ordinary request until it is answered; rejects after the timeout. */
+  async requestUntilAnswered(listener: Listener, timeoutMs: number): Promise<void> {
+    const endMs = performance.now() + timeoutMs;
+    let last = 'none';
+    while (performance.now() < endMs) {
+      last = await this.send('GET', listener, this.pathOf(listener));
+      if (ANSWERED[listener].includes(Number(last))) return;
+      await new Promise((resolve) => {
+        setTimeout(resolve, RETRY_MS);
+      });
+    }
+    throw new Error(`no answer from ${listener}, the last one was: ${last}`);
+  }
+
+  /** Sends a new configuration until it is accepted; rejects after the timeout. */
+  async configure(version = 1): Promise<void> {
+    const body = JSON.stringify(createConfig(version));
+    const endMs = performance.now() + START_TIMEOUT_MS;
+    let last = 'none';
+    while (performance.now() < endMs) {
+      last = await this.send('PUT', 'control', '/-/config', body);
+      if (last === '200') return;
+      await new Promise((resolve) => {
+        setTimeout(resolve, RETRY_MS);
+      });
+    }
+    throw new Error(`configuration ${version} was not accepted, the last answer was: ${last}`);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const running of Object.values(this.processes)) await running[Symbol.asyncDispose]();
+    await rm(this.folder, { recursive: true, force: true });
+  }
+
+  /** Resolves with the status or the error of one request on a connection of its own. */
+  private async send(
+    method: 'GET' | 'PUT',
+    listener: Listener,
+    path: string,
+    body?: string,
+  ): Promise<string> {
+    try {
+      const res = await request(`http://${this.addressOf(listener)}${path}`, {
+        method,
+        body: body ?? null,
+        headers: { ...HEADERS[listener], connection: 'close' },
+        signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
+      });
+      await res.body.dump();
+      return String(res.statusCode);
+    } catch (err) {
+      return (err as Error).message;
+    }
+  }
+
+  private async startReplica(): Promise<void> {
+    const settings = `
+data_dir = "${join(this.folder, 'data')}"
+bootstrap = true
+${this.createCommonSettings(`${this.net}.3`)}
+[listen]
+control = "${this.addressOf('control')}"
+`;
+    this.processes.replica = await this.startPlatformProcess('replica', settings);
+  }
+
+  private async startGateway(): Promise<void> {
+    const settings = `
+${this.createCommonSettings(`${this.net}.2`)}
+[listen]
+front = "${this.addressOf('callers')}"
+ready = "${this.addressOf('readiness')}"
+`;
+    this.processes.gateway = await this.startPlatformProcess('gateway', settings);
+  }
+
+  private createCommonSettings(host: string): string {
+    const { memoryMb, maxDescriptors } = this.opts;
+    return `
+node_name = "test"
+ip = "${host}"
+zone = "z-a"
+port_range = [7420, 7435]
+seeds = ["${this.addressOf('control')}"]
+[limits]
+memory_mb = ${memoryMb}
+max_fds = ${maxDescriptors}
+`;
+  }
+
+  private async startPlatformProcess(role: string, settings: string): Promise<SystemProcess> {
+    const file = join(this.folder, `${role}.toml`);
+    await writeFile(file, settings);
+    return this.startProcess(MAIN, [role], { LAGOONGAP_SETTINGS: file });
+  }
+
+  private startProcess(script: string, args: string[], env = {}): SystemProcess {
+    const { heapMb, enforceDescriptors, maxDescriptors } = this.opts;
+    return new SystemProcess({
+      script,
+      args,
+      env,
+      nodeFlags: [`--max-old-space-size=${heapMb}`],
+      maxOpenFiles: enforceDescriptors ? maxDescriptors : undefined,
+    });
+  }
+
+  private async startDaemon(): Promise<void> {
+    const host = `${this.net}.4`;
+    const settings = `
+[instance]
+id = "test-1"
+dataCentre = "local"
+roles = ["gateway", "replica"]
+[http]
+host = "${host}"
+port = ${DAEMON_PORT}
+allowPlaintext = true
+[peering]
+host = "${host}"
+allowPlaintext = true
+[[peering.peers]]
+id = "test-1"
+host = "${host}"
+port = 7081
+dataCentre = "local"
+roles = ["gateway", "replica"]
+[storage]
+dataFolder = "data"
+bootstrap = true
+`;
+    const file = join(this.folder, 'daemon.toml');
+    await writeFile(file, settings);
+    this.processes.daemon = this.startProcess(DAEMON, ['--config', file]);
+  }
+}
