Bound what clients can hold in every HTTP listener

Cause: each chunk of a body was kept as an object of its own (some 250 bytes for one byte), bodies in progress had no common bound, and Node.js creates all requests of a received block (up to 3,600 in 64 KiB) before any response, whether the client reads or not, also after the connection is destroyed. Connections were not bounded at all, so that sockets took the descriptors of files.

Change: packages/gateway gets one module for each policy, which GatewayServer and HttpService both use through ListenerGuard: RequestBudget (bytes of all requests in progress; the incomplete request without progress for longest is refused with 503 and Retry-After), BodyBuffer (copies chunks into blocks), ConnectionTable (idle connections are closed before new ones are refused, then stalled ones), stopParsing, LimitReporter (a line for each limit in 10 s, and a counter). Requests without Host get one 400. Headers of exactly 16,384 bytes, which the platform allows, were refused by Node.js; the limit is 20 KiB now.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -28,6 +28,7 @@
 import { FileLogStore } from '@lagoongap/storage/fileLogStore.js';
 import { Metrics } from '@lagoongap/telemetry/metrics.js';
 
+import { resolveClientLimits } from './clientLimits.js';
 import { DaemonError } from './daemonError.js';
 import { InstanceDrainer } from './instanceDrainer.js';
 import { createPeerTls, createServerTls, MIN_CALLER_TLS_VERSION } from './listenerTls.js';
@@ -110,6 +111,8 @@
       log: logger,
       tls: createServerTls(settings.http.tls),
       onRefused: ({ type }) => this.metrics.countRefusal(type),
+      onLimit: (_, limit) => this.metrics.countClientLimit(limit),
+      ...resolveClientLimits(settings.http),
     });
   }
 
--- a/packages/daemon/src/workflowGateway.ts
+++ b/packages/daemon/src/workflowGateway.ts
@@ -18,6 +18,8 @@
   peerPort: number;
   /** Ids of the replica instances to contact first. */
   seeds: string[];
+  /** Maximum number of connections that other instances have established. */
+  maxPeerConnections?: number;
   advisor: Advisor;
   log: Log;
   meter?: WorkflowMetricsRecorder;
@@ -45,6 +47,7 @@
       listen: { host, port: peerPort },
       peers: [],
       ...WORKFLOW_PEERING,
+      maxInboundConnections: opts.maxPeerConnections,
       logger: log,
     });
     this.members = new MemberList(seeds, (id) => this.network.connect(id));
--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -37,6 +37,8 @@
   bootstrap: boolean;
   /** Ids of the replica instances to contact first. */
   seeds: string[];
+  /** Maximum number of connections that other instances have established. */
+  maxPeerConnections?: number;
   driver: EndpointDriver;
   instances?: InstanceApi;
   parseConfig: ConfigParser;
@@ -105,6 +107,7 @@
       listen: { host, port: peerPort },
       peers: [],
       ...WORKFLOW_PEERING,
+      maxInboundConnections: opts.maxPeerConnections,
       logger: log,
     });
     this.members = new MemberList(opts.seeds, (id) => this.network.connect(id));
--- a/packages/gateway/src/bodyReader.ts
+++ b/packages/gateway/src/bodyReader.ts
@@ -1,10 +1,83 @@
 import type { IncomingMessage } from 'node:http';
 
+import { RefusalError } from '@lagoongap/model/refusalError.js';
+
+import { BodyBuffer } from './bodyBuffer.js';
 import { refuse } from './httpResponse.js';
+import { findReservation } from './requestBudget.js';
 
 /** Maximum size of JSON and TOML bodies of management calls. */
 export const MAX_CONTROL_BODY_BYTES = 4 * 1024 * 1024;
 
+function createIncompleteError(): RefusalError {
+  return new RefusalError({
+    type: 'invalid-input',
+    runState: 'not-run',
+    message: 'the body is incomplete',
+  });
+}
+
+/** Receives a body in a buffer that counts towards the budget of the listener, if there is one. */
+class BodyReceiver {
+  private readonly req: IncomingMessage;
+  private readonly maxBytes: number;
+  private readonly buffer = new BodyBuffer();
+
+  constructor(req: IncomingMessage, maxBytes: number) {
+    this.req = req;
+    this.maxBytes = maxBytes;
+  }
+
+  /** Resolves with the whole body; rejects with a refusal, and leaves the rest of it unread. */
+  receive(): Promise<Buffer> {
+    const { req, buffer } = this;
+    return new Promise((resolve, reject) => {
+      const reservation = findReservation(req);
+      const onData = (chunk: Buffer): void => {
+        try {
+          this.append(chunk);
+          reservation?.resize(buffer.allocatedBytes);
+        } catch (err) {
+          // eslint-disable-next-line @typescript-eslint/no-use-before-define
+          fail(err as Error);
+        }
+      };
+      const onEnd = (): void => {
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define
+        cleanUp();
+        resolve(buffer.take());
+      };
+      const onClose = (): void => {
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define
+        fail(createIncompleteError());
+      };
+      const cleanUp = (): void => {
+        req.off('data', onData);
+        req.off('end', onEnd);
+        req.off('close', onClose);
+      };
+      const fail = (err: Error): void => {
+        cleanUp();
+        // Paused, the request would keep each chunk that has been parsed as an object of its own.
+        req.resume();
+        buffer.clear();
+        reject(err);
+      };
+      if (reservation) reservation.onEvicted = fail;
+      req.on('data', onData);
+      req.on('end', onEnd);
+      req.on('close', onClose);
+    });
+  }
+
+  private append(chunk: Buffer): void {
+    if (this.buffer.length + chunk.length > this.maxBytes) {
+      refuse('body-too-large', `the body has more than ${this.maxBytes} bytes`);
+    }
+    this.buffer.append(chunk);
+  }
+}
+
 /** Reads a whole body of at most `maxBytes`; refuses larger ones. */
 export async function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer> {
   const declaredBytes = Number(req.headers['content-length'] ?? 0);
@@ -14,16 +87,7 @@
       `the body has ${declaredBytes} bytes, at most ${maxBytes} are allowed`,
     );
   }
-  const chunks: Buffer[] = [];
-  let size = 0;
-  // Exiting the loop early must not destroy the connection, which still carries the refusal.
-  for await (const chunk of req.iterator({ destroyOnReturn: false })) {
-    size += (chunk as Buffer).length;
-    if (size > maxBytes) refuse('body-too-large', `the body has more than ${maxBytes} bytes`);
-    chunks.push(chunk as Buffer);
-  }
-  if (!req.complete) refuse('invalid-input', 'the body is incomplete');
-  return Buffer.concat(chunks);
+  return new BodyReceiver(req, maxBytes).receive();
 }
 
 /** Reads a body and parses it as JSON. */
--- a/packages/gateway/src/callerBody.ts
+++ b/packages/gateway/src/callerBody.ts
@@ -3,7 +3,9 @@
 
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 
+import { BodyBuffer } from './bodyBuffer.js';
 import { refuse } from './httpResponse.js';
+import { findReservation } from './requestBudget.js';
 
 /** Maximum size of a body that is buffered, so that a retry can send it again. */
 const MAX_REPLAYABLE_BYTES = 1024 * 1024;
@@ -62,34 +64,47 @@
     );
   }
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const buffer = new BodyBuffer();
+    const reservation = findReservation(req);
     const onIdle = (): void => {
       // eslint-disable-next-line @typescript-eslint/no-use-before-define
       cleanUp();
       reject(createIdleError());
     };
-    let idleTimer = setTimeout(onIdle, BODY_IDLE_TIMEOUT_MS);
+    const idleTimer = setTimeout(onIdle, BODY_IDLE_TIMEOUT_MS);
     const cleanUp = (): void => {
       clearTimeout(idleTimer);
       req.removeAllListeners('data');
       req.removeAllListeners('end');
       req.removeAllListeners('close');
+      if (reservation) reservation.onEvicted = undefined;
     };
+    const fail = (err: Error): void => {
+      cleanUp();
+      // Paused, the request would keep each chunk that has been parsed as an object of its own.
+      req.resume();
+      buffer.clear();
+      reject(err);
+    };
+    if (reservation) reservation.onEvicted = fail;
     req.on('data', (chunk: Buffer) => {
-      clearTimeout(idleTimer);
-      idleTimer = setTimeout(onIdle, BODY_IDLE_TIMEOUT_MS);
-      chunks.push(chunk);
-      size += chunk.length;
-      if (size <= MAX_REPLAYABLE_BYTES) return;
+      idleTimer.refresh();
+      buffer.append(chunk);
+      try {
+        reservation?.resize(buffer.allocatedBytes);
+      } catch (err) {
+        fail(err as Error);
+        return;
+      }
+      if (buffer.length <= MAX_REPLAYABLE_BYTES) return;
       cleanUp();
       req.pause();
-      const content = streamRest(req, Buffer.concat(chunks), maxBytes);
+      const content = streamRest(req, buffer.take(), maxBytes);
       resolve({ content, isReplayable: false });
     });
     req.on('end', () => {
       cleanUp();
-      resolve({ content: Buffer.concat(chunks), isReplayable: true });
+      resolve({ content: buffer.take(), isReplayable: true });
     });
     req.on('close', () => {
       cleanUp();
--- a/packages/gateway/src/gatewayServer.ts
+++ b/packages/gateway/src/gatewayServer.ts
@@ -11,6 +11,14 @@
 import { GatewayError } from './gatewayError.js';
 import { sendJson, sendRefusal, toRefusal } from './httpResponse.js';
 import type { HttpRouter } from './httpRouter.js';
+import { LimitReporter, type ClientLimit } from './limitReporter.js';
+import { ListenerGuard } from './listenerGuard.js';
+import {
+  DEFAULT_LISTENER_LIMITS,
+  DEFAULT_REQUEST_BYTES,
+  type ListenerLimits,
+} from './listenerLimits.js';
+import { RequestBudget } from './requestBudget.js';
 
 /** Options of {@link GatewayServer}. */
 export interface GatewayServerOptions {
@@ -21,30 +29,42 @@
   /** TLS options, absent for plain HTTP. Certificates can be set later by `replaceCertificates`. */
   tls?: TlsOptions;
   onRefused?: (refusal: Refusal) => void;
+  limits?: ListenerLimits;
+  /** Maximum bytes of all requests in progress. */
+  maxRequestBytes?: number;
+  /** Counts what the limits refuse or close. */
+  onLimit?: (listener: string, limit: ClientLimit) => void;
 }
 
-const HEADERS_TIMEOUT_MS = 15_000;
-/** Longer than a load balancer's idle timeout, so that the balancer closes idle connections. */
-const KEEP_ALIVE_TIMEOUT_MS = 75_000;
+const LISTENER_NAME = 'http';
 const CLOSE_CHECK_INTERVAL_MS = 20;
 
 /** HTTP server of one instance, with graceful shutdown. */
 export class GatewayServer implements AsyncDisposable {
   private readonly opts: GatewayServerOptions;
   private readonly server: Server;
+  private readonly guard: ListenerGuard;
   private isClosing = false;
-  private active = 0;
 
   constructor(opts: GatewayServerOptions) {
     this.opts = opts;
-    const listener = (req: IncomingMessage, res: ServerResponse): void => {
-      this.handle(req, res);
-    };
-    this.server = opts.tls ? createTlsServer(opts.tls, listener) : createServer(listener);
-    this.server.headersTimeout = HEADERS_TIMEOUT_MS;
-    this.server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
-    // Each request has its own deadline; a fixed timeout would cut off large bodies.
-    this.server.requestTimeout = 0;
+    const { log, onLimit, tls, limits = DEFAULT_LISTENER_LIMITS } = opts;
+    const reporter = new LimitReporter({ listener: LISTENER_NAME, log, onLimit });
+    this.guard = new ListenerGuard({
+      limits,
+      budget: new RequestBudget(opts.maxRequestBytes ?? DEFAULT_REQUEST_BYTES, reporter),
+      reporter,
+      handle: (req, res) => this.handle(req, res),
+      refuse: (res, { refusal }) => {
+        opts.onRefused?.(refusal);
+        sendRefusal(res, refusal);
+      },
+    });
+    const { listener, serverOptions } = this.guard;
+    this.server = tls
+      ? createTlsServer({ ...tls, ...serverOptions }, listener)
+      : createServer(serverOptions, listener);
+    this.guard.attach(this.server, tls ? 'secureConnection' : 'connection');
   }
 
   /** Port on which the server listens. */
@@ -54,7 +74,7 @@
 
   /** Number of calls in progress. */
   get activeCalls(): number {
-    return this.active;
+    return this.guard.activeRequests;
   }
 
   async listen(): Promise<void> {
@@ -79,16 +99,17 @@
     if (this.isClosing) return;
     this.isClosing = true;
     this.server.close();
+    this.guard[Symbol.dispose]();
     const endMs = performance.now() + timeoutMs;
-    while (this.active > 0 && performance.now() < endMs) {
+    while (this.activeCalls > 0 && performance.now() < endMs) {
       this.server.closeIdleConnections();
       await new Promise((resolve) => {
         setTimeout(resolve, CLOSE_CHECK_INTERVAL_MS);
       });
     }
-    if (this.active > 0) {
+    if (this.activeCalls > 0) {
       this.opts.log.warn('shutdown timed out; closing connections with calls in progress', {
-        calls: this.active,
+        calls: this.activeCalls,
       });
     }
     this.server.closeIdleConnections();
@@ -107,11 +128,6 @@
   }
 
   private handle(req: IncomingMessage, res: ServerResponse): void {
-    this.active += 1;
-    res.on('close', () => {
-      this.active -= 1;
-    });
-    res.on('error', () => {});
     if (this.isClosing) res.setHeader('connection', 'close');
     this.dispatch(req, res).catch(async (reason: unknown) => {
       const err = toError(reason);
@@ -123,7 +139,8 @@
         });
       }
       this.opts.onRefused?.(refusal);
-      await discardBody(req);
+      // A request that is refused for its memory must release the connection as well.
+      if (refusal.type !== 'overloaded') await discardBody(req);
       if (!req.complete) res.setHeader('connection', 'close');
       sendRefusal(res, refusal);
     });
--- a/packages/gateway/src/httpResponse.ts
+++ b/packages/gateway/src/httpResponse.ts
@@ -19,6 +19,7 @@
   'deadline-exceeded': 504,
   'gateway-not-valid': 503,
   'no-leader': 503,
+  overloaded: 503,
   'shutting-down': 503,
   'endpoint-failed': 502,
   'answer-lost': 502,
--- a/packages/model/src/refusal.ts
+++ b/packages/model/src/refusal.ts
@@ -12,6 +12,7 @@
   | 'body-too-large'
   | 'queue-full'
   | 'over-limit'
+  | 'overloaded'
   | 'impossible'
   | 'deadline-exceeded'
   | 'cancelled'
--- a/packages/peering/src/peerListener.ts
+++ b/packages/peering/src/peerListener.ts
@@ -22,6 +22,8 @@
   selfId: string;
   listen: { host: string; port: number };
   limits: ConnectionLimits;
+  /** Limit on concurrently open connections; further ones are refused. */
+  maxConnections?: number;
   credentials?: TlsCredentials;
   logger: PeerLogger;
   /** Returns the counters of a known instance, or undefined if the instance is unknown. */
@@ -34,8 +36,7 @@
   onRequest: (message: FrameMessage, from: string, sendResponse: ResponseSender) => void;
 }
 
-/** Limit on concurrently open connections; further ones are refused. */
-const MAX_CONNECTIONS = 1024;
+const DEFAULT_MAX_CONNECTIONS = 1024;
 
 /** Accepts connections from other instances and receives their calls. */
 export class PeerListener implements AsyncDisposable {
@@ -48,7 +49,7 @@
   constructor(opts: PeerListenerOptions) {
     this.opts = opts;
     this.server = this.createServer();
-    this.server.maxConnections = MAX_CONNECTIONS;
+    this.server.maxConnections = opts.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
   }
 
   /** Resolves when the port is bound; rejects with PeerError if binding fails. */
--- a/packages/peering/src/peeringOptions.ts
+++ b/packages/peering/src/peeringOptions.ts
@@ -50,6 +50,8 @@
   maxFrameBytes?: number;
   /** Limit on the bytes queued for sending on one connection. */
   maxSendBufferBytes?: number;
+  /** Maximum number of connections that other instances have established; 1,024 by default. */
+  maxInboundConnections?: number;
   logger?: PeerLogger;
 }
 
--- a/packages/peering/src/tcpPeerNetwork.ts
+++ b/packages/peering/src/tcpPeerNetwork.ts
@@ -115,6 +115,7 @@
       selfId: this.selfId,
       listen,
       limits: this.limits,
+      maxConnections: this.opts.maxInboundConnections,
       credentials: this.credentials,
       logger: this.logger,
       findCounters: (instanceId) =>
--- a/packages/settings/src/daemonSettings.ts
+++ b/packages/settings/src/daemonSettings.ts
@@ -27,6 +27,20 @@
     port: number;
     /** Maximum size of a request body in bytes. */
     maxBodyBytes: number;
+    /** Maximum number of open connections; the one that is idle for longest is closed for a new one. */
+    maxConnections: number;
+    /** Maximum bytes of all requests in progress; a fraction of the heap limit by default. */
+    maxRequestBytes?: number;
+    /** Maximum response bytes that clients leave unread; a fraction of the heap limit by default. */
+    maxUnreadBytes?: number;
+    /** Maximum number of requests that a connection may send ahead of their responses. */
+    maxPipelinedRequests: number;
+    /** Maximum size of the request line and the headers. */
+    maxHeaderBytes: number;
+    /** Time in which the headers of a request must be complete. */
+    headerTimeoutMs: number;
+    /** Longer than a load balancer's idle timeout, so that the balancer closes idle connections. */
+    idleTimeoutMs: number;
     tls?: TlsSettings;
     /** Allows a listener without TLS on an address other than loopback. */
     allowPlaintext: boolean;
--- a/packages/settings/src/settingsSchema.ts
+++ b/packages/settings/src/settingsSchema.ts
@@ -6,6 +6,7 @@
 /** Largest delay in milliseconds that Node.js timers accept. */
 const MAX_DURATION_MS = 2 ** 31 - 1;
 
+const BYTES_PER_KIB = 1024;
 const BYTES_PER_MIB = 1024 * 1024;
 
 /** Ids are restricted because replica ids (before a slash), metrics and URL paths contain them. */
@@ -87,6 +88,13 @@
       host: addressSchema.default('127.0.0.1'),
       port: httpPortSchema.default(7080),
       maxBodyBytes: countSchema.default(64 * BYTES_PER_MIB),
+      maxConnections: countSchema.default(4096),
+      maxRequestBytes: countSchema.optional(),
+      maxUnreadBytes: countSchema.optional(),
+      maxPipelinedRequests: countSchema.default(32),
+      maxHeaderBytes: countSchema.default(20 * BYTES_PER_KIB),
+      headerTimeoutMs: durationSchema.default(15_000),
+      idleTimeoutMs: durationSchema.default(75_000),
       tls: tlsSchema.optional(),
       allowPlaintext: z.boolean().default(false),
     })
--- a/packages/telemetry/src/labelValues.ts
+++ b/packages/telemetry/src/labelValues.ts
@@ -15,6 +15,7 @@
     'body-too-large',
     'queue-full',
     'over-limit',
+    'overloaded',
     'impossible',
     'deadline-exceeded',
     'cancelled',
@@ -50,6 +51,16 @@
     'ping',
     'answer',
   ],
+  limit: [
+    'request-bytes',
+    'pipelined-requests',
+    'unread-responses',
+    'connections',
+    'idle',
+    'header-time',
+    'stalled',
+    'no-host',
+  ],
   activity: ['decide', 'commit', 'apply', 'poll', 'heartbeat', 'peering'],
 } as const;
 
--- a/packages/telemetry/src/metricDefinitions.ts
+++ b/packages/telemetry/src/metricDefinitions.ts
@@ -78,6 +78,12 @@
     labels: ['type'],
     help: 'Refusals sent to callers, endpoints and operators',
   },
+  clientLimits: {
+    name: 'lagoongap_client_limits_total',
+    type: 'counter',
+    labels: ['limit'],
+    help: 'Requests and connections of clients that a limit has refused or closed',
+  },
   teamRunning: {
     name: 'lagoongap_team_running',
     type: 'gauge',
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -95,6 +95,10 @@
     this.count('refusals', { type: normalizeLabelValue('type', type) });
   }
 
+  countClientLimit(limit: string): void {
+    this.count('clientLimits', { limit: normalizeLabelValue('limit', limit) });
+  }
+
   /** Replaces the values of all teams, so that withdrawn teams are no longer exported. */
   setTeams(teams: ReadonlyMap<string, TeamMetrics>): void {
     for (const name of ['teamRunning', 'teamLimit', 'teamShare', 'teamUsedShare'] as const) {
--- a/packages/telemetry/src/workflowMetrics.ts
+++ b/packages/telemetry/src/workflowMetrics.ts
@@ -42,6 +42,8 @@
   countTryFailure(reason: CallFailureReason): void;
   /** Counts a heartbeat that cannot come from an endpoint, by its first invalid field. */
   countRejectedHeartbeat(field: string): void;
+  /** Counts a request or connection of a client that a limit has refused or closed. */
+  countClientLimit(listener: string, limit: string): void;
   /** Adds time for which this instance had no valid leader. */
   addLeaderAbsence(durationMs: number): void;
   setLeaderAbsent(isAbsent: boolean): void;
@@ -75,6 +77,7 @@
   countCallFailure() {},
   countTryFailure() {},
   countRejectedHeartbeat() {},
+  countClientLimit() {},
   addLeaderAbsence() {},
   setLeaderAbsent() {},
   addInvalidLeadership() {},
@@ -190,6 +193,12 @@
     ['reason'],
   );
 
+  private readonly clientLimits = this.createCounter(
+    'lagoongap_client_limits_total',
+    'Requests and connections of clients that a limit has refused or closed',
+    ['listener', 'limit'],
+  );
+
   private readonly leaderAbsence = this.createCounter(
     'lagoongap_without_leader_seconds_total',
     'Time for which this instance had no valid leader',
@@ -319,6 +328,10 @@
     this.rejectedHeartbeats.inc({ reason: field });
   }
 
+  countClientLimit(listener: string, limit: string): void {
+    this.clientLimits.inc({ listener, limit });
+  }
+
   addLeaderAbsence(durationMs: number): void {
     this.leaderAbsence.inc(durationMs / MS_PER_SECOND);
   }
