Take held room into account in placement

Cause: room that is freed for an urgent step would go to any other step that is evaluated first, also to the work that was stopped for it.

A hold ends when its step uses it or ends, when it expires, or when the record of its endpoint changes; blocked steps are then evaluated again. Metrics for the use and the expiry of holds. The parsing of the configuration moves out of the session.

--- a/packages/telemetry/src/workflowMetrics.ts
+++ b/packages/telemetry/src/workflowMetrics.ts
@@ -52,6 +52,12 @@
   observeEventLoopDelay(durationMs: number): void;
   /** Records the time that the leader took for a call of another instance. */
   observeLeaderCall(method: string, isAnswered: boolean, durationMs: number): void;
+  /** Counts a run that was stopped for more urgent work, by the priority of its own queue. */
+  countPreemptedRun(priority: number): void;
+  /** Records the time from the stop of a run to the placement of a task in its room. */
+  observeFreedRoomUse(durationMs: number): void;
+  /** Counts reservations of capacity that expired before their step used them. */
+  countExpiredHolds(count: number): void;
   /** Replaces the waiting steps of all priorities. */
   setWaitingSteps(waiting: ReadonlyMap<number, WaitingSteps>): void;
   /** Sets the number of service tasks without a run, and for how long the first of them has none. */
@@ -81,6 +87,9 @@
   observeTakeover() {},
   observeEventLoopDelay() {},
   observeLeaderCall() {},
+  countPreemptedRun() {},
+  observeFreedRoomUse() {},
+  countExpiredHolds() {},
   setWaitingSteps() {},
   setServiceOutages() {},
 };
@@ -112,6 +121,24 @@
     ['reason'],
   );
 
+  private readonly preemptedRuns = this.createCounter(
+    'lagoongap_preempted_runs_total',
+    'Runs stopped for more urgent work, by priority of their own queue',
+    ['priority'],
+  );
+
+  private readonly freedRoomUses = this.createHistogram(
+    'lagoongap_freed_room_use_seconds',
+    'Time from the stop of a run for urgent work to the placement of a task in its room',
+    [],
+  );
+
+  private readonly expiredHolds = this.createCounter(
+    'lagoongap_expired_holds_total',
+    'Reservations of capacity that expired before their step used them',
+    [],
+  );
+
   private readonly endpointCrashes = this.createCounter(
     'lagoongap_endpoint_crashes_total',
     'Endpoints that came back as a newer incarnation without a planned end, with runs on them',
@@ -273,6 +300,18 @@
     this.lostRuns.inc({ reason }, count);
   }
 
+  countPreemptedRun(priority: number): void {
+    this.preemptedRuns.inc({ priority });
+  }
+
+  observeFreedRoomUse(durationMs: number): void {
+    this.freedRoomUses.observe(durationMs / MS_PER_SECOND);
+  }
+
+  countExpiredHolds(count: number): void {
+    this.expiredHolds.inc(count);
+  }
+
   countEndpointCrash(runs: number): void {
     this.endpointCrashes.inc();
     this.crashedRuns.inc(runs);
--- /dev/null
+++ b/packages/workflow/src/placementRoom.ts
@@ -0,0 +1,118 @@
+import {
+  addResources,
+  NO_RESOURCES,
+  subtractResources,
+  type Resources,
+} from '@lagoongap/model/resources.js';
+
+import type { PlacementMode, Quarantine } from './quarantine.js';
+import type { ReadyStep } from './readySteps.js';
+import type { RoomHolds } from './roomHolds.js';
+import type { RunLedger } from './runLedger.js';
+import type { PlacementUsage } from './stepPlacer.js';
+import { countSlots, type FleetCandidate } from './ticketProvider.js';
+
+/** Bounds within which the tasks of a step are placed. */
+export interface PlacementBounds {
+  step: ReadyStep;
+  /** Priority of the queue of the step. */
+  priority: number;
+  /** Limit of the organisation, if it has one. */
+  limit: Resources | undefined;
+  mode: PlacementMode;
+}
+
+/** Dependencies of a {@link PlacementRoom}. */
+export interface PlacementRoomOptions {
+  ledger: RunLedger;
+  quarantine: Quarantine;
+  holds: RoomHolds;
+  /** Returns the number of failed runs of a step on an endpoint. */
+  countFailures: (step: string, endpoint: string) => number;
+}
+
+/** Load that a run of a suspected task counts for another one, so that they are kept apart. */
+const SUSPECT_LOAD = 20;
+
+/** Tells how much of the endpoints and of an organisation's limit a step may use. */
+export class PlacementRoom {
+  private readonly opts: PlacementRoomOptions;
+
+  constructor(opts: PlacementRoomOptions) {
+    this.opts = opts;
+  }
+
+  /** Returns the capacity of an endpoint less what is reserved against a step. */
+  openCapacity(
+    endpoint: string,
+    capacity: Resources,
+    { name, spec }: ReadyStep,
+    priority: number,
+  ): Resources {
+    const held = this.opts.holds.heldAgainst(endpoint, name, priority, performance.now());
+    if (held === NO_RESOURCES) return capacity;
+    // A best-effort task uses only processor time that the holder of the room leaves idle.
+    const cpuMillis = spec.fillsIdleCapacity ? 0 : held.cpuMillis;
+    return subtractResources(capacity, { ...held, cpuMillis });
+  }
+
+  /** Returns how many more tasks of a step an endpoint can run, without room held for others. */
+  countSlots(step: ReadyStep, candidate: FleetCandidate, priority: number): number {
+    const capacity = this.openCapacity(candidate.id, candidate.capacity, step, priority);
+    return countSlots(step, { ...candidate, capacity }, this.opts.ledger);
+  }
+
+  /** Returns whether the organisation stays within its limit with another task of a step. */
+  isWithinLimit(bounds: Omit<PlacementBounds, 'mode'>): boolean {
+    return this.fitsLimit(bounds, this.claimOnLimit(bounds));
+  }
+
+  /** Returns the usage that a placement of tasks has to take into account. */
+  createUsage(bounds: PlacementBounds): PlacementUsage {
+    const { ledger, quarantine, countFailures } = this.opts;
+    const { step, priority, mode } = bounds;
+    const isTrial = mode === 'trial';
+    const hasCrashed = quarantine.hasCrashed(step);
+    // Placements of the step do not change what is held against it.
+    const claim = this.claimOnLimit(bounds);
+    return {
+      fits: ({ id, capacity }, { size, fillsIdleCapacity }) =>
+        ledger.hasCapacity(
+          id,
+          this.openCapacity(id, capacity, step, priority),
+          size,
+          fillsIdleCapacity,
+        ) &&
+        this.fitsLimit(bounds, claim) &&
+        (isTrial ? quarantine.isIsolated(id, step) : quarantine.isOpen(id)),
+      failuresOn: ({ id }) => countFailures(step.name, id),
+      countOn: ({ id }) => ledger.countRuns(step.name, id),
+      loadOf: ({ id, capacity }) => {
+        const bestEffortCpuMillis = step.spec.fillsIdleCapacity ? ledger.bestEffortCpuOn(id) : 0;
+        const usedCpuMillis = ledger.usedOn(id).cpuMillis + bestEffortCpuMillis;
+        const suspects = hasCrashed ? quarantine.countSuspects(id) * SUSPECT_LOAD : 0;
+        const trialCost = isTrial || hasCrashed ? quarantine.costOfTrial(id) : 0;
+        return usedCpuMillis / Math.max(1, capacity.cpuMillis) + suspects + trialCost;
+      },
+    };
+  }
+
+  /** Returns a task of the step together with what is held against it in the limit. */
+  private claimOnLimit({ step, priority, limit }: Omit<PlacementBounds, 'mode'>): Resources {
+    const { size } = step.spec;
+    if (!limit) return size;
+    const { organisation } = step.job;
+    const { holds } = this.opts;
+    return addResources(
+      size,
+      holds.heldInLimit(organisation, step.name, priority, performance.now()),
+    );
+  }
+
+  private fitsLimit(
+    { step, limit }: Pick<PlacementBounds, 'step' | 'limit'>,
+    claim: Resources,
+  ): boolean {
+    return !limit || this.opts.ledger.isWithinLimit(step.job.organisation, limit, claim);
+  }
+}
--- a/packages/workflow/src/runLedger.ts
+++ b/packages/workflow/src/runLedger.ts
@@ -53,7 +53,7 @@
 }
 
 /** Returns the part of a reservation that counts against the capacity of an endpoint. */
-function countedSize({ size, fillsIdleCapacity }: Reservation): Resources {
+export function countedSize({ size, fillsIdleCapacity }: Reservation): Resources {
   return fillsIdleCapacity ? { ...size, cpuMillis: 0 } : size;
 }
 
@@ -65,7 +65,7 @@
   private readonly reservations = new Map<string, Reservation>();
   private readonly endpoints = new Map<string, EndpointUsage>();
   private readonly organisations = new Map<string, Resources>();
-  /** Endpoint of each release, in order. */
+  /** Endpoint of each release of a run or a hold, in order. */
   private releases: string[] = [];
   /** Number of releases removed from the front of `releases`. */
   private discardedReleases = 0;
@@ -103,6 +103,11 @@
     this.releases.push(endpoint);
   }
 
+  /** Records that steps may use more of an endpoint, as room on it is no longer held for another. */
+  recordUnheld(endpoint: string): void {
+    this.releases.push(endpoint);
+  }
+
   /** Removes a tentative reservation; not recorded as a release, as no capacity became free. */
   withdraw(key: string): void {
     const reservation = this.reservations.get(key);
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -1,14 +1,16 @@
 import type { Resources } from '@lagoongap/model/resources.js';
 
 import type { AdviceBroker } from './adviceBroker.js';
-import { countSlots, TicketProvider, type FleetCandidate } from './ticketProvider.js';
+import { TicketProvider, type FleetCandidate } from './ticketProvider.js';
 import { BlockedSteps, type PlacementConditions } from './blockedSteps.js';
 import type { CellConfig, QueuePolicy } from './cellConfig.js';
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { stepName, taskName, type TaskRef } from './jobSpec.js';
 import type { PlacementMode, Quarantine } from './quarantine.js';
+import { PlacementRoom } from './placementRoom.js';
 import type { ReadyStep, ReadySteps } from './readySteps.js';
+import type { RoomHolds } from './roomHolds.js';
 import { createReservation, type RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
 import type { DurationEstimator } from './durationEstimator.js';
@@ -22,6 +24,7 @@
 import { ResumableWalk } from './resumableWalk.js';
 import { splitRestarts } from './splitRestarts.js';
 import { orderSteps } from './stepOrder.js';
+import { listUsableEndpoints, type UsableEndpoint } from './usableEndpoints.js';
 import type { StartedRun } from './workflowCommand.js';
 
 /** A planned start of a run. */
@@ -49,6 +52,7 @@
   context: SessionContext;
   ready: ReadySteps;
   ledger: RunLedger;
+  holds: RoomHolds;
   directory: EndpointDirectory;
   durations: DurationEstimator;
   broker: AdviceBroker;
@@ -66,9 +70,6 @@
   outcome: 'blocked' | 'unplaced' | 'placed';
 }
 
-/** Load that a run of a suspected task counts for another one, so that they are kept apart. */
-const SUSPECT_LOAD = 20;
-
 /** Maximum age of the list of available endpoints. */
 const CANDIDATES_MAX_AGE_MS = 20;
 
@@ -79,6 +80,7 @@
 export class StepScheduler {
   private readonly opts: StepSchedulerOptions;
   private readonly ticketProvider: TicketProvider;
+  private readonly room: PlacementRoom;
   private readonly blocked: BlockedSteps;
   private readonly restartsWalk = new ResumableWalk();
   private readonly waitingWalk = new ResumableWalk();
@@ -95,8 +97,11 @@
 
   constructor(opts: StepSchedulerOptions) {
     this.opts = opts;
-    const { context, ledger, broker, onAdvice } = opts;
+    const { context, ledger, broker, quarantine, holds, onAdvice } = opts;
     this.ticketProvider = new TicketProvider({ context, ledger, broker, onAdvice });
+    const countFailures = (step: string, endpoint: string): number =>
+      this.failures.get(step)?.get(endpoint) ?? 0;
+    this.room = new PlacementRoom({ ledger, quarantine, holds, countFailures });
     this.blocked = new BlockedSteps(ledger);
   }
 
@@ -139,6 +144,7 @@
   forgetStep(step: string): void {
     this.rejections.forgetStep(step);
     this.ticketProvider.forgetStep(step);
+    this.opts.holds.release(step);
     this.failures.delete(step);
     this.evaluations.delete(step);
   }
@@ -160,6 +166,7 @@
     const planned: PlannedStart[] = [];
     const startMs = performance.now();
     this.dropOutdatedCandidates();
+    this.expireHolds(startMs);
     const { turnMs } = this.opts.context.timing;
     const weights = new Map(config.organisations.map(({ name, weight }) => [name, weight]));
     const place = (ready: ReadyStep): void => {
@@ -183,6 +190,19 @@
     return { planned, isComplete: hasPlacedRestarts && hasPlacedOthers };
   }
 
+  /**
+   * Returns the endpoints that could start tasks of a step now if they had room for them, with the
+   * number of further tasks that the step permits on each.
+   *
+   * @param leadMs - Time for which tickets have to remain valid.
+   */
+  listUsable(ready: ReadyStep, queue: QueuePolicy, leadMs: number): UsableEndpoint[] {
+    const { ledger, quarantine } = this.opts;
+    const tickets = queue.advice ? this.ticketProvider.ticketsOf(ready.name) : undefined;
+    const conditions = { tickets, leadMs, rejections: this.rejections, quarantine, ledger };
+    return listUsableEndpoints(ready, this.listCandidates(queue).values(), conditions);
+  }
+
   /** Requests tickets for a step before it can start. */
   prefetch(step: ReadyStep, queue: QueuePolicy): void {
     if (!queue.advice) return;
@@ -197,6 +217,7 @@
     const candidates = [...this.listCandidates(queue).values()];
     const usage = this.createUsage(ready, config);
     const nowMs = performance.now();
+    const held = this.opts.holds.listOf(ready.name, nowMs).length;
     const tickets = this.ticketProvider.ticketsOf(ready.name);
     const evaluation = this.evaluations.get(ready.name);
     const { maxPerEndpoint } = ready.spec;
@@ -206,12 +227,13 @@
       endpoints: candidates.length,
       ejected: this.opts.directory.listEjected().filter(({ record }) => record.pool === queue.pool)
         .length,
-      withRoom: count((candidate) => countSlots(ready, candidate, this.opts.ledger) > 0),
+      withRoom: count((candidate) => this.room.countSlots(ready, candidate, queue.priority) > 0),
       withinLimit: count((candidate) => usage.fits(candidate, ready.spec)),
       atStepLimit: count((it) => maxPerEndpoint > 0 && usage.countOn(it) >= maxPerEndpoint),
       withTicket: count(({ id }) => tickets.find(id, nowMs) !== undefined),
       suitable: count(({ id }) => tickets.suitabilityOf(id) === 'suitable'),
       unsuitable: count(({ id }) => tickets.suitabilityOf(id) === 'unsuitable'),
+      held,
       suspects: this.opts.quarantine.listSuspects(ready).size,
       evaluatedAgoMs: evaluation && Math.round(nowMs - evaluation.atMs),
       outcome: evaluation?.outcome,
@@ -225,19 +247,19 @@
     config: CellConfig,
   ): PlannedStart[] {
     const { ledger } = this.opts;
-    const { spec, job } = ready;
+    const { spec } = ready;
+    const { priority } = queue;
     const limit = this.findLimit(ready, config);
     const candidates = this.listCandidates(queue);
     const conditions: PlacementConditions = {
       step: ready,
       tickets: queue.advice ? this.ticketProvider.ticketsOf(ready.name) : undefined,
-      isWithinLimit: !limit || ledger.isWithinLimit(job.organisation, limit, spec.size),
+      isWithinLimit: this.room.isWithinLimit({ step: ready, priority, limit }),
       hasCapacity: (id) => {
         const capacity = candidates.get(id)?.capacity;
-        return (
-          capacity !== undefined &&
-          ledger.hasCapacity(id, capacity, spec.size, spec.fillsIdleCapacity)
-        );
+        if (!capacity) return false;
+        const open = this.room.openCapacity(id, capacity, ready, priority);
+        return ledger.hasCapacity(id, open, spec.size, spec.fillsIdleCapacity);
       },
     };
     const atMs = performance.now();
@@ -260,7 +282,8 @@
     for (const id of tickets?.listValid(nowMs) ?? candidates.keys()) {
       const candidate = candidates.get(id);
       if (!candidate || this.rejections.isDelayed(ready.name, id, nowMs)) continue;
-      if (!tickets || countSlots(ready, candidate, this.opts.ledger) > 0) usable.push(candidate);
+      if (!tickets || this.room.countSlots(ready, candidate, queue.priority) > 0)
+        usable.push(candidate);
     }
     const planned = ready.spec.isGang
       ? this.placeGang(ready, usable, config)
@@ -359,6 +382,7 @@
     const task: TaskRef = { jobId: job.id, occurrence, step, index };
     const key = `${taskName(task)}:${run}`;
     this.reserve(ready, key, endpoint.id);
+    this.useHold(name, endpoint.id);
     const pending = this.pending.get(name) ?? new Set<number>();
     this.pending.set(name, pending.add(index));
     const isTrial = mode === 'trial';
@@ -422,25 +446,20 @@
     config: CellConfig,
     mode: PlacementMode = 'open',
   ): PlacementUsage {
-    const { ledger, quarantine } = this.opts;
-    const isTrial = mode === 'trial';
-    const { organisation } = ready.job;
+    const queue = config.queues.find(({ name }) => name === ready.job.queue);
+    const priority = queue?.priority ?? Infinity;
     const limit = this.findLimit(ready, config);
-    const hasCrashed = quarantine.hasCrashed(ready);
-    return {
-      fits: (candidate, { size, fillsIdleCapacity }) =>
-        ledger.hasCapacity(candidate.id, candidate.capacity, size, fillsIdleCapacity) &&
-        (!limit || ledger.isWithinLimit(organisation, limit, size)) &&
-        (isTrial ? quarantine.isIsolated(candidate.id, ready) : quarantine.isOpen(candidate.id)),
-      failuresOn: ({ id }) => this.failures.get(ready.name)?.get(id) ?? 0,
-      countOn: ({ id }) => ledger.countRuns(ready.name, id),
-      loadOf: ({ id, capacity }) => {
-        const bestEffortCpuMillis = ready.spec.fillsIdleCapacity ? ledger.bestEffortCpuOn(id) : 0;
-        const usedCpuMillis = ledger.usedOn(id).cpuMillis + bestEffortCpuMillis;
-        const suspects = hasCrashed ? quarantine.countSuspects(id) * SUSPECT_LOAD : 0;
-        const trialCost = isTrial || hasCrashed ? quarantine.costOfTrial(id) : 0;
-        return usedCpuMillis / Math.max(1, capacity.cpuMillis) + suspects + trialCost;
-      },
-    };
+    return this.room.createUsage({ step: ready, priority, limit, mode });
+  }
+
+  private expireHolds(nowMs: number): void {
+    const expired = this.opts.holds.removeExpired(nowMs);
+    if (expired.length > 0) this.opts.context.meter.countExpiredHolds(expired.length);
+  }
+
+  private useHold(step: string, endpoint: string): void {
+    const stoppedMs = this.opts.holds.use(step, endpoint)?.stoppedMs;
+    if (stoppedMs === undefined) return;
+    this.opts.context.meter.observeFreedRoomUse(performance.now() - stoppedMs);
   }
 }
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -4,6 +4,7 @@
 import { AdviceBroker } from './adviceBroker.js';
 import { AdvicePrefetcher } from './advicePrefetcher.js';
 import type { CellConfig } from './cellConfig.js';
+import { ConfigReader } from './configReader.js';
 import { createSessionContext } from './createSessionContext.js';
 import { CrashAttribution } from './crashAttribution.js';
 import { CyclePacer } from './cyclePacer.js';
@@ -26,6 +27,7 @@
 import { createAgentRun, RunDispatcher, runKey } from './runDispatcher.js';
 import { runInSlices } from './runInSlices.js';
 import { RunAdopter } from './runAdopter.js';
+import { RoomHolds } from './roomHolds.js';
 import { RunEnds } from './runEnds.js';
 import { createReservation, RunLedger } from './runLedger.js';
 import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
@@ -55,6 +57,7 @@
   private readonly opts: WorkflowSessionOptions;
   private readonly context: SessionContext;
   private readonly ledger = new RunLedger();
+  private readonly holds = new RoomHolds((endpoint) => this.ledger.recordUnheld(endpoint));
   private readonly durations = new DurationEstimator();
   private readonly health: HealthPolicy;
   private readonly directory: EndpointDirectory;
@@ -78,7 +81,7 @@
   private readonly outages: ServiceOutages;
   private readonly earlyTrials: EarlyTrials;
   private readonly monitor: LeadershipMonitor;
-  private config: CellConfig | undefined;
+  private readonly configReader: ConfigReader;
   private cycleTimer: NodeJS.Timeout | undefined;
   private housekeepingTimer: NodeJS.Timeout | undefined;
   /** All runs of the previous leader are adopted; nothing is scheduled before. */
@@ -87,6 +90,7 @@
 
   constructor(opts: WorkflowSessionOptions) {
     this.opts = opts;
+    this.configReader = new ConfigReader(opts.state, opts.parseConfig);
     const { logger, meter, electedMs = performance.now() } = opts;
     this.takeover = new TakeoverRecorder(logger, meter, electedMs);
     this.monitor = new LeadershipMonitor({ ...opts, replicatedLog: opts.log, log: logger });
@@ -118,6 +122,7 @@
       quarantine: this.crashes.quarantine,
       ready: this.ready,
       ledger: this.ledger,
+      holds: this.holds,
       directory: this.directory,
       durations: this.durations,
       broker: this.broker,
@@ -183,6 +188,7 @@
     this.endpoints = new EndpointService(this.context, this.directory, {
       onChanged: (id) => {
         this.scheduler.dropTickets(id);
+        this.holds.releaseEndpoint(id);
         const record = this.directory.find(id)?.record;
         if (record) this.crashes.handleRegistration(record);
         this.recheckBlocked();
@@ -228,13 +234,9 @@
     });
   }
 
-  /** Returns the configuration in force, if there is one; parsed again when its version changes. */
+  /** Returns the configuration in force, if there is one. */
   readConfig(): CellConfig | undefined {
-    const { state, parseConfig } = this.opts;
-    if (!state.config) return undefined;
-    const { version, document } = state.config;
-    if (this.config?.version !== version) this.config = parseConfig(document);
-    return this.config;
+    return this.configReader.read();
   }
 
   async onRunsEnded(
