Stop checkpointing runs for urgent steps that would be late

Cause: when long tasks fill the fleet, urgent work waits until they end; the workflow path did not preempt.

An endpoint with a stopping run is inspected with the short wait. The fake worker takes time to stop and resumes from checkpoints.

--- a/packages/tests/src/workflow/fakeDriver.ts
+++ b/packages/tests/src/workflow/fakeDriver.ts
@@ -29,6 +29,10 @@
   readonly workers = new Map<string, FakeWorker>();
   /** Durations of the tasks of certain payloads on all workers. */
   readonly durationsMs = new Map<string, number>();
+  /** Payloads of tasks that write a checkpoint when they are stopped, on all workers. */
+  readonly checkpointingPayloads = new Set<string>();
+  /** Stop orders received by workers, as `<task>:<run>`. */
+  readonly stopped: string[] = [];
   /** Pace orders received, as `<task>:<percent>`. */
   readonly paces: string[] = [];
   /** Maximum number of concurrent runs of one task. */
@@ -48,7 +52,7 @@
   worker(id: string): FakeWorker {
     let worker = this.workers.get(id);
     if (!worker) {
-      worker = new FakeWorker(this.durationsMs);
+      worker = new FakeWorker(this.durationsMs, this.checkpointingPayloads);
       this.workers.set(id, worker);
     }
     return worker;
@@ -84,6 +88,7 @@
   async stop(target: EndpointTarget, order: RunOrder): Promise<boolean> {
     const worker = this.worker(target.id);
     if (worker.behaviour === 'crashed') return false;
+    this.stopped.push(`${order.task}:${order.run}`);
     if (isReachable(worker, target)) return worker.stop(order);
     await pause(ORDER_TIMEOUT_MS);
     return false;
--- a/packages/tests/src/workflow/fakeWorker.ts
+++ b/packages/tests/src/workflow/fakeWorker.ts
@@ -31,6 +31,9 @@
 
 interface WorkerRun {
   order: StartOrder;
+  /** Monotonic time of the start. */
+  startedMs: number;
+  isStopping?: boolean;
   /** Monotonic time from which the run does its full work. */
   workFromMs: number;
   timer?: NodeJS.Timeout;
@@ -59,6 +62,12 @@
   startupMs = 0;
   /** Payloads of tasks that run until they are stopped. */
   readonly lastingPayloads = new Set<string>();
+  /** Time from a stop order to the end of the run. */
+  stopMs = 0;
+  /** A run that is ordered to stop succeeds first. */
+  finishesStopped = false;
+  /** Stop orders are refused. */
+  refusesStops = false;
   /** Load reported for every run. */
   load = 0;
   bornMs = 1;
@@ -97,8 +106,15 @@
   /** Start orders that the current incarnation has received but not executed yet. */
   private readonly lateStarts = new Set<NodeJS.Timeout>();
 
-  constructor(durationsMs: ReadonlyMap<string, number> = new Map()) {
+  /** Payloads of tasks that write a checkpoint when they are stopped. */
+  private readonly checkpointingPayloads: ReadonlySet<string>;
+
+  constructor(
+    durationsMs: ReadonlyMap<string, number> = new Map(),
+    checkpointingPayloads: ReadonlySet<string> = new Set(),
+  ) {
     this.durationsMs = durationsMs;
+    this.checkpointingPayloads = checkpointingPayloads;
   }
 
   /** Time on the worker's clock, which starts anew with each incarnation. */
@@ -115,14 +131,16 @@
     if (order.untilMs <= this.clockMs()) return 'late';
     this.renew(order.untilMs);
     const startupMs = this.behaviour === 'stalled' ? Infinity : this.startupMs;
-    const run: WorkerRun = { order, workFromMs: performance.now() + startupMs };
+    const startedMs = performance.now();
+    const run: WorkerRun = { order, startedMs, workFromMs: startedMs + startupMs };
     this.runs.set(key, run);
     this.started.push(key);
     this.maxExcess = Math.max(this.maxExcess, this.runs.size - this.maxTasks);
     this.observer?.onStart(order);
     if (this.behaviour === 'stalled') return 'started';
     const isLasting = this.lastingPayloads.has(order.payload);
-    const durationMs = this.durationsMs.get(order.payload) ?? this.durationMs;
+    const totalMs = this.durationsMs.get(order.payload) ?? this.durationMs;
+    const durationMs = Math.max(0, totalMs - FakeWorker.readCheckpoint(order));
     const course = isLasting ? 'lasts' : this.getCourse(order);
     if (this.behaviour === 'failing' && !isLasting) {
       run.timer = setTimeout(() => this.end(key, 'failed'), durationMs);
@@ -151,8 +169,17 @@
   stop({ task, run, fencingToken }: RunOrder): boolean {
     if (fencingToken < this.fence) return false;
     this.fence = fencingToken;
+    if (this.refusesStops) return false;
     this.supersededRuns.set(task, Math.max(run, this.supersededRuns.get(task) ?? 0));
-    this.end(`${task}:${run}`, 'stopped');
+    const key = `${task}:${run}`;
+    const stopped = this.runs.get(key);
+    if (this.finishesStopped) this.end(key, 'done');
+    if (!stopped || this.stopMs === 0) this.end(key, 'stopped');
+    else if (!stopped.isStopping) {
+      stopped.isStopping = true;
+      clearTimeout(stopped.timer);
+      stopped.timer = setTimeout(() => this.end(key, 'stopped'), this.stopMs);
+    }
     return true;
   }
 
@@ -226,6 +253,11 @@
     for (const wake of this.waiters.splice(0)) wake();
   }
 
+  /** Returns the work that the checkpoint in an order stands for, in milliseconds. */
+  private static readCheckpoint({ checkpoint }: StartOrder): number {
+    return Number(checkpoint ?? 0);
+  }
+
   private static isAtWork({ workFromMs }: WorkerRun): boolean {
     return performance.now() >= workFromMs;
   }
@@ -248,9 +280,12 @@
     if (!run) return;
     clearTimeout(run.timer);
     this.runs.delete(key);
-    const { task, run: number } = run.order;
+    const { task, run: number, payload } = run.order;
+    const workMs = FakeWorker.readCheckpoint(run.order) + performance.now() - run.startedMs;
+    const isWritten = outcome === 'stopped' && this.checkpointingPayloads.has(payload);
+    const checkpoint = isWritten ? `${workMs}` : '';
     this.supersededRuns.set(task, Math.max(number, this.supersededRuns.get(task) ?? 0));
-    const report = { number: this.nextReport, task, run: number, outcome, checkpoint: '' };
+    const report = { number: this.nextReport, task, run: number, outcome, checkpoint };
     this.reports.push(report);
     this.observer?.onEnd(report);
     this.nextReport += 1;
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -5,6 +5,7 @@
 import type { JobResponse } from '@lagoongap/workflow/jobCalls.js';
 import type { JobSpec, StepSpec } from '@lagoongap/workflow/jobSpec.js';
 import type { ReadyStep } from '@lagoongap/workflow/readySteps.js';
+import type { WorkflowFeatures } from '@lagoongap/workflow/workflowFeatures.js';
 import type { EndpointRecord, JobRecord } from '@lagoongap/workflow/workflowRecords.js';
 import { WorkflowSession } from '@lagoongap/workflow/workflowSession.js';
 import { createJob, WorkflowState } from '@lagoongap/workflow/workflowState.js';
@@ -109,6 +110,7 @@
   constructor(
     config: Partial<CellConfig['queues'][number]> = {},
     timing: Partial<WorkflowTiming> = {},
+    private readonly features?: WorkflowFeatures,
   ) {
     this.timing = { ...DEFAULT_WORKFLOW_TIMING, leaseMs: 5000, maxLeaseMs: 6000, ...timing };
     this.config = {
@@ -145,6 +147,12 @@
     });
   }
 
+  /** Adds an organisation whose key is its name. */
+  addOrganisation(name: string): void {
+    const [first] = this.config.organisations;
+    this.config.organisations.push({ ...first!, name, keys: [name], limit: { ...NO_RESOURCES } });
+  }
+
   /** Limits the processor time of the organisation, in cores. */
   limitCores(cores: number): void {
     this.config.organisations[0]!.limit = { ...NO_RESOURCES, cpuMillis: cores * CORE_CPU_MILLIS };
@@ -228,9 +236,10 @@
     steps: StepSpec[],
     fields: Partial<JobSpec> = {},
     queue = 'q',
+    key = 'k',
   ): Promise<JobResponse> {
     const spec = { payload: id, steps, ...fields };
-    return this.call({ operation: 'submit', spec }, id, 'k', queue);
+    return this.call({ operation: 'submit', spec }, id, key, queue);
   }
 
   async call(
@@ -370,6 +379,7 @@
       holder: 'leader',
       parseConfig: () => this.config,
       timing: this.timing,
+      features: this.features,
       logger: this.logger,
       meter: this.meter,
       isValid: () => this.checkValidity(log),
--- /dev/null
+++ b/packages/workflow/src/capacityForecast.ts
@@ -0,0 +1,95 @@
+import {
+  addResources,
+  NO_RESOURCES,
+  subtractResources,
+  type Resources,
+} from '@lagoongap/model/resources.js';
+
+/** Capacity that is expected to become free. */
+interface Release {
+  /** Time from now in milliseconds. */
+  inMs: number;
+  size: Resources;
+}
+
+/** Capacity that steps of a priority are going to use. */
+interface Claim {
+  priority: number;
+  size: Resources;
+}
+
+function countFits(free: number, need: number): number {
+  if (free < Math.max(0, need)) return 0;
+  return need > 0 ? Math.floor(free / need) : Infinity;
+}
+
+/** Returns how many tasks of a size fit into the free capacity of an endpoint or a limit. */
+export function countTasks(size: Resources, free: Resources): number {
+  return Math.min(
+    countFits(free.cpuMillis, size.cpuMillis),
+    countFits(free.memoryMib, size.memoryMib),
+    countFits(free.accelerators, size.accelerators),
+  );
+}
+
+/**
+ * Expected free capacity of an endpoint, or expected headroom in the limit of an organisation, as a
+ * function of time: what is free now, what becomes free, and what is claimed already.
+ */
+export class CapacityForecast {
+  private readonly free: Resources;
+  /** By the key of the run that ends. */
+  private readonly releases = new Map<string, Release>();
+  private readonly claims: Claim[] = [];
+
+  /** @param free - Capacity that is free now; negative after the capacity has shrunk. */
+  constructor(free: Resources) {
+    this.free = free;
+  }
+
+  /** Sets when the capacity of a run becomes free, in milliseconds from now. */
+  setRelease(run: string, size: Resources, inMs: number): void {
+    this.releases.set(run, { size, inMs });
+  }
+
+  /** Claims capacity for steps of a priority, against others of the same or a lower one. */
+  claim(size: Resources, priority: number, count = 1): void {
+    for (let i = 0; i < count; i += 1) this.claims.push({ size, priority });
+  }
+
+  /** Returns how many tasks of a priority fit at a time from now. */
+  countTasks(size: Resources, priority: number, inMs: number): number {
+    return countTasks(size, this.availableAt(priority, inMs));
+  }
+
+  /** Returns how many tasks fit at a time from now if runs of the given sizes end until then. */
+  countTasksAfter(
+    size: Resources,
+    priority: number,
+    inMs: number,
+    ended: readonly Resources[],
+  ): number {
+    return countTasks(size, ended.reduce(addResources, this.availableAt(priority, inMs)));
+  }
+
+  /** Returns the time from now at which a task of a priority fits; Infinity if it is not known. */
+  nextFitMs(size: Resources, priority: number): number {
+    const timesMs = [...this.releases.values()]
+      .map(({ inMs }) => inMs)
+      .filter((ms) => ms < Infinity);
+    timesMs.sort((a, b) => a - b);
+    return [0, ...timesMs].find((inMs) => this.countTasks(size, priority, inMs) > 0) ?? Infinity;
+  }
+
+  private availableAt(priority: number, inMs: number): Resources {
+    let available = this.free;
+    for (const release of this.releases.values()) {
+      if (release.inMs <= inMs) available = addResources(available, release.size);
+    }
+    let claimed: Resources = NO_RESOURCES;
+    for (const claim of this.claims) {
+      if (claim.priority <= priority) claimed = addResources(claimed, claim.size);
+    }
+    return subtractResources(available, claimed);
+  }
+}
--- a/packages/workflow/src/inspectionPacing.ts
+++ b/packages/workflow/src/inspectionPacing.ts
@@ -19,12 +19,13 @@
  * @param isUrgent - Whether what the endpoint reports is needed soon, whatever it runs.
  */
 export function chooseInspectionWaitMs(
-  runs: Iterable<{ estimateMs: number }>,
+  runs: Iterable<{ estimateMs: number; isStopping?: boolean }>,
   isUrgent: boolean,
 ): number {
-  const estimatesMs = [...runs].map(({ estimateMs }) => estimateMs);
-  if (estimatesMs.length === 0) return 0;
-  const isShort = estimatesMs.some((ms) => ms <= SHORT_TASK_MS);
+  const waited = [...runs];
+  if (waited.length === 0) return 0;
+  // A run that is being stopped ends soon, whatever its estimate.
+  const isShort = waited.some((run) => run.isStopping || run.estimateMs <= SHORT_TASK_MS);
   return isShort || isUrgent ? SHORT_WAIT_MS : MAX_WAIT_MS;
 }
 
--- a/packages/workflow/src/readySteps.ts
+++ b/packages/workflow/src/readySteps.ts
@@ -94,6 +94,11 @@
     return this.steps.has(name);
   }
 
+  /** Returns the number of listed waiting tasks of a step. */
+  countWaiting(name: string): number {
+    return this.steps.get(name)?.waiting.length ?? 0;
+  }
+
   /**
    * Re-evaluates which steps of a job can start.
    *
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -28,6 +28,7 @@
 import { runInSlices } from './runInSlices.js';
 import { RunAdopter } from './runAdopter.js';
 import { RoomHolds } from './roomHolds.js';
+import { Preemption } from './preemption.js';
 import { RunEnds } from './runEnds.js';
 import { createReservation, RunLedger } from './runLedger.js';
 import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
@@ -69,6 +70,7 @@
   private readonly bestEffortThrottle: BestEffortThrottle;
   private readonly stragglers: StragglerDetector;
   private readonly advice: AdvicePrefetcher;
+  private readonly preemption: Preemption;
   private readonly cyclePacer = new CyclePacer();
   private readonly loopLag = new EventLoopLag(HOUSEKEEPING_INTERVAL_MS);
   private readonly occurrenceTimers = new OccurrenceTimers();
@@ -174,6 +176,10 @@
       this.durations,
       this.loopLag,
     );
+    const { ledger, holds } = this;
+    const { quarantine } = this.crashes;
+    const parts = { context, ready, scheduler, directory, durations, ledger, holds, quarantine };
+    this.preemption = new Preemption(parts);
     this.advice = new AdvicePrefetcher({
       context: this.context,
       ready: this.ready,
@@ -380,6 +386,7 @@
     for (const id of new Set(planned.map(({ task }) => task.jobId))) {
       this.ready.refresh(this.opts.state.jobs.get(id), id, Date.now());
     }
+    this.preemption.run(config);
     this.cyclePacer.recordCycle(performance.now() - startMs);
     if (!isComplete) this.requestCycle();
     if (planned.length === 0) return;
@@ -402,6 +409,7 @@
     this.loopLag.observe();
     if (!this.context.isValid()) return;
     this.earlyTrials.request();
+    this.preemption.clean();
     this.scheduler.recheckBlocked();
     for (const id of this.retention.removeExpired()) this.occurrenceTimers.cancel(id);
     this.endpoints.removeUnresponsive();
