--- a/packages/tests/features/workflow/preemption.feature
+++ b/packages/tests/features/workflow/preemption.feature
@@ -271,3 +271,8 @@
     And 500 ms of workflow time pass
     Then no stop order was sent
     And 0 runs were preempted
+
+  # Guards against ends that are noticed late after a lost inspection, and against needless ones.
+  Scenario: an endpoint is inspected at short intervals while one of its long runs is being stopped
+    Then the inspection of an endpoint with a run of 6000 ms may wait for 2000 ms
+    And the inspection of an endpoint with a run of 6000 ms that is being stopped may wait for 700 ms
--- a/packages/tests/src/steps/workflow/preemptionPlanSteps.ts
+++ b/packages/tests/src/steps/workflow/preemptionPlanSteps.ts
@@ -23,6 +23,7 @@
       key: row.run!,
       step: row.step ?? row.run!,
       endpoint: row.endpoint!,
+      pool: 'p',
       organisation: row.organisation ?? 'other',
       priority: read('priority', 2),
       size: toCores(read('cores', 1)),
--- a/packages/tests/src/steps/workflow/preemptionSteps.ts
+++ b/packages/tests/src/steps/workflow/preemptionSteps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 
 import { Given, Then, When } from '@cucumber/cucumber';
+import { chooseInspectionWaitMs } from '@lagoongap/workflow/inspectionPacing.js';
 import {
   DEFAULT_WORKFLOW_FEATURES,
   type WorkflowFeature,
@@ -251,3 +252,11 @@
 Then('no stop order was sent', function check(this: Steps) {
   assert.deepEqual(this.world.driver.stopped, []);
 });
+
+Then(
+  /^the inspection of an endpoint with a run of (\d+) ms( that is being stopped)? may wait for (\d+) ms$/,
+  (estimateMs: string, stopping: string | null, waitMs: string) => {
+    const run = { estimateMs: Number(estimateMs), isStopping: stopping !== null };
+    assert.equal(chooseInspectionWaitMs([run], false), Number(waitMs));
+  },
+);
--- a/packages/workflow/src/capacityForecast.ts
+++ b/packages/workflow/src/capacityForecast.ts
@@ -1,9 +1,4 @@
-import {
-  addResources,
-  NO_RESOURCES,
-  subtractResources,
-  type Resources,
-} from '@lagoongap/model/resources.js';
+import { addResources, type Resources } from '@lagoongap/model/resources.js';
 
 /** Capacity that is expected to become free. */
 interface Release {
@@ -23,6 +18,14 @@
   return need > 0 ? Math.floor(free / need) : Infinity;
 }
 
+function accumulate(sum: Resources, size: Resources, sign: 1 | -1): void {
+  Object.assign(sum, {
+    cpuMillis: sum.cpuMillis + sign * size.cpuMillis,
+    memoryMib: sum.memoryMib + sign * size.memoryMib,
+    accelerators: sum.accelerators + sign * size.accelerators,
+  });
+}
+
 /** Returns how many tasks of a size fit into the free capacity of an endpoint or a limit. */
 export function countTasks(size: Resources, free: Resources): number {
   return Math.min(
@@ -32,6 +35,13 @@
   );
 }
 
+/** Free capacity at a time, for steps of a priority. */
+interface Availability {
+  priority: number;
+  inMs: number;
+  size: Resources;
+}
+
 /**
  * Expected free capacity of an endpoint, or expected headroom in the limit of an organisation, as a
  * function of time: what is free now, what becomes free, and what is claimed already.
@@ -41,6 +51,8 @@
   /** By the key of the run that ends. */
   private readonly releases = new Map<string, Release>();
   private readonly claims: Claim[] = [];
+  /** Latest result; a search reads the same one for each set of runs that it considers. */
+  private latest: Availability | undefined;
 
   /** @param free - Capacity that is free now; negative after the capacity has shrunk. */
   constructor(free: Resources) {
@@ -49,11 +61,13 @@
 
   /** Sets when the capacity of a run becomes free, in milliseconds from now. */
   setRelease(run: string, size: Resources, inMs: number): void {
+    this.latest = undefined;
     this.releases.set(run, { size, inMs });
   }
 
   /** Claims capacity for steps of a priority, against others of the same or a lower one. */
   claim(size: Resources, priority: number, count = 1): void {
+    this.latest = undefined;
     for (let i = 0; i < count; i += 1) this.claims.push({ size, priority });
   }
 
@@ -74,22 +88,27 @@
 
   /** Returns the time from now at which a task of a priority fits; Infinity if it is not known. */
   nextFitMs(size: Resources, priority: number): number {
-    const timesMs = [...this.releases.values()]
-      .map(({ inMs }) => inMs)
-      .filter((ms) => ms < Infinity);
-    timesMs.sort((a, b) => a - b);
-    return [0, ...timesMs].find((inMs) => this.countTasks(size, priority, inMs) > 0) ?? Infinity;
+    let available = this.availableAt(priority, -Infinity);
+    if (countTasks(size, available) > 0) return 0;
+    const releases = [...this.releases.values()].sort((a, b) => a.inMs - b.inMs);
+    for (const release of releases) {
+      available = addResources(available, release.size);
+      if (countTasks(size, available) > 0) return release.inMs;
+    }
+    return Infinity;
   }
 
   private availableAt(priority: number, inMs: number): Resources {
-    let available = this.free;
+    const { latest } = this;
+    if (latest?.priority === priority && latest.inMs === inMs) return latest.size;
+    const size = { ...this.free };
     for (const release of this.releases.values()) {
-      if (release.inMs <= inMs) available = addResources(available, release.size);
+      if (release.inMs <= inMs) accumulate(size, release.size, 1);
     }
-    let claimed: Resources = NO_RESOURCES;
     for (const claim of this.claims) {
-      if (claim.priority <= priority) claimed = addResources(claimed, claim.size);
+      if (claim.priority <= priority) accumulate(size, claim.size, -1);
     }
-    return subtractResources(available, claimed);
+    this.latest = { priority, inMs, size };
+    return size;
   }
 }
--- a/packages/workflow/src/preemption.ts
+++ b/packages/workflow/src/preemption.ts
@@ -5,7 +5,7 @@
 import { slackMs, targetDurationMs } from './jobSlack.js';
 import { RunningFleet, type RunningFleetOptions } from './preemptionFleet.js';
 import { PreemptionHistory } from './preemptionHistory.js';
-import { PreemptionPlanner } from './preemptionPlan.js';
+import { leadMs, PreemptionPlanner } from './preemptionPlan.js';
 import type { PlannedHold, PlannedStop, PreemptionTiming, UrgentStep } from './preemptionTypes.js';
 import type { ReadyStep, ReadySteps } from './readySteps.js';
 import type { RoomHold } from './roomHolds.js';
@@ -31,7 +31,7 @@
 const MAX_STEPS_PER_CYCLE = 32;
 
 /** Part of a scheduling cycle that planning may take, after the placement of tasks. */
-const TURN_SHARE = 0.5;
+const TURN_SHARE = 0.25;
 
 /** An urgent step with its slack. */
 interface WaitingStep {
@@ -84,7 +84,7 @@
       count += 1;
     }
     const { stops: planned, holds } = planner.result;
-    for (const stop of planned) this.stop(stop, fleet.poolOf(stop.run));
+    for (const stop of planned) this.stop(stop);
     for (const hold of holds) this.hold(hold);
   }
 
@@ -154,7 +154,9 @@
       // A gang would need all its room at the same time.
       if (!queue || isGang || isService || fillsIdleCapacity) continue;
       if (this.history.isBackedOff(ready.name, nowMs)) continue;
-      waiting.push({ ready, queue, slackMs: slackMs(ready, queue, wallMs) });
+      const slack = slackMs(ready, queue, wallMs);
+      // Others can still wait for room that becomes free.
+      if (slack <= leadMs(this.timing)) waiting.push({ ready, queue, slackMs: slack });
     }
     // As in the order of placement, late work does not make work late that could be in time.
     return waiting.sort(
@@ -186,10 +188,10 @@
     };
   }
 
-  private stop({ run, step, latenessMs, isForLimit }: PlannedStop, pool: string): void {
+  private stop({ run, step, latenessMs, isForLimit }: PlannedStop): void {
     const { context, directory } = this.opts;
     const nowMs = performance.now();
-    this.stops.add({ run, pool, sinceMs: nowMs });
+    this.stops.add({ run, sinceMs: nowMs });
     this.history.recordStop(run.key.slice(0, run.key.lastIndexOf(':')), nowMs);
     directory.stopRun(run.endpoint, run.key);
     context.meter.countPreemptedRun(run.priority);
--- a/packages/workflow/src/preemptionFleet.ts
+++ b/packages/workflow/src/preemptionFleet.ts
@@ -50,24 +50,18 @@
  */
 const OVERRUN_SHARE = 0.5;
 
+/** A run and the time after which it is expected to end. */
+interface ExpectedEnd {
+  reservation: Reservation;
+  inMs: number;
+}
+
 /** Returns whether tasks of a step may be stopped at all. */
 function isStoppable(spec: StepSpec): boolean {
   const { isCheckpointing, isGang, isService, latencyTargetMs, fillsIdleCapacity } = spec;
   return isCheckpointing && !isGang && !isService && latencyTargetMs === 0 && !fillsIdleCapacity;
 }
 
-/** Returns whether runs can be stopped besides those that are being stopped, in millicores. */
-function isWithin(
-  freeingCpu: number,
-  runs: readonly StoppableRun[],
-  maxCpu: number,
-  isSingle: boolean,
-): boolean {
-  // A single run may be larger than the share.
-  if (freeingCpu === 0 && isSingle) return true;
-  return runs.reduce((sum, { size }) => sum + size.cpuMillis, freeingCpu) <= maxCpu;
-}
-
 /** The running work of the fleet at the time of one scheduling cycle. */
 export class RunningFleet implements PreemptionFleet {
   private readonly opts: RunningFleetOptions;
@@ -79,6 +73,7 @@
   private readonly rooms = new Map<string, EndpointRoom | undefined>();
   private readonly limits = new Map<string, CapacityForecast>();
   private readonly runsByOrganisation = new Map<string, StoppableRun[]>();
+  private ends: Map<string, ExpectedEnd[]> | undefined;
   private readonly poolCapacities = new Map<string, number>();
   private readonly activeStops: ReadonlyMap<string, ActiveStop>;
   /** Processor time of runs that are being stopped, by pool and by organisation. */
@@ -91,9 +86,9 @@
     this.queues = new Map(config.queues.map((queue) => [queue.name, queue]));
     const stops = opts.stops.list();
     this.activeStops = new Map(stops.map((stop) => [stop.run.key, stop]));
-    for (const { run, pool, sinceMs } of stops) {
+    for (const { run, sinceMs } of stops) {
       // An endpoint that does not stop its runs must not keep others from doing so.
-      if (this.nowMs - sinceMs < timing.holdMs) this.countFreeing(run, pool);
+      if (this.nowMs - sinceMs < timing.holdMs) this.countFreeing(run);
     }
   }
 
@@ -126,32 +121,37 @@
 
   mayStop(runs: readonly StoppableRun[]): boolean {
     const { pools, organisations } = this.freeing;
-    const isSingle = runs.length === 1;
-    return runs.every((run) => {
-      const { organisation } = run;
-      const pool = this.poolOf(run);
-      const inPool = runs.filter((it) => this.poolOf(it) === pool);
-      const own = runs.filter((it) => it.organisation === organisation);
-      const running = this.opts.ledger.usedBy(organisation).cpuMillis;
+    const isWithin = (
+      freeingCpu: number,
+      maxCpu: number,
+      isCounted: (run: StoppableRun) => boolean,
+    ): boolean => {
+      // A single run may be larger than the share.
+      if (freeingCpu === 0 && runs.length === 1) return true;
+      let cpu = freeingCpu;
+      for (const run of runs) if (isCounted(run)) cpu += run.size.cpuMillis;
+      return cpu <= maxCpu;
+    };
+    return runs.every(({ pool, organisation }) => {
       const maxOfPool = this.capacityOfPool(pool) * MAX_POOL_SHARE;
+      const running = this.opts.ledger.usedBy(organisation).cpuMillis;
       const maxOfOrganisation = running * MAX_ORGANISATION_SHARE;
       return (
-        isWithin(pools.get(pool), inPool, maxOfPool, isSingle) &&
-        isWithin(organisations.get(organisation), own, maxOfOrganisation, isSingle)
+        isWithin(pools.get(pool), maxOfPool, (run) => run.pool === pool) &&
+        isWithin(
+          organisations.get(organisation),
+          maxOfOrganisation,
+          (run) => run.organisation === organisation,
+        )
       );
     });
   }
 
   recordStop(run: StoppableRun): void {
-    this.countFreeing(run, this.poolOf(run));
+    this.countFreeing(run);
   }
 
-  /** Returns the pool of the endpoint of a run. */
-  poolOf({ endpoint }: StoppableRun): string {
-    return this.opts.directory.find(endpoint)?.record.pool ?? '';
-  }
-
-  private countFreeing({ size, organisation }: StoppableRun, pool: string): void {
+  private countFreeing({ size, organisation, pool }: StoppableRun): void {
     this.freeing.pools.add(pool, size.cpuMillis);
     this.freeing.organisations.add(organisation, size.cpuMillis);
   }
@@ -188,7 +188,7 @@
   }
 
   private readLimit(organisation: string): CapacityForecast {
-    const { ledger, holds, directory } = this.opts;
+    const { ledger, holds } = this.opts;
     const policy = this.config.organisations.find(({ name }) => name === organisation);
     const toBound = (max: number | undefined): number => max || Infinity;
     const limit: Resources = {
@@ -202,20 +202,28 @@
       if (hold.organisation === organisation) forecast.claim(hold.size, hold.priority);
     }
     const isLimited = Object.values(policy?.limit ?? {}).some((max) => max > 0);
-    if (!isLimited) return forecast;
-    for (const agent of directory.list()) {
-      for (const reservation of ledger.runsOn(agent.id).values()) {
-        if (reservation.organisation !== organisation) continue;
-        forecast.setRelease(
-          reservation.key,
-          reservation.size,
-          this.remainingMs(reservation, agent),
-        );
-      }
+    const runs = isLimited ? this.listEnds().get(organisation) : undefined;
+    for (const { reservation, inMs } of runs ?? []) {
+      forecast.setRelease(reservation.key, reservation.size, inMs);
     }
     return forecast;
   }
 
+  /** Returns the expected ends of all runs, by organisation. */
+  private listEnds(): Map<string, ExpectedEnd[]> {
+    if (this.ends) return this.ends;
+    this.ends = new Map<string, ExpectedEnd[]>();
+    for (const agent of this.opts.directory.list()) {
+      for (const reservation of this.opts.ledger.runsOn(agent.id).values()) {
+        const inMs = this.remainingMs(reservation, agent);
+        const known = this.ends.get(reservation.organisation);
+        if (known) known.push({ reservation, inMs });
+        else this.ends.set(reservation.organisation, [{ reservation, inMs }]);
+      }
+    }
+    return this.ends;
+  }
+
   /** Returns the time after which a run is expected to end; Infinity if it is not known. */
   private remainingMs({ key }: Reservation, agent: EndpointAgent): number {
     const run = agent.runs.get(key);
@@ -275,6 +283,7 @@
       key,
       step: step.name,
       endpoint: agent.id,
+      pool: agent.record.pool,
       organisation,
       priority: queue.priority,
       size,
--- a/packages/workflow/src/preemptionPlan.ts
+++ b/packages/workflow/src/preemptionPlan.ts
@@ -17,6 +17,11 @@
  */
 const LEAD_FACTOR = 2;
 
+/** Returns the slack from which on runs are stopped for a step. */
+export function leadMs({ freeingMs }: PreemptionTiming): number {
+  return freeingMs * LEAD_FACTOR;
+}
+
 /** Runs to stop, and the tasks that fit on one endpoint afterwards. */
 interface Choice {
   endpoint: string;
@@ -91,7 +96,7 @@
     if (slackMs < -targetMs * VALUE_LOSS_FACTOR) return;
     const slots = new Map(step.endpoints.map(({ id, maxTasks }) => [id, maxTasks]));
     const open = this.claimExpectedRoom(step, slots);
-    if (open === 0 || slackMs > this.timing.freeingMs * LEAD_FACTOR) return;
+    if (open === 0 || slackMs > leadMs(this.timing)) return;
     const latenessMs = this.expectLatenessMs(step, slots);
     const gain = lostValue(-latenessMs, targetMs);
     const limit = this.fleet.limitOf(organisation);
--- a/packages/workflow/src/preemptionTypes.ts
+++ b/packages/workflow/src/preemptionTypes.ts
@@ -32,6 +32,7 @@
   /** Name of its step. */
   step: string;
   endpoint: string;
+  pool: string;
   organisation: string;
   priority: number;
   size: Resources;
--- a/packages/workflow/src/stopTracker.ts
+++ b/packages/workflow/src/stopTracker.ts
@@ -4,7 +4,6 @@
 /** A run that was stopped for a step and that still counts. */
 export interface ActiveStop {
   run: StoppableRun;
-  pool: string;
   /** Monotonic time of the order. */
   sinceMs: number;
 }
