--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -5,8 +5,8 @@
 import type { JobResponse } from '@lagoongap/workflow/jobCalls.js';
 import type { JobSpec, StepSpec } from '@lagoongap/workflow/jobSpec.js';
 import type { ReadyStep } from '@lagoongap/workflow/readySteps.js';
-import type { EndpointRecord, JobRecord } from '@lagoongap/workflow/workflowRecords.js';
 import type { WorkflowFeatures } from '@lagoongap/workflow/workflowFeatures.js';
+import type { EndpointRecord, JobRecord } from '@lagoongap/workflow/workflowRecords.js';
 import { WorkflowSession } from '@lagoongap/workflow/workflowSession.js';
 import { createJob, WorkflowState } from '@lagoongap/workflow/workflowState.js';
 import {
@@ -114,7 +114,9 @@
   constructor(
     config: Partial<CellConfig['queues'][number]> = {},
     timing: Partial<WorkflowTiming> = {},
+    features?: WorkflowFeatures,
   ) {
+    this.features = features;
     this.timing = { ...DEFAULT_WORKFLOW_TIMING, leaseMs: 5000, maxLeaseMs: 6000, ...timing };
     this.config = {
       version: 1,
@@ -166,6 +168,12 @@
     this.config.pools = [{ name: 'p', coldMs, coldStartsPerSecond }];
   }
 
+  /** Adds an organisation whose key is its name. */
+  addOrganisation(name: string): void {
+    const [first] = this.config.organisations;
+    this.config.organisations.push({ ...first!, name, keys: [name], limit: { ...NO_RESOURCES } });
+  }
+
   /** Limits the processor time of the organisation, in cores. */
   limitCores(cores: number): void {
     this.config.organisations[0]!.limit = { ...NO_RESOURCES, cpuMillis: cores * CORE_CPU_MILLIS };
@@ -251,9 +259,10 @@
     steps: StepSpec[],
     fields: Partial<JobSpec> = {},
     queue = 'q',
+    key = 'k',
   ): Promise<JobResponse> {
     const spec = { payload: id, steps, ...fields };
-    return this.call({ operation: 'submit', spec }, id, 'k', queue);
+    return this.call({ operation: 'submit', spec }, id, key, queue);
   }
 
   async call(
--- a/packages/workflow/src/explainWait.ts
+++ b/packages/workflow/src/explainWait.ts
@@ -1,12 +1,12 @@
 import type { QueuePolicy } from './cellConfig.js';
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
+import type { PlacementRoom } from './placementRoom.js';
 import { allowsDataCentre } from './queueRegions.js';
 import type { ReadyStep } from './readySteps.js';
-import type { RunLedger } from './runLedger.js';
 import type { PlacementUsage } from './stepPlacer.js';
 import type { TicketCache } from './ticketCache.js';
-import { countSlots, type FleetCandidate } from './ticketProvider.js';
+import type { FleetCandidate } from './ticketProvider.js';
 
 /** What the scheduler knows about a step that waits. */
 export interface WaitFacts {
@@ -16,7 +16,7 @@
   usage: PlacementUsage;
   tickets: TicketCache;
   directory: EndpointDirectory;
-  ledger: RunLedger;
+  room: PlacementRoom;
 }
 
 /** Returns log fields about endpoints that the queue could use if they were not kept from work. */
@@ -36,7 +36,7 @@
 
 /** Returns log fields that explain why the tasks of a step wait. */
 export function explainWait(facts: WaitFacts): Record<string, unknown> {
-  const { ready, candidates, usage, tickets, ledger } = facts;
+  const { ready, candidates, queue, usage, tickets, room } = facts;
   const { maxPerEndpoint } = ready.spec;
   const nowMs = performance.now();
   const count = (test: (candidate: FleetCandidate) => boolean): number =>
@@ -45,7 +45,7 @@
     endpoints: candidates.length,
     ...explainMissing(facts),
     cold: count(({ cold }) => cold !== undefined),
-    withRoom: count((candidate) => countSlots(ready, candidate, ledger) > 0),
+    withRoom: count((candidate) => room.countSlots(ready, candidate, queue.priority) > 0),
     withinLimit: count((candidate) => usage.fits(candidate, ready.spec)),
     atStepLimit: count((it) => maxPerEndpoint > 0 && usage.countOn(it) >= maxPerEndpoint),
     withTicket: count(({ id }) => tickets.find(id, nowMs) !== undefined),
--- a/packages/workflow/src/runLedger.ts
+++ b/packages/workflow/src/runLedger.ts
@@ -53,7 +53,7 @@
 }
 
 /** Returns the part of a reservation that counts against the capacity of an endpoint. */
-function countedSize({ size, fillsIdleCapacity }: Reservation): Resources {
+export function countedSize({ size, fillsIdleCapacity }: Reservation): Resources {
   return fillsIdleCapacity ? { ...size, cpuMillis: 0 } : size;
 }
 
@@ -65,7 +65,9 @@
   private readonly reservations = new Map<string, Reservation>();
   private readonly endpoints = new Map<string, EndpointUsage>();
   private readonly organisations = new Map<string, Resources>();
-  /** Endpoint of each release, in order. */
+  /** Runs that are about to end, as they were stopped for other work. */
+  private readonly stopping = new Set<string>();
+  /** Endpoint of each release of a run or a hold, in order. */
   private releases: string[] = [];
   /** Number of releases removed from the front of `releases`. */
   private discardedReleases = 0;
@@ -103,16 +105,43 @@
     this.releases.push(endpoint);
   }
 
+  /** Records that steps may use more of an endpoint, as room on it is no longer held for another. */
+  recordUnheld(endpoint: string): void {
+    this.releases.push(endpoint);
+  }
+
   /** Removes a tentative reservation; not recorded as a release, as no capacity became free. */
   withdraw(key: string): void {
     const reservation = this.reservations.get(key);
     if (!reservation) return;
     this.reservations.delete(key);
+    this.stopping.delete(key);
     const usage = this.usageOf(reservation.endpoint);
     usage.runs.delete(key);
     this.applyUsage(reservation, usage, -1);
   }
 
+  /** Sets whether a run is about to end, as it was stopped for other work. */
+  setStopping(key: string, isStopping: boolean): void {
+    if (isStopping && this.reservations.has(key)) this.stopping.add(key);
+    else this.stopping.delete(key);
+  }
+
+  /** Returns whether a run still counts and is about to end. */
+  isStopping(key: string): boolean {
+    return this.stopping.has(key);
+  }
+
+  /** Returns the resources of an organisation that are in use and about to become free. */
+  stoppingBy(organisation: string): Resources {
+    let sum: Resources = NO_RESOURCES;
+    for (const key of this.stopping) {
+      const run = this.reservations.get(key);
+      if (run?.organisation === organisation) sum = addResources(sum, run.size, 1);
+    }
+    return sum;
+  }
+
   /** Returns the runs counted on an endpoint. */
   runsOn(endpoint: string): ReadonlyMap<string, Reservation> {
     return this.usageOf(endpoint).runs;
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -1,15 +1,17 @@
 import type { Resources } from '@lagoongap/model/resources.js';
 
 import type { AdviceBroker } from './adviceBroker.js';
-import { countSlots, TicketProvider, type FleetCandidate } from './ticketProvider.js';
+import { TicketProvider, type FleetCandidate } from './ticketProvider.js';
 import { BlockedSteps, type PlacementConditions } from './blockedSteps.js';
 import type { CellConfig, QueuePolicy } from './cellConfig.js';
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
-import { capacityFor, coldLoadOf, limitCapacity } from './endpointWarmup.js';
-import { stepName, taskName, type StepSpec, type TaskRef } from './jobSpec.js';
+import { limitCapacity } from './endpointWarmup.js';
+import { stepName, taskName, type TaskRef } from './jobSpec.js';
 import type { PlacementMode, Quarantine } from './quarantine.js';
+import { PlacementRoom } from './placementRoom.js';
 import type { ReadyStep, ReadySteps } from './readySteps.js';
+import type { RoomHolds } from './roomHolds.js';
 import { createReservation, type RunLedger } from './runLedger.js';
 import { explainWait } from './explainWait.js';
 import type { SessionContext } from './sessionContext.js';
@@ -25,6 +27,7 @@
 import { ResumableWalk } from './resumableWalk.js';
 import { splitRestarts } from './splitRestarts.js';
 import { orderSteps } from './stepOrder.js';
+import { listUsableEndpoints, type UsableEndpoint } from './usableEndpoints.js';
 import type { StartedRun } from './workflowCommand.js';
 
 /** A planned start of a run. */
@@ -52,6 +55,7 @@
   context: SessionContext;
   ready: ReadySteps;
   ledger: RunLedger;
+  holds: RoomHolds;
   directory: EndpointDirectory;
   durations: DurationEstimator;
   broker: AdviceBroker;
@@ -69,9 +73,6 @@
   outcome: 'blocked' | 'unplaced' | 'placed';
 }
 
-/** Load that a run of a suspected task counts for another one, so that they are kept apart. */
-const SUSPECT_LOAD = 20;
-
 /** Maximum age of the list of available endpoints. */
 const CANDIDATES_MAX_AGE_MS = 20;
 
@@ -82,6 +83,7 @@
 export class StepScheduler {
   private readonly opts: StepSchedulerOptions;
   private readonly ticketProvider: TicketProvider;
+  private readonly room: PlacementRoom;
   private readonly blocked: BlockedSteps;
   private readonly restartsWalk = new ResumableWalk();
   private readonly waitingWalk = new ResumableWalk();
@@ -98,8 +100,11 @@
 
   constructor(opts: StepSchedulerOptions) {
     this.opts = opts;
-    const { context, ledger, broker, onAdvice } = opts;
+    const { context, ledger, broker, quarantine, holds, onAdvice } = opts;
     this.ticketProvider = new TicketProvider({ context, ledger, broker, onAdvice });
+    const countFailures = (step: string, endpoint: string): number =>
+      this.failures.get(step)?.get(endpoint) ?? 0;
+    this.room = new PlacementRoom({ ledger, quarantine, holds, countFailures });
     this.blocked = new BlockedSteps(ledger);
   }
 
@@ -142,6 +147,7 @@
   forgetStep(step: string): void {
     this.rejections.forgetStep(step);
     this.ticketProvider.forgetStep(step);
+    this.opts.holds.release(step);
     this.failures.delete(step);
     this.evaluations.delete(step);
   }
@@ -163,6 +169,7 @@
     const planned: PlannedStart[] = [];
     const startMs = performance.now();
     this.dropOutdatedCandidates();
+    this.expireHolds(startMs);
     const { turnMs } = this.opts.context.timing;
     const weights = new Map(config.organisations.map(({ name, weight }) => [name, weight]));
     const place = (ready: ReadyStep): void => {
@@ -186,6 +193,19 @@
     return { planned, isComplete: hasPlacedRestarts && hasPlacedOthers };
   }
 
+  /**
+   * Returns the endpoints that could start tasks of a step now if they had room for them, with the
+   * number of further tasks that the step permits on each.
+   *
+   * @param leadMs - Time for which tickets have to remain valid.
+   */
+  listUsable(ready: ReadyStep, queue: QueuePolicy, leadMs: number): UsableEndpoint[] {
+    const { ledger, quarantine } = this.opts;
+    const tickets = queue.advice ? this.ticketProvider.ticketsOf(ready.name) : undefined;
+    const conditions = { tickets, leadMs, rejections: this.rejections, quarantine, ledger };
+    return listUsableEndpoints(ready, this.listCandidates(queue).values(), conditions);
+  }
+
   /** Requests tickets for a step before it can start. */
   prefetch(step: ReadyStep, queue: QueuePolicy): void {
     if (!queue.advice) return;
@@ -197,13 +217,15 @@
   explain(ready: ReadyStep, config: CellConfig): Record<string, unknown> {
     const queue = config.queues.find(({ name }) => name === ready.job.queue);
     if (!queue) return { reason: 'the queue is no longer configured' };
-    const { directory, ledger } = this.opts;
+    const { directory } = this.opts;
     const candidates = [...this.listCandidates(queue).values()];
     const usage = this.createUsage(ready, config);
+    const held = this.opts.holds.listOf(ready.name, performance.now()).length;
     const tickets = this.ticketProvider.ticketsOf(ready.name);
     const evaluation = this.evaluations.get(ready.name);
     return {
-      ...explainWait({ ready, queue, candidates, usage, tickets, directory, ledger }),
+      ...explainWait({ ready, queue, candidates, usage, tickets, directory, room: this.room }),
+      held,
       suspects: this.opts.quarantine.listSuspects(ready).size,
       evaluatedAgoMs: evaluation && Math.round(performance.now() - evaluation.atMs),
       outcome: evaluation?.outcome,
@@ -216,17 +238,16 @@
     queue: QueuePolicy,
     config: CellConfig,
   ): PlannedStart[] {
-    const { ledger } = this.opts;
-    const { spec, job } = ready;
+    const { priority } = queue;
     const limit = this.findLimit(ready, config);
     const candidates = this.listCandidates(queue);
     const conditions: PlacementConditions = {
       step: ready,
       tickets: queue.advice ? this.ticketProvider.ticketsOf(ready.name) : undefined,
-      isWithinLimit: !limit || ledger.isWithinLimit(job.organisation, limit, spec.size),
+      isWithinLimit: this.room.isWithinLimit({ step: ready, priority, limit }),
       hasCapacity: (id) => {
         const candidate = candidates.get(id);
-        return candidate !== undefined && this.hasCapacity(candidate, spec);
+        return candidate !== undefined && this.room.hasCapacity(candidate, ready, priority);
       },
     };
     const atMs = performance.now();
@@ -249,7 +270,8 @@
     for (const id of tickets?.listValid(nowMs) ?? candidates.keys()) {
       const candidate = candidates.get(id);
       if (!candidate || this.rejections.isDelayed(ready.name, id, nowMs)) continue;
-      if (!tickets || countSlots(ready, candidate, this.opts.ledger) > 0) usable.push(candidate);
+      if (!tickets || this.room.countSlots(ready, candidate, queue.priority) > 0)
+        usable.push(candidate);
     }
     const planned = ready.spec.isGang
       ? this.placeGang(ready, usable, config)
@@ -352,6 +374,7 @@
     const task: TaskRef = { jobId: job.id, occurrence, step, index };
     const key = `${taskName(task)}:${run}`;
     this.reserve(ready, key, endpoint);
+    this.useHold(name, endpoint.id);
     const pending = this.pending.get(name) ?? new Set<number>();
     this.pending.set(name, pending.add(index));
     const isTrial = mode === 'trial';
@@ -368,15 +391,6 @@
     endpoint.cold?.recordStart(key);
   }
 
-  private hasCapacity(candidate: PlacementCandidate, spec: StepSpec): boolean {
-    const { ledger } = this.opts;
-    const { id, cold } = candidate;
-    const capacity = cold
-      ? capacityFor(spec.size, candidate, ledger.runsOn(id).size)
-      : candidate.capacity;
-    return ledger.hasCapacity(id, capacity, spec.size, spec.fillsIdleCapacity);
-  }
-
   private nextRun({ job, occurrence, step }: ReadyStep, index: number): number {
     const record = this.opts.context.state.findStep(job, occurrence, step)?.tasks[index];
     return (record?.lastRun ?? 0) + 1;
@@ -432,28 +446,20 @@
     config: CellConfig,
     mode: PlacementMode = 'open',
   ): PlacementUsage {
-    const { ledger, quarantine } = this.opts;
-    const isTrial = mode === 'trial';
-    const { organisation } = ready.job;
+    const queue = config.queues.find(({ name }) => name === ready.job.queue);
+    const priority = queue?.priority ?? Infinity;
     const limit = this.findLimit(ready, config);
-    const hasCrashed = quarantine.hasCrashed(ready);
-    const isUrgent = config.queues.find(({ name }) => name === ready.job.queue)?.priority === 0;
-    return {
-      fits: (candidate, spec) =>
-        this.hasCapacity(candidate, spec) &&
-        (!candidate.cold || candidate.cold.countStartsLeft() > 0) &&
-        (!limit || ledger.isWithinLimit(organisation, limit, spec.size)) &&
-        (isTrial ? quarantine.isIsolated(candidate.id, ready) : quarantine.isOpen(candidate.id)),
-      failuresOn: ({ id }) => this.failures.get(ready.name)?.get(id) ?? 0,
-      countOn: ({ id }) => ledger.countRuns(ready.name, id),
-      loadOf: ({ id, capacity, cold }) => {
-        const bestEffortCpuMillis = ready.spec.fillsIdleCapacity ? ledger.bestEffortCpuOn(id) : 0;
-        const usedCpuMillis = ledger.usedOn(id).cpuMillis + bestEffortCpuMillis;
-        const suspects = hasCrashed ? quarantine.countSuspects(id) * SUSPECT_LOAD : 0;
-        const trialCost = isTrial || hasCrashed ? quarantine.costOfTrial(id) : 0;
-        const load = usedCpuMillis / Math.max(1, capacity.cpuMillis);
-        return load + suspects + trialCost + coldLoadOf(cold, isUrgent);
-      },
-    };
+    return this.room.createUsage({ step: ready, priority, limit, mode });
+  }
+
+  private expireHolds(nowMs: number): void {
+    const expired = this.opts.holds.removeExpired(nowMs);
+    if (expired.length > 0) this.opts.context.meter.countExpiredHolds(expired.length);
+  }
+
+  private useHold(step: string, endpoint: string): void {
+    const stoppedMs = this.opts.holds.use(step, endpoint)?.stoppedMs;
+    if (stoppedMs === undefined) return;
+    this.opts.context.meter.observeFreedRoomUse(performance.now() - stoppedMs);
   }
 }
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -4,6 +4,7 @@
 import { AdviceBroker } from './adviceBroker.js';
 import { AdvicePrefetcher } from './advicePrefetcher.js';
 import type { CellConfig } from './cellConfig.js';
+import { ConfigReader } from './configReader.js';
 import { createSessionContext } from './createSessionContext.js';
 import { CrashAttribution } from './crashAttribution.js';
 import { CyclePacer } from './cyclePacer.js';
@@ -15,18 +16,20 @@
 import { EvacuationService } from './evacuationService.js';
 import { BestEffortThrottle } from './bestEffortThrottle.js';
 import { JobRetention } from './jobRetention.js';
-import { describeFailure } from './jobFailure.js';
+import { JobCloser } from './jobCloser.js';
 import { JobService } from './jobService.js';
 import { EarlyTrials } from './earlyTrials.js';
 import { EventLoopLag } from './eventLoopLag.js';
-import { parseTaskName, stepName } from './jobSpec.js';
+import { parseTaskName } from './jobSpec.js';
 import { LeadershipMonitor } from './leadershipMonitor.js';
 import { OccurrenceTimers } from './occurrenceTimers.js';
 import { OutcomeRecorder } from './outcomeRecorder.js';
-import { listTasks, ReadySteps } from './readySteps.js';
+import { ReadySteps } from './readySteps.js';
 import { createAgentRun, RunDispatcher, runKey } from './runDispatcher.js';
 import { runInSlices } from './runInSlices.js';
 import { RunAdopter } from './runAdopter.js';
+import { RoomHolds } from './roomHolds.js';
+import { Preemption } from './preemption.js';
 import { RunEnds } from './runEnds.js';
 import { createReservation, RunLedger } from './runLedger.js';
 import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
@@ -57,6 +60,11 @@
   private readonly opts: WorkflowSessionOptions;
   private readonly context: SessionContext;
   private readonly ledger = new RunLedger();
+  private readonly holds = new RoomHolds(
+    (endpoint) => this.ledger.recordUnheld(endpoint),
+    (run) => this.ledger.isStopping(run),
+  );
+
   private readonly durations = new DurationEstimator();
   private readonly health: HealthPolicy;
   private readonly directory: EndpointDirectory;
@@ -68,10 +76,12 @@
   private readonly bestEffortThrottle: BestEffortThrottle;
   private readonly stragglers: StragglerDetector;
   private readonly advice: AdvicePrefetcher;
+  private readonly preemption: Preemption;
   private readonly cyclePacer = new CyclePacer();
   private readonly loopLag = new EventLoopLag(HOUSEKEEPING_INTERVAL_MS);
   private readonly occurrenceTimers = new OccurrenceTimers();
   private readonly retention: JobRetention;
+  private readonly closer: JobCloser;
   private readonly waves: WaveRunner;
   private readonly crashes: CrashAttribution;
   private readonly outcomes: OutcomeRecorder;
@@ -80,7 +90,7 @@
   private readonly outages: ServiceOutages;
   private readonly earlyTrials: EarlyTrials;
   private readonly monitor: LeadershipMonitor;
-  private config: CellConfig | undefined;
+  private readonly configReader: ConfigReader;
   private cycleTimer: NodeJS.Timeout | undefined;
   private housekeepingTimer: NodeJS.Timeout | undefined;
   /** All runs of the previous leader are adopted; nothing is scheduled before. */
@@ -89,6 +99,7 @@
 
   constructor(opts: WorkflowSessionOptions) {
     this.opts = opts;
+    this.configReader = new ConfigReader(opts.state, opts.parseConfig);
     const { logger, meter, electedMs = performance.now() } = opts;
     this.takeover = new TakeoverRecorder(logger, meter, electedMs);
     this.monitor = new LeadershipMonitor({ ...opts, replicatedLog: opts.log, log: logger });
@@ -120,6 +131,7 @@
       quarantine: this.crashes.quarantine,
       ready: this.ready,
       ledger: this.ledger,
+      holds: this.holds,
       directory: this.directory,
       durations: this.durations,
       broker: this.broker,
@@ -162,15 +174,25 @@
       quarantine: this.crashes.quarantine,
       outages: this.outages,
       onChanged: (id) => this.refreshJob(id),
-      onReleased: (job, occurrence) => this.forgetOccurrence(job, occurrence),
+      onReleased: (job, occurrence) => this.closer.closeOccurrence(job, occurrence),
     });
     this.retention = new JobRetention(this.context);
+    this.closer = new JobCloser({
+      context,
+      directory,
+      retention: this.retention,
+      onStepEnded: (name) => this.forgetStep(name),
+    });
     this.stragglers = new StragglerDetector(
       this.context,
       this.directory,
       this.durations,
       this.loopLag,
     );
+    const { ledger, holds } = this;
+    const { quarantine } = this.crashes;
+    const parts = { context, ready, scheduler, directory, durations, ledger, holds, quarantine };
+    this.preemption = new Preemption(parts);
     this.advice = new AdvicePrefetcher({
       context: this.context,
       ready: this.ready,
@@ -185,6 +207,7 @@
     this.endpoints = new EndpointService(this.context, this.directory, {
       onChanged: (id) => {
         this.scheduler.dropTickets(id);
+        this.holds.releaseEndpoint(id);
         const record = this.directory.find(id)?.record;
         if (record) this.crashes.handleRegistration(record);
         this.recheckBlocked();
@@ -235,13 +258,9 @@
     });
   }
 
-  /** Returns the configuration in force, if there is one; parsed again when its version changes. */
+  /** Returns the configuration in force, if there is one. */
   readConfig(): CellConfig | undefined {
-    const { state, parseConfig } = this.opts;
-    if (!state.config) return undefined;
-    const { version, document } = state.config;
-    if (this.config?.version !== version) this.config = parseConfig(document);
-    return this.config;
+    return this.configReader.read();
   }
 
   async onRunsEnded(
@@ -334,30 +353,10 @@
     const job = this.opts.state.jobs.get(id);
     const waitMs = this.ready.refresh(job, id, Date.now());
     this.occurrenceTimers.schedule(id, waitMs, () => this.refreshJob(id));
-    if (job && job.status !== 'open') this.closeJob(job);
+    if (job && job.status !== 'open') this.closer.close(job);
     this.requestCycle();
   }
 
-  /** Stops the remaining runs of a job that has ended. */
-  private closeJob(job: JobRecord): void {
-    if (this.retention.recordEnd(job.id)) {
-      const reason = describeFailure(job);
-      this.opts.logger.info('job ended', { job: job.id, status: job.status, reason });
-      this.opts.meter.countJobEnded(job.status, Date.now() - job.acceptedMs);
-    }
-    for (const { occurrence, step } of job.steps.values()) {
-      this.forgetStep(stepName(job.id, occurrence, step));
-    }
-    for (const { task, record } of listTasks(job)) {
-      for (const { run, endpoint } of record.runs)
-        this.directory.stopRun(endpoint, runKey(task, run));
-    }
-  }
-
-  private forgetOccurrence(job: JobRecord, occurrence: number): void {
-    for (const step of job.spec.steps.keys()) this.forgetStep(stepName(job.id, occurrence, step));
-  }
-
   private forgetStep(name: string): void {
     this.scheduler.forgetStep(name);
     this.crashes.quarantine.forgetStep(name);
@@ -385,6 +384,7 @@
     for (const id of new Set(planned.map(({ task }) => task.jobId))) {
       this.ready.refresh(this.opts.state.jobs.get(id), id, Date.now());
     }
+    this.preemption.run(config);
     this.cyclePacer.recordCycle(performance.now() - startMs);
     if (!isComplete) this.requestCycle();
     if (planned.length === 0) return;
@@ -407,6 +407,7 @@
     this.loopLag.observe();
     if (!this.context.isValid()) return;
     this.earlyTrials.request();
+    this.preemption.clean();
     this.scheduler.recheckBlocked();
     for (const id of this.retention.removeExpired()) this.occurrenceTimers.cancel(id);
     this.endpoints.removeUnresponsive();
