Query the advisor only for what the limit of the organisation admits

Cause: of 448 waits of more than 2 s, 120 were at the organisation's limit, 113 of them with a query in flight whose answer could not be used.

Change: a step whose organisation is at its limit sends no query, and is searched again in the first cycle below the limit. A query is sized by the tasks that the limit still admits.

--- a/packages/tests/src/workflow/simulatedAdvisor.ts
+++ b/packages/tests/src/workflow/simulatedAdvisor.ts
@@ -4,10 +4,20 @@
 /** Time for which an instance waits for a query. */
 const POLL_MS = 1000;
 
+/** Query that an instance has sent. */
+export interface SentQuery extends AdviceQuery {
+  /** Monotonic time. */
+  atMs: number;
+}
+
 /** Advisor that answers the queries of several instances on the fake clock, one at a time each. */
 export class SimulatedAdvisor {
   /** Endpoints of all queries, by step. */
   readonly asked = new Map<string, Set<string>>();
+  /** All queries, in the order in which they were sent. */
+  readonly sent: SentQuery[] = [];
+  /** Instances that take queries and send none. */
+  readonly failed = new Set<string>();
   /** Endpoints that no step may use. */
   readonly unsuitable = new Set<string>();
   /** Additional time until a report reaches the leader. */
@@ -29,10 +39,13 @@
     reports: AdviceReport[],
   ): Promise<void> {
     const query = await broker.exchange(instance, reports, POLL_MS);
+    if (this.failed.has(instance)) return undefined;
     return this.poll(broker, instance, query ? [await this.answer(query)] : []);
   }
 
-  private async answer({ id, step, endpoints }: AdviceQuery): Promise<AdviceReport> {
+  private async answer(query: AdviceQuery): Promise<AdviceReport> {
+    const { id, step, endpoints } = query;
+    this.sent.push({ ...query, atMs: performance.now() });
     const { decideMs, perEndpointMs, validMs } = this.policy;
     const durationMs = decideMs + perEndpointMs * endpoints.length;
     const asked = this.asked.get(step) ?? new Set<string>();
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -6,6 +6,7 @@
 import type { JobSpec, StepSpec } from '@lagoongap/workflow/jobSpec.js';
 import type { ReadyStep } from '@lagoongap/workflow/readySteps.js';
 import type { EndpointRecord, JobRecord } from '@lagoongap/workflow/workflowRecords.js';
+import type { WorkflowFeatures } from '@lagoongap/workflow/workflowFeatures.js';
 import { WorkflowSession } from '@lagoongap/workflow/workflowSession.js';
 import { createJob, WorkflowState } from '@lagoongap/workflow/workflowState.js';
 import {
@@ -105,11 +106,14 @@
 
   private onChecked: (() => void) | undefined;
   private readonly timing: WorkflowTiming;
+  private readonly features: WorkflowFeatures | undefined;
 
   constructor(
     config: Partial<CellConfig['queues'][number]> = {},
     timing: Partial<WorkflowTiming> = {},
+    features?: WorkflowFeatures,
   ) {
+    this.features = features;
     this.timing = { ...DEFAULT_WORKFLOW_TIMING, leaseMs: 5000, maxLeaseMs: 6000, ...timing };
     this.config = {
       version: 1,
@@ -370,6 +374,7 @@
       holder: 'leader',
       parseConfig: () => this.config,
       timing: this.timing,
+      features: this.features,
       logger: this.logger,
       meter: this.meter,
       isValid: () => this.checkValidity(log),
--- a/packages/workflow/src/blockedSteps.ts
+++ b/packages/workflow/src/blockedSteps.ts
@@ -52,6 +52,7 @@
   ): boolean {
     const state = this.states.get(step.name);
     if (!state || state.waitingCount !== step.waiting.length) return false;
+    if (tickets?.isSuspended && !isWithinLimit) return true;
     if (state.ticketVersion !== (tickets?.version ?? 0)) return false;
     if (tickets && nowMs >= tickets.nextSearchMs) return false;
     if (!isWithinLimit) return true;
--- a/packages/workflow/src/ticketCache.ts
+++ b/packages/workflow/src/ticketCache.ts
@@ -39,6 +39,7 @@
   private lastSearchMs = -Infinity;
   private isQueryPending = false;
   private intervalMs = SEARCH_INTERVAL_MS;
+  private isSearchSuspended = false;
 
   /** Version of the cache; increases with each response. */
   get version(): number {
@@ -50,9 +51,20 @@
    * pending, whose response changes the version of the cache.
    */
   get nextSearchMs(): number {
+    if (this.isSearchSuspended) return -Infinity;
     return this.isQueryPending ? Infinity : this.lastSearchMs + this.intervalMs;
   }
 
+  /** Whether no search begins because the organisation is at its limit. */
+  get isSuspended(): boolean {
+    return this.isSearchSuspended;
+  }
+
+  /** Suspends the search while the organisation is at its limit; the next one begins at once. */
+  suspendSearch(): void {
+    this.isSearchSuspended = true;
+  }
+
   /** Records that a query was sent. */
   beginQuery(): void {
     this.isQueryPending = true;
@@ -104,6 +116,7 @@
   tryBeginSearch(): boolean {
     const nowMs = performance.now();
     if (nowMs < this.nextSearchMs) return false;
+    this.isSearchSuspended = false;
     this.lastSearchMs = nowMs;
     this.intervalMs = SEARCH_INTERVAL_MS;
     return true;
--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -1,6 +1,7 @@
 import type { AdviceBroker } from './adviceBroker.js';
 import type { QueuePolicy } from './cellConfig.js';
 import { MovingAverage } from './movingAverage.js';
+import { countAdmitted } from './organisationLimits.js';
 import type { ReadyStep } from './readySteps.js';
 import type { EndpointUsage, RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
@@ -120,6 +121,10 @@
     const { advice } = queue;
     if (!advice || this.pendingSteps.has(ready.name)) return;
     const cache = this.ticketsOf(ready.name);
+    if (this.countWanted(ready) === 0) {
+      cache.suspendSearch();
+      return;
+    }
     if (!cache.tryBeginSearch()) return;
     const endpoints = this.chooseEndpoints(ready, queue, candidates);
     if (endpoints.length === 0) {
@@ -185,7 +190,7 @@
     // Without any free capacity the tickets would expire unused.
     if (free.length === 0 && ledger.usedBy(ready.job.organisation).cpuMillis > 0) return [];
     free.sort((a, b) => b.preference - a.preference);
-    const wanted = ready.waiting.length * SLOTS_PER_TASK;
+    const wanted = this.countWanted(ready) * SLOTS_PER_TASK;
     const endpoints: string[] = [];
     let expectedSlots = 0;
     const limit = (): number =>
@@ -202,6 +207,14 @@
     return endpoints;
   }
 
+  /** Returns how many of the waiting tasks the limit of the organisation still admits. */
+  private countWanted(ready: ReadyStep): number {
+    const { context, ledger } = this.opts;
+    const { length } = ready.waiting;
+    if (!context.features.has('advice-scheduling')) return length;
+    return Math.min(length, countAdmitted(ready, context.readConfig(), ledger));
+  }
+
   private countInFlight(endpoints: string[], change: 1 | -1): void {
     for (const id of endpoints) {
       const count = (this.inFlight.get(id) ?? 0) + change;
