Choose advisor queries when an instance can send them, by slack

Cause: 128 of 448 waits of more than 2 s had free capacity and no ticket, behind 40 to 118 waiting queries whose endpoints were chosen when they were queued, first come, first served.

Change: the broker takes requests that are assembled at their assignment, and drops those that are no longer needed. Within a priority the queue orders by slack, steps that can be in time first, and every fourth query is the oldest. Some instances are kept from long calls, as many as make the largest recent burst of urgent calls within 100 ms. Endpoints are chosen for the waiting tasks that the limit admits, as many as lower the cost of the call per expected start, without capacity that queries of the same or a higher priority are expected to use. Without advice-scheduling the former choice stays in EarlyQueryPlanner.

--- a/packages/tests/features/workflow/adviceScheduling.feature
+++ b/packages/tests/features/workflow/adviceScheduling.feature
@@ -26,3 +26,95 @@
     When a job "a" of 50 tasks of 3000 ms is submitted
     And 600 ms of workflow time pass
     Then no query named more than 12 endpoints
+
+  # Guards against calls for steps that have ended while their query was waiting.
+  Scenario: a query that waits while its job is cancelled is dropped
+    Given an advisor that takes 100 ms and 1 ms per endpoint, queried by 0 instances
+    And 2 workers of 4 cores
+    When a job "a" of 2 tasks of 3000 ms is submitted
+    And job "a" is cancelled
+    And an instance polls for a query for 100 ms
+    Then the instance gets no query
+
+  # Guards against queries about capacity that was taken while the query was waiting.
+  Scenario: the endpoints of a query are those with room when an instance sends it
+    Given an advisor that takes 100 ms and 1 ms per endpoint, queried by 0 instances
+    And 40 workers of 4 cores
+    When a job "a" of 4 tasks of 3000 ms is submitted
+    And 38 tasks of 4 cores start without the advisor
+    And an instance polls for a query for 100 ms
+    Then the instance gets a query about all endpoints with room
+
+  # Guards against the same fault without late binding, which an operator may switch off.
+  Scenario: without advice scheduling, the endpoints are chosen when the query is queued
+    Given an advisor that takes 100 ms and 1 ms per endpoint, queried by 0 instances, without advice scheduling
+    And 40 workers of 4 cores
+    When a job "a" of 4 tasks of 3000 ms is submitted
+    And 38 tasks of 4 cores start without the advisor
+    And an instance polls for a query for 100 ms
+    Then the instance gets a query that misses endpoints with room
+
+  # Guards against a late step that keeps an instance from one that can still be in time.
+  Scenario: within a priority, the least slack goes first, and late steps come last
+    Given an advisor that takes 100 ms and 1 ms per endpoint, queried by 0 instances
+    And 4 workers of 4 cores
+    And the target of the queue is 2 times the duration and 500 ms
+    When a job "late" of 1 tasks of 100 ms is submitted
+    And 2000 ms of workflow time pass
+    And a job "patient" of 1 tasks of 5000 ms is submitted
+    And a job "pressing" of 1 tasks of 200 ms is submitted
+    Then queries are sent for jobs "pressing, patient, late" in this order
+
+  # Guards against late steps that are never queried about while others keep arriving.
+  Scenario: a late step is queried about although steps with less slack keep arriving
+    When 10 late queries wait while others of 50 ms with little slack arrive faster than they are sent
+    Then all late queries were sent within 4000 ms
+
+  # Guards against urgent queries that wait for the end of a long call, which takes up to a second.
+  Scenario: bursts of urgent steps while long steps query: urgent calls find an instance
+    When 60 long queries of 700 ms are kept waiting for 39 instances
+    And bursts of 10 urgent queries of 40 ms arrive every 400 ms for 10000 ms
+    Then 95 % of the urgent queries after the first 1000 ms were sent within 100 ms
+    And long calls got at least 50 % of the time of the instances
+
+  # Guards against instances that stay idle for urgent queries that do not come.
+  Scenario: long steps alone query with all instances
+    When 60 long queries of 700 ms are kept waiting for 39 instances
+    And 5000 ms of workflow time pass
+    Then long calls got at least 97 % of the time of the instances
+
+  # Guards against an idle advisor behind queries that nobody needs any more, and a leader that
+  # assembles all of them at once.
+  Scenario: 118 waiting queries are no longer needed: the next needed one is sent at once
+    When 118 queries wait of which the last one only is needed
+    And an instance polls the broker
+    Then the instance gets the last query at once
+
+  # Guards against a step that waits for its next query although its tickets are for full endpoints.
+  Scenario: all capacity is taken between question and answer: the step queries about other endpoints
+    Given an advisor that takes 100 ms and 1 ms per endpoint, queried by 2 instances
+    And 4 workers of 4 cores
+    When a job "a" of 4 tasks of 300 ms is submitted
+    And all capacity is taken by other tasks while the query is in flight
+    And 4 workers of 4 cores
+    And 500 ms of workflow time pass
+    Then job "a" has 4 runs
+
+  # Guards against steps that wait for the deadline of every query of a failed instance.
+  Scenario: an instance fails with a query: another one sends it, with the endpoints of that moment
+    Given an advisor that takes 100 ms and 1 ms per endpoint, queried by 2 instances
+    And 2 workers of 4 cores
+    And instance "i0" fails with its next query
+    When a job "a" of 2 tasks of 3000 ms is submitted
+    And 1000 ms of workflow time pass
+    Then job "a" has 2 runs
+
+  # Guards against queries of the former leader that keep the next one from its own.
+  Scenario: the leader changes while queries wait and are in flight
+    Given an advisor that takes 100 ms and 1 ms per endpoint, queried by 2 instances
+    And 10 workers of 4 cores
+    When 10 jobs of 4 tasks of 60000 ms are submitted at once
+    And the workflow leader changes
+    And 2 instances query the advisor for the new leader
+    And 2500 ms of workflow time pass
+    Then at least 40 runs were started
--- a/packages/tests/src/steps/workflow/capacitySteps.ts
+++ b/packages/tests/src/steps/workflow/capacitySteps.ts
@@ -4,7 +4,7 @@
 
 import { subtractResources, type Resources } from '@lagoongap/model/resources.js';
 import { RunLedger } from '@lagoongap/workflow/runLedger.js';
-import { countSlots } from '@lagoongap/workflow/ticketProvider.js';
+import { countSlots } from '@lagoongap/workflow/endpointSlots.js';
 
 import { createReadyStep, createStep, type WorkflowWorld } from '../../workflow/workflowWorld.js';
 
--- a/packages/tests/src/workflow/simulatedAdvisor.ts
+++ b/packages/tests/src/workflow/simulatedAdvisor.ts
@@ -1,3 +1,5 @@
+import { createHash } from 'node:crypto';
+
 import type { AdviceBroker, AdviceQuery, AdviceReport } from '@lagoongap/workflow/adviceBroker.js';
 import type { AdvicePolicy } from '@lagoongap/workflow/cellConfig.js';
 
@@ -10,6 +12,10 @@
   atMs: number;
 }
 
+function findByPrefix<T>(values: ReadonlyMap<string, T>, step: string): T | undefined {
+  return [...values].find(([prefix]) => step.startsWith(prefix))?.[1];
+}
+
 /** Advisor that answers the queries of several instances on the fake clock, one at a time each. */
 export class SimulatedAdvisor {
   /** Endpoints of all queries, by step. */
@@ -20,6 +26,10 @@
   readonly failed = new Set<string>();
   /** Endpoints that no step may use. */
   readonly unsuitable = new Set<string>();
+  /** Latency and validity for the steps of the jobs whose id begins with a prefix. */
+  readonly policies = new Map<string, AdvicePolicy>();
+  /** Share of the endpoints that a step may use, by prefix of the id of its job; by default all. */
+  readonly suitableShares = new Map<string, number>();
   /** Additional time until a report reaches the leader. */
   reportDelayMs = 0;
   private readonly policy: AdvicePolicy;
@@ -46,7 +56,7 @@
   private async answer(query: AdviceQuery): Promise<AdviceReport> {
     const { id, step, endpoints } = query;
     this.sent.push({ ...query, atMs: performance.now() });
-    const { decideMs, perEndpointMs, validMs } = this.policy;
+    const { decideMs, perEndpointMs, validMs } = findByPrefix(this.policies, step) ?? this.policy;
     const durationMs = decideMs + perEndpointMs * endpoints.length;
     const asked = this.asked.get(step) ?? new Set<string>();
     for (const endpoint of endpoints) asked.add(endpoint);
@@ -55,8 +65,15 @@
       setTimeout(resolve, durationMs + this.reportDelayMs);
     });
     const good = endpoints
-      .filter((endpoint) => !this.unsuitable.has(endpoint))
+      .filter((endpoint) => !this.unsuitable.has(endpoint) && this.isSuitable(step, endpoint))
       .map((endpoint) => ({ endpoint, ticket: `${step} ${endpoint}` }));
     return { id, good, durationMs, validMs };
   }
+
+  /** Decides by a hash, so that an answer does not change. */
+  private isSuitable(step: string, endpoint: string): boolean {
+    const share = findByPrefix(this.suitableShares, step) ?? 1;
+    const digest = createHash('md5').update(`${step} ${endpoint}`).digest();
+    return digest.readUInt32BE() < share * 2 ** 32;
+  }
 }
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -154,6 +154,12 @@
     this.config.organisations[0]!.limit = { ...NO_RESOURCES, cpuMillis: cores * CORE_CPU_MILLIS };
   }
 
+  /** Adds an organisation, with a limit on its processor time in cores; 0 for none. */
+  addOrganisation(name: string, key: string, cores: number): void {
+    const limit = { ...NO_RESOURCES, cpuMillis: cores * CORE_CPU_MILLIS };
+    this.config.organisations.push({ name, keys: [key], weight: 1, limit });
+  }
+
   async addWorkers(
     count: number,
     cores: number,
--- a/packages/workflow/src/readySteps.ts
+++ b/packages/workflow/src/readySteps.ts
@@ -89,6 +89,11 @@
     return this.steps.size;
   }
 
+  /** Returns a step by its name if it has waiting tasks. */
+  find(name: string): ReadyStep | undefined {
+    return this.steps.get(name);
+  }
+
   /** Returns whether a step still has waiting tasks. */
   has(name: string): boolean {
     return this.steps.has(name);
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -1,7 +1,8 @@
 import type { Resources } from '@lagoongap/model/resources.js';
 
 import type { AdviceBroker } from './adviceBroker.js';
-import { countSlots, TicketProvider, type FleetCandidate } from './ticketProvider.js';
+import { countSlots, type FleetCandidate } from './endpointSlots.js';
+import { TicketProvider } from './ticketProvider.js';
 import { BlockedSteps, type PlacementConditions } from './blockedSteps.js';
 import type { CellConfig, QueuePolicy } from './cellConfig.js';
 import type { EndpointAgent } from './endpointAgent.js';
@@ -95,8 +96,17 @@
 
   constructor(opts: StepSchedulerOptions) {
     this.opts = opts;
-    const { context, ledger, broker, onAdvice } = opts;
-    this.ticketProvider = new TicketProvider({ context, ledger, broker, onAdvice });
+    const { context, ledger, broker, ready, quarantine, onAdvice } = opts;
+    this.ticketProvider = new TicketProvider({
+      context,
+      ledger,
+      broker,
+      ready,
+      listCandidates: (queue) => this.listRecentCandidates(queue),
+      canPlace: (step, id) =>
+        !this.rejections.isDelayed(step, id, performance.now()) && quarantine.isOpen(id),
+      onAdvice,
+    });
     this.blocked = new BlockedSteps(ledger);
   }
 
@@ -185,9 +195,7 @@
 
   /** Requests tickets for a step before it can start. */
   prefetch(step: ReadyStep, queue: QueuePolicy): void {
-    if (!queue.advice) return;
-    this.dropOutdatedCandidates();
-    this.ticketProvider.query(step, queue, this.listCandidates(queue));
+    this.ticketProvider.query(step, queue, true);
   }
 
   /** Returns log fields that explain why the tasks of a step wait. */
@@ -266,7 +274,7 @@
       ? this.placeGang(ready, usable, config)
       : this.placeTasks(ready, usable, config);
     for (const start of planned) start.ticket = tickets?.find(start.endpoint, nowMs);
-    if (planned.length < ready.waiting.length) this.ticketProvider.query(ready, queue, candidates);
+    if (planned.length < ready.waiting.length) this.ticketProvider.query(ready, queue);
     return planned;
   }
 
@@ -403,6 +411,11 @@
     return candidates;
   }
 
+  private listRecentCandidates(queue: QueuePolicy): Map<string, FleetCandidate> {
+    this.dropOutdatedCandidates();
+    return this.listCandidates(queue);
+  }
+
   private dropOutdatedCandidates(): void {
     const { version } = this.opts.directory;
     const nowMs = performance.now();
--- a/packages/workflow/src/ticketCache.ts
+++ b/packages/workflow/src/ticketCache.ts
@@ -35,6 +35,7 @@
   private readonly tickets = new Map<string, CachedTicket>();
   /** Whether the endpoint may run the step, by endpoint. */
   private readonly suitability = new Map<string, boolean>();
+  private suitableCount = 0;
   private responseCount = 0;
   private lastSearchMs = -Infinity;
   private isQueryPending = false;
@@ -82,6 +83,7 @@
       if (!this.suitability.has(endpoint)) this.suitability.set(endpoint, false);
     }
     for (const { endpoint, ticket } of good) {
+      if (!this.suitability.get(endpoint)) this.suitableCount += 1;
       this.suitability.set(endpoint, true);
       this.tickets.set(endpoint, { ticket, expiresMs });
     }
@@ -132,6 +134,19 @@
     return (this.tickets.get(endpoint)?.expiresMs ?? 0) > nowMs + marginMs;
   }
 
+  /** Returns whether a ticket is cached that a start order at `nowMs` can still use. */
+  isValid(endpoint: string, nowMs: number): boolean {
+    return this.isFresh(endpoint, nowMs, DISPATCH_MARGIN_MS);
+  }
+
+  /** Counts the endpoints whose suitability is known. */
+  countKnown(): { suitable: number; unsuitable: number } {
+    return {
+      suitable: this.suitableCount,
+      unsuitable: this.suitability.size - this.suitableCount,
+    };
+  }
+
   /** Returns the cached suitability of an endpoint. */
   suitabilityOf(endpoint: string): 'suitable' | 'unsuitable' | 'unknown' {
     const isSuitable = this.suitability.get(endpoint);
--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -1,11 +1,15 @@
-import type { AdviceBroker } from './adviceBroker.js';
+import type { AdviceBroker, AdviceOutcome } from './adviceBroker.js';
 import type { QueuePolicy } from './cellConfig.js';
-import { MovingAverage } from './movingAverage.js';
-import { countAdmitted } from './organisationLimits.js';
-import type { ReadyStep } from './readySteps.js';
-import type { EndpointUsage, RunLedger } from './runLedger.js';
+import { EarlyQueryPlanner } from './earlyQueryPlanner.js';
+import type { FleetCandidate } from './endpointSlots.js';
+import type { DurationReader } from './jobSlack.js';
+import { LateQueryPlanner } from './lateQueryPlanner.js';
+import type { OmissionReason, QueryPlanner } from './queryPlanner.js';
+import type { ReadyStep, ReadySteps } from './readySteps.js';
+import type { RoomHolds } from './roomHolds.js';
+import type { RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
-import type { PlacementCandidate } from './stepPlacer.js';
+import { readUrgency, type StepUrgency } from './stepUrgency.js';
 import { TicketCache } from './ticketCache.js';
 
 /** Options of a {@link TicketProvider}. */
@@ -13,65 +17,55 @@
   context: SessionContext;
   ledger: RunLedger;
   broker: AdviceBroker;
+  ready: ReadySteps;
+  /** Returns the endpoints of a queue's pool that are available now. */
+  listCandidates: (queue: QueuePolicy) => ReadonlyMap<string, FleetCandidate>;
+  /** Returns whether the scheduler may place a task of a step on an endpoint with room now. */
+  canPlace: (step: string, endpoint: string) => boolean;
+  /** Room that is kept for other steps. */
+  holds?: RoomHolds;
+  /** Returns the expected duration of a task; by default the submitted one. */
+  readDurationMs?: DurationReader;
   /** Called on a response from the advisor, as another scheduling cycle may place more tasks. */
   onAdvice: () => void;
 }
 
-/** Remaining validity below which a ticket is renewed ahead of use. */
-const RENEWAL_MARGIN_MS = 600;
-
-const MAX_ENDPOINTS_PER_QUERY = 100;
-
-/** Share of suitable endpoints assumed before the first response. */
-const INITIAL_SUITABLE_SHARE = 0.5;
-
-/** Expected slots requested per waiting task, so that endpoints that fill up can be skipped. */
-const SLOTS_PER_TASK = 2;
-
-/** Minimum that spreads the large fixed cost of a query over several endpoints. */
-const MIN_ENDPOINTS_PER_QUERY = 8;
-
 /** Priority of queries for restarts of service tasks; lower than that of any queue. */
 const RESTART_PRIORITY = Number.MIN_SAFE_INTEGER;
 
-/** Placement candidate with its usage, which is updated in place. */
-export interface FleetCandidate extends PlacementCandidate {
-  usage: EndpointUsage;
-}
-
-/** Returns how many times `need` fits into `free`, which is negative after capacity has shrunk. */
-function countFits(free: number, need: number): number {
-  if (free < Math.max(0, need)) return 0;
-  return need > 0 ? Math.floor(free / need) : Number.MAX_SAFE_INTEGER;
-}
-
-/** Returns how many more tasks of a step an endpoint can run, given its capacity and the limit. */
-export function countSlots(
-  { name, spec: { taskCount, maxPerEndpoint, size, fillsIdleCapacity } }: ReadyStep,
-  { id, capacity, usage: { used } }: FleetCandidate,
-  ledger: RunLedger,
-): number {
-  let slots = maxPerEndpoint > 0 ? maxPerEndpoint : taskCount;
-  const cpuMillis = fillsIdleCapacity ? 0 : size.cpuMillis;
-  slots = Math.min(slots, countFits(capacity.cpuMillis - used.cpuMillis, cpuMillis));
-  slots = Math.min(slots, countFits(capacity.memoryMib - used.memoryMib, size.memoryMib));
-  slots = Math.min(slots, countFits(capacity.accelerators - used.accelerators, size.accelerators));
-  if (slots === 0 || maxPerEndpoint === 0) return slots;
-  return Math.min(slots, Math.max(0, maxPerEndpoint - ledger.countRuns(name, id)));
+/** Request for a query about a step, until its outcome. */
+interface StepRequest {
+  /** The step as it was when the request was made or last confirmed. */
+  step: ReadyStep;
+  queue: QueuePolicy;
+  /** Tickets of the step, which may have ended since. */
+  cache: TicketCache;
+  priority: number;
+  /** The step cannot start yet. */
+  isAhead: boolean;
+  /** Monotonic time. */
+  startMs: number;
+  urgency?: StepUrgency;
+  /** Why the last assembly chose no endpoints. */
+  omitted?: OmissionReason;
 }
 
 /** Queries the advisor for endpoints that may run a step, and caches the tickets it returns. */
 export class TicketProvider {
   private readonly opts: TicketProviderOptions;
+  private readonly planner: QueryPlanner;
   private readonly caches = new Map<string, TicketCache>();
-  /** Monotonic time of the query in flight, by step. */
-  private readonly pendingSteps = new Map<string, number>();
-  /** Number of queries in flight by endpoint. */
-  private readonly inFlight = new Map<string, number>();
-  private readonly suitableShares = new Map<string, MovingAverage>();
+  /** Request in progress, by step. */
+  private readonly requests = new Map<string, StepRequest>();
+  /** Why no query was sent at the last attempt, by step. */
+  private readonly omissions = new Map<string, OmissionReason>();
 
   constructor(opts: TicketProviderOptions) {
     this.opts = opts;
+    const { context, ledger, canPlace, holds } = opts;
+    this.planner = context.features.has('advice-scheduling')
+      ? new LateQueryPlanner({ context, ledger, canPlace, holds })
+      : new EarlyQueryPlanner(ledger);
   }
 
   /** Returns the ticket cache of a step. */
@@ -92,12 +86,16 @@
   /** Returns log fields about the query for a step and the queries before it. */
   explain(step: string): Record<string, unknown> {
     const { broker } = this.opts;
-    const sinceMs = this.pendingSteps.get(step);
+    const request = this.requests.get(step);
+    const nowMs = performance.now();
     return {
-      isAsking: sinceMs !== undefined,
-      queryAgeMs: sinceMs !== undefined ? Math.round(performance.now() - sinceMs) : undefined,
-      isQueryAssigned: sinceMs !== undefined ? broker.isAssigned(step) : undefined,
+      isAsking: request !== undefined,
+      queryAgeMs: request && Math.round(nowMs - request.startMs),
+      isQueryAssigned: request && broker.isAssigned(step),
+      querySlackMs: request?.urgency && Math.round(request.urgency.latestStartMs - nowMs),
+      queryOmitted: this.omissions.get(step),
       questions: broker.backlog,
+      assignedQuestions: broker.assignedCount,
       oldestQuestionMs: Math.round(broker.oldestAgeMs),
     };
   }
@@ -105,6 +103,9 @@
   /** Deletes the cached tickets of a step that has ended. */
   forgetStep(step: string): void {
     this.caches.delete(step);
+    this.omissions.delete(step);
+    this.planner.forgetStep(step);
+    this.opts.broker.cancel(step);
   }
 
   /** Deletes the tickets of an endpoint that has restarted or rejected one. */
@@ -112,123 +113,105 @@
     for (const cache of this.caches.values()) cache.drop(endpoint);
   }
 
-  /** Queries the advisor about the endpoints that are most likely to be used next. */
-  query(
-    ready: ReadyStep,
-    queue: QueuePolicy,
-    candidates: ReadonlyMap<string, FleetCandidate>,
-  ): void {
-    const { advice } = queue;
-    if (!advice || this.pendingSteps.has(ready.name)) return;
-    const cache = this.ticketsOf(ready.name);
-    if (this.countWanted(ready) === 0) {
+  /** Requests a query about a step, unless there is a request, or nothing to query about. */
+  query(step: ReadyStep, queue: QueuePolicy, isAhead = false): void {
+    if (!queue.advice) return;
+    const known = this.requests.get(step.name);
+    if (known) {
+      known.isAhead &&= isAhead;
+      return;
+    }
+    const cache = this.ticketsOf(step.name);
+    if (this.planner.isAtLimit(step)) {
+      this.omissions.set(step.name, 'at-limit');
       cache.suspendSearch();
       return;
     }
     if (!cache.tryBeginSearch()) return;
-    const endpoints = this.chooseEndpoints(ready, queue, candidates);
-    if (endpoints.length === 0) {
-      cache.backOff();
+    const priority = step.isRestart ? RESTART_PRIORITY : queue.priority;
+    const startMs = performance.now();
+    const request: StepRequest = { step, queue, cache, priority, isAhead, startMs };
+    if (this.planner.isLate) {
+      request.urgency = readUrgency(step, queue, this.opts.readDurationMs);
+      this.send(request, this.planner.expectedCallMs(queue), () => this.assemble(request));
       return;
     }
-    const { broker, context, onAdvice } = this.opts;
-    const startMs = performance.now();
-    this.pendingSteps.set(ready.name, startMs);
+    const endpoints = this.assemble(request);
+    if (endpoints.length === 0) return;
+    const { decideMs, perEndpointMs } = queue.advice;
+    this.send(request, decideMs + perEndpointMs * endpoints.length, () => endpoints);
+  }
+
+  private send(request: StepRequest, callMs: number, assemble: () => string[]): void {
+    const { broker, context } = this.opts;
+    const { priority, urgency, queue, cache } = request;
+    const step = request.step.name;
+    this.requests.set(step, request);
     cache.beginQuery();
-    this.countInFlight(endpoints, 1);
     broker
-      .query(ready.name, endpoints, advice, ready.isRestart ? RESTART_PRIORITY : queue.priority)
-      .finally(() => {
-        this.pendingSteps.delete(ready.name);
-        cache.endQuery();
-        this.countInFlight(endpoints, -1);
-      })
-      .then((response) => {
-        context.meter.countAdvice(response !== undefined, performance.now() - startMs);
-        if (!response) return;
-        const share = this.suitableShareOf(queue.name);
-        const good = new Set(response.good.map(({ endpoint }) => endpoint));
-        for (const id of endpoints) {
-          if (cache.suitabilityOf(id) === 'unknown') share.add(good.has(id) ? 1 : 0);
-        }
-        cache.record(response);
-        onAdvice();
-      })
+      .query({ step, priority, callMs, urgency, policy: queue.advice!, assemble })
+      .then((outcome) => this.settle(request, outcome))
       .catch((err: Error) => {
-        context.logger.warn('advisor query failed', { step: ready.name, err: err.message });
+        context.logger.warn('advisor query failed', { step, err: err.message });
       });
   }
 
-  private chooseEndpoints(
-    ready: ReadyStep,
-    queue: QueuePolicy,
-    candidates: ReadonlyMap<string, FleetCandidate>,
-  ): string[] {
-    const { ledger } = this.opts;
-    const { spec } = ready;
-    const cache = this.ticketsOf(ready.name);
-    const nowMs = performance.now();
-    const share = this.suitableShareOf(queue.name).value;
-    const isUseful = ({ id, labels }: FleetCandidate): boolean =>
-      (spec.requiredLabel === '' || labels.includes(spec.requiredLabel)) &&
-      cache.suitabilityOf(id) !== 'unsuitable' &&
-      !cache.isFresh(id, nowMs, RENEWAL_MARGIN_MS);
-    const free: { id: string; expected: number; preference: number }[] = [];
-    const full: FleetCandidate[] = [];
-    for (const candidate of candidates.values()) {
-      const slots = countSlots(ready, candidate, ledger);
-      if (slots === 0) {
-        full.push(candidate);
-      } else if (isUseful(candidate)) {
-        const { id } = candidate;
-        const expected = slots * (cache.suitabilityOf(id) === 'suitable' ? 1 : share);
-        // Other steps may get tickets for the same slots, so that queries should spread.
-        const preference = expected / (1 + (this.inFlight.get(id) ?? 0));
-        free.push({ id, expected, preference });
-      }
-    }
-    // Without any free capacity the tickets would expire unused.
-    if (free.length === 0 && ledger.usedBy(ready.job.organisation).cpuMillis > 0) return [];
-    free.sort((a, b) => b.preference - a.preference);
-    const wanted = this.countWanted(ready) * SLOTS_PER_TASK;
-    const endpoints: string[] = [];
-    let expectedSlots = 0;
-    const limit = (): number =>
-      expectedSlots >= wanted ? MIN_ENDPOINTS_PER_QUERY : MAX_ENDPOINTS_PER_QUERY;
-    for (const { id, expected } of free) {
-      if (endpoints.length >= limit()) return endpoints;
-      endpoints.push(id);
-      expectedSlots += expected;
+  /** Returns the endpoints to query about now; none if no query is needed. */
+  private assemble(request: StepRequest): string[] {
+    const step = this.findCurrent(request);
+    const chosen = step ? this.plan(step, request) : 'not-waiting';
+    if (typeof chosen !== 'string') {
+      this.omissions.delete(request.step.name);
+      return chosen;
     }
-    for (const candidate of full) {
-      if (endpoints.length >= limit()) break;
-      if (isUseful(candidate)) endpoints.push(candidate.id);
+    request.omitted = chosen;
+    if (!step) return [];
+    this.omissions.set(step.name, chosen);
+    if (chosen === 'at-limit' && this.planner.isAtLimit(step)) {
+      request.cache.suspendSearch();
+    } else if (chosen === 'no-room') {
+      request.cache.backOff();
     }
-    return endpoints;
+    return [];
   }
 
-  /** Returns how many of the waiting tasks the limit of the organisation still admits. */
-  private countWanted(ready: ReadyStep): number {
-    const { context, ledger } = this.opts;
-    const { length } = ready.waiting;
-    if (!context.features.has('advice-scheduling')) return length;
-    return Math.min(length, countAdmitted(ready, context.readConfig(), ledger));
+  private plan(
+    step: ReadyStep,
+    { queue, cache, priority }: StepRequest,
+  ): string[] | OmissionReason {
+    const { context, listCandidates } = this.opts;
+    try {
+      return this.planner.plan({ step, queue, candidates: listCandidates(queue), cache, priority });
+    } catch (err) {
+      const { message } = err as Error;
+      context.logger.error('query was not assembled', { step: step.name, err: message });
+      return 'failed';
+    }
   }
 
-  private countInFlight(endpoints: string[], change: 1 | -1): void {
-    for (const id of endpoints) {
-      const count = (this.inFlight.get(id) ?? 0) + change;
-      if (count > 0) this.inFlight.set(id, count);
-      else this.inFlight.delete(id);
-    }
+  /** Returns the step as it is now, or undefined if no task of it waits any more. */
+  private findCurrent({ step, isAhead }: StepRequest): ReadyStep | undefined {
+    const { ready, context } = this.opts;
+    const current = ready.find(step.name);
+    if (current || !isAhead) return current;
+    // The job of the first step is not in the state until its submission is committed.
+    const job = context.state.jobs.get(step.job.id);
+    if (!job) return step;
+    const hasStarted = context.state.findStep(job, step.occurrence, step.step) !== undefined;
+    return job.status === 'open' && !hasStarted ? step : undefined;
   }
 
-  private suitableShareOf(queue: string): MovingAverage {
-    let share = this.suitableShares.get(queue);
-    if (!share) {
-      share = new MovingAverage(INITIAL_SUITABLE_SHARE);
-      this.suitableShares.set(queue, share);
-    }
-    return share;
+  private settle(request: StepRequest, outcome: AdviceOutcome): void {
+    const { context, listCandidates, onAdvice } = this.opts;
+    const { step, queue, cache, startMs } = request;
+    const response = outcome.type === 'answered' ? outcome.response : undefined;
+    this.requests.delete(step.name);
+    cache.endQuery();
+    this.planner.settle({ step, queue, candidates: listCandidates(queue), cache }, response);
+    if (outcome.type === 'dropped') return;
+    context.meter.countAdvice(response !== undefined, performance.now() - startMs);
+    if (!response) return;
+    cache.record(response);
+    onAdvice();
   }
 }
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -1,6 +1,7 @@
 import { EjectingHealthPolicy } from '@lagoongap/routing/ejectingHealthPolicy.js';
 import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 
+import { AdviceAdmission } from './adviceAdmission.js';
 import { AdviceBroker } from './adviceBroker.js';
 import { AdvicePrefetcher } from './advicePrefetcher.js';
 import type { CellConfig } from './cellConfig.js';
@@ -95,7 +96,11 @@
       isDisposed: () => this.isDisposed,
       readConfig: () => this.readConfig(),
     });
-    this.broker = new AdviceBroker(opts.log.term);
+    const schedulesAdvice = this.context.features.has('advice-scheduling');
+    this.broker = new AdviceBroker(
+      opts.log.term,
+      schedulesAdvice ? new AdviceAdmission() : undefined,
+    );
     this.health = new EjectingHealthPolicy({
       onTransition: ({ endpointId: endpoint, ...change }) =>
         logger.info('endpoint health changed', { endpoint, ...change }),
