Recognise bursts of advisor queries by the time of their requests

Cause: requests that are repeated and dropped while no endpoint has room counted as urgent load, and kept long calls from up to half of the instances. Room reserved for other steps counted as covered.

Change: a call counts once it begins, in the burst of its request. Tickets for endpoints whose room is reserved for others do not cover tasks.

--- a/packages/workflow/src/adviceAdmission.ts
+++ b/packages/workflow/src/adviceAdmission.ts
@@ -15,6 +15,8 @@
   burstMs: number;
   /** Largest recent `burstMs`, decaying. */
   peakMs: number;
+  /** Monotonic time of the latest request among the calls. */
+  requestedMs: number;
   /** Monotonic time of the last update. */
   atMs: number;
 }
@@ -56,20 +58,21 @@
     this.polledMs.set(instance, performance.now());
   }
 
-  /** Records that a call is requested. */
-  recordRequest({ priority, callMs }: AdviceCall): void {
-    const load = this.readLoad(priority);
-    load.sumMs += callMs;
+  /**
+   * Records a call that begins. Bursts are recognised by the time of the request, however long it
+   * waited; requests that are dropped do not count.
+   */
+  begin(id: number, call: AdviceCall, requestedMs: number): void {
+    this.calls.set(id, call);
+    const load = this.readLoad(call.priority);
+    load.sumMs += call.callMs;
     load.count += 1;
-    load.burstMs += callMs;
+    const pauseMs = Math.max(0, requestedMs - load.requestedMs);
+    load.requestedMs = Math.max(requestedMs, load.requestedMs);
+    load.burstMs = load.burstMs * Math.exp(-pauseMs / BURST_DELAY_MS) + call.callMs;
     load.peakMs = Math.max(load.peakMs, load.burstMs);
   }
 
-  /** Records a call that begins. */
-  begin(id: number, call: AdviceCall): void {
-    this.calls.set(id, call);
-  }
-
   /** Records that a call has ended or its instance has failed. */
   end(id: number): void {
     this.calls.delete(id);
@@ -118,14 +121,13 @@
     const nowMs = performance.now();
     let load = this.loads.get(priority);
     if (!load) {
-      load = { sumMs: 0, count: 0, burstMs: 0, peakMs: 0, atMs: nowMs };
+      load = { sumMs: 0, count: 0, burstMs: 0, peakMs: 0, requestedMs: 0, atMs: nowMs };
       this.loads.set(priority, load);
     }
     const decay = Math.exp((load.atMs - nowMs) / LOAD_WINDOW_MS);
     load.sumMs *= decay;
     load.count *= decay;
     load.peakMs *= decay;
-    load.burstMs *= Math.exp((load.atMs - nowMs) / BURST_DELAY_MS);
     load.atMs = nowMs;
     return load;
   }
--- a/packages/workflow/src/adviceBroker.ts
+++ b/packages/workflow/src/adviceBroker.ts
@@ -136,7 +136,6 @@
 
   /** Resolves with the outcome of a request. */
   query(request: AdviceRequest): Promise<AdviceOutcome> {
-    this.admission?.recordRequest(request);
     return new Promise((resolve) => {
       const queuedMs = performance.now();
       this.waiting.add({ ...request, resolve, queuedMs, assignments: new Map() });
@@ -252,7 +251,7 @@
     pending.assignments.set(query.id, { atMs: performance.now(), endpoints: query.endpoints });
     pending.deadline = setTimeout(() => this.handleTimeout(query.id), query.timeoutMs);
     this.assigned.set(query.id, pending);
-    this.admission?.begin(query.id, { priority, callMs });
+    this.admission?.begin(query.id, { priority, callMs }, pending.queuedMs);
     return query;
   }
 
--- a/packages/workflow/src/lateQueryPlanner.ts
+++ b/packages/workflow/src/lateQueryPlanner.ts
@@ -1,3 +1,5 @@
+import { addResources } from '@lagoongap/model/resources.js';
+
 import type { RoomHolds } from './roomHolds.js';
 import type { AdvicePolicy, QueuePolicy } from './cellConfig.js';
 import { chooseEndpoints, type EndpointOption } from './endpointChoice.js';
@@ -173,7 +175,7 @@
     isAdvisorIdle: boolean,
   ): { options: EndpointOption[]; covered: number; hasRoom: boolean } {
     const { step, queue, candidates, cache } = input;
-    const { canPlace, ledger } = this.opts;
+    const { canPlace } = this.opts;
     const { requiredLabel, isGang } = step.spec;
     const nowMs = performance.now();
     // A gang needs all its tickets at the same time, those of the answer included.
@@ -189,7 +191,7 @@
       const suitability = cache.suitabilityOf(id);
       const isExcluded = requiredLabel !== '' && !labels.includes(requiredLabel);
       if (isExcluded || suitability === 'unsuitable') continue;
-      const slots = countSlots(step, candidate, ledger);
+      const slots = this.countPlaceable(input, candidate);
       const isPlaceable = slots > 0 && canPlace(step.name, id);
       if (isPlaceable && cache.isValid(id, nowMs + marginMs)) {
         covered += slots;
@@ -215,6 +217,15 @@
     return { options, covered, hasRoom: free.length > 0 };
   }
 
+  /** Returns how many tasks of a step have room on an endpoint that is not reserved for others. */
+  private countPlaceable({ step, priority }: PlanInput, candidate: FleetCandidate): number {
+    const { holds, ledger } = this.opts;
+    const slots = countSlots(step, candidate, ledger);
+    if (slots === 0 || !holds) return slots;
+    const held = holds.heldAgainst(candidate.id, step.name, priority, performance.now());
+    return Math.floor(countExpectedSlots(slots, step, candidate, held));
+  }
+
   /** Returns the expected room on an endpoint once others have used what is meant for them. */
   private readExpectedSlots(
     { step, priority }: PlanInput,
@@ -224,16 +235,9 @@
     const { holds } = this.opts;
     const { id } = candidate;
     const expected = this.expected.onEndpoint(id, priority);
-    const held = holds?.heldAgainst(id, step.name, priority, performance.now());
-    const reserved = held
-      ? {
-          cpuMillis: expected.cpuMillis + held.cpuMillis,
-          memoryMib: expected.memoryMib + held.memoryMib,
-          accelerators: expected.accelerators + held.accelerators,
-          slots: 0,
-        }
-      : expected;
-    return countExpectedSlots(slots, step, candidate, reserved);
+    if (!holds) return countExpectedSlots(slots, step, candidate, expected);
+    const held = holds.heldAgainst(id, step.name, priority, performance.now());
+    return countExpectedSlots(slots, step, candidate, addResources(expected, held));
   }
 
   /** Spreads the tasks that the query is for over its endpoints in proportion to their room. */
