--- a/packages/tests/src/steps/workflow/warmupSteps.ts
+++ b/packages/tests/src/steps/workflow/warmupSteps.ts
@@ -118,10 +118,6 @@
   },
 );
 
-Given('an urgent queue', function add(this: Steps) {
-  this.world.addQueue(URGENT_QUEUE, { priority: 0 });
-});
-
 Given('the pool is cold for {int} ms', function set(this: Steps, coldMs: number) {
   this.world.setWarmup(coldMs, 0);
 });
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -168,17 +168,17 @@
     this.config.pools = [{ name: 'p', coldMs, coldStartsPerSecond }];
   }
 
-  /** Adds an organisation whose key is its name. */
-  addOrganisation(name: string): void {
-    const [first] = this.config.organisations;
-    this.config.organisations.push({ ...first!, name, keys: [name], limit: { ...NO_RESOURCES } });
-  }
-
   /** Limits the processor time of the organisation, in cores. */
   limitCores(cores: number): void {
     this.config.organisations[0]!.limit = { ...NO_RESOURCES, cpuMillis: cores * CORE_CPU_MILLIS };
   }
 
+  /** Adds an organisation, with a limit on its processor time in cores; 0 for none. */
+  addOrganisation(name: string, key = name, cores = 0): void {
+    const limit = { ...NO_RESOURCES, cpuMillis: cores * CORE_CPU_MILLIS };
+    this.config.organisations.push({ name, keys: [key], weight: 1, limit });
+  }
+
   async addWorkers(
     count: number,
     cores: number,
--- a/packages/workflow/src/explainWait.ts
+++ b/packages/workflow/src/explainWait.ts
@@ -6,7 +6,7 @@
 import type { ReadyStep } from './readySteps.js';
 import type { PlacementUsage } from './stepPlacer.js';
 import type { TicketCache } from './ticketCache.js';
-import type { FleetCandidate } from './ticketProvider.js';
+import type { FleetCandidate } from './endpointSlots.js';
 
 /** What the scheduler knows about a step that waits. */
 export interface WaitFacts {
--- a/packages/workflow/src/jobCloser.ts
+++ b/packages/workflow/src/jobCloser.ts
@@ -35,6 +35,8 @@
     for (const { occurrence, step } of job.steps.values()) {
       onStepEnded(stepName(job.id, occurrence, step));
     }
+    // Steps of which nothing has started have no record.
+    this.closeOccurrence(job, 0);
     for (const { task, record } of listTasks(job)) {
       for (const { run, endpoint } of record.runs) directory.stopRun(endpoint, runKey(task, run));
     }
--- a/packages/workflow/src/placementRoom.ts
+++ b/packages/workflow/src/placementRoom.ts
@@ -12,7 +12,7 @@
 import type { RoomHolds } from './roomHolds.js';
 import type { RunLedger } from './runLedger.js';
 import type { PlacementCandidate, PlacementUsage } from './stepPlacer.js';
-import { countSlots, type FleetCandidate } from './ticketProvider.js';
+import { countSlots, type FleetCandidate } from './endpointSlots.js';
 
 /** Bounds within which the tasks of a step are placed. */
 export interface PlacementBounds {
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -1,12 +1,12 @@
 import type { Resources } from '@lagoongap/model/resources.js';
 
 import type { AdviceBroker } from './adviceBroker.js';
-import { TicketProvider, type FleetCandidate } from './ticketProvider.js';
+import { TicketProvider } from './ticketProvider.js';
+import { CandidateLists } from './candidateLists.js';
 import { BlockedSteps, type PlacementConditions } from './blockedSteps.js';
 import type { CellConfig, QueuePolicy } from './cellConfig.js';
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
-import { limitCapacity } from './endpointWarmup.js';
 import { stepName, taskName, type TaskRef } from './jobSpec.js';
 import type { PlacementMode, Quarantine } from './quarantine.js';
 import { PlacementRoom } from './placementRoom.js';
@@ -22,7 +22,6 @@
   type PlacementCandidate,
   type PlacementUsage,
 } from './stepPlacer.js';
-import { allowsDataCentre, toEndpointSetKey } from './queueRegions.js';
 import { RejectionBackoff } from './rejectionBackoff.js';
 import { ResumableWalk } from './resumableWalk.js';
 import { splitRestarts } from './splitRestarts.js';
@@ -73,9 +72,6 @@
   outcome: 'blocked' | 'unplaced' | 'placed';
 }
 
-/** Maximum age of the list of available endpoints. */
-const CANDIDATES_MAX_AGE_MS = 20;
-
 /** Part of a cycle that restarts of service tasks may take, so that other work is not kept waiting. */
 const RESTARTS_TURN_SHARE = 0.5;
 
@@ -87,10 +83,7 @@
   private readonly blocked: BlockedSteps;
   private readonly restartsWalk = new ResumableWalk();
   private readonly waitingWalk = new ResumableWalk();
-  /** Available endpoints, by pool and regions. */
-  private readonly candidates = new Map<string, Map<string, FleetCandidate>>();
-  private candidatesListedMs = -Infinity;
-  private candidatesVersion = 0;
+  private readonly candidates: CandidateLists;
   private readonly failures = new Map<string, Map<string, number>>();
   private readonly rejections = new RejectionBackoff();
   /** Planned starts that are not committed yet, by step and task index. */
@@ -100,8 +93,19 @@
 
   constructor(opts: StepSchedulerOptions) {
     this.opts = opts;
-    const { context, ledger, broker, quarantine, holds, onAdvice } = opts;
-    this.ticketProvider = new TicketProvider({ context, ledger, broker, onAdvice });
+    this.candidates = new CandidateLists(opts);
+    const { context, ledger, broker, ready, quarantine, holds, onAdvice } = opts;
+    this.ticketProvider = new TicketProvider({
+      context,
+      ledger,
+      broker,
+      ready,
+      holds,
+      listCandidates: (queue) => this.candidates.listRecent(queue),
+      canPlace: (step, id) =>
+        !this.rejections.isDelayed(step, id, performance.now()) && quarantine.isOpen(id),
+      onAdvice,
+    });
     const countFailures = (step: string, endpoint: string): number =>
       this.failures.get(step)?.get(endpoint) ?? 0;
     this.room = new PlacementRoom({ ledger, quarantine, holds, countFailures });
@@ -168,7 +172,7 @@
     const queues = new Map(config.queues.map((queue) => [queue.name, queue]));
     const planned: PlannedStart[] = [];
     const startMs = performance.now();
-    this.dropOutdatedCandidates();
+    this.candidates.dropOutdated();
     this.expireHolds(startMs);
     const { turnMs } = this.opts.context.timing;
     const weights = new Map(config.organisations.map(({ name, weight }) => [name, weight]));
@@ -203,14 +207,12 @@
     const { ledger, quarantine } = this.opts;
     const tickets = queue.advice ? this.ticketProvider.ticketsOf(ready.name) : undefined;
     const conditions = { tickets, leadMs, rejections: this.rejections, quarantine, ledger };
-    return listUsableEndpoints(ready, this.listCandidates(queue).values(), conditions);
+    return listUsableEndpoints(ready, this.candidates.list(queue).values(), conditions);
   }
 
   /** Requests tickets for a step before it can start. */
   prefetch(step: ReadyStep, queue: QueuePolicy): void {
-    if (!queue.advice) return;
-    this.dropOutdatedCandidates();
-    this.ticketProvider.query(step, queue, this.listCandidates(queue));
+    this.ticketProvider.query(step, queue, true);
   }
 
   /** Returns log fields that explain why the tasks of a step wait. */
@@ -218,7 +220,7 @@
     const queue = config.queues.find(({ name }) => name === ready.job.queue);
     if (!queue) return { reason: 'the queue is no longer configured' };
     const { directory } = this.opts;
-    const candidates = [...this.listCandidates(queue).values()];
+    const candidates = [...this.candidates.list(queue).values()];
     const usage = this.createUsage(ready, config);
     const held = this.opts.holds.listOf(ready.name, performance.now()).length;
     const tickets = this.ticketProvider.ticketsOf(ready.name);
@@ -240,7 +242,7 @@
   ): PlannedStart[] {
     const { priority } = queue;
     const limit = this.findLimit(ready, config);
-    const candidates = this.listCandidates(queue);
+    const candidates = this.candidates.list(queue);
     const conditions: PlacementConditions = {
       step: ready,
       tickets: queue.advice ? this.ticketProvider.ticketsOf(ready.name) : undefined,
@@ -263,7 +265,7 @@
   }
 
   private placeStep(ready: ReadyStep, queue: QueuePolicy, config: CellConfig): PlannedStart[] {
-    const candidates = this.listCandidates(queue);
+    const candidates = this.candidates.list(queue);
     const nowMs = performance.now();
     const tickets = queue.advice ? this.ticketProvider.ticketsOf(ready.name) : undefined;
     const usable: PlacementCandidate[] = [];
@@ -276,8 +278,12 @@
     const planned = ready.spec.isGang
       ? this.placeGang(ready, usable, config)
       : this.placeTasks(ready, usable, config);
-    for (const start of planned) start.ticket = tickets?.find(start.endpoint, nowMs);
-    if (planned.length < ready.waiting.length) this.ticketProvider.query(ready, queue, candidates);
+    if (tickets) {
+      for (const start of planned) {
+        start.ticket = this.ticketProvider.useTicket(ready.name, start.endpoint, nowMs);
+      }
+    }
+    if (planned.length < ready.waiting.length) this.ticketProvider.query(ready, queue);
     return planned;
   }
 
@@ -396,47 +402,6 @@
     return (record?.lastRun ?? 0) + 1;
   }
 
-  /** Returns the available endpoints that a queue may use; constant during a cycle. */
-  private listCandidates(queue: QueuePolicy): Map<string, FleetCandidate> {
-    const { directory, durations, ledger } = this.opts;
-    const { pool } = queue;
-    const key = toEndpointSetKey(queue);
-    const known = this.candidates.get(key);
-    if (known) return known;
-    const candidates = new Map<string, FleetCandidate>();
-    const policy = this.opts.context.readConfig()?.pools?.find(({ name }) => name === pool);
-    const nowMs = performance.now();
-    for (const { id, record, hasLatencyTarget, warmup } of directory.listAvailable(pool)) {
-      const { kind, rack, labels, capacity } = record;
-      if (!allowsDataCentre(queue, record.dataCentre)) continue;
-      const cold = warmup.findLimits(capacity, policy, nowMs);
-      const durationFactor = durations.durationFactor(id, kind);
-      candidates.set(id, {
-        id,
-        kind,
-        rack,
-        labels,
-        capacity: cold ? limitCapacity(capacity, cold) : capacity,
-        cold,
-        durationFactor,
-        isLatencySensitive: hasLatencyTarget,
-        usage: ledger.usageOf(id),
-      });
-    }
-    this.candidates.set(key, candidates);
-    return candidates;
-  }
-
-  private dropOutdatedCandidates(): void {
-    const { version } = this.opts.directory;
-    const nowMs = performance.now();
-    const isRecent = nowMs - this.candidatesListedMs <= CANDIDATES_MAX_AGE_MS;
-    if (isRecent && version === this.candidatesVersion && this.candidates.size > 0) return;
-    this.candidates.clear();
-    this.candidatesListedMs = nowMs;
-    this.candidatesVersion = version;
-  }
-
   private findLimit({ job }: ReadyStep, config: CellConfig): Resources | undefined {
     return config.organisations.find(({ name }) => name === job.organisation)?.limit;
   }
--- a/packages/workflow/src/ticketCache.ts
+++ b/packages/workflow/src/ticketCache.ts
@@ -35,10 +35,13 @@
   private readonly tickets = new Map<string, CachedTicket>();
   /** Whether the endpoint may run the step, by endpoint. */
   private readonly suitability = new Map<string, boolean>();
+  private suitableCount = 0;
   private responseCount = 0;
+  private isLatestUnused = false;
   private lastSearchMs = -Infinity;
   private isQueryPending = false;
   private intervalMs = SEARCH_INTERVAL_MS;
+  private isSearchSuspended = false;
 
   /** Version of the cache; increases with each response. */
   get version(): number {
@@ -50,9 +53,30 @@
    * pending, whose response changes the version of the cache.
    */
   get nextSearchMs(): number {
+    if (this.isSearchSuspended) return -Infinity;
     return this.isQueryPending ? Infinity : this.lastSearchMs + this.intervalMs;
   }
 
+  /** Whether no start has used a ticket since the latest response. */
+  get hasUnusedResponse(): boolean {
+    return this.isLatestUnused;
+  }
+
+  /** Records that the use of the latest response is decided. */
+  settleResponse(): void {
+    this.isLatestUnused = false;
+  }
+
+  /** Whether no search begins because the organisation is at its limit. */
+  get isSuspended(): boolean {
+    return this.isSearchSuspended;
+  }
+
+  /** Suspends the search while the organisation is at its limit; the next one begins at once. */
+  suspendSearch(): void {
+    this.isSearchSuspended = true;
+  }
+
   /** Records that a query was sent. */
   beginQuery(): void {
     this.isQueryPending = true;
@@ -66,10 +90,12 @@
   /** Adds the result of a query. */
   record({ asked, good, expiresMs }: AdviceResponse): void {
     this.responseCount += 1;
+    this.isLatestUnused = true;
     for (const endpoint of asked) {
       if (!this.suitability.has(endpoint)) this.suitability.set(endpoint, false);
     }
     for (const { endpoint, ticket } of good) {
+      if (!this.suitability.get(endpoint)) this.suitableCount += 1;
       this.suitability.set(endpoint, true);
       this.tickets.set(endpoint, { ticket, expiresMs });
     }
@@ -104,6 +130,7 @@
   tryBeginSearch(): boolean {
     const nowMs = performance.now();
     if (nowMs < this.nextSearchMs) return false;
+    this.isSearchSuspended = false;
     this.lastSearchMs = nowMs;
     this.intervalMs = SEARCH_INTERVAL_MS;
     return true;
@@ -119,6 +146,19 @@
     return (this.tickets.get(endpoint)?.expiresMs ?? 0) > nowMs + marginMs;
   }
 
+  /** Returns whether a ticket is cached that a start order at `nowMs` can still use. */
+  isValid(endpoint: string, nowMs: number): boolean {
+    return this.isFresh(endpoint, nowMs, DISPATCH_MARGIN_MS);
+  }
+
+  /** Counts the endpoints whose suitability is known. */
+  countKnown(): { suitable: number; unsuitable: number } {
+    return {
+      suitable: this.suitableCount,
+      unsuitable: this.suitability.size - this.suitableCount,
+    };
+  }
+
   /** Returns the cached suitability of an endpoint. */
   suitabilityOf(endpoint: string): 'suitable' | 'unsuitable' | 'unknown' {
     const isSuitable = this.suitability.get(endpoint);
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -1,6 +1,7 @@
 import { EjectingHealthPolicy } from '@lagoongap/routing/ejectingHealthPolicy.js';
 import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 
+import { AdviceAdmission } from './adviceAdmission.js';
 import { AdviceBroker } from './adviceBroker.js';
 import { AdvicePrefetcher } from './advicePrefetcher.js';
 import type { CellConfig } from './cellConfig.js';
@@ -36,6 +37,7 @@
 import { DurationEstimator } from './durationEstimator.js';
 import { ServiceOutages } from './serviceOutages.js';
 import { SessionMetrics } from './sessionMetrics.js';
+import { stopStalledRuns } from './stopStalledRuns.js';
 import { StragglerDetector } from './stragglerDetector.js';
 import { StepScheduler } from './stepScheduler.js';
 import { isRejection } from './toRunLossReason.js';
@@ -108,7 +110,11 @@
       isDisposed: () => this.isDisposed,
       readConfig: () => this.readConfig(),
     });
-    this.broker = new AdviceBroker(opts.log.term);
+    const schedulesAdvice = this.context.features.has('advice-scheduling');
+    this.broker = new AdviceBroker(
+      opts.log.term,
+      schedulesAdvice ? new AdviceAdmission() : undefined,
+    );
     this.health = new EjectingHealthPolicy({
       onTransition: ({ endpointId: endpoint, ...change }) =>
         logger.info('endpoint health changed', { endpoint, ...change }),
@@ -340,6 +346,7 @@
     this.monitor[Symbol.dispose]();
     this.opts.meter.setWaitingSteps(new Map());
     this.opts.meter.setServiceOutages(0, 0);
+    this.opts.meter.setAdviceBacklog(0, 0);
     this.occurrenceTimers[Symbol.dispose]();
     this.dispatcher[Symbol.dispose]();
     this.directory[Symbol.dispose]();
@@ -412,16 +419,13 @@
     for (const id of this.retention.removeExpired()) this.occurrenceTimers.cancel(id);
     this.endpoints.removeUnresponsive();
     this.metrics.update();
+    this.opts.meter.setAdviceBacklog(this.broker.backlog, this.broker.oldestAgeMs);
     this.outages.update();
     this.advice.prefetchAll().catch((err: Error) => this.logFailure('advice', err));
     this.waitLogger.logWaitingSteps();
     this.waves.advance().catch((err: Error) => this.logFailure('maintenance waves', err));
     for (const id of this.stragglers.findSlowJobs()) this.refreshJob(id);
-    for (const { agent, run } of this.stragglers.findStalled()) {
-      this.opts.logger.warn('run is stalled', { run: run.key, endpoint: agent.id });
-      this.outcomes.recordFailure(agent, run.task);
-      agent.stop(run);
-    }
+    stopStalledRuns(this.stragglers, this.outcomes, this.opts.logger);
     this.requestCycle();
   }
 
