Replicate learned durations, and judge stragglers by them

A new leader knew nothing about the work at hand and used the submitted estimates.

The end command carries the measured duration of a run that tells what its work takes: a first run that succeeded and was started by this leader, without remote data, idle capacity or a blocked event loop, and of a gang only the first member. Stragglers, stalls and the prefetch of advice use the learned duration, the runs of the same step that have ended, and the spread.

--- a/packages/tests/features/workflow/learnedDurations.feature
+++ b/packages/tests/features/workflow/learnedDurations.feature
@@ -69,3 +69,41 @@
     And the model is restored from its snapshot
     And 40 steps of "crawl" that vary by 0.9 end, with estimates off by 0.5, on both
     Then both models have the same snapshot
+
+  # Guards against a new leader that orders work by the submitted estimates until it has seen enough.
+  Scenario: a new leader expects what tasks took under the former one
+    Given a workflow leader
+    And 4 workers of 4 cores
+    When 20 jobs with estimates of 4000 ms, which take 500 ms, complete
+    Then a job with an estimate of 4000 ms is expected to take 450 to 750 ms
+    When the workflow leader changes
+    Then a job with an estimate of 4000 ms is expected to take 450 to 750 ms
+
+  Scenario: a snapshot of the earlier release, without durations, is read
+    Given a workflow leader
+    And 4 workers of 4 cores
+    When 20 jobs with estimates of 4000 ms, which take 500 ms, complete
+    And the state is restored from a snapshot without durations
+    Then a job with an estimate of 4000 ms is expected to take 4000 to 4000 ms
+    When 20 jobs with estimates of 4000 ms, which take 500 ms, complete
+    Then a job with an estimate of 4000 ms is expected to take 450 to 750 ms
+
+  Scenario Outline: runs that tell nothing about their work are not learned from
+    Given a workflow leader
+    And 4 workers of 4 cores
+    When a job completes whose task <trait>
+    Then no duration has been learned
+
+    Examples:
+      | trait                            |
+      | fails at first                   |
+      | reads data from a rack           |
+      | fills idle capacity              |
+      | ends while the event loop is blocked |
+
+  Scenario: replicas that apply the same ends know the same, with a small entry
+    Given a workflow leader
+    And 4 workers of 4 cores
+    When 20 jobs with estimates of 4000 ms, which take 500 ms, complete
+    Then a replica that applies the same commands has the same durations
+    And the duration of a run adds at most 16 bytes to its end
--- a/packages/workflow/src/endpointSpeeds.ts
+++ b/packages/workflow/src/endpointSpeeds.ts
@@ -13,6 +13,9 @@
 /** Maximum number of steps whose runs are remembered. */
 const MAX_STEPS = 2048;
 
+/** Maximum number of endpoints; the one without a run for the longest time is forgotten. */
+const MAX_ENDPOINTS = 4096;
+
 /** Logarithm of an expected duration, and its variance. */
 export interface LogExpectation {
   logMs: number;
@@ -71,17 +74,6 @@
     return Math.exp(this.effectOf(endpoint));
   }
 
-  /** Discards the runs of a step that has ended. */
-  forgetStep(step: string): void {
-    this.steps.delete(step);
-  }
-
-  /** Discards an endpoint. */
-  forgetEndpoint(endpoint: string): void {
-    this.effectSum -= this.effects.get(endpoint)?.value ?? 0;
-    this.effects.delete(endpoint);
-  }
-
   /** Returns the effect of an endpoint relative to the mean of all. */
   private effectOf(endpoint: string): number {
     const effect = this.effects.get(endpoint);
@@ -95,6 +87,11 @@
     effect.value += change;
     effect.precision = Math.min(MAX_PRECISION, total);
     this.effectSum += change;
+    this.effects.delete(endpoint);
     this.effects.set(endpoint, effect);
+    if (this.effects.size <= MAX_ENDPOINTS) return;
+    const [oldest, { value }] = this.effects.entries().next().value!;
+    this.effectSum -= value;
+    this.effects.delete(oldest);
   }
 }
--- a/packages/workflow/src/outcomeRecorder.ts
+++ b/packages/workflow/src/outcomeRecorder.ts
@@ -1,19 +1,19 @@
 import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 
-import type { DurationEstimator } from './durationEstimator.js';
+import type { DurationForecast } from './durationForecast.js';
 import type { AgentRun } from './agentRun.js';
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndReport } from './endpointDriver.js';
 import { stepName, type TaskRef } from './jobSpec.js';
 import type { StepScheduler } from './stepScheduler.js';
-import type { WorkflowState } from './workflowState.js';
 
 /** Options of an {@link OutcomeRecorder}. */
 export interface OutcomeRecorderOptions {
-  state: WorkflowState;
   health: HealthPolicy;
-  durations: DurationEstimator;
+  durations: DurationForecast;
   scheduler: StepScheduler;
+  /** Returns whether an endpoint runs at its usual speed; by default all do. */
+  isWarm?: (agent: EndpointAgent) => boolean;
 }
 
 /** Records what the ends of runs tell about endpoints: health, durations, failures of a step. */
@@ -24,21 +24,20 @@
     this.opts = opts;
   }
 
-  /** Records the end of a run as reported by its endpoint. */
-  recordEnd(agent: EndpointAgent, run: AgentRun, report: EndReport): void {
-    const { state, health, durations } = this.opts;
+  /**
+   * Records the end of a run as reported by its endpoint.
+   *
+   * @returns Duration to learn from, if the run tells anything about its work.
+   */
+  recordEnd(agent: EndpointAgent, run: AgentRun, report: EndReport): number | undefined {
+    const { health, durations, isWarm } = this.opts;
     const attempt = { attemptId: run.key, unitId: run.task.jobId, endpointId: agent.id };
     if (report.outcome === 'done') health.recordSuccess(attempt);
     else if (report.outcome === 'failed') health.recordFailure(attempt);
     else health.recordAbandoned(attempt);
     if (report.outcome === 'failed') this.recordFailure(agent, run.task);
-    const spec = state.findSpec(run.task);
-    const { confirmedMs } = run;
-    const isMeasurable = report.outcome === 'done' && run.run === 1;
-    if (!spec || !isMeasurable || confirmedMs === undefined) return;
-    if (spec.fillsIdleCapacity || spec.dataRack !== '') return;
-    const actualMs = performance.now() - confirmedMs;
-    durations.record(agent.id, agent.record.kind, spec.estimateMs, actualMs);
+    if (report.outcome !== 'done' || isWarm?.(agent) === false) return undefined;
+    return durations.record(agent, run);
   }
 
   /**
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -11,7 +11,7 @@
 import type { ReadyStep, ReadySteps } from './readySteps.js';
 import { createReservation, type RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
-import type { DurationEstimator } from './durationEstimator.js';
+import type { DurationForecast } from './durationForecast.js';
 import {
   chooseGangEndpoints,
   EndpointSelector,
@@ -50,7 +50,7 @@
   ready: ReadySteps;
   ledger: RunLedger;
   directory: EndpointDirectory;
-  durations: DurationEstimator;
+  durations: DurationForecast;
   broker: AdviceBroker;
   /** Returns the monotonic time since which a task of a service has had no run. */
   readOutageSinceMs: (task: TaskRef) => number;
--- a/packages/workflow/src/stragglerDetector.ts
+++ b/packages/workflow/src/stragglerDetector.ts
@@ -1,37 +1,52 @@
 import type { AgentRun } from './agentRun.js';
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
-import { taskName, type StepSpec, type TaskRef } from './jobSpec.js';
+import { taskName, type TaskRef } from './jobSpec.js';
 import type { EventLoopLag } from './eventLoopLag.js';
 import type { ReadyStep } from './readySteps.js';
 import type { SessionContext } from './sessionContext.js';
-import type { DurationEstimator } from './durationEstimator.js';
+import type { DurationForecast, RunForecast } from './durationForecast.js';
 import type { RunRecord } from './workflowRecords.js';
 
 /** Multiple of the expected duration after which a speculative copy is started. */
 const COPY_FACTOR = 1.8;
 
+/** Standard deviations above the expected duration from which a copy is likely to end first. */
+const COPY_DEVIATIONS = 1.65;
+
+/** Maximum multiple for copies, as work that nothing is known about is copied at last. */
+const MAX_COPY_FACTOR = 6;
+
 /** Added to this limit, for the network latency of orders and reports. */
 const COPY_MARGIN_MS = 200;
 
 /** Multiple of the expected duration after which a run is considered stalled. */
 const STALL_FACTOR = 5;
 
+/** Standard deviations above the expected duration that a stalled run has exceeded. */
+const STALL_DEVIATIONS = 3;
+const MAX_STALL_FACTOR = 20;
+
 /** Added to this limit. */
 const STALL_MARGIN_MS = 3000;
 
+/** Returns the multiple of the expected duration that work of a spread seldom exceeds. */
+function toFactor(spread: number, deviations: number, min: number, max: number): number {
+  return Math.min(max, Math.max(min, Math.exp(deviations * spread)));
+}
+
 /** Detects runs that take much longer than expected or whose endpoint is unresponsive. */
 export class StragglerDetector {
   private readonly context: SessionContext;
   private readonly directory: EndpointDirectory;
-  private readonly durations: DurationEstimator;
+  private readonly durations: DurationForecast;
   private readonly loopLag: EventLoopLag;
 
   /** @param loopLag - Delay with which this process sees ends; not counted as run time. */
   constructor(
     context: SessionContext,
     directory: EndpointDirectory,
-    durations: DurationEstimator,
+    durations: DurationForecast,
     loopLag: EventLoopLag,
   ) {
     this.context = context;
@@ -45,8 +60,7 @@
     const agent = this.directory.find(endpoint);
     if (!agent || !this.directory.isResponsive(agent)) return true;
     const activeRun = agent.runs.get(`${taskName(task)}:${run}`);
-    const spec = this.context.state.findSpec(task);
-    return activeRun !== undefined && spec !== undefined && this.isSlow(agent, activeRun, spec);
+    return activeRun !== undefined && this.isSlow(agent, activeRun);
   }
 
   /** Returns the jobs with slow runs that may be copied. */
@@ -55,7 +69,7 @@
     for (const agent of this.directory.list()) {
       for (const run of agent.runs.values()) {
         const spec = this.context.state.findSpec(run.task);
-        if (spec?.allowsCopies && this.isSlow(agent, run, spec)) ids.add(run.task.jobId);
+        if (spec?.allowsCopies && this.isSlow(agent, run)) ids.add(run.task.jobId);
       }
     }
     return ids;
@@ -69,9 +83,10 @@
         const spec = this.context.state.findSpec(run.task);
         const canStall = spec && !spec.isService && !spec.isGang && !spec.fillsIdleCapacity;
         if (!canStall || run.isStopping || run.phase !== 'running') continue;
-        // The limit grows with each restart, in case the estimate is too low.
-        const limitMs =
-          this.expectedDurationMs(agent, spec) * STALL_FACTOR * run.run + STALL_MARGIN_MS;
+        const { expectedMs, spread } = this.forecast(agent, run.task);
+        const factor = toFactor(spread, STALL_DEVIATIONS, STALL_FACTOR, MAX_STALL_FACTOR);
+        // The limit grows with each restart, in case the expectation is too low.
+        const limitMs = expectedMs * factor * run.run + STALL_MARGIN_MS;
         if (this.elapsedMs(run) > limitMs) stalled.push({ agent, run });
       }
     }
@@ -82,7 +97,6 @@
   expectedReadyMs({ job, occurrence, spec }: ReadyStep): number {
     let endMs = 0;
     for (const step of spec.dependsOn) {
-      const dependency = job.spec.steps[step]!;
       const tasks = this.context.state.findStep(job, occurrence, step)?.tasks ?? [];
       for (const [index, { runs }] of tasks.entries()) {
         const name = taskName({ jobId: job.id, occurrence, step, index });
@@ -90,24 +104,32 @@
           const agent = this.directory.find(endpoint);
           const activeRun = agent?.runs.get(`${name}:${run}`);
           if (!agent || !activeRun) continue;
-          endMs = Math.max(endMs, activeRun.orderedMs + this.expectedDurationMs(agent, dependency));
+          const { expectedMs } = this.forecast(agent, activeRun.task);
+          endMs = Math.max(endMs, activeRun.orderedMs + expectedMs);
         }
       }
     }
     return endMs;
   }
 
-  private isSlow(agent: EndpointAgent, run: AgentRun, spec: StepSpec): boolean {
-    const limitMs = this.expectedDurationMs(agent, spec) * COPY_FACTOR + COPY_MARGIN_MS;
-    return this.elapsedMs(run) > limitMs;
+  private isSlow(agent: EndpointAgent, run: AgentRun): boolean {
+    const { expectedMs, spread } = this.forecast(agent, run.task);
+    const factor = toFactor(spread, COPY_DEVIATIONS, COPY_FACTOR, MAX_COPY_FACTOR);
+    return this.elapsedMs(run) > expectedMs * factor + COPY_MARGIN_MS;
   }
 
   private elapsedMs({ orderedMs }: AgentRun): number {
     return performance.now() - orderedMs - this.loopLag.maxMs;
   }
 
-  private expectedDurationMs({ record }: EndpointAgent, spec: StepSpec): number {
-    const farFactor = spec.dataRack === '' ? 1 : this.context.timing.farFactor;
-    return spec.estimateMs * this.durations.kindFactor(record.kind) * farFactor;
+  /** Returns the expected duration on an endpoint of this kind; 0 for an unknown job. */
+  private forecast({ record }: EndpointAgent, task: TaskRef): RunForecast {
+    const { state, timing } = this.context;
+    const job = state.jobs.get(task.jobId);
+    const spec = job?.spec.steps[task.step];
+    if (!job || !spec) return { expectedMs: 0, spread: 0 };
+    const { expectedMs, spread } = this.durations.forecast(job, task, record.kind);
+    const farFactor = spec.dataRack === '' ? 1 : timing.farFactor;
+    return { expectedMs: expectedMs * farFactor, spread };
   }
 }
--- a/packages/workflow/src/workflowCommand.ts
+++ b/packages/workflow/src/workflowCommand.ts
@@ -15,6 +15,11 @@
   run: number;
   outcome: RunOutcome;
   checkpoint?: string;
+  /**
+   * Measured duration of a run that tells what its work takes, without the effect of its endpoint but
+   * with that of the kind; milliseconds. Absent for other runs and in commands of earlier releases.
+   */
+  durationMs?: number;
   /** Present if the endpoint crashed; may follow the end of a run whose lease had expired. */
   crash?: CrashEvidence;
 }
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -29,7 +29,7 @@
 import { RunEnds } from './runEnds.js';
 import { createReservation, RunLedger } from './runLedger.js';
 import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
-import { DurationEstimator } from './durationEstimator.js';
+import { DurationForecast } from './durationForecast.js';
 import { ServiceOutages } from './serviceOutages.js';
 import { SessionMetrics } from './sessionMetrics.js';
 import { StragglerDetector } from './stragglerDetector.js';
@@ -55,7 +55,7 @@
   private readonly opts: WorkflowSessionOptions;
   private readonly context: SessionContext;
   private readonly ledger = new RunLedger();
-  private readonly durations = new DurationEstimator();
+  private readonly durations: DurationForecast;
   private readonly health: HealthPolicy;
   private readonly directory: EndpointDirectory;
   private readonly ready: ReadySteps;
@@ -95,6 +95,7 @@
       isDisposed: () => this.isDisposed,
       readConfig: () => this.readConfig(),
     });
+    this.durations = new DurationForecast(this.context, this.loopLag);
     this.broker = new AdviceBroker(opts.log.term);
     this.health = new EjectingHealthPolicy({
       onTransition: ({ endpointId: endpoint, ...change }) =>
@@ -147,7 +148,7 @@
       holder: opts.holder,
     });
     const { health, durations, scheduler } = this;
-    this.outcomes = new OutcomeRecorder({ state: opts.state, health, durations, scheduler });
+    this.outcomes = new OutcomeRecorder({ health, durations, scheduler });
     this.waitLogger = new WaitLogger(this.context, this.ready, this.scheduler);
     this.metrics = new SessionMetrics(this.context, this.ready, this.directory);
     const { context, ready, directory } = this;
@@ -241,12 +242,12 @@
     agent: EndpointAgent,
     reports: { run: AgentRun; report: EndReport }[],
   ): Promise<void> {
-    for (const { run, report } of reports) this.outcomes.recordEnd(agent, run, report);
     const ends = reports.map(({ run, report }) => ({
       task: run.task,
       run: run.run,
       outcome: report.outcome,
       checkpoint: report.checkpoint || run.checkpoint || undefined,
+      durationMs: this.outcomes.recordEnd(agent, run, report),
     }));
     await this.ends.record(ends, agent.id);
   }
--- a/packages/workflow/src/workflowState.ts
+++ b/packages/workflow/src/workflowState.ts
@@ -1,6 +1,7 @@
 import type { CommittedEntry, StateMachine } from '@lagoongap/consensus/replicatedLog.js';
 
 import { addCrash, isConvicted } from './crashRecord.js';
+import { DurationModel, type DurationSnapshot } from './durationModel.js';
 import { stepKey, type StepSpec, type TaskRef } from './jobSpec.js';
 import { addOccurrence, includesOccurrence, type OccurrenceRanges } from './occurrenceRanges.js';
 import type { EndedRun, StartedRun, SubmitCommand, WorkflowCommand } from './workflowCommand.js';
@@ -28,6 +29,8 @@
   jobs: (Omit<JobRecord, 'steps'> & { steps: [string, StepRecord][] })[];
   endpoints: EndpointRecord[];
   waves: WaveRecord[];
+  /** Absent in snapshots of earlier releases. */
+  durations?: DurationSnapshot;
 }
 
 /** Creates the record of a newly accepted job. */
@@ -79,6 +82,8 @@
   readonly jobs = new Map<string, JobRecord>();
   readonly endpoints = new Map<string, EndpointRecord>();
   readonly waves = new Map<number, WaveRecord>();
+  /** What tasks have taken; learned from the ends of runs. */
+  readonly durations = new DurationModel();
   /** Absent until the first configuration is accepted. */
   config: StoredConfig | undefined;
 
@@ -96,11 +101,12 @@
       })),
       endpoints: [...this.endpoints.values()],
       waves: [...this.waves.values()].map((wave) => ({ ...wave, begun: [...wave.begun] })),
+      durations: this.durations.snapshot(),
     };
   }
 
   restore(snapshot: unknown): void {
-    const { config, jobs, endpoints, waves } = snapshot as WorkflowSnapshot;
+    const { config, jobs, endpoints, waves, durations } = snapshot as WorkflowSnapshot;
     this.config = config?.document ? { ...config } : undefined;
     this.jobs.clear();
     for (const job of jobs) {
@@ -115,6 +121,7 @@
     for (const endpoint of endpoints) this.endpoints.set(endpoint.id, endpoint);
     this.waves.clear();
     for (const wave of waves) this.waves.set(wave.number, { ...wave, begun: [...wave.begun] });
+    this.durations.restore(durations);
   }
 
   /** Returns whether an occurrence has completed and all its runs have ended. */
@@ -216,13 +223,27 @@
     const spec = job.spec.steps[ended.task.step]!;
     if (ended.crash) this.countCrash(job, task, ended);
     const position = task.runs.findIndex(({ run }) => run === ended.run);
-    if (position >= 0) this.endActive(task, position, ended);
-    else if (!this.endGivenUp(task, ended)) return;
+    if (position >= 0) {
+      const { endpoint } = task.runs[position]!;
+      this.recordDuration(job, spec, endpoint, ended);
+      this.endActive(task, position, ended);
+    } else if (!this.endGivenUp(task, ended)) return;
     if (ended.outcome === 'done' && !spec.isService) this.complete(job, step, spec, task);
     if (ended.outcome === 'failed' && !spec.isService) this.countFailure(job, step, spec, ended);
     if (step.isCompleted) this.releaseOccurrence(job, ended.task.occurrence);
   }
 
+  private recordDuration(
+    { queue, organisation }: JobRecord,
+    spec: StepSpec,
+    endpoint: string,
+    { outcome, durationMs }: EndedRun,
+  ): void {
+    if (outcome !== 'done' || durationMs === undefined) return;
+    const kind = this.endpoints.get(endpoint)?.kind ?? '';
+    this.durations.record({ queue, organisation, spec }, kind, durationMs);
+  }
+
   private endActive(task: TaskRecord, position: number, { run, outcome, checkpoint }: EndedRun) {
     task.runs.splice(position, 1);
     if (checkpoint) task.checkpoint = checkpoint;
