Order work by demand, share and slack with learned durations

Three ranks with submitted estimates started jobs in the order of their age within a rank, so that during a burst beyond the capacity each job got a little and most were late.

Within a priority a step now precedes others if it needs less of the capacity, if its organisation has used less of its share, and if its job can be in time; within a band of a factor of two the one with the least slack goes first. Work of no further use comes last, the oldest first; of n steps that have waited too long each is first within n seconds. Shares are the dominant ones, with a memory of 10 s. Jobs that are expected to be late are logged once and counted.

--- a/packages/telemetry/src/workflowMetrics.ts
+++ b/packages/telemetry/src/workflowMetrics.ts
@@ -54,6 +54,10 @@
   observeLeaderCall(method: string, isAnswered: boolean, durationMs: number): void;
   /** Replaces the waiting steps of all priorities. */
   setWaitingSteps(waiting: ReadonlyMap<number, WaitingSteps>): void;
+  /** Replaces the number of waiting jobs that are expected to be late, for all priorities. */
+  setExpectedLateJobs(jobs: ReadonlyMap<number, number>): void;
+  /** Sets the number of classes of work whose durations have been learned. */
+  setDurationClasses(count: number): void;
   /** Sets the number of service tasks without a run, and for how long the first of them has none. */
   setServiceOutages(tasks: number, longestMs: number): void;
 }
@@ -82,6 +86,8 @@
   observeEventLoopDelay() {},
   observeLeaderCall() {},
   setWaitingSteps() {},
+  setExpectedLateJobs() {},
+  setDurationClasses() {},
   setServiceOutages() {},
 };
 
@@ -245,6 +251,18 @@
     ['priority'],
   );
 
+  private readonly expectedLateJobs = this.createGauge(
+    'lagoongap_jobs_expected_late',
+    'Waiting jobs that are expected to be late, by priority of the queue',
+    ['priority'],
+  );
+
+  private readonly durationClasses = this.createGauge(
+    'lagoongap_duration_classes',
+    'Classes of work whose durations have been learned',
+    [],
+  );
+
   private readonly serviceTasksDown = this.createGauge(
     'lagoongap_service_tasks_without_run',
     'Tasks of services that have no confirmed run',
@@ -353,6 +371,15 @@
     }
   }
 
+  setExpectedLateJobs(jobs: ReadonlyMap<number, number>): void {
+    this.expectedLateJobs.reset();
+    for (const [priority, count] of jobs) this.expectedLateJobs.set({ priority }, count);
+  }
+
+  setDurationClasses(count: number): void {
+    this.durationClasses.set(count);
+  }
+
   setServiceOutages(tasks: number, longestMs: number): void {
     this.serviceTasksDown.set(tasks);
     this.longestServiceOutage.set(longestMs / MS_PER_SECOND);
--- a/packages/tests/features/workflow/learnedDurations.feature
+++ b/packages/tests/features/workflow/learnedDurations.feature
@@ -107,3 +107,27 @@
     When 20 jobs with estimates of 4000 ms, which take 500 ms, complete
     Then a replica that applies the same commands has the same durations
     And the duration of a run adds at most 16 bytes to its end
+
+  # Guards against speculative copies and restarts of work whose estimate was too low.
+  Scenario: work that takes longer than its estimate, as its class does, is neither copied nor stopped
+    Given a workflow leader
+    And 4 workers of 4 cores
+    When 20 jobs with estimates of 20 ms, which take 500 ms, complete
+    And a job of 4 tasks that may be copied, with estimates of 20 ms, runs for 490 ms
+    Then 24 runs were started
+
+  Scenario: a task that takes much longer than the others of its step is copied
+    Given a workflow leader
+    And 4 workers of 4 cores
+    When 20 jobs with estimates of 500 ms, which take 500 ms, complete
+    And worker w1 completes new tasks after 60000 ms
+    And a job of 12 tasks that may be copied, with estimates of 60000 ms, runs for 4000 ms
+    Then at least 1 task was copied
+
+  Scenario: a job that cannot be in time is counted and logged once
+    Given a workflow leader
+    And 4 workers of 4 cores
+    When 20 jobs with estimates of 500 ms, which take 500 ms, complete
+    And 80 jobs of 1 task are submitted 2 ms apart
+    And 600 ms of workflow time pass
+    Then jobs are expected to be late, each of which is logged once
--- a/packages/tests/src/steps/workflow/learnedSessionSteps.ts
+++ b/packages/tests/src/steps/workflow/learnedSessionSteps.ts
@@ -112,3 +112,29 @@
     }
   },
 );
+
+When(
+  'a job of {int} tasks that may be copied, with estimates of {int} ms, runs for {int} ms',
+  async function runCopied(this: SessionSteps, taskCount: number, estimateMs: number, ms: number) {
+    await this.world.submit('copied', [createStep({ taskCount, estimateMs, allowsCopies: true })]);
+    await this.world.advance(ms);
+  },
+);
+
+Then('at least 1 task was copied', function checkCopies(this: SessionSteps) {
+  assert.ok(this.world.driver.started.some((run) => run.endsWith(':2')));
+});
+
+Then(
+  'jobs are expected to be late, each of which is logged once',
+  async function checkLate(this: SessionSteps) {
+    const metrics = await this.world.meter.registry.metrics();
+    const [, count] = /^lagoongap_jobs_expected_late\{priority="1"\} (\d+)$/m.exec(metrics) ?? [];
+    assert.ok(Number(count) > 0, `${count} jobs`);
+    const jobs = this.world.logger
+      .find('job is expected to be late')
+      .map(({ fields }) => fields.job);
+    assert.ok(jobs.length > 0);
+    assert.equal(new Set(jobs).size, jobs.length);
+  },
+);
--- a/packages/workflow/src/sessionMetrics.ts
+++ b/packages/workflow/src/sessionMetrics.ts
@@ -1,6 +1,8 @@
 import type { WaitingSteps } from '@lagoongap/telemetry/workflowMetrics.js';
 
+import type { DurationForecast } from './durationForecast.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
+import { LatenessMonitor } from './latenessMonitor.js';
 import type { ReadySteps } from './readySteps.js';
 import type { SessionContext } from './sessionContext.js';
 
@@ -12,13 +14,20 @@
   private readonly context: SessionContext;
   private readonly ready: ReadySteps;
   private readonly directory: EndpointDirectory;
+  private readonly lateness: LatenessMonitor;
   /** Monotonic time since which a step has been ready. */
   private sinceMs = new Map<string, number>();
 
-  constructor(context: SessionContext, ready: ReadySteps, directory: EndpointDirectory) {
+  constructor(
+    context: SessionContext,
+    ready: ReadySteps,
+    directory: EndpointDirectory,
+    durations: DurationForecast,
+  ) {
     this.context = context;
     this.ready = ready;
     this.directory = directory;
+    this.lateness = new LatenessMonitor(context, ready, durations);
   }
 
   /** Updates all metrics; called periodically. */
@@ -52,5 +61,6 @@
     }
     this.sinceMs = sinceMs;
     this.context.meter.setWaitingSteps(waiting);
+    this.lateness.update(config);
   }
 }
--- a/packages/workflow/src/stepOrder.ts
+++ b/packages/workflow/src/stepOrder.ts
@@ -3,7 +3,7 @@
 import type { ReadyStep } from './readySteps.js';
 
 /** Multiple of the target duration up to which a late job is still useful. */
-const LATE_FACTOR = 3;
+export const LATE_FACTOR = 3;
 
 /** Expected completion of a job relative to its target duration. */
 export type Timeliness = 'in-time' | 'late' | 'overdue';
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -21,7 +21,7 @@
 import { RejectionBackoff } from './rejectionBackoff.js';
 import { ResumableWalk } from './resumableWalk.js';
 import { splitRestarts } from './splitRestarts.js';
-import { orderSteps } from './stepOrder.js';
+import { StepOrdering } from './stepOrdering.js';
 import type { StartedRun } from './workflowCommand.js';
 
 /** A planned start of a run. */
@@ -80,6 +80,7 @@
   private readonly opts: StepSchedulerOptions;
   private readonly ticketProvider: TicketProvider;
   private readonly blocked: BlockedSteps;
+  private readonly ordering: StepOrdering;
   private readonly restartsWalk = new ResumableWalk();
   private readonly waitingWalk = new ResumableWalk();
   /** Available endpoints, by pool. */
@@ -98,6 +99,7 @@
     const { context, ledger, broker, onAdvice } = opts;
     this.ticketProvider = new TicketProvider({ context, ledger, broker, onAdvice });
     this.blocked = new BlockedSteps(ledger);
+    this.ordering = new StepOrdering(opts);
   }
 
   /** Returns the indexes of the tasks whose start is planned but not committed yet. */
@@ -161,7 +163,6 @@
     const startMs = performance.now();
     this.dropOutdatedCandidates();
     const { turnMs } = this.opts.context.timing;
-    const weights = new Map(config.organisations.map(({ name, weight }) => [name, weight]));
     const place = (ready: ReadyStep): void => {
       const queue = queues.get(ready.job.queue);
       if (queue) planned.push(...this.placeUnlessBlocked(ready, queue, config));
@@ -174,11 +175,7 @@
     // A long cycle would block leadership renewal, which shares the event loop.
     const restartsEndMs = startMs + turnMs * RESTARTS_TURN_SHARE;
     const hasPlacedRestarts = this.restartsWalk.visit(restarts, place, restartsEndMs);
-    const waiting = orderSteps(others, {
-      findQueue: (name) => queues.get(name),
-      readUsage: (name) => this.opts.ledger.usedBy(name).cpuMillis / (weights.get(name) || 1),
-      wallMs: Date.now(),
-    });
+    const waiting = this.ordering.order(others, config, queues);
     const hasPlacedOthers = this.waitingWalk.visit(waiting, place, startMs + turnMs);
     return { planned, isComplete: hasPlacedRestarts && hasPlacedOthers };
   }
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -150,7 +150,7 @@
     const { health, durations, scheduler } = this;
     this.outcomes = new OutcomeRecorder({ health, durations, scheduler });
     this.waitLogger = new WaitLogger(this.context, this.ready, this.scheduler);
-    this.metrics = new SessionMetrics(this.context, this.ready, this.directory);
+    this.metrics = new SessionMetrics(this.context, this.ready, this.directory, this.durations);
     const { context, ready, directory } = this;
     this.outages = new ServiceOutages(context, ready, directory);
     this.earlyTrials = new EarlyTrials({ context, directory, health, ready, scheduler });
