Count the steps of an organisation that precede in the order with its share

Many steps that arrive at once all counted with the share of before, so that an organisation that sends ten times its usual was ahead until its runs showed.

--- a/packages/tests/features/workflow/slackOrder.feature
+++ b/packages/tests/features/workflow/slackOrder.feature
@@ -45,6 +45,16 @@
       | small | 1000   | 3000     | 100      | 0.01  |
     Then their order is "small large"
 
+  # Guards against a burst that is over before the share of the organisation shows it.
+  Scenario: many steps of one organisation at once: those of others come in between
+    Given waiting steps on a fleet of 100 cores
+      | id     | workMs | targetMs | waitedMs | tasks | share | by   |
+      | many-1 | 1000   | 3000     | 400      | 8     | 0.02  | many |
+      | many-2 | 1000   | 3000     | 400      | 8     | 0.02  | many |
+      | many-3 | 1000   | 3000     | 400      | 8     | 0.02  | many |
+      | other  | 1000   | 3000     | 100      | 8     | 0.02  | one  |
+    Then their order is "many-1 other many-2 many-3"
+
   Scenario: organisations with similar shares: slack decides
     Given waiting steps on a fleet of 100 cores
       | id    | workMs | targetMs | waitedMs | share |
--- a/packages/tests/src/steps/workflow/slackOrderSteps.ts
+++ b/packages/tests/src/steps/workflow/slackOrderSteps.ts
@@ -36,6 +36,8 @@
   priority?: string;
   tasks?: string;
   share?: string;
+  /** Organisation; by default one of its own. */
+  by?: string;
 }
 
 function cores(count: number): Resources {
@@ -52,15 +54,17 @@
   taskCount: number,
   estimateMs: number,
   queue: string,
+  organisation = id,
 ): ReadyStep {
   const step = createReadyStep(createStep({ taskCount, estimateMs }));
-  return { ...step, name: id, job: { ...step.job, id, queue, organisation: id } };
+  return { ...step, name: id, job: { ...step.job, id, queue, organisation } };
 }
 
 function createContext(queues: Map<string, QueuePolicy>, shares = new Map<string, number>()) {
   return {
     findQueue: (name: string) => queues.get(name),
     readUsage: (name: string) => shares.get(name) ?? 0.1,
+    readWeight: () => 1,
     readDurationMs: readSubmittedDuration,
     capacity: cores(100),
     aged: new AgedSteps(),
@@ -74,13 +78,15 @@
   function setWaiting(this: OrderWorld, table: DataTable) {
     const rows = table.hashes() as unknown as Row[];
     const queues = new Map<string, QueuePolicy>();
-    this.waiting = rows.map(({ id, workMs, targetMs, waitedMs, priority = '1', tasks = '4' }) => {
-      // Each step has a queue of its own, as the targets differ.
-      queues.set(id, createQueue(Number(priority), Number(targetMs) - Number(workMs)));
-      const step = createWaiting(id, Number(tasks), Number(workMs), id);
-      return { ...step, dueMs: NOW_MS - Number(waitedMs) };
-    });
-    const shares = new Map(rows.map(({ id, share = '0.1' }) => [id, Number(share)]));
+    this.waiting = rows.map(
+      ({ id, workMs, targetMs, waitedMs, priority = '1', tasks = '4', by }) => {
+        // Each step has a queue of its own, as the targets differ.
+        queues.set(id, createQueue(Number(priority), Number(targetMs) - Number(workMs)));
+        const step = createWaiting(id, Number(tasks), Number(workMs), id, by);
+        return { ...step, dueMs: NOW_MS - Number(waitedMs) };
+      },
+    );
+    const shares = new Map(rows.map(({ id, by, share = '0.1' }) => [by ?? id, Number(share)]));
     this.context = createContext(queues, shares);
   },
 );
--- a/packages/tests/src/workflow/loadModel.ts
+++ b/packages/tests/src/workflow/loadModel.ts
@@ -6,11 +6,16 @@
 import { DurationModel } from '@lagoongap/workflow/durationModel.js';
 import type { ReadyStep } from '@lagoongap/workflow/readySteps.js';
 import { createReservation, RunLedger } from '@lagoongap/workflow/runLedger.js';
+import { assessSlack } from '@lagoongap/workflow/jobSlack.js';
 import type { StepSpec } from '@lagoongap/workflow/jobSpec.js';
 import { orderBySlack } from '@lagoongap/workflow/slackOrder.js';
 import { ShareHistory, sumCapacity } from '@lagoongap/workflow/shareHistory.js';
 import { orderSteps } from '@lagoongap/workflow/stepOrder.js';
-import { EndpointSelector, type PlacementCandidate } from '@lagoongap/workflow/stepPlacer.js';
+import {
+  EndpointSelector,
+  type PlacementCandidate,
+  type PlacementPreference,
+} from '@lagoongap/workflow/stepPlacer.js';
 import type { JobRecord } from '@lagoongap/workflow/workflowRecords.js';
 import { createJob } from '@lagoongap/workflow/workflowState.js';
 
@@ -54,9 +59,11 @@
 export interface LoadPolicy {
   /** Learned durations and shares with a memory are used. */
   isLearned: boolean;
-  hasShareHistory?: boolean;
+  /** Memory of the shares in milliseconds; 0 for none, by default that of the scheduler. */
+  windowMs?: number;
   order?: typeof orderBySlack;
-  createSelector?: typeof createSelector;
+  /** Weighs the endpoints for a step that can wait for `slackMs`. */
+  prefer?: (step: ReadyStep, slackMs: number, pathMs: number) => PlacementPreference;
 }
 
 /** Results of one queue, or of the organisations without the flood. */
@@ -89,6 +96,9 @@
   durationMs: number;
 }
 
+/** Organisation that sends more than usual in a flood. */
+export const FLOODING_ORGANISATION = '5';
+
 const CYCLE_MS = 10;
 const LATE_FACTOR = 3;
 const ORGANISATIONS = 20;
@@ -97,10 +107,6 @@
 const CORE_CPU_MILLIS = 1000;
 const SPEEDS = [0.7, 0.9, 1.1, 1.3, 1.7];
 
-function createSelector(...args: ConstructorParameters<typeof EndpointSelector>): EndpointSelector {
-  return new EndpointSelector(...args);
-}
-
 function percentile(values: number[], share: number): number {
   const sorted = [...values].sort((a, b) => a - b);
   return sorted[Math.floor(share * (sorted.length - 1))] ?? 0;
@@ -110,7 +116,7 @@
 export class LoadModel {
   readonly durations = new DurationModel();
   private readonly former = new DurationEstimator();
-  private readonly shares = new ShareHistory();
+  private readonly shares: ShareHistory;
   private readonly aged = new AgedSteps();
   private readonly ledger = new RunLedger();
   private readonly candidates: PlacementCandidate[] = [];
@@ -133,6 +139,7 @@
   constructor(scenario: LoadScenario, policy: LoadPolicy) {
     this.scenario = scenario;
     this.policy = policy;
+    this.shares = new ShareHistory(policy.windowMs);
     this.random = createSeededRandom(scenario.seed);
     this.normal = createNormal(this.random);
     this.queues = new Map(
@@ -219,7 +226,7 @@
         for (;;) {
           const isPeak = ms > seconds * 333 && ms < seconds * 667;
           const rate = (load.jobsPerSecond * share) / totalShare;
-          const isFlood = organisation === 5;
+          const isFlood = `${organisation}` === FLOODING_ORGANISATION;
           const scale = isPeak ? burst * (isFlood ? flood : 1) : 1;
           ms += (-Math.log(1 - this.random()) * 1000) / (rate * scale);
           if (ms > seconds * 1000) break;
@@ -310,18 +317,20 @@
   }
 
   private orderLearned(): ReadyStep[] {
-    const { order = orderBySlack, hasShareHistory = true } = this.policy;
+    const { order = orderBySlack, windowMs } = this.policy;
     const shares = this.weights.map((weight, name) => {
       const used = this.ledger.usedBy(`${name}`);
-      const share = hasShareHistory
-        ? this.shares.update(`${name}`, used, this.total, this.nowMs)
-        : dominantShare(used, this.total);
+      const share =
+        windowMs === 0
+          ? dominantShare(used, this.total)
+          : this.shares.update(`${name}`, used, this.total, this.nowMs);
       return share / weight;
     });
     const expectations = new Map<StepSpec, number>();
     return order(this.listWaiting(), {
       findQueue: (name) => this.queues.get(name),
       readUsage: (name) => shares[Number(name)]!,
+      readWeight: (name) => this.weights[Number(name)]!,
       wallMs: this.nowMs,
       readDurationMs: ({ job }, index) => {
         const spec = job.spec.steps[index]!;
@@ -339,13 +348,22 @@
     return this.durations.expect({ queue, organisation, spec: spec.steps[index]! }).medianMs;
   }
 
+  private preferenceOf(step: ReadyStep): PlacementPreference | undefined {
+    const { prefer, isLearned } = this.policy;
+    if (!prefer) return undefined;
+    const read = ({ job }: ReadyStep, index: number): number =>
+      isLearned ? this.expect(job, index) : job.spec.steps[index]!.estimateMs;
+    const queue = this.queues.get(step.job.queue)!;
+    const { slackMs, pathMs } = assessSlack(step, queue, this.nowMs, read);
+    return prefer(step, slackMs, pathMs);
+  }
+
   private place(step: ReadyStep): void {
     const { ledger } = this;
     const { job } = this.waiting.get(step.name)!;
     const suitable = job.suitable[job.step]!;
     const usable = this.candidates.filter(({ id }) => suitable.has(id));
-    const create = this.policy.createSelector ?? createSelector;
-    const selector = create(
+    const selector = new EndpointSelector(
       step.spec,
       usable,
       {
@@ -355,6 +373,7 @@
         loadOf: ({ id, capacity }) => ledger.usedOn(id).cpuMillis / capacity.cpuMillis,
       },
       1,
+      this.preferenceOf(step),
     );
     while (step.waiting.length > 0) {
       const candidate = selector.choose();
--- a/packages/workflow/src/stepOrdering.ts
+++ b/packages/workflow/src/stepOrdering.ts
@@ -43,10 +43,10 @@
     const { context, ledger, durations } = this.opts;
     const findQueue = (name: string): QueuePolicy | undefined => queues.get(name);
     const wallMs = Date.now();
+    const weights = new Map(config.organisations.map(({ name, weight }) => [name, weight]));
+    const readWeight = (name: string): number => weights.get(name) || 1;
     if (!context.features.has('learned-durations')) {
-      const weights = new Map(config.organisations.map(({ name, weight }) => [name, weight]));
-      const readUsage = (name: string): number =>
-        ledger.usedBy(name).cpuMillis / (weights.get(name) || 1);
+      const readUsage = (name: string): number => ledger.usedBy(name).cpuMillis / readWeight(name);
       return orderSteps(steps, { findQueue, readUsage, wallMs });
     }
     const nowMs = performance.now();
@@ -54,6 +54,7 @@
     return orderBySlack(steps, {
       findQueue,
       readUsage: (name) => usages.get(name) ?? 0,
+      readWeight,
       wallMs,
       readDurationMs: durations.reader,
       capacity: this.capacity,
--- a/packages/workflow/src/stepPlacer.ts
+++ b/packages/workflow/src/stepPlacer.ts
@@ -27,9 +27,19 @@
   loadOf: (candidate: PlacementCandidate) => number;
 }
 
+/** How the endpoints for a step are weighed; the defaults apply where nothing is known about it. */
+export interface PlacementPreference {
+  /** Weight of the duration on the endpoint; negative to leave fast endpoints to others. */
+  speedWeight: number;
+  /** Weight of the load of the endpoint; negative to fill endpoints up and keep others whole. */
+  loadWeight: number;
+}
+
 /** Cost of a fully loaded endpoint compared with an idle one, in multiples of the estimate. */
 const LOAD_WEIGHT = 0.25;
 
+const DEFAULT_PREFERENCE: PlacementPreference = { speedWeight: 1, loadWeight: LOAD_WEIGHT };
+
 /** Additional cost of placing a best-effort task next to latency-sensitive tasks. */
 const INTERFERENCE_COST = 5;
 
@@ -57,6 +67,7 @@
   private readonly spec: StepSpec;
   private readonly usage: PlacementUsage;
   private readonly farFactor: number;
+  private readonly preference: PlacementPreference;
   private readonly options: Option[] = [];
 
   /** @param farFactor - Slowdown factor of a task that runs outside the rack of its data. */
@@ -65,8 +76,10 @@
     candidates: readonly PlacementCandidate[],
     usage: PlacementUsage,
     farFactor: number,
+    preference: PlacementPreference = DEFAULT_PREFERENCE,
   ) {
     this.spec = spec;
+    this.preference = preference;
     this.usage = usage;
     this.farFactor = farFactor;
     for (const candidate of candidates) {
@@ -97,8 +110,9 @@
   private costOf(candidate: PlacementCandidate): number {
     const { spec, usage, farFactor } = this;
     const isRemote = spec.dataRack !== '' && candidate.rack !== spec.dataRack;
-    let cost = candidate.durationFactor * (isRemote ? farFactor : 1);
-    cost += LOAD_WEIGHT * usage.loadOf(candidate);
+    const { speedWeight, loadWeight } = this.preference;
+    let cost = speedWeight * candidate.durationFactor * (isRemote ? farFactor : 1);
+    cost += loadWeight * usage.loadOf(candidate);
     cost += FAILURE_COST * usage.failuresOn(candidate);
     if (spec.fillsIdleCapacity && candidate.isLatencySensitive) cost += INTERFERENCE_COST;
     return cost;
