--- a/packages/tests/features/workflow/learnedDurations.feature
+++ b/packages/tests/features/workflow/learnedDurations.feature
@@ -52,6 +52,11 @@
     Then endpoints of factor 1.7 are expected to take 2.2 to 2.7 times as long as those of factor 0.7
     And a step of "crawl" with an estimate of 1000 ms is expected to take 950 to 1250 ms
 
+  # Guards against kinds that take up what is wrong with all estimates.
+  Scenario: estimates that are all too low do not make the only kind of endpoints slow
+    When 40 steps of "crawl" that take 500 ms end, with estimates of 20 ms
+    Then a step of "crawl" with an estimate of 20 ms is expected to take 470 to 510 ms
+
   # The tasks of a step are alike, so that their runs can be compared whatever the estimate was.
   Scenario: an endpoint that has become slower than its kind is found in a few runs
     Given steps of 8 tasks on 8 endpoints, one of which is 3 times slower, with work that varies by 0.9
@@ -131,3 +136,12 @@
     And 80 jobs of 1 task are submitted 2 ms apart
     And 600 ms of workflow time pass
     Then jobs are expected to be late, each of which is logged once
+
+  Scenario: without the feature the submitted estimates are used, and learning goes on
+    Given a workflow leader without learned durations
+    And 4 workers of 4 cores
+    When 20 jobs with estimates of 500 ms, which take 500 ms, complete
+    Then a job with an estimate of 500 ms is expected to take 450 to 750 ms
+    When worker w1 completes new tasks after 60000 ms
+    And a job of 12 tasks that may be copied, with estimates of 60000 ms, runs for 4000 ms
+    Then no task was copied
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -5,6 +5,10 @@
 import type { JobResponse } from '@lagoongap/workflow/jobCalls.js';
 import type { JobSpec, StepSpec } from '@lagoongap/workflow/jobSpec.js';
 import type { ReadyStep } from '@lagoongap/workflow/readySteps.js';
+import {
+  DEFAULT_WORKFLOW_FEATURES,
+  type WorkflowFeatures,
+} from '@lagoongap/workflow/workflowFeatures.js';
 import type { EndpointRecord, JobRecord } from '@lagoongap/workflow/workflowRecords.js';
 import { WorkflowSession } from '@lagoongap/workflow/workflowSession.js';
 import { createJob, WorkflowState } from '@lagoongap/workflow/workflowState.js';
@@ -105,11 +109,14 @@
 
   private onChecked: (() => void) | undefined;
   private readonly timing: WorkflowTiming;
+  private readonly features: WorkflowFeatures;
 
   constructor(
     config: Partial<CellConfig['queues'][number]> = {},
     timing: Partial<WorkflowTiming> = {},
+    features: WorkflowFeatures = DEFAULT_WORKFLOW_FEATURES,
   ) {
+    this.features = features;
     this.timing = { ...DEFAULT_WORKFLOW_TIMING, leaseMs: 5000, maxLeaseMs: 6000, ...timing };
     this.config = {
       version: 1,
@@ -370,6 +377,7 @@
       holder: 'leader',
       parseConfig: () => this.config,
       timing: this.timing,
+      features: this.features,
       logger: this.logger,
       meter: this.meter,
       isValid: () => this.checkValidity(log),
--- a/packages/workflow/src/durationModel.ts
+++ b/packages/workflow/src/durationModel.ts
@@ -76,6 +76,11 @@
   return statistics;
 }
 
+/** Returns the effect of a kind of endpoints, shrunk towards none. */
+function toEffect(statistics: DurationStatistics): number {
+  return (statistics.weight * statistics.averageWork) / (statistics.weight + KIND_PRIOR_WEIGHT);
+}
+
 function store(map: Map<string, DurationStatistics>): [string, StoredStatistics][] {
   return [...map].map(([name, statistics]) => [name, statistics.store()]);
 }
@@ -177,10 +182,22 @@
     return relation;
   }
 
+  /**
+   * Returns the logarithm of the duration on a kind relative to the mean of all kinds. Without the mean
+   * the kinds would take up what all classes have in common, such as estimates that are too low.
+   */
   private kindEffect(kind: string): number {
     const statistics = this.kinds.get(kind);
-    if (!statistics) return 0;
-    const average: Relation = { centre: 0, level: 0, slope: 0, variance: 0 };
-    return statistics.relate(average, KIND_PRIOR_WEIGHT).level;
+    return statistics ? toEffect(statistics) - this.meanKindEffect() : 0;
+  }
+
+  private meanKindEffect(): number {
+    let sum = 0;
+    let weight = 0;
+    for (const statistics of this.kinds.values()) {
+      sum += toEffect(statistics) * statistics.weight;
+      weight += statistics.weight;
+    }
+    return weight === 0 ? 0 : sum / weight;
   }
 }
--- a/packages/workflow/src/durationStatistics.ts
+++ b/packages/workflow/src/durationStatistics.ts
@@ -69,6 +69,11 @@
     this.memory = memory;
   }
 
+  /** Decayed mean of the logarithm of the work. */
+  get averageWork(): number {
+    return this.meanWork;
+  }
+
   /** Returns the logarithm of the work of a sample as far as it is not cut off as an outlier. */
   limit(logWork: number, expected: number, variance: number, weight: number): number {
     const bound = MAX_DEVIATIONS * Math.max(MIN_DEVIATION, Math.sqrt(variance));
@@ -84,7 +89,7 @@
       this.weight = Math.min(this.weight, CHANGE_WEIGHT);
       this.outliers = 0;
     }
-    return expected + side * Math.min(Math.abs(difference), bound * (1 + count));
+    return expected + side * Math.min(Math.abs(difference), bound * Math.max(1, count));
   }
 
   /** Adds a sample of weight 0 to 1. */
