--- a/packages/tests/features/workflow/learnedDurations.feature
+++ b/packages/tests/features/workflow/learnedDurations.feature
@@ -64,6 +64,12 @@
     Then the slow endpoint is expected to take 2 to 3.5 times as long as the others
     And the others are expected to differ by at most 30 %
 
+  # Guards against work that concentrates on one of several equal endpoints.
+  Scenario: endpoints that have been measured about equally fast count as equal
+    Given steps of 8 tasks on 8 endpoints, one of which is 1 times slower, with work that varies by 0.9
+    When 20 such steps end
+    Then all endpoints are expected to take equally long
+
   Scenario: the model stays bounded and small, and the classes in use are kept
     When 3000 classes of one step each end, with a step of "crawl" after each
     Then the model has at most 1024 classes, "crawl" among them
--- a/packages/tests/features/workflow/policies.feature
+++ b/packages/tests/features/workflow/policies.feature
@@ -29,6 +29,45 @@
       | empty | 1      | 0.1  |
     Then a task is placed on "empty"
 
+  Scenario Outline: fast endpoints are left to urgent work by work that is in time on slow ones
+    Given the candidate endpoints
+      | id       | factor | load |
+      | impaired | 3      | 0    |
+      | slow     | 1.7    | 0    |
+      | fast     | 0.7    | 0    |
+    Then a task of <work> ms with a slack of <slack> ms is placed on "<endpoint>"
+
+    Examples:
+      | work | slack | endpoint |
+      | 1000 | 300   | fast     |
+      | 1000 | 1500  | slow     |
+      | 1000 | 1100  | fast     |
+      | 1000 | 90000 | slow     |
+
+  Scenario: patient work is not placed on an endpoint where it would be late
+    Given the candidate endpoints
+      | id   | factor | load |
+      | slow | 1.7    | 0    |
+      | fast | 1.2    | 0.9  |
+    Then a task of 1000 ms with a slack of 1100 ms is placed on "fast"
+
+  Scenario: large tasks fill endpoints up, so that others stay whole for wide work
+    Given the candidate endpoints
+      | id      | factor | load | cores |
+      | used    | 1      | 0.5  | 64    |
+      | empty   | 1      | 0    | 64    |
+      | suspect | 1      | 20   | 64    |
+    Then a task of 18 cores is placed on "used"
+    And a task of 2 cores is placed on "empty"
+
+  # Guards against a job that loses most of its tasks with one endpoint.
+  Scenario: large tasks of one step are spread
+    Given the candidate endpoints
+      | id    | factor | load | cores | tasks |
+      | first | 1      | 0.5  | 64    | 1     |
+      | other | 1      | 0    | 64    | 0     |
+    Then a task of 18 cores is placed on "other"
+
   Scenario: a loaded rack: data locality outweighs load, unless no endpoint is local
     Given the candidate endpoints
       | id   | factor | load | rack |
--- a/packages/tests/src/steps/workflow/learnedDurationSteps.ts
+++ b/packages/tests/src/steps/workflow/learnedDurationSteps.ts
@@ -16,6 +16,7 @@
   normal: () => number;
   speeds: EndpointSpeeds;
   workSpread: number;
+  slowdown: number;
 }
 
 /** Median of work that varies. */
@@ -144,8 +145,9 @@
 });
 
 Given(
-  'steps of 8 tasks on 8 endpoints, one of which is 3 times slower, with work that varies by {float}',
-  function createSpeeds(this: LearnedWorld, spread: number) {
+  'steps of 8 tasks on 8 endpoints, one of which is {float} times slower, with work that varies by {float}',
+  function createSpeeds(this: LearnedWorld, slowdown: number, spread: number) {
+    this.slowdown = slowdown;
     this.workSpread = spread;
     this.speeds = new EndpointSpeeds();
   },
@@ -157,7 +159,7 @@
     const expected = { logMs: Math.log(MEDIAN_MS), variance: 0.81 };
     // The slow endpoint is number 0; it reports last.
     for (let i = ENDPOINTS - 1; i >= 0; i -= 1) {
-      const duration = vary(this, i === 0 ? ms * 3 : ms, 0.1);
+      const duration = vary(this, i === 0 ? ms * this.slowdown : ms, 0.1);
       this.speeds.record(`w${i}`, `s${step}`, Math.log(duration), expected);
     }
   }
@@ -181,3 +183,8 @@
     assert.ok(ratio <= 1 + percent / 100, `${ratio}`);
   },
 );
+
+Then('all endpoints are expected to take equally long', function checkEqual(this: LearnedWorld) {
+  const factors = Array.from({ length: ENDPOINTS }, (_, i) => this.speeds.factorOf(`w${i}`));
+  assert.deepEqual(new Set(factors), new Set([1]));
+});
--- a/packages/tests/src/steps/workflow/policySteps.ts
+++ b/packages/tests/src/steps/workflow/policySteps.ts
@@ -12,7 +12,12 @@
 import { createJob } from '@lagoongap/workflow/workflowState.js';
 import { LeaseClock } from '@lagoongap/workflow/leaseClock.js';
 import { DurationEstimator } from '@lagoongap/workflow/durationEstimator.js';
-import { chooseEndpoint, type PlacementCandidate } from '@lagoongap/workflow/stepPlacer.js';
+import {
+  EndpointSelector,
+  type PlacementCandidate,
+  type PlacementPreference,
+} from '@lagoongap/workflow/stepPlacer.js';
+import { toPatientFactor } from '@lagoongap/workflow/stepOrdering.js';
 import { SuspensionDetector } from '@lagoongap/workflow/suspensionDetector.js';
 import FakeTimers from '@sinonjs/fake-timers';
 
@@ -105,7 +110,11 @@
   this.detectorClock?.uninstall();
 });
 
-function choose(world: PolicyWorld, step: StepRow): string | undefined {
+function choose(
+  world: PolicyWorld,
+  step: StepRow,
+  preference?: PlacementPreference,
+): string | undefined {
   const rowOf = ({ id }: PlacementCandidate): Record<string, string> =>
     world.endpoints.find((row) => row.id === id)!;
   const candidates = world.endpoints.map((row) => ({
@@ -113,17 +122,18 @@
     kind: 'a',
     rack: row.rack ?? '',
     labels: [],
-    capacity: NO_RESOURCES,
+    capacity: { ...NO_RESOURCES, cpuMillis: Number(row.cores ?? 0) * 1000 },
     durationFactor: Number(row.factor),
     isLatencySensitive: row.sensitive === 'yes',
   }));
   const usage = {
     fits: () => true,
-    countOn: () => 0,
+    countOn: (endpoint: PlacementCandidate) => Number(rowOf(endpoint).tasks ?? 0),
     failuresOn: (endpoint: PlacementCandidate) => Number(rowOf(endpoint).failures ?? 0),
     loadOf: (endpoint: PlacementCandidate) => Number(rowOf(endpoint).load),
   };
-  return chooseEndpoint(createStep(step), candidates, usage, FAR_FACTOR)?.id;
+  const spec = createStep(step);
+  return new EndpointSelector(spec, candidates, usage, FAR_FACTOR, preference).choose()?.id;
 }
 
 Then(
@@ -155,6 +165,21 @@
   },
 );
 
+Then(
+  'a task of {int} ms with a slack of {int} ms is placed on {string}',
+  function checkPatient(this: PolicyWorld, pathMs: number, slackMs: number, id: string) {
+    const patientFactor = toPatientFactor({ slackMs, pathMs, targetMs: slackMs + pathMs });
+    assert.equal(choose(this, {}, { patientFactor }), id);
+  },
+);
+
+Then(
+  'a task of {int} cores is placed on {string}',
+  function checkSize(this: PolicyWorld, cores: number, id: string) {
+    assert.equal(choose(this, { cores }, { patientFactor: 0 }), id);
+  },
+);
+
 Given(
   'an endpoint clock that was read as {int} ms at {int} ms',
   function readClock(this: PolicyWorld, clockMs: number, receivedMs: number) {
--- a/packages/tests/src/workflow/loadModel.ts
+++ b/packages/tests/src/workflow/loadModel.ts
@@ -10,6 +10,7 @@
 import type { StepSpec } from '@lagoongap/workflow/jobSpec.js';
 import { orderBySlack } from '@lagoongap/workflow/slackOrder.js';
 import { ShareHistory, sumCapacity } from '@lagoongap/workflow/shareHistory.js';
+import { toPatientFactor } from '@lagoongap/workflow/stepOrdering.js';
 import { orderSteps } from '@lagoongap/workflow/stepOrder.js';
 import {
   EndpointSelector,
@@ -62,8 +63,8 @@
   /** Memory of the shares in milliseconds; 0 for none, by default that of the scheduler. */
   windowMs?: number;
   order?: typeof orderBySlack;
-  /** Weighs the endpoints for a step that can wait for `slackMs`. */
-  prefer?: (step: ReadyStep, slackMs: number, pathMs: number) => PlacementPreference;
+  /** Patient work prefers slow endpoints, and large tasks fill them up; by default so if learned. */
+  hasPreference?: boolean;
 }
 
 /** Results of one queue, or of the organisations without the flood. */
@@ -349,13 +350,11 @@
   }
 
   private preferenceOf(step: ReadyStep): PlacementPreference | undefined {
-    const { prefer, isLearned } = this.policy;
-    if (!prefer) return undefined;
-    const read = ({ job }: ReadyStep, index: number): number =>
-      isLearned ? this.expect(job, index) : job.spec.steps[index]!.estimateMs;
+    const { isLearned, hasPreference = true } = this.policy;
+    if (!isLearned || !hasPreference) return undefined;
     const queue = this.queues.get(step.job.queue)!;
-    const { slackMs, pathMs } = assessSlack(step, queue, this.nowMs, read);
-    return prefer(step, slackMs, pathMs);
+    const read = ({ job }: ReadyStep, index: number): number => this.expect(job, index);
+    return { patientFactor: toPatientFactor(assessSlack(step, queue, this.nowMs, read)) };
   }
 
   private place(step: ReadyStep): void {
@@ -368,7 +367,7 @@
       usable,
       {
         fits: (it, { size }) => ledger.hasCapacity(it.id, it.capacity, size, false),
-        countOn: () => 0,
+        countOn: ({ id }) => ledger.countRuns(step.name, id),
         failuresOn: () => 0,
         loadOf: ({ id, capacity }) => ledger.usedOn(id).cpuMillis / capacity.cpuMillis,
       },
--- a/packages/workflow/src/endpointSpeeds.ts
+++ b/packages/workflow/src/endpointSpeeds.ts
@@ -1,15 +1,24 @@
 /** Variance of the logarithm of the durations of the tasks of one step on equal endpoints. */
 const TASK_VARIANCE = 0.04;
 
-/** Variance of the speed of endpoints of the same kind, on a log scale. */
-const ENDPOINT_VARIANCE = 0.04;
+/** Variance of the speed of endpoints of the same kind, on a log scale; factors of 0.7 to 1.7. */
+const ENDPOINT_VARIANCE = 0.06;
 
 /** Maximum precision of the speed of an endpoint; about eight runs that can be compared well. */
 const MAX_PRECISION = 200;
 
+/** Variance of an expectation from which a run tells nothing about its endpoint. */
+const MAX_REFERENCE_VARIANCE = 0.25;
+
 /** Bound for the deviation of a single run, against outliers. */
 const MAX_DEVIATION = 2;
 
+/**
+ * Effect up to which endpoints of a kind count as equally fast. Without it work concentrates on the
+ * one that has been measured a little faster, or not at all, and much is lost when that one fails.
+ */
+const NEGLIGIBLE_EFFECT = 0.1;
+
 /** Maximum number of steps whose runs are remembered. */
 const MAX_STEPS = 2048;
 
@@ -59,7 +68,9 @@
     const reference = this.refine(step, expected);
     const deviation = logMs - reference.logMs;
     const bounded = Math.max(-MAX_DEVIATION, Math.min(MAX_DEVIATION, deviation));
-    this.update(endpoint, bounded, 1 / (TASK_VARIANCE + reference.variance));
+    if (reference.variance <= MAX_REFERENCE_VARIANCE) {
+      this.update(endpoint, bounded, 1 / (TASK_VARIANCE + reference.variance));
+    }
     const logWork = logMs - this.effectOf(endpoint);
     const known = this.steps.get(step) ?? { count: 0, mean: 0 };
     known.count += 1;
@@ -69,9 +80,10 @@
     return logWork;
   }
 
-  /** Returns the duration on an endpoint as a multiple of that on its kind. */
+  /** Returns the duration on an endpoint as a multiple of that on its kind; 1 if about equal. */
   factorOf(endpoint: string): number {
-    return Math.exp(this.effectOf(endpoint));
+    const effect = this.effectOf(endpoint);
+    return Math.abs(effect) <= NEGLIGIBLE_EFFECT ? 1 : Math.exp(effect);
   }
 
   /** Returns the effect of an endpoint relative to the mean of all. */
--- a/packages/workflow/src/stepOrdering.ts
+++ b/packages/workflow/src/stepOrdering.ts
@@ -4,16 +4,30 @@
 import type { CellConfig, QueuePolicy } from './cellConfig.js';
 import type { DurationForecast } from './durationForecast.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
+import { assessSlack, type SlackAssessment } from './jobSlack.js';
 import type { ReadyStep } from './readySteps.js';
 import type { RunLedger } from './runLedger.js';
 import type { SessionContext } from './sessionContext.js';
 import { ShareHistory, sumCapacity } from './shareHistory.js';
+import type { PlacementPreference } from './stepPlacer.js';
 import { orderBySlack } from './slackOrder.js';
 import { orderSteps } from './stepOrder.js';
 
 /** Maximum age of the sum of the capacities of all endpoints. */
 const CAPACITY_MAX_AGE_MS = 1000;
 
+/** Part of the slack that patient work may lose on a slow endpoint. */
+const SLACK_SHARE = 0.5;
+
+/** Factor from which an endpoint is not slow by kind but impaired, so that no work prefers it. */
+const MAX_PATIENT_FACTOR = 2;
+
+/** Returns the factor up to which a step that starts now leaves faster endpoints to others. */
+export function toPatientFactor({ slackMs, pathMs }: SlackAssessment): number {
+  if (pathMs <= 0 || slackMs <= pathMs) return 0;
+  return Math.min(MAX_PATIENT_FACTOR, 1 + (SLACK_SHARE * slackMs) / pathMs);
+}
+
 /** Options of {@link StepOrdering}. */
 export interface StepOrderingOptions {
   context: SessionContext;
@@ -63,6 +77,16 @@
     });
   }
 
+  /** Returns how the endpoints for a step are weighed; undefined if nothing is learned. */
+  preferenceOf(ready: ReadyStep, queue: QueuePolicy): PlacementPreference | undefined {
+    const { context, durations } = this.opts;
+    if (!context.features.has('learned-durations')) return undefined;
+    if (ready.spec.isService) return { patientFactor: 0 };
+    return {
+      patientFactor: toPatientFactor(assessSlack(ready, queue, Date.now(), durations.reader)),
+    };
+  }
+
   /** Updates the shares of all organisations; returns them relative to their weights. */
   private updateShares(config: CellConfig, nowMs: number): Map<string, number> {
     if (nowMs - this.capacityReadMs >= CAPACITY_MAX_AGE_MS) {
--- a/packages/workflow/src/stepPlacer.ts
+++ b/packages/workflow/src/stepPlacer.ts
@@ -27,18 +27,20 @@
   loadOf: (candidate: PlacementCandidate) => number;
 }
 
-/** How the endpoints for a step are weighed; the defaults apply where nothing is known about it. */
+/** How the endpoints for a step are weighed, if its expected duration and slack are known. */
 export interface PlacementPreference {
-  /** Weight of the duration on the endpoint; negative to leave fast endpoints to others. */
-  speedWeight: number;
-  /** Weight of the load of the endpoint; negative to fill endpoints up and keep others whole. */
-  loadWeight: number;
+  /** Duration factor up to which endpoints are in time and left to more urgent work; 0 for none. */
+  patientFactor: number;
 }
 
 /** Cost of a fully loaded endpoint compared with an idle one, in multiples of the estimate. */
 const LOAD_WEIGHT = 0.25;
 
-const DEFAULT_PREFERENCE: PlacementPreference = { speedWeight: 1, loadWeight: LOAD_WEIGHT };
+/** Weight by which patient work prefers slow endpoints; below 1, as it uses them for longer. */
+const PATIENCE_WEIGHT = 0.5;
+
+/** Part of an endpoint from which a task counts as large. */
+const LARGE_TASK_SHARE = 0.25;
 
 /** Additional cost of placing a best-effort task next to latency-sensitive tasks. */
 const INTERFERENCE_COST = 5;
@@ -67,7 +69,7 @@
   private readonly spec: StepSpec;
   private readonly usage: PlacementUsage;
   private readonly farFactor: number;
-  private readonly preference: PlacementPreference;
+  private readonly preference: PlacementPreference | undefined;
   private readonly options: Option[] = [];
 
   /** @param farFactor - Slowdown factor of a task that runs outside the rack of its data. */
@@ -76,7 +78,7 @@
     candidates: readonly PlacementCandidate[],
     usage: PlacementUsage,
     farFactor: number,
-    preference: PlacementPreference = DEFAULT_PREFERENCE,
+    preference?: PlacementPreference,
   ) {
     this.spec = spec;
     this.preference = preference;
@@ -110,23 +112,31 @@
   private costOf(candidate: PlacementCandidate): number {
     const { spec, usage, farFactor } = this;
     const isRemote = spec.dataRack !== '' && candidate.rack !== spec.dataRack;
-    const { speedWeight, loadWeight } = this.preference;
-    let cost = speedWeight * candidate.durationFactor * (isRemote ? farFactor : 1);
-    cost += loadWeight * usage.loadOf(candidate);
+    let cost = this.durationCost(candidate.durationFactor * (isRemote ? farFactor : 1));
+    cost += this.loadCost(candidate);
     cost += FAILURE_COST * usage.failuresOn(candidate);
     if (spec.fillsIdleCapacity && candidate.isLatencySensitive) cost += INTERFERENCE_COST;
     return cost;
   }
-}
 
-/** Chooses the endpoint for one task of a step; see {@link EndpointSelector}. */
-export function chooseEndpoint(
-  spec: StepSpec,
-  candidates: PlacementCandidate[],
-  usage: PlacementUsage,
-  farFactor: number,
-): PlacementCandidate | undefined {
-  return new EndpointSelector(spec, candidates, usage, farFactor).choose();
+  /** Urgent work prefers fast endpoints, patient work slow ones on which it is in time. */
+  private durationCost(factor: number): number {
+    const { patientFactor = 0 } = this.preference ?? {};
+    return factor <= patientFactor ? -PATIENCE_WEIGHT * factor : factor;
+  }
+
+  /**
+   * Large tasks fill endpoints up, so that others stay whole; small ones are spread. The tasks of one
+   * step are always spread, so that the loss of an endpoint does not take most of them.
+   */
+  private loadCost(candidate: PlacementCandidate): number {
+    const { spec, usage, preference } = this;
+    const load = usage.loadOf(candidate);
+    const isLarge = spec.size.cpuMillis > candidate.capacity.cpuMillis * LARGE_TASK_SHARE;
+    // Above 1 the load includes what keeps suspected tasks apart.
+    const mayBeFilled = preference !== undefined && isLarge && load <= 1;
+    return (mayBeFilled && usage.countOn(candidate) === 0 ? -LOAD_WEIGHT : LOAD_WEIGHT) * load;
+  }
 }
 
 /**
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -16,6 +16,7 @@
   chooseGangEndpoints,
   EndpointSelector,
   type PlacementCandidate,
+  type PlacementPreference,
   type PlacementUsage,
 } from './stepPlacer.js';
 import { RejectionBackoff } from './rejectionBackoff.js';
@@ -261,7 +262,7 @@
     }
     const planned = ready.spec.isGang
       ? this.placeGang(ready, usable, config)
-      : this.placeTasks(ready, usable, config);
+      : this.placeTasks(ready, usable, config, this.ordering.preferenceOf(ready, queue));
     for (const start of planned) start.ticket = tickets?.find(start.endpoint, nowMs);
     if (planned.length < ready.waiting.length) this.ticketProvider.query(ready, queue, candidates);
     return planned;
@@ -271,11 +272,12 @@
     ready: ReadyStep,
     candidates: PlacementCandidate[],
     config: CellConfig,
+    preference?: PlacementPreference,
   ): PlannedStart[] {
     const planned: PlannedStart[] = [];
     const { farFactor } = this.opts.context.timing;
     const usage = this.createUsage(ready, config);
-    const selector = new EndpointSelector(ready.spec, candidates, usage, farFactor);
+    const selector = new EndpointSelector(ready.spec, candidates, usage, farFactor, preference);
     const suspects = this.opts.quarantine.listSuspects(ready);
     for (const index of ready.waiting) {
       if (suspects.has(index)) continue;
