Merge learned durations, order by slack and shares with a memory

Cause: submitted estimates are wrong by a lot, and what was learned ended with the leader.

Change: durations are learned per class of work in the replicated state and used for order, placement, copies, advisor queries and preemption. Runs on cold endpoints tell nothing.

--- a/packages/workflow/src/preemption.ts
+++ b/packages/workflow/src/preemption.ts
@@ -147,6 +147,7 @@
     if (urgent.size === 0) return [];
     const wallMs = Date.now();
     const nowMs = performance.now();
+    const { reader } = this.opts.durations;
     const waiting: WaitingStep[] = [];
     for (const ready of this.opts.ready.list()) {
       const queue = urgent.get(ready.job.queue);
@@ -154,7 +155,7 @@
       // A gang would need all its room at the same time.
       if (!queue || isGang || isService || fillsIdleCapacity) continue;
       if (this.history.isBackedOff(ready.name, nowMs)) continue;
-      const slack = slackMs(ready, queue, wallMs);
+      const slack = slackMs(ready, queue, wallMs, reader);
       // Others can still wait for room that becomes free.
       if (slack <= leadMs(this.timing)) waiting.push({ ready, queue, slackMs: slack });
     }
@@ -168,7 +169,8 @@
     { ready, queue, slackMs: slack }: WaitingStep,
     held: Resources,
   ): UrgentStep | undefined {
-    const { quarantine, scheduler } = this.opts;
+    const { durations, quarantine, scheduler } = this.opts;
+    const { reader } = durations;
     const { name, job, spec } = ready;
     const suspects = quarantine.listSuspects(ready).size;
     const taskCount = ready.waiting.length - suspects - countTasks(spec.size, held);
@@ -182,8 +184,8 @@
       size: spec.size,
       taskCount,
       slackMs: slack,
-      targetMs: targetDurationMs(ready, queue),
-      durationMs: spec.estimateMs,
+      targetMs: targetDurationMs(ready, queue, reader),
+      durationMs: reader(ready, ready.step),
       endpoints,
     };
   }
--- a/packages/workflow/src/preemptionFleet.ts
+++ b/packages/workflow/src/preemptionFleet.ts
@@ -5,7 +5,7 @@
 import type { CellConfig, QueuePolicy } from './cellConfig.js';
 import { isSuspected } from './crashRecord.js';
 import { CpuSums } from './cpuSums.js';
-import type { DurationEstimator } from './durationEstimator.js';
+import type { DurationForecast } from './durationForecast.js';
 import type { EndpointAgent } from './endpointAgent.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 import { parseTaskName, stepName, type StepSpec } from './jobSpec.js';
@@ -32,7 +32,7 @@
   ledger: RunLedger;
   holds: RoomHolds;
   directory: EndpointDirectory;
-  durations: DurationEstimator;
+  durations: DurationForecast;
   quarantine: Quarantine;
   history: PreemptionHistory;
   stops: StopTracker;
@@ -233,12 +233,16 @@
       return leftMs > 0 ? leftMs : Infinity;
     }
     if (!run) return this.isEnding(key) ? 0 : Infinity;
-    const spec = this.opts.context.state.findSpec(run.task);
-    if (!spec || spec.isService || run.phase !== 'running') return Infinity;
+    const { state } = this.opts.context;
+    const job = state.jobs.get(run.task.jobId);
+    const spec = state.findSpec(run.task);
+    if (!job || !spec || spec.isService || run.phase !== 'running') return Infinity;
     if (!this.opts.directory.isResponsive(agent)) return Infinity;
     const elapsedMs = this.elapsedMs(run);
     const { id, record } = agent;
-    const expectedMs = spec.estimateMs * this.opts.durations.durationFactor(id, record.kind);
+    const { durations } = this.opts;
+    const workMs = durations.reader(this.describeStep(job, run, spec), run.task.step);
+    const expectedMs = workMs * durations.durationFactor(id, record.kind);
     return elapsedMs < expectedMs ? expectedMs - elapsedMs : elapsedMs * OVERRUN_SHARE;
   }
 
@@ -261,7 +265,7 @@
     agent: EndpointAgent,
     remainingMs: number,
   ): StoppableRun | undefined {
-    const { context, quarantine, history } = this.opts;
+    const { context, durations, quarantine, history } = this.opts;
     const { state, timing } = context;
     const run = agent.runs.get(key);
     if (!run || run.phase !== 'running' || run.isStopping || run.isStopped) return undefined;
@@ -279,6 +283,8 @@
     // A run that ends about as soon as its task could resume gains nothing for anyone.
     if (remainingMs <= this.timing.freeingMs + timing.restoreMs) return undefined;
     const step = this.describeStep(job, run, spec);
+    const { reader } = durations;
+    const workMs = reader(step, step.step);
     return {
       key,
       step: step.name,
@@ -288,8 +294,8 @@
       priority: queue.priority,
       size,
       remainingMs,
-      slackMs: slackMs(step, queue, this.wallMs) + Math.min(elapsedMs, spec.estimateMs),
-      targetMs: targetDurationMs(step, queue),
+      slackMs: slackMs(step, queue, this.wallMs, reader) + Math.min(elapsedMs, workMs),
+      targetMs: targetDurationMs(step, queue, reader),
       // A ticket of the first start has expired by then.
       restartMs: timing.restoreMs + (queue.advice?.decideMs ?? 0),
       preemptions: history.countStops(run.name, this.nowMs),
--- a/packages/workflow/src/stepPlacer.ts
+++ b/packages/workflow/src/stepPlacer.ts
@@ -31,9 +31,21 @@
   loadOf: (candidate: PlacementCandidate) => number;
 }
 
+/** How the endpoints for a step are weighed, if its expected duration and slack are known. */
+export interface PlacementPreference {
+  /** Duration factor up to which endpoints are in time and left to more urgent work; 0 for none. */
+  patientFactor: number;
+}
+
 /** Cost of a fully loaded endpoint compared with an idle one, in multiples of the estimate. */
 const LOAD_WEIGHT = 0.25;
 
+/** Weight by which patient work prefers slow endpoints; below 1, as it uses them for longer. */
+const PATIENCE_WEIGHT = 0.5;
+
+/** Part of an endpoint from which a task counts as large. */
+const LARGE_TASK_SHARE = 0.25;
+
 /** Additional cost of placing a best-effort task next to latency-sensitive tasks. */
 const INTERFERENCE_COST = 5;
 
@@ -61,6 +73,7 @@
   private readonly spec: StepSpec;
   private readonly usage: PlacementUsage;
   private readonly farFactor: number;
+  private readonly preference: PlacementPreference | undefined;
   private readonly options: Option[] = [];
 
   /** @param farFactor - Slowdown factor of a task that runs outside the rack of its data. */
@@ -69,8 +82,10 @@
     candidates: readonly PlacementCandidate[],
     usage: PlacementUsage,
     farFactor: number,
+    preference?: PlacementPreference,
   ) {
     this.spec = spec;
+    this.preference = preference;
     this.usage = usage;
     this.farFactor = farFactor;
     for (const candidate of candidates) {
@@ -101,22 +116,31 @@
   private costOf(candidate: PlacementCandidate): number {
     const { spec, usage, farFactor } = this;
     const isRemote = spec.dataRack !== '' && candidate.rack !== spec.dataRack;
-    let cost = candidate.durationFactor * (isRemote ? farFactor : 1);
-    cost += LOAD_WEIGHT * usage.loadOf(candidate);
+    let cost = this.durationCost(candidate.durationFactor * (isRemote ? farFactor : 1));
+    cost += this.loadCost(candidate);
     cost += FAILURE_COST * usage.failuresOn(candidate);
     if (spec.fillsIdleCapacity && candidate.isLatencySensitive) cost += INTERFERENCE_COST;
     return cost;
   }
-}
 
-/** Chooses the endpoint for one task of a step; see {@link EndpointSelector}. */
-export function chooseEndpoint(
-  spec: StepSpec,
-  candidates: PlacementCandidate[],
-  usage: PlacementUsage,
-  farFactor: number,
-): PlacementCandidate | undefined {
-  return new EndpointSelector(spec, candidates, usage, farFactor).choose();
+  /** Urgent work prefers fast endpoints, patient work slow ones on which it is in time. */
+  private durationCost(factor: number): number {
+    const { patientFactor = 0 } = this.preference ?? {};
+    return factor <= patientFactor ? -PATIENCE_WEIGHT * factor : factor;
+  }
+
+  /**
+   * Large tasks fill endpoints up, so that others stay whole; small ones are spread. The tasks of one
+   * step are always spread, so that the loss of an endpoint does not take most of them.
+   */
+  private loadCost(candidate: PlacementCandidate): number {
+    const { spec, usage, preference } = this;
+    const load = usage.loadOf(candidate);
+    const isLarge = spec.size.cpuMillis > candidate.capacity.cpuMillis * LARGE_TASK_SHARE;
+    // Above 1 the load includes what keeps suspected tasks apart.
+    const mayBeFilled = preference !== undefined && isLarge && load <= 1;
+    return (mayBeFilled && usage.countOn(candidate) === 0 ? -LOAD_WEIGHT : LOAD_WEIGHT) * load;
+  }
 }
 
 /**
--- a/packages/workflow/src/stepScheduler.ts
+++ b/packages/workflow/src/stepScheduler.ts
@@ -15,18 +15,19 @@
 import { createReservation, type RunLedger } from './runLedger.js';
 import { explainWait } from './explainWait.js';
 import type { SessionContext } from './sessionContext.js';
-import type { DurationEstimator } from './durationEstimator.js';
+import type { DurationForecast } from './durationForecast.js';
 import {
   chooseGangEndpoints,
   EndpointSelector,
   type PlacementCandidate,
+  type PlacementPreference,
   type PlacementUsage,
 } from './stepPlacer.js';
 import { RejectionBackoff } from './rejectionBackoff.js';
 import { ResumableWalk } from './resumableWalk.js';
 import { splitRestarts } from './splitRestarts.js';
-import { orderSteps } from './stepOrder.js';
 import { listUsableEndpoints, type UsableEndpoint } from './usableEndpoints.js';
+import { StepOrdering } from './stepOrdering.js';
 import type { StartedRun } from './workflowCommand.js';
 
 /** A planned start of a run. */
@@ -56,7 +57,7 @@
   ledger: RunLedger;
   holds: RoomHolds;
   directory: EndpointDirectory;
-  durations: DurationEstimator;
+  durations: DurationForecast;
   broker: AdviceBroker;
   /** Returns the monotonic time since which a task of a service has had no run. */
   readOutageSinceMs: (task: TaskRef) => number;
@@ -81,6 +82,7 @@
   private readonly ticketProvider: TicketProvider;
   private readonly room: PlacementRoom;
   private readonly blocked: BlockedSteps;
+  private readonly ordering: StepOrdering;
   private readonly restartsWalk = new ResumableWalk();
   private readonly waitingWalk = new ResumableWalk();
   private readonly candidates: CandidateLists;
@@ -94,13 +96,14 @@
   constructor(opts: StepSchedulerOptions) {
     this.opts = opts;
     this.candidates = new CandidateLists(opts);
-    const { context, ledger, broker, ready, quarantine, holds, onAdvice } = opts;
+    const { context, ledger, broker, ready, quarantine, holds, durations, onAdvice } = opts;
     this.ticketProvider = new TicketProvider({
       context,
       ledger,
       broker,
       ready,
       holds,
+      readDurationMs: context.features.has('learned-durations') ? durations.reader : undefined,
       listCandidates: (queue) => this.candidates.listRecent(queue),
       canPlace: (step, id) =>
         !this.rejections.isDelayed(step, id, performance.now()) && quarantine.isOpen(id),
@@ -110,6 +113,7 @@
       this.failures.get(step)?.get(endpoint) ?? 0;
     this.room = new PlacementRoom({ ledger, quarantine, holds, countFailures });
     this.blocked = new BlockedSteps(ledger);
+    this.ordering = new StepOrdering(opts);
   }
 
   /** Returns the indexes of the tasks whose start is planned but not committed yet. */
@@ -175,7 +179,6 @@
     this.candidates.dropOutdated();
     this.expireHolds(startMs);
     const { turnMs } = this.opts.context.timing;
-    const weights = new Map(config.organisations.map(({ name, weight }) => [name, weight]));
     const place = (ready: ReadyStep): void => {
       const queue = queues.get(ready.job.queue);
       if (queue) planned.push(...this.placeUnlessBlocked(ready, queue, config));
@@ -188,11 +191,7 @@
     // A long cycle would block leadership renewal, which shares the event loop.
     const restartsEndMs = startMs + turnMs * RESTARTS_TURN_SHARE;
     const hasPlacedRestarts = this.restartsWalk.visit(restarts, place, restartsEndMs);
-    const waiting = orderSteps(others, {
-      findQueue: (name) => queues.get(name),
-      readUsage: (name) => this.opts.ledger.usedBy(name).cpuMillis / (weights.get(name) || 1),
-      wallMs: Date.now(),
-    });
+    const waiting = this.ordering.order(others, config, queues);
     const hasPlacedOthers = this.waitingWalk.visit(waiting, place, startMs + turnMs);
     return { planned, isComplete: hasPlacedRestarts && hasPlacedOthers };
   }
@@ -277,7 +276,7 @@
     }
     const planned = ready.spec.isGang
       ? this.placeGang(ready, usable, config)
-      : this.placeTasks(ready, usable, config);
+      : this.placeTasks(ready, usable, config, this.ordering.preferenceOf(ready, queue));
     if (tickets) {
       for (const start of planned) {
         start.ticket = this.ticketProvider.useTicket(ready.name, start.endpoint, nowMs);
@@ -291,11 +290,12 @@
     ready: ReadyStep,
     candidates: PlacementCandidate[],
     config: CellConfig,
+    preference?: PlacementPreference,
   ): PlannedStart[] {
     const planned: PlannedStart[] = [];
     const { farFactor } = this.opts.context.timing;
     const usage = this.createUsage(ready, config);
-    const selector = new EndpointSelector(ready.spec, candidates, usage, farFactor);
+    const selector = new EndpointSelector(ready.spec, candidates, usage, farFactor, preference);
     const suspects = this.opts.quarantine.listSuspects(ready);
     for (const index of ready.waiting) {
       if (suspects.has(index)) continue;
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -1,11 +1,11 @@
 import { EjectingHealthPolicy } from '@lagoongap/routing/ejectingHealthPolicy.js';
 import type { HealthPolicy } from '@lagoongap/routing/healthPolicy.js';
 
-import { AdviceAdmission } from './adviceAdmission.js';
-import { AdviceBroker } from './adviceBroker.js';
+import type { AdviceBroker } from './adviceBroker.js';
 import { AdvicePrefetcher } from './advicePrefetcher.js';
 import type { CellConfig } from './cellConfig.js';
 import { ConfigReader } from './configReader.js';
+import { createAdviceBroker } from './createAdviceBroker.js';
 import { createSessionContext } from './createSessionContext.js';
 import { CrashAttribution } from './crashAttribution.js';
 import { CyclePacer } from './cyclePacer.js';
@@ -34,7 +34,7 @@
 import { RunEnds } from './runEnds.js';
 import { createReservation, RunLedger } from './runLedger.js';
 import type { SessionContext, WorkflowSessionOptions } from './sessionContext.js';
-import { DurationEstimator } from './durationEstimator.js';
+import { DurationForecast } from './durationForecast.js';
 import { ServiceOutages } from './serviceOutages.js';
 import { SessionMetrics } from './sessionMetrics.js';
 import { stopStalledRuns } from './stopStalledRuns.js';
@@ -67,7 +67,7 @@
     (run) => this.ledger.isStopping(run),
   );
 
-  private readonly durations = new DurationEstimator();
+  private readonly durations: DurationForecast;
   private readonly health: HealthPolicy;
   private readonly directory: EndpointDirectory;
   private readonly ready: ReadySteps;
@@ -110,11 +110,8 @@
       isDisposed: () => this.isDisposed,
       readConfig: () => this.readConfig(),
     });
-    const schedulesAdvice = this.context.features.has('advice-scheduling');
-    this.broker = new AdviceBroker(
-      opts.log.term,
-      schedulesAdvice ? new AdviceAdmission() : undefined,
-    );
+    this.durations = new DurationForecast(this.context, this.loopLag);
+    this.broker = createAdviceBroker(this.context);
     this.health = new EjectingHealthPolicy({
       onTransition: ({ endpointId: endpoint, ...change }) =>
         logger.info('endpoint health changed', { endpoint, ...change }),
@@ -167,9 +164,9 @@
       holder: opts.holder,
     });
     const { health, durations, scheduler } = this;
-    this.outcomes = new OutcomeRecorder({ state: opts.state, health, durations, scheduler });
+    this.outcomes = new OutcomeRecorder({ health, durations, scheduler });
     this.waitLogger = new WaitLogger(this.context, this.ready, this.scheduler);
-    this.metrics = new SessionMetrics(this.context, this.ready, this.directory);
+    this.metrics = new SessionMetrics(this.context, this.ready, this.directory, this.durations);
     const { context, ready, directory } = this;
     this.outages = new ServiceOutages(context, ready, directory);
     this.earlyTrials = new EarlyTrials({ context, directory, health, ready, scheduler });
@@ -273,12 +270,12 @@
     agent: EndpointAgent,
     reports: { run: AgentRun; report: EndReport }[],
   ): Promise<void> {
-    for (const { run, report } of reports) this.outcomes.recordEnd(agent, run, report);
     const ends = reports.map(({ run, report }) => ({
       task: run.task,
       run: run.run,
       outcome: report.outcome,
       checkpoint: report.checkpoint || run.checkpoint || undefined,
+      durationMs: this.outcomes.recordEnd(agent, run, report),
     }));
     await this.ends.record(ends, agent.id);
   }
--- a/packages/workflow/src/workflowState.ts
+++ b/packages/workflow/src/workflowState.ts
@@ -2,6 +2,7 @@
 
 import { EvacuationState, type EvacuationSnapshot } from '@lagoongap/model/evacuationState.js';
 import { addCrash, isConvicted } from './crashRecord.js';
+import { DurationModel, type DurationSnapshot } from './durationModel.js';
 import { stepKey, type StepSpec, type TaskRef } from './jobSpec.js';
 import { addOccurrence, includesOccurrence, type OccurrenceRanges } from './occurrenceRanges.js';
 import type { EndedRun, StartedRun, SubmitCommand, WorkflowCommand } from './workflowCommand.js';
@@ -31,6 +32,7 @@
   waves: WaveRecord[];
   /** Absent in snapshots of earlier releases. */
   evacuations?: EvacuationSnapshot;
+  durations?: DurationSnapshot;
 }
 
 /** Creates the record of a newly accepted job. */
@@ -84,6 +86,8 @@
   readonly endpoints = new Map<string, EndpointRecord>();
   readonly waves = new Map<number, WaveRecord>();
   readonly evacuations = new EvacuationState();
+  /** What tasks have taken; learned from the ends of runs. */
+  readonly durations = new DurationModel();
   /** Absent until the first configuration is accepted. */
   config: StoredConfig | undefined;
 
@@ -102,11 +106,12 @@
       endpoints: [...this.endpoints.values()],
       waves: [...this.waves.values()].map((wave) => ({ ...wave, begun: [...wave.begun] })),
       evacuations: this.evacuations.snapshot(),
+      durations: this.durations.snapshot(),
     };
   }
 
   restore(snapshot: unknown): void {
-    const { config, jobs, endpoints, waves, evacuations } = snapshot as WorkflowSnapshot;
+    const { config, jobs, endpoints, waves, evacuations, durations } = snapshot as WorkflowSnapshot;
     this.config = config?.document ? { ...config } : undefined;
     this.jobs.clear();
     for (const job of jobs) {
@@ -122,6 +127,7 @@
     this.waves.clear();
     for (const wave of waves) this.waves.set(wave.number, { ...wave, begun: [...wave.begun] });
     this.evacuations.restore(evacuations);
+    this.durations.restore(durations);
   }
 
   /** Returns whether an occurrence has completed and all its runs have ended. */
@@ -226,13 +232,27 @@
     const spec = job.spec.steps[ended.task.step]!;
     if (ended.crash) this.countCrash(job, task, ended);
     const position = task.runs.findIndex(({ run }) => run === ended.run);
-    if (position >= 0) this.endActive(task, position, ended);
-    else if (!this.endGivenUp(task, ended)) return;
+    if (position >= 0) {
+      const { endpoint } = task.runs[position]!;
+      this.recordDuration(job, spec, endpoint, ended);
+      this.endActive(task, position, ended);
+    } else if (!this.endGivenUp(task, ended)) return;
     if (ended.outcome === 'done' && !spec.isService) this.complete(job, step, spec, task);
     if (ended.outcome === 'failed' && !spec.isService) this.countFailure(job, step, spec, ended);
     if (step.isCompleted) this.releaseOccurrence(job, ended.task.occurrence);
   }
 
+  private recordDuration(
+    { queue, organisation }: JobRecord,
+    spec: StepSpec,
+    endpoint: string,
+    { outcome, durationMs }: EndedRun,
+  ): void {
+    if (outcome !== 'done' || durationMs === undefined) return;
+    const kind = this.endpoints.get(endpoint)?.kind ?? '';
+    this.durations.record({ queue, organisation, spec }, kind, durationMs);
+  }
+
   private endActive(task: TaskRecord, position: number, { run, outcome, checkpoint }: EndedRun) {
     task.runs.splice(position, 1);
     if (checkpoint) task.checkpoint = checkpoint;
