--- a/packages/tests/src/workflow/loadModel.ts
+++ b/packages/tests/src/workflow/loadModel.ts
@@ -7,7 +7,7 @@
 import type { ReadyStep } from '@lagoongap/workflow/readySteps.js';
 import { createReservation, RunLedger } from '@lagoongap/workflow/runLedger.js';
 import { assessSlack } from '@lagoongap/workflow/jobSlack.js';
-import type { StepSpec } from '@lagoongap/workflow/jobSpec.js';
+import { stepName, type StepSpec } from '@lagoongap/workflow/jobSpec.js';
 import { orderBySlack } from '@lagoongap/workflow/slackOrder.js';
 import { ShareHistory, sumCapacity } from '@lagoongap/workflow/shareHistory.js';
 import { toPatientFactor } from '@lagoongap/workflow/stepOrdering.js';
@@ -267,7 +267,7 @@
     const { record, step, dueMs } = job;
     const spec = record.spec.steps[step]!;
     const waiting = Array.from({ length: spec.taskCount }, (_, index) => index);
-    const name = `${record.id}.${step}`;
+    const name = stepName(record.id, 0, step);
     this.waiting.set(name, {
       job,
       step: { name, job: record, occurrence: 0, step, spec, waiting, dueMs },
