Keep connections with TLS open after their handshake

Cause: the guard ended each connection of a TLS listener when the time for its headers had passed since it was accepted, handshake or not. Change: the time is the handshakeTimeout of the server, which ends with the handshake.

--- a/packages/gateway/src/listenerGuard.ts
+++ b/packages/gateway/src/listenerGuard.ts
@@ -61,9 +61,18 @@
     this.opts = opts;
   }
 
-  /** Options for the server that the guard protects. */
-  get serverOptions(): { maxHeaderSize: number; requireHostHeader: boolean } {
-    return { maxHeaderSize: this.opts.limits.maxHeaderBytes, requireHostHeader: false };
+  /** Options for the server that the guard protects; the last one is for TLS. */
+  get serverOptions(): {
+    maxHeaderSize: number;
+    requireHostHeader: boolean;
+    handshakeTimeout: number;
+  } {
+    const { maxHeaderBytes, headerTimeoutMs } = this.opts.limits;
+    return {
+      maxHeaderSize: maxHeaderBytes,
+      requireHostHeader: false,
+      handshakeTimeout: headerTimeoutMs,
+    };
   }
 
   /** Number of requests that have neither been answered completely nor lost their connection. */
@@ -81,21 +90,14 @@
 
   /** Watches the connections of a server; `event` is `secureConnection` for TLS. */
   attach(server: Server, event: 'connection' | 'secureConnection'): void {
-    const { maxConnections, idleTimeoutMs, headerTimeoutMs } = this.opts.limits;
+    const { maxConnections, idleTimeoutMs } = this.opts.limits;
     server.keepAliveTimeout = idleTimeoutMs;
     server.headersTimeout = FALLBACK_TIMEOUT_MS;
     server.requestTimeout = 0;
     server.on(event, (socket: Socket) => this.accept(socket));
     server.on('checkExpectation', this.listener);
-    if (event === 'secureConnection') {
-      // Connections in their handshake are bounded by the same number.
-      server.maxConnections = maxConnections * 2;
-      server.on('connection', (socket: Socket) => {
-        const timer = setTimeout(() => socket.destroy(), headerTimeoutMs);
-        server.once('close', () => clearTimeout(timer));
-        socket.once('close', () => clearTimeout(timer));
-      });
-    }
+    // Connections in their handshake are not in the table.
+    if (event === 'secureConnection') server.maxConnections = maxConnections * 2;
     this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
     this.timer.unref();
   }
--- a/packages/tests/features/gateway/clientLimits.feature
+++ b/packages/tests/features/gateway/clientLimits.feature
@@ -53,3 +53,8 @@
     When a client sends the beginning of a request and nothing further, and another one connects only
     Then the first one loses its connection within 10 s
     And the other one still gets a response
+
+  Scenario: a connection with TLS outlives the time for its handshake
+    Given a guarded server with TLS, a header time of 1000 ms and an idle time of 60000 ms
+    When a client has been answered and waits for 3500 ms
+    Then it is answered again on the same connection
--- a/packages/tests/src/steps/gateway/clientLimitSteps.ts
+++ b/packages/tests/src/steps/gateway/clientLimitSteps.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
 import { createServer, type Server } from 'node:http';
+import { createServer as createTlsServer } from 'node:https';
 import { connect, type AddressInfo, type Socket } from 'node:net';
+import { connect as connectTls } from 'node:tls';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { readBody } from '@lagoongap/gateway/bodyReader.js';
@@ -12,6 +15,7 @@
 import { delay } from '@lagoongap/model/delay.js';
 import { SILENT_LOG } from '@lagoongap/model/log.js';
 
+import { TestCertificates } from '../../peering/testCertificates.js';
 import { waitFor } from '../../peering/waitFor.js';
 
 /** Client that records what it receives. */
@@ -20,8 +24,8 @@
   isClosed = false;
   readonly socket: Socket;
 
-  constructor(port: number) {
-    this.socket = connect(port, '127.0.0.1');
+  constructor(socket: Socket) {
+    this.socket = socket;
     this.socket.on('data', (chunk) => {
       this.received += chunk.toString('latin1');
     });
@@ -46,6 +50,7 @@
   rawClients: RawClient[];
   handled: number;
   rawClient: RawClient;
+  isTls?: boolean;
 }
 
 const MAX_BODY_BYTES = 262_144;
@@ -80,15 +85,29 @@
     },
     refuse: (res, { refusal }) => sendRefusal(res, refusal),
   });
-  world.guardedServer = createServer(world.guard.serverOptions, world.guard.listener);
-  world.guard.attach(world.guardedServer, 'connection');
+  const { serverOptions, listener } = world.guard;
+  if (world.isTls) {
+    const certificates = await TestCertificates.create();
+    await certificates.issue('server', 'server');
+    const key = readFileSync(certificates.file('server.key'));
+    const cert = readFileSync(certificates.file('server.pem'));
+    world.guardedServer = createTlsServer({ key, cert, ...serverOptions }, listener);
+    world.guard.attach(world.guardedServer, 'secureConnection');
+  } else {
+    world.guardedServer = createServer(serverOptions, listener);
+    world.guard.attach(world.guardedServer, 'connection');
+  }
   await new Promise<void>((resolve) => {
     world.guardedServer.listen(0, '127.0.0.1', resolve);
   });
 }
 
 function connectClient(world: LimitWorld): RawClient {
-  const client = new RawClient((world.guardedServer.address() as AddressInfo).port);
+  const { port } = world.guardedServer.address() as AddressInfo;
+  const socket = world.isTls
+    ? connectTls({ port, host: '127.0.0.1', rejectUnauthorized: false })
+    : connect(port, '127.0.0.1');
+  const client = new RawClient(socket);
   world.rawClients.push(client);
   world.rawClient = client;
   return client;
@@ -122,6 +141,32 @@
   },
 );
 
+Given(
+  'a guarded server with TLS, a header time of {int} ms and an idle time of {int} ms',
+  STEP_OPTIONS,
+  async function start(this: LimitWorld, headerTimeoutMs: number, idleTimeoutMs: number) {
+    this.isTls = true;
+    await startServer(this, { headerTimeoutMs, idleTimeoutMs });
+  },
+);
+
+When(
+  'a client has been answered and waits for {int} ms',
+  STEP_OPTIONS,
+  async function send(this: LimitWorld, ms: number) {
+    const client = connectClient(this);
+    client.send(GET);
+    await client.awaitStatus(200);
+    await delay(ms);
+    client.received = '';
+  },
+);
+
+Then('it is answered again on the same connection', async function check(this: LimitWorld) {
+  this.rawClient.send(GET);
+  await this.rawClient.awaitStatus(200);
+});
+
 function sendPart(client: RawClient, bytes: number): void {
   client.send(`${CHUNKED}${bytes.toString(16)}\r\n${'x'.repeat(bytes)}\r\n`);
 }
