Spread the parsing of bodies in tiny chunks over the event loop

Cause: a chunk costs some 3.5 µs however small it is, and Node.js reads up to 2 MiB of one connection before it turns to others.

Change: ChunkPacer stops the handle of a connection after 4,096 chunks and lets such connections take turns, one received block for each iteration of the event loop.

--- a/packages/gateway/src/bodyReader.ts
+++ b/packages/gateway/src/bodyReader.ts
@@ -3,6 +3,7 @@
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 
 import { BodyBuffer } from './bodyBuffer.js';
+import { createChunkCounter } from './chunkPacer.js';
 import { refuse } from './httpResponse.js';
 import { findReservation } from './requestBudget.js';
 
@@ -33,7 +34,9 @@
     const { req, buffer } = this;
     return new Promise((resolve, reject) => {
       const reservation = findReservation(req);
+      const countChunk = createChunkCounter(req);
       const onData = (chunk: Buffer): void => {
+        countChunk();
         try {
           this.append(chunk);
           reservation?.resize(buffer.allocatedBytes);
--- a/packages/gateway/src/callerBody.ts
+++ b/packages/gateway/src/callerBody.ts
@@ -4,6 +4,7 @@
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 
 import { BodyBuffer } from './bodyBuffer.js';
+import { createChunkCounter } from './chunkPacer.js';
 import { refuse } from './httpResponse.js';
 import { findReservation } from './requestBudget.js';
 
@@ -66,6 +67,7 @@
   return new Promise((resolve, reject) => {
     const buffer = new BodyBuffer();
     const reservation = findReservation(req);
+    const countChunk = createChunkCounter(req);
     const onIdle = (): void => {
       // eslint-disable-next-line @typescript-eslint/no-use-before-define
       cleanUp();
@@ -88,6 +90,7 @@
     };
     if (reservation) reservation.onEvicted = fail;
     req.on('data', (chunk: Buffer) => {
+      countChunk();
       idleTimer.refresh();
       buffer.append(chunk);
       try {
