--- a/packages/daemon/src/workflowGateway.ts
+++ b/packages/daemon/src/workflowGateway.ts
@@ -5,7 +5,7 @@
 import {
   NOOP_METRICS_RECORDER,
   type WorkflowMetricsRecorder,
-} from '@lagoongap/telemetry/workflowMetrics.js';
+} from '@lagoongap/telemetry/workflowMetricsRecorder.js';
 
 import { AdvisorLoop, type Advisor } from './advisorLoop.js';
 import { JobCallForwarder } from './jobCallForwarder.js';
--- a/packages/daemon/src/workflowReplica.ts
+++ b/packages/daemon/src/workflowReplica.ts
@@ -14,7 +14,7 @@
 import {
   NOOP_METRICS_RECORDER,
   type WorkflowMetricsRecorder,
-} from '@lagoongap/telemetry/workflowMetrics.js';
+} from '@lagoongap/telemetry/workflowMetricsRecorder.js';
 import type { ConfigParser } from '@lagoongap/workflow/cellConfig.js';
 import type { EndpointDriver } from '@lagoongap/workflow/endpointDriver.js';
 import { NO_INSTANCE_API, type InstanceApi } from '@lagoongap/workflow/instanceApi.js';
--- a/packages/telemetry/src/leaderAbsence.ts
+++ b/packages/telemetry/src/leaderAbsence.ts
@@ -1,7 +1,7 @@
 import type { Log } from '@lagoongap/model/log.js';
 
 import type { CallFailureReason } from './callFailure.js';
-import type { WorkflowMetricsRecorder } from './workflowMetrics.js';
+import type { WorkflowMetricsRecorder } from './workflowMetricsRecorder.js';
 
 /** Options of a {@link LeaderAbsence}. */
 export interface LeaderAbsenceOptions {
--- a/packages/tests/src/steps/workflow/takeoverSteps.ts
+++ b/packages/tests/src/steps/workflow/takeoverSteps.ts
@@ -9,7 +9,7 @@
 import {
   NOOP_METRICS_RECORDER,
   type WorkflowMetricsRecorder,
-} from '@lagoongap/telemetry/workflowMetrics.js';
+} from '@lagoongap/telemetry/workflowMetricsRecorder.js';
 import type { CellConfig } from '@lagoongap/workflow/cellConfig.js';
 import { NO_INSTANCE_API } from '@lagoongap/workflow/instanceApi.js';
 import { WorkflowSession } from '@lagoongap/workflow/workflowSession.js';
--- a/packages/tests/src/workflow/callWorld.ts
+++ b/packages/tests/src/workflow/callWorld.ts
@@ -4,7 +4,7 @@
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
 import { toHttpResponse } from '@lagoongap/platform/callerApi.js';
 import { ControlApi } from '@lagoongap/platform/controlApi.js';
-import { NOOP_METRICS_RECORDER } from '@lagoongap/telemetry/workflowMetrics.js';
+import { NOOP_METRICS_RECORDER } from '@lagoongap/telemetry/workflowMetricsRecorder.js';
 import type { CellConfig } from '@lagoongap/workflow/cellConfig.js';
 import { NO_INSTANCE_API } from '@lagoongap/workflow/instanceApi.js';
 import type { JobCall } from '@lagoongap/workflow/jobCalls.js';
--- a/packages/workflow/src/leadershipMonitor.ts
+++ b/packages/workflow/src/leadershipMonitor.ts
@@ -1,6 +1,6 @@
 import type { ReplicatedLog } from '@lagoongap/consensus/replicatedLog.js';
 import type { Log } from '@lagoongap/model/log.js';
-import type { WorkflowMetricsRecorder } from '@lagoongap/telemetry/workflowMetrics.js';
+import type { WorkflowMetricsRecorder } from '@lagoongap/telemetry/workflowMetricsRecorder.js';
 
 /** Options of a {@link LeadershipMonitor}. */
 export interface LeadershipMonitorOptions {
--- a/packages/workflow/src/sessionMetrics.ts
+++ b/packages/workflow/src/sessionMetrics.ts
@@ -1,4 +1,4 @@
-import type { WaitingSteps } from '@lagoongap/telemetry/workflowMetrics.js';
+import type { WaitingSteps } from '@lagoongap/telemetry/workflowMetricsRecorder.js';
 
 import type { DurationForecast } from './durationForecast.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
--- a/packages/workflow/src/takeoverRecorder.ts
+++ b/packages/workflow/src/takeoverRecorder.ts
@@ -1,6 +1,6 @@
 import type { Log } from '@lagoongap/model/log.js';
 import type { TakeoverPhase } from '@lagoongap/telemetry/callFailure.js';
-import type { WorkflowMetricsRecorder } from '@lagoongap/telemetry/workflowMetrics.js';
+import type { WorkflowMetricsRecorder } from '@lagoongap/telemetry/workflowMetricsRecorder.js';
 
 /** Records the phases of a leadership, measured from its election, and the calls that it handles. */
 export class TakeoverRecorder {
