--- a/packages/telemetry/src/workflowMetricsRecorder.ts
+++ b/packages/telemetry/src/workflowMetricsRecorder.ts
@@ -1,5 +1,4 @@
 import type { CallFailureReason, FailedCallState, TakeoverPhase } from './callFailure.js';
-import type { LogLevel } from './logger.js';
 import type { RunLossReason } from './runLossReason.js';
 
 /** Waiting steps of the queues of one priority. */
