Query the advisor ahead of an organisation's limit where the call is short

Cause: a step of an organisation at its limit asked only once a run had ended, so that each urgent step waited for an answer although there was room.

Change: a call that takes at most 3 % of the validity of a ticket is made at the limit as well.

--- a/packages/tests/features/workflow/adviceScheduling.feature
+++ b/packages/tests/features/workflow/adviceScheduling.feature
@@ -18,6 +18,19 @@
     Then a query for job "b" was sent within 20 ms of the first end of job "a"
     And job "b" has 8 runs
 
+  # Guards against urgent steps that wait for an answer whenever their organisation leaves its limit.
+  Scenario: an organisation at its limit: a call that is short compared with a ticket is made ahead
+    Given an advisor that takes 30 ms and 1 ms per endpoint, queried by 4 instances
+    And 10 workers of 4 cores
+    And the organisation is limited to 8 cores
+    When a job "a" of 8 tasks of 3000 ms is submitted
+    And 600 ms of workflow time pass
+    And a job "b" of 8 tasks of 3000 ms is submitted
+    And 1500 ms of workflow time pass
+    Then a query was sent for job "b"
+    When 2500 ms of workflow time pass
+    Then job "b" has 8 runs
+
   # Guards against queries for more endpoints than the rest of a limit can use.
   Scenario: an organisation close to its limit: a query is for the tasks that the limit admits
     Given an advisor that takes 100 ms and 10 ms per endpoint, queried by 4 instances
--- a/packages/workflow/src/lateQueryPlanner.ts
+++ b/packages/workflow/src/lateQueryPlanner.ts
@@ -52,6 +52,12 @@
 /** Lower bound of that share, so that a burst does not make every query name all endpoints. */
 const MIN_ROOM_LEFT = 0.3;
 
+/**
+ * Part of the validity of a ticket up to which a call is short. The limit of an organisation is often
+ * reached and left again within that validity, so that a short call is made ahead of it.
+ */
+const SHORT_CALL_SHARE = 0.03;
+
 /** Tasks by which a gang whose endpoints must be in one rack exceeds its size in a query. */
 const RACK_LOCAL_FACTOR = 2;
 
@@ -91,7 +97,8 @@
     this.opts = opts;
   }
 
-  isAtLimit(step: ReadyStep): boolean {
+  isAtLimit(step: ReadyStep, queue: QueuePolicy): boolean {
+    if (this.isShortCall(queue)) return false;
     return countAdmitted(step, this.opts.context.readConfig(), this.opts.ledger) === 0;
   }
 
@@ -103,10 +110,12 @@
     const { step, queue, priority } = input;
     this.expected.delete(step.name);
     this.planned.delete(step.name);
-    const wanted = this.countWanted(step, priority);
-    if (wanted === 0) return 'at-limit';
+    const admitted = this.countWanted(step, priority);
+    if (admitted === 0 && !this.isShortCall(queue)) return 'at-limit';
+    const wanted = admitted || step.waiting.length;
     const isAdvisorIdle = this.opts.isAdvisorIdle();
     const { options, covered, hasRoom } = this.listOptions(input, isAdvisorIdle);
+    if (admitted === 0 && covered >= wanted) return 'at-limit';
     const missing = this.countMissing(step.name, wanted, covered);
     if (missing <= 0) return 'covered';
     // Without any room most tickets expire unused, so that they must not keep other queries waiting.
@@ -143,6 +152,10 @@
     this.coveredSinceMs.delete(step);
   }
 
+  private isShortCall(queue: QueuePolicy): boolean {
+    return this.expectedCallMs(queue) <= queue.advice!.validMs * SHORT_CALL_SHARE;
+  }
+
   /** Returns how many tasks of a step a query is for; a gang starts as a whole. */
   private countWanted(step: ReadyStep, priority: number): number {
     const { context, ledger } = this.opts;
--- a/packages/workflow/src/queryPlanner.ts
+++ b/packages/workflow/src/queryPlanner.ts
@@ -22,7 +22,7 @@
   readonly isLate: boolean;
 
   /** Returns whether the organisation of a step is at its limit, so that no query is queued. */
-  isAtLimit(step: ReadyStep): boolean;
+  isAtLimit(step: ReadyStep, queue: QueuePolicy): boolean;
 
   /** Returns the expected duration of a call that is not planned yet, in milliseconds. */
   expectedCallMs(queue: QueuePolicy): number;
--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -138,7 +138,7 @@
       return;
     }
     const cache = this.ticketsOf(step.name);
-    if (this.planner.isAtLimit(step)) {
+    if (this.planner.isAtLimit(step, queue)) {
       this.omissions.set(step.name, 'at-limit');
       cache.suspendSearch();
       return;
@@ -183,9 +183,9 @@
     request.omitted = chosen;
     if (!step) return [];
     this.omissions.set(step.name, chosen);
-    if (chosen === 'at-limit' && this.planner.isAtLimit(step)) {
+    if (chosen === 'at-limit' && this.planner.isAtLimit(step, request.queue)) {
       request.cache.suspendSearch();
-    } else if (chosen === 'no-room') {
+    } else if (chosen === 'no-room' || chosen === 'at-limit') {
       request.cache.backOff();
     }
     return [];
