Pause the search for queries of steps that have tickets for free endpoints

Cause: a step that waits although it has such tickets, or at its limit, had a query assembled every 50 ms; a leader with a backlog spent a fifth of its time on that.

Change: the next search comes after 250 ms, as where nothing has room.

Scenarios of advisor queries pass.

--- a/packages/workflow/src/ticketProvider.ts
+++ b/packages/workflow/src/ticketProvider.ts
@@ -185,7 +185,8 @@
     this.omissions.set(step.name, chosen);
     if (chosen === 'at-limit' && this.planner.isAtLimit(step, request.queue)) {
       request.cache.suspendSearch();
-    } else if (chosen === 'no-room' || chosen === 'at-limit') {
+    } else if (chosen !== 'not-waiting' && chosen !== 'failed') {
+      // With hundreds of waiting steps, an assembly every 50 ms each would take half a core.
       request.cache.backOff();
     }
     return [];
