--- a/packages/workflow/src/durationModel.ts
+++ b/packages/workflow/src/durationModel.ts
@@ -184,7 +184,7 @@
 
   /**
    * Returns the logarithm of the duration on a kind relative to the mean of all kinds. Without the mean
-   * the kinds would take up what all classes have in common, such as estimates that are too low.
+   * the kinds would absorb what all classes have in common, such as estimates that are too low.
    */
   private kindEffect(kind: string): number {
     const statistics = this.kinds.get(kind);
