Copy a candidate only where room is held, and name client limits once

Cause: a placement copied each endpoint for each step although rarely anything is held, and the limits on clients were listed in two packages.

Change: PlacementRoom passes the candidate on if its capacity is unchanged; ClientLimit is derived from the label values of the metrics. No behaviour changes.

--- a/packages/gateway/src/limitReporter.ts
+++ b/packages/gateway/src/limitReporter.ts
@@ -1,18 +1,8 @@
 import type { Log } from '@lagoongap/model/log.js';
+import type { LABEL_VALUES } from '@lagoongap/telemetry/labelValues.js';
 
 /** Limit that a client has met. */
-export const CLIENT_LIMITS = [
-  'request-bytes',
-  'pipelined-requests',
-  'unread-responses',
-  'connections',
-  'idle',
-  'header-time',
-  'stalled',
-  'no-host',
-] as const;
-
-export type ClientLimit = (typeof CLIENT_LIMITS)[number];
+export type ClientLimit = (typeof LABEL_VALUES.limit)[number];
 
 /** Options of a {@link LimitReporter}. */
 export interface LimitReporterOptions {
--- a/packages/workflow/src/placementRoom.ts
+++ b/packages/workflow/src/placementRoom.ts
@@ -67,7 +67,9 @@
   /** Returns how many more tasks of a step an endpoint can run, without room held for others. */
   countSlots(step: ReadyStep, candidate: FleetCandidate, priority: number): number {
     const capacity = this.openCapacity(candidate.id, candidate.capacity, step, priority);
-    return countSlots(step, { ...candidate, capacity }, this.opts.ledger);
+    // Rarely is anything held; this runs for each endpoint and step of a scheduling cycle.
+    const open = capacity === candidate.capacity ? candidate : { ...candidate, capacity };
+    return countSlots(step, open, this.opts.ledger);
   }
 
   /** Returns whether the organisation stays within its limit with another task of a step. */
