--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -4,65 +4,71 @@
 import { fileURLToPath } from 'node:url';
 
 import { createId } from '../standins-3/client.mjs';
-import { createSubmission, runCase } from '../standins-3/fleet.mjs';
-import { sleep } from '../standins-3/system.mjs';
+import { runCase } from '../standins-3/fleet.mjs';
+import { BOUNDS, sleep } from '../standins-3/system.mjs';
 
 const RECORD = join(dirname(fileURLToPath(import.meta.url)), 'record.txt');
 
-/** Rounds: work of the task, crashes under it, and the time from a start to the crash. */
-const ROUNDS = [
-  { taskMs: 6000, crashes: 3, fromMs: 1700, toMs: 2300 },
-  { taskMs: 3000, crashes: 2, fromMs: 300, toMs: 300 },
-  { taskMs: 6000, crashes: 3, fromMs: 1700, toMs: 2300 },
-];
-const DOWN_MS = 1000;
-const ROUND_MS = 30_000;
-const MAX_ATTEMPTS = 4;
-const OTHER_MS = 640;
+const GATEWAYS = 9;
+const FREEZE_MS = 3500;
+const SENT_AFTER_MS = 200;
+const STEP_MS = 3500;
+const ROUNDS = 3;
+const CANCEL_S = BOUNDS.cancel_ms / 1000;
 
-await runCase(RECORD, { config: { maxAttempts: MAX_ATTEMPTS } }, async (deployment, hasTrouble) => {
-  const { history, fleet, client } = deployment;
+function createSubmission() {
+  const step = { count: 2, cpu: 2500, mem_mb: 9300, estimate_ms: STEP_MS };
+  return {
+    task_spec: JSON.stringify({ ms: STEP_MS }),
+    steps: [step, { ...step, start_after: [0] }],
+  };
+}
+
+await runCase(RECORD, { gateways: GATEWAYS }, async (deployment, hasTrouble) => {
+  const { history, system, client } = deployment;
   const breaks = [];
   const notes = [];
   await sleep(3000);
-  let isOver = false;
-  const others = (async () => {
-    while (!isOver) {
-      await client.submit(createId(), createSubmission(OTHER_MS, { count: 6 }));
-      await sleep(300);
-    }
-  })();
-  for (const [round, { taskMs, crashes, fromMs, toMs }] of ROUNDS.entries()) {
+  for (let round = 1; round <= ROUNDS; round += 1) {
+    const frozen = system.find(`gateway-${round}`);
+    const others = system.fronts.filter((front) => !front.startsWith(`${frozen.host}:`));
     const id = createId();
-    if (!(await client.submit(id, createSubmission(taskMs)))) continue;
-    const task = `${id}.0.0.0`;
-    const endMs = performance.now() + ROUND_MS;
-    let crashed = 0;
-    let seen = 0;
-    let state;
-    while (performance.now() < endMs) {
-      const starts = history.list('start').filter(({ details }) => details.task === task);
-      if (hasTrouble && starts.length > seen && crashed < crashes) {
-        seen = starts.length;
-        const { machine: name } = starts.at(-1).details;
-        crashed += 1;
-        await sleep(fromMs + Math.random() * (toMs - fromMs));
-        fleet.find((machine) => machine.name === name).crash(DOWN_MS);
-      }
-      state = await client.readState(id);
-      if (state === 'completed' || state === 'failed') break;
-      await sleep(50);
+    if (hasTrouble) {
+      frozen.child.kill('SIGSTOP');
+      history.add('frozen', { machine: frozen.name });
     }
-    const ends = history.list('end').filter(({ details }) => details.task === task);
-    const failed = ends.filter(({ details }) => details.how === 'failed').length;
+    await sleep(SENT_AFTER_MS);
+    const front = system.fronts.find((it) => it.startsWith(`${frozen.host}:`));
+    // The client waits for its time limit of 3,000 ms, and then cancels instead of asking again.
+    const [answer] = await Promise.all([
+      client.call('POST', id, createSubmission(), front),
+      sleep(FREEZE_MS - SENT_AFTER_MS).then(() => {
+        if (!hasTrouble) return;
+        frozen.child.kill('SIGCONT');
+        history.add('thawed', { machine: frozen.name });
+      }),
+      sleep(BOUNDS.contact_ms + 50).then(async () => {
+        const res = await client.call('DELETE', id, undefined, others[0]);
+        history.add('cancelled', { id, status: res?.status ?? 'none' });
+      }),
+    ]);
+    const cancelled = history.list('cancelled').find(({ details }) => details.id === id);
+    await sleep(2 * STEP_MS + 3000);
+    const starts = history.list('start').filter(({ details }) => details.task.startsWith(id));
+    const state = await client.call('GET', id, undefined, others[1]);
     notes.push(
-      `round ${round + 1}: ${id} is ${state} after ${crashed} crashes and ${failed} ends "failed"`,
+      `round ${round}: POST ${answer?.status ?? 'no answer'}, DELETE ${cancelled.details.status} at ` +
+        `${cancelled.atS.toFixed(1)} s, ${starts.length} starts, then GET ${state?.status} ` +
+        `${state?.body?.state ?? ''}`,
     );
-    if (state === 'failed' && failed < MAX_ATTEMPTS) {
-      breaks.push(`${id} was accepted, nobody cancelled it, and it is shown as failed`);
+    if (![200, 410].includes(cancelled.details.status)) continue;
+    for (const { atS, details } of starts) {
+      if (atS - cancelled.atS <= CANCEL_S) continue;
+      breaks.push(
+        `${details.task} starts ${(atS - cancelled.atS).toFixed(1)} s after the cancelling of ${id} ` +
+          `was acknowledged with ${cancelled.details.status}`,
+      );
     }
   }
-  isOver = true;
-  await others;
   return { breaks, notes };
 });
