--- a/review/standins-3/fleet.mjs
+++ b/review/standins-3/fleet.mjs
@@ -9,20 +9,13 @@
 const RACK_SIZE = 8;
 const FIRST_HOST = 10;
 
-/** Starts everything; `createCloud` may start a stand-in of the platform's machine API. */
-export async function startDeployment({
-  machines = 33,
-  gateways = 2,
-  createCloud,
-  setUp,
-  config = {},
-} = {}) {
+/** Starts everything; `setUp` may change the machines before their runners start. */
+export async function startDeployment({ machines = 33, gateways = 2, setUp, config = {} } = {}) {
   const history = new History();
   const network = await findNetwork();
   const fleet = [];
-  const cloud = createCloud && (await createCloud({ network, fleet, history }));
   const keepLogs = process.env.KEEP_LOGS === '1';
-  const system = new System({ network, cloudAddress: cloud?.address, gateways, keepLogs });
+  const system = new System({ network, gateways, keepLogs });
   const stop = async () => {
     for (const machine of fleet) machine.die('end of the test');
     await system.stop();
@@ -50,7 +43,7 @@
     setUp?.(fleet);
     await Promise.all(fleet.map((machine) => machine.boot()));
     const client = new Client(system.fronts, history);
-    return { history, system, fleet, client, cloud, stop };
+    return { history, system, fleet, client, stop };
   } catch (err) {
     await stop();
     throw err;
--- a/review/standins-3/runner.mjs
+++ b/review/standins-3/runner.mjs
@@ -7,6 +7,9 @@
 
 const HEARTBEAT_MS = 1500;
 const MAX_LISTED_ENDS = 500;
+
+/** Time after which a machine is back whose runner a task has crashed. */
+const CRASH_DOWN_MS = 3000;
 const MAX_WAIT_MS = 2000;
 
 /** Time after which a task fails on a machine that fails all that it starts. */
@@ -188,9 +191,11 @@
     const entry = { task, run, sinceMs: performance.now() };
     this.runs.set(key, entry);
     this.history.add('start', { machine: this.name, runner: this.id, task, run, spec });
-    const { ms } = JSON.parse(spec);
+    const { ms, crashMs } = JSON.parse(spec);
     if (this.isFailing) entry.timer = setTimeout(() => this.end(entry, 'failed'), FAIL_MS);
-    else if (ms > 0) entry.timer = setTimeout(() => this.end(entry, 'done'), ms);
+    else if (crashMs > 0) {
+      entry.timer = setTimeout(() => this.crash(CRASH_DOWN_MS, `crashed by ${task}`), crashMs);
+    } else if (ms > 0) entry.timer = setTimeout(() => this.end(entry, 'done'), ms);
     return [200, {}];
   }
 
--- a/review/standins-3/system.mjs
+++ b/review/standins-3/system.mjs
@@ -1,5 +1,5 @@
-/* eslint-disable n/no-unsupported-features/node-builtins, no-await-in-loop, no-continue,
-   no-param-reassign, no-restricted-syntax
+/* eslint-disable n/no-process-exit, n/no-unsupported-features/node-builtins, no-await-in-loop,
+   no-continue, no-param-reassign, no-restricted-syntax
    -- off for TypeScript files too, see eslint.config.js */
 // Starts the programs of the deploy file as separate processes on loopback addresses.
 import { spawn } from 'node:child_process';
@@ -88,14 +88,14 @@
 
 /** Three replicas and some gateways, one address each. */
 export class System {
-  constructor({ network, cloudAddress, gateways = 2, keepLogs = false }) {
+  constructor({ network, gateways = 2, keepLogs = false }) {
     this.network = network;
-    this.cloudAddress = cloudAddress;
     this.keepLogs = keepLogs;
     this.programs = [];
     for (let i = 1; i <= 3; i += 1) this.add('replica', i, `${network}.${i}`);
     for (let i = 1; i <= gateways; i += 1) this.add('gateway', i, `${network}.${100 + i}`);
     process.once('exit', () => this.killAll());
+    for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => process.exit(2));
   }
 
   add(role, number, host) {
@@ -146,10 +146,6 @@
       'max_fds = 4096',
       '[bounds]',
       ...bounds,
-      '[cloud_api]',
-      ...(this.cloudAddress ? [`address = "${this.cloudAddress}"`] : []),
-      'rate_per_s = 60.0',
-      'duty_per_s = 60.0',
     ];
     const file = join(this.folder, `${name}.toml`);
     await writeFile(file, `${lines.join('\n')}\n`);
