Keep cancellations of unknown jobs for submissions on their way

Cause: the leader compared a cancellation with the applied state only and left no trace of one that matched no job.

Change: the cancellation of an unknown job is committed. When it is applied, a job that is known by then is cancelled; otherwise a tombstone of queue, organisation and id is kept, and a submission that finds it is stored as cancelled and answered 200.

lagoongap_late_submissions_total, lagoongap_early_cancellations.

--- a/packages/telemetry/src/workflowMetrics.ts
+++ b/packages/telemetry/src/workflowMetrics.ts
@@ -80,6 +80,18 @@
     ['status'],
   );
 
+  private readonly lateSubmissions = this.createCounter(
+    'lagoongap_late_submissions_total',
+    'Submissions that arrived after their cancellation and were stored as cancelled',
+    [],
+  );
+
+  private readonly earlyCancellations = this.createGauge(
+    'lagoongap_early_cancellations',
+    'Recorded cancellations of unknown jobs, whose submissions may still arrive',
+    [],
+  );
+
   private readonly advice = this.createHistogram(
     'lagoongap_advice_seconds',
     'Time from a question for the advisor to its answer',
@@ -292,6 +304,14 @@
     this.jobs.observe({ status }, Math.max(0, durationMs) / MS_PER_SECOND);
   }
 
+  countLateSubmission(): void {
+    this.lateSubmissions.inc();
+  }
+
+  setEarlyCancellations(count: number): void {
+    this.earlyCancellations.set(count);
+  }
+
   countAdvice(isAnswered: boolean, durationMs: number): void {
     this.advice.observe({ answered: String(isAnswered) }, durationMs / MS_PER_SECOND);
   }
--- a/packages/telemetry/src/workflowMetricsRecorder.ts
+++ b/packages/telemetry/src/workflowMetricsRecorder.ts
@@ -26,6 +26,10 @@
   /** Counts a crash of an endpoint, and the runs that were on it. */
   countEndpointCrash(runs: number): void;
   countJobEnded(status: string, durationMs: number): void;
+  /** Counts a submission that arrived after its cancellation. */
+  countLateSubmission(): void;
+  /** Sets the number of recorded cancellations whose submissions have not arrived. */
+  setEarlyCancellations(count: number): void;
   countAdvice(isAnswered: boolean, durationMs: number): void;
   /** Counts a request for a query to the advisor by what became of it. */
   countAdviceRequest(result: AdviceRequestResult): void;
@@ -84,6 +88,8 @@
   countLostRuns() {},
   countEndpointCrash() {},
   countJobEnded() {},
+  countLateSubmission() {},
+  setEarlyCancellations() {},
   countAdvice() {},
   countAdviceRequest() {},
   observeAdviceCall() {},
--- a/packages/tests/src/steps/workflow/leaderCallSteps.ts
+++ b/packages/tests/src/steps/workflow/leaderCallSteps.ts
@@ -169,8 +169,11 @@
   /^all replicas restore a snapshot of (this|the previous) release$/,
   function restore(this: Steps, release: string) {
     const { state } = this.callWorld!;
-    const snapshot = state.snapshot() as { config?: unknown };
-    if (release === 'the previous') snapshot.config ??= { version: 0, document: '' };
+    const snapshot = state.snapshot() as { config?: unknown; cancellations?: unknown };
+    if (release === 'the previous') {
+      snapshot.config ??= { version: 0, document: '' };
+      delete snapshot.cancellations;
+    }
     state.restore(JSON.parse(JSON.stringify(snapshot)));
   },
 );
--- a/packages/tests/src/workflow/autoCommitLog.ts
+++ b/packages/tests/src/workflow/autoCommitLog.ts
@@ -17,7 +17,7 @@
   /** Time until starts are committed. */
   startCommitMs = 0;
   /** Type of the commands that are committed only when {@link commitHeld} is called. */
-  heldType: 'start' | 'end' | undefined;
+  heldType: 'start' | 'end' | 'cancel' | undefined;
   private held: (() => void)[] = [];
 
   constructor(
--- a/packages/tests/src/workflow/callWorld.ts
+++ b/packages/tests/src/workflow/callWorld.ts
@@ -159,6 +159,16 @@
     return this.call({ host: 'h', path: `/q/${id}`, operation: 'cancel' }, deadlineMs);
   }
 
+  /** Reads the state of a job; `states` receives it, or undefined if there is none. */
+  read(id: string, deadlineMs: number, states: (string | undefined)[]): ObservedCall {
+    return this.observe(async () => {
+      const target = { host: 'h', path: `/q/${id}`, operation: 'read' as const };
+      const res = toHttpResponse(await this.jobs.call(target, deadlineMs));
+      states.push((res.body as { state?: string } | undefined)?.state);
+      return res.status;
+    });
+  }
+
   sendHeartbeat(sequence: number, deadlineMs: number): ObservedCall {
     return this.callWith(this.client, sequence, { deadlineMs });
   }
--- a/packages/tests/src/workflow/workflowWorld.ts
+++ b/packages/tests/src/workflow/workflowWorld.ts
@@ -1,6 +1,7 @@
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
 import { WorkflowMetrics } from '@lagoongap/telemetry/workflowMetrics.js';
 import type { CellConfig } from '@lagoongap/workflow/cellConfig.js';
+import type { CellLimits } from '@lagoongap/workflow/cellLimits.js';
 import type { InstanceApi, MaintenanceOutcome } from '@lagoongap/workflow/instanceApi.js';
 import type { JobResponse } from '@lagoongap/workflow/jobCalls.js';
 import type { JobSpec, StepSpec } from '@lagoongap/workflow/jobSpec.js';
@@ -106,6 +107,7 @@
 
   private onChecked: (() => void) | undefined;
   private readonly timing: WorkflowTiming;
+  private readonly limits: CellLimits | undefined;
   /** Features of the next session; by default all. */
   features: WorkflowFeatures | undefined;
   /** Monotonic times at which the warm-ups of workers end. */
@@ -115,8 +117,10 @@
     config: Partial<CellConfig['queues'][number]> = {},
     timing: Partial<WorkflowTiming> = {},
     features?: WorkflowFeatures,
+    limits?: CellLimits,
   ) {
     this.features = features;
+    this.limits = limits;
     this.timing = { ...DEFAULT_WORKFLOW_TIMING, leaseMs: 5000, maxLeaseMs: 6000, ...timing };
     this.config = {
       version: 1,
@@ -403,6 +407,7 @@
       parseConfig: () => this.config,
       timing: this.timing,
       features: this.features,
+      limits: this.limits,
       logger: this.logger,
       meter: this.meter,
       isValid: () => this.checkValidity(log),
--- a/packages/workflow/src/cellLimits.ts
+++ b/packages/workflow/src/cellLimits.ts
@@ -14,6 +14,10 @@
   maxWaves: number;
   /** Length of the names of the instances of all open waves. */
   maxWaveBytes: number;
+  /** Estimated memory of the cancellations of unknown jobs by one organisation, in bytes. */
+  maxOrganisationCancellationBytes: number;
+  /** Estimated memory of all cancellations of unknown jobs, in bytes. */
+  maxCancellationBytes: number;
 }
 
 /** Parts of the memory of an instance that jobs may take. */
@@ -21,6 +25,8 @@
 const ORGANISATION_MEMORY_FRACTION = 0.2;
 const ENDPOINT_MEMORY_FRACTION = 0.15;
 const WAVE_MEMORY_FRACTION = 0.02;
+const CANCELLATION_MEMORY_FRACTION = 0.03;
+const ORGANISATION_CANCELLATION_MEMORY_FRACTION = 0.01;
 
 /** A wave a day for 27 years. */
 const MAX_WAVES = 10_000;
@@ -45,6 +51,10 @@
     maxEndpoints: Math.floor((memoryBytes * ENDPOINT_MEMORY_FRACTION) / BYTES_PER_ENDPOINT),
     maxWaves: MAX_WAVES,
     maxWaveBytes: Math.floor(memoryBytes * WAVE_MEMORY_FRACTION),
+    maxOrganisationCancellationBytes: Math.floor(
+      memoryBytes * ORGANISATION_CANCELLATION_MEMORY_FRACTION,
+    ),
+    maxCancellationBytes: Math.floor(memoryBytes * CANCELLATION_MEMORY_FRACTION),
   };
 }
 
--- a/packages/workflow/src/jobCalls.ts
+++ b/packages/workflow/src/jobCalls.ts
@@ -24,6 +24,7 @@
   | { type: 'queue'; waitingCount: number }
   /** No queue has this host and path. */
   | { type: 'no-queue' }
+  /** After a cancellation: it is recorded, and the job will not run if its submission arrives. */
   | { type: 'no-job' }
   | { type: 'unauthenticated' }
   | { type: 'invalid'; reason: string }
--- a/packages/workflow/src/jobRetention.ts
+++ b/packages/workflow/src/jobRetention.ts
@@ -1,3 +1,4 @@
+import { ExpiryQueue } from './expiryQueue.js';
 import type { SessionContext } from './sessionContext.js';
 
 /** Maximum number of jobs that are removed at a time. */
@@ -6,11 +7,11 @@
 /** Removes ended jobs after the retention time. */
 export class JobRetention {
   private readonly context: SessionContext;
-  /** Monotonic end times in ascending order. */
-  private readonly endTimesMs = new Map<string, number>();
+  private readonly ended: ExpiryQueue;
 
   constructor(context: SessionContext) {
     this.context = context;
+    this.ended = new ExpiryQueue(context.timing.retentionMs);
   }
 
   /** Records the jobs that ended before this leadership, whose ends have been reported. */
@@ -22,22 +23,14 @@
 
   /** Records the end of a job; returns whether it was not recorded before. */
   recordEnd(id: string): boolean {
-    if (this.endTimesMs.has(id)) return false;
-    this.endTimesMs.set(id, performance.now());
-    return true;
+    return this.ended.add(id);
   }
 
   /** Removes jobs whose retention time has passed, a bounded number at a time; returns their ids. */
   removeExpired(): string[] {
-    const { timing, propose, logger } = this.context;
-    const nowMs = performance.now();
-    const ids: string[] = [];
-    for (const [id, endMs] of this.endTimesMs) {
-      if (nowMs - endMs <= timing.retentionMs || ids.length >= MAX_REMOVED) break;
-      ids.push(id);
-    }
+    const { propose, logger } = this.context;
+    const ids = this.ended.takeExpired(MAX_REMOVED);
     if (ids.length === 0) return ids;
-    for (const id of ids) this.endTimesMs.delete(id);
     propose({ type: 'forget', ids }).catch((err: Error) => {
       logger.warn('failed to remove ended jobs', { count: ids.length, err: err.message });
     });
--- a/packages/workflow/src/jobService.ts
+++ b/packages/workflow/src/jobService.ts
@@ -1,5 +1,6 @@
 import type { CellConfig, QueuePolicy } from './cellConfig.js';
 import { JobAdmission } from './jobAdmission.js';
+import { EarlyCancellations } from './earlyCancellations.js';
 import type { JobResponse, JobCall, JobState } from './jobCalls.js';
 import type { JobSpec } from './jobSpec.js';
 import type { SessionContext } from './sessionContext.js';
@@ -37,16 +38,18 @@
   private readonly context: SessionContext;
   private readonly listener: JobServiceListener;
   private readonly admission: JobAdmission;
+  readonly cancellations: EarlyCancellations;
 
   constructor(context: SessionContext, listener: JobServiceListener) {
     this.context = context;
+    this.cancellations = new EarlyCancellations(context);
     this.listener = listener;
     this.admission = new JobAdmission(context.state, context.limits);
   }
 
   /**
    * Resolves once everything that the response confirms is durable; rejects with an `over-limit`
-   * refusal if there is no room for a job.
+   * refusal if there is no room for a job or for the cancellation of an unknown one.
    */
   async handle(call: JobCall): Promise<JobResponse> {
     const config = this.context.readConfig();
@@ -61,10 +64,14 @@
       return { type: 'invalid', reason: `the id has more than ${MAX_ID_LENGTH} characters` };
     }
     if (call.operation === 'submit') return this.submit(id, queue, organisation ?? '', call.spec);
+    if (call.operation === 'cancel') return this.cancel(id, queue, organisation ?? '');
+    const job = this.findJob(id, queue);
+    return job ? { type: 'state', state: stateOf(job) } : { type: 'no-job' };
+  }
+
+  private findJob(id: string, queue: QueuePolicy): JobRecord | undefined {
     const job = this.context.state.jobs.get(id);
-    if (!job || job.queue !== queue.name) return { type: 'no-job' };
-    if (call.operation === 'cancel') return this.cancel(job);
-    return { type: 'state', state: stateOf(job) };
+    return job?.queue === queue.name ? job : undefined;
   }
 
   private authenticate(config: CellConfig, key: string | undefined): string | undefined {
@@ -87,7 +94,7 @@
     organisation: string,
     spec: JobSpec,
   ): Promise<JobResponse> {
-    const { state, propose, logger } = this.context;
+    const { state, propose, logger, meter } = this.context;
     if (state.jobs.has(id)) return { type: 'accepted' };
     const command: SubmitCommand = {
       type: 'submit',
@@ -99,24 +106,37 @@
       spec,
     };
     const admitted = this.admission.admit(command);
+    let isLate: unknown;
     try {
-      this.listener.onSubmitting(command);
-      await propose(command);
+      if (!state.cancellations.has(command)) this.listener.onSubmitting(command);
+      isLate = await propose(command);
     } finally {
       admitted[Symbol.dispose]();
     }
     const job = state.jobs.get(id);
     logger.info('job accepted', { job: id, queue: queue.name, organisation });
+    if (isLate) {
+      logger.info('job was cancelled before its submission arrived', { job: id });
+      meter.countLateSubmission();
+    }
     if (job) this.listener.onAccepted(job);
     return { type: 'accepted' };
   }
 
-  private async cancel(job: JobRecord): Promise<JobResponse> {
-    if (job.status === 'open') {
-      await this.context.propose({ type: 'cancel', id: job.id });
-      this.context.logger.info('job cancelled', { job: job.id, status: job.status });
-      this.listener.onClosed(job);
-    }
+  private async cancel(id: string, queue: QueuePolicy, organisation: string): Promise<JobResponse> {
+    const { propose, logger } = this.context;
+    const known = this.findJob(id, queue);
+    if (known && known.status !== 'open') return { type: 'cancelled' };
+    const command = { id, queue: queue.name, organisation };
+    if (known) await propose({ type: 'cancel', ...command });
+    // No job with such an id can be on its way, as it would be refused.
+    else if (id.length > MAX_ID_LENGTH) return { type: 'no-job' };
+    else await this.cancellations.record(command);
+    // The submission of an unknown job may have been committed in the meantime.
+    const job = this.findJob(id, queue);
+    if (!job) return { type: 'no-job' };
+    logger.info('job cancelled', { job: id, status: job.status });
+    this.listener.onClosed(job);
     return { type: 'cancelled' };
   }
 }
--- a/packages/workflow/src/workflowCommand.ts
+++ b/packages/workflow/src/workflowCommand.ts
@@ -32,7 +32,10 @@
   document: string;
 }
 
-/** Accepts a job; does nothing if a job with the same id exists. */
+/**
+ * Accepts a job; does nothing if a job with the same id exists. A job that has been cancelled before
+ * is stored as cancelled.
+ */
 export interface SubmitCommand {
   type: 'submit';
   id: string;
@@ -43,16 +46,37 @@
   spec: JobSpec;
 }
 
+/** Cancels a job, or its submission if the job is not known. */
+export interface CancelCommand {
+  type: 'cancel';
+  id: string;
+  /**
+   * Queue and organisation of the caller. Absent in commands of earlier releases, which have no
+   * effect on unknown jobs.
+   */
+  queue?: string;
+  organisation?: string;
+}
+
+/** Removes what is kept about jobs that are over. */
+export interface ForgetCommand {
+  type: 'forget';
+  /** Ids of ended jobs. */
+  ids: string[];
+  /** Keys of cancellations of unknown jobs; absent in commands of earlier releases. */
+  cancellations?: string[];
+}
+
 /** Command that changes the replicated workflow state. */
 export type WorkflowCommand =
   | ConfigureCommand
   | SubmitCommand
-  | { type: 'cancel'; id: string }
+  | CancelCommand
   | { type: 'start'; runs: StartedRun[] }
   | { type: 'end'; runs: EndedRun[] }
   | { type: 'register'; endpoint: EndpointRecord }
   | { type: 'unregister'; id: string }
-  | { type: 'forget'; ids: string[] }
+  | ForgetCommand
   | {
       type: 'open-wave';
       number: number;
--- a/packages/workflow/src/workflowCoordinator.ts
+++ b/packages/workflow/src/workflowCoordinator.ts
@@ -40,7 +40,8 @@
 const MAX_EXCHANGE_WAIT_MS = 1000;
 
 /** Returns whether a response confirms a committed change, which no loss of leadership undoes. */
-function confirmsCommit({ type }: JobResponse): boolean {
+function confirmsCommit({ operation }: JobCall, { type }: JobResponse): boolean {
+  if (type === 'no-job') return operation === 'cancel';
   return type === 'accepted' || type === 'cancelled';
 }
 
@@ -161,7 +162,7 @@
   private registerHandlers(): void {
     this.registerHandler<JobCall>('jobs.call', async (session, call) => {
       const response = await session.jobs.handle(call);
-      return confirmsCommit(response) ? response : this.ensureStillLeading(session, response);
+      return confirmsCommit(call, response) ? response : this.ensureStillLeading(session, response);
     });
     this.registerHandler<EndpointHeartbeat>(
       'endpoints.heartbeat',
--- a/packages/workflow/src/workflowSession.ts
+++ b/packages/workflow/src/workflowSession.ts
@@ -414,6 +414,7 @@
     this.preemption.clean();
     this.scheduler.recheckBlocked();
     for (const id of this.retention.removeExpired()) this.occurrenceTimers.cancel(id);
+    this.jobs.cancellations.removeExpired();
     this.endpoints.removeUnresponsive();
     this.metrics.update();
     this.opts.meter.setAdviceBacklog(this.broker.backlog, this.broker.oldestAgeMs);
--- a/packages/workflow/src/workflowState.ts
+++ b/packages/workflow/src/workflowState.ts
@@ -1,11 +1,19 @@
 import type { CommittedEntry, StateMachine } from '@lagoongap/consensus/replicatedLog.js';
 
 import { EvacuationState, type EvacuationSnapshot } from '@lagoongap/model/evacuationState.js';
+import { CancellationTable, cancellationKey, type EarlyCancellation } from './cancellationTable.js';
 import { addCrash, isConvicted } from './crashRecord.js';
 import { DurationModel, type DurationSnapshot } from './durationModel.js';
 import { stepKey, type StepSpec, type TaskRef } from './jobSpec.js';
 import { addOccurrence, includesOccurrence, type OccurrenceRanges } from './occurrenceRanges.js';
-import type { EndedRun, StartedRun, SubmitCommand, WorkflowCommand } from './workflowCommand.js';
+import type {
+  CancelCommand,
+  EndedRun,
+  ForgetCommand,
+  StartedRun,
+  SubmitCommand,
+  WorkflowCommand,
+} from './workflowCommand.js';
 import { WorkflowError } from './workflowError.js';
 import type {
   CrashHistory,
@@ -33,6 +41,7 @@
   /** Absent in snapshots of earlier releases. */
   evacuations?: EvacuationSnapshot;
   durations?: DurationSnapshot;
+  cancellations?: EarlyCancellation[];
 }
 
 /** Creates the record of a newly accepted job. */
@@ -86,6 +95,8 @@
   readonly endpoints = new Map<string, EndpointRecord>();
   readonly waves = new Map<number, WaveRecord>();
   readonly evacuations = new EvacuationState();
+  /** Cancellations of jobs whose submissions have not arrived. */
+  readonly cancellations = new CancellationTable();
   /** What tasks have taken; learned from the ends of runs. */
   readonly durations = new DurationModel();
   /** Absent until the first configuration is accepted. */
@@ -107,11 +118,13 @@
       waves: [...this.waves.values()].map((wave) => ({ ...wave, begun: [...wave.begun] })),
       evacuations: this.evacuations.snapshot(),
       durations: this.durations.snapshot(),
+      cancellations: this.cancellations.snapshot(),
     };
   }
 
   restore(snapshot: unknown): void {
-    const { config, jobs, endpoints, waves, evacuations, durations } = snapshot as WorkflowSnapshot;
+    const { config, jobs, endpoints, waves, evacuations, durations, cancellations } =
+      snapshot as WorkflowSnapshot;
     this.config = config?.document ? { ...config } : undefined;
     this.jobs.clear();
     for (const job of jobs) {
@@ -128,6 +141,7 @@
     for (const wave of waves) this.waves.set(wave.number, { ...wave, begun: [...wave.begun] });
     this.evacuations.restore(evacuations);
     this.durations.restore(durations);
+    this.cancellations.restore(cancellations);
   }
 
   /** Returns whether an occurrence has completed and all its runs have ended. */
@@ -170,7 +184,7 @@
       case 'submit':
         return this.submit(command);
       case 'cancel':
-        return this.cancel(command.id);
+        return this.cancel(command);
       case 'start':
         for (const run of command.runs) this.start(run);
         return undefined;
@@ -184,8 +198,7 @@
         this.endpoints.delete(command.id);
         return undefined;
       case 'forget':
-        for (const id of command.ids) this.jobs.delete(id);
-        return undefined;
+        return this.forget(command);
       case 'open-wave':
         this.openWave(command);
         return undefined;
@@ -203,15 +216,29 @@
     }
   }
 
-  private submit(command: SubmitCommand): void {
-    if (!this.jobs.has(command.id)) this.jobs.set(command.id, createJob(command));
+  /** Returns whether the job was cancelled before its submission arrived. */
+  private submit(command: SubmitCommand): boolean {
+    if (this.jobs.has(command.id)) return false;
+    const job = createJob(command);
+    const isLate = this.cancellations.delete(cancellationKey(command));
+    if (isLate) job.status = 'cancelled';
+    this.jobs.set(job.id, job);
+    return isLate;
   }
 
-  private cancel(id: string): boolean {
+  private cancel({ id, queue, organisation }: CancelCommand): void {
     const job = this.jobs.get(id);
-    if (!job) return false;
-    if (job.status === 'open') job.status = 'cancelled';
-    return true;
+    const isInQueue = queue === undefined || job?.queue === queue;
+    if (job && isInQueue) {
+      if (job.status === 'open') job.status = 'cancelled';
+    } else if (queue !== undefined && organisation !== undefined) {
+      this.cancellations.add({ id, queue, organisation });
+    }
+  }
+
+  private forget({ ids, cancellations = [] }: ForgetCommand): void {
+    for (const id of ids) this.jobs.delete(id);
+    for (const key of cancellations) this.cancellations.delete(key);
   }
 
   private start({ task, run, endpoint }: StartedRun): void {
