Keep cancellations of unknown jobs in the product's own interface too

Callers saw: a submission without an outcome names the id of its job; a cancellation with that id was answered "not found", and the job ran when its submission arrived. A cancellation while the submission was being committed had no effect either.

Cause: as in the workflow layer, a cancellation was compared with the applied state only. A key that had been withdrawn got "not found" for every id.

Change: cancel-jobs carries the unknown ids and the scope of the caller (a team, an operator, or nobody for open queues). Ids that are unknown when it is applied are kept for 10 minutes, and a submission that the caller may cancel ends as cancelled. Room is bounded by owner and in all; beyond it an id is reported as not-recorded (429 for DELETE). Only ids of the form that gateways generate are recorded. A withdrawn key is refused.

--- a/packages/client/src/commands/jobCommands.ts
+++ b/packages/client/src/commands/jobCommands.ts
@@ -1,8 +1,12 @@
 import { randomUUID } from 'node:crypto';
 
-import type { CancelResult, JobView, SubmitJobResult } from '@lagoongap/model/messages.js';
+import type {
+  CancelledState,
+  CancelResult,
+  JobView,
+  SubmitJobResult,
+} from '@lagoongap/model/messages.js';
 import { toError } from '@lagoongap/model/toError.js';
-import type { JobState } from '@lagoongap/model/workload.js';
 import { parseTomlTable } from '@lagoongap/release-notes/parseTomlTable.js';
 
 import { TERMINAL_JOB_STATES } from '../api.js';
@@ -108,10 +112,21 @@
  * Returns whether a cancellation was accepted for a job in this state. A running job keeps its
  * state until its tasks have been stopped.
  */
-function isCancelAccepted(state: JobState | 'not-found'): boolean {
+function isCancelAccepted(state: CancelledState): boolean {
   return state === 'cancelled' || state === 'running' || state === 'waiting';
 }
 
+function describeRefused(state: CancelledState): string {
+  switch (state) {
+    case 'not-found':
+      return 'not found';
+    case 'not-recorded':
+      return 'not found, and too many unknown jobs are cancelled; try again later';
+    default:
+      return `has ended as ${state}`;
+  }
+}
+
 /** `cancel <id...>`: cancels jobs. */
 export async function cancelJobs(context: CommandContext, ids: string[]): Promise<void> {
   const result = await context.call<CancelResult>({
@@ -124,9 +139,7 @@
   const refused = result.jobs.filter(({ state }) => !isCancelAccepted(state));
   const lines = [
     `${result.jobs.length - refused.length} of ${ids.length} jobs are cancelled`,
-    ...refused.map(({ id, state }) =>
-      state === 'not-found' ? `${id}: not found` : `${id}: has ended as ${state}`,
-    ),
+    ...refused.map(({ id, state }) => `${id}: ${describeRefused(state)}`),
   ];
   context.output.result(result, lines.join('\n'));
   if (refused.length > 0) {
--- a/packages/coordinator/src/jobMemory.ts
+++ b/packages/coordinator/src/jobMemory.ts
@@ -30,7 +30,7 @@
  */
 export class JobMemory {
   private readonly state: ClusterState;
-  private readonly maxBytes: number;
+  readonly maxBytes: number;
   private readonly estimates = new WeakMap<JobSpec, number>();
   /** Submissions that are being committed, by job id. */
   private readonly inFlight = new Map<string, HeldJob>();
--- a/packages/coordinator/src/jobService.ts
+++ b/packages/coordinator/src/jobService.ts
@@ -17,6 +17,8 @@
 
 import { admit } from './admission.js';
 import type { CommitQueue } from './commitQueue.js';
+import { isVisible } from './jobAccess.js';
+import { JobCancellation } from './jobCancellation.js';
 import type { JobMemory } from './jobMemory.js';
 import { MAX_LOOKUP_WAIT_MS, MAX_SUSPECT_HOLD_MS } from './coordinatorTiming.js';
 import type { PlacementPipeline } from './placementPipeline.js';
@@ -60,8 +62,17 @@
   /** Monotonic time until which all tasks of a job are treated as suspects, by job id. */
   private readonly suspectUntilMs = new Map<string, number>();
 
+  private readonly cancellation: JobCancellation;
+
   constructor(opts: JobServiceOptions) {
     this.opts = opts;
+    const { state, commits, memory } = opts;
+    this.cancellation = new JobCancellation({
+      state,
+      commits,
+      maxJobBytes: memory.maxBytes,
+      onCancelled: (job) => this.handleCancelled(job),
+    });
   }
 
   /** Resolves when the job is committed. A repeated call with the same id gets the same result. */
@@ -76,26 +87,14 @@
   }
 
   /** Cancels jobs in one commit and sends stop actions for their running tasks. */
-  async cancel(params: CancelParams): Promise<CancelResult> {
-    const { state, commits } = this.opts;
-    const visible = params.ids.filter((id) => this.isVisible(state.jobs.get(id), params.keyId));
-    if (visible.length > 0) {
-      await commits.commit({ type: 'cancel-jobs', jobs: visible, wallTime: Date.now() });
-    }
-    for (const id of visible) this.handleCancelled(state.jobs.get(id)!);
-    const found = new Set(visible);
-    return {
-      jobs: params.ids.map((id) => ({
-        id,
-        state: found.has(id) ? state.jobs.get(id)!.state : 'not-found',
-      })),
-    };
+  cancel(params: CancelParams): Promise<CancelResult> {
+    return this.cancellation.cancel(params);
   }
 
   /** Returns a job once it has ended or `waitMs` has passed, whichever comes first. */
   async lookup(params: LookupParams): Promise<JobView> {
     const job = this.opts.state.jobs.get(params.id);
-    if (!job || !this.isVisible(job, params.keyId)) {
+    if (!job || !isVisible(this.opts.state, job, params.keyId)) {
       throw new RefusalError({
         type: 'not-found',
         runState: 'not-run',
@@ -325,15 +324,6 @@
     });
   }
 
-  private isVisible(job: JobRecord | undefined, keyId: string | undefined): boolean {
-    if (!job) return false;
-    const { config } = this.opts.state;
-    const key = keyId === undefined ? undefined : config.keys[keyId];
-    // Jobs of open queues are visible without a key: their ids cannot be guessed.
-    if (!key) return keyId === undefined && config.queues[job.spec.queue]?.open === true;
-    return key.role === 'operator' || key.team === job.team;
-  }
-
   private createView(job: JobRecord): JobView {
     const { attempts } = this.opts.state;
     return {
--- a/packages/gateway/src/callerApi.ts
+++ b/packages/gateway/src/callerApi.ts
@@ -38,6 +38,10 @@
 
 const CALL_DEADLINE_MS = 15_000;
 const MAX_WAIT_MS = 60_000;
+
+/** Time after which a cancellation that was not recorded may be repeated; others have to expire. */
+const NOT_RECORDED_RETRY_AFTER_MS = 30_000;
+
 const MAX_IDEMPOTENCY_KEY_LENGTH = 128;
 
 /** HTTP API for callers: requests and jobs. */
@@ -130,6 +134,14 @@
     if (ids.length === 1 && firstJob?.state === 'not-found') {
       refuse('not-found', `there is no job ${ids[0]}`);
     }
+    if (ids.length === 1 && firstJob?.state === 'not-recorded') {
+      throw new RefusalError({
+        type: 'over-limit',
+        runState: 'not-run',
+        message: `there is no job ${ids[0]}, and too many unknown jobs have been cancelled to record it`,
+        retryAfterMs: NOT_RECORDED_RETRY_AFTER_MS,
+      });
+    }
     sendJson(res, 200, result);
   }
 
--- a/packages/model/src/messages.ts
+++ b/packages/model/src/messages.ts
@@ -134,9 +134,16 @@
   ids: string[];
 }
 
+/**
+ * State of a job after its cancellation was accepted. A job that was `not-found` will not run if its
+ * submission is still on its way; one that was `not-recorded` may, as there was no room to record
+ * the cancellation.
+ */
+export type CancelledState = JobState | 'not-found' | 'not-recorded';
+
 /** State of each job after its cancellation was accepted. */
 export interface CancelResult {
-  jobs: { id: string; state: JobState | 'not-found' }[];
+  jobs: { id: string; state: CancelledState }[];
 }
 
 /** Registers an endpoint. */
--- a/packages/state/src/clusterState.ts
+++ b/packages/state/src/clusterState.ts
@@ -108,7 +108,7 @@
       case 'submit-jobs':
         return this.submitJobs(command);
       case 'cancel-jobs':
-        return this.jobs.cancel(command);
+        return this.jobs.cancel(command, (queue) => this.isQueueOpen(queue));
       case 'reject-jobs':
         return this.jobs.reject(command);
       case 'start-attempts':
@@ -148,7 +148,13 @@
   }
 
   private submitJobs(command: SubmitJobsCommand): unknown {
-    return command.jobs.map((job) => this.jobs.submit(job, command.wallTime));
+    return command.jobs.map((job) =>
+      this.jobs.submit(job, this.isQueueOpen(job.spec.queue), command.wallTime),
+    );
+  }
+
+  private isQueueOpen(queue: string): boolean {
+    return this.config.queues[queue]?.open === true;
   }
 
   private announceEndpoint(command: AnnounceEndpointCommand): void {
--- a/packages/state/src/commands.ts
+++ b/packages/state/src/commands.ts
@@ -42,10 +42,22 @@
   wallTime: number;
 }
 
+/** Jobs that a caller may cancel: all, those of a team, or those of queues that are open to all. */
+export interface CancellationScope {
+  scope: 'any' | 'team' | 'open-queues';
+  /** Present for the scope `team`. */
+  team?: string;
+}
+
 /** Cancels jobs; waiting tasks end at once, running tasks when their endpoints stop them. */
 export interface CancelJobsCommand {
   type: 'cancel-jobs';
   jobs: string[];
+  /**
+   * Jobs that the leader did not know, and the caller's scope. Those that are still unknown end as
+   * cancelled when their submissions arrive. Absent if there are none, and in earlier releases.
+   */
+  early?: CancellationScope & { jobs: string[] };
   wallTime: number;
 }
 
--- a/packages/state/src/jobTable.ts
+++ b/packages/state/src/jobTable.ts
@@ -1,5 +1,6 @@
 import type {
   CancelJobsCommand,
+  CancellationScope,
   RejectJobsCommand,
   SubmittedJob,
   SubmitResult,
@@ -7,6 +8,7 @@
 import { describeCrashes, hasCrashedTooOften, recordCrash, withdrawCrash } from './crashHistory.js';
 import type { IdempotencyIndex } from './idempotencyIndex.js';
 import type { AttemptRecord, FinishedAttempt, JobRecord, TaskRecord } from './records.js';
+import { EarlyCancellations, type EarlyCancellation } from './earlyCancellations.js';
 import { FINISHED_RETENTION_MS, MAX_FINISHED_JOBS } from './retention.js';
 import { RetentionQueue } from './retentionQueue.js';
 import { isFinal, resolveJobState, resolveTaskState } from './taskTransitions.js';
@@ -15,6 +17,25 @@
   return { state: 'waiting', failures: 0, failedOn: [] };
 }
 
+/** Returns whether a queue takes work from every caller. */
+export type IsQueueOpen = (queue: string) => boolean;
+
+/** Returns whether a caller may cancel a job. */
+function isInScope(
+  { team, spec }: JobRecord,
+  caller: CancellationScope,
+  isQueueOpen: IsQueueOpen,
+): boolean {
+  switch (caller.scope) {
+    case 'any':
+      return true;
+    case 'team':
+      return caller.team === team;
+    default:
+      return isQueueOpen(spec.queue);
+  }
+}
+
 /** Returns whether a task of a batch job has failed because it crashed its endpoints. */
 function hasCrashedTask(job: JobRecord): boolean {
   if (job.spec.kind !== 'batch') return false;
@@ -26,11 +47,21 @@
   return { ...job, tasks };
 }
 
+/** Serialisable form for snapshots. */
+interface JobTableSnapshot {
+  jobs: JobRecord[];
+  finished: string[];
+  /** Absent in snapshots of earlier releases. */
+  earlyCancellations?: EarlyCancellation[];
+}
+
 /** Jobs and their tasks. */
 export class JobTable {
   private readonly jobs = new Map<string, JobRecord>();
   private readonly finished = new RetentionQueue();
   private readonly idempotency: IdempotencyIndex;
+  /** Cancellations of jobs whose submissions have not arrived. */
+  readonly earlyCancellations = new EarlyCancellations();
 
   constructor(idempotency: IdempotencyIndex) {
     this.idempotency = idempotency;
@@ -44,8 +75,11 @@
     return this.jobs.values();
   }
 
-  /** Adds a job unless its identifier or idempotency key has already been used. */
-  submit(submitted: SubmittedJob, wallTime: number): SubmitResult {
+  /**
+   * Adds a job unless its identifier or idempotency key has already been used. A job that was
+   * cancelled before its submission arrived ends at once.
+   */
+  submit(submitted: SubmittedJob, isQueueOpen: boolean, wallTime: number): SubmitResult {
     const { id, team, spec, priority, idempotencyKey } = submitted;
     if (this.jobs.has(id)) return { status: 'duplicate', id };
     if (idempotencyKey !== undefined) {
@@ -54,7 +88,7 @@
       this.idempotency.add(team, idempotencyKey, id);
     }
     const tasks = Array.from({ length: spec.tasks }, createTask);
-    this.jobs.set(id, {
+    const job: JobRecord = {
       id,
       team,
       spec,
@@ -65,24 +99,25 @@
       tasks,
       idempotencyKey,
       submittedAt: wallTime,
-    });
+    };
+    this.jobs.set(id, job);
+    const isCancelled = this.earlyCancellations.take({ id, team, isQueueOpen }, wallTime);
+    if (isCancelled) this.cancelJob(job, wallTime);
     return { status: 'accepted', id };
   }
 
   /** Marks jobs as cancelled and returns the identifiers of those that have changed. */
-  cancel(command: CancelJobsCommand): string[] {
-    const changed: string[] = [];
-    for (const id of command.jobs) {
+  cancel({ jobs, early, wallTime }: CancelJobsCommand, isQueueOpen: IsQueueOpen): string[] {
+    const known = [...jobs];
+    for (const id of early?.jobs ?? []) {
       const job = this.jobs.get(id);
-      if (!job || job.cancelled || isFinal(job.state)) continue;
-      job.cancelled = true;
-      for (const task of job.tasks) {
-        if (task.state === 'waiting') task.state = 'cancelled';
-      }
-      this.updateJobState(job, command.wallTime);
-      changed.push(id);
+      if (!job) this.recordEarlyCancellation(id, early!, wallTime);
+      else if (isInScope(job, early!, isQueueOpen)) known.push(id);
     }
-    return changed;
+    return known.filter((id) => {
+      const job = this.jobs.get(id);
+      return job !== undefined && this.cancelJob(job, wallTime);
+    });
   }
 
   /** Ends the waiting tasks of jobs that can never run or whose deadline has expired. */
@@ -140,11 +175,16 @@
     if (task.crashes) task.crashes = withdrawCrash(task.crashes, attempt);
   }
 
-  snapshot(): { jobs: JobRecord[]; finished: string[] } {
-    return { jobs: [...this.jobs.values()].map(copyJob), finished: this.finished.snapshot() };
+  snapshot(): JobTableSnapshot {
+    return {
+      jobs: [...this.jobs.values()].map(copyJob),
+      finished: this.finished.snapshot(),
+      earlyCancellations: this.earlyCancellations.snapshot(),
+    };
   }
 
-  restore(snapshot: { jobs: JobRecord[]; finished: string[] }): void {
+  restore(snapshot: JobTableSnapshot): void {
+    this.earlyCancellations.restore(snapshot.earlyCancellations);
     this.jobs.clear();
     for (const job of snapshot.jobs) {
       this.jobs.set(job.id, copyJob(job));
@@ -155,6 +195,25 @@
     this.finished.restore(snapshot.finished);
   }
 
+  private recordEarlyCancellation(
+    id: string,
+    { scope, team }: CancellationScope,
+    cancelledAt: number,
+  ): void {
+    this.earlyCancellations.add({ id, scope, team, cancelledAt });
+  }
+
+  /** Returns whether the job has changed. */
+  private cancelJob(job: JobRecord, wallTime: number): boolean {
+    if (job.cancelled || isFinal(job.state)) return false;
+    job.cancelled = true;
+    for (const task of job.tasks) {
+      if (task.state === 'waiting') task.state = 'cancelled';
+    }
+    this.updateJobState(job, wallTime);
+    return true;
+  }
+
   private recordCrash(job: JobRecord, task: TaskRecord, finished: FinishedAttempt): void {
     const crashes = recordCrash(task.crashes, finished);
     if (crashes !== task.crashes) task.crashes = crashes;
--- a/packages/state/src/retention.ts
+++ b/packages/state/src/retention.ts
@@ -1,6 +1,12 @@
 /** Time for which finished work and its idempotency key are retained. */
 export const FINISHED_RETENTION_MS = 24 * 60 * 60 * 1000;
 
+/**
+ * Time for which the cancellation of an unknown job is kept for its submission; several times what a
+ * process may be suspended and a call may be repeated.
+ */
+export const EARLY_CANCELLATION_RETENTION_MS = 10 * 60 * 1000;
+
 /** Maximum number of finished jobs that are retained. */
 export const MAX_FINISHED_JOBS = 100_000;
 
--- a/packages/tests/features/client/client.feature
+++ b/packages/tests/features/client/client.feature
@@ -219,10 +219,12 @@
     And the stub gateway has received 0 calls of "POST /v1/replicas/i-1/remove"
 
   Scenario: jobs that cannot be cancelled are listed
-    Given the stub gateway responds to "POST /v1/jobs/cancel" with 200 {"jobs":[{"id":"a","state":"cancelled"},{"id":"b","state":"succeeded"}]}
-    When the client runs "cancel a b"
+    Given the stub gateway responds to "POST /v1/jobs/cancel" with 200 {"jobs":[{"id":"a","state":"cancelled"},{"id":"b","state":"succeeded"},{"id":"c","state":"not-recorded"}]}
+    When the client runs "cancel a b c"
     Then the client exits with 1
+    And the client prints '1 of 3 jobs are cancelled'
     And the client prints 'b: has ended as succeeded'
+    And the client prints 'c: not found, and too many unknown jobs are cancelled; try again later'
 
   Scenario: an instance is drained
     Given the stub gateway responds to "POST /v1/instances/i-1/drain" with 200 {}
--- a/packages/tests/src/state/commandArbitrary.ts
+++ b/packages/tests/src/state/commandArbitrary.ts
@@ -132,6 +132,14 @@
 const cancel = fc.record({
   type: fc.constant('cancel-jobs' as const),
   jobs: fc.array(jobId, { minLength: 1, maxLength: 2 }),
+  early: fc.option(
+    fc.record({
+      jobs: fc.array(jobId, { minLength: 1, maxLength: 2 }),
+      scope: fc.constantFrom('any' as const, 'team' as const, 'open-queues' as const),
+      team: fc.constantFrom('team-1', 'team-2'),
+    }),
+    { nil: undefined },
+  ),
   wallTime,
 });
 
--- a/packages/tests/src/steps/coordinator/abandonRequestSteps.ts
+++ b/packages/tests/src/steps/coordinator/abandonRequestSteps.ts
@@ -1,16 +1,12 @@
 import assert from 'node:assert/strict';
 
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { LeaderSession } from '@lagoongap/coordinator/leaderSession.js';
+import type { LeaderSession } from '@lagoongap/coordinator/leaderSession.js';
 import type { EndpointAnnouncement } from '@lagoongap/model/endpoint.js';
-import { SILENT_LOG } from '@lagoongap/model/log.js';
 import { NO_RESOURCES } from '@lagoongap/model/resources.js';
-import { HttpEndpointClient } from '@lagoongap/routing/httpEndpointClient.js';
-import { NoHealthPolicy } from '@lagoongap/routing/noHealthPolicy.js';
-import { FirstFitFifoScheduler } from '@lagoongap/scheduling/firstFitFifoScheduler.js';
 import { ClusterState } from '@lagoongap/state/clusterState.js';
-import { Metrics } from '@lagoongap/telemetry/metrics.js';
 
+import { createLeaderSession } from '../../harness/createLeaderSession.js';
 import { ManualCommitLog } from '../../harness/manualCommitLog.js';
 import { createTestNote } from '../../harness/testCell.js';
 
@@ -73,20 +69,7 @@
   const announcement = createRunner();
   const command = { type: 'announce-endpoint', announcement, session: 'session-1' };
   this.state.apply({ index: 0, command });
-  this.session = new LeaderSession({
-    instanceId: 'instance-1',
-    instances: [{ id: 'instance-1', dataCentre: 'dc-1' }],
-    log: this.log,
-    state: this.state,
-    scheduler: new FirstFitFifoScheduler(),
-    endpointClient: new HttpEndpointClient(),
-    health: new NoHealthPolicy(),
-    metrics: new Metrics({ processMetrics: false }),
-    timing: { gatewayValidityMs: 2000, endpointHeartbeatMs: 1500, endpointLeaseMs: 6000 },
-    maxBatch: 100,
-    logger: SILENT_LOG,
-    isReachable: () => true,
-  });
+  this.session = createLeaderSession({ log: this.log, state: this.state });
 });
 
 async function acquire({ session }: AbandonRequestWorld, requestId: string): Promise<void> {
--- a/packages/tests/src/steps/workflow/cancellationLimitSteps.ts
+++ b/packages/tests/src/steps/workflow/cancellationLimitSteps.ts
@@ -2,8 +2,8 @@
 
 import { Given, Then, When } from '@cucumber/cucumber';
 import { RefusalError } from '@lagoongap/model/refusalError.js';
-import { estimateCancellationBytes } from '@lagoongap/workflow/cancellationTable.js';
 import { DEFAULT_CELL_LIMITS } from '@lagoongap/workflow/cellLimits.js';
+import { createCancellationTable } from '@lagoongap/workflow/earlyCancellation.js';
 import type { JobResponse } from '@lagoongap/workflow/jobCalls.js';
 
 import { WorkflowWorld } from '../../workflow/workflowWorld.js';
@@ -15,7 +15,11 @@
 /** Shorter than by default, so that scenarios end soon. */
 const RETENTION_MS = 4000;
 
-const ENTRY_BYTES = estimateCancellationBytes({ id: 'a', queue: 'q', organisation: 'o' });
+const ENTRY_BYTES = createCancellationTable().estimateBytes({
+  id: 'a',
+  queue: 'q',
+  organisation: 'o',
+});
 
 function cancel({ world }: Steps, id: string, key = 'k'): Promise<JobResponse> {
   return world.session.jobs.handle({ host: 'h', path: `/q/${id}`, key, operation: 'cancel' });
--- a/packages/workflow/src/earlyCancellations.ts
+++ b/packages/workflow/src/earlyCancellations.ts
@@ -1,11 +1,6 @@
 import { RefusalError } from '@lagoongap/model/refusalError.js';
 
-import {
-  cancellationKey,
-  CancellationTable,
-  estimateCancellationBytes,
-  type EarlyCancellation,
-} from './cancellationTable.js';
+import { createCancellationTable, type EarlyCancellation } from './earlyCancellation.js';
 import { ExpiryQueue } from './expiryQueue.js';
 import type { SessionContext } from './sessionContext.js';
 
@@ -22,7 +17,7 @@
 export class EarlyCancellations {
   private readonly context: SessionContext;
   private readonly kept: ExpiryQueue;
-  private readonly committing = new CancellationTable();
+  private readonly committing = createCancellationTable();
 
   constructor(context: SessionContext) {
     this.context = context;
@@ -39,7 +34,7 @@
    */
   async record(cancellation: EarlyCancellation): Promise<void> {
     const { propose, logger } = this.context;
-    const key = cancellationKey(cancellation);
+    const key = this.committing.keyOf(cancellation);
     if (this.kept.renew(key)) return;
     if (!this.committing.has(cancellation)) this.check(cancellation);
     this.committing.add(cancellation);
@@ -69,7 +64,7 @@
   private check(cancellation: EarlyCancellation): void {
     const { limits, state } = this.context;
     const { organisation } = cancellation;
-    let total = estimateCancellationBytes(cancellation);
+    let total = this.committing.estimateBytes(cancellation);
     let own = total;
     for (const table of [state.cancellations, this.committing]) {
       total += table.totalBytes;
--- a/packages/workflow/src/workflowState.ts
+++ b/packages/workflow/src/workflowState.ts
@@ -1,9 +1,9 @@
 import type { CommittedEntry, StateMachine } from '@lagoongap/consensus/replicatedLog.js';
 
 import { EvacuationState, type EvacuationSnapshot } from '@lagoongap/model/evacuationState.js';
-import { CancellationTable, cancellationKey, type EarlyCancellation } from './cancellationTable.js';
 import { addCrash, isConvicted } from './crashRecord.js';
 import { DurationModel, type DurationSnapshot } from './durationModel.js';
+import { createCancellationTable, type EarlyCancellation } from './earlyCancellation.js';
 import { stepKey, type StepSpec, type TaskRef } from './jobSpec.js';
 import { addOccurrence, includesOccurrence, type OccurrenceRanges } from './occurrenceRanges.js';
 import type {
@@ -96,7 +96,7 @@
   readonly waves = new Map<number, WaveRecord>();
   readonly evacuations = new EvacuationState();
   /** Cancellations of jobs whose submissions have not arrived. */
-  readonly cancellations = new CancellationTable();
+  readonly cancellations = createCancellationTable();
   /** What tasks have taken; learned from the ends of runs. */
   readonly durations = new DurationModel();
   /** Absent until the first configuration is accepted. */
@@ -220,7 +220,7 @@
   private submit(command: SubmitCommand): boolean {
     if (this.jobs.has(command.id)) return false;
     const job = createJob(command);
-    const isLate = this.cancellations.delete(cancellationKey(command));
+    const isLate = this.cancellations.delete(this.cancellations.keyOf(command));
     if (isLate) job.status = 'cancelled';
     this.jobs.set(job.id, job);
     return isLate;
