Soak: callers that leave early and cancel submissions without an outcome

Change: a fifth of the submissions wait for at most 200 ms, and a caller without an outcome cancels with a probability of 0.3 instead of asking again. 410 acknowledges a cancellation. New violations: a task starts although the cancellation of its job found none, and a cancellation does not find an accepted job.

--- a/packages/tests/features/soak/checker.feature
+++ b/packages/tests/features/soak/checker.feature
@@ -196,6 +196,17 @@
     And soak job "a" is cancelled
     Then the soak history has a violation that starts with "a.0.0.0 still runs, but a was cancelled"
 
+  Scenario: a job that starts although its cancellation found none
+    When the cancellation of soak job "a" finds no job
+    Then the soak history has no violations
+    When soak run "a.0.0.0:1" starts on "w1"
+    Then the soak history has a violation that starts with "a.0.0.0 was started on w1, but its cancellation"
+
+  Scenario: an accepted job that its cancellation does not find
+    When the response to soak job "a" is "accepted"
+    And the cancellation of soak job "a" finds no job
+    Then the soak history has a violation that starts with "a was accepted, but its cancellation"
+
   Scenario: a configuration that reverts to an earlier version
     When soak configuration 3 is acknowledged
     And soak configuration 5 is acknowledged
--- a/packages/tests/src/soak/soakHistory.ts
+++ b/packages/tests/src/soak/soakHistory.ts
@@ -67,6 +67,8 @@
   isCancelling: boolean;
   /** A cancellation has been acknowledged. */
   isCancelled: boolean;
+  /** The acknowledgement said that there is no such job. */
+  isUnknown: boolean;
   tasks: Map<string, TaskHistory>;
 }
 
@@ -105,6 +107,7 @@
       openCalls: 0,
       isCancelling: false,
       isCancelled: false,
+      isUnknown: false,
       tasks,
     });
   }
@@ -139,9 +142,15 @@
     if (history) history.isCancelling = true;
   }
 
-  recordCancellation(id: string): void {
+  /** @param isKnown - Whether the acknowledgement said that there is such a job. */
+  recordCancellation(id: string, isKnown = true): void {
     const history = this.jobs.get(id);
-    if (history) history.isCancelled = true;
+    if (!history) return;
+    history.isCancelled = true;
+    history.isUnknown = !isKnown;
+    if (!isKnown && history.outcomes.includes('accepted')) {
+      this.violations.push(`${id} was accepted, but its cancellation found no job`);
+    }
   }
 
   /** Records that an endpoint has started a run. */
@@ -160,6 +169,9 @@
     if (history.openCalls === 0 && SoakHistory.isRefused(history)) {
       this.violations.push(`${name} was started on ${endpoint}, but its job had been refused`);
     }
+    if (history.isUnknown) {
+      this.violations.push(`${name} was started on ${endpoint}, but its cancellation found no job`);
+    }
     for (const doneRun of task.doneRuns.values()) doneRun.isBeforeStart = true;
     if (history.job.kind === 'crashing' && task.crashCount >= MAX_CRASHES) {
       this.recordStartAfterCrashes(name, task);
--- a/packages/tests/src/soak/soakLoad.ts
+++ b/packages/tests/src/soak/soakLoad.ts
@@ -14,6 +14,13 @@
 const JOB_INTERVAL_MS = 60;
 const CONFIG_INTERVAL_MS = 700;
 const CANCELLATION_PROBABILITY = 0.1;
+
+/** Probability that a caller does not wait for the response to a submission until its time-out. */
+const IMPATIENCE_PROBABILITY = 0.2;
+const MAX_IMPATIENT_MS = 200;
+
+/** Probability that a caller cancels instead of repeating a submission without an outcome. */
+const WITHDRAWAL_PROBABILITY = 0.3;
 const MAX_TASKS_PER_STEP = 6;
 const CPU_MILLIS = 2000;
 const ROLL_CALL_CPU_MILLIS = 500;
@@ -165,23 +172,28 @@
     }));
     const body = JSON.stringify({ task_spec: kind satisfies SoakJobKind, steps });
     let outcome: CallOutcome = 'unknown';
-    for (let tries = 0; tries < MAX_TRIES && outcome !== 'accepted'; tries += 1) {
+    let isWithdrawn = false;
+    for (let tries = 0; tries < MAX_TRIES && outcome !== 'accepted' && !isWithdrawn; tries += 1) {
       this.history.recordCall(id);
-      const response = await this.callCaller('POST', id, body);
+      const isImpatient = this.random() < IMPATIENCE_PROBABILITY;
+      const timeoutMs = isImpatient ? this.random() * MAX_IMPATIENT_MS : CALL_TIMEOUT_MS;
+      const response = await this.callCaller('POST', id, body, timeoutMs);
       if (response?.code === STATUS_OK) outcome = 'accepted';
       else outcome = response && REFUSAL_STATUSES.includes(response.code) ? 'refused' : 'unknown';
       this.history.recordOutcome(id, outcome);
-      if (outcome !== 'accepted') await delay(RETRY_INTERVAL_MS);
+      isWithdrawn = outcome === 'unknown' && this.random() < WITHDRAWAL_PROBABILITY;
+      if (outcome !== 'accepted' && !isWithdrawn) await delay(RETRY_INTERVAL_MS);
     }
-    if (outcome === 'accepted' && this.random() < CANCELLATION_PROBABILITY) await this.cancel(id);
+    if (outcome === 'accepted') isWithdrawn = this.random() < CANCELLATION_PROBABILITY;
+    if (isWithdrawn) await this.cancel(id);
   }
 
   private async cancel(id: string): Promise<void> {
     this.history.recordCancellationSent(id);
     for (let tries = 0; tries < MAX_TRIES; tries += 1) {
       const response = await this.callCaller('DELETE', id);
-      if (response?.code === STATUS_OK) {
-        this.history.recordCancellation(id);
+      if (response?.code === STATUS_OK || response?.code === STATUS_GONE) {
+        this.history.recordCancellation(id, response.code === STATUS_OK);
         return;
       }
       await delay(RETRY_INTERVAL_MS);
@@ -192,11 +204,12 @@
     method: 'POST' | 'GET' | 'DELETE',
     id: string,
     body?: string,
+    timeoutMs?: number,
   ): Promise<{ code: number; text: string } | undefined> {
     const callers = this.callers();
     const caller = callers[Math.floor(this.random() * callers.length)]!;
     const headers = { host: HOST, authorization: `Bearer ${CALLER_KEY}` };
-    return this.call(`http://${caller}${JOB_PATH_PREFIX}${id}`, method, headers, body);
+    return this.call(`http://${caller}${JOB_PATH_PREFIX}${id}`, method, headers, body, timeoutMs);
   }
 
   private async callControl(
@@ -215,9 +228,10 @@
     method: 'POST' | 'GET' | 'DELETE' | 'PUT',
     headers: Record<string, string>,
     body: string | undefined,
+    timeoutMs = CALL_TIMEOUT_MS,
   ): Promise<{ code: number; text: string } | undefined> {
     try {
-      const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
+      const signal = AbortSignal.timeout(Math.ceil(timeoutMs));
       const dispatcher = this.agent;
       const res = await request(url, { method, headers, body: body ?? null, signal, dispatcher });
       return { code: res.statusCode, text: await res.body.text() };
--- a/packages/tests/src/steps/soak/checkerSteps.ts
+++ b/packages/tests/src/steps/soak/checkerSteps.ts
@@ -126,6 +126,13 @@
   this.history.recordCancellation(id);
 });
 
+When(
+  'the cancellation of soak job {string} finds no job',
+  function cancel(this: CheckerWorld, id: string) {
+    this.history.recordCancellation(id, false);
+  },
+);
+
 When(
   'soak configuration {int} is acknowledged',
   function acknowledgeConfig(this: CheckerWorld, version: number) {
