Drop requests whose clients have left before they are read

Callers saw: a gateway that was suspended handed in a submission when it woke, although its caller had given up and closed the connection.

Cause: a request was handled as soon as its body was complete. The close that arrived with it is read one turn of the event loop later.

The log line is "client left before its request was handled". This makes late submissions rarer; the recorded cancellation is what rules them out.

--- /dev/null
+++ b/packages/gateway/src/clientPresence.ts
@@ -0,0 +1,25 @@
+import type { IncomingMessage } from 'node:http';
+
+/**
+ * Turns of the event loop after which a close that arrived together with a request has been read:
+ * one reads the request and the next one the close.
+ */
+const EVENT_LOOP_TURNS = 2;
+
+/** Methods that change nothing; their requests are handled at once. */
+const SAFE_METHODS: ReadonlySet<string | undefined> = new Set(['GET', 'HEAD']);
+
+/**
+ * Resolves with whether the client of a request that may change something has already closed its
+ * connection. An instance that was suspended reads requests whose clients have given up long ago and
+ * may have told another instance so; carrying them out would surprise everybody.
+ */
+export async function hasClientLeft({ method, socket }: IncomingMessage): Promise<boolean> {
+  if (SAFE_METHODS.has(method)) return false;
+  for (let turn = 0; turn < EVENT_LOOP_TURNS; turn += 1) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+  return socket.destroyed || socket.readableEnded;
+}
--- a/packages/gateway/src/gatewayServer.ts
+++ b/packages/gateway/src/gatewayServer.ts
@@ -7,6 +7,7 @@
 import type { Refusal } from '@lagoongap/model/refusal.js';
 import { toError } from '@lagoongap/model/toError.js';
 
+import { hasClientLeft } from './clientPresence.js';
 import { discardBody } from './discardBody.js';
 import { GatewayError } from './gatewayError.js';
 import { sendJson, sendRefusal, toRefusal } from './httpResponse.js';
@@ -163,6 +164,11 @@
       sendJson(res, 405, { error: { type: 'invalid-input', runState: 'not-run', message } });
       return;
     }
+    if (await hasClientLeft(req)) {
+      this.opts.log.info('client left before its request was handled', { path: req.url });
+      res.destroy();
+      return;
+    }
     try {
       await match.handler({ req, res, params: match.params, query: match.query });
     } finally {
