Name the listener of the scenarios on abandoned requests apart

Cause: the field "listener" of the scenario's world is the name of a listener in other step definitions, so that the clean-up failed after 56 scenarios of platform/requestCost and platform/untrustedClients.

Change: the field is called httpListener.

--- a/packages/tests/src/steps/platform/abandonedRequestSteps.ts
+++ b/packages/tests/src/steps/platform/abandonedRequestSteps.ts
@@ -14,7 +14,7 @@
 import { findFreePort } from '../../harness/findFreePort.js';
 
 interface Steps {
-  listener?: AsyncDisposable;
+  httpListener?: AsyncDisposable;
   listenerPort: number;
   handled: number;
   clientSocket?: Socket;
@@ -43,7 +43,7 @@
     log: SILENT_LOG,
   });
   await service.listen();
-  steps.listener = service;
+  steps.httpListener = service;
 }
 
 async function startProductListener(steps: Steps): Promise<void> {
@@ -62,12 +62,12 @@
     log: SILENT_LOG,
   });
   await server.listen();
-  steps.listener = server;
+  steps.httpListener = server;
 }
 
 After(async function stopListener(this: Steps) {
   this.clientSocket?.destroy();
-  await this.listener?.[Symbol.asyncDispose]();
+  await this.httpListener?.[Symbol.asyncDispose]();
 });
 
 Given(
