Drop abandoned requests only where a late one could do harm

Cause: every request that may change something waited for two turns of the event loop, heartbeats of endpoints included, of which the largest deployment has hundreds a second. Late heartbeats, configurations and waves are told by their sequence, version or number.

Change: routes and listeners name the requests that are dropped if their clients have left: submissions and changes of evacuations.

--- a/packages/gateway/src/callerApi.ts
+++ b/packages/gateway/src/callerApi.ts
@@ -55,7 +55,7 @@
   register(router: HttpRouter): void {
     router.add('POST', '/v1/requests', ({ req, res }) => this.relayRequest(req, res));
     router.add('GET', '/v1/requests/{id}', (call) => this.lookupRequest(call));
-    router.add('POST', '/v1/jobs', (call) => this.submitJob(call));
+    router.add('POST', '/v1/jobs', (call) => this.submitJob(call), { dropsAbandoned: true });
     router.add('GET', '/v1/jobs/{id}', (call) => this.lookupJob(call));
     router.add('DELETE', '/v1/jobs/{id}', (call) => this.cancelJobs(call, [call.params.id!]));
     router.add('POST', '/v1/jobs/cancel', async (call) => {
--- a/packages/gateway/src/clientPresence.ts
+++ b/packages/gateway/src/clientPresence.ts
@@ -6,16 +6,11 @@
  */
 const EVENT_LOOP_TURNS = 2;
 
-/** Methods that change nothing; their requests are handled at once. */
-const SAFE_METHODS: ReadonlySet<string | undefined> = new Set(['GET', 'HEAD']);
-
 /**
- * Resolves with whether the client of a request that may change something has already closed its
- * connection. An instance that was suspended reads requests whose clients have given up long ago and
+ * Resolves with whether the client of a request has already closed its connection. An instance that was suspended reads requests whose clients have given up long ago and
  * may have told another instance so; carrying them out would surprise everybody.
  */
-export async function hasClientLeft({ method, socket }: IncomingMessage): Promise<boolean> {
-  if (SAFE_METHODS.has(method)) return false;
+export async function hasClientLeft({ socket }: IncomingMessage): Promise<boolean> {
   for (let turn = 0; turn < EVENT_LOOP_TURNS; turn += 1) {
     await new Promise((resolve) => {
       setImmediate(resolve);
--- a/packages/gateway/src/gatewayServer.ts
+++ b/packages/gateway/src/gatewayServer.ts
@@ -164,7 +164,7 @@
       sendJson(res, 405, { error: { type: 'invalid-input', runState: 'not-run', message } });
       return;
     }
-    if (await hasClientLeft(req)) {
+    if (match.opts.dropsAbandoned && (await hasClientLeft(req))) {
       this.opts.log.info('client left before its request was handled', { path: req.url });
       res.destroy();
       return;
--- a/packages/gateway/src/httpRouter.ts
+++ b/packages/gateway/src/httpRouter.ts
@@ -12,10 +12,17 @@
 /** Handles a call; a rejection is sent as a refusal. */
 export type CallHandler = (call: RoutedCall) => Promise<void> | void;
 
+/** Options of a route. */
+export interface RouteOptions {
+  /** Calls whose clients have left before they are handled have no effect; false by default. */
+  dropsAbandoned?: boolean;
+}
+
 interface Route {
   method: string;
   pattern: RegExp;
   handler: CallHandler;
+  opts: RouteOptions;
 }
 
 /** Result of matching a call against the routes. */
@@ -23,6 +30,7 @@
   | {
       status: 'found';
       handler: CallHandler;
+      opts: RouteOptions;
       params: Record<string, string>;
       query: URLSearchParams;
     }
@@ -34,9 +42,9 @@
   private readonly routes: Route[] = [];
 
   /** Adds a handler; `{name}` in the path matches one segment. */
-  add(method: string, path: string, handler: CallHandler): void {
+  add(method: string, path: string, handler: CallHandler, opts: RouteOptions = {}): void {
     const source = path.replace(/\{(\w+)\}/g, '(?<$1>[^/]+)');
-    this.routes.push({ method, pattern: new RegExp(`^${source}$`), handler });
+    this.routes.push({ method, pattern: new RegExp(`^${source}$`), handler, opts });
   }
 
   match(method: string, target: string): RouteMatch {
@@ -53,6 +61,7 @@
       return {
         status: 'found',
         handler: route.handler,
+        opts: route.opts,
         params,
         query: new URLSearchParams(search),
       };
--- a/packages/gateway/src/operatorApi.ts
+++ b/packages/gateway/src/operatorApi.ts
@@ -64,11 +64,17 @@
     );
     router.add('GET', '/v1/audit', (call) => this.sendAuditEntries(call));
     router.add('GET', '/v1/evacuations', (call) => this.listEvacuations(call));
-    router.add('POST', '/v1/evacuations/{name}', (call) =>
-      this.changeEvacuation(call, 'evacuations.begin'),
+    router.add(
+      'POST',
+      '/v1/evacuations/{name}',
+      (call) => this.changeEvacuation(call, 'evacuations.begin'),
+      { dropsAbandoned: true },
     );
-    router.add('DELETE', '/v1/evacuations/{name}', (call) =>
-      this.changeEvacuation(call, 'evacuations.end'),
+    router.add(
+      'DELETE',
+      '/v1/evacuations/{name}',
+      (call) => this.changeEvacuation(call, 'evacuations.end'),
+      { dropsAbandoned: true },
     );
     router.add('POST', '/v1/instances/{id}/drain', (call) => this.drainInstance(call));
     router.add('POST', '/v1/replicas/{id}/remove', (call) => this.removeReplica(call));
--- a/packages/tests/src/steps/platform/abandonedRequestSteps.ts
+++ b/packages/tests/src/steps/platform/abandonedRequestSteps.ts
@@ -40,6 +40,7 @@
       steps.handled += 1;
       return { status: 200 };
     },
+    dropsAbandoned: () => true,
     log: SILENT_LOG,
   });
   await service.listen();
@@ -53,8 +54,8 @@
     if (req.method === 'POST') await readJson(req);
     sendJson(res, 200, {});
   };
-  router.add('POST', '/jobs/a', handle);
-  router.add('DELETE', '/jobs/a', handle);
+  router.add('POST', '/jobs/a', handle, { dropsAbandoned: true });
+  router.add('DELETE', '/jobs/a', handle, { dropsAbandoned: true });
   const server = new GatewayServer({
     host: HOST,
     port: steps.listenerPort,
