--- a/packages/gateway/src/clientPresence.ts
+++ b/packages/gateway/src/clientPresence.ts
@@ -7,8 +7,9 @@
 const EVENT_LOOP_TURNS = 2;
 
 /**
- * Resolves with whether the client of a request has already closed its connection. An instance that was suspended reads requests whose clients have given up long ago and
- * may have told another instance so; carrying them out would surprise everybody.
+ * Resolves with whether the client of a request has already closed its connection. An instance that
+ * was suspended reads requests that their clients have given up, and may have cancelled or undone at
+ * another instance.
  */
 export async function hasClientLeft({ socket }: IncomingMessage): Promise<boolean> {
   for (let turn = 0; turn < EVENT_LOOP_TURNS; turn += 1) {
