--- a/packages/tests/src/steps/coordinator/abandonRequestSteps.ts
+++ b/packages/tests/src/steps/coordinator/abandonRequestSteps.ts
@@ -8,6 +8,7 @@
 
 import { createLeaderSession } from '../../harness/createLeaderSession.js';
 import { ManualCommitLog } from '../../harness/manualCommitLog.js';
+import { runEventLoop } from '../../harness/runEventLoop.js';
 import { createTestNote } from '../../harness/testCell.js';
 
 interface AbandonRequestWorld {
@@ -22,14 +23,6 @@
 const OWNER = 'instance-2:boot1';
 const MAX_ITERATIONS = 20;
 
-async function runEventLoop(): Promise<void> {
-  for (let i = 0; i < MAX_ITERATIONS; i += 1) {
-    await new Promise((resolve) => {
-      setImmediate(resolve);
-    });
-  }
-}
-
 /** Commits the proposals of the leader until none is pending. */
 async function commitAllProposals(log: ManualCommitLog): Promise<void> {
   for (let i = 0; i < MAX_ITERATIONS; i += 1) {
--- a/packages/tests/src/steps/coordinator/earlyCancellationSteps.ts
+++ b/packages/tests/src/steps/coordinator/earlyCancellationSteps.ts
@@ -11,6 +11,7 @@
 
 import { createLeaderSession } from '../../harness/createLeaderSession.js';
 import type { ManualCommitLog } from '../../harness/manualCommitLog.js';
+import { runEventLoop } from '../../harness/runEventLoop.js';
 
 interface Steps {
   session: LeaderSession;
@@ -24,19 +25,10 @@
 
 const JOB_A = 'job-0123456789abcdef01234567';
 const MS_PER_SECOND = 1000;
-const ITERATIONS = 20;
 
 /** Part of the memory for jobs that cancellations of one team may take. */
 const OWNER_FRACTION = 0.01;
 
-async function runEventLoop(): Promise<void> {
-  for (let i = 0; i < ITERATIONS; i += 1) {
-    await new Promise((resolve) => {
-      setImmediate(resolve);
-    });
-  }
-}
-
 async function cancel(steps: Steps, key: string, ids: string[]): Promise<void> {
   const params = { ids, keyId: key === '' ? undefined : key };
   steps.latest = undefined;
--- a/packages/tests/src/steps/coordinator/runStateSteps.ts
+++ b/packages/tests/src/steps/coordinator/runStateSteps.ts
@@ -9,6 +9,7 @@
 import type { ClusterState } from '@lagoongap/state/clusterState.js';
 
 import type { ManualCommitLog } from '../../harness/manualCommitLog.js';
+import { runEventLoop } from '../../harness/runEventLoop.js';
 
 interface RunStateWorld {
   session: LeaderSession;
@@ -21,15 +22,6 @@
 }
 
 const SLOTS = 4;
-const ITERATIONS = 20;
-
-async function runEventLoop(): Promise<void> {
-  for (let i = 0; i < ITERATIONS; i += 1) {
-    await new Promise((resolve) => {
-      setImmediate(resolve);
-    });
-  }
-}
 
 /** Records the refusal of a call. */
 function track(world: RunStateWorld, call: Promise<unknown>): void {
